Lay out the workspace; add ids, units and peer messages

Cause: every part needs the same ids and messages; they come first so that parts can grow side by side. Weighed: one crate against small libraries; the house style asks for the latter.

--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/ops/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings, numbered log events, metrics, the admin listener and graceful stop.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! The platform as traits and over HTTP: log service, weight store, VM list.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! The decisions: choice of upstream, residency, load order, queueing and shares; pure code with time passed in.
--- /dev/null
+++ b/crates/side/src/main.rs
@@ -0,0 +1,3 @@
+//! Reads arguments and calls the library.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform and the upstreams, with faults on request.
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,32 @@
+//! Ids, units and the messages that pumicecleat's processes exchange.
+//!
+//! Every message between an entry, a side and the operators' command is a typed value here,
+//! carried as `MessagePack` by [`encode`] and [`decode`]. Pure code takes the time as [`Millis`].
+//!
+//! ```
+//! use pumicecleat_types::{Lora, decode, encode};
+//!
+//! let lora = Lora::new("malayalam-7b", "sowing", "v3");
+//! assert_eq!(lora.engine_name(), "sowing@v3");
+//! let bytes = encode(&lora);
+//! assert_eq!(decode::<Lora>(&bytes).unwrap(), lora);
+//! ```
+
+mod codec;
+mod id;
+mod lora;
+mod message;
+mod time;
+
+pub use codec::{CodecError, decode, decode_prefix, encode};
+pub use id::{
+    AdapterId, BaseId, CallerId, DataCentre, PoolId, RegionId, RequestId, ServiceId, VersionId,
+    VmId,
+};
+pub use lora::Lora;
+pub use message::{
+    ConfigAsk, ConfigReply, Frame, HeaderField, LoadBid, LoadFigures, LoadTurn, LogRecord,
+    ModelTarget, Ran, Reason, Refusal, Report, ReportReply, RunHead, RunRequest, ServiceTarget,
+    Target, VmEntry, VmRole, VmState,
+};
+pub use time::Millis;
--- /dev/null
+++ b/crates/types/src/message/mod.rs
@@ -0,0 +1,16 @@
+//! Messages between processes, one file per exchange.
+
+mod config;
+mod load;
+mod report;
+mod run;
+mod vm;
+
+pub use config::{ConfigAsk, ConfigReply, LogRecord};
+pub use load::{LoadBid, LoadTurn};
+pub use report::{LoadFigures, Report, ReportReply};
+pub use run::{
+    Frame, HeaderField, ModelTarget, Ran, Reason, Refusal, RunHead, RunRequest, ServiceTarget,
+    Target,
+};
+pub use vm::{VmEntry, VmRole, VmState};
--- /dev/null
+++ b/crates/types/src/time.rs
@@ -0,0 +1,43 @@
+//! Time in pure code: milliseconds since a start that the caller chooses.
+
+use std::ops::{Add, Sub};
+
+use serde::{Deserialize, Serialize};
+
+/// Instant or span, in milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// Span from `earlier` to `self`, zero if `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Self {
+        Self(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Span in seconds.
+    #[must_use]
+    #[allow(clippy::cast_precision_loss, reason = "spans stay far below 2^52 ms")]
+    pub fn as_secs(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+}
+
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, rhs: Self) -> Self {
+        Self(self.0.saturating_add(rhs.0))
+    }
+}
+
+impl Sub for Millis {
+    type Output = Self;
+
+    fn sub(self, rhs: Self) -> Self {
+        self.since(rhs)
+    }
+}
