--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,4 @@
-//! Declarative configuration: parse, check, compare, and the fold over the log that decides what is in force.
+//! Declarative configuration: parse, check, compare, and the fold over the log that decides what
+//! is in force.
+
+pub mod model;
--- /dev/null
+++ b/crates/config/src/model/adapter.rs
@@ -0,0 +1,31 @@
+//! Base models, adapters and their versions.
+
+use std::collections::BTreeMap;
+
+use pumicecleat_types::{BaseId, VersionId};
+use serde::{Deserialize, Serialize};
+
+/// Base model.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Base {
+    /// Longest context, tokens.
+    pub context: u32,
+}
+
+/// Adapter on a base model.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Adapter {
+    /// Base model.
+    pub base: BaseId,
+    /// Version meant by a `model` that names none.
+    pub default: Option<VersionId>,
+    /// Versions.
+    pub versions: BTreeMap<VersionId, Version>,
+}
+
+/// Version of an adapter.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Version {
+    /// Path in the weight store.
+    pub path: String,
+}
--- /dev/null
+++ b/crates/config/src/model/caller.rs
@@ -0,0 +1,32 @@
+//! Callers: their keys, what they may reach and how much they may claim.
+
+use std::collections::BTreeSet;
+
+use pumicecleat_types::{AdapterId, ServiceId};
+use serde::{Deserialize, Serialize};
+
+/// Caller.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Caller {
+    /// SHA-256 of each bearer key, lower-case hex.
+    pub keys: BTreeSet<String>,
+    /// Claim on capacity, a weight in max-min sharing, from 1.
+    pub claim: u32,
+    /// Highest priority it may ask for.
+    pub priority: u8,
+    /// What it may reach.
+    pub grant: Grant,
+}
+
+/// What a caller may reach.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Every adapter.
+    pub all: bool,
+    /// Adapters by name.
+    pub adapters: BTreeSet<AdapterId>,
+    /// Adapters by the start of their name.
+    pub prefixes: BTreeSet<String>,
+    /// Plain services.
+    pub services: BTreeSet<ServiceId>,
+}
--- /dev/null
+++ b/crates/config/src/model/mod.rs
@@ -0,0 +1,37 @@
+//! What operators declare, checked and ready for use.
+
+mod adapter;
+mod caller;
+mod pool;
+mod service;
+mod tuning;
+
+use std::collections::BTreeMap;
+
+use pumicecleat_types::{AdapterId, BaseId, CallerId, PoolId, ServiceId};
+use serde::{Deserialize, Serialize};
+
+pub use adapter::{Adapter, Base, Version};
+pub use caller::{Caller, Grant};
+pub use pool::{Pool, PoolKind};
+pub use service::{KeyRule, Route, Service};
+pub use tuning::{Limits, Tuning};
+
+/// A whole configuration.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// Base models.
+    pub bases: BTreeMap<BaseId, Base>,
+    /// Adapters.
+    pub adapters: BTreeMap<AdapterId, Adapter>,
+    /// Callers.
+    pub callers: BTreeMap<CallerId, Caller>,
+    /// Pools of upstreams.
+    pub pools: BTreeMap<PoolId, Pool>,
+    /// Plain services.
+    pub services: BTreeMap<ServiceId, Service>,
+    /// Weights of the measures.
+    pub tuning: Tuning,
+    /// Limits of requests.
+    pub limits: Limits,
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,11 @@
-//! The decisions: choice of upstream, residency, load order, queueing and shares; pure code with time passed in.
+//! The decisions: choice of upstream, residency, load order, queueing and shares.
+//!
+//! Pure, synchronous code: time and randomness are passed in. The daemons and the measurements
+//! drive the same code.
+
+mod index;
+mod load_order;
+mod router;
+mod scheduler;
+
+pub use index::{CallerIx, LoraIx, PoolIx, UpstreamIx};
--- /dev/null
+++ b/crates/policy/src/router/mod.rs
@@ -0,0 +1,1 @@
+//! To be filled by its stage.
