--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,38 @@
 //! HTTP over monoio with limits, server-sent events, peer messages and the timer service.
+//!
+//! One loop on one thread: [`run`] starts it on the epoll driver, [`Timer`] wakes its tasks,
+//! [`Server`] answers and [`Client`] asks. Bodies are pulled by their reader, so dropping one
+//! cancels what feeds it.
+//!
+//! ```
+//! use pumicecleat_net::{Timer, run};
+//! use std::time::Duration;
+//!
+//! let waited = run(async {
+//!     let timer = Timer::start();
+//!     let from = timer.now();
+//!     timer.sleep(Duration::from_millis(5)).await;
+//!     timer.now().since(from)
+//! });
+//! assert!(waited.unwrap().0 >= 5);
+//! ```
+
+mod body;
+mod client;
+mod error;
+mod peer;
+mod reply;
+mod runtime;
+mod server;
+mod sse;
+mod timer;
+
+pub use body::{Body, BodyError, ByteStream, read_all};
+pub use client::{Client, ClientOptions, Response};
+pub use error::{NetError, Sent};
+pub use peer::{FrameError, FrameReader, frame_bytes, post};
+pub use reply::{json_reply, peer_reply, plain_reply};
+pub use runtime::{RuntimeError, run};
+pub use server::{Handler, Incoming, Reply, Server, ServerOptions, bind, bind_exclusive};
+pub use sse::{SseEvent, SseScanner, TooLong};
+pub use timer::{Elapsed, Sleep, Timer};
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,178 @@
+//! The server: connections under limits, each request to one handler, a stop that cuts nothing.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use futures_util::future::{Either, select};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use monoio::io::IntoPollIo;
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+
+use crate::{Body, Timer};
+
+/// A request as it arrives.
+pub type Incoming = http::Request<hyper::body::Incoming>;
+
+/// An answer.
+pub type Reply = http::Response<Body>;
+
+/// What answers requests.
+pub trait Handler {
+    /// Answer to `request`; dropped if the peer goes away first.
+    fn handle(&self, request: Incoming, peer: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>>;
+}
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerOptions {
+    /// Connections at once.
+    pub connections: usize,
+    /// Longest head, bytes.
+    pub head: usize,
+    /// Time for a head to arrive, and for a connection to stay idle.
+    pub head_span: Duration,
+}
+
+impl Default for ServerOptions {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            head: 16 * 1024,
+            head_span: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Listener on `address`.
+///
+/// # Errors
+/// The system's, if the address can't be bound.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let options = ListenerOpts::new().reuse_port(false);
+    TcpListener::bind_with_config(address, &options)
+}
+
+/// Listener on `address` that no other socket shares, even one in its last moments.
+///
+/// # Errors
+/// The system's, if any process holds the address.
+pub fn bind_exclusive(address: SocketAddr) -> io::Result<TcpListener> {
+    let options = ListenerOpts::new().reuse_port(false).reuse_addr(false);
+    TcpListener::bind_with_config(address, &options)
+}
+
+/// Server on one listener.
+#[derive(Clone)]
+pub struct Server {
+    state: Rc<State>,
+}
+
+struct State {
+    options: ServerOptions,
+    handler: Rc<dyn Handler>,
+    timer: Timer,
+    open: Cell<usize>,
+    /// Closed when the server stops.
+    stop: Sender<Infallible>,
+    stopped: Receiver<Infallible>,
+}
+
+impl Server {
+    /// Server that passes requests to `handler`.
+    #[must_use]
+    pub fn new_ext(options: ServerOptions, handler: Rc<dyn Handler>, timer: &Timer) -> Self {
+        let (stop, stopped) = async_channel::bounded(1);
+        let state = State {
+            options,
+            handler,
+            timer: timer.clone(),
+            open: Cell::new(0),
+            stop,
+            stopped,
+        };
+        Self {
+            state: Rc::new(state),
+        }
+    }
+
+    /// Accepts connections until stopped.
+    pub async fn serve(&self, listener: TcpListener) {
+        loop {
+            let accepted = self.unless_stopping(listener.accept()).await;
+            match accepted {
+                None => break,
+                Some(Ok((stream, peer))) => self.admit(stream, peer),
+                // Out of descriptors, or the peer left: the listener itself is sound.
+                Some(Err(_)) => self.state.timer.sleep(Duration::from_millis(5)).await,
+            }
+        }
+    }
+
+    /// Takes no further connection or request; answers under way go on.
+    pub fn stop(&self) {
+        self.state.stop.close();
+    }
+
+    /// Connections open now.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.state.open.get()
+    }
+
+    fn admit(&self, stream: TcpStream, peer: SocketAddr) {
+        if self.open() >= self.state.options.connections {
+            return;
+        }
+        self.state.open.set(self.open() + 1);
+        let server = self.clone();
+        monoio::spawn(async move {
+            server.converse(stream, peer).await;
+            server.state.open.set(server.open() - 1);
+        });
+    }
+
+    async fn converse(&self, stream: TcpStream, peer: SocketAddr) {
+        // Without it small chunks wait for the peer's acknowledgement; the stream works all the same.
+        let _ = stream.set_nodelay(true);
+        let Ok(io) = stream.into_poll_io() else {
+            return;
+        };
+        let handler = Rc::clone(&self.state.handler);
+        let service = service_fn(move |request| {
+            let reply = handler.handle(request, peer);
+            async move { Ok::<_, Infallible>(reply.await) }
+        });
+        let options = &self.state.options;
+        let connection = http1::Builder::new()
+            .timer(MonoioTimer)
+            .header_read_timeout(options.head_span)
+            .max_buf_size(options.head.max(8192))
+            .serve_connection(MonoioIo::new(io), service);
+        let mut connection = std::pin::pin!(connection);
+        let ended = self.unless_stopping(connection.as_mut()).await;
+        if ended.is_none() {
+            connection.as_mut().graceful_shutdown();
+            // A peer that breaks off ends its own exchange only.
+            let _ = connection.await;
+        }
+    }
+
+    /// Result of `work`, or `None` once the server stops.
+    async fn unless_stopping<F: Future>(&self, work: F) -> Option<F::Output> {
+        let work = std::pin::pin!(work);
+        let stopped = std::pin::pin!(self.state.stopped.recv());
+        match select(work, stopped).await {
+            Either::Left((out, _)) => Some(out),
+            Either::Right(_) => None,
+        }
+    }
+}
