--- /dev/null
+++ b/crates/policy/src/scheduler/admission.rs
@@ -0,0 +1,84 @@
+//! Refusals: at once where a deadline can't be met, later where it no longer can.
+
+use pumicecleat_types::{Millis, Reason};
+
+use super::{GiveUp, Job, SHORTEST_RETRY, Scheduler};
+use crate::CallerIx;
+
+/// Longest Retry-After.
+const LONGEST_RETRY: Millis = Millis(30_000);
+
+impl Scheduler {
+    /// Whether the request can be met by its deadline.
+    pub(super) fn admit(&self, job: &Job, now: Millis) -> Result<(), GiveUp> {
+        if self.leaving {
+            return Err(give_up(Reason::Leaving, SHORTEST_RETRY));
+        }
+        let failing = job.lora.and_then(|l| self.loading.backs_off(l, now));
+        if let Some(span) = failing {
+            return Err(give_up(Reason::LoadFailed, span));
+        }
+        let service = self.estimate.service(u64::from(job.tokens));
+        let end = now + self.wait(job) + service;
+        if end > job.deadline {
+            let late = end - job.deadline;
+            return Err(give_up(Reason::Overloaded, late));
+        }
+        Ok(())
+    }
+
+    /// Expected wait of a request that comes now.
+    fn wait(&self, job: &Job) -> Millis {
+        let queue = self.queue_wait(job.caller, job.claim);
+        let absent = job.lora.filter(|l| !self.residency.ready(*l));
+        let load = absent.map_or(Millis(0), |_| self.estimate.load());
+        queue.max(load)
+    }
+
+    /// Wait behind what goes first by the shares: all that waits, or less where the caller's own
+    /// backlog is small against its claim.
+    fn queue_wait(&self, caller: CallerIx, claim: u32) -> Millis {
+        let own = self.queue.backlog(caller).tokens;
+        let others: u32 = self
+            .queue
+            .callers()
+            .filter(|(c, _)| *c != caller)
+            .map(|(_, b)| b.claim)
+            .sum();
+        let claim = u64::from(claim.max(1));
+        let by_share = own * (claim + u64::from(others)) / claim;
+        let ahead = by_share.min(self.queue.tokens());
+        self.estimate.drain(ahead, self.options.batch)
+    }
+
+    /// Finds a place in the queue: a full one gives up the request due last of the caller that has
+    /// the most waiting per claim.
+    pub(super) fn make_room(&mut self, job: &Job) -> Result<(), GiveUp> {
+        if self.queue.len() < self.options.queue as usize {
+            return Ok(());
+        }
+        let wait = self.estimate.drain(self.queue.tokens(), self.options.batch);
+        let largest = self.queue.largest().filter(|c| *c != job.caller);
+        let last = largest.and_then(|c| self.queue.last_of(c));
+        let Some(last) = last else {
+            return Err(give_up(Reason::Overloaded, wait));
+        };
+        self.refuse(last, Reason::Overloaded, wait);
+        Ok(())
+    }
+
+    /// Refuses what can no longer be met.
+    pub(super) fn expire(&mut self, now: Millis) {
+        while let Some((start, id)) = self.queue.first_start() {
+            if start >= now {
+                return;
+            }
+            self.refuse(id, Reason::Deadline, self.estimate.load());
+        }
+    }
+}
+
+fn give_up(reason: Reason, retry: Millis) -> GiveUp {
+    let retry = retry.clamp(SHORTEST_RETRY, LONGEST_RETRY);
+    GiveUp { reason, retry }
+}
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -1,1 +1,268 @@
-//! To be filled by its stage.
+//! Decisions of one side for its upstream: queue, shares, batches and residency.
+//!
+//! A [`Scheduler`] is told what happens (a request came, an answer ended, a load ended) and gives
+//! its orders when polled. It holds each request from `submit` until it orders the send or refuses
+//! it; an adapter with a sent, unfinished request is pinned, and no pinned adapter is ever ordered
+//! to be unloaded.
+//!
+//! - `queue` keeps the waiting requests, `share` the work that each caller has had.
+//! - `send` picks what goes to the engine, and holds requests back for a fuller batch.
+//! - `demand` and `residency` tell which adapter to evict; `loading` is the load in hand.
+//! - `admission` refuses at once what can't be met by its deadline.
+
+mod admission;
+mod demand;
+mod estimate;
+mod job;
+mod load;
+mod loading;
+mod options;
+mod queue;
+mod residency;
+mod send;
+mod share;
+
+use std::collections::BTreeMap;
+
+use pumicecleat_types::{LoadFigures, LoadTurn, Millis, Reason};
+
+use crate::LoraIx;
+use demand::Demand;
+use estimate::Estimate;
+use loading::{Loading, Stage};
+use queue::Queue;
+use residency::Residency;
+use share::Shares;
+
+pub use job::{Action, Bid, GiveUp, Job, JobId, LoadEnd};
+pub use options::{SchedulerOptions, Weights};
+
+/// Shortest Retry-After, so that callers don't come back at once.
+const SHORTEST_RETRY: Millis = Millis(250);
+
+/// A request at the engine.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    lora: Option<LoraIx>,
+    tokens: u32,
+    at: Millis,
+}
+
+/// Decisions of one side; see the module.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    options: SchedulerOptions,
+    estimate: Estimate,
+    queue: Queue,
+    shares: Shares,
+    sent: BTreeMap<JobId, Sent>,
+    unaccounted: u32,
+    residency: Residency,
+    demand: Demand,
+    loading: Loading,
+    orders: Vec<Action>,
+    leaving: bool,
+}
+
+impl Scheduler {
+    /// Scheduler of an engine with nothing resident.
+    #[must_use]
+    pub fn new_ext(options: SchedulerOptions) -> Self {
+        Self {
+            options,
+            estimate: Estimate::new(&options),
+            queue: Queue::default(),
+            shares: Shares::default(),
+            sent: BTreeMap::new(),
+            unaccounted: 0,
+            residency: Residency::new(options.slots),
+            demand: Demand::default(),
+            loading: Loading::new(),
+            orders: Vec::new(),
+            leaving: false,
+        }
+    }
+
+    /// Takes a request in, to be sent or refused by a later poll.
+    ///
+    /// # Errors
+    /// [`GiveUp`] if it can't be met by its deadline, or the queue has no place for this caller.
+    pub fn submit(&mut self, job: Job, now: Millis) -> Result<(), GiveUp> {
+        if let Some(lora) = job.lora {
+            self.demand.hit(lora, now);
+        }
+        self.admit(&job, now)?;
+        self.make_room(&job)?;
+        if self.queue.backlog(job.caller).jobs == 0 {
+            self.shares.join(job.caller);
+        }
+        let service = self.estimate.service(u64::from(job.tokens));
+        self.queue.add(job, job.deadline - service);
+        Ok(())
+    }
+
+    /// Orders that are due, to be carried out every one. To be called after every other call that
+    /// tells something, and at [`next_wake`](Self::next_wake).
+    pub fn poll(&mut self, now: Millis) -> Vec<Action> {
+        self.expire(now);
+        self.send(now);
+        self.load(now);
+        std::mem::take(&mut self.orders)
+    }
+
+    /// When to poll next, if nothing happens before; to be asked after a poll.
+    #[must_use]
+    pub fn next_wake(&self, now: Millis) -> Option<Millis> {
+        let expiry = self.queue.first_start().map(|(at, _)| at + Millis(1));
+        let wakes = [expiry, self.hold_wake(now), self.load_wake(now)];
+        wakes.into_iter().flatten().min().map(|at| at.max(now))
+    }
+
+    /// A sent request ended: whole, broken or never accepted by the engine.
+    pub fn finished(&mut self, id: JobId, whole: bool, now: Millis) {
+        let Some(sent) = self.sent.remove(&id) else {
+            return;
+        };
+        if let Some(lora) = sent.lora {
+            self.residency.unpin(lora);
+        }
+        if whole {
+            self.estimate.answered(sent.tokens, now.since(sent.at));
+        }
+    }
+
+    /// Withdraws a waiting request; `false` if it does not wait (any more), as when it was sent.
+    pub fn cancel(&mut self, id: JobId) -> bool {
+        self.queue.take(id).is_some()
+    }
+
+    /// Whether a request waits here.
+    #[must_use]
+    pub fn waits(&self, id: JobId) -> bool {
+        self.queue.has(id)
+    }
+
+    /// An entry answered the bid.
+    pub fn turn(&mut self, turn: LoadTurn, now: Millis) {
+        self.loading.turn(turn, now);
+    }
+
+    /// No entry answered the bid; `roll` is a random number.
+    pub fn no_turn(&mut self, roll: u64, now: Millis) {
+        self.loading.no_turn(self.estimate.load(), roll, now);
+    }
+
+    /// An ordered load ended.
+    pub fn loaded(&mut self, lora: LoraIx, end: LoadEnd, now: Millis) {
+        let Stage::Loading {
+            lora: at, since, ..
+        } = self.loading.stage
+        else {
+            return;
+        };
+        if at != lora {
+            return;
+        }
+        self.loading.stage = Stage::Idle { next: now };
+        match end {
+            LoadEnd::Done => {
+                self.estimate.loaded(now.since(since));
+                self.loading.forgive(lora);
+                self.residency.put(lora, 0, now);
+            }
+            LoadEnd::Failed => self.fail(lora, now),
+            LoadEnd::Busy { retry } => {
+                let next = now + retry;
+                self.loading.stage = Stage::Idle { next };
+            }
+        }
+    }
+
+    /// An ordered unload ended; `gone` tells whether the engine did it.
+    pub fn unloaded(&mut self, lora: LoraIx, gone: bool, now: Millis) {
+        self.residency.evicted(lora, gone, now);
+        if matches!(self.loading.stage, Stage::Evicting { victim, .. } if victim == lora) {
+            self.freed(gone, now);
+        }
+    }
+
+    /// The side or its engine restarted: what is resident, and the adapters of requests in flight
+    /// that this side did not send, one item each. Waiting requests stay; sent ones are forgotten.
+    pub fn reset(&mut self, resident: &[LoraIx], unaccounted: &[LoraIx], now: Millis) {
+        self.sent.clear();
+        self.residency.clear();
+        self.loading = Loading::new();
+        self.unaccounted = 0;
+        for lora in resident {
+            self.residency.put(*lora, 0, now);
+        }
+        for lora in unaccounted {
+            self.residency.put(*lora, 1, now);
+            self.unaccounted += 1;
+        }
+    }
+
+    /// A request that this side did not send has ended at the engine.
+    pub fn release(&mut self, lora: LoraIx) {
+        if self.unaccounted > 0 {
+            self.unaccounted -= 1;
+            self.residency.unpin(lora);
+        }
+    }
+
+    /// Takes no new requests, and refuses those that wait; sent ones end in their own time.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        for id in self.queue.ids() {
+            self.refuse(id, Reason::Leaving, SHORTEST_RETRY);
+        }
+    }
+
+    /// The engine tells its step time, microseconds.
+    pub fn stepped(&mut self, step_us: u32) {
+        self.estimate.stepped(step_us);
+    }
+
+    /// Load of the upstream.
+    #[must_use]
+    pub fn figures(&self) -> LoadFigures {
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let wait = self.estimate.drain(self.queue.tokens(), self.options.batch);
+        LoadFigures {
+            running: self.running(),
+            waiting: count(self.queue.len()),
+            batch: self.options.batch,
+            slots: self.options.slots,
+            spare: count(self.residency.spare()),
+            step_us: self.estimate.step_us(),
+            wait_ms: u32::try_from(wait.0).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Adapters that requests may be sent to.
+    #[must_use]
+    pub fn resident(&self) -> Vec<LoraIx> {
+        self.residency.ready_all().collect()
+    }
+
+    /// Adapter being loaded.
+    #[must_use]
+    pub fn loading(&self) -> Option<LoraIx> {
+        self.loading.lora()
+    }
+
+    /// Requests at the engine.
+    fn running(&self) -> u32 {
+        let sent = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
+        sent.saturating_add(self.unaccounted)
+    }
+
+    /// Takes a waiting request out and orders its refusal.
+    fn refuse(&mut self, id: JobId, reason: Reason, retry: Millis) {
+        if self.queue.take(id).is_some() {
+            let retry = retry.max(SHORTEST_RETRY);
+            let give_up = GiveUp { reason, retry };
+            self.orders.push(Action::Refuse(id, give_up));
+        }
+    }
+}
