--- a/crates/policy/src/load_order/pace.rs
+++ b/crates/policy/src/load_order/pace.rs
@@ -33,12 +33,12 @@
     }
 
     /// Expected time of a load.
-    pub(super) fn load(&self) -> Millis {
+    pub(super) fn load(self) -> Millis {
         self.load
     }
 
     /// Span after which a turn lapses.
-    pub(super) fn ttl(&self) -> Millis {
+    pub(super) fn ttl(self) -> Millis {
         Millis(self.load.0 * LAPSE)
     }
 }
--- a/crates/policy/src/scheduler/loading.rs
+++ b/crates/policy/src/scheduler/loading.rs
@@ -75,6 +75,16 @@
         }
     }
 
+    /// When the load of this adapter was ordered, if it is the one in hand.
+    pub(super) fn since(&self, lora: LoraIx) -> Option<Millis> {
+        match self.stage {
+            Stage::Loading {
+                lora: at, since, ..
+            } if at == lora => Some(since),
+            _ => None,
+        }
+    }
+
     /// An entry answered.
     pub(super) fn turn(&mut self, turn: LoadTurn, now: Millis) {
         self.unanswered = 0;
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -154,22 +154,16 @@
 
     /// An ordered load ended.
     pub fn loaded(&mut self, lora: LoraIx, end: LoadEnd, now: Millis) {
-        let Stage::Loading {
-            lora: at, since, ..
-        } = self.loading.stage
-        else {
+        if end == LoadEnd::Done {
+            self.loading.forgive(lora);
+            self.residency.put(lora, 0, now);
+        }
+        let Some(since) = self.loading.since(lora) else {
             return;
         };
-        if at != lora {
-            return;
-        }
         self.loading.stage = Stage::Idle { next: now };
         match end {
-            LoadEnd::Done => {
-                self.estimate.loaded(now.since(since));
-                self.loading.forgive(lora);
-                self.residency.put(lora, 0, now);
-            }
+            LoadEnd::Done => self.estimate.loaded(now.since(since)),
             LoadEnd::Failed => self.fail(lora, now),
             LoadEnd::Busy { retry } => {
                 let next = now + retry;
