--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -11,8 +11,8 @@
 impl Scheduler {
     /// Whether the request can be met by its deadline.
     pub(super) fn admit(&self, job: &Job, now: Millis) -> Result<(), GiveUp> {
-        if self.leaving {
-            return Err(give_up(Reason::Leaving, SHORTEST_RETRY));
+        if let Some(reason) = self.closed {
+            return Err(give_up(reason, SHORTEST_RETRY));
         }
         let failing = job.lora.and_then(|l| self.loading.backs_off(l, now));
         if let Some(span) = failing {
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -61,7 +61,7 @@
     demand: Demand,
     loading: Loading,
     orders: Vec<Action>,
-    leaving: bool,
+    closed: Option<Reason>,
 }
 
 impl Scheduler {
@@ -79,7 +79,7 @@
             demand: Demand::default(),
             loading: Loading::new(),
             orders: Vec::new(),
-            leaving: false,
+            closed: None,
         }
     }
 
@@ -204,14 +204,20 @@
         }
     }
 
-    /// Takes no new requests, and refuses those that wait; sent ones end in their own time.
-    pub fn leave(&mut self) {
-        self.leaving = true;
+    /// Takes no new requests, and refuses those that wait, as when the upstream is leaving or down;
+    /// sent ones end in their own time.
+    pub fn close(&mut self, reason: Reason) {
+        self.closed = Some(reason);
         for id in self.queue.ids() {
-            self.refuse(id, Reason::Leaving, SHORTEST_RETRY);
+            self.refuse(id, reason, SHORTEST_RETRY);
         }
     }
 
+    /// Takes requests again.
+    pub fn reopen(&mut self) {
+        self.closed = None;
+    }
+
     /// The engine tells its step time, microseconds.
     pub fn stepped(&mut self, step_us: u32) {
         self.estimate.stepped(step_us);
