Add the router: choice of upstream from a few candidates

Cause: the entry must choose an upstream without scanning all of them, from figures that lag. Weighed: rendezvous over all upstreams, ruled out by its cost; a ring with a few probes per adapter keeps the same property that entries mostly agree on an adapter's home. Conclusion: candidates are sampled holders, ring homes and prefix hints; shortest expected wait wins. Not yet measured: cost, balance of homes, and the demotion of stalled upstreams.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,3 +9,7 @@
 mod scheduler;
 
 pub use index::{CallerIx, LoraIx, PoolIx, UpstreamIx};
+pub use router::{
+    Ask, BudgetOptions, Choice, Outcome, Pick, RetryBudget, Router, RouterOptions, UpstreamFigures,
+    lora_key, upstream_key,
+};
--- /dev/null
+++ b/crates/policy/src/router/ask.rs
@@ -0,0 +1,67 @@
+//! What the router is asked, what it answers, and what it is told of an attempt's end.
+
+use pumicecleat_types::{LoadFigures, Millis, Reason};
+
+use crate::{LoraIx, PoolIx, UpstreamIx};
+
+/// State of an upstream, by its side's report.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamFigures {
+    /// Load.
+    pub load: LoadFigures,
+    /// Takes no new work.
+    pub leaving: bool,
+    /// Upstream answers its side.
+    pub healthy: bool,
+}
+
+/// Question: where should this request go?
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask<'a> {
+    /// Pool to choose from.
+    pub pool: PoolIx,
+    /// Adapter and version, or `None` for a plain service.
+    pub lora: Option<LoraIx>,
+    /// Hash of the prompt's prefix, in the engines' terms.
+    pub prefix: Option<u64>,
+    /// Time left until the caller's deadline.
+    pub left: Millis,
+    /// Upstreams that this request was sent to before; never chosen again.
+    pub tried: &'a [UpstreamIx],
+}
+
+/// Upstream chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// Upstream.
+    pub up: UpstreamIx,
+    /// Expected wait until the first step of the request ends.
+    pub wait: Millis,
+    /// Adapter is resident there by the last report, or none is needed.
+    pub resident: bool,
+}
+
+/// Answer to an [`Ask`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Send it there.
+    Send(Pick),
+    /// Nowhere to send it to in time.
+    Refuse {
+        /// When to come back.
+        retry: Millis,
+    },
+}
+
+/// End of one attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered whole.
+    Whole,
+    /// Refused by the side, not run.
+    Refused(Reason, Option<LoadFigures>),
+    /// No answer began within the header timeout.
+    Stalled,
+    /// Connection could not be made, or broke.
+    Failed,
+}
--- /dev/null
+++ b/crates/policy/src/router/choose.rs
@@ -0,0 +1,222 @@
+//! The choice: a few candidates, then the shortest expected wait among them.
+
+use pumicecleat_types::Millis;
+
+use super::ask::{Ask, Choice, Pick};
+use super::estimate::{load_us, queue_us};
+use super::pool::{Pool, Standing};
+use super::upstream::Hold;
+use super::{Router, draw::Draw};
+use crate::{LoraIx, UpstreamIx};
+
+/// Upstreams compared for a plain service, and those drawn where no other candidate is ready.
+const DRAWN: usize = 2;
+
+/// Prefix holders that one choice looks at.
+const PREFIXED: usize = 2;
+
+/// Stalled upstreams that a draw steps over at most.
+const STALLED: usize = 16;
+
+/// Expected waits of this many times the time left are refused: figures lag, so less may be wrong.
+const LATE: u64 = 2;
+
+/// Microseconds in a millisecond.
+const MICROS: u64 = 1_000;
+
+/// Order in which candidates are taken, before any wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Class {
+    Ready,
+    Stalled,
+    Suspect,
+}
+
+/// A candidate with its expected wait.
+#[derive(Clone, Copy, Debug)]
+struct Scored {
+    class: Class,
+    /// Wait with the margin that a new copy must win, microseconds.
+    cost: u64,
+    /// Expected wait, microseconds.
+    wait: u64,
+    hold: Hold,
+    up: UpstreamIx,
+}
+
+impl Router {
+    /// Where this request should go.
+    pub fn choose(&mut self, ask: &Ask<'_>, now: Millis) -> Choice {
+        let scored = self.candidates(ask, now);
+        let Some(best) = self.best(&scored) else {
+            let retry = self.options.retry;
+            return Choice::Refuse { retry };
+        };
+        let wait = Millis(best.wait.div_ceil(MICROS));
+        if wait.0 / LATE > ask.left.0 {
+            let retry = wait.since(ask.left).max(self.options.retry);
+            return Choice::Refuse { retry };
+        }
+        Choice::Send(Pick {
+            up: best.up,
+            wait,
+            resident: best.hold == Hold::Resident,
+        })
+    }
+
+    /// Expected wait at one upstream, whether or not it may get work; `None` if it is not known.
+    #[must_use]
+    pub fn expected(
+        &self,
+        up: UpstreamIx,
+        lora: Option<LoraIx>,
+        prefix: Option<u64>,
+        now: Millis,
+    ) -> Option<Millis> {
+        let (wait, _) = self.wait_us(up, lora, prefix, now)?;
+        Some(Millis(wait.div_ceil(MICROS)))
+    }
+
+    fn candidates(&mut self, ask: &Ask<'_>, now: Millis) -> Vec<Scored> {
+        let Some(pool) = self.pools.get(ask.pool.0 as usize) else {
+            return Vec::new();
+        };
+        let ups = match ask.lora {
+            Some(lora) => {
+                let key = self.lora_key(lora);
+                let mut draw = self.draw;
+                let mut ups = pool.holders.sample(lora, self.options.holders, &mut draw);
+                self.draw = draw;
+                ups.extend(pool.ring.homes(key, self.options.homes));
+                ups
+            }
+            None => Vec::new(),
+        };
+        let mut scored = self.score(ask, &ups, now);
+        let hinted = self.hinted(ask);
+        scored.extend(self.score(ask, &hinted, now));
+        if !scored.iter().any(|s| s.class == Class::Ready) {
+            let drawn = self.drawn(ask, now);
+            scored.extend(self.score(ask, &drawn, now));
+        }
+        scored
+    }
+
+    fn hinted(&self, ask: &Ask<'_>) -> Vec<UpstreamIx> {
+        let Some(prefix) = ask.prefix else {
+            return Vec::new();
+        };
+        self.hints.of(prefix, PREFIXED).collect()
+    }
+
+    /// Upstreams drawn from the fresh ones, or else from the suspect ones.
+    fn drawn(&mut self, ask: &Ask<'_>, now: Millis) -> Vec<UpstreamIx> {
+        let mut draw = self.draw;
+        let Some(pool) = self.pools.get(ask.pool.0 as usize) else {
+            return Vec::new();
+        };
+        let mut drawn = self.walk(ask, &pool.fresh, &mut draw, now);
+        if drawn.is_empty() {
+            drawn = self.walk(ask, &pool.behind, &mut draw, now);
+        }
+        self.draw = draw;
+        drawn
+    }
+
+    /// First ready upstreams after drawn places; a stalled one where no ready one is near.
+    fn walk(
+        &self,
+        ask: &Ask<'_>,
+        ups: &[UpstreamIx],
+        draw: &mut Draw,
+        now: Millis,
+    ) -> Vec<UpstreamIx> {
+        let reach = ups.len().min(ask.tried.len() + STALLED + 1);
+        let mut taken = Vec::with_capacity(DRAWN);
+        for _ in 0..DRAWN {
+            let start = draw.below(ups.len());
+            let near = (0..reach).map(|n| ups[(start + n) % ups.len()]);
+            let open = near.filter(|u| !ask.tried.contains(u) && !taken.contains(u));
+            let next = open.min_by_key(|&u| self.stalled(u, now));
+            taken.extend(next);
+        }
+        taken
+    }
+
+    fn score(&self, ask: &Ask<'_>, ups: &[UpstreamIx], now: Millis) -> Vec<Scored> {
+        let open = ups.iter().filter(|u| !ask.tried.contains(u));
+        open.filter_map(|&up| self.scored(ask, up, now)).collect()
+    }
+
+    fn scored(&self, ask: &Ask<'_>, up: UpstreamIx, now: Millis) -> Option<Scored> {
+        let class = self.class(ask, up, now)?;
+        let (wait, hold) = self.wait_us(up, ask.lora, ask.prefix, now)?;
+        let margin = match hold {
+            Hold::Absent => self.options.spread.0 * MICROS,
+            Hold::Resident | Hold::Coming(_) => 0,
+        };
+        Some(Scored {
+            class,
+            cost: wait + margin,
+            wait,
+            hold,
+            up,
+        })
+    }
+
+    fn class(&self, ask: &Ask<'_>, up: UpstreamIx, now: Millis) -> Option<Class> {
+        let upstream = self.upstreams.get(up.0 as usize)?;
+        if upstream.pool != ask.pool {
+            return None;
+        }
+        match upstream.standing() {
+            Standing::Out => None,
+            Standing::Behind => Some(Class::Suspect),
+            Standing::Fresh if self.stalled(up, now) => Some(Class::Stalled),
+            Standing::Fresh => Some(Class::Ready),
+        }
+    }
+
+    fn stalled(&self, up: UpstreamIx, now: Millis) -> bool {
+        let upstream = self.upstreams.get(up.0 as usize);
+        upstream.is_some_and(|u| u.stalled > now)
+    }
+
+    fn wait_us(
+        &self,
+        up: UpstreamIx,
+        lora: Option<LoraIx>,
+        prefix: Option<u64>,
+        now: Millis,
+    ) -> Option<(u64, Hold)> {
+        let upstream = self.upstreams.get(up.0 as usize)?;
+        let hold = lora.map_or(Hold::Resident, |l| upstream.hold(l));
+        let queue = queue_us(upstream, &self.options);
+        let load = load_us(upstream, hold, self.load, &self.options, now);
+        let hinted = prefix.is_some_and(|p| self.hints.contains(p, up));
+        let gain = if hinted {
+            self.options.gain.0 * MICROS
+        } else {
+            0
+        };
+        Some(((queue + load).saturating_sub(gain), hold))
+    }
+
+    /// Least cost in the best class; among loads of like cost, the earliest home, so that entries agree.
+    fn best(&self, scored: &[Scored]) -> Option<Scored> {
+        let best = scored.iter().min_by_key(|s| (s.class, s.cost))?;
+        if best.hold != Hold::Absent {
+            return Some(*best);
+        }
+        let most = best.cost + self.options.slack.0 * MICROS;
+        let alike = |s: &&Scored| s.class == best.class && s.hold == Hold::Absent && s.cost <= most;
+        scored.iter().find(alike).copied()
+    }
+}
+
+impl Pool {
+    /// Upstreams that may get work.
+    pub(super) fn usable(&self) -> usize {
+        self.fresh.len() + self.behind.len()
+    }
+}
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -1,1 +1,287 @@
-//! To be filled by its stage.
+//! The entry's choice of upstream.
+//!
+//! [`Router`] keeps what an entry hears of upstreams as soft state: reports, ends of its own attempts
+//! and cache events. It may be wrong for seconds; the side beside an upstream has the last word by
+//! its refusal. A choice looks at a few candidates only: a sample of an adapter's holders, and its
+//! homes on a hash ring. So its cost grows with neither the upstreams nor the adapters, but for the
+//! depth of ordered sets.
+//!
+//! `ask` holds the question and the answer, `upstream` what is known of one upstream, `pool`, `ring`
+//! and `holders` where candidates come from, `estimate` the expected wait, `choose` the choice,
+//! `outcome` what attempts teach, `hints` cached prefixes, and `budget` the bound on retries.
+
+mod ask;
+mod budget;
+mod choose;
+mod draw;
+mod estimate;
+mod hints;
+mod holders;
+mod key;
+mod options;
+mod outcome;
+mod pool;
+mod ring;
+mod upstream;
+
+pub use ask::{Ask, Choice, Outcome, Pick, UpstreamFigures};
+pub use budget::{BudgetOptions, RetryBudget};
+pub use key::{lora_key, upstream_key};
+pub use options::RouterOptions;
+
+use pumicecleat_types::Millis;
+
+use crate::{LoraIx, PoolIx, UpstreamIx};
+use draw::Draw;
+use hints::Hints;
+use key::index_key;
+use pool::{Pool, Standing};
+use upstream::Upstream;
+
+/// Choice of upstream for one entry.
+#[derive(Clone, Debug)]
+pub struct Router {
+    options: RouterOptions,
+    load: Millis,
+    draw: Draw,
+    upstreams: Vec<Upstream>,
+    pools: Vec<Pool>,
+    /// Keys of adapters by index; 0 where not named.
+    loras: Vec<u64>,
+    hints: Hints,
+}
+
+impl Router {
+    /// Router that knows no upstream yet.
+    #[must_use]
+    pub fn new_ext(options: RouterOptions) -> Self {
+        Self {
+            options,
+            load: options.load,
+            draw: Draw::new(options.seed),
+            upstreams: Vec::new(),
+            pools: Vec::new(),
+            loras: Vec::new(),
+            hints: Hints::new(options.hints),
+        }
+    }
+
+    /// Gives an upstream its key, see [`upstream_key`]; without one, entries don't agree on homes.
+    pub fn name_upstream(&mut self, up: UpstreamIx, key: u64) {
+        self.upstream(up);
+        self.change(up, |u| u.key = key);
+    }
+
+    /// Gives an adapter its key, see [`lora_key`]; without one, entries don't agree on its homes.
+    pub fn name_lora(&mut self, lora: LoraIx, key: u64) {
+        let at = lora.0 as usize;
+        if at >= self.loras.len() {
+            self.loras.resize(at + 1, 0);
+        }
+        self.loras[at] = key;
+    }
+
+    /// Sets the time that a load is expected to take now.
+    pub fn set_load(&mut self, load: Millis) {
+        self.load = load;
+    }
+
+    /// Takes in a report; `resident` is `None` if unchanged.
+    pub fn report(
+        &mut self,
+        up: UpstreamIx,
+        pool: PoolIx,
+        figures: &UpstreamFigures,
+        resident: Option<&[LoraIx]>,
+        loading: Option<LoraIx>,
+        now: Millis,
+    ) {
+        let (lag, load) = (self.options.lag, self.load);
+        self.pool(pool);
+        self.upstream(up);
+        self.change(up, |u| {
+            u.pool = pool;
+            u.load = figures.load;
+            u.usable = figures.healthy && !figures.leaving;
+            u.suspect = false;
+            u.seen = Some(now);
+            if let Some(loras) = resident {
+                u.set_resident(loras);
+            }
+            u.set_loading(loading, now);
+            u.settle(now, lag, load);
+        });
+    }
+
+    /// Gives an upstream no new work from now on, whatever its reports say, until it is forgotten.
+    pub fn leaving(&mut self, up: UpstreamIx) {
+        self.upstream(up);
+        self.change(up, |u| u.leaving = true);
+    }
+
+    /// Forgets an upstream; its index may be used for another.
+    pub fn forget(&mut self, up: UpstreamIx) {
+        if self.upstreams.get(up.0 as usize).is_some() {
+            self.change(up, |u| *u = Upstream::new(up));
+            self.hints.clear(up);
+        }
+    }
+
+    /// Moves upstreams that have been silent behind the others, and forgets them later.
+    ///
+    /// Returns those forgotten.
+    pub fn expire(&mut self, now: Millis) -> Vec<UpstreamIx> {
+        let mut forgotten = Vec::new();
+        for ix in 0..u32::try_from(self.upstreams.len()).unwrap_or(u32::MAX) {
+            let up = UpstreamIx(ix);
+            let upstream = &self.upstreams[ix as usize];
+            let Some(seen) = upstream.seen else {
+                continue;
+            };
+            let age = now.since(seen);
+            if age > self.options.forget {
+                self.forget(up);
+                forgotten.push(up);
+            } else if age > self.options.suspect && !upstream.suspect {
+                self.change(up, |u| u.suspect = true);
+            }
+        }
+        forgotten
+    }
+
+    /// Takes in cache events of an upstream: prefixes that it `added`, or else removed.
+    pub fn cached(&mut self, up: UpstreamIx, prefixes: &[u64], added: bool) {
+        for &prefix in prefixes {
+            if added {
+                self.hints.add(prefix, up);
+            } else {
+                self.hints.remove(prefix, up);
+            }
+        }
+    }
+
+    /// Drops the hints of an upstream whose cache events have a gap.
+    pub fn cache_gap(&mut self, up: UpstreamIx) {
+        self.hints.clear(up);
+    }
+
+    /// Prefix hints kept now.
+    #[must_use]
+    pub fn hint_count(&self) -> usize {
+        self.hints.len()
+    }
+
+    /// Upstreams of a pool that may get work, suspect ones included.
+    #[must_use]
+    pub fn usable(&self, pool: PoolIx) -> usize {
+        self.pools.get(pool.0 as usize).map_or(0, Pool::usable)
+    }
+
+    /// Usable upstreams of a pool that hold an adapter, load it or were just sent a request for it.
+    #[must_use]
+    pub fn holders(&self, pool: PoolIx, lora: LoraIx) -> &[UpstreamIx] {
+        let pool = self.pools.get(pool.0 as usize);
+        pool.map_or(&[], |p| p.holders.of(lora))
+    }
+
+    /// Homes of an adapter in a pool, the first one best.
+    #[must_use]
+    pub fn homes(&self, pool: PoolIx, lora: LoraIx) -> Vec<UpstreamIx> {
+        let key = self.lora_key(lora);
+        let pool = self.pools.get(pool.0 as usize);
+        pool.map_or_else(Vec::new, |p| p.ring.homes(key, self.options.homes))
+    }
+
+    fn lora_key(&self, lora: LoraIx) -> u64 {
+        match self.loras.get(lora.0 as usize) {
+            Some(&key) if key != 0 => key,
+            _ => index_key(lora.0),
+        }
+    }
+
+    fn pool(&mut self, pool: PoolIx) {
+        let at = pool.0 as usize;
+        if at >= self.pools.len() {
+            self.pools.resize_with(at + 1, Pool::default);
+        }
+    }
+
+    fn upstream(&mut self, up: UpstreamIx) {
+        while self.upstreams.len() <= up.0 as usize {
+            let next = u32::try_from(self.upstreams.len()).unwrap_or(u32::MAX);
+            self.upstreams.push(Upstream::new(UpstreamIx(next)));
+        }
+    }
+
+    /// Changes a known upstream, and the pools' indices with it.
+    fn change(&mut self, up: UpstreamIx, edit: impl FnOnce(&mut Upstream)) {
+        let upstream = &mut self.upstreams[up.0 as usize];
+        let before = Place::of(upstream);
+        edit(upstream);
+        let after = Place::of(upstream);
+        if before.slot() != after.slot() {
+            self.withdraw(up, &before);
+            self.enter(up, &after);
+        } else if before.held != after.held {
+            self.rehold(up, &before, &after);
+        }
+    }
+
+    fn withdraw(&mut self, up: UpstreamIx, place: &Place) {
+        if place.standing == Standing::Out {
+            return;
+        }
+        let pool = &mut self.pools[place.pool.0 as usize];
+        pool.remove(up, place.key, place.standing);
+        for &lora in &place.held {
+            pool.holders.remove(lora, up);
+        }
+    }
+
+    fn enter(&mut self, up: UpstreamIx, place: &Place) {
+        if place.standing == Standing::Out {
+            return;
+        }
+        let pool = &mut self.pools[place.pool.0 as usize];
+        pool.insert(up, place.key, place.standing);
+        for &lora in &place.held {
+            pool.holders.insert(lora, up);
+        }
+    }
+
+    fn rehold(&mut self, up: UpstreamIx, before: &Place, after: &Place) {
+        if after.standing == Standing::Out {
+            return;
+        }
+        let pool = &mut self.pools[after.pool.0 as usize];
+        for &lora in before.held.iter().filter(|l| !after.held.contains(l)) {
+            pool.holders.remove(lora, up);
+        }
+        for &lora in after.held.iter().filter(|l| !before.held.contains(l)) {
+            pool.holders.insert(lora, up);
+        }
+    }
+}
+
+/// Where an upstream is indexed.
+struct Place {
+    standing: Standing,
+    pool: PoolIx,
+    key: u64,
+    held: Vec<LoraIx>,
+}
+
+impl Place {
+    fn of(upstream: &Upstream) -> Self {
+        Self {
+            standing: upstream.standing(),
+            pool: upstream.pool,
+            key: upstream.key,
+            held: upstream.held(),
+        }
+    }
+
+    fn slot(&self) -> (Standing, PoolIx, u64) {
+        (self.standing, self.pool, self.key)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/router/options.rs
@@ -0,0 +1,57 @@
+//! Settings of the router.
+
+use pumicecleat_types::Millis;
+
+/// Settings of a [`Router`](super::Router).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RouterOptions {
+    /// Seed of its draws; differs between entries.
+    pub seed: u64,
+    /// Holders of an adapter that one choice looks at.
+    pub holders: usize,
+    /// Homes of an adapter that one choice looks at.
+    pub homes: usize,
+    /// Expected time to load an adapter, until [`Router::set_load`](super::Router::set_load).
+    pub load: Millis,
+    /// Time by which a new copy must beat the copies there are.
+    pub spread: Millis,
+    /// Time by which a later home must beat an earlier one.
+    pub slack: Millis,
+    /// Prefill time that a cached prefix saves.
+    pub gain: Millis,
+    /// Typical run time of a request, where a report says nothing of it.
+    pub service: Millis,
+    /// Age up to which own sends may be missing from a report.
+    pub lag: Millis,
+    /// Age of a report from which on its upstream is suspect.
+    pub suspect: Millis,
+    /// Age of a report from which on its upstream is forgotten.
+    pub forget: Millis,
+    /// Time that a stalled upstream stays behind its peers; `None` to leave it in its place.
+    pub demote: Option<Millis>,
+    /// When to come back where no upstream is usable.
+    pub retry: Millis,
+    /// Prefix hints kept, over all upstreams.
+    pub hints: usize,
+}
+
+impl Default for RouterOptions {
+    fn default() -> Self {
+        Self {
+            seed: 0,
+            holders: 4,
+            homes: 4,
+            load: Millis(500),
+            spread: Millis(250),
+            slack: Millis(100),
+            gain: Millis(50),
+            service: Millis(2_000),
+            lag: Millis(100),
+            suspect: Millis(15_000),
+            forget: Millis(120_000),
+            demote: Some(Millis(2_000)),
+            retry: Millis(1_000),
+            hints: 16_384,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/router/pool.rs
@@ -0,0 +1,66 @@
+//! One pool: its usable upstreams, their ring, and who holds what.
+
+use super::holders::Holders;
+use super::ring::Ring;
+use crate::UpstreamIx;
+
+/// Upstreams of one pool that may get new work.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pool {
+    /// Upstreams heard of lately, ascending.
+    pub(super) fresh: Vec<UpstreamIx>,
+    /// Suspect upstreams, ascending.
+    pub(super) behind: Vec<UpstreamIx>,
+    /// Ring of the fresh ones.
+    pub(super) ring: Ring,
+    /// Holders among both.
+    pub(super) holders: Holders,
+}
+
+/// Where an upstream stands in its pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Standing {
+    /// Gets work.
+    Fresh,
+    /// Gets work if no fresh one can.
+    Behind,
+    /// Gets none.
+    #[default]
+    Out,
+}
+
+impl Pool {
+    pub(super) fn insert(&mut self, up: UpstreamIx, key: u64, standing: Standing) {
+        match standing {
+            Standing::Fresh => {
+                insert_sorted(&mut self.fresh, up);
+                self.ring.insert(up, key);
+            }
+            Standing::Behind => insert_sorted(&mut self.behind, up),
+            Standing::Out => {}
+        }
+    }
+
+    pub(super) fn remove(&mut self, up: UpstreamIx, key: u64, standing: Standing) {
+        match standing {
+            Standing::Fresh => {
+                remove_sorted(&mut self.fresh, up);
+                self.ring.remove(up, key);
+            }
+            Standing::Behind => remove_sorted(&mut self.behind, up),
+            Standing::Out => {}
+        }
+    }
+}
+
+fn insert_sorted(ups: &mut Vec<UpstreamIx>, up: UpstreamIx) {
+    if let Err(at) = ups.binary_search(&up) {
+        ups.insert(at, up);
+    }
+}
+
+fn remove_sorted(ups: &mut Vec<UpstreamIx>, up: UpstreamIx) {
+    if let Ok(at) = ups.binary_search(&up) {
+        ups.remove(at);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/router/ring.rs
@@ -0,0 +1,64 @@
+//! Consistent hashing: which upstreams are an adapter's homes.
+//!
+//! Each upstream stands at a few points of a ring. An adapter probes the ring at a few points of its
+//! own, and its homes are the upstreams found there, the one nearest to its probe first. Entries
+//! that know slightly different upstreams still find the same home for almost every adapter.
+
+use std::collections::BTreeSet;
+
+use super::key::point;
+use crate::UpstreamIx;
+
+/// Points of each upstream.
+const POINTS: u64 = 8;
+
+/// Separates the probes' seeds from the points' seeds.
+const PROBE: u64 = 1 << 32;
+
+/// Upstreams on a ring.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Ring {
+    points: BTreeSet<(u64, UpstreamIx)>,
+}
+
+/// Upstream found by a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Found {
+    distance: u64,
+    up: UpstreamIx,
+}
+
+impl Ring {
+    pub(super) fn insert(&mut self, up: UpstreamIx, key: u64) {
+        for n in 0..POINTS {
+            self.points.insert((point(key, n), up));
+        }
+    }
+
+    pub(super) fn remove(&mut self, up: UpstreamIx, key: u64) {
+        for n in 0..POINTS {
+            self.points.remove(&(point(key, n), up));
+        }
+    }
+
+    /// At most `count` homes of the adapter of this key, the first one best.
+    pub(super) fn homes(&self, key: u64, count: usize) -> Vec<UpstreamIx> {
+        let probes = (0..count as u64).map(|n| point(key, PROBE + n));
+        let mut found: Vec<Found> = probes.filter_map(|p| self.successor(p)).collect();
+        found.sort_unstable();
+        let mut homes = Vec::with_capacity(found.len());
+        for f in found {
+            if !homes.contains(&f.up) {
+                homes.push(f.up);
+            }
+        }
+        homes
+    }
+
+    fn successor(&self, probe: u64) -> Option<Found> {
+        let mut after = self.points.range((probe, UpstreamIx(0))..);
+        let &(at, up) = after.next().or_else(|| self.points.first())?;
+        let distance = at.wrapping_sub(probe);
+        Some(Found { distance, up })
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/router_cases.rs
@@ -0,0 +1,316 @@
+//! Cases of the router, each a few upstreams and the choice expected.
+
+use pumicecleat_policy::{
+    Ask, Choice, LoraIx, Outcome, PoolIx, Router, RouterOptions, UpstreamFigures, UpstreamIx,
+};
+use pumicecleat_types::{LoadFigures, Millis, Reason};
+
+const POOL: PoolIx = PoolIx(0);
+const LORA: LoraIx = LoraIx(7);
+const PREFIX: u64 = 99;
+const AMPLE: Millis = Millis(60_000);
+const ASK: Ask<'_> = Ask {
+    pool: POOL,
+    lora: Some(LORA),
+    prefix: Some(PREFIX),
+    left: AMPLE,
+    tried: &[],
+};
+
+/// How an upstream of a case stands to the adapter, and what is wrong with it.
+#[derive(Clone, Copy, PartialEq)]
+enum Is {
+    Idle,
+    Holder,
+    Loader,
+    Cached,
+    Full,
+    Leaving,
+    Sick,
+}
+use Is::{Cached, Full, Holder, Idle, Loader};
+
+/// What happens after the reports.
+#[derive(Clone, Copy)]
+enum Then {
+    Leaving(u32),
+    Forget(u32),
+    Sent(u32, usize),
+    Ended(u32, Outcome),
+    Expire(u64),
+    Gap(u32),
+}
+
+struct Case {
+    name: &'static str,
+    /// Upstreams with their queues, milliseconds.
+    ups: &'static [(Is, u32)],
+    then: &'static [Then],
+    tried: &'static [UpstreamIx],
+    left: Millis,
+    want: Option<u32>,
+}
+
+type Ups = &'static [(Is, u32)];
+const PAIR: Ups = &[(Holder, 0), (Idle, 0)];
+
+const fn case(name: &'static str, ups: Ups, then: &'static [Then], want: Option<u32>) -> Case {
+    Case {
+        name,
+        ups,
+        then,
+        tried: &[],
+        left: AMPLE,
+        want,
+    }
+}
+
+const fn refused(reason: Reason) -> Then {
+    Then::Ended(0, Outcome::Refused(reason, None))
+}
+
+const CASES: &[Case] = &[
+    case("no upstream", &[], &[], None),
+    case(
+        "holder before idle",
+        &[(Idle, 0), (Holder, 0), (Idle, 0)],
+        &[],
+        Some(1),
+    ),
+    case(
+        "less busy holder",
+        &[(Holder, 90), (Holder, 0), (Idle, 0)],
+        &[],
+        Some(1),
+    ),
+    case(
+        "loader before idle",
+        &[(Idle, 0), (Idle, 0), (Loader, 0)],
+        &[],
+        Some(2),
+    ),
+    case(
+        "short queue: no copy",
+        &[(Holder, 600), (Idle, 0)],
+        &[],
+        Some(0),
+    ),
+    case(
+        "long queue: a copy",
+        &[(Holder, 900), (Idle, 0)],
+        &[],
+        Some(1),
+    ),
+    case(
+        "no copy without a slot",
+        &[(Holder, 900), (Full, 0)],
+        &[],
+        Some(0),
+    ),
+    case(
+        "prefix breaks a near tie",
+        &[(Holder, 20), (Cached, 40)],
+        &[],
+        Some(1),
+    ),
+    case(
+        "prefix outweighs no queue",
+        &[(Holder, 0), (Cached, 80)],
+        &[],
+        Some(0),
+    ),
+    case(
+        "gap drops the hint",
+        &[(Holder, 20), (Cached, 40)],
+        &[Then::Gap(1)],
+        Some(0),
+    ),
+    case(
+        "leaving by report",
+        &[(Is::Leaving, 0), (Idle, 0)],
+        &[],
+        Some(1),
+    ),
+    case("leaving by the list", PAIR, &[Then::Leaving(0)], Some(1)),
+    case(
+        "leaving by refusal",
+        PAIR,
+        &[refused(Reason::Leaving)],
+        Some(1),
+    ),
+    case(
+        "all leaving",
+        PAIR,
+        &[Then::Leaving(0), Then::Leaving(1)],
+        None,
+    ),
+    case("sick by report", &[(Is::Sick, 0), (Idle, 0)], &[], Some(1)),
+    case(
+        "sick by refusal",
+        PAIR,
+        &[refused(Reason::UpstreamDown)],
+        Some(1),
+    ),
+    case("forgotten", PAIR, &[Then::Forget(0)], Some(1)),
+    case(
+        "own sends count",
+        &[(Holder, 0), (Holder, 0)],
+        &[Then::Sent(0, 20)],
+        Some(1),
+    ),
+    case(
+        "overload counts",
+        &[(Holder, 0), (Holder, 0)],
+        &[refused(Reason::Overloaded)],
+        Some(1),
+    ),
+    case(
+        "stalled behind a peer",
+        PAIR,
+        &[Then::Ended(0, Outcome::Stalled)],
+        Some(1),
+    ),
+    case(
+        "stalled alone",
+        &[(Holder, 0)],
+        &[Then::Ended(0, Outcome::Stalled)],
+        Some(0),
+    ),
+    case(
+        "an answer ends the demotion",
+        PAIR,
+        &[
+            Then::Ended(0, Outcome::Stalled),
+            Then::Ended(0, Outcome::Whole),
+        ],
+        Some(0),
+    ),
+    case(
+        "failed behind a peer",
+        PAIR,
+        &[Then::Ended(0, Outcome::Failed)],
+        Some(1),
+    ),
+    case(
+        "failed alone",
+        &[(Holder, 0)],
+        &[Then::Ended(0, Outcome::Failed)],
+        Some(0),
+    ),
+    case("all silent", PAIR, &[Then::Expire(20_000)], Some(0)),
+    case("all silent for long", PAIR, &[Then::Expire(200_000)], None),
+    Case {
+        tried: &[UpstreamIx(0)],
+        ..case("tried once", PAIR, &[], Some(1))
+    },
+    Case {
+        tried: &[UpstreamIx(0), UpstreamIx(1)],
+        ..case("all tried", PAIR, &[], None)
+    },
+    Case {
+        left: Millis(100),
+        ..case("surely too late", &[(Holder, 900)], &[], None)
+    },
+    Case {
+        left: Millis(100),
+        ..case("perhaps in time", &[(Holder, 150)], &[], Some(0))
+    },
+];
+
+fn figures(is: Is, wait: u32) -> UpstreamFigures {
+    let load = LoadFigures {
+        batch: 8,
+        slots: 4,
+        spare: if is == Full { 0 } else { 2 },
+        step_us: 10_000,
+        wait_ms: wait,
+        ..LoadFigures::default()
+    };
+    UpstreamFigures {
+        load,
+        leaving: is == Is::Leaving,
+        healthy: is != Is::Sick,
+    }
+}
+
+fn router(ups: Ups) -> Router {
+    let mut router = Router::new_ext(RouterOptions::default());
+    for (ix, &(is, wait)) in (0..).map(UpstreamIx).zip(ups) {
+        let holds = !matches!(is, Idle | Loader | Full);
+        let resident: &[LoraIx] = if holds { &[LORA] } else { &[] };
+        let loading = (is == Loader).then_some(LORA);
+        router.report(
+            ix,
+            POOL,
+            &figures(is, wait),
+            Some(resident),
+            loading,
+            Millis(0),
+        );
+        if is == Cached {
+            router.cached(ix, &[PREFIX], true);
+        }
+    }
+    router
+}
+
+fn apply(router: &mut Router, then: Then) {
+    let now = Millis(1);
+    match then {
+        Then::Leaving(up) => router.leaving(UpstreamIx(up)),
+        Then::Forget(up) => router.forget(UpstreamIx(up)),
+        Then::Sent(up, times) => {
+            (0..times).for_each(|_| router.sent(UpstreamIx(up), Some(LORA), now));
+        }
+        Then::Ended(up, outcome) => router.ended(UpstreamIx(up), Some(LORA), outcome, now),
+        Then::Expire(at) => drop(router.expire(Millis(at))),
+        Then::Gap(up) => router.cache_gap(UpstreamIx(up)),
+    }
+}
+
+fn chosen(router: &mut Router, ask: &Ask<'_>, now: Millis) -> Option<u32> {
+    match router.choose(ask, now) {
+        Choice::Send(pick) => Some(pick.up.0),
+        Choice::Refuse { retry } => {
+            assert!(retry > Millis(0));
+            None
+        }
+    }
+}
+
+#[test]
+fn choices() {
+    for case in CASES {
+        let mut router = router(case.ups);
+        case.then.iter().for_each(|&t| apply(&mut router, t));
+        let ask = Ask {
+            left: case.left,
+            tried: case.tried,
+            ..ASK
+        };
+        assert_eq!(
+            chosen(&mut router, &ask, Millis(2)),
+            case.want,
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn a_demotion_lapses() {
+    let span = RouterOptions::default().demote.unwrap();
+    let mut router = router(PAIR);
+    router.ended(UpstreamIx(0), Some(LORA), Outcome::Stalled, Millis(0));
+    assert_eq!(chosen(&mut router, &ASK, span - Millis(1)), Some(1));
+    assert_eq!(chosen(&mut router, &ASK, span), Some(0));
+}
+
+#[test]
+fn a_plain_service_takes_the_less_busy_of_two() {
+    let mut router = router(&[(Idle, 50), (Idle, 0)]);
+    let ask = Ask { lora: None, ..ASK };
+    for _ in 0..20 {
+        assert_eq!(chosen(&mut router, &ask, Millis(1)), Some(1));
+    }
+}
