Add the ledger of idempotency keys

Cause: a call that may not be repeated needs a decision that every side of a service reaches alike, from the order of records in the log. Ruled out: a lease per key (it lapses while its holder is paused); losers that are dead by a reader's own fold (a reader that starts after the winner's record was trimmed would judge otherwise): an intent bars the key until it is abandoned or leaves the window; forgetting keys by the side's own clock (a fast clock would let a second intent win): only the log's clock forgets. Conclusion: usable by a driver, not yet model-checked.

--- /dev/null
+++ b/crates/ledger/src/key.rs
@@ -0,0 +1,159 @@
+//! Idempotency keys, one name space per caller.
+//!
+//! A key that reads as a UUIDv7 carries its own time; any other text is opaque.
+
+use std::fmt;
+use std::sync::Arc;
+
+use pumicecleat_types::{CallerId, Millis};
+use serde::{Deserialize, Serialize};
+use snafu::{Snafu, ensure};
+use uuid::Uuid;
+
+/// Longest text of a key, bytes.
+pub const KEY_LIMIT: usize = 255;
+
+const TIMED_VERSION: usize = 7;
+
+/// Text that can't be a key.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum KeyError {
+    /// Nothing between the quotes, or nothing at all.
+    #[snafu(display("step key, caller {caller}: empty"))]
+    Empty {
+        /// Caller.
+        caller: CallerId,
+    },
+    /// Too long.
+    #[snafu(display("step key, caller {caller}: {bytes} bytes, at most {KEY_LIMIT}"))]
+    Long {
+        /// Caller.
+        caller: CallerId,
+        /// Length found, bytes.
+        bytes: usize,
+    },
+    /// A character that is neither a visible ASCII one nor allowed.
+    #[snafu(display("step key, caller {caller}: character {found:?}"))]
+    Character {
+        /// Caller.
+        caller: CallerId,
+        /// Character found.
+        found: char,
+    },
+}
+
+/// Idempotency key of one caller.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "Raw", into = "Raw")]
+pub struct Key {
+    caller: CallerId,
+    text: Arc<str>,
+    minted: Option<Millis>,
+}
+
+impl Key {
+    /// Key from the text of a header, with or without the quotes of a structured field.
+    ///
+    /// # Errors
+    /// [`KeyError`] for a text that is empty, too long or not visible ASCII.
+    pub fn parse(caller: &CallerId, text: &str) -> Result<Self, KeyError> {
+        let text = unquoted(text);
+        ensure!(
+            !text.is_empty(),
+            EmptySnafu {
+                caller: caller.clone()
+            }
+        );
+        let bytes = text.len();
+        ensure!(
+            bytes <= KEY_LIMIT,
+            LongSnafu {
+                caller: caller.clone(),
+                bytes
+            }
+        );
+        if let Some(found) = text.chars().find(|c| !is_allowed(*c)) {
+            return CharacterSnafu {
+                caller: caller.clone(),
+                found,
+            }
+            .fail();
+        }
+        Ok(Self {
+            caller: caller.clone(),
+            text: text.into(),
+            minted: minted(text),
+        })
+    }
+
+    /// Caller.
+    #[must_use]
+    pub fn caller(&self) -> &CallerId {
+        &self.caller
+    }
+
+    /// Text, without quotes.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Time in a UUIDv7, milliseconds since 1970; `None` for an opaque key.
+    #[must_use]
+    pub fn minted(&self) -> Option<Millis> {
+        self.minted
+    }
+
+    /// Bytes of its text and its caller's name.
+    pub(crate) fn size(&self) -> usize {
+        self.text.len() + self.caller.as_str().len()
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.caller, self.text)
+    }
+}
+
+#[derive(Serialize, Deserialize)]
+struct Raw {
+    caller: CallerId,
+    text: String,
+}
+
+impl TryFrom<Raw> for Key {
+    type Error = KeyError;
+
+    fn try_from(raw: Raw) -> Result<Self, KeyError> {
+        Self::parse(&raw.caller, &raw.text)
+    }
+}
+
+impl From<Key> for Raw {
+    fn from(key: Key) -> Self {
+        Self {
+            caller: key.caller,
+            text: key.text.to_string(),
+        }
+    }
+}
+
+fn unquoted(text: &str) -> &str {
+    text.strip_prefix('"')
+        .and_then(|t| t.strip_suffix('"'))
+        .unwrap_or(text)
+}
+
+fn is_allowed(c: char) -> bool {
+    c.is_ascii_graphic() && c != '"'
+}
+
+fn minted(text: &str) -> Option<Millis> {
+    let id = Uuid::try_parse(text).ok()?;
+    if id.get_version_num() != TIMED_VERSION {
+        return None;
+    }
+    let (secs, nanos) = id.get_timestamp()?.to_unix();
+    Some(Millis(secs * 1_000 + u64::from(nanos / 1_000_000)))
+}
--- /dev/null
+++ b/crates/ledger/src/ledger/dump.rs
@@ -0,0 +1,93 @@
+//! State for people, on request.
+
+use pumicecleat_types::Millis;
+use serde::Serialize;
+use serde_with::{DisplayFromStr, serde_as};
+
+use super::Ledger;
+use super::own::Phase;
+use crate::{Attempt, Key, Limits, Owner};
+
+/// State of a ledger.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Dump {
+    /// This side.
+    #[serde_as(as = "DisplayFromStr")]
+    pub owner: Owner,
+    /// Spans.
+    pub limits: Limits,
+    /// Offset to read from.
+    pub next: u64,
+    /// Whether it has read all that stood in the stream at its start.
+    pub caught_up: bool,
+    /// Latest time in the stream, milliseconds since 1970.
+    pub clock: Millis,
+    /// No call wins before this time, as a record could not be read.
+    pub blind: Millis,
+    /// Keys within the window.
+    pub keys: usize,
+    /// Attempts within the window.
+    pub marks: usize,
+    /// Records that the stream still lacks.
+    pub owed: usize,
+    /// Bytes held, about.
+    pub bytes: usize,
+    /// Own attempts under way.
+    pub own: Vec<OwnDump>,
+}
+
+/// Own attempt under way.
+#[serde_as]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct OwnDump {
+    /// Attempt.
+    #[serde_as(as = "DisplayFromStr")]
+    pub attempt: Attempt,
+    /// Key.
+    #[serde_as(as = "DisplayFromStr")]
+    pub key: Key,
+    /// When its caller stops waiting.
+    pub deadline: Millis,
+    /// `waiting`, `won` or `sent`.
+    pub phase: &'static str,
+}
+
+impl Ledger {
+    /// State for people.
+    #[must_use]
+    pub fn dump(&self) -> Dump {
+        let (keys, marks) = self.book.counts();
+        Dump {
+            owner: self.owner.clone(),
+            limits: self.limits,
+            next: self.next,
+            caught_up: self.caught_up(),
+            clock: self.clock,
+            blind: self.blind,
+            keys,
+            marks,
+            owed: self.owed.len(),
+            bytes: self.size(),
+            own: self.own_dump(),
+        }
+    }
+
+    fn own_dump(&self) -> Vec<OwnDump> {
+        let rows = self.own.iter().map(|(attempt, own)| OwnDump {
+            attempt: attempt.clone(),
+            key: own.key.clone(),
+            deadline: own.deadline,
+            phase: name(own.phase),
+        });
+        rows.collect()
+    }
+}
+
+fn name(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Waiting => "waiting",
+        Phase::Won => "won",
+        Phase::Sent => "sent",
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/ledger/step.rs
@@ -0,0 +1,142 @@
+//! Steps of an own attempt. Only a [`Won`] can be sent, and only a [`Sent`] has an outcome.
+
+use pumicecleat_types::Millis;
+use snafu::{OptionExt, ensure};
+
+use super::Ledger;
+use super::error::{ClosedSnafu, LateSnafu, SentSnafu, StepError};
+use super::own::{Own, Phase};
+use crate::{Attempt, Done, Outcome, Record};
+
+/// Leave to send an attempt. A clone is of no use: the ledger takes one of them.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[must_use = "send it, or void it"]
+pub struct Won {
+    attempt: Attempt,
+}
+
+/// An attempt that was sent.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[must_use = "it needs an outcome, known or unknown"]
+pub struct Sent {
+    attempt: Attempt,
+}
+
+/// Leave to tell a caller that an attempt was not run.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct NotRun {
+    attempt: Attempt,
+}
+
+impl Won {
+    pub(super) fn new(attempt: Attempt) -> Self {
+        Self { attempt }
+    }
+
+    /// Attempt.
+    #[must_use]
+    pub fn attempt(&self) -> &Attempt {
+        &self.attempt
+    }
+}
+
+impl Sent {
+    /// Attempt.
+    #[must_use]
+    pub fn attempt(&self) -> &Attempt {
+        &self.attempt
+    }
+}
+
+impl NotRun {
+    /// Attempt.
+    #[must_use]
+    pub fn attempt(&self) -> &Attempt {
+        &self.attempt
+    }
+}
+
+impl Ledger {
+    /// Notes that a won attempt goes to the upstream now: call it just before the first byte.
+    ///
+    /// # Errors
+    /// [`StepError::Late`] once its deadline has passed; [`StepError::Closed`] or
+    /// [`StepError::Sent`] if it was voided or sent before.
+    pub fn sent(&mut self, won: Won, now: Millis) -> Result<Sent, StepError> {
+        let step = "send";
+        let attempt = won.attempt;
+        let own = self.own_mut(step, &attempt)?;
+        let deadline = own.deadline;
+        if deadline <= now {
+            self.drop_own(&attempt);
+            return LateSnafu {
+                step,
+                attempt,
+                deadline,
+            }
+            .fail();
+        }
+        own.phase = Phase::Sent;
+        Ok(Sent { attempt })
+    }
+
+    /// Ends an attempt that was sent. Gives the record to append; it stays [owed](Ledger::owed).
+    ///
+    /// # Errors
+    /// [`StepError::Closed`] if it has an outcome already.
+    pub fn finish(&mut self, sent: Sent, outcome: Outcome) -> Result<&Record, StepError> {
+        let attempt = sent.attempt;
+        let own = self.own.remove(&attempt);
+        let own = own.with_context(|| ClosedSnafu {
+            step: "finish",
+            attempt: attempt.clone(),
+        })?;
+        let done = Done {
+            attempt: attempt.clone(),
+            key: own.key,
+            digest: own.digest,
+            outcome,
+        };
+        Ok(self.owed.entry(attempt).or_insert(Record::Done(done)))
+    }
+
+    /// Gives up an attempt that was not sent: it never will be. Its intent, if it is in the
+    /// stream now or turns up later, is abandoned by an [owed](Ledger::owed) record.
+    ///
+    /// # Errors
+    /// [`StepError::Sent`] if it was sent; [`StepError::Closed`] if it has ended.
+    pub fn void(&mut self, attempt: &Attempt) -> Result<NotRun, StepError> {
+        self.own_mut("void", attempt)?;
+        self.drop_own(attempt);
+        Ok(NotRun {
+            attempt: attempt.clone(),
+        })
+    }
+
+    /// Own attempt that was not sent.
+    fn own_mut(&mut self, step: &'static str, attempt: &Attempt) -> Result<&mut Own, StepError> {
+        let own = self.own.get_mut(attempt);
+        let own = own.with_context(|| ClosedSnafu {
+            step,
+            attempt: attempt.clone(),
+        })?;
+        ensure!(
+            own.phase != Phase::Sent,
+            SentSnafu {
+                step,
+                attempt: attempt.clone()
+            }
+        );
+        Ok(own)
+    }
+
+    /// Voids an own attempt. An intent that isn't in the stream yet is abandoned on sight.
+    pub(super) fn drop_own(&mut self, attempt: &Attempt) {
+        let Some(own) = self.own.remove(attempt) else {
+            return;
+        };
+        if self.book.holds(&own.key, attempt) {
+            self.owe_abandon(attempt, &own.key);
+        }
+    }
+}
