Add the platform's traits and HTTP clients

Cause: daemons need log, weight store and VM list as trait objects, and the truth on whether an append took effect. Ruled out: one error with a flag (a caller could forget to look; Refused and Lost are two cases). Conclusion: 4xx and 503 read whole, and requests of which no byte left, are Refused; all else is Lost.

--- /dev/null
+++ b/crates/platform/src/http/exchange.rs
@@ -0,0 +1,121 @@
+//! One request and its whole JSON answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use pumicecleat_net::{Client, Response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::ResultExt;
+
+use crate::Fault;
+use crate::http::Peers;
+use crate::http::fault::{JsonSnafu, NetSnafu, StatusSnafu};
+
+/// Longest answer, bytes.
+const ANSWER_LIMIT: u64 = 64 << 20;
+
+/// Client of one service of the platform.
+#[derive(Clone)]
+pub(crate) struct Exchange {
+    client: Client,
+    pub(crate) peers: Peers,
+    timeout: Duration,
+}
+
+/// A whole answer.
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    retry: Option<Duration>,
+    pub(crate) peer: String,
+    body: Vec<u8>,
+}
+
+impl Exchange {
+    pub(crate) fn new(client: &Client, peers: Peers, timeout: Duration) -> Self {
+        Self {
+            client: client.clone(),
+            peers,
+            timeout,
+        }
+    }
+
+    pub(crate) async fn get(&self, path: &str, wait: Duration) -> Result<Answer, Fault> {
+        let request = request(http::Method::GET, path, Bytes::new());
+        self.ask(request, wait).await
+    }
+
+    pub(crate) async fn head(&self, path: &str) -> Result<Answer, Fault> {
+        let request = request(http::Method::HEAD, path, Bytes::new());
+        self.ask(request, Duration::ZERO).await
+    }
+
+    pub(crate) async fn post<T: Serialize>(&self, path: &str, body: &T) -> Result<Answer, Fault> {
+        // Our bodies have text keys only, so that they always encode.
+        let body = serde_json::to_vec(body).unwrap_or_default();
+        let mut request = request(http::Method::POST, path, Bytes::from(body));
+        let json = http::HeaderValue::from_static("application/json");
+        request.headers_mut().insert(CONTENT_TYPE, json);
+        self.ask(request, Duration::ZERO).await
+    }
+
+    /// Sends `request`; `wait` is how long the peer may wait by itself before it answers.
+    async fn ask(&self, request: http::Request<Bytes>, wait: Duration) -> Result<Answer, Fault> {
+        let span = self.timeout + wait;
+        let sent = self.peers.send(&self.client, request, span).await;
+        let mut response = sent.context(NetSnafu)?;
+        let body = response.read(ANSWER_LIMIT, self.timeout).await;
+        Ok(Answer {
+            body: body.context(NetSnafu)?,
+            status: response.status(),
+            retry: retry_after(response.headers()),
+            peer: peer_of(&response),
+        })
+    }
+}
+
+impl Answer {
+    /// Answer of a successful exchange.
+    pub(crate) fn decode<T: DeserializeOwned>(self) -> Result<T, Fault> {
+        if self.status != 200 {
+            return Err(self.into_fault());
+        }
+        self.decode_any()
+    }
+
+    /// Answer whatever its status.
+    pub(crate) fn decode_any<T: DeserializeOwned>(self) -> Result<T, Fault> {
+        let peer = self.peer;
+        serde_json::from_slice(&self.body).context(JsonSnafu { peer })
+    }
+
+    /// Fault that the answer's status tells.
+    pub(crate) fn into_fault(self) -> Fault {
+        StatusSnafu {
+            peer: self.peer,
+            status: self.status,
+            retry: self.retry,
+        }
+        .build()
+    }
+}
+
+fn request(method: http::Method, path: &str, body: Bytes) -> http::Request<Bytes> {
+    let mut request = http::Request::new(body);
+    *request.method_mut() = method;
+    // Names in the path were checked, so that it always parses.
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    request
+}
+
+fn peer_of(response: &Response) -> String {
+    response.peer().to_owned()
+}
+
+/// Span of a `Retry-After` in seconds; a date is not read.
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    text.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/platform/src/http/fault.rs
@@ -0,0 +1,77 @@
+//! Faults of an exchange with the platform.
+
+use std::time::Duration;
+
+use pumicecleat_net::{NetError, Sent};
+use snafu::Snafu;
+
+/// An exchange that gave no usable answer.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum Fault {
+    /// Network failed, or the answer was not whole.
+    #[snafu(display("{source}"))]
+    Net {
+        /// Cause, with step and peer.
+        source: NetError,
+    },
+    /// Answer was read whole, and has a status other than success.
+    #[snafu(display("step read answer, peer {peer}: status {status}"))]
+    Status {
+        /// Peer.
+        peer: String,
+        /// HTTP status.
+        status: u16,
+        /// When to come back, by the peer's word.
+        retry: Option<Duration>,
+    },
+    /// Answer is not the JSON expected.
+    #[snafu(display("step decode answer, peer {peer}: {source}"))]
+    Json {
+        /// Peer.
+        peer: String,
+        /// Cause.
+        source: serde_json::Error,
+    },
+    /// A name can't stand in a request, so nothing was sent.
+    #[snafu(display("step build request, peer {peer}: name {name:?} is not allowed"))]
+    Name {
+        /// Peers of the service.
+        peer: String,
+        /// The name.
+        name: String,
+    },
+}
+
+impl Fault {
+    /// Whether the request may have taken effect.
+    ///
+    /// Statuses 400 to 499 and 503 say that it did not.
+    #[must_use]
+    pub fn effect(&self) -> Sent {
+        match self {
+            Self::Net { source } => source.sent(),
+            Self::Status {
+                status: 400..=499 | 503,
+                ..
+            }
+            | Self::Name { .. } => Sent::No,
+            Self::Status { .. } | Self::Json { .. } => Sent::Maybe,
+        }
+    }
+
+    /// When to come back, by the peer's word.
+    #[must_use]
+    pub fn retry(&self) -> Option<Duration> {
+        match self {
+            Self::Status { retry, .. } => *retry,
+            _ => None,
+        }
+    }
+
+    /// Whether the peer asked for fewer requests.
+    #[must_use]
+    pub fn is_pushback(&self) -> bool {
+        matches!(self, Self::Status { status: 429, .. })
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,31 @@
 //! The platform as traits and over HTTP: log service, weight store, VM list.
+//!
+//! [`Log`], [`Store`] and [`Vms`] are what the rest of the system sees, as trait objects;
+//! [`HttpLog`], [`HttpStore`] and [`HttpVms`] speak the HTTP form of `docs/PLATFORM.md`. Errors
+//! tell whether a change may have taken effect: [`AppendError::Refused`] did not,
+//! [`AppendError::Lost`] may have.
+//!
+//! ```
+//! use std::time::Duration;
+//! use pumicecleat_net::{Client, ClientOptions, Timer, run};
+//! use pumicecleat_platform::{AppendError, HttpLog, Log, Peers};
+//!
+//! let result = run(async {
+//!     let client = Client::new_ext(ClientOptions::default(), &Timer::start());
+//!     let log = HttpLog::new(&client, Peers::parse("127.0.0.1:1"), Duration::from_secs(2));
+//!     log.append("config", vec![b"record".to_vec()]).await
+//! });
+//! assert!(matches!(result.unwrap(), Err(AppendError::Refused { .. })));
+//! ```
+
+mod http;
+mod local;
+mod log;
+mod store;
+mod vms;
+
+pub use http::{Fault, Peers};
+pub use local::Local;
+pub use log::{AppendError, Appended, Batch, HttpLog, Log, ReadError};
+pub use store::{HttpStore, Store, StoreError};
+pub use vms::{HttpVms, VmList, Vms, VmsError};
--- /dev/null
+++ b/crates/platform/src/log/error.rs
@@ -0,0 +1,85 @@
+//! Errors of the log, by what they say of the change.
+
+use std::time::Duration;
+
+use pumicecleat_net::Sent;
+use snafu::Snafu;
+
+use crate::Fault;
+
+/// An append without a word that it stands.
+#[derive(Debug, Snafu)]
+pub enum AppendError {
+    /// Did not take effect, and won't.
+    #[snafu(display("append refused: {source}"))]
+    Refused {
+        /// Cause, with step and peer.
+        source: Fault,
+        /// When to come back, by the log's word.
+        retry: Option<Duration>,
+    },
+    /// May have taken effect, or may yet.
+    #[snafu(display("append lost: {source}"))]
+    Lost {
+        /// Cause, with step and peer.
+        source: Fault,
+        /// When to come back, by the log's word.
+        retry: Option<Duration>,
+    },
+}
+
+impl AppendError {
+    /// When to come back, by the log's word.
+    #[must_use]
+    pub fn retry(&self) -> Option<Duration> {
+        match self {
+            Self::Refused { retry, .. } | Self::Lost { retry, .. } => *retry,
+        }
+    }
+
+    /// Whether the log refused for its rate alone.
+    #[must_use]
+    pub fn is_pushback(&self) -> bool {
+        matches!(self, Self::Refused { source, .. } if source.is_pushback())
+    }
+}
+
+impl From<Fault> for AppendError {
+    fn from(source: Fault) -> Self {
+        let retry = source.retry();
+        match source.effect() {
+            Sent::No => Self::Refused { source, retry },
+            Sent::Maybe => Self::Lost { source, retry },
+        }
+    }
+}
+
+/// A read without records.
+#[derive(Debug, Snafu)]
+pub enum ReadError {
+    /// Offset asked for is older than the oldest kept.
+    #[snafu(display("step read, peer {peer}: trimmed, kept from {first}"))]
+    Trimmed {
+        /// Peer.
+        peer: String,
+        /// Oldest offset kept.
+        first: u64,
+        /// Next free offset.
+        next: u64,
+    },
+    /// Exchange failed.
+    #[snafu(display("read failed: {source}"))]
+    Failed {
+        /// Cause, with step and peer.
+        source: Fault,
+        /// When to come back, by the log's word.
+        retry: Option<Duration>,
+    },
+}
+
+impl From<Fault> for ReadError {
+    fn from(source: Fault) -> Self {
+        let retry = source.retry();
+        Self::Failed { source, retry }
+    }
+}
