Add the upstreams' traits and HTTP clients

Cause: sides order and ask engines and call plain services as trait objects. Ruled out: believing an engine's 200 (it may lie; load_confirmed asks what is resident); taking an answer that ends with its connection for whole (it reads the same when cut). Conclusion: errors tell whether the upstream may have acted; an answer that names another request id or attempt is refused.

--- /dev/null
+++ b/crates/upstream/src/engine/metrics.rs
@@ -0,0 +1,95 @@
+//! What an engine's metrics page says of its work.
+
+use super::Running;
+
+const RUNNING: &str = "vllm:num_requests_running";
+const WAITING: &str = "vllm:num_requests_waiting";
+const LORAS: &str = "vllm:lora_requests_info";
+
+/// A line of the page.
+struct Sample<'a> {
+    name: &'a str,
+    labels: &'a str,
+    value: f64,
+}
+
+/// Figures of the page; `None` if it lacks those of running or waiting requests.
+pub(crate) fn read_metrics(page: &str) -> Option<Running> {
+    let mut running = None;
+    let mut waiting = None;
+    let mut latest: Option<Sample<'_>> = None;
+    for sample in page.lines().filter_map(read_sample) {
+        match sample.name {
+            RUNNING => running = Some(running.unwrap_or(0) + as_count(sample.value)),
+            WAITING => waiting = Some(waiting.unwrap_or(0) + as_count(sample.value)),
+            // Its value is the time of the sample; older label sets stay on the page.
+            LORAS if latest.as_ref().is_none_or(|l| sample.value >= l.value) => {
+                latest = Some(sample);
+            }
+            _ => {}
+        }
+    }
+    let labels = latest.map_or("", |s| s.labels);
+    Some(Running {
+        requests: running?,
+        waiting: waiting?,
+        slots: read_label(labels, "max_lora").and_then(|t| t.parse().ok()),
+        loras: read_loras(labels),
+    })
+}
+
+fn read_sample(line: &str) -> Option<Sample<'_>> {
+    if line.starts_with('#') {
+        return None;
+    }
+    let (name, labels, rest) = if let Some((name, rest)) = line.split_once('{') {
+        let (labels, rest) = rest.rsplit_once('}')?;
+        (name, labels, rest)
+    } else {
+        let (name, rest) = line.split_once(' ')?;
+        (name, "", rest)
+    };
+    let value = rest.split_whitespace().next()?.parse().ok()?;
+    Some(Sample {
+        name,
+        labels,
+        value,
+    })
+}
+
+fn read_loras(labels: &str) -> Vec<String> {
+    let mut loras = Vec::new();
+    for name in ["running_lora_adapters", "waiting_lora_adapters"] {
+        let list = read_label(labels, name).unwrap_or("");
+        let names = list.split(',').map(str::trim).filter(|n| !n.is_empty());
+        loras.extend(names.map(str::to_owned));
+    }
+    loras.sort();
+    loras.dedup();
+    loras
+}
+
+/// Value of a label. The names read here hold no quotes, so that escapes need no care.
+fn read_label<'a>(labels: &'a str, name: &str) -> Option<&'a str> {
+    let start = labels
+        .match_indices(name)
+        .map(|(at, _)| at)
+        .find(|at| is_label_start(labels, *at, name))?;
+    let rest = &labels[start + name.len() + 2..];
+    rest.split('"').next()
+}
+
+fn is_label_start(labels: &str, at: usize, name: &str) -> bool {
+    let before = labels[..at].trim_end();
+    let after = &labels[at + name.len()..];
+    (before.is_empty() || before.ends_with(',')) && after.starts_with("=\"")
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "clamped to the range of counts first"
+)]
+fn as_count(value: f64) -> u32 {
+    value.clamp(0.0, f64::from(u32::MAX)) as u32
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,1 +1,32 @@
 //! Upstreams as traits and over HTTP: model engines in the vLLM form, plain services.
+//!
+//! [`Engine`] and [`Service`] are what the rest of the system sees, as trait objects;
+//! [`VllmEngine`] and [`HttpService`] speak the HTTP forms of `docs/PLATFORM.md`. Errors tell
+//! whether the upstream may have acted.
+//!
+//! ```
+//! use std::time::Duration;
+//! use pumicecleat_net::{Client, ClientOptions, Timer, run};
+//! use pumicecleat_upstream::{Engine, Order, OrderError, VllmEngine};
+//!
+//! let result = run(async {
+//!     let client = Client::new_ext(ClientOptions::default(), &Timer::start());
+//!     let engine = VllmEngine::new(&client, "127.0.0.1:1", Duration::from_secs(2));
+//!     let order = Order { lora: "sowing@v3", path: "sowing/v3", fence: 7 };
+//!     engine.load(order, Duration::from_secs(30)).await
+//! });
+//! assert!(matches!(result.unwrap(), Err(OrderError::NotSent { .. })));
+//! ```
+
+mod call;
+mod engine;
+mod local;
+mod service;
+
+pub use call::{CallError, Retry};
+pub use engine::{
+    Answer, ChatCall, Engine, Loaded, Order, OrderError, Running, VllmEngine, load_confirmed,
+    read_answer,
+};
+pub use local::Local;
+pub use service::{HttpService, Service, ServiceAnswer, ServiceCall};
