Parse, check, compare and fold the configuration

Cause: the crate held the model only; entries, sides and the command need one way to read files and one verdict on a change. Ruled out: serde types with toml::Spanned (they stop at the first fault), one hash over the whole and XOR of item hashes (see digest.rs), a count as revision (see fold/mod.rs).

--- /dev/null
+++ b/crates/config/src/check/links.rs
@@ -0,0 +1,154 @@
+//! References between items, kept both ways.
+//!
+//! The reverse index tells which items a removal could leave dangling, so that a small change is
+//! checked without looking at the rest.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pumicecleat_types::CallerId;
+
+use super::Report;
+use crate::fault::Problem;
+use crate::model::{Caller, Config, Item, Key, Pool, PoolKind};
+
+/// Who refers to what, and who holds which key hash.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Links {
+    users: BTreeMap<Key, BTreeSet<Key>>,
+    holders: BTreeMap<String, BTreeSet<CallerId>>,
+}
+
+impl Links {
+    /// Notes what an item refers to.
+    pub(crate) fn add(&mut self, item: &Item) {
+        let user = item.key();
+        for (_, target) in targets(item) {
+            self.users.entry(target).or_default().insert(user.clone());
+        }
+        if let Item::Caller(id, caller) = item {
+            for hash in &caller.keys {
+                let holders = self.holders.entry(hash.clone()).or_default();
+                holders.insert(id.clone());
+            }
+        }
+    }
+
+    /// Forgets what an item refers to.
+    pub(crate) fn remove(&mut self, item: &Item) {
+        let user = item.key();
+        for (_, target) in targets(item) {
+            forget(&mut self.users, &target, &user);
+        }
+        if let Item::Caller(id, caller) = item {
+            for hash in &caller.keys {
+                forget(&mut self.holders, hash, id);
+            }
+        }
+    }
+
+    /// Adds to `keys` the items that must be checked again once these have changed.
+    pub(crate) fn widen(&self, config: &Config, keys: &mut BTreeSet<Key>) {
+        let mut more = BTreeSet::new();
+        for key in keys.iter() {
+            match key {
+                Key::Version(id, _) => drop(more.insert(Key::Adapter(id.clone()))),
+                Key::Caller(id) => more.extend(self.sharers(config, id)),
+                _ => {}
+            }
+            if matches!(key, Key::Pool(_)) || !config.holds(key) {
+                more.extend(self.users.get(key).into_iter().flatten().cloned());
+            }
+        }
+        keys.extend(more);
+    }
+
+    fn sharers(&self, config: &Config, id: &CallerId) -> BTreeSet<Key> {
+        let caller = config.callers.get(id);
+        caller
+            .into_iter()
+            .flat_map(|c| &c.keys)
+            .filter_map(|hash| self.holders.get(hash))
+            .flatten()
+            .cloned()
+            .map(Key::Caller)
+            .collect()
+    }
+
+    /// Reports references of an item that don't hold.
+    pub(super) fn check_item(&self, config: &Config, item: &Item, report: &mut Report) {
+        for (field, target) in targets(item) {
+            if !config.holds(&target) {
+                let target = target.to_string();
+                report.add(field, Problem::Unknown { target });
+            }
+        }
+        match item {
+            Item::Adapter { id, .. } => {
+                let adapter = config.adapters.get(id);
+                if adapter.is_some_and(|a| a.versions.is_empty()) {
+                    report.add("version", Problem::Empty);
+                }
+            }
+            Item::Service(_, service) => {
+                let pool = config.pools.get(&service.pool);
+                if pool.is_some_and(is_model) {
+                    let pool = service.pool.to_string();
+                    report.add("pool", Problem::PoolKind { pool });
+                }
+            }
+            Item::Caller(id, caller) => self.check_keys(id, caller, report),
+            _ => {}
+        }
+    }
+
+    fn check_keys(&self, id: &CallerId, caller: &Caller, report: &mut Report) {
+        for hash in &caller.keys {
+            let holders = self.holders.get(hash);
+            let other = holders.into_iter().flatten().find(|o| *o != id);
+            if let Some(other) = other {
+                let other = other.to_string();
+                report.add("keys", Problem::SharedKey { other });
+            }
+        }
+    }
+}
+
+fn is_model(pool: &Pool) -> bool {
+    matches!(pool.kind, PoolKind::Model { .. })
+}
+
+fn forget<K: Ord, V: Ord>(map: &mut BTreeMap<K, BTreeSet<V>>, key: &K, value: &V) {
+    if let Some(set) = map.get_mut(key) {
+        set.remove(value);
+        if set.is_empty() {
+            map.remove(key);
+        }
+    }
+}
+
+/// What an item refers to, with the field that does.
+fn targets(item: &Item) -> Vec<(&'static str, Key)> {
+    match item {
+        Item::Adapter { id, base, default } => {
+            let mut targets = vec![("base", Key::Base(base.clone()))];
+            let version = default.iter().cloned();
+            targets.extend(version.map(|v| ("default", Key::Version(id.clone(), v))));
+            targets
+        }
+        Item::Caller(_, caller) => {
+            let grant = &caller.grant;
+            let adapters = grant.adapters.iter().cloned().map(Key::Adapter);
+            let services = grant.services.iter().cloned().map(Key::Service);
+            adapters
+                .map(|key| ("adapters", key))
+                .chain(services.map(|key| ("services", key)))
+                .collect()
+        }
+        Item::Pool(_, pool) => match &pool.kind {
+            PoolKind::Model { base, .. } => vec![("base", Key::Base(base.clone()))],
+            PoolKind::Service { .. } => Vec::new(),
+        },
+        Item::Service(_, service) => vec![("pool", Key::Pool(service.pool.clone()))],
+        Item::Base(..) | Item::Version(..) | Item::Tuning(_) | Item::Limits(_) => Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/config/src/check/value.rs
@@ -0,0 +1,166 @@
+//! Checks of an item by itself.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+
+use super::{Report, limit};
+use crate::fault::Problem;
+use crate::key::HASH_LEN;
+use crate::model::{Caller, Item, Key, Limits, Pool, PoolKind, Route, Tuning};
+
+pub(super) fn check_item(item: &Item, report: &mut Report) {
+    check_name(&item.key(), report);
+    match item {
+        Item::Base(_, base) => range(report, "context", base.context.into(), &limit::CONTEXT),
+        Item::Adapter { .. } => {}
+        Item::Version(_, _, version) => check_path(&version.path, report),
+        Item::Caller(_, caller) => check_caller(caller, report),
+        Item::Pool(_, pool) => check_pool(pool, report),
+        Item::Service(_, service) => check_routes(&service.routes, report),
+        Item::Tuning(tuning) => check_tuning(*tuning, report),
+        Item::Limits(limits) => check_limits(limits, report),
+    }
+}
+
+fn check_name(key: &Key, report: &mut Report) {
+    let id = match key {
+        Key::Base(id) => id.as_str(),
+        Key::Adapter(id) => id.as_str(),
+        Key::Version(_, id) => id.as_str(),
+        Key::Caller(id) => id.as_str(),
+        Key::Pool(id) => id.as_str(),
+        Key::Service(id) => id.as_str(),
+        Key::Tuning | Key::Limits => return,
+    };
+    if id.is_empty() {
+        report.add("", Problem::Empty);
+    }
+    long(report, "", id, limit::ID_LEN);
+    if !id.chars().all(is_id_char) {
+        let id = id.to_owned();
+        report.add("", Problem::Characters { id });
+    }
+}
+
+fn is_id_char(c: char) -> bool {
+    matches!(c, 'a'..='z' | '0'..='9' | '.' | '_' | '-')
+}
+
+fn check_path(path: &str, report: &mut Report) {
+    if path.is_empty() {
+        report.add("path", Problem::Empty);
+    }
+    long(report, "path", path, limit::PATH_LEN);
+}
+
+fn check_caller(caller: &Caller, report: &mut Report) {
+    if caller.keys.is_empty() {
+        report.add("keys", Problem::Empty);
+    }
+    for hash in caller.keys.iter().filter(|hash| !is_hash(hash)) {
+        let hash = hash.clone();
+        report.add("keys", Problem::Hash { hash });
+    }
+    range(report, "claim", caller.claim.into(), &limit::CLAIM);
+    for prefix in &caller.grant.prefixes {
+        if prefix.is_empty() {
+            report.add("adapters", Problem::Empty);
+        }
+        if !prefix.chars().all(is_id_char) {
+            let id = prefix.clone();
+            report.add("adapters", Problem::Characters { id });
+        }
+    }
+}
+
+fn is_hash(hash: &str) -> bool {
+    hash.len() == HASH_LEN && hash.chars().all(|c| matches!(c, '0'..='9' | 'a'..='f'))
+}
+
+fn check_pool(pool: &Pool, report: &mut Report) {
+    range(report, "queue", pool.queue.into(), &limit::QUEUE);
+    match &pool.kind {
+        PoolKind::Model { slots, batch, .. } => {
+            range(report, "slots", (*slots).into(), &limit::SLOTS);
+            range(report, "batch", (*batch).into(), &limit::BATCH);
+        }
+        PoolKind::Service { concurrency } => {
+            range(report, "concurrency", (*concurrency).into(), &limit::BATCH);
+        }
+    }
+}
+
+fn check_routes(routes: &[Route], report: &mut Report) {
+    if routes.is_empty() {
+        report.add("route", Problem::Empty);
+    }
+    let mut seen = BTreeMap::new();
+    for (i, route) in routes.iter().enumerate() {
+        check_route(i, route, report);
+        let first = *seen.entry((&route.method, &route.prefix)).or_insert(i);
+        if first != i {
+            report.add(&format!("route[{i}]"), Problem::SameRoute { first });
+        }
+    }
+}
+
+fn check_route(i: usize, route: &Route, report: &mut Report) {
+    let field = format!("route[{i}].prefix");
+    if !is_prefix(&route.prefix) {
+        let prefix = route.prefix.clone();
+        report.add(&field, Problem::Prefix { prefix });
+    }
+    long(report, &field, &route.prefix, limit::PATH_LEN);
+    let Some(method) = &route.method else {
+        return;
+    };
+    if method.is_empty() || !method.chars().all(|c| c.is_ascii_uppercase()) {
+        let method = method.clone();
+        report.add(&format!("route[{i}].method"), Problem::Method { method });
+    }
+}
+
+fn is_prefix(prefix: &str) -> bool {
+    let Some(rest) = prefix.strip_prefix('/') else {
+        return false;
+    };
+    let plain = !rest.contains(['?', '#', '%', '\\']);
+    rest.is_empty() || plain && rest.split('/').all(|s| !matches!(s, "" | "." | ".."))
+}
+
+fn check_tuning(tuning: Tuning, report: &mut Report) {
+    range(report, "stall", tuning.stall.into(), &limit::WEIGHT);
+    range(report, "batch", tuning.batch.into(), &limit::WEIGHT);
+    if tuning.stall == 0 && tuning.batch == 0 {
+        report.add("", Problem::Weights);
+    }
+}
+
+fn check_limits(limits: &Limits, report: &mut Report) {
+    range(report, "deadline_ms", limits.deadline_ms, &limit::DEADLINE);
+    range(report, "longest_ms", limits.longest_ms, &limit::DEADLINE);
+    range(report, "body", limits.body, &limit::BODY);
+    range(report, "window_s", limits.window_s, &limit::WINDOW);
+    if limits.deadline_ms > limits.longest_ms {
+        let found = limits.deadline_ms;
+        let longest = limits.longest_ms;
+        report.add("deadline_ms", Problem::Deadline { found, longest });
+    }
+}
+
+fn range(report: &mut Report, field: &str, value: u64, range: &RangeInclusive<u64>) {
+    if !range.contains(&value) {
+        let problem = Problem::Range {
+            found: value.to_string(),
+            least: *range.start(),
+            most: *range.end(),
+        };
+        report.add(field, problem);
+    }
+}
+
+fn long(report: &mut Report, field: &str, text: &str, most: usize) {
+    if text.chars().count() > most {
+        report.add(field, Problem::Long { most });
+    }
+}
--- /dev/null
+++ b/crates/config/src/fold/adopt.rs
@@ -0,0 +1,145 @@
+//! Snapshots: checked against the state held, or taken in place of an older one.
+
+use std::collections::BTreeSet;
+
+use pumicecleat_types::{CodecError, LogRecord, decode};
+use snafu::{ResultExt, Snafu};
+
+use super::Fold;
+use super::event::{FoldEvent, GapError, short};
+use super::objection::Objection;
+use super::record::Snapshot;
+use super::window::{WINDOW, Window};
+use crate::digest::digest;
+use crate::state::State;
+
+/// A peer's snapshot that can't be used.
+#[derive(Debug, Snafu)]
+pub enum SnapshotError {
+    /// Not a snapshot.
+    #[snafu(display("step snapshot: {source}"))]
+    Malformed {
+        /// Why.
+        source: CodecError,
+    },
+    /// A snapshot with faults.
+    #[snafu(display("step snapshot: {objection}"))]
+    Unusable {
+        /// Why.
+        objection: Objection,
+    },
+}
+
+impl Fold {
+    /// Fold from a peer's snapshot.
+    ///
+    /// # Errors
+    /// [`SnapshotError`] if it is not whole, consistent and free of faults.
+    pub fn from_snapshot(bytes: &[u8]) -> Result<Self, SnapshotError> {
+        let snapshot = decode::<Snapshot>(bytes).context(MalformedSnafu)?;
+        Self::build(snapshot).map_err(|objection| SnapshotError::Unusable { objection })
+    }
+
+    /// Takes a peer's snapshot in if it is newer than what is held; tells whether it was.
+    ///
+    /// # Errors
+    /// [`SnapshotError`] if it can't be used, or contradicts the state held.
+    pub fn adopt(&mut self, bytes: &[u8]) -> Result<bool, SnapshotError> {
+        let snapshot = decode::<Snapshot>(bytes).context(MalformedSnafu)?;
+        if snapshot.next <= self.next {
+            return Ok(false);
+        }
+        self.advance_to(snapshot)
+            .map_err(|objection| SnapshotError::Unusable { objection })?;
+        Ok(true)
+    }
+
+    /// Takes a snapshot record in that lies behind a gap.
+    pub(super) fn start(
+        &mut self,
+        record: &LogRecord,
+        snapshot: Snapshot,
+    ) -> Result<FoldEvent, GapError> {
+        let next = snapshot.next;
+        if next <= self.next || next > record.offset {
+            return self.gap(record);
+        }
+        if let Err(objection) = self.advance_to(snapshot) {
+            return Ok(FoldEvent::Ignored(objection));
+        }
+        self.mark.cover(next, record.at);
+        let revision = self.revision;
+        Ok(FoldEvent::Started { revision })
+    }
+
+    /// Says whether a snapshot record agrees with the state held.
+    pub(super) fn compare(&mut self, record: &LogRecord, snapshot: &Snapshot) -> FoldEvent {
+        if let Some(objection) = self.object(record.offset, snapshot) {
+            return FoldEvent::Ignored(objection);
+        }
+        self.mark.cover(snapshot.next, record.at);
+        FoldEvent::Confirmed
+    }
+
+    fn object(&self, offset: u64, snapshot: &Snapshot) -> Option<Objection> {
+        let next = snapshot.next;
+        if next > offset || !is_ordered(snapshot) {
+            return Some(Objection::Numbers);
+        }
+        let Some((revision, known)) = self.window.at(next) else {
+            return Some(Objection::Forgotten { next });
+        };
+        let same = revision == snapshot.revision && known == snapshot.digest;
+        if !same || !self.window.follows(&snapshot.window, next) {
+            return Some(Objection::Mismatch { next });
+        }
+        // Others will start from the body, so that it must be what its digest says.
+        (digest(&snapshot.config) != snapshot.digest).then_some(Objection::Body)
+    }
+
+    fn advance_to(&mut self, snapshot: Snapshot) -> Result<(), Objection> {
+        let next = snapshot.next;
+        let older = snapshot.revision < self.revision;
+        let other = snapshot.revision == self.revision && snapshot.digest != self.digest();
+        if older || other {
+            return Err(Objection::Mismatch { next });
+        }
+        *self = Self::build(snapshot)?;
+        Ok(())
+    }
+
+    fn build(snapshot: Snapshot) -> Result<Self, Objection> {
+        if !is_ordered(&snapshot) {
+            return Err(Objection::Numbers);
+        }
+        let state = State::new(snapshot.config).map_err(|faults| Objection::Faulty {
+            count: faults.len(),
+            first: faults.first().map(short).unwrap_or_default(),
+        })?;
+        if state.digest() != snapshot.digest {
+            return Err(Objection::Body);
+        }
+        let mut window = Window::new(snapshot.revision, snapshot.digest);
+        for settled in snapshot.window {
+            window.push(settled);
+        }
+        Ok(Self {
+            state,
+            window,
+            revision: snapshot.revision,
+            next: snapshot.next,
+            mark: snapshot.mark,
+        })
+    }
+}
+
+/// Whether a snapshot's numbers may stand together.
+fn is_ordered(snapshot: &Snapshot) -> bool {
+    let window = &snapshot.window;
+    let rising = window.is_sorted_by(|a, b| a.offset < b.offset);
+    let within = window.last().is_none_or(|s| s.offset < snapshot.next);
+    let reached = snapshot.revision <= snapshot.next && snapshot.mark.covered <= snapshot.next;
+    let ids: BTreeSet<_> = window.iter().map(|s| &s.id).collect();
+    let unique = ids.len() == window.len() && window.len() <= WINDOW;
+    rising && within && reached && unique
+}
--- /dev/null
+++ b/crates/config/src/fold/mod.rs
@@ -0,0 +1,156 @@
+//! The fold over the log's `config` stream: which configuration is in force.
+//!
+//! Every reader folds the same records in the order of their offsets and so comes to the same
+//! verdicts, without asking anyone. A change is accepted only if the revision it was made from is
+//! the one in force, its delta fits, and the result is free of faults and has the digest stated.
+//! Of operators that race, one wins; the others' changes are refused, and nothing is undone.
+//!
+//! The revision is the offset of the last accepted change, plus one; 0 means nothing was accepted
+//! yet. A count would name it as well, but an offset is known to whoever reads the log, whether or
+//! not its beginning is still kept, and it says where to find the change.
+//!
+//! A change that comes twice (its author's retry after a lost reply) has one verdict, the first.
+//! The fold remembers the verdicts of the last [`WINDOW`] changes; the window is part of what
+//! snapshots carry, so that late readers give the same verdicts.
+//!
+//! A snapshot record of the log is checked by those who hold the state it covers, and starts those
+//! who don't. The reader of a fold that has just started reads on from [`Fold::next`], which may
+//! be before the snapshot record's own offset.
+
+mod adopt;
+mod change;
+mod due;
+mod event;
+mod objection;
+mod record;
+mod window;
+
+use pumicecleat_types::{LogRecord, decode, encode};
+
+use crate::digest::Digest;
+use crate::model::Config;
+use crate::state::State;
+
+use window::Window;
+
+pub use adopt::SnapshotError;
+pub use due::{Due, DueReason, Mark};
+pub use event::{Cause, FoldEvent, GapError, Verdict};
+pub use objection::Objection;
+pub use record::{Change, ChangeId, ChangeIdError, Record, Settled, Snapshot};
+pub use window::WINDOW;
+
+use event::GapSnafu;
+
+/// State of a reader of the `config` stream.
+#[derive(Clone, Debug)]
+pub struct Fold {
+    state: State,
+    revision: u64,
+    next: u64,
+    window: Window,
+    mark: Mark,
+}
+
+impl Default for Fold {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Fold {
+    /// Fold before the first record of the log.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            state: State::empty(),
+            revision: 0,
+            next: 0,
+            window: Window::default(),
+            mark: Mark::default(),
+        }
+    }
+
+    /// Configuration in force; empty at revision 0.
+    #[must_use]
+    pub fn config(&self) -> &Config {
+        self.state.config()
+    }
+
+    /// Revision in force, 0 for none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Digest of the configuration in force.
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        self.state.digest()
+    }
+
+    /// Offset of the record wanted next.
+    #[must_use]
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Verdict on a change, if it is among the last [`WINDOW`].
+    #[must_use]
+    pub fn verdict(&self, id: &ChangeId) -> Option<&Verdict> {
+        self.window.verdict(id)
+    }
+
+    /// Takes the next record in. Records before [`Fold::next`] change nothing.
+    ///
+    /// # Errors
+    /// [`GapError`] if records before this one were not seen and it can't make up for them: the
+    /// reader needs those records or a snapshot.
+    pub fn apply(&mut self, record: &LogRecord) -> Result<FoldEvent, GapError> {
+        if record.offset < self.next {
+            return Ok(FoldEvent::Old);
+        }
+        let decoded = decode::<Record>(&record.data);
+        if record.offset > self.next {
+            return match decoded {
+                Ok(Record::Snapshot(snapshot)) => self.start(record, *snapshot),
+                _ => self.gap(record),
+            };
+        }
+        self.next = record.offset.saturating_add(1);
+        self.mark.count(record);
+        Ok(match decoded {
+            Ok(Record::Change(change)) => self.judge(record.offset, *change),
+            Ok(Record::Snapshot(snapshot)) => self.compare(record, &snapshot),
+            Err(source) => FoldEvent::Garbage {
+                offset: record.offset,
+                detail: source.to_string(),
+            },
+        })
+    }
+
+    fn gap<T>(&self, record: &LogRecord) -> Result<T, GapError> {
+        let wanted = self.next;
+        let found = record.offset;
+        GapSnafu { wanted, found }.fail()
+    }
+
+    /// Whole state for the log or for peers.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot {
+            revision: self.revision,
+            next: self.next,
+            digest: self.digest(),
+            config: self.config().clone(),
+            window: self.window.to_vec(),
+            mark: self.mark.clone(),
+        }
+    }
+
+    /// Whole state, encoded for peers.
+    #[must_use]
+    pub fn snapshot_bytes(&self) -> Vec<u8> {
+        encode(&self.snapshot())
+    }
+}
--- /dev/null
+++ b/crates/config/src/fold/record.rs
@@ -0,0 +1,127 @@
+//! Records of the `config` stream.
+
+use std::fmt;
+
+use pumicecleat_types::encode;
+use serde::{Deserialize, Serialize};
+use snafu::{Snafu, ensure};
+
+use super::due::Mark;
+use super::event::Verdict;
+use crate::delta::Delta;
+use crate::digest::{Digest, digest};
+use crate::model::Config;
+
+const ID_LEN: usize = 64;
+
+/// Unique id of a change, given by its author; at most 64 bytes, not empty.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ChangeId(String);
+
+/// Not an id of a change.
+#[derive(Debug, Snafu)]
+#[snafu(display("step change id: {bytes} bytes, must be from 1 to {ID_LEN}"))]
+pub struct ChangeIdError {
+    /// Length.
+    pub bytes: usize,
+}
+
+impl TryFrom<String> for ChangeId {
+    type Error = ChangeIdError;
+
+    fn try_from(id: String) -> Result<Self, ChangeIdError> {
+        let bytes = id.len();
+        ensure!((1..=ID_LEN).contains(&bytes), ChangeIdSnafu { bytes });
+        Ok(Self(id))
+    }
+}
+
+impl From<ChangeId> for String {
+    fn from(id: ChangeId) -> Self {
+        id.0
+    }
+}
+
+impl fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// A change of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Id.
+    pub id: ChangeId,
+    /// Revision it was made from.
+    pub base: u64,
+    /// Change against it.
+    pub delta: Delta,
+    /// Digest of the result.
+    pub digest: Digest,
+    /// Author.
+    pub author: String,
+    /// Note for people.
+    pub note: String,
+}
+
+impl Change {
+    /// Change from the configuration `from` of revision `base` to `to`, without note.
+    #[must_use]
+    pub fn new(id: ChangeId, base: u64, from: &Config, to: &Config, author: &str) -> Self {
+        Self {
+            id,
+            base,
+            delta: Delta::between(from, to),
+            digest: digest(to),
+            author: author.to_owned(),
+            note: String::new(),
+        }
+    }
+}
+
+/// A change that the log has settled.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settled {
+    /// Change.
+    pub id: ChangeId,
+    /// Offset of its record.
+    pub offset: u64,
+    /// Verdict.
+    pub verdict: Verdict,
+}
+
+/// Whole state of a fold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Revision in force.
+    pub revision: u64,
+    /// Offset of the first record it does not cover.
+    pub next: u64,
+    /// Digest of the configuration.
+    pub digest: Digest,
+    /// Configuration.
+    pub config: Config,
+    /// Changes settled last, by offset.
+    pub window: Vec<Settled>,
+    /// What the next snapshot waits for.
+    pub mark: Mark,
+}
+
+/// Record of the `config` stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// Change.
+    Change(Box<Change>),
+    /// Snapshot.
+    Snapshot(Box<Snapshot>),
+}
+
+impl Record {
+    /// Bytes for the log.
+    #[must_use]
+    pub fn to_bytes(&self) -> Vec<u8> {
+        encode(self)
+    }
+}
--- a/crates/config/src/model/caller.rs
+++ b/crates/config/src/model/caller.rs
@@ -30,3 +30,24 @@
     /// Plain services.
     pub services: BTreeSet<ServiceId>,
 }
+
+impl Caller {
+    /// Whether it may reach an adapter.
+    #[must_use]
+    pub fn may_adapter(&self, adapter: &AdapterId) -> bool {
+        let grant = &self.grant;
+        grant.all || grant.adapters.contains(adapter) || grant.starts(adapter.as_str())
+    }
+
+    /// Whether it may reach a service.
+    #[must_use]
+    pub fn may_service(&self, service: &ServiceId) -> bool {
+        self.grant.services.contains(service)
+    }
+}
+
+impl Grant {
+    fn starts(&self, name: &str) -> bool {
+        self.prefixes.iter().any(|p| name.starts_with(p.as_str()))
+    }
+}
--- /dev/null
+++ b/crates/config/src/model/item.rs
@@ -0,0 +1,198 @@
+//! A configuration seen as a set of items, each under its own key: the grain of digests, deltas
+//! and differences.
+
+use std::fmt;
+
+use pumicecleat_types::{AdapterId, BaseId, CallerId, PoolId, ServiceId, VersionId};
+use serde::{Deserialize, Serialize};
+
+use super::{Adapter, Base, Caller, Config, Limits, Pool, Service, Tuning, Version};
+
+/// Name of an item; displayed as the path of its table.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Key {
+    /// Base model.
+    Base(BaseId),
+    /// Adapter, without its versions.
+    Adapter(AdapterId),
+    /// Version of an adapter.
+    Version(AdapterId, VersionId),
+    /// Caller.
+    Caller(CallerId),
+    /// Pool.
+    Pool(PoolId),
+    /// Service.
+    Service(ServiceId),
+    /// Tuning.
+    Tuning,
+    /// Limits.
+    Limits,
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Base(id) => write!(f, "base.{id}"),
+            Self::Adapter(id) => write!(f, "adapter.{id}"),
+            Self::Version(id, version) => write!(f, "adapter.{id}.version.{version}"),
+            Self::Caller(id) => write!(f, "caller.{id}"),
+            Self::Pool(id) => write!(f, "pool.{id}"),
+            Self::Service(id) => write!(f, "service.{id}"),
+            Self::Tuning => f.write_str("tuning"),
+            Self::Limits => f.write_str("limits"),
+        }
+    }
+}
+
+/// An item with its key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Item {
+    /// Base model.
+    Base(BaseId, Base),
+    /// Adapter, without its versions.
+    Adapter {
+        /// Adapter.
+        id: AdapterId,
+        /// Base model.
+        base: BaseId,
+        /// Default version.
+        default: Option<VersionId>,
+    },
+    /// Version of an adapter.
+    Version(AdapterId, VersionId, Version),
+    /// Caller.
+    Caller(CallerId, Caller),
+    /// Pool.
+    Pool(PoolId, Pool),
+    /// Service.
+    Service(ServiceId, Service),
+    /// Tuning.
+    Tuning(Tuning),
+    /// Limits.
+    Limits(Limits),
+}
+
+impl Item {
+    /// Key of the item.
+    #[must_use]
+    pub fn key(&self) -> Key {
+        match self {
+            Self::Base(id, _) => Key::Base(id.clone()),
+            Self::Adapter { id, .. } => Key::Adapter(id.clone()),
+            Self::Version(id, version, _) => Key::Version(id.clone(), version.clone()),
+            Self::Caller(id, _) => Key::Caller(id.clone()),
+            Self::Pool(id, _) => Key::Pool(id.clone()),
+            Self::Service(id, _) => Key::Service(id.clone()),
+            Self::Tuning(_) => Key::Tuning,
+            Self::Limits(_) => Key::Limits,
+        }
+    }
+
+    fn of_adapter(id: &AdapterId, adapter: &Adapter) -> Self {
+        Self::Adapter {
+            id: id.clone(),
+            base: adapter.base.clone(),
+            default: adapter.default.clone(),
+        }
+    }
+}
+
+impl Config {
+    /// Item under a key.
+    #[must_use]
+    pub fn item(&self, key: &Key) -> Option<Item> {
+        match key {
+            Key::Base(id) => Some(Item::Base(id.clone(), self.bases.get(id)?.clone())),
+            Key::Adapter(id) => Some(Item::of_adapter(id, self.adapters.get(id)?)),
+            Key::Version(id, version) => {
+                let found = self.adapters.get(id)?.versions.get(version)?;
+                Some(Item::Version(id.clone(), version.clone(), found.clone()))
+            }
+            Key::Caller(id) => Some(Item::Caller(id.clone(), self.callers.get(id)?.clone())),
+            Key::Pool(id) => Some(Item::Pool(id.clone(), self.pools.get(id)?.clone())),
+            Key::Service(id) => Some(Item::Service(id.clone(), self.services.get(id)?.clone())),
+            Key::Tuning => Some(Item::Tuning(self.tuning)),
+            Key::Limits => Some(Item::Limits(self.limits)),
+        }
+    }
+
+    /// Whether an item stands under a key.
+    #[must_use]
+    pub fn holds(&self, key: &Key) -> bool {
+        match key {
+            Key::Base(id) => self.bases.contains_key(id),
+            Key::Adapter(id) => self.adapters.contains_key(id),
+            Key::Version(id, version) => self
+                .adapters
+                .get(id)
+                .is_some_and(|a| a.versions.contains_key(version)),
+            Key::Caller(id) => self.callers.contains_key(id),
+            Key::Pool(id) => self.pools.contains_key(id),
+            Key::Service(id) => self.services.contains_key(id),
+            Key::Tuning | Key::Limits => true,
+        }
+    }
+
+    /// Keys of all items, in order.
+    #[must_use]
+    pub fn keys(&self) -> Vec<Key> {
+        let mut keys: Vec<Key> = self.bases.keys().cloned().map(Key::Base).collect();
+        keys.extend(self.adapters.keys().cloned().map(Key::Adapter));
+        for (id, adapter) in &self.adapters {
+            let versions = adapter.versions.keys().cloned();
+            keys.extend(versions.map(|v| Key::Version(id.clone(), v)));
+        }
+        keys.extend(self.callers.keys().cloned().map(Key::Caller));
+        keys.extend(self.pools.keys().cloned().map(Key::Pool));
+        keys.extend(self.services.keys().cloned().map(Key::Service));
+        keys.extend([Key::Tuning, Key::Limits]);
+        keys
+    }
+
+    /// Puts an item in, in place of the one under its key. A version needs its adapter: without
+    /// one it is dropped.
+    pub(crate) fn put(&mut self, item: Item) {
+        match item {
+            Item::Base(id, base) => drop(self.bases.insert(id, base)),
+            Item::Adapter { id, base, default } => self.put_adapter(id, base, default),
+            Item::Version(id, name, version) => {
+                if let Some(adapter) = self.adapters.get_mut(&id) {
+                    adapter.versions.insert(name, version);
+                }
+            }
+            Item::Caller(id, caller) => drop(self.callers.insert(id, caller)),
+            Item::Pool(id, pool) => drop(self.pools.insert(id, pool)),
+            Item::Service(id, service) => drop(self.services.insert(id, service)),
+            Item::Tuning(tuning) => self.tuning = tuning,
+            Item::Limits(limits) => self.limits = limits,
+        }
+    }
+
+    fn put_adapter(&mut self, id: AdapterId, base: BaseId, default: Option<VersionId>) {
+        let old = self.adapters.remove(&id);
+        let versions = old.map(|a| a.versions).unwrap_or_default();
+        let adapter = Adapter {
+            base,
+            default,
+            versions,
+        };
+        self.adapters.insert(id, adapter);
+    }
+
+    /// Takes the item under a key out. Tuning and limits stay: they always stand.
+    pub(crate) fn remove(&mut self, key: &Key) {
+        match key {
+            Key::Base(id) => drop(self.bases.remove(id)),
+            Key::Adapter(id) => drop(self.adapters.remove(id)),
+            Key::Version(id, version) => {
+                if let Some(adapter) = self.adapters.get_mut(id) {
+                    adapter.versions.remove(version);
+                }
+            }
+            Key::Caller(id) => drop(self.callers.remove(id)),
+            Key::Pool(id) => drop(self.pools.remove(id)),
+            Key::Service(id) => drop(self.services.remove(id)),
+            Key::Tuning | Key::Limits => {}
+        }
+    }
+}
--- a/crates/config/src/model/mod.rs
+++ b/crates/config/src/model/mod.rs
@@ -2,6 +2,7 @@
 
 mod adapter;
 mod caller;
+mod item;
 mod pool;
 mod service;
 mod tuning;
@@ -13,6 +14,7 @@
 
 pub use adapter::{Adapter, Base, Version};
 pub use caller::{Caller, Grant};
+pub use item::{Item, Key};
 pub use pool::{Pool, PoolKind};
 pub use service::{KeyRule, Route, Service};
 pub use tuning::{Limits, Tuning};
--- /dev/null
+++ b/crates/config/src/parse/declare.rs
@@ -0,0 +1,216 @@
+//! What each kind of table declares.
+
+use pumicecleat_types::VersionId;
+use toml::de::DeTable;
+
+use super::fields::{Fields, Notes, Value, entries};
+use super::source::Text;
+use crate::fault::Problem;
+use crate::model::{
+    Adapter, Base, Caller, Config, Grant, KeyRule, Limits, Pool, PoolKind, Route, Service, Tuning,
+    Version,
+};
+
+const QUEUE: u32 = 256;
+const HASH_MARK: &str = "sha256:";
+const KINDS: &str = "\"model\", \"service\"";
+const KEY_RULES: &str = "\"required\", \"optional\"";
+
+/// What the files declared so far.
+#[derive(Default)]
+pub(super) struct Declarations {
+    pub(super) config: Config,
+    pub(super) notes: Notes,
+}
+
+impl Declarations {
+    /// Adds the tables of one file.
+    pub(super) fn scan<'t>(&mut self, text: &'t Text<'t>, root: &'t DeTable<'t>) {
+        for (key, inner) in root {
+            let name: &str = key.get_ref();
+            let value = Value::new(text, inner);
+            let place = text.place(key.span().start);
+            match name {
+                "base" | "adapter" | "caller" | "pool" | "service" => {
+                    for (id, path, value) in entries(&mut self.notes, text, name, value) {
+                        self.scan_named(name, id, path, value);
+                    }
+                }
+                "tuning" => {
+                    self.notes.declare(name, place);
+                    self.scan_tuning(value);
+                }
+                "limits" => {
+                    self.notes.declare(name, place);
+                    self.scan_limits(value);
+                }
+                _ => self.notes.fault(name, place, Problem::UnknownField),
+            }
+        }
+    }
+
+    fn scan_named(&mut self, kind: &str, id: &str, path: String, value: Value<'_>) {
+        let Some(fields) = Fields::new(&mut self.notes, path, value) else {
+            return;
+        };
+        let config = &mut self.config;
+        match kind {
+            "base" => drop(config.bases.insert(id.into(), scan_base(fields))),
+            "adapter" => drop(config.adapters.insert(id.into(), scan_adapter(fields))),
+            "caller" => drop(config.callers.insert(id.into(), scan_caller(fields))),
+            "pool" => drop(config.pools.insert(id.into(), scan_pool(fields))),
+            _ => drop(config.services.insert(id.into(), scan_service(fields))),
+        }
+    }
+
+    fn scan_tuning(&mut self, value: Value<'_>) {
+        let Some(mut fields) = Fields::new(&mut self.notes, "tuning".into(), value) else {
+            return;
+        };
+        let default = Tuning::default();
+        self.config.tuning = Tuning {
+            stall: fields.count_or("stall", default.stall),
+            batch: fields.count_or("batch", default.batch),
+        };
+        fields.finish();
+    }
+
+    fn scan_limits(&mut self, value: Value<'_>) {
+        let Some(mut fields) = Fields::new(&mut self.notes, "limits".into(), value) else {
+            return;
+        };
+        let default = Limits::default();
+        self.config.limits = Limits {
+            deadline_ms: fields.number_or("deadline_ms", default.deadline_ms),
+            longest_ms: fields.number_or("longest_ms", default.longest_ms),
+            body: fields.number_or("body", default.body),
+            window_s: fields.number_or("window_s", default.window_s),
+        };
+        fields.finish();
+    }
+}
+
+fn scan_base(mut fields: Fields<'_, '_>) -> Base {
+    let base = Base {
+        context: fields.count("context"),
+    };
+    fields.finish();
+    base
+}
+
+fn scan_adapter(mut fields: Fields<'_, '_>) -> Adapter {
+    let mut adapter = Adapter {
+        base: fields.string("base").into(),
+        default: fields.optional("default").map(VersionId::from),
+        versions: std::collections::BTreeMap::new(),
+    };
+    for (name, path, value) in fields.tables("version") {
+        if let Some(version) = scan_version(fields.notes(), path, value) {
+            adapter.versions.insert(name.into(), version);
+        }
+    }
+    fields.finish();
+    adapter
+}
+
+fn scan_version(notes: &mut Notes, path: String, value: Value<'_>) -> Option<Version> {
+    let mut fields = Fields::new(notes, path, value)?;
+    let path = fields.string("path").to_owned();
+    fields.finish();
+    Some(Version { path })
+}
+
+fn scan_caller(mut fields: Fields<'_, '_>) -> Caller {
+    let keys = fields.require_strings("keys");
+    let mut caller = Caller {
+        keys: keys.into_iter().map(hash_of).collect(),
+        claim: fields.count_or("claim", 1),
+        priority: fields.small_or("priority", 0),
+        grant: Grant::default(),
+    };
+    for pattern in fields.strings("adapters") {
+        grant_adapters(&mut caller.grant, pattern);
+    }
+    let services = fields.strings("services");
+    caller.grant.services = services.into_iter().map(Into::into).collect();
+    fields.finish();
+    caller
+}
+
+fn hash_of(key: &str) -> String {
+    key.strip_prefix(HASH_MARK)
+        .unwrap_or(key)
+        .to_ascii_lowercase()
+}
+
+fn grant_adapters(grant: &mut Grant, pattern: &str) {
+    match pattern.strip_suffix('*') {
+        Some("") => grant.all = true,
+        Some(prefix) => drop(grant.prefixes.insert(prefix.to_owned())),
+        None => drop(grant.adapters.insert(pattern.into())),
+    }
+}
+
+fn scan_pool(mut fields: Fields<'_, '_>) -> Pool {
+    let queue = fields.count_or("queue", QUEUE);
+    let kind = match fields.string("kind") {
+        "" => return unknown_pool(queue),
+        "model" => PoolKind::Model {
+            base: fields.string("base").into(),
+            slots: fields.count("slots"),
+            batch: fields.count("batch"),
+            fencing: fields.flag("fencing"),
+        },
+        "service" => PoolKind::Service {
+            concurrency: fields.count("concurrency"),
+        },
+        word => {
+            fields.word("kind", word, KINDS);
+            return unknown_pool(queue);
+        }
+    };
+    fields.finish();
+    Pool { kind, queue }
+}
+
+/// Without a kind there is no telling which other fields are unknown.
+fn unknown_pool(queue: u32) -> Pool {
+    let kind = PoolKind::Service { concurrency: 1 };
+    Pool { kind, queue }
+}
+
+fn scan_service(mut fields: Fields<'_, '_>) -> Service {
+    let mut service = Service {
+        pool: fields.string("pool").into(),
+        routes: Vec::new(),
+    };
+    for (path, value) in fields.list("route") {
+        if let Some(route) = scan_route(fields.notes(), path, value) {
+            service.routes.push(route);
+        }
+    }
+    fields.finish();
+    service
+}
+
+fn scan_route(notes: &mut Notes, path: String, value: Value<'_>) -> Option<Route> {
+    let mut fields = Fields::new(notes, path, value)?;
+    let method = fields.optional("method").map(str::to_owned);
+    let prefix = fields.string("prefix").to_owned();
+    let idempotent = fields.flag("idempotent");
+    let key = match fields.optional("key") {
+        None | Some("required") => KeyRule::Required,
+        Some("optional") => KeyRule::Optional,
+        Some(word) => {
+            fields.word("key", word, KEY_RULES);
+            KeyRule::default()
+        }
+    };
+    fields.finish();
+    Some(Route {
+        method,
+        prefix,
+        idempotent,
+        key,
+    })
+}
--- /dev/null
+++ b/crates/config/src/state.rs
@@ -0,0 +1,120 @@
+//! A checked configuration with what makes small changes cheap: its sum of digests and the
+//! references between its items.
+
+use std::collections::BTreeSet;
+
+use crate::check::{Links, check, check_keys};
+use crate::delta::{Delta, DeltaError};
+use crate::digest::{Digest, Sum};
+use crate::fault::Fault;
+use crate::model::{Config, Item, Key};
+
+/// Why a delta can't be taken in.
+#[derive(Debug)]
+pub(crate) enum Denial {
+    /// It does not fit.
+    Delta(DeltaError),
+    /// Its result has faults.
+    Faults(Vec<Fault>),
+    /// Its result has another digest.
+    Digest,
+}
+
+/// Configuration in force.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct State {
+    config: Config,
+    sum: Sum,
+    links: Links,
+}
+
+impl State {
+    /// State of nothing declared.
+    pub(crate) fn empty() -> Self {
+        Self::index(Config::default())
+    }
+
+    /// State of a configuration, or its faults.
+    pub(crate) fn new(config: Config) -> Result<Self, Vec<Fault>> {
+        let faults = check(&config);
+        if faults.is_empty() {
+            Ok(Self::index(config))
+        } else {
+            Err(faults)
+        }
+    }
+
+    fn index(config: Config) -> Self {
+        let mut sum = Sum::default();
+        let mut links = Links::default();
+        for item in config.keys().iter().filter_map(|key| config.item(key)) {
+            sum.add(&item);
+            links.add(&item);
+        }
+        Self { config, sum, links }
+    }
+
+    pub(crate) fn config(&self) -> &Config {
+        &self.config
+    }
+
+    pub(crate) fn digest(&self) -> Digest {
+        self.sum.digest()
+    }
+
+    /// Takes a delta in if its result is free of faults and has the digest; else all stays.
+    /// Gives the keys it touched.
+    pub(crate) fn advance(&mut self, delta: &Delta, digest: Digest) -> Result<Vec<Key>, Denial> {
+        let mut undo = Vec::new();
+        let result = self.try_advance(delta, digest, &mut undo);
+        if result.is_err() {
+            for (key, old) in undo.into_iter().rev() {
+                self.set(&key, old);
+            }
+        }
+        result
+    }
+
+    fn try_advance(
+        &mut self,
+        delta: &Delta,
+        digest: Digest,
+        undo: &mut Vec<(Key, Option<Item>)>,
+    ) -> Result<Vec<Key>, Denial> {
+        for step in delta.steps().map_err(Denial::Delta)? {
+            step.fits(&self.config).map_err(Denial::Delta)?;
+            let key = step.key();
+            let old = self.set(&key, step.item().cloned());
+            undo.push((key, old));
+        }
+        if self.digest() != digest {
+            return Err(Denial::Digest);
+        }
+        let touched: BTreeSet<Key> = undo.iter().map(|(key, _)| key.clone()).collect();
+        let mut wide = touched.clone();
+        self.links.widen(&self.config, &mut wide);
+        let faults = check_keys(&self.config, &self.links, wide.iter());
+        if faults.is_empty() {
+            Ok(touched.into_iter().collect())
+        } else {
+            Err(Denial::Faults(faults))
+        }
+    }
+
+    fn set(&mut self, key: &Key, item: Option<Item>) -> Option<Item> {
+        let old = self.config.item(key);
+        if let Some(old) = &old {
+            self.sum.sub(old);
+            self.links.remove(old);
+        }
+        match item {
+            Some(item) => {
+                self.sum.add(&item);
+                self.links.add(&item);
+                self.config.put(item);
+            }
+            None => self.config.remove(key),
+        }
+        old
+    }
+}
