--- a/crates/config/src/parse/source.rs
+++ b/crates/config/src/parse/source.rs
@@ -3,11 +3,14 @@
 use std::borrow::Cow;
 use std::ops::Range;
 
-use toml::de::DeTable;
+use toml::de::{DeTable, Error};
 
 use super::declare::Declarations;
 use crate::fault::{Fault, Place, Problem};
 
+/// Parser's words for a key that stands twice.
+const DUPLICATE: &str = "duplicate key";
+
 /// A file as read.
 #[derive(Clone, Copy, Debug)]
 pub struct Source<'a> {
@@ -42,10 +45,12 @@
 
     /// Place of an offset in the text.
     pub(super) fn place(&self, offset: usize) -> Place {
-        Place {
-            file: self.name.to_owned(),
-            line: self.starts.partition_point(|start| *start <= offset),
-        }
+        self.place_of(self.starts.partition_point(|start| *start <= offset))
+    }
+
+    fn place_of(&self, line: usize) -> Place {
+        let file = self.name.to_owned();
+        Place { file, line }
     }
 
     /// Adds what the file declares.
@@ -55,13 +60,56 @@
         }
         let (table, errors) = DeTable::parse_recoverable(&self.body);
         for error in errors {
-            let start = error.span().map_or(0, |span| self.start(&span));
-            let detail = error.message().to_owned();
-            self.fault(found, start, Problem::Syntax { detail });
+            let span = error.span().unwrap_or_default();
+            let first = self.scan_first(&error, &span, table.get_ref());
+            let problem = first.unwrap_or_else(|| Problem::Syntax {
+                detail: error.message().to_owned(),
+            });
+            self.fault(found, self.start(&span), problem);
         }
         found.scan(self, table.get_ref());
     }
 
+    /// For a key that stands twice: the first place, if there is no doubt which one is meant. The
+    /// parser tells the second place only.
+    fn scan_first(
+        &self,
+        error: &Error,
+        span: &Range<usize>,
+        root: &DeTable<'_>,
+    ) -> Option<Problem> {
+        if error.message() != DUPLICATE {
+            return None;
+        }
+        let first = match self.first_header(self.place(span.start).line) {
+            Some(line) => self.place_of(line),
+            None => self.first_key(span, root)?,
+        };
+        Some(Problem::Twice { first })
+    }
+
+    /// First line with the same table header as `line`, if that is one and another comes first.
+    fn first_header(&self, line: usize) -> Option<usize> {
+        let header = self.body.lines().nth(line - 1)?.trim();
+        if !header.starts_with('[') {
+            return None;
+        }
+        let first = self.body.lines().position(|l| l.trim() == header)? + 1;
+        (first < line).then_some(first)
+    }
+
+    /// The one key of the same name before `span`.
+    fn first_key(&self, span: &Range<usize>, root: &DeTable<'_>) -> Option<Place> {
+        let name = self.body.get(span.clone())?;
+        let mut starts = Vec::new();
+        scan_keys(root, name, &mut starts);
+        starts.retain(|start| *start < span.start);
+        let &[start] = starts.as_slice() else {
+            return None;
+        };
+        Some(self.place(start))
+    }
+
     fn start(&self, span: &Range<usize>) -> usize {
         // An error at the end of the text belongs to its last line with characters.
         let end = self.body.trim_end().len();
@@ -76,3 +124,15 @@
         });
     }
 }
+
+/// Adds the starts of the keys of that name, at any depth of tables.
+fn scan_keys(table: &DeTable<'_>, name: &str, starts: &mut Vec<usize>) {
+    for (key, value) in table {
+        if key.get_ref() == name {
+            starts.push(key.span().start);
+        }
+        if let Some(inner) = value.get_ref().as_table() {
+            scan_keys(inner, name, starts);
+        }
+    }
+}
