--- /dev/null
+++ b/crates/config/src/parse/source.rs
@@ -0,0 +1,138 @@
+//! One file: its text, its lines and its tables.
+
+use std::borrow::Cow;
+use std::ops::Range;
+
+use toml::de::{DeTable, Error};
+
+use super::declare::Declarations;
+use crate::fault::{Fault, Place, Problem};
+
+/// Parser's words for a key that stands twice.
+const DUPLICATE: &str = "duplicate key";
+
+/// A file as read.
+#[derive(Clone, Copy, Debug)]
+pub struct Source<'a> {
+    /// Name for messages.
+    pub name: &'a str,
+    /// Content.
+    pub bytes: &'a [u8],
+}
+
+/// Text of a file, with the starts of its lines.
+pub(super) struct Text<'a> {
+    name: &'a str,
+    body: Cow<'a, str>,
+    starts: Vec<usize>,
+    invalid: Option<usize>,
+}
+
+impl<'a> Text<'a> {
+    pub(super) fn new(source: Source<'a>) -> Self {
+        let invalid = std::str::from_utf8(source.bytes)
+            .err()
+            .map(|e| e.valid_up_to());
+        let body = String::from_utf8_lossy(source.bytes);
+        let ends = body.match_indices('\n').map(|(at, _)| at + 1);
+        Self {
+            name: source.name,
+            starts: std::iter::once(0).chain(ends).collect(),
+            body,
+            invalid,
+        }
+    }
+
+    /// Place of an offset in the text.
+    pub(super) fn place(&self, offset: usize) -> Place {
+        self.place_of(self.starts.partition_point(|start| *start <= offset))
+    }
+
+    fn place_of(&self, line: usize) -> Place {
+        let file = self.name.to_owned();
+        Place { file, line }
+    }
+
+    /// Adds what the file declares.
+    pub(super) fn scan(&self, found: &mut Declarations) {
+        if let Some(offset) = self.invalid {
+            self.fault(found, offset, Problem::Encoding);
+        }
+        let (table, errors) = DeTable::parse_recoverable(&self.body);
+        for error in errors {
+            let span = error.span().unwrap_or_default();
+            let first = self.scan_first(&error, &span, table.get_ref());
+            let problem = first.unwrap_or_else(|| Problem::Syntax {
+                detail: error.message().to_owned(),
+            });
+            self.fault(found, self.start(&span), problem);
+        }
+        found.scan(self, table.get_ref());
+    }
+
+    /// For a key that stands twice: the first place, if there is no doubt which one is meant. The
+    /// parser tells the second place only.
+    fn scan_first(
+        &self,
+        error: &Error,
+        span: &Range<usize>,
+        root: &DeTable<'_>,
+    ) -> Option<Problem> {
+        if error.message() != DUPLICATE {
+            return None;
+        }
+        let first = match self.first_header(self.place(span.start).line) {
+            Some(line) => self.place_of(line),
+            None => self.first_key(span, root)?,
+        };
+        Some(Problem::Twice { first })
+    }
+
+    /// First line with the same table header as `line`, if that is one and another comes first.
+    fn first_header(&self, line: usize) -> Option<usize> {
+        let header = self.body.lines().nth(line - 1)?.trim();
+        if !header.starts_with('[') {
+            return None;
+        }
+        let first = self.body.lines().position(|l| l.trim() == header)? + 1;
+        (first < line).then_some(first)
+    }
+
+    /// The one key of the same name before `span`.
+    fn first_key(&self, span: &Range<usize>, root: &DeTable<'_>) -> Option<Place> {
+        let name = self.body.get(span.clone())?;
+        let mut starts = Vec::new();
+        scan_keys(root, name, &mut starts);
+        starts.retain(|start| *start < span.start);
+        let &[start] = starts.as_slice() else {
+            return None;
+        };
+        Some(self.place(start))
+    }
+
+    fn start(&self, span: &Range<usize>) -> usize {
+        // An error at the end of the text belongs to its last line with characters.
+        let end = self.body.trim_end().len();
+        span.start.min(end)
+    }
+
+    fn fault(&self, found: &mut Declarations, offset: usize, problem: Problem) {
+        found.notes.faults.push(Fault {
+            place: Some(self.place(offset)),
+            field: String::new(),
+            problem,
+        });
+    }
+}
+
+/// Adds the starts of the keys of that name, at any depth of tables.
+fn scan_keys(table: &DeTable<'_>, name: &str, starts: &mut Vec<usize>) {
+    for (key, value) in table {
+        if key.get_ref() == name {
+            starts.push(key.span().start);
+        }
+        if let Some(inner) = value.get_ref().as_table() {
+            scan_keys(inner, name, starts);
+        }
+    }
+}
