Add settings, numbered events, metrics, the admin listener and graceful stop

Every daemon needs these before it can be set up, watched and stopped.

Settings: a macro of one row a setting was taken over an argh struct with a resolver call for each field. The latter names each flag, environment name and default twice; with the macro the environment name follows from the flag. Each flag goes through argh by itself, so that one bad flag hides no other fault.

Log: lines are rendered on the loop only if their level is on and written by one more thread that holds nothing of the program. Waiting for stderr on the loop was ruled out, as was an unbounded queue: what exceeds 4096 lines is dropped and counted. A first trial of the example lost its last line, since tasks left on the loop hold clones of the log when main returns: hence emit_last.

--- /dev/null
+++ b/crates/ops/examples/daemon.rs
@@ -0,0 +1,153 @@
+//! A daemon with every part of this crate: it streams `ticks` pieces to each request.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use pumicecleat_net::{
+    Body, Handler, Incoming, Reply, Server, ServerOptions, Timer, bind, json_reply, run,
+};
+use pumicecleat_ops::{
+    Admin, Counter, Drain, DrainEnd, Dump, Log, Metrics, Readiness, Settings, Span, Stop, events,
+    field, settings,
+};
+use serde_json::{Value, json};
+
+settings! {
+    /// Streams pieces to each request.
+    pub struct TickSettings {
+        /// address for callers
+        listen: SocketAddr = "127.0.0.1:0", "ip:port";
+        /// pieces of an answer
+        ticks: u32 = "10", "pieces";
+        /// time between pieces
+        pace: Span = "20ms", "span";
+    }
+}
+
+const PROGRAM: &str = "ticker";
+
+struct Ticker {
+    settings: TickSettings,
+    timer: Timer,
+    drain: Drain,
+    stop: Stop,
+    number: Cell<u64>,
+    requests: Counter,
+}
+
+impl Handler for Ticker {
+    fn handle(&self, _: Incoming, _: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
+        if self.stop.is_asked() {
+            let refused = json_reply(503, &json!({ "code": "leaving", "ran": "no" }));
+            return Box::pin(std::future::ready(refused));
+        }
+        self.requests.inc();
+        self.number.set(self.number.get() + 1);
+        let request = format!("request-{}", self.number.get()).into();
+        let guard = self.drain.enter(&request);
+        let timer = self.timer.clone();
+        let TickSettings { ticks, pace, .. } = self.settings;
+        let pieces = stream::unfold((0, guard), move |(n, guard)| {
+            let timer = timer.clone();
+            async move {
+                timer.sleep(pace.0).await;
+                let piece = Bytes::from(format!("{n};"));
+                (n < ticks).then_some((Ok(piece), (n + 1, guard)))
+            }
+        });
+        let reply = Reply::new(Body::Stream(Box::pin(pieces)));
+        Box::pin(std::future::ready(reply))
+    }
+}
+
+impl Dump for Ticker {
+    fn dump(&self) -> Value {
+        json!({ "open": self.drain.open(), "requests": self.requests.get() })
+    }
+}
+
+fn main() -> ExitCode {
+    let settings = match TickSettings::from_process(PROGRAM) {
+        Ok(settings) => settings,
+        Err(exit) => return exit.report(PROGRAM),
+    };
+    let log = Log::new_ext(&settings.common.log_options(PROGRAM));
+    match run(serve(settings, log)) {
+        Ok(status) => status,
+        Err(_) => ExitCode::FAILURE,
+    }
+}
+
+async fn serve(settings: TickSettings, log: Log) -> ExitCode {
+    log.emit(&events::STARTED, &[field("program", PROGRAM)]);
+    let timer = Timer::start();
+    let Ok(stop) = Stop::listen() else {
+        return ExitCode::FAILURE;
+    };
+    let metrics = Metrics::new();
+    let readiness = Readiness::new(&["listening"], &log);
+    let drain = Drain::new();
+    let (listen, admin) = (settings.listen, settings.common.admin);
+    let limit = settings.common.drain_limit;
+    let ticker = Rc::new(Ticker {
+        settings,
+        timer: timer.clone(),
+        drain: drain.clone(),
+        stop: stop.clone(),
+        number: Cell::new(0),
+        requests: metrics.counter("ticker_requests", "Requests"),
+    });
+    let admin_handler = Rc::new(Admin::new(&metrics, &readiness, ticker.clone()));
+    let Some(_admin) = start("admin", admin, admin_handler, &timer, &log) else {
+        return ExitCode::FAILURE;
+    };
+    let Some(callers) = start("callers", listen, ticker, &timer, &log) else {
+        return ExitCode::FAILURE;
+    };
+    readiness.hold("listening");
+
+    stop.first().await;
+    log.emit(&events::STOP_ASKED, &[field("source", "signal")]);
+    readiness.fail("listening", "stopping");
+    callers.stop();
+    let end = drain.finish(&stop, limit, &timer, &log).await;
+    // The last chunks of what has ended are still on their way to the sockets.
+    timer.sleep(Duration::from_millis(50)).await;
+    log.emit_last(&events::STOPPED, &[field("cut", end.cut().len())]);
+    match end {
+        DrainEnd::Finished => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
+
+fn start(
+    purpose: &str,
+    address: SocketAddr,
+    handler: Rc<dyn Handler>,
+    timer: &Timer,
+    log: &Log,
+) -> Option<Server> {
+    let address_field = field("address", &address);
+    let listener = match bind(address) {
+        Ok(listener) => listener,
+        Err(e) => {
+            let fields = [field("purpose", purpose), address_field, field("error", &e)];
+            log.emit(&events::BIND_FAILED, &fields);
+            return None;
+        }
+    };
+    let bound = listener.local_addr().unwrap_or(address);
+    let fields = [field("purpose", purpose), field("address", &bound)];
+    log.emit(&events::LISTENING, &fields);
+    let server = Server::new_ext(ServerOptions::default(), handler, timer);
+    let accepting = server.clone();
+    monoio::spawn(async move { accepting.serve(listener).await });
+    Some(server)
+}
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -1,1 +1,47 @@
 //! Settings, numbered log events, metrics, the admin listener and graceful stop.
+//!
+//! A daemon declares its settings with [`settings!`], logs rows of the catalogue in [`events`],
+//! serves [`Admin`] beside its own listeners, and ends by [`Stop`] and [`Drain`].
+//!
+//! ```
+//! use pumicecleat_ops::{Log, LogOptions, Settings, events, field, settings};
+//! use std::collections::BTreeMap;
+//!
+//! settings! {
+//!     /// Says hello.
+//!     pub struct HelloSettings {
+//!         /// greetings a second
+//!         rate: u32 = "10", "1/s";
+//!     }
+//! }
+//!
+//! let environment = BTreeMap::from([("PUMICECLEAT_VM".to_owned(), "vm-1".to_owned())]);
+//! let args = ["--rate", "20", "--data-centre", "bp-a", "--region", "hu-central"];
+//! let settings = HelloSettings::read("hello", &args, &environment).unwrap();
+//! assert_eq!(settings.rate, 20);
+//! assert_eq!(settings.common.vm.as_str(), "vm-1");
+//!
+//! let log = Log::new_ext(&settings.common.log_options("hello"));
+//! log.emit(&events::STARTED, &[field("version", "0.1.0")]);
+//! ```
+
+mod admin;
+mod log;
+mod metrics;
+mod ready;
+mod settings;
+mod stop;
+
+pub use admin::{Admin, Dump};
+pub use log::events;
+pub use log::{Event, Field, FieldValue, Level, Log, LogFormat, LogOptions, field};
+pub use metrics::{Buckets, Counter, Family, Gauge, Histogram, Histograms, LabelSet, Metrics};
+pub use ready::{Readiness, Unmet};
+pub use settings::{
+    ByteSize, Common, Exit, Fault, FaultKind, Origin, Resolver, Row, SettingValue, Settings, Span,
+    process_environment,
+};
+pub use stop::{Drain, DrainEnd, DrainGuard, Stop, StopError};
+
+#[doc(hidden)]
+pub use argh;
--- /dev/null
+++ b/crates/ops/src/log/logger.rs
@@ -0,0 +1,213 @@
+//! The logger: level check, rendering, and the thread that writes.
+
+use std::fmt;
+use std::io::Write;
+use std::num::NonZeroUsize;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use spdlog::sink::{AsyncPoolSink, OverflowPolicy, WriteSink};
+use spdlog::{LevelFilter, Logger, ThreadPool};
+
+use super::format::{LineFormatter, render};
+use super::{Event, Field, Level, LogFormat};
+
+/// Lines that may wait for the writer.
+const QUEUE_LINES: usize = 4096;
+
+/// Longest wait for the writer at the end.
+const FLUSH_SPAN: Duration = Duration::from_secs(1);
+
+/// What is logged, and how.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LogOptions {
+    /// Highest level logged.
+    pub level: Level,
+    /// Form of a line.
+    pub format: LogFormat,
+    /// Program and VM, on every line.
+    pub origin: String,
+}
+
+/// Logger of numbered events. Clones share one writer.
+#[derive(Clone)]
+pub struct Log {
+    options: LogOptions,
+    writer: Arc<Writer>,
+}
+
+struct Writer {
+    logger: Option<Logger>,
+    counts: Arc<Counts>,
+}
+
+#[derive(Default)]
+struct Counts {
+    taken: AtomicU64,
+    written: AtomicU64,
+    dropped: AtomicU64,
+}
+
+impl Log {
+    /// Log to stderr.
+    #[must_use]
+    pub fn new_ext(options: &LogOptions) -> Self {
+        Self::to_writer(options, std::io::stderr())
+    }
+
+    /// Log to `target`.
+    #[must_use]
+    pub fn to_writer(options: &LogOptions, target: impl Write + Send + 'static) -> Self {
+        let counts = Arc::default();
+        let logger = build_logger(options.format, target, &counts).ok();
+        Self {
+            options: options.clone(),
+            writer: Arc::new(Writer { logger, counts }),
+        }
+    }
+
+    /// The same log for another part, named on its lines.
+    #[must_use]
+    pub fn with_origin(&self, origin: &str) -> Self {
+        let mut log = self.clone();
+        log.options.origin = origin.into();
+        log
+    }
+
+    /// Whether `event` is logged at this level.
+    #[must_use]
+    pub fn is_on(&self, event: &Event) -> bool {
+        event.level <= self.options.level
+    }
+
+    /// Logs `event` if its level is on. Never waits.
+    pub fn emit(&self, event: &Event, fields: &[Field<'_>]) {
+        debug_assert!(
+            fields.iter().all(|f| event.fields.contains(&f.name)),
+            "a field of {} is not in the catalogue",
+            event.code
+        );
+        if !self.is_on(event) {
+            return;
+        }
+        let Some(logger) = &self.writer.logger else {
+            return;
+        };
+        let line = render(self.options.format, &self.options.origin, event, fields);
+        self.writer.counts.taken.fetch_add(1, Ordering::Relaxed);
+        spdlog::log!(logger: logger, event.level.to_spdlog(), "{}", line);
+    }
+
+    /// Logs the last event of the process and waits, for a second at most, until it is written.
+    ///
+    /// Tasks left on the loop may still hold clones when `main` returns, so that no drop does it.
+    pub fn emit_last(&self, event: &Event, fields: &[Field<'_>]) {
+        self.emit(event, fields);
+        self.writer.flush(FLUSH_SPAN);
+    }
+
+    /// Lines dropped because the writer was behind.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.writer.counts.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Waits until all lines are written, at most for `span`; blocks the thread. True if they are.
+    #[must_use]
+    pub fn flush(&self, span: Duration) -> bool {
+        self.writer.flush(span)
+    }
+}
+
+impl fmt::Debug for Log {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Log")
+            .field("options", &self.options)
+            .field("dropped", &self.dropped())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Writer {
+    fn flush(&self, span: Duration) -> bool {
+        let end = Instant::now() + span;
+        while !self.counts.is_flushed() {
+            if Instant::now() >= end {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        true
+    }
+}
+
+impl Drop for Writer {
+    fn drop(&mut self) {
+        if !self.flush(FLUSH_SPAN) {
+            // Dropping the logger would wait for a stderr that nobody reads.
+            std::mem::forget(self.logger.take());
+        }
+    }
+}
+
+impl Counts {
+    fn is_flushed(&self) -> bool {
+        let done = self.written.load(Ordering::Acquire) + self.dropped.load(Ordering::Acquire);
+        done >= self.taken.load(Ordering::Acquire)
+    }
+}
+
+/// Counts each line that `target` has taken or refused.
+struct CountedWrite<W> {
+    target: W,
+    counts: Arc<Counts>,
+}
+
+impl<W: Write> Write for CountedWrite<W> {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.write_all(bytes).map(|()| bytes.len())
+    }
+
+    fn write_all(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        let result = self.target.write_all(bytes);
+        self.counts.written.fetch_add(1, Ordering::Release);
+        result
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        self.target.flush()
+    }
+}
+
+fn build_logger(
+    format: LogFormat,
+    target: impl Write + Send + 'static,
+    counts: &Arc<Counts>,
+) -> spdlog::Result<Logger> {
+    let target = CountedWrite {
+        target,
+        counts: Arc::clone(counts),
+    };
+    let lines = WriteSink::builder()
+        .formatter(LineFormatter { format })
+        .target(target)
+        .error_handler(|_| {})
+        .build_arc()?;
+    let queue = NonZeroUsize::new(QUEUE_LINES).unwrap_or(NonZeroUsize::MIN);
+    let pool = ThreadPool::builder().capacity(queue).build_arc()?;
+    let queued = AsyncPoolSink::builder()
+        .sink(lines)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .error_handler(|_| {})
+        .build_arc()?;
+    let counts = Arc::clone(counts);
+    Logger::builder()
+        .sink(queued)
+        .level_filter(LevelFilter::All)
+        .error_handler(move |_| {
+            counts.dropped.fetch_add(1, Ordering::Release);
+        })
+        .build()
+}
--- /dev/null
+++ b/crates/ops/src/ready.rs
@@ -0,0 +1,98 @@
+//! Readiness: named conditions that must all hold.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt::{self, Display};
+use std::rc::Rc;
+
+use serde::Serialize;
+
+use crate::{Log, events, field};
+
+/// Whether the process may take work. Logs each change of it; clones share the conditions.
+#[derive(Clone, Debug)]
+pub struct Readiness {
+    conditions: Rc<RefCell<Conditions>>,
+    log: Log,
+}
+
+/// Reason by condition, `None` where it holds.
+type Conditions = BTreeMap<&'static str, Option<String>>;
+
+/// A condition that does not hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Unmet {
+    /// Condition.
+    pub condition: &'static str,
+    /// Why it does not hold.
+    pub reason: String,
+}
+
+impl Readiness {
+    /// Readiness under `conditions`, none of which holds yet.
+    #[must_use]
+    pub fn new(conditions: &[&'static str], log: &Log) -> Self {
+        let unmet = |name: &&'static str| (*name, Some("not met yet".to_owned()));
+        let conditions: Conditions = conditions.iter().map(unmet).collect();
+        Self {
+            conditions: Rc::new(RefCell::new(conditions)),
+            log: log.clone(),
+        }
+    }
+
+    /// Notes that `condition` holds.
+    pub fn hold(&self, condition: &'static str) {
+        self.set(condition, None);
+    }
+
+    /// Notes that `condition` does not hold.
+    pub fn fail(&self, condition: &'static str, reason: &str) {
+        self.set(condition, Some(reason.to_owned()));
+    }
+
+    /// Whether every condition holds.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.conditions.borrow().values().all(Option::is_none)
+    }
+
+    /// Conditions that don't hold.
+    #[must_use]
+    pub fn unmet(&self) -> Vec<Unmet> {
+        let conditions = self.conditions.borrow();
+        conditions
+            .iter()
+            .filter_map(|(condition, reason)| {
+                Some(Unmet {
+                    condition,
+                    reason: reason.clone()?,
+                })
+            })
+            .collect()
+    }
+}
+
+impl Readiness {
+    fn set(&self, condition: &'static str, reason: Option<String>) {
+        let before = self.is_ready();
+        self.conditions.borrow_mut().insert(condition, reason);
+        match (before, self.is_ready()) {
+            (false, true) => self.log.emit(&events::READY, &[]),
+            (true, false) => self.log_unmet(),
+            _ => {}
+        }
+    }
+
+    fn log_unmet(&self) {
+        let reasons: Vec<String> = self.unmet().iter().map(Unmet::to_string).collect();
+        let reasons = reasons.join("; ");
+        self.log
+            .emit(&events::NOT_READY, &[field("reasons", &reasons)]);
+    }
+}
+
+impl Display for Unmet {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.condition, self.reason)
+    }
+}
--- /dev/null
+++ b/crates/ops/src/settings/common.rs
@@ -0,0 +1,79 @@
+//! Settings that every daemon has.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pumicecleat_types::{DataCentre, RegionId, VmId};
+
+use super::{Resolver, Row, Span};
+use crate::{Level, LogFormat, LogOptions};
+
+/// Settings that every daemon has.
+#[derive(Clone, Debug)]
+pub struct Common {
+    /// This VM.
+    pub vm: VmId,
+    /// Data centre of this VM.
+    pub centre: DataCentre,
+    /// Region of this VM.
+    pub region: RegionId,
+    /// Highest level logged.
+    pub log_level: Level,
+    /// Form of a log line.
+    pub log_format: LogFormat,
+    /// Address of the admin listener.
+    pub admin: SocketAddr,
+    /// Longest wait for open requests after the first signal.
+    pub drain_limit: Duration,
+}
+
+impl Common {
+    /// Options of the log of `program`.
+    #[must_use]
+    pub fn log_options(&self, program: &str) -> LogOptions {
+        LogOptions {
+            level: self.log_level,
+            format: self.log_format,
+            origin: format!("{program}/{}", self.vm),
+        }
+    }
+
+    #[doc(hidden)]
+    #[must_use]
+    pub fn rows() -> Vec<Row> {
+        let row = |name, default, unit| Row {
+            name,
+            default,
+            unit,
+        };
+        vec![
+            row("vm", "", "name"),
+            row("data_centre", "", "name"),
+            row("region", "", "name"),
+            row("log_level", "info", "off|error|warn|info|debug"),
+            row("log_format", "text", "text|json"),
+            row("admin", "127.0.0.1:9464", "ip:port"),
+            row("drain_limit", "60s", "span"),
+        ]
+    }
+
+    #[doc(hidden)]
+    pub fn resolve(resolver: &mut Resolver<'_>) -> Option<Self> {
+        let vm = resolver.value("vm");
+        let centre = resolver.value("data_centre");
+        let region = resolver.value("region");
+        let log_level = resolver.value("log_level");
+        let log_format = resolver.value("log_format");
+        let admin = resolver.value("admin");
+        let drain_limit = resolver.value::<Span>("drain_limit");
+        Some(Self {
+            vm: vm?,
+            centre: centre?,
+            region: region?,
+            log_level: log_level?,
+            log_format: log_format?,
+            admin: admin?,
+            drain_limit: drain_limit?.0,
+        })
+    }
+}
--- /dev/null
+++ b/crates/ops/src/settings/exit.rs
@@ -0,0 +1,127 @@
+//! Reading a daemon's settings, and the ways in which that ends the process.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::process::ExitCode;
+
+use argh::EarlyExit;
+
+use super::flags::scan_flags;
+use super::resolver::{flag_name, variable_name};
+use super::{Fault, Resolver, Row, process_environment};
+use crate::{Log, LogOptions, events, field};
+
+/// Exit status after wrong settings.
+const FAULT_STATUS: u8 = 2;
+
+/// Why a process ends before it starts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// Help was asked for.
+    Help(String),
+    /// Settings are wrong.
+    Faults(Vec<Fault>),
+}
+
+impl Exit {
+    /// Prints help, or logs every fault, and gives the exit status.
+    #[must_use]
+    pub fn report(&self, program: &str) -> ExitCode {
+        match self {
+            Self::Help(text) => {
+                println!("{text}");
+                ExitCode::SUCCESS
+            }
+            Self::Faults(faults) => {
+                log_faults(program, faults);
+                ExitCode::from(FAULT_STATUS)
+            }
+        }
+    }
+}
+
+fn log_faults(program: &str, faults: &[Fault]) {
+    let options = LogOptions {
+        origin: program.into(),
+        ..LogOptions::default()
+    };
+    let log = Log::new_ext(&options);
+    for fault in faults {
+        log.emit(&events::SETTING_FAULT, &[field("fault", fault)]);
+    }
+}
+
+/// Settings of a daemon, as made by [`settings!`](crate::settings!).
+pub trait Settings: Sized {
+    /// Declared settings.
+    fn rows() -> Vec<Row>;
+
+    /// Texts that `args` give, by name of the field.
+    ///
+    /// # Errors
+    /// `argh`'s, for help or a bad flag.
+    fn scan(program: &str, args: &[&str]) -> Result<BTreeMap<&'static str, String>, EarlyExit>;
+
+    /// Settings, if none has a fault.
+    fn resolve(resolver: &mut Resolver<'_>) -> Option<Self>;
+
+    /// Settings from `args` (without the program's name) over `environment` over defaults.
+    ///
+    /// # Errors
+    /// [`Exit`], with the help or with every fault.
+    fn read(
+        program: &str,
+        args: &[&str],
+        environment: &BTreeMap<String, String>,
+    ) -> Result<Self, Exit> {
+        let rows = Self::rows();
+        let scanned = scan_flags(program, args, Self::scan);
+        if let Some(help) = scanned.help {
+            return Err(Exit::Help(with_environment(&help, &rows)));
+        }
+        let mut faults = scanned.faults;
+        let mut resolver = Resolver::new(&rows, &scanned.given, environment);
+        let settings = Self::resolve(&mut resolver);
+        faults.extend(resolver.into_faults());
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(Exit::Faults(faults)),
+        }
+    }
+
+    /// Settings of this process.
+    ///
+    /// # Errors
+    /// [`Exit`], with the help or with every fault.
+    fn from_process(program: &str) -> Result<Self, Exit> {
+        let args: Vec<String> = std::env::args_os()
+            .skip(1)
+            .map(|arg| arg.to_string_lossy().into_owned())
+            .collect();
+        let args: Vec<&str> = args.iter().map(String::as_str).collect();
+        Self::read(program, &args, &process_environment())
+    }
+}
+
+/// Help with a table of units, environment names and defaults.
+fn with_environment(help: &str, rows: &[Row]) -> String {
+    let mut text = format!(
+        "{}\n\nUnits, environment names and defaults; a flag goes before the environment:\n",
+        help.trim_end()
+    );
+    for row in rows {
+        let flag = flag_name(row.name);
+        let variable = variable_name(row.name);
+        let default = match row.default {
+            "" => "none",
+            text => text,
+        };
+        // Writing to a string can't fail.
+        let _ = writeln!(
+            text,
+            "  {flag:<22} {:<28} {variable}, default {default}",
+            row.unit
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/ops/src/settings/value.rs
@@ -0,0 +1,175 @@
+//! Types of settings, and how each reads its text.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pumicecleat_types::{AdapterId, BaseId, DataCentre, PoolId, RegionId, ServiceId, VmId};
+
+use crate::{Level, LogFormat};
+
+/// Type of a setting.
+pub trait SettingValue: Sized {
+    /// Form wanted, for messages.
+    fn wanted() -> String;
+
+    /// Value of `text`, or `None` if it is malformed.
+    fn parse(text: &str) -> Option<Self>;
+}
+
+/// Span of time, such as `250ms`, `3s`, `5m` or `1h`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(pub Duration);
+
+/// Size in bytes, such as `512`, `64KiB`, `8MiB` or `1GiB`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ByteSize(pub u64);
+
+/// Units of a span, milliseconds.
+const SPAN_UNITS: [(&str, u64); 4] = [("ms", 1), ("s", 1000), ("m", 60_000), ("h", 3_600_000)];
+
+/// Units of a size, bytes.
+const SIZE_UNITS: [(&str, u64); 5] = [
+    ("", 1),
+    ("B", 1),
+    ("KiB", 1 << 10),
+    ("MiB", 1 << 20),
+    ("GiB", 1 << 30),
+];
+
+impl SettingValue for Span {
+    fn wanted() -> String {
+        "a span like 250ms, 3s, 5m or 1h".into()
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        let ms = parse_unit(text, &SPAN_UNITS)?;
+        Some(Self(Duration::from_millis(ms)))
+    }
+}
+
+impl SettingValue for ByteSize {
+    fn wanted() -> String {
+        "a size like 512, 64KiB, 8MiB or 1GiB".into()
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        parse_unit(text, &SIZE_UNITS).map(Self)
+    }
+}
+
+impl SettingValue for Level {
+    fn wanted() -> String {
+        "one of off, error, warn, info, debug".into()
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|level| level.name() == text)
+    }
+}
+
+impl SettingValue for LogFormat {
+    fn wanted() -> String {
+        "text or json".into()
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        match text {
+            "text" => Some(Self::Text),
+            "json" => Some(Self::Json),
+            _ => None,
+        }
+    }
+}
+
+impl SettingValue for SocketAddr {
+    fn wanted() -> String {
+        "an IP address and port like 127.0.0.1:8080".into()
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
+impl SettingValue for bool {
+    fn wanted() -> String {
+        "true or false".into()
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
+
+/// A value that may be left empty.
+impl<T: SettingValue> SettingValue for Option<T> {
+    fn wanted() -> String {
+        format!("{}, or empty", T::wanted())
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        if text.is_empty() {
+            return Some(None);
+        }
+        T::parse(text).map(Some)
+    }
+}
+
+/// Values parted by commas.
+impl<T: SettingValue> SettingValue for Vec<T> {
+    fn wanted() -> String {
+        format!("any number, parted by commas, of: {}", T::wanted())
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        if text.is_empty() {
+            return Some(Self::new());
+        }
+        text.split(',').map(|part| T::parse(part.trim())).collect()
+    }
+}
+
+macro_rules! numbers {
+    ($($kind:ty),*) => {
+        $(impl SettingValue for $kind {
+            fn wanted() -> String {
+                format!("a whole number from {} to {}", <$kind>::MIN, <$kind>::MAX)
+            }
+
+            fn parse(text: &str) -> Option<Self> {
+                text.parse().ok()
+            }
+        })*
+    };
+}
+
+numbers!(u8, u16, u32, u64, usize);
+
+macro_rules! names {
+    ($($kind:ty),*) => {
+        $(impl SettingValue for $kind {
+            fn wanted() -> String {
+                "a name without spaces or control characters".into()
+            }
+
+            fn parse(text: &str) -> Option<Self> {
+                is_name(text).then(|| text.into())
+            }
+        })*
+    };
+}
+
+names!(
+    String, VmId, DataCentre, RegionId, PoolId, ServiceId, BaseId, AdapterId
+);
+
+fn is_name(text: &str) -> bool {
+    !text.is_empty() && !text.contains(|c: char| c.is_whitespace() || c.is_control())
+}
+
+fn parse_unit(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let digits = text.find(|c: char| !c.is_ascii_digit());
+    let (number, name) = text.split_at(digits.unwrap_or(text.len()));
+    let (_, factor) = units.iter().find(|(unit, _)| *unit == name)?;
+    number.parse::<u64>().ok()?.checked_mul(*factor)
+}
--- /dev/null
+++ b/crates/ops/src/stop/drain.rs
@@ -0,0 +1,168 @@
+//! Requests under way, and the wait for their end.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::{Future, poll_fn};
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use std::time::Duration;
+
+use futures_util::future::{Either, select};
+use pumicecleat_net::Timer;
+use pumicecleat_types::RequestId;
+
+use super::Stop;
+use crate::{Log, events, field};
+
+/// Requests under way. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Drain {
+    state: Rc<RefCell<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    next: u64,
+    open: BTreeMap<u64, RequestId>,
+    waiting: Vec<Waker>,
+}
+
+/// Keeps its request under way until dropped.
+#[derive(Debug)]
+pub struct DrainGuard {
+    drain: Drain,
+    number: u64,
+}
+
+/// How a drain ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DrainEnd {
+    /// Every request has ended.
+    Finished,
+    /// A second signal ended it with these requests open.
+    Interrupted(Vec<RequestId>),
+    /// The limit ended it with these requests open.
+    Limited(Vec<RequestId>),
+}
+
+impl Drain {
+    /// No request under way.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Counts `request` as under way until the guard is dropped.
+    #[must_use]
+    pub fn enter(&self, request: &RequestId) -> DrainGuard {
+        let mut state = self.state.borrow_mut();
+        let number = state.next;
+        state.next += 1;
+        state.open.insert(number, request.clone());
+        drop(state);
+        DrainGuard {
+            drain: self.clone(),
+            number,
+        }
+    }
+
+    /// Requests under way.
+    #[must_use]
+    pub fn open(&self) -> Vec<RequestId> {
+        self.state.borrow().open.values().cloned().collect()
+    }
+
+    /// Number of requests under way.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.state.borrow().open.len()
+    }
+
+    /// Waits until no request is under way.
+    pub async fn idle(&self) {
+        poll_fn(|cx| {
+            let mut state = self.state.borrow_mut();
+            if state.open.is_empty() {
+                return Poll::Ready(());
+            }
+            if !state.waiting.iter().any(|w| w.will_wake(cx.waker())) {
+                state.waiting.push(cx.waker().clone());
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+
+    /// Waits until no request is under way, a second signal comes or `limit` passes, and logs how
+    /// it went, with each request cut.
+    pub async fn finish(&self, stop: &Stop, limit: Duration, timer: &Timer, log: &Log) -> DrainEnd {
+        let from = timer.now();
+        let fields = [
+            field("open", self.count()),
+            field("limit_ms", saturating_ms(limit)),
+        ];
+        log.emit(&events::DRAIN_STARTED, &fields);
+        let end = self.wait(stop, timer.sleep(limit)).await;
+        match &end {
+            DrainEnd::Finished => {
+                let took = timer.now().since(from).0;
+                log.emit(&events::DRAIN_FINISHED, &[field("took_ms", took)]);
+            }
+            DrainEnd::Interrupted(cut) => {
+                log.emit(&events::SECOND_SIGNAL, &[field("open", cut.len())]);
+                log_cut(log, cut, "second signal");
+            }
+            DrainEnd::Limited(cut) => log_cut(log, cut, "drain limit"),
+        }
+        end
+    }
+
+    async fn wait(&self, stop: &Stop, limit: impl Future<Output = ()>) -> DrainEnd {
+        let idle = pin!(self.idle());
+        let second = pin!(stop.second());
+        let limit = pin!(limit);
+        match select(idle, select(second, limit)).await {
+            Either::Left(_) => DrainEnd::Finished,
+            Either::Right((Either::Left(_), _)) => DrainEnd::Interrupted(self.open()),
+            Either::Right((Either::Right(_), _)) => DrainEnd::Limited(self.open()),
+        }
+    }
+}
+
+impl DrainEnd {
+    /// Requests that the end cut.
+    #[must_use]
+    pub fn cut(&self) -> &[RequestId] {
+        match self {
+            Self::Finished => &[],
+            Self::Interrupted(cut) | Self::Limited(cut) => cut,
+        }
+    }
+}
+
+impl Drop for DrainGuard {
+    fn drop(&mut self) {
+        let mut state = self.drain.state.borrow_mut();
+        state.open.remove(&self.number);
+        if !state.open.is_empty() {
+            return;
+        }
+        let waiting = std::mem::take(&mut state.waiting);
+        drop(state);
+        for waker in waiting {
+            waker.wake();
+        }
+    }
+}
+
+fn log_cut(log: &Log, cut: &[RequestId], cause: &str) {
+    for request in cut {
+        let fields = [field("request", request), field("cause", cause)];
+        log.emit(&events::DRAIN_CUT, &fields);
+    }
+}
+
+fn saturating_ms(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
