--- a/crates/types/src/message/run.rs
+++ b/crates/types/src/message/run.rs
@@ -75,6 +75,8 @@
     pub priority: u8,
     /// Answer token by token.
     pub stream: bool,
+    /// Tokens the answer may have, or 1 for a plain service.
+    pub tokens: u32,
     /// Idempotency key, if the caller gave one.
     pub key: Option<String>,
 }
