Add the stand-ins: engine, service, weight store, log and VM list

The daemons under work need a platform and upstreams to meet on loopback, in one process for the demo and as a program of their own for tests.

Each stand-in is a part behind one shared front that reads a request whole and serves /faults. Closing a connection without an answer is done by a body that errs before its first byte, as hyper drops the buffered head then; answering 500 was ruled out, since it is an answer. Cut answers state their whole length and close after half.

Tried by hand with curl: append, read, weights, a VM added, an effect, a load, whole and streamed answers.

--- /dev/null
+++ b/crates/standin/src/engine/state.rs
@@ -0,0 +1,121 @@
+//! What the engine holds, and how a step, a request and a restart change it.
+
+use pumicecleat_types::Millis;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::adapters::Adapters;
+use super::batch::{Batch, Left, Run};
+use super::effects::Effects;
+use super::fencing::Fencing;
+use super::metrics::{Lagging, Sample};
+use super::prefix::Prefixes;
+use super::{EngineFaults, EngineOptions};
+
+/// State of the engine.
+pub(crate) struct State {
+    /// Requests.
+    pub(crate) batch: Batch,
+    /// `LoRAs`.
+    pub(crate) adapters: Adapters,
+    /// Fencing numbers.
+    pub(crate) fencing: Fencing,
+    /// Effects.
+    pub(crate) effects: Effects,
+    /// Prefix cache.
+    pub(crate) prefixes: Prefixes,
+    /// Past load figures.
+    pub(crate) lagging: Lagging,
+    /// Request that waits for another to swap answers with.
+    pub(crate) parked: Option<Run>,
+    /// End of a restart under way.
+    pub(crate) cold_until: Millis,
+    rng: ChaCha8Rng,
+}
+
+impl State {
+    /// Empty engine.
+    pub(crate) fn new(options: &EngineOptions) -> Self {
+        Self {
+            batch: Batch::new(options.batch),
+            adapters: Adapters::new(options.slots),
+            fencing: Fencing::new(options.check_fencing),
+            effects: Effects::default(),
+            prefixes: Prefixes::default(),
+            lagging: Lagging::default(),
+            parked: None,
+            cold_until: Millis(0),
+            rng: ChaCha8Rng::seed_from_u64(options.seed),
+        }
+    }
+
+    /// Adds a request.
+    pub(crate) fn push(&mut self, run: Run) {
+        self.batch.push(run);
+    }
+
+    /// Adds a request whose answer is swapped with the next such one's.
+    pub(crate) fn push_crossed(&mut self, mut run: Run) {
+        match self.parked.take() {
+            Some(parked) if parked.is_abandoned() => {
+                self.effects.leave(&parked, Left::Aborted);
+                self.parked = Some(run);
+            }
+            Some(mut parked) => {
+                std::mem::swap(&mut run.out, &mut parked.out);
+                self.batch.push(parked);
+                self.batch.push(run);
+            }
+            None => self.parked = Some(run),
+        }
+    }
+
+    /// Time of the next step.
+    pub(crate) fn step_span(&mut self, options: &EngineOptions, faults: &EngineFaults) -> Millis {
+        let slow = self.rng.random_bool(options.slow_chance.clamp(0.0, 1.0));
+        let span = if slow {
+            options.slow_ms
+        } else {
+            options.step_ms
+        };
+        scale(span, faults.slow_factor)
+    }
+
+    /// One token for each request that runs.
+    pub(crate) fn step(&mut self, die_at: &mut Option<u64>) {
+        let running = self.batch.running().len() as u64;
+        let gone = self.batch.step(die_at);
+        let counters = &mut self.effects.counters;
+        counters.steps += 1;
+        counters.tokens += running;
+        for (run, left) in gone {
+            self.effects.leave(&run, left);
+        }
+    }
+
+    /// Drops everything but the effects, and is cold until `until`.
+    pub(crate) fn restart(&mut self, until: Millis) {
+        let dropped = self.batch.clear();
+        for run in dropped.iter().chain(&self.parked.take()) {
+            self.effects.leave(run, Left::Broken);
+        }
+        self.adapters.clear();
+        self.prefixes.clear();
+        self.cold_until = until;
+    }
+
+    /// Load figures as they were at `until`.
+    pub(crate) fn sample_at(&mut self, until: Millis) -> Sample {
+        self.lagging.at(until)
+    }
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    clippy::cast_precision_loss,
+    reason = "spans of steps are small and positive"
+)]
+fn scale(span: u64, factor: f64) -> Millis {
+    Millis((span as f64 * factor.max(0.0)).round().max(1.0) as u64)
+}
--- /dev/null
+++ b/crates/standin/src/service/mod.rs
@@ -0,0 +1,8 @@
+//! Plain service that counts what took effect and never removes duplicates by itself.
+
+mod effects;
+mod faults;
+mod handler;
+
+pub use faults::ServiceFaults;
+pub use handler::{Service, ServiceOptions};
