Test the fold against a naive one

Ruled out: comparing the fold with itself only; the naive fold judges each prefix by whole copies and has its own closure check.

--- /dev/null
+++ b/crates/config/tests/fold/main.rs
@@ -0,0 +1,162 @@
+//! The fold against a naive one, for all kinds of readers, and mutants of both.
+
+mod naive;
+mod reader;
+mod world;
+
+use proptest::prelude::*;
+use proptest::sample::Index;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+use pumicecleat_config::Fold;
+use pumicecleat_types::LogRecord;
+
+use naive::{Naive, Rule};
+use reader::{Kind, Reader};
+use world::{World, build, ops};
+
+/// Logs tried for each mutant; each must be found in one of them.
+const TRIES: usize = 200;
+
+/// State after as many records as the reader has read.
+fn truth<'w>(world: &'w World, reader: &Reader) -> &'w Naive {
+    let count = usize::try_from(reader.fold.next()).unwrap();
+    &world.states[count]
+}
+
+proptest! {
+    #[test]
+    fn in_order(ops in ops()) {
+        let world = build(&ops);
+        let mut reader = Reader::new(Kind::Sound);
+        for (record, naive) in world.log.iter().zip(&world.states[1..]) {
+            reader.apply(record).unwrap();
+            prop_assert_eq!(reader.differs(naive), None);
+        }
+    }
+
+    #[test]
+    fn with_repeats(ops in ops(), order in prop::collection::vec(any::<Index>(), 0..80)) {
+        let world = build(&ops);
+        let mut reader = Reader::new(Kind::Sound);
+        for index in &order {
+            // A gap is an error and changes nothing, unless a snapshot closes it.
+            let _ = reader.apply(index.get(&world.log));
+            prop_assert_eq!(reader.differs(truth(&world, &reader)), None);
+        }
+        reader.read(&world.log, 0);
+        prop_assert_eq!(reader.differs(world.states.last().unwrap()), None);
+    }
+
+    #[test]
+    fn late_on_trimmed_log(ops in ops(), first in any::<Index>()) {
+        let world = build(&ops);
+        let mut reader = Reader::new(Kind::Sound);
+        reader.read(&world.log, first.index(world.log.len()));
+        // It may have found no snapshot to start from, or stand before a gap: never elsewhere.
+        prop_assert_eq!(reader.differs(truth(&world, &reader)), None);
+    }
+
+    #[test]
+    fn from_peer(ops in ops(), ahead in any::<Index>(), behind in any::<Index>()) {
+        let world = build(&ops);
+        let log = &world.log;
+        let mut peer = Reader::new(Kind::Sound);
+        peer.read(&log[..ahead.index(log.len())], 0);
+        let mut reader = Reader::new(Kind::Sound);
+        reader.read(&log[..behind.index(log.len())], 0);
+        let newer = peer.fold.next() > reader.fold.next();
+        let most = peer.fold.next().max(reader.fold.next());
+        let adopted = reader.fold.adopt(&peer.fold.snapshot_bytes()).unwrap();
+        prop_assert_eq!(adopted, newer);
+        prop_assert_eq!(reader.fold.next(), most);
+        prop_assert_eq!(reader.differs(truth(&world, &reader)), None);
+        reader.read(log, 0);
+        prop_assert_eq!(reader.differs(world.states.last().unwrap()), None);
+        let copy = Fold::from_snapshot(&reader.fold.snapshot_bytes()).unwrap();
+        prop_assert_eq!(copy.snapshot(), reader.fold.snapshot());
+    }
+}
+
+/// A broken rule or reader.
+struct Mutant {
+    rule: Rule,
+    kind: Kind,
+}
+
+const MUTANTS: &[Mutant] = &[
+    Mutant {
+        rule: Rule::AnyBase,
+        kind: Kind::Sound,
+    },
+    Mutant {
+        rule: Rule::AnyResult,
+        kind: Kind::Sound,
+    },
+    Mutant {
+        rule: Rule::AnyDigest,
+        kind: Kind::Sound,
+    },
+    Mutant {
+        rule: Rule::LastVerdict,
+        kind: Kind::Sound,
+    },
+    Mutant {
+        rule: Rule::CountRevision,
+        kind: Kind::Sound,
+    },
+    Mutant {
+        rule: Rule::Sound,
+        kind: Kind::TakeSnapshots,
+    },
+    Mutant {
+        rule: Rule::Sound,
+        kind: Kind::SkipGaps,
+    },
+    Mutant {
+        rule: Rule::Sound,
+        kind: Kind::Reread,
+    },
+];
+
+/// Whether a log shows the mutant: read in order, with each record twice, or from the middle on.
+fn shows(log: &[LogRecord], mutant: &Mutant) -> bool {
+    let naive = Naive::fold(log, mutant.rule);
+    let mut twice = Reader::new(mutant.kind);
+    for record in log {
+        let _ = twice.apply(record);
+        let _ = twice.apply(record);
+    }
+    let mut late = Reader::new(mutant.kind);
+    late.read(log, log.len() / 2);
+    let read = late.fold.next() > 0;
+    let mid = Naive::fold(
+        &log[..log.len().min(usize::try_from(late.fold.next()).unwrap())],
+        mutant.rule,
+    );
+    twice.differs(&naive).is_some() || read && late.differs(&mid).is_some()
+}
+
+fn logs() -> Vec<Vec<LogRecord>> {
+    let mut runner = TestRunner::deterministic();
+    let mut logs = Vec::new();
+    for _ in 0..TRIES {
+        let tree = ops().new_tree(&mut runner).unwrap();
+        logs.push(build(&tree.current()).log);
+    }
+    logs
+}
+
+#[test]
+fn mutants_are_found() {
+    let logs = logs();
+    let sound = Mutant {
+        rule: Rule::Sound,
+        kind: Kind::Sound,
+    };
+    assert!(!logs.iter().any(|log| shows(log, &sound)));
+    for mutant in MUTANTS {
+        let found = logs.iter().any(|log| shows(log, mutant));
+        assert!(found, "{:?} {:?}", mutant.rule, mutant.kind);
+    }
+}
--- /dev/null
+++ b/crates/config/tests/fold/naive.rs
@@ -0,0 +1,167 @@
+//! The fold as one would write it first: keep the whole log, judge all of it from scratch.
+//!
+//! Its rules can be broken one by one, to show that the comparison finds it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pumicecleat_config::model::{Config, Item, Key, PoolKind};
+use pumicecleat_config::{
+    Cause, Change, ChangeId, Delta, Mark, Record, Settled, Snapshot, Verdict, check, digest,
+};
+use pumicecleat_types::{LogRecord, decode};
+
+const DETAIL_LEN: usize = 200;
+
+/// Rules, sound or with one broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// All hold.
+    Sound,
+    /// Changes of any base are taken.
+    AnyBase,
+    /// Results with faults are taken.
+    AnyResult,
+    /// Results of another digest are taken.
+    AnyDigest,
+    /// The last verdict of a change that comes twice holds.
+    LastVerdict,
+    /// A change counts at its number, not its offset.
+    CountRevision,
+}
+
+/// State after a log.
+#[derive(Clone, Debug, Default)]
+pub struct Naive {
+    pub config: Config,
+    pub revision: u64,
+    pub next: u64,
+    pub settled: BTreeMap<ChangeId, (u64, Verdict)>,
+}
+
+impl Naive {
+    /// State after all of `log`.
+    pub fn fold(log: &[LogRecord], rule: Rule) -> Self {
+        let mut state = Self::default();
+        for record in log {
+            state.step(record, rule);
+        }
+        state
+    }
+
+    /// Judges the next record of the log.
+    pub fn step(&mut self, record: &LogRecord, rule: Rule) {
+        if let Ok(Record::Change(change)) = decode(&record.data) {
+            self.judge(record.offset, &change, rule);
+        }
+        self.next = record.offset + 1;
+    }
+
+    fn judge(&mut self, offset: u64, change: &Change, rule: Rule) {
+        let known = self.settled.contains_key(&change.id);
+        if known && rule != Rule::LastVerdict {
+            return;
+        }
+        let verdict = match self.result(change, rule) {
+            Ok(config) => {
+                self.config = config;
+                self.revision = match rule {
+                    Rule::CountRevision => self.revision + 1,
+                    _ => offset + 1,
+                };
+                let revision = self.revision;
+                Verdict::Accepted { revision }
+            }
+            Err(cause) => Verdict::Refused(cause),
+        };
+        self.settled.insert(change.id.clone(), (offset, verdict));
+    }
+
+    fn result(&self, change: &Change, rule: Rule) -> Result<Config, Cause> {
+        let revision = self.revision;
+        let base = change.base;
+        if base != revision && rule != Rule::AnyBase {
+            return Err(Cause::Stale { base, revision });
+        }
+        let applied = change.delta.apply(&self.config);
+        let result = applied.map_err(|e| Cause::Delta {
+            detail: short(&e.to_string()),
+        })?;
+        assert_eq!(result, rebuild(&self.config, &change.delta));
+        if digest(&result) != change.digest && rule != Rule::AnyDigest {
+            return Err(Cause::Digest);
+        }
+        let faults = check(&result);
+        if faults.is_empty() {
+            assert!(is_closed(&result));
+        }
+        match faults.first() {
+            Some(first) if rule != Rule::AnyResult => Err(Cause::Faulty {
+                count: faults.len() as u64,
+                first: short(&first.to_string()),
+            }),
+            _ => Ok(result),
+        }
+    }
+
+    /// Snapshot of the state.
+    pub fn snapshot(&self) -> Snapshot {
+        let settle = |(id, (offset, verdict)): (&ChangeId, &(u64, Verdict))| Settled {
+            id: id.clone(),
+            offset: *offset,
+            verdict: verdict.clone(),
+        };
+        let mut window: Vec<_> = self.settled.iter().map(settle).collect();
+        window.sort_by_key(|s| s.offset);
+        Snapshot {
+            revision: self.revision,
+            next: self.next,
+            digest: digest(&self.config),
+            config: self.config.clone(),
+            window,
+            mark: Mark::default(),
+        }
+    }
+}
+
+fn short(text: &str) -> String {
+    text.chars().take(DETAIL_LEN).collect()
+}
+
+/// Result of a delta, by a list of all items.
+fn rebuild(config: &Config, delta: &Delta) -> Config {
+    let keys = config.keys();
+    let mut items: BTreeMap<Key, Item> = keys
+        .into_iter()
+        .filter_map(|key| config.item(&key).map(|item| (key, item)))
+        .collect();
+    items.retain(|key, _| !delta.removed.contains(key));
+    items.extend(delta.put.iter().map(|item| (item.key(), item.clone())));
+    let all = Delta {
+        removed: Vec::new(),
+        put: items.into_values().collect(),
+    };
+    all.apply(&Config::default()).unwrap()
+}
+
+/// Whether every reference has its target and no two callers share a key.
+fn is_closed(config: &Config) -> bool {
+    let adapters = config.adapters.values().all(|a| {
+        let default = a.default.iter().all(|v| a.versions.contains_key(v));
+        default && !a.versions.is_empty() && config.bases.contains_key(&a.base)
+    });
+    let pools = config.pools.values().all(|p| match &p.kind {
+        PoolKind::Model { base, .. } => config.bases.contains_key(base),
+        PoolKind::Service { .. } => true,
+    });
+    let services = config.services.values().all(|s| {
+        let pool = config.pools.get(&s.pool);
+        pool.is_some_and(|p| matches!(p.kind, PoolKind::Service { .. }))
+    });
+    let callers = config.callers.values().all(|c| {
+        let mut names = c.grant.adapters.iter();
+        names.all(|a| config.adapters.contains_key(a))
+    });
+    let held: usize = config.callers.values().map(|c| c.keys.len()).sum();
+    let keys: BTreeSet<_> = config.callers.values().flat_map(|c| &c.keys).collect();
+    adapters && pools && services && callers && held == keys.len()
+}
