--- a/crates/ledger/src/ledger/step.rs
+++ b/crates/ledger/src/ledger/step.rs
@@ -100,6 +100,25 @@
         Ok(self.owed.entry(attempt).or_insert(Record::Done(done)))
     }
 
+    /// Takes back a send that failed before a byte left, by the transport's proof. The attempt is
+    /// void from then on, as by [`void`](Ledger::void).
+    ///
+    /// # Errors
+    /// [`StepError::Closed`] if it has an outcome already.
+    pub fn unsent(&mut self, sent: Sent) -> Result<NotRun, StepError> {
+        let attempt = sent.attempt;
+        let known = self.own.contains_key(&attempt);
+        ensure!(
+            known,
+            ClosedSnafu {
+                step: "take back",
+                attempt
+            }
+        );
+        self.drop_own(&attempt);
+        Ok(NotRun { attempt })
+    }
+
     /// Gives up an attempt that was not sent: it never will be. Its intent, if it is in the
     /// stream now or turns up later, is abandoned by an [owed](Ledger::owed) record.
     ///
--- /dev/null
+++ b/crates/side/src/dump.rs
@@ -0,0 +1,70 @@
+//! The whole state of a side, on request.
+
+use std::rc::Rc;
+
+use pumicecleat_ops::Dump;
+use pumicecleat_types::{DataCentre, PoolId, RegionId, RequestId, VmId};
+use serde::Serialize;
+
+use crate::state::{State, Upstream};
+use crate::station::StationDump;
+
+/// State of a side.
+#[derive(Debug, Serialize)]
+pub struct SideDump {
+    program: &'static str,
+    vm: VmId,
+    centre: DataCentre,
+    region: RegionId,
+    pool: PoolId,
+    address: String,
+    upstream: String,
+    incarnation: u64,
+    uptime_ms: u64,
+    revision: u64,
+    healthy: bool,
+    leaving: bool,
+    entries: Vec<String>,
+    open: Vec<RequestId>,
+    queue: Option<StationDump>,
+    keys: Option<pumicecleat_ledger::Dump>,
+}
+
+/// Shows a side's state.
+pub(crate) struct Dumper(pub(crate) Rc<State>);
+
+impl Dump for Dumper {
+    fn dump(&self) -> serde_json::Value {
+        // Texts and numbers only: it always encodes.
+        serde_json::to_value(self.0.dump()).unwrap_or_default()
+    }
+}
+
+impl State {
+    pub(crate) fn dump(&self) -> SideDump {
+        let common = &self.settings.common;
+        let work = self.work();
+        let keys = work.as_ref().and_then(|w| match &w.upstream {
+            Upstream::Service(_, keys) => Some(keys.dump()),
+            Upstream::Model(_) => None,
+        });
+        SideDump {
+            program: "side",
+            vm: common.vm.clone(),
+            centre: common.centre.clone(),
+            region: common.region.clone(),
+            pool: self.pool().clone(),
+            address: self.address.clone(),
+            upstream: self.settings.upstream.clone(),
+            incarnation: self.incarnation,
+            uptime_ms: self.uptime().0,
+            revision: self.config.revision(),
+            healthy: self.healthy.get(),
+            leaving: self.leaving.get(),
+            entries: self.entries.all().into_iter().collect(),
+            open: self.drain.open(),
+            queue: work.map(|w| w.station.dump()),
+            keys,
+        }
+    }
+}
--- /dev/null
+++ b/crates/side/src/entries.rs
@@ -0,0 +1,107 @@
+//! Entries that this side knows: from its settings, and from the platform's VM list.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_ops::{events, field};
+use pumicecleat_platform::{VmList, Vms};
+use pumicecleat_types::{VmRole, VmState};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::state::State;
+
+/// Time between two reads of the VM list.
+const PAUSE: Duration = Duration::from_secs(1);
+/// Lists in a row that must lack an entry before it is forgotten, as the list lags.
+const ABSENCES: u32 = 3;
+
+/// Entries by address.
+#[derive(Debug, Default)]
+pub(crate) struct Entries {
+    fixed: BTreeSet<String>,
+    /// Lists in a row that lacked it.
+    listed: RefCell<BTreeMap<String, u32>>,
+    turn: Cell<usize>,
+}
+
+impl Entries {
+    /// Entries of a comma list.
+    pub(crate) fn new(fixed: &str) -> Self {
+        let parts = fixed.split(',').map(str::trim).filter(|p| !p.is_empty());
+        Self {
+            fixed: parts.map(str::to_owned).collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Addresses, in order.
+    pub(crate) fn all(&self) -> BTreeSet<String> {
+        let listed = self.listed.borrow();
+        self.fixed.iter().chain(listed.keys()).cloned().collect()
+    }
+
+    /// Addresses, from another one on each time.
+    pub(crate) fn shuffled(&self) -> Vec<String> {
+        let mut all: Vec<String> = self.all().into_iter().collect();
+        if !all.is_empty() {
+            let turn = self.turn.get();
+            self.turn.set(turn.wrapping_add(1));
+            let middle = turn % all.len();
+            all.rotate_left(middle);
+        }
+        all
+    }
+
+    /// Addresses by rendezvous rank for `subject`, the first one best.
+    pub(crate) fn ranked(&self, subject: &str) -> Vec<String> {
+        let seed = xxh3_64(subject.as_bytes());
+        let mut all: Vec<String> = self.all().into_iter().collect();
+        all.sort_by_cached_key(|e| xxh3_64_with_seed(e.as_bytes(), seed));
+        all
+    }
+
+    fn take(&self, list: &VmList) {
+        let mut listed = self.listed.borrow_mut();
+        for absences in listed.values_mut() {
+            *absences += 1;
+        }
+        for vm in list.vms.iter().filter(|v| v.role == VmRole::Entry) {
+            listed.insert(vm.address.clone(), 0);
+        }
+        listed.retain(|_, absences| *absences < ABSENCES);
+    }
+}
+
+impl State {
+    /// Reads the VM list again and again; never ends.
+    pub(crate) async fn watch_vms(self: Rc<Self>, vms: Rc<dyn Vms>) {
+        let region = self.settings.common.region.clone();
+        let mut up = true;
+        loop {
+            match vms.list(Some(region.as_str())).await {
+                Ok(list) => {
+                    up = true;
+                    self.entries.take(&list);
+                    self.look_for_own(&list);
+                }
+                Err(e) if up => {
+                    up = false;
+                    let address = &self.settings.vms;
+                    let fields = [field("address", address), field("step", "list"), field("error", &e)];
+                    self.log.emit(&events::VM_LIST_DOWN, &fields);
+                }
+                Err(_) => {}
+            }
+            self.timer.sleep(PAUSE).await;
+        }
+    }
+
+    fn look_for_own(&self, list: &VmList) {
+        let own = list.vms.iter().find(|v| v.vm == *self.vm());
+        if own.is_some_and(|v| v.state == VmState::Leaving) {
+            self.leave("VM list");
+        }
+    }
+}
--- /dev/null
+++ b/crates/side/src/keys/claim.rs
@@ -0,0 +1,111 @@
+//! A call's way to its turn: admission, the intent in the log, and the wait for its reading back.
+
+use std::time::Duration;
+
+use async_channel::Receiver;
+use pumicecleat_ledger::{Admission, Attempt, Call, Event, Intent, Outcome, Record, Verdict, Won};
+use pumicecleat_ops::{events, field};
+use pumicecleat_types::{Millis, Reason};
+
+use super::{KeyCall, Keys, step_reason};
+use crate::state::wall_clock;
+
+/// What a key allows.
+#[derive(Debug)]
+pub(crate) enum Claim {
+    /// Send it.
+    Won(Won),
+    /// Pass on what came of an earlier attempt.
+    Replay(Outcome),
+    /// Not run.
+    Refused(Reason),
+}
+
+impl Keys {
+    /// Claims a call's key.
+    pub(crate) async fn claim(&self, call: &KeyCall<'_>) -> Claim {
+        if !self.state.up.get() {
+            return Claim::Refused(Reason::LogDown);
+        }
+        let claim = match self.admit(call) {
+            Ok(intent) => self.append(intent, call.left).await,
+            Err(claim) => claim,
+        };
+        self.note(call, &claim);
+        claim
+    }
+
+    fn admit(&self, call: &KeyCall<'_>) -> Result<Intent, Claim> {
+        let now = wall_clock();
+        let call = Call {
+            key: call.key,
+            digest: call.digest,
+            now,
+            deadline: now + call.left,
+        };
+        let mut ledger = self.state.ledger.borrow_mut();
+        match ledger.admit(&call) {
+            Admission::Claim(intent) => Ok(intent),
+            Admission::Replay(outcome) => Err(Claim::Replay(outcome.clone())),
+            Admission::Refuse(reason) => Err(Claim::Refused(reason)),
+        }
+    }
+
+    async fn append(&self, intent: Intent, left: Millis) -> Claim {
+        let attempt = intent.attempt.clone();
+        let (sender, decided) = async_channel::bounded(1);
+        self.state.waiting.borrow_mut().insert(attempt.clone(), sender);
+        self.state.outbox.borrow_mut().push(Record::Intent(intent));
+        self.wake();
+        let span = Duration::from_millis(left.0);
+        let event = self.state.timer.within(span, decided.recv()).await;
+        self.state.waiting.borrow_mut().remove(&attempt);
+        match event {
+            Ok(Ok(event)) => claim_of(event),
+            // The log did not carry the intent in time, or refused it.
+            _ => self.void(&attempt, &decided),
+        }
+    }
+
+    /// Makes the attempt impossible before it is told as not run.
+    fn void(&self, attempt: &Attempt, decided: &Receiver<Event>) -> Claim {
+        let voided = self.state.ledger.borrow_mut().void(attempt);
+        self.state.outbox.borrow_mut().retain(|r| r.attempt() != attempt);
+        self.wake();
+        match (voided, decided.try_recv()) {
+            (Ok(_), _) => Claim::Refused(Reason::LogDown),
+            // Decided between the timeout and the void.
+            (Err(_), Ok(event)) => claim_of(event),
+            (Err(e), Err(_)) => Claim::Refused(step_reason(&e)),
+        }
+    }
+
+    fn note(&self, call: &KeyCall<'_>, claim: &Claim) {
+        let request = field("request", call.request);
+        let key = field("key", call.key.text());
+        match claim {
+            Claim::Won(_) => self.state.events.emit(&events::KEY_WON, &[request, key]),
+            Claim::Replay(_) => self.state.events.emit(&events::KEY_REPLAYED, &[request, key]),
+            Claim::Refused(reason) => {
+                let state = format!("{reason:?}");
+                let fields = [request, key, field("state", &state)];
+                self.state.events.emit(&events::KEY_HELD, &fields);
+            }
+        }
+    }
+}
+
+fn claim_of(event: Event) -> Claim {
+    match event {
+        Event::Won(won) => Claim::Won(won),
+        Event::Lost {
+            verdict: Verdict::Replay(outcome),
+            ..
+        } => Claim::Replay(outcome),
+        Event::Lost {
+            verdict: Verdict::Refuse(reason),
+            ..
+        } => Claim::Refused(reason),
+        Event::Unreadable { .. } => Claim::Refused(Reason::LogDown),
+    }
+}
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -1,1 +1,41 @@
-//! The process beside an upstream: its orders, its queue, its residency, its at-most-once decisions.
+//! The process beside an upstream: its orders, its queue, its residency, its at-most-once
+//! decisions.
+//!
+//! A [`Side`] is the only giver of orders to its upstream. It holds a slot (an exclusive port) so
+//! that there is one on a VM, hears the configuration from entries, and answers `POST
+//! /peer/v1/run` with the frames of `pumicecleat_types::Frame`.
+//!
+//! ```no_run
+//! use pumicecleat_net::{Timer, run};
+//! use pumicecleat_ops::{Log, Settings, Stop};
+//! use pumicecleat_side::{Side, SideSettings};
+//!
+//! let settings = SideSettings::from_process("pumicecleat-side").unwrap();
+//! let log = Log::new_ext(&settings.common.log_options("pumicecleat-side"));
+//! run(async {
+//!     let side = Side::start(settings, &Timer::start(), &log).unwrap();
+//!     let stop = Stop::listen().unwrap();
+//!     stop.first().await;
+//!     side.finish(&stop).await;
+//! })
+//! .unwrap();
+//! ```
+
+mod config;
+mod dump;
+mod entries;
+mod keys;
+mod metrics;
+mod orders;
+mod peer;
+mod report;
+mod run;
+mod settings;
+mod start;
+mod state;
+mod station;
+mod watch;
+
+pub use dump::SideDump;
+pub use settings::SideSettings;
+pub use start::{Side, StartError};
--- a/crates/side/src/main.rs
+++ b/crates/side/src/main.rs
@@ -1,3 +1,52 @@
-//! Reads arguments and calls the library.
+//! Reads settings and calls the library.
 
-fn main() {}
+use std::process::ExitCode;
+
+use pumicecleat_net::{Timer, run};
+use pumicecleat_ops::{DrainEnd, Log, Settings, Stop, events, field};
+use pumicecleat_side::{Side, SideSettings};
+
+const PROGRAM: &str = "pumicecleat-side";
+
+fn main() -> ExitCode {
+    let settings = match SideSettings::from_process(PROGRAM) {
+        Ok(settings) => settings,
+        Err(exit) => return exit.report(PROGRAM),
+    };
+    let log = Log::new_ext(&settings.common.log_options(PROGRAM));
+    match run(serve(settings, log.clone())) {
+        Ok(code) => code,
+        Err(e) => {
+            let fields = [field("step", "start"), field("error", &e)];
+            log.emit_last(&events::INTERNAL, &fields);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(settings: SideSettings, log: Log) -> ExitCode {
+    let timer = Timer::start();
+    let started = Stop::listen().map_err(|e| e.to_string());
+    let started = started.and_then(|stop| {
+        let side = Side::start(settings, &timer, &log).map_err(|e| e.to_string())?;
+        Ok((stop, side))
+    });
+    let (stop, side) = match started {
+        Ok(started) => started,
+        Err(e) => {
+            let fields = [field("step", "start"), field("error", &e)];
+            log.emit_last(&events::INTERNAL, &fields);
+            return ExitCode::FAILURE;
+        }
+    };
+    println!("listening {} admin {}", side.address(), side.admin());
+    stop.first().await;
+    let end = side.finish(&stop).await;
+    let fields = [field("cut", end.cut().len()), field("dropped_lines", log.dropped())];
+    log.emit_last(&events::STOPPED, &fields);
+    if end == DrainEnd::Finished {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/crates/side/src/run/service.rs
@@ -0,0 +1,263 @@
+//! An attempt at a plain service.
+//!
+//! An idempotent call lives as long as its entry waits. Any other is run by a task of its own, so
+//! that a call once sent has its outcome recorded; one whose entry left before that is not sent.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use pumicecleat_ledger::{Answer, Body, Digest, Key, Outcome};
+use pumicecleat_net::Sent;
+use pumicecleat_types::{
+    Frame, HeaderField, Millis, Ran, Reason, Refusal, RunRequest, ServiceTarget,
+};
+use pumicecleat_upstream::{CallError, Service, ServiceAnswer, ServiceCall};
+
+use super::{Frames, RETRY_MS, refusal, whole_frames};
+use crate::keys::{Claim, KeyCall, Keys};
+use crate::state::{State, Work};
+use crate::station::{Demand, Ticket, Word};
+
+/// Longest body that is recorded whole with an outcome, bytes.
+const RECORDED: usize = 16 << 10;
+
+/// Where a call goes.
+pub(super) struct Place {
+    pub(super) service: Rc<dyn Service>,
+    pub(super) keys: Keys,
+}
+
+/// Frames of one attempt.
+pub(super) fn run(
+    state: Rc<State>,
+    work: Work,
+    place: Place,
+    target: ServiceTarget,
+    request: RunRequest,
+) -> Frames {
+    let idempotent = target.idempotent;
+    let run = ServiceRun {
+        until: state.timer.now() + Millis(request.head.left_ms),
+        state,
+        work,
+        place,
+        target,
+        request,
+    };
+    if idempotent {
+        let frames = async move { run.once(None).await };
+        return Box::pin(stream::once(frames).map(stream::iter).flatten());
+    }
+    Box::pin(stream::once(detach(run)).map(stream::iter).flatten())
+}
+
+/// Runs in a task of its own, and waits for its frames.
+async fn detach(run: ServiceRun) -> Vec<Frame> {
+    let (sender, frames) = async_channel::bounded(1);
+    let state = Rc::clone(&run.state);
+    let head = run.request.head.clone();
+    monoio::spawn(async move {
+        let frames = run.once(Some(&sender)).await;
+        // The entry may have left; what came of the call is recorded with its key.
+        let _ = sender.try_send(frames);
+    });
+    match frames.recv().await {
+        Ok(frames) => frames,
+        Err(_) => vec![state.broken(&head, Ran::Unknown, "run call", "its task ended")],
+    }
+}
+
+struct ServiceRun {
+    state: Rc<State>,
+    work: Work,
+    place: Place,
+    target: ServiceTarget,
+    request: RunRequest,
+    until: Millis,
+}
+
+impl ServiceRun {
+    /// Frames of the whole answer; `entry` is closed once the entry has left.
+    async fn once(&self, entry: Option<&Sender<Vec<Frame>>>) -> Vec<Frame> {
+        let _guard = self.state.drain.enter(&self.request.head.request);
+        let mut ticket = match self.queue().await {
+            Ok(ticket) => ticket,
+            Err(refusal) => return self.refused(refusal),
+        };
+        if entry.is_some_and(Sender::is_closed) {
+            ticket.finish(false);
+            return self.refused(refusal(Reason::Deadline, RETRY_MS, "its entry left"));
+        }
+        let key = self.request.head.key.as_deref().filter(|_| !self.target.idempotent);
+        let frames = match key {
+            Some(text) => self.keyed(text, entry).await,
+            None => self.plain().await,
+        };
+        ticket.finish(true);
+        frames
+    }
+
+    async fn queue(&self) -> Result<Ticket, Refusal> {
+        let head = &self.request.head;
+        let demand = Demand {
+            lora: None,
+            caller: head.caller.as_str(),
+            claim: self.state.claim_of(head),
+            priority: head.priority,
+            left: Millis(head.left_ms),
+            tokens: 1,
+        };
+        let detail = "the queue can't meet it";
+        let submitted = self.work.station.submit(&demand);
+        let mut ticket = submitted.map_err(|g| refusal(g.reason, g.retry.0, detail))?;
+        match ticket.wait().await {
+            Word::Go => Ok(ticket),
+            Word::Refused(g) => Err(refusal(g.reason, g.retry.0, detail)),
+        }
+    }
+
+    /// A call without a key: sent once.
+    async fn plain(&self) -> Vec<Frame> {
+        match self.send().await {
+            Ok(answer) => self.answered(answer.status, answer.headers, &answer.body, false),
+            Err(e) => vec![self.failed(&e)],
+        }
+    }
+
+    /// A call with a key: sent only if its intent is the first in the log.
+    async fn keyed(&self, text: &str, entry: Option<&Sender<Vec<Frame>>>) -> Vec<Frame> {
+        let head = &self.request.head;
+        let key = match Key::parse(&head.caller, text) {
+            Ok(key) => key,
+            Err(e) => return self.refused(refusal(Reason::KeyInvalid, 0, e.to_string())),
+        };
+        let call = KeyCall {
+            request: &head.request,
+            key: &key,
+            digest: Digest::of_call(&self.target.method, &self.target.path, &self.request.body),
+            left: self.left(),
+        };
+        match self.place.keys.claim(&call).await {
+            Claim::Won(won) => {
+                if entry.is_some_and(Sender::is_closed) {
+                    return self.withdraw(&won);
+                }
+                match self.place.keys.sent(won) {
+                    Ok(sent) => self.send_won(&key, sent).await,
+                    Err(e) => self.refused(refusal(Reason::Deadline, RETRY_MS, e.to_string())),
+                }
+            }
+            Claim::Replay(outcome) => self.replay(&outcome),
+            Claim::Refused(reason) => {
+                self.refused(refusal(reason, RETRY_MS, "decided by its idempotency key"))
+            }
+        }
+    }
+
+    fn withdraw(&self, won: &pumicecleat_ledger::Won) -> Vec<Frame> {
+        let reason = if self.place.keys.withdraw(won) {
+            Reason::Deadline
+        } else {
+            Reason::KeyUnknown
+        };
+        self.refused(refusal(reason, RETRY_MS, "its entry left"))
+    }
+
+    async fn send_won(&self, key: &Key, sent: pumicecleat_ledger::Sent) -> Vec<Frame> {
+        let request = &self.request.head.request;
+        match self.send().await {
+            Ok(answer) => {
+                let headers = answer.headers.clone();
+                let record = Answer::new(answer.status, headers, &answer.body, RECORDED);
+                self.place.keys.finish(request, key, sent, Outcome::Answer(record));
+                self.answered(answer.status, answer.headers, &answer.body, false)
+            }
+            Err(e) if e.sent() == Sent::No => self.take_back(sent, &e),
+            Err(e) => {
+                self.place.keys.finish(request, key, sent, Outcome::Unknown);
+                vec![self.unknown(&e)]
+            }
+        }
+    }
+
+    fn take_back(&self, sent: pumicecleat_ledger::Sent, error: &CallError) -> Vec<Frame> {
+        if self.place.keys.unsent(sent) {
+            return vec![self.failed(error)];
+        }
+        vec![self.unknown(error)]
+    }
+
+    fn replay(&self, outcome: &Outcome) -> Vec<Frame> {
+        self.state.metrics.replayed.inc();
+        match outcome {
+            Outcome::Answer(answer) => match &answer.body {
+                Body::Whole(body) => {
+                    self.answered(answer.status, answer.headers.clone(), body, true)
+                }
+                Body::Large { .. } => self.answered(answer.status, Vec::new(), b"", true),
+            },
+            Outcome::Unknown => {
+                self.refused(refusal(Reason::KeyUnknown, RETRY_MS, "outcome is unknown"))
+            }
+        }
+    }
+
+    async fn send(&self) -> Result<ServiceAnswer, CallError> {
+        let head = &self.request.head;
+        let call = ServiceCall {
+            request: head.request.clone(),
+            attempt: head.attempt,
+            method: self.target.method.clone(),
+            path: self.target.path.clone(),
+            headers: self.target.headers.clone(),
+            body: Bytes::copy_from_slice(&self.request.body),
+            key: head.key.clone(),
+        };
+        self.place.service.call(&call, self.left()).await
+    }
+
+    fn failed(&self, error: &CallError) -> Frame {
+        if error.sent() == Sent::No {
+            let refusal = refusal(Reason::UpstreamDown, RETRY_MS, error.to_string());
+            return self.state.refused(&self.request.head, refusal);
+        }
+        self.unknown(error)
+    }
+
+    fn unknown(&self, error: &CallError) -> Frame {
+        let detail = error.to_string();
+        self.state.broken(&self.request.head, Ran::Unknown, "call service", &detail)
+    }
+
+    fn refused(&self, refusal: Refusal) -> Vec<Frame> {
+        vec![self.state.refused(&self.request.head, refusal)]
+    }
+
+    fn answered(
+        &self,
+        status: u16,
+        headers: Vec<HeaderField>,
+        body: &[u8],
+        replayed: bool,
+    ) -> Vec<Frame> {
+        self.state.metrics.whole.inc();
+        let mut frames = vec![Frame::Head {
+            request: self.request.head.request.clone(),
+            attempt: self.request.head.attempt,
+            model: None,
+            status,
+            headers,
+            replayed,
+        }];
+        frames.extend(whole_frames(&self.state, body));
+        frames
+    }
+
+    fn left(&self) -> Duration {
+        let left = self.until.since(self.state.timer.now());
+        Duration::from_millis(left.0)
+    }
+}
--- /dev/null
+++ b/crates/side/src/state.rs
@@ -0,0 +1,104 @@
+//! What the parts of one side share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use pumicecleat_config::model::PoolKind;
+use pumicecleat_net::{Client, Timer};
+use pumicecleat_ops::{Drain, Log, Readiness, events, field};
+use pumicecleat_types::{BaseId, Millis, PoolId, Reason, VmId};
+use pumicecleat_upstream::{Engine, Service};
+
+use crate::SideSettings;
+use crate::config::Configuration;
+use crate::entries::Entries;
+use crate::keys::Keys;
+use crate::metrics::SideMetrics;
+use crate::report::Reporters;
+use crate::station::Station;
+
+/// Condition: a configuration is in force that declares the pool.
+pub(crate) const CONFIG: &str = "configuration";
+/// Condition: the upstream answers.
+pub(crate) const UPSTREAM: &str = "upstream";
+/// Condition: this process is not stopping.
+pub(crate) const STAYING: &str = "staying";
+
+/// One side.
+pub(crate) struct State {
+    pub(crate) settings: SideSettings,
+    pub(crate) address: String,
+    /// Start of this process, milliseconds since 1970; also the fencing number of its orders.
+    pub(crate) incarnation: u64,
+    pub(crate) timer: Timer,
+    pub(crate) client: Client,
+    pub(crate) log: Log,
+    pub(crate) metrics: SideMetrics,
+    pub(crate) readiness: Readiness,
+    pub(crate) drain: Drain,
+    pub(crate) config: Configuration,
+    pub(crate) entries: Entries,
+    pub(crate) reporters: Reporters,
+    pub(crate) leaving: Cell<bool>,
+    pub(crate) healthy: Cell<bool>,
+    pub(crate) work: RefCell<Option<Work>>,
+}
+
+/// What a side works with once it knows its pool.
+#[derive(Clone)]
+pub(crate) struct Work {
+    pub(crate) station: Station,
+    pub(crate) upstream: Upstream,
+}
+
+/// The upstream, by kind.
+#[derive(Clone)]
+pub(crate) enum Upstream {
+    /// Model engine.
+    Model(Rc<dyn Engine>),
+    /// Plain service, with the keys of its calls.
+    Service(Rc<dyn Service>, Keys),
+}
+
+impl State {
+    pub(crate) fn vm(&self) -> &VmId {
+        &self.settings.common.vm
+    }
+
+    pub(crate) fn pool(&self) -> &PoolId {
+        &self.settings.pool
+    }
+
+    pub(crate) fn work(&self) -> Option<Work> {
+        self.work.borrow().clone()
+    }
+
+    /// Base model of the pool.
+    pub(crate) fn base(&self) -> Option<BaseId> {
+        match self.config.pool(self.pool())?.kind {
+            PoolKind::Model { base, .. } => Some(base),
+            PoolKind::Service { .. } => None,
+        }
+    }
+
+    /// Takes no new work from now on; what is under way goes on.
+    pub(crate) fn leave(&self, source: &str) {
+        if self.leaving.replace(true) {
+            return;
+        }
+        let fields = [field("vm", self.vm()), field("source", source)];
+        self.log.emit(&events::VM_LEAVING, &fields);
+        self.readiness.fail(STAYING, source);
+        if let Some(work) = self.work() {
+            work.station.close(Reason::Leaving);
+        }
+        self.reports_due();
+    }
+}
+
+/// Milliseconds since 1970 by this VM's clock.
+pub(crate) fn wall_clock() -> Millis {
+    let since = std::time::SystemTime::UNIX_EPOCH.elapsed();
+    let ms = since.map_or(0, |s| s.as_millis());
+    Millis(u64::try_from(ms).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/side/src/watch.rs
@@ -0,0 +1,191 @@
+//! Watch over the upstream: whether it answers, and whether an engine still holds what it held.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_ops::{events, field};
+use pumicecleat_types::{BaseId, Lora, Reason};
+use pumicecleat_upstream::{CallError, Engine};
+
+use crate::state::{State, UPSTREAM, Upstream, Work};
+
+/// Time between two looks.
+const PAUSE: Duration = Duration::from_millis(250);
+/// Looks that must fail in a row before the upstream counts as down.
+const FAILURES: u32 = 2;
+/// Looks between two comparisons of what is resident.
+const COMPARE: u32 = 2;
+/// Looks in a row that must lack a LoRA before the engine counts as restarted: an unload may be
+/// under way.
+const LOSSES: u32 = 2;
+
+/// What the looks have shown.
+#[derive(Debug, Default)]
+struct Sight {
+    up: bool,
+    seen: bool,
+    failures: u32,
+    losses: u32,
+    looks: u32,
+    /// Names that a predecessor of this side left running.
+    unaccounted: Vec<Lora>,
+}
+
+/// Watches the upstream; never ends.
+pub(crate) async fn watch(state: Rc<State>, work: Work) {
+    let mut sight = Sight::default();
+    loop {
+        let health = match &work.upstream {
+            Upstream::Model(engine) => engine.health().await,
+            Upstream::Service(service, _) => service.health().await,
+        };
+        match health {
+            Ok(()) => state.look(&work, &mut sight).await,
+            Err(e) => state.miss(&work, &mut sight, &e),
+        }
+        state.timer.sleep(PAUSE).await;
+    }
+}
+
+impl State {
+    async fn look(&self, work: &Work, sight: &mut Sight) {
+        sight.failures = 0;
+        sight.looks += 1;
+        if let Upstream::Model(engine) = &work.upstream {
+            let compared = self.compare(work, engine.as_ref(), sight).await;
+            if compared.is_err() {
+                return;
+            }
+        }
+        if !sight.up {
+            sight.up = true;
+            sight.seen = true;
+            self.set_healthy(work, true);
+        }
+    }
+
+    fn miss(&self, work: &Work, sight: &mut Sight, error: &CallError) {
+        sight.failures += 1;
+        if sight.up && sight.failures >= FAILURES {
+            sight.up = false;
+            let upstream = &self.settings.upstream;
+            let fields = [
+                field("upstream", upstream),
+                field("step", "health"),
+                field("error", error),
+            ];
+            self.log.emit(&events::UPSTREAM_DOWN, &fields);
+            self.set_healthy(work, false);
+        }
+    }
+
+    fn set_healthy(&self, work: &Work, healthy: bool) {
+        self.healthy.set(healthy);
+        if healthy {
+            let fields = [
+                field("upstream", &self.settings.upstream),
+                field("resident", work.station.resident().len()),
+                field("running", work.station.figures().running),
+            ];
+            self.log.emit(&events::UPSTREAM_UP, &fields);
+            self.readiness.hold(UPSTREAM);
+            if !self.leaving.get() {
+                work.station.reopen();
+            }
+        } else {
+            self.readiness.fail(UPSTREAM, "it does not answer");
+            work.station.close(Reason::UpstreamDown);
+        }
+        self.reports_due();
+    }
+
+    /// Compares what the engine holds with what this side believes.
+    async fn compare(
+        &self,
+        work: &Work,
+        engine: &dyn Engine,
+        sight: &mut Sight,
+    ) -> Result<(), CallError> {
+        if sight.up && !sight.looks.is_multiple_of(COMPARE) {
+            return Ok(());
+        }
+        let believed = work.station.resident();
+        let shown = engine.resident().await?;
+        if !sight.seen {
+            return self.take_over(work, engine, &shown, sight).await;
+        }
+        self.release_ended(work, engine, sight).await?;
+        let shown: BTreeSet<&str> = shown.iter().map(String::as_str).collect();
+        let after = work.station.resident();
+        // Only what was believed before and after the question can have been lost meanwhile.
+        let lost = believed.iter().any(|l| after.contains(l) && !shown.contains(l.as_str()));
+        sight.losses = if lost { sight.losses + 1 } else { 0 };
+        if sight.losses >= LOSSES {
+            sight.losses = 0;
+            self.restart(work, &shown);
+        }
+        Ok(())
+    }
+
+    /// A new side takes over an engine: what runs there is not its own and stays pinned.
+    async fn take_over(
+        &self,
+        work: &Work,
+        engine: &dyn Engine,
+        shown: &[String],
+        sight: &mut Sight,
+    ) -> Result<(), CallError> {
+        let running = engine.running().await?;
+        let resident = self.loras(shown.iter().map(String::as_str));
+        let held = self.loras(running.loras.iter().map(String::as_str));
+        for lora in &held {
+            let name = lora.engine_name();
+            self.log.emit(&events::LORA_UNACCOUNTED, &[field("lora", &name)]);
+        }
+        work.station.reset(&resident, &held);
+        sight.unaccounted = held;
+        Ok(())
+    }
+
+    async fn release_ended(
+        &self,
+        work: &Work,
+        engine: &dyn Engine,
+        sight: &mut Sight,
+    ) -> Result<(), CallError> {
+        if sight.unaccounted.is_empty() {
+            return Ok(());
+        }
+        let running = engine.running().await?;
+        let is_running = |l: &Lora| running.loras.contains(&l.engine_name());
+        let (held, ended): (Vec<_>, Vec<_>) = sight.unaccounted.drain(..).partition(is_running);
+        sight.unaccounted = held;
+        for lora in &ended {
+            work.station.release(lora);
+        }
+        Ok(())
+    }
+
+    fn restart(&self, work: &Work, shown: &BTreeSet<&str>) {
+        let upstream = &self.settings.upstream;
+        self.log.emit(&events::UPSTREAM_RESTARTED, &[field("upstream", upstream)]);
+        let resident = self.loras(shown.iter().copied());
+        work.station.reset(&resident, &[]);
+        self.reports_due();
+    }
+
+    /// LoRAs of engine names; others, which this system did not load, are left out.
+    fn loras<'a>(&self, names: impl Iterator<Item = &'a str>) -> Vec<Lora> {
+        let Some(base) = self.base() else {
+            return Vec::new();
+        };
+        names.filter_map(|n| scan_name(&base, n)).collect()
+    }
+}
+
+/// LoRA of an engine name `adapter@version`.
+fn scan_name(base: &BaseId, name: &str) -> Option<Lora> {
+    let (adapter, version) = name.split_once('@')?;
+    Some(Lora::new(base.as_str(), adapter, version))
+}
