--- /dev/null
+++ b/crates/side/src/peer.rs
@@ -0,0 +1,59 @@
+//! The listener for entries.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::header::{CONTENT_TYPE, HeaderValue};
+use pumicecleat_net::{Body, Handler, Incoming, Reply, plain_reply, read_all};
+use pumicecleat_ops::{events, field};
+use pumicecleat_types::{RunRequest, decode};
+
+use crate::run::answer;
+use crate::state::State;
+
+const RUN_PATH: &str = "/peer/v1/run";
+/// Longest attempt, bytes: callers' bodies are limited by entries.
+const RUN_LIMIT: u64 = 64 << 20;
+const RUN_SPAN: Duration = Duration::from_secs(10);
+
+/// Answers entries.
+pub(crate) struct PeerHandler(pub(crate) Rc<State>);
+
+impl Handler for PeerHandler {
+    fn handle(&self, request: Incoming, peer: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
+        let state = Rc::clone(&self.0);
+        Box::pin(async move { reply(state, request, peer).await })
+    }
+}
+
+async fn reply(state: Rc<State>, request: Incoming, peer: SocketAddr) -> Reply {
+    if request.method() != http::Method::POST || request.uri().path() != RUN_PATH {
+        return plain_reply(404, "only POST /peer/v1/run\n");
+    }
+    let mut body = request.into_body();
+    let bytes = match read_all(&mut body, RUN_LIMIT, RUN_SPAN, &state.timer).await {
+        Ok(bytes) => bytes,
+        Err(e) => return refuse(&state, peer, &e.to_string()),
+    };
+    match decode::<RunRequest>(&bytes) {
+        Ok(run) => frames_reply(Body::Stream(answer(&state, run))),
+        Err(e) => refuse(&state, peer, &e.to_string()),
+    }
+}
+
+fn frames_reply(body: Body) -> Reply {
+    let mut reply = Reply::new(body);
+    let kind = HeaderValue::from_static("application/msgpack");
+    reply.headers_mut().insert(CONTENT_TYPE, kind);
+    reply
+}
+
+fn refuse(state: &State, peer: SocketAddr, error: &str) -> Reply {
+    let peer = peer.to_string();
+    let fields = [field("peer", &peer), field("error", error)];
+    state.log.emit(&events::PEER_BAD, &fields);
+    plain_reply(400, error)
+}
--- /dev/null
+++ b/crates/side/src/start.rs
@@ -0,0 +1,309 @@
+//! Start and end of a side.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use monoio::net::TcpListener;
+use pumicecleat_config::model::{Pool, PoolKind, Tuning};
+use pumicecleat_ledger::Limits;
+use pumicecleat_net::{
+    Client, ClientOptions, Server, ServerOptions, Timer, bind, bind_exclusive,
+};
+use pumicecleat_ops::{
+    Admin, Drain, DrainEnd, Log, Metrics, Readiness, Stop, events, field,
+};
+use pumicecleat_platform::{HttpLog, HttpVms, Log as PlatformLog, Peers};
+use pumicecleat_policy::{SchedulerOptions, Weights};
+use pumicecleat_types::{Millis, ServiceId};
+use pumicecleat_upstream::{HttpService, VllmEngine};
+use snafu::{ResultExt, Snafu};
+
+use crate::SideSettings;
+use crate::config::Configuration;
+use crate::dump::Dumper;
+use crate::entries::Entries;
+use crate::keys::{KeyParts, Keys};
+use crate::metrics::SideMetrics;
+use crate::orders::OrderDesk;
+use crate::peer::PeerHandler;
+use crate::report::Reporters;
+use crate::state::{CONFIG, STAYING, State, UPSTREAM, Upstream, Work, wall_clock};
+use crate::station::Station;
+use crate::watch::watch;
+
+/// Time that the platform's services and the upstream have for a short answer.
+const ANSWER_SPAN: Duration = Duration::from_secs(2);
+/// Time between two looks for the pool's declaration.
+const PAUSE: Duration = Duration::from_millis(50);
+/// How far a key's time may lie ahead of this VM's clock.
+const AHEAD: Millis = Millis(60_000);
+/// Expected time of a load until some have been seen: the store gives about two a second.
+const FIRST_LOAD: Millis = Millis(500);
+/// Expected time of a token until some answers have been seen, microseconds.
+const FIRST_TOKEN: u32 = 12_000;
+/// Expected time of a call of a plain service until some have been seen, microseconds.
+const FIRST_CALL: u32 = 20_000;
+
+/// A side that could not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// Address can't be bound.
+    #[snafu(display("step bind {purpose}, address {address}: {source}"))]
+    Bind {
+        /// Use of the address.
+        purpose: &'static str,
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// A running side.
+pub struct Side {
+    state: Rc<State>,
+    server: Server,
+    address: SocketAddr,
+    admin: SocketAddr,
+    #[allow(dead_code, reason = "held for as long as the side lives")]
+    slot: Option<TcpListener>,
+}
+
+impl Side {
+    /// Starts a side on this thread's loop.
+    ///
+    /// # Errors
+    /// [`StartError`] if an address is held by another process.
+    pub fn start(settings: SideSettings, timer: &Timer, log: &Log) -> Result<Self, StartError> {
+        let slot = hold_slot(settings.slot)?;
+        let (listener, address) = listen(settings.listen, "entries")?;
+        let (admin_listener, admin) = listen(settings.common.admin, "admin")?;
+        let state = Rc::new(build_state(settings, address, timer, log));
+        log_start(&state, address, admin);
+        let handler = Rc::new(PeerHandler(Rc::clone(&state)));
+        let server = Server::new_ext(ServerOptions::default(), handler, timer);
+        serve(&server, listener);
+        serve(&admin_server(&state), admin_listener);
+        start_tasks(&state);
+        Ok(Self {
+            state,
+            server,
+            address,
+            admin,
+            slot,
+        })
+    }
+
+    /// Address of the listener for entries.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Address of the admin listener.
+    #[must_use]
+    pub fn admin(&self) -> SocketAddr {
+        self.admin
+    }
+
+    /// State for people.
+    #[must_use]
+    pub fn dump(&self) -> crate::SideDump {
+        self.state.dump()
+    }
+
+    /// Takes no new work, and waits for the end of what is under way: for the drain limit at most,
+    /// or until a second signal.
+    pub async fn finish(&self, stop: &Stop) -> DrainEnd {
+        self.state.leave("signal");
+        // Entries hear of it before the listener goes.
+        self.state.timer.sleep(PAUSE).await;
+        let limit = self.state.settings.common.drain_limit;
+        let state = &self.state;
+        let end = state.drain.finish(stop, limit, &state.timer, &state.log).await;
+        self.server.stop();
+        end
+    }
+}
+
+fn hold_slot(slot: SocketAddr) -> Result<Option<TcpListener>, StartError> {
+    if slot.port() == 0 {
+        return Ok(None);
+    }
+    let held = bind_exclusive(slot).context(BindSnafu {
+        purpose: "slot",
+        address: slot,
+    })?;
+    Ok(Some(held))
+}
+
+fn listen(
+    address: SocketAddr,
+    purpose: &'static str,
+) -> Result<(TcpListener, SocketAddr), StartError> {
+    let bound = || {
+        let listener = bind(address)?;
+        let local = listener.local_addr()?;
+        Ok((listener, local))
+    };
+    bound().context(BindSnafu { purpose, address })
+}
+
+fn serve(server: &Server, listener: TcpListener) {
+    let server = server.clone();
+    monoio::spawn(async move { server.serve(listener).await });
+}
+
+fn admin_server(state: &Rc<State>) -> Server {
+    let dumper = Rc::new(Dumper(Rc::clone(state)));
+    let admin = Admin::new(&state.metrics.registry, &state.readiness, dumper);
+    Server::new_ext(ServerOptions::default(), Rc::new(admin), &state.timer)
+}
+
+fn build_state(settings: SideSettings, bound: SocketAddr, timer: &Timer, log: &Log) -> State {
+    let address = if settings.advertise.is_empty() {
+        bound.to_string()
+    } else {
+        settings.advertise.clone()
+    };
+    let readiness = Readiness::new(&[CONFIG, UPSTREAM, STAYING], log);
+    readiness.hold(STAYING);
+    State {
+        address,
+        incarnation: wall_clock().0,
+        timer: timer.clone(),
+        client: Client::new_ext(ClientOptions::default(), timer),
+        log: log.clone(),
+        metrics: SideMetrics::new(&Metrics::new()),
+        readiness,
+        drain: Drain::new(),
+        config: Configuration::default(),
+        entries: Entries::new(&settings.entries),
+        reporters: Reporters::default(),
+        leaving: Cell::new(false),
+        healthy: Cell::new(false),
+        work: RefCell::default(),
+        settings,
+    }
+}
+
+fn log_start(state: &State, address: SocketAddr, admin: SocketAddr) {
+    let common = &state.settings.common;
+    let fields = [
+        field("program", "pumicecleat-side"),
+        field("version", env!("CARGO_PKG_VERSION")),
+        field("vm", &common.vm),
+        field("centre", &common.centre),
+        field("region", &common.region),
+    ];
+    state.log.emit(&events::STARTED, &fields);
+    for (purpose, at) in [("entries", address), ("admin", admin)] {
+        let fields = [field("purpose", purpose), field("address", &at)];
+        state.log.emit(&events::LISTENING, &fields);
+    }
+}
+
+fn start_tasks(state: &Rc<State>) {
+    monoio::spawn(Rc::clone(state).follow_config());
+    monoio::spawn(Rc::clone(state).report());
+    monoio::spawn(assemble(Rc::clone(state)));
+    if !state.settings.vms.is_empty() {
+        let peers = Peers::parse(&state.settings.vms);
+        let vms = Rc::new(HttpVms::new(&state.client, peers, ANSWER_SPAN));
+        monoio::spawn(Rc::clone(state).watch_vms(vms));
+    }
+}
+
+/// Waits for the pool's declaration, and starts the work for it.
+async fn assemble(state: Rc<State>) {
+    let pool = loop {
+        if let Some(pool) = state.config.pool(state.pool()) {
+            break pool;
+        }
+        state.timer.sleep(PAUSE).await;
+    };
+    let (station, outlets) = Station::new_ext(options(&state, &pool), &state.timer);
+    let driven = station.clone();
+    monoio::spawn(async move { driven.drive(outlets.changed).await });
+    let upstream = match pool.kind {
+        PoolKind::Model { .. } => {
+            let peer = &state.settings.upstream;
+            let engine = Rc::new(VllmEngine::new(&state.client, peer, ANSWER_SPAN));
+            let desk = OrderDesk {
+                state: Rc::clone(&state),
+                station: station.clone(),
+                engine: engine.clone(),
+            };
+            monoio::spawn(desk.run(outlets.orders));
+            Upstream::Model(engine)
+        }
+        PoolKind::Service { .. } => service(&state),
+    };
+    let work = Work { station, upstream };
+    *state.work.borrow_mut() = Some(work.clone());
+    watch(state, work).await;
+}
+
+fn service(state: &State) -> Upstream {
+    let peer = &state.settings.upstream;
+    let service = Rc::new(HttpService::new(&state.client, peer, ANSWER_SPAN));
+    let peers = Peers::parse(&state.settings.log);
+    let log: Rc<dyn PlatformLog> = Rc::new(HttpLog::new(&state.client, peers, ANSWER_SPAN));
+    let parts = KeyParts {
+        log: &log,
+        events: &state.log,
+        timer: &state.timer,
+    };
+    let name = ServiceId::from(state.pool().as_str());
+    let keys = Keys::start(&name, state.vm(), state.incarnation, key_limits(state), parts);
+    Upstream::Service(service, keys)
+}
+
+/// Limits of keys; a window that the log does not outlast is cut to what it does.
+fn key_limits(state: &State) -> Limits {
+    let declared = state.config.with(|c| Some(c.limits.window_s)).unwrap_or(1);
+    let kept = millis(state.settings.retention.0);
+    let window = Millis((declared * 1_000).clamp(1, (kept.0 / 2).max(1)));
+    Limits::new(window, AHEAD, kept).unwrap_or_else(|e| {
+        let fields = [field("step", "limits of keys"), field("error", &e)];
+        state.log.emit(&events::INTERNAL, &fields);
+        std::process::exit(2)
+    })
+}
+
+fn options(state: &State, pool: &Pool) -> SchedulerOptions {
+    let tuning = state.config.with(|c| Some(c.tuning)).unwrap_or_default();
+    let weights = weights(tuning);
+    let queue = pool.queue;
+    match &pool.kind {
+        PoolKind::Model { slots, batch, .. } => SchedulerOptions {
+            slots: *slots,
+            batch: *batch,
+            queue,
+            weights,
+            load: FIRST_LOAD,
+            token_us: FIRST_TOKEN,
+        },
+        PoolKind::Service { concurrency } => SchedulerOptions {
+            slots: 0,
+            batch: *concurrency,
+            queue,
+            weights,
+            load: FIRST_LOAD,
+            token_us: FIRST_CALL,
+        },
+    }
+}
+
+fn weights(tuning: Tuning) -> Weights {
+    Weights {
+        stall: tuning.stall,
+        batch: tuning.batch,
+    }
+}
+
+fn millis(span: Duration) -> Millis {
+    Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+}
