Check callers' chat bodies and engines' answers

Cause: only a whole answer of the model asked for may be passed on, and a broken stream is gone on with elsewhere from the text passed on. Ruled out: serde_json's Value for bodies (it loses number forms and the order of fields); derived readers alone (they take arrays for objects, and skip over invalid UTF-8). Conclusion: fields stay raw JSON; a body is resumable only if nothing but its text carries over.

--- /dev/null
+++ b/crates/upstream/src/chat/body.rs
@@ -0,0 +1,134 @@
+//! A caller's chat body, checked.
+
+use serde_json::value::RawValue;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::depth::nesting;
+use super::fields::{Fields, read_raw};
+use super::message::check_message;
+use super::{BodyFault, ChatLimits, FieldIssue};
+
+/// A chat body in the OpenAI form. Fields that are not read here are kept as they were written.
+#[derive(Clone, Debug)]
+pub struct ChatBody {
+    pub(super) fields: Fields,
+    pub(super) messages: Vec<Box<RawValue>>,
+    model: String,
+    stream: bool,
+    pub(super) choices: u64,
+    stops: Vec<String>,
+    pub(super) last_role: String,
+}
+
+impl ChatBody {
+    /// Body in `bytes`, if it is one within `limits`.
+    ///
+    /// # Errors
+    /// [`BodyFault`], by what is wrong and where.
+    pub fn parse(bytes: &[u8], limits: &ChatLimits) -> Result<Self, BodyFault> {
+        let text = check_text(bytes, limits)?;
+        let fields = Fields::parse(text)?;
+        let messages = read_messages(&fields, limits)?;
+        let last_role = check_messages(&messages)?;
+        fields.read_count("max_tokens", limits.tokens)?;
+        fields.read_count("max_completion_tokens", limits.tokens)?;
+        Ok(Self {
+            model: read_model(&fields)?,
+            stream: fields.read("stream", "true or false")?.unwrap_or(false),
+            choices: fields.read_count("n", limits.choices.min(64))?.unwrap_or(1),
+            stops: read_stops(&fields, limits)?,
+            messages,
+            last_role,
+            fields,
+        })
+    }
+
+    /// Model named by the caller.
+    #[must_use]
+    pub fn model(&self) -> &str {
+        &self.model
+    }
+
+    /// Whether the answer is to come token by token.
+    #[must_use]
+    pub fn stream(&self) -> bool {
+        self.stream
+    }
+
+    /// Strings that end the answer.
+    #[must_use]
+    pub fn stops(&self) -> &[String] {
+        &self.stops
+    }
+
+    /// Hash of the first `count` messages as written, for affinity to a prompt's cached prefix.
+    #[must_use]
+    pub fn prefix_hash(&self, count: usize) -> u64 {
+        let mut hash = Xxh3::new();
+        for message in self.messages.iter().take(count) {
+            hash.update(message.get().as_bytes());
+        }
+        hash.digest()
+    }
+}
+
+fn check_text<'a>(bytes: &'a [u8], limits: &ChatLimits) -> Result<&'a str, BodyFault> {
+    let limit = limits.bytes;
+    if bytes.len() > limit {
+        return Err(BodyFault::TooLong { limit });
+    }
+    let text = std::str::from_utf8(bytes).map_err(|e| BodyFault::Encoding {
+        at: e.valid_up_to(),
+    })?;
+    let limit = limits.depth;
+    if nesting(text) > limit {
+        return Err(BodyFault::TooDeep { limit });
+    }
+    Ok(text)
+}
+
+fn read_model(fields: &Fields) -> Result<String, BodyFault> {
+    let model: Option<String> = fields.read("model", "a string")?;
+    match model {
+        None => Err(BodyFault::field("model", FieldIssue::Missing)),
+        Some(model) if model.is_empty() => Err(BodyFault::field("model", FieldIssue::Empty)),
+        Some(model) => Ok(model),
+    }
+}
+
+fn read_messages(fields: &Fields, limits: &ChatLimits) -> Result<Vec<Box<RawValue>>, BodyFault> {
+    let name = "messages";
+    let limit = limits.messages;
+    let messages: Option<Vec<Box<RawValue>>> = fields.read(name, "an array")?;
+    match messages {
+        None => Err(BodyFault::field(name, FieldIssue::Missing)),
+        Some(m) if m.is_empty() => Err(BodyFault::field(name, FieldIssue::Empty)),
+        Some(m) if m.len() > limit => Err(BodyFault::field(name, FieldIssue::TooMany { limit })),
+        Some(m) => Ok(m),
+    }
+}
+
+/// Role of the last message, if all are messages.
+fn check_messages(messages: &[Box<RawValue>]) -> Result<String, BodyFault> {
+    let mut last = String::new();
+    for (at, message) in messages.iter().enumerate() {
+        last = check_message(message, &format!("messages[{at}]"))?;
+    }
+    Ok(last)
+}
+
+fn read_stops(fields: &Fields, limits: &ChatLimits) -> Result<Vec<String>, BodyFault> {
+    let name = "stop";
+    let limit = limits.stops;
+    let Some(raw) = fields.get(name) else {
+        return Ok(Vec::new());
+    };
+    if raw.get().starts_with('"') {
+        return Ok(vec![read_raw(raw, name, "a string")?]);
+    }
+    let stops: Vec<String> = read_raw(raw, name, "a string or an array of strings")?;
+    if stops.len() > limit {
+        return Err(BodyFault::field(name, FieldIssue::TooMany { limit }));
+    }
+    Ok(stops)
+}
--- /dev/null
+++ b/crates/upstream/src/check/mod.rs
@@ -0,0 +1,14 @@
+//! Checks of engines' answers: that each is whole, well formed, and of the model asked for.
+
+mod chunk;
+mod fault;
+mod progress;
+mod raw;
+mod stream;
+mod whole;
+
+pub use chunk::{Chunk, StreamEvent, Usage};
+pub use fault::{AnswerError, AnswerFault};
+pub use progress::Progress;
+pub use stream::StreamCheck;
+pub use whole::{Whole, check_whole};
--- /dev/null
+++ b/crates/upstream/src/check/stream.rs
@@ -0,0 +1,184 @@
+//! Check of a streamed answer, event by event.
+
+use pumicecleat_net::{SseEvent, SseScanner};
+
+use super::fault::{
+    AfterDoneSnafu, CrossedSnafu, IndexSnafu, NoChoicesSnafu, NoFinishSnafu, NotDoneSnafu,
+    TooLongSnafu,
+};
+use super::raw::{RawAnswer, RawChoice, Text, read_answer};
+use super::{AnswerError, AnswerFault, Chunk, StreamEvent};
+
+/// Data of the event that ends a stream.
+const DONE: &[u8] = b"[DONE]";
+
+/// Check over the bytes of one streamed answer, which may be cut anywhere.
+#[derive(Debug)]
+pub struct StreamCheck {
+    scanner: SseScanner,
+    peer: String,
+    model: String,
+    /// Id of the answer, once an event told it.
+    id: Option<String>,
+    /// Choices seen, a bit each.
+    seen: u64,
+    /// Choices with a finish reason, a bit each.
+    finished: u64,
+    done: bool,
+}
+
+impl StreamCheck {
+    /// Check of an answer of `peer` that must be of `model`, with events of at most `limit` bytes.
+    #[must_use]
+    pub fn new(peer: &str, model: &str, limit: usize) -> Self {
+        Self {
+            scanner: SseScanner::new(limit),
+            peer: peer.to_owned(),
+            model: model.to_owned(),
+            id: None,
+            seen: 0,
+            finished: 0,
+            done: false,
+        }
+    }
+
+    /// Adds bytes that arrived.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.scanner.push(bytes);
+    }
+
+    /// Next event, or `None` until more bytes come. Events without data, such as comments that
+    /// keep a connection open, are passed over.
+    ///
+    /// # Errors
+    /// [`AnswerError`] if the answer is wrong; nothing after it can be trusted.
+    pub fn scan_event(&mut self) -> Result<Option<StreamEvent>, AnswerError> {
+        let result = self.scan();
+        result.map_err(|source| self.error(source))
+    }
+
+    /// Whether the proper end was seen.
+    #[must_use]
+    pub fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Checks that the stream may end here.
+    ///
+    /// # Errors
+    /// [`AnswerError`] if the answer is not whole.
+    pub fn finish(&self) -> Result<(), AnswerError> {
+        if self.done {
+            return Ok(());
+        }
+        Err(self.error(NotDoneSnafu.build()))
+    }
+
+    fn scan(&mut self) -> Result<Option<StreamEvent>, AnswerFault> {
+        loop {
+            let event = match self.scanner.scan_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => return Ok(None),
+                Err(e) => return TooLongSnafu { limit: e.limit }.fail(),
+            };
+            if event.data().is_empty() {
+                continue;
+            }
+            if self.done {
+                return AfterDoneSnafu.fail();
+            }
+            return self.read(event).map(Some);
+        }
+    }
+
+    fn read(&mut self, event: SseEvent) -> Result<StreamEvent, AnswerFault> {
+        if event.data() == DONE {
+            self.check_finished()?;
+            self.done = true;
+            return Ok(StreamEvent::Done { raw: event.raw });
+        }
+        let answer = read_answer(event.data(), &self.model)?;
+        check_id(&mut self.id, answer.id.as_ref())?;
+        let mut chunk = read_chunk(&answer);
+        for choice in &answer.choices {
+            self.count(choice)?;
+        }
+        drop(answer);
+        chunk.raw = event.raw;
+        Ok(StreamEvent::Chunk(chunk))
+    }
+
+    fn count(&mut self, choice: &RawChoice<'_>) -> Result<(), AnswerFault> {
+        let index = choice.index;
+        let Some(bit) = 1_u64.checked_shl(index) else {
+            return IndexSnafu { index }.fail();
+        };
+        self.seen |= bit;
+        if choice.finish_reason.is_some() {
+            self.finished |= bit;
+        }
+        Ok(())
+    }
+
+    fn check_finished(&self) -> Result<(), AnswerFault> {
+        if self.seen == 0 {
+            return NoChoicesSnafu.fail();
+        }
+        let open = self.seen & !self.finished;
+        if open == 0 {
+            return Ok(());
+        }
+        let index = open.trailing_zeros();
+        NoFinishSnafu { index }.fail()
+    }
+
+    fn error(&self, source: AnswerFault) -> AnswerError {
+        let peer = self.peer.clone();
+        AnswerError { peer, source }
+    }
+}
+
+fn check_id(known: &mut Option<String>, id: Option<&Text<'_>>) -> Result<(), AnswerFault> {
+    let Some(Text(found)) = id else {
+        return Ok(());
+    };
+    match known {
+        None => *known = Some(found.to_string()),
+        Some(expected) if expected == found => {}
+        Some(expected) => {
+            return CrossedSnafu {
+                expected: expected.as_str(),
+                found: found.as_ref(),
+            }
+            .fail();
+        }
+    }
+    Ok(())
+}
+
+fn read_chunk(answer: &RawAnswer<'_>) -> Chunk {
+    let mut chunk = Chunk {
+        usage: answer.usage,
+        ..Chunk::default()
+    };
+    for choice in &answer.choices {
+        add_choice(&mut chunk, choice);
+    }
+    chunk
+}
+
+fn add_choice(chunk: &mut Chunk, choice: &RawChoice<'_>) {
+    if choice.index != 0 {
+        chunk.extra = true;
+        return;
+    }
+    if let Some(delta) = &choice.delta {
+        chunk.extra |= delta.has_extra();
+        if let Some(Text(content)) = &delta.content {
+            chunk.content.push_str(content);
+        }
+    }
+    if let Some(Text(finish)) = &choice.finish_reason {
+        chunk.finish = Some(finish.to_string());
+    }
+}
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`Engine`] and [`Service`] are what the rest of the system sees, as trait objects;
 //! [`VllmEngine`] and [`HttpService`] speak the HTTP forms of `docs/PLATFORM.md`. Errors tell
-//! whether the upstream may have acted.
+//! whether the upstream may have acted. [`ChatBody`] checks what callers send and renders it for an
+//! engine; [`StreamCheck`] and [`check_whole`] check what engines answer.
 //!
 //! ```
 //! use std::time::Duration;
@@ -19,11 +20,17 @@
 //! ```
 
 mod call;
+mod chat;
+mod check;
 mod engine;
 mod local;
 mod service;
 
 pub use call::{CallError, Retry};
+pub use chat::{BodyFault, ChatBody, ChatLimits, FieldIssue, ResumeBarrier};
+pub use check::{
+    AnswerError, AnswerFault, Chunk, Progress, StreamCheck, StreamEvent, Usage, Whole, check_whole,
+};
 pub use engine::{
     Answer, ChatCall, Engine, Loaded, Order, OrderError, Running, VllmEngine, load_confirmed,
     read_answer,
