Follow a stream without gaps; let many records ride in one append

Cause: configuration and intents are read in order by every process, and the log takes only several hundred appends a second. Ruled out: an append for each record (the log's rate); telling submitters of each pushback (a batch refused for the rate alone stands nowhere, so it may wait on and be withdrawn). Conclusion: the offset moves only as records are given; one append in flight, paced by pushback.

--- /dev/null
+++ b/crates/platform/src/follower/mod.rs
@@ -0,0 +1,165 @@
+//! Follows one stream of the log from an offset, without skipping or repeating one.
+
+mod check;
+mod event;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_net::Timer;
+use pumicecleat_types::Millis;
+
+use crate::backoff::{Backoff, as_millis};
+use crate::{BackoffOptions, Batch, Log, ReadError};
+use check::check_batch;
+pub use event::{FollowError, FollowEvent};
+
+/// How a stream is followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FollowOptions {
+    /// Records of one read.
+    pub batch: u32,
+    /// Time that the log may wait for a record.
+    pub wait: Duration,
+    /// Pauses after failures.
+    pub backoff: BackoffOptions,
+}
+
+impl Default for FollowOptions {
+    fn default() -> Self {
+        Self {
+            batch: 256,
+            wait: Duration::from_secs(10),
+            backoff: BackoffOptions::default(),
+        }
+    }
+}
+
+/// Follower of one stream.
+pub struct Follower {
+    log: Rc<dyn Log>,
+    timer: Timer,
+    stream: String,
+    options: FollowOptions,
+    backoff: Backoff,
+    /// Offset wanted next.
+    next: u64,
+    /// No read before this.
+    resume: Option<Millis>,
+    /// Caller knows that it has all records.
+    caught: bool,
+    /// Caller knows of the present outage.
+    outage: bool,
+}
+
+impl Follower {
+    /// Follower of `stream` from offset `from`.
+    #[must_use]
+    pub fn new_ext(
+        log: Rc<dyn Log>,
+        timer: &Timer,
+        stream: &str,
+        from: u64,
+        options: FollowOptions,
+    ) -> Self {
+        Self {
+            log,
+            timer: timer.clone(),
+            stream: stream.to_owned(),
+            options,
+            backoff: Backoff::new(options.backoff),
+            next: from,
+            resume: None,
+            caught: false,
+            outage: false,
+        }
+    }
+
+    /// Offset of the next record to be given.
+    #[must_use]
+    pub fn offset(&self) -> u64 {
+        self.next
+    }
+
+    /// Goes on from `offset`, after trimming or from a snapshot.
+    pub fn seek(&mut self, offset: u64) {
+        self.next = offset;
+        self.resume = None;
+        self.caught = false;
+    }
+
+    /// Next event. May be dropped at any time and asked for again; nothing is lost by it.
+    ///
+    /// # Errors
+    /// [`FollowError`] if the log contradicts itself. The next call reads again, after a pause.
+    pub async fn next(&mut self) -> Result<FollowEvent, FollowError> {
+        loop {
+            if let Some(resume) = self.resume {
+                self.timer.sleep_until(resume).await;
+                self.resume = None;
+            }
+            let start = self.timer.now();
+            let read = self.log.read(
+                &self.stream,
+                self.next,
+                self.options.batch,
+                self.options.wait,
+            );
+            let event = match read.await {
+                Ok(batch) => self.take(batch, start)?,
+                Err(ReadError::Trimmed { first, next, .. }) => Some(self.trimmed(first, next)),
+                Err(e) => self.fail(&e),
+            };
+            if let Some(event) = event {
+                return Ok(event);
+            }
+        }
+    }
+
+    fn take(&mut self, batch: Batch, start: Millis) -> Result<Option<FollowEvent>, FollowError> {
+        let checked = check_batch(&self.stream, self.next, &batch);
+        if checked.is_err() {
+            self.pause(None);
+        }
+        checked?;
+        self.outage = false;
+        if !batch.records.is_empty() {
+            self.backoff.reset();
+            self.caught = false;
+            self.next += batch.records.len() as u64;
+            return Ok(Some(FollowEvent::Records(batch.records)));
+        }
+        if batch.next > self.next {
+            // The log holds records and gave none: it must not be asked in a hurry.
+            self.pause(None);
+            return Ok(None);
+        }
+        self.backoff.reset();
+        // A log that does not wait by itself must not be asked in a hurry either.
+        self.resume = Some(start + as_millis(self.options.backoff.first));
+        let known = std::mem::replace(&mut self.caught, true);
+        let next = self.next;
+        Ok((!known).then_some(FollowEvent::CaughtUp { next }))
+    }
+
+    fn trimmed(&mut self, first: u64, next: u64) -> FollowEvent {
+        self.outage = false;
+        self.caught = false;
+        // A caller that asks again without a seek gets the same; it must not do so in a hurry.
+        self.pause(None);
+        FollowEvent::Trimmed { first, next }
+    }
+
+    fn fail(&mut self, error: &ReadError) -> Option<FollowEvent> {
+        self.pause(error.retry());
+        self.caught = false;
+        let known = std::mem::replace(&mut self.outage, true);
+        let detail = error.to_string();
+        (!known).then_some(FollowEvent::Outage { detail })
+    }
+
+    fn pause(&mut self, asked: Option<Duration>) {
+        let pause = self.backoff.next_pause(asked);
+        self.resume = Some(self.timer.now() + as_millis(pause));
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`Log`], [`Store`] and [`Vms`] are what the rest of the system sees, as trait objects;
 //! [`HttpLog`], [`HttpStore`] and [`HttpVms`] speak the HTTP form of `docs/PLATFORM.md`. Errors
 //! tell whether a change may have taken effect: [`AppendError::Refused`] did not,
-//! [`AppendError::Lost`] may have.
+//! [`AppendError::Lost`] may have. [`Follower`] reads a stream without gaps, [`Appender`] lets many
+//! records ride in one append.
 //!
 //! ```
 //! use std::time::Duration;
@@ -18,12 +19,18 @@
 //! assert!(matches!(result.unwrap(), Err(AppendError::Refused { .. })));
 //! ```
 
+mod appender;
+mod backoff;
+mod follower;
 mod http;
 mod local;
 mod log;
 mod store;
 mod vms;
 
+pub use appender::{AppendOptions, Appender, Stood, SubmitError};
+pub use backoff::BackoffOptions;
+pub use follower::{FollowError, FollowEvent, FollowOptions, Follower};
 pub use http::{Fault, Peers};
 pub use local::Local;
 pub use log::{AppendError, Appended, Batch, HttpLog, Log, ReadError};
--- a/crates/platform/src/log/error.rs
+++ b/crates/platform/src/log/error.rs
@@ -77,6 +77,17 @@
     },
 }
 
+impl ReadError {
+    /// When to come back, by the log's word.
+    #[must_use]
+    pub fn retry(&self) -> Option<Duration> {
+        match self {
+            Self::Failed { retry, .. } => *retry,
+            Self::Trimmed { .. } => None,
+        }
+    }
+}
+
 impl From<Fault> for ReadError {
     fn from(source: Fault) -> Self {
         let retry = source.retry();
