--- a/crates/side/src/config.rs
+++ b/crates/side/src/config.rs
@@ -170,10 +170,14 @@
             field("source", source),
         ];
         self.log.emit(&events::CONFIG_IN_FORCE, &fields);
-        self.metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+        self.metrics
+            .revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
         match self.config.pool(self.pool()) {
             Some(_) => self.readiness.hold(CONFIG),
-            None => self.readiness.fail(CONFIG, "it does not declare this side's pool"),
+            None => self
+                .readiness
+                .fail(CONFIG, "it does not declare this side's pool"),
         }
     }
 }
--- a/crates/side/src/entries.rs
+++ b/crates/side/src/entries.rs
@@ -89,7 +89,11 @@
                 Err(e) if up => {
                     up = false;
                     let address = &self.settings.vms;
-                    let fields = [field("address", address), field("step", "list"), field("error", &e)];
+                    let fields = [
+                        field("address", address),
+                        field("step", "list"),
+                        field("error", &e),
+                    ];
                     self.log.emit(&events::VM_LIST_DOWN, &fields);
                 }
                 Err(_) => {}
--- a/crates/side/src/keys/claim.rs
+++ b/crates/side/src/keys/claim.rs
@@ -54,7 +54,10 @@
     async fn append(&self, intent: Intent, left: Millis) -> Claim {
         let attempt = intent.attempt.clone();
         let (sender, decided) = async_channel::bounded(1);
-        self.state.waiting.borrow_mut().insert(attempt.clone(), sender);
+        self.state
+            .waiting
+            .borrow_mut()
+            .insert(attempt.clone(), sender);
         self.state.outbox.borrow_mut().push(Record::Intent(intent));
         self.wake();
         let span = Duration::from_millis(left.0);
@@ -70,7 +73,10 @@
     /// Makes the attempt impossible before it is told as not run.
     fn void(&self, attempt: &Attempt, decided: &Receiver<Event>) -> Claim {
         let voided = self.state.ledger.borrow_mut().void(attempt);
-        self.state.outbox.borrow_mut().retain(|r| r.attempt() != attempt);
+        self.state
+            .outbox
+            .borrow_mut()
+            .retain(|r| r.attempt() != attempt);
         self.wake();
         match (voided, decided.try_recv()) {
             (Ok(_), _) => Claim::Refused(Reason::LogDown),
@@ -85,7 +91,10 @@
         let key = field("key", call.key.text());
         match claim {
             Claim::Won(_) => self.state.events.emit(&events::KEY_WON, &[request, key]),
-            Claim::Replay(_) => self.state.events.emit(&events::KEY_REPLAYED, &[request, key]),
+            Claim::Replay(_) => self
+                .state
+                .events
+                .emit(&events::KEY_REPLAYED, &[request, key]),
             Claim::Refused(reason) => {
                 let state = format!("{reason:?}");
                 let fields = [request, key, field("state", &state)];
--- a/crates/side/src/keys/mod.rs
+++ b/crates/side/src/keys/mod.rs
@@ -64,7 +64,7 @@
         vm: &VmId,
         incarnation: u64,
         limits: Limits,
-        parts: KeyParts<'_>,
+        parts: &KeyParts<'_>,
     ) -> Self {
         let (wake, due) = async_channel::bounded(1);
         let owner = Owner {
@@ -123,7 +123,12 @@
             let fields = [field("request", request), field("key", key.text())];
             self.state.events.emit(&events::KEY_UNKNOWN, &fields);
         }
-        let finished = self.state.ledger.borrow_mut().finish(sent, outcome).map(|_| ());
+        let finished = self
+            .state
+            .ledger
+            .borrow_mut()
+            .finish(sent, outcome)
+            .map(|_| ());
         if let Err(e) = finished {
             let fields = [field("step", "finish"), field("error", &e)];
             self.state.events.emit(&events::INTERNAL, &fields);
--- a/crates/side/src/keys/reader.rs
+++ b/crates/side/src/keys/reader.rs
@@ -56,7 +56,11 @@
     }
 
     async fn read_from(&self, from: u64, wait: Duration) -> Result<Batch, ReadError> {
-        let read = self.state.log.read(&self.state.stream, from, BATCH, wait).await;
+        let read = self
+            .state
+            .log
+            .read(&self.state.stream, from, BATCH, wait)
+            .await;
         match &read {
             Err(e @ ReadError::Failed { .. }) => self.note_down(e),
             Ok(_) | Err(ReadError::Trimmed { .. }) => self.note_up(),
--- a/crates/side/src/main.rs
+++ b/crates/side/src/main.rs
@@ -42,7 +42,10 @@
     println!("listening {} admin {}", side.address(), side.admin());
     stop.first().await;
     let end = side.finish(&stop).await;
-    let fields = [field("cut", end.cut().len()), field("dropped_lines", log.dropped())];
+    let fields = [
+        field("cut", end.cut().len()),
+        field("dropped_lines", log.dropped()),
+    ];
     log.emit_last(&events::STOPPED, &fields);
     if end == DrainEnd::Finished {
         ExitCode::SUCCESS
--- a/crates/side/src/orders.rs
+++ b/crates/side/src/orders.rs
@@ -98,7 +98,10 @@
     }
 
     async fn order_load(&self, name: &str, path: &str) -> LoadEnd {
-        let fields = [field("lora", name), field("waiting", self.station.figures().waiting)];
+        let fields = [
+            field("lora", name),
+            field("waiting", self.station.figures().waiting),
+        ];
         self.state.log.emit(&events::LOAD_STARTED, &fields);
         let order = self.order(name, path);
         let span = self.state.settings.load_limit.0;
@@ -115,7 +118,9 @@
         let name = lora.engine_name();
         let gone = !self.is_in_use(&name).await && self.order_unload(&name).await;
         if gone {
-            self.state.log.emit(&events::UNLOADED, &[field("lora", &name)]);
+            self.state
+                .log
+                .emit(&events::UNLOADED, &[field("lora", &name)]);
             self.state.metrics.unloads.inc();
         }
         self.station.unloaded(lora, gone);
@@ -176,7 +181,9 @@
             ];
             self.state.log.emit(&events::ORDER_FENCED, &fields);
             // Another giver of orders has come after this one, which must give none any more.
-            self.state.readiness.fail(UPSTREAM, "it takes orders of a newer side");
+            self.state
+                .readiness
+                .fail(UPSTREAM, "it takes orders of a newer side");
             self.state.leave("fencing number");
             return;
         }
--- a/crates/side/src/report.rs
+++ b/crates/side/src/report.rs
@@ -11,6 +11,7 @@
 use pumicecleat_types::{LoadFigures, Millis, Report, ReportReply};
 
 use crate::state::State;
+use crate::station::Station;
 
 const PATH: &str = "/peer/v1/report";
 const SPAN: Duration = Duration::from_secs(1);
@@ -59,7 +60,10 @@
     pub(crate) async fn report(self: Rc<Self>) {
         loop {
             let entries = self.entries.all();
-            self.reporters.wakes.borrow_mut().retain(|e, _| entries.contains(e));
+            self.reporters
+                .wakes
+                .borrow_mut()
+                .retain(|e, _| entries.contains(e));
             for entry in entries {
                 if !self.reporters.wakes.borrow().contains_key(&entry) {
                     self.start_reporter(&entry);
@@ -71,7 +75,10 @@
 
     fn start_reporter(self: &Rc<Self>, entry: &str) {
         let (wake, due) = async_channel::bounded(1);
-        self.reporters.wakes.borrow_mut().insert(entry.to_owned(), wake);
+        self.reporters
+            .wakes
+            .borrow_mut()
+            .insert(entry.to_owned(), wake);
         let state = Rc::clone(self);
         let entry = entry.to_owned();
         monoio::spawn(async move { state.report_to(&entry, due).await });
@@ -89,7 +96,10 @@
     }
 
     async fn report_once(&self, entry: &str, told: &mut Told) -> Duration {
-        let resident = self.work().map(|w| w.station.resident()).unwrap_or_default();
+        let resident = self
+            .work()
+            .map(|w| w.station.resident())
+            .unwrap_or_default();
         let changed = told.resident.as_ref() != Some(&resident);
         let report = self.build_report(changed.then(|| resident.clone()));
         let reply = post::<_, ReportReply>(&self.client, entry, PATH, &report, SPAN).await;
@@ -120,9 +130,9 @@
             region: common.region.clone(),
             leaving: self.leaving.get(),
             healthy: self.healthy.get(),
-            load: station.map_or_else(LoadFigures::default, |s| s.figures()),
+            load: station.map_or_else(LoadFigures::default, Station::figures),
             resident,
-            loading: station.and_then(|s| s.loading()),
+            loading: station.and_then(Station::loading),
             revision: self.config.revision(),
         }
     }
--- a/crates/side/src/run/gate.rs
+++ b/crates/side/src/run/gate.rs
@@ -17,7 +17,11 @@
     /// The refusal, if it may not.
     pub(super) async fn gate(&self, head: &RunHead) -> Result<Work, Refusal> {
         if head.pool != *self.pool() {
-            return Err(refusal(Reason::WrongPool, RETRY_MS, "this side serves another pool"));
+            return Err(refusal(
+                Reason::WrongPool,
+                RETRY_MS,
+                "this side serves another pool",
+            ));
         }
         if head.left_ms == 0 {
             return Err(refusal(Reason::Deadline, RETRY_MS, "no time left"));
@@ -25,11 +29,19 @@
         self.catch_up(head).await;
         self.check_target(&head.target)?;
         if self.leaving.get() {
-            return Err(refusal(Reason::Leaving, RETRY_MS, "this upstream is leaving"));
+            return Err(refusal(
+                Reason::Leaving,
+                RETRY_MS,
+                "this upstream is leaving",
+            ));
         }
         match self.work() {
             Some(work) if self.is_open() => Ok(work),
-            _ => Err(refusal(Reason::UpstreamDown, RETRY_MS, "upstream does not answer")),
+            _ => Err(refusal(
+                Reason::UpstreamDown,
+                RETRY_MS,
+                "upstream does not answer",
+            )),
         }
     }
 
@@ -46,7 +58,9 @@
         let known = match target {
             Target::Model(model) => self.is_declared(model),
             Target::Service(s) => {
-                let pool = self.config.with(|c| Some(c.services.get(&s.service)?.pool.clone()));
+                let pool = self
+                    .config
+                    .with(|c| Some(c.services.get(&s.service)?.pool.clone()));
                 pool.as_ref() == Some(self.pool())
             }
         };
@@ -64,7 +78,9 @@
 
     /// Claim of a caller, 1 if none is declared.
     pub(super) fn claim_of(&self, head: &RunHead) -> u32 {
-        let claim = self.config.with(|c| c.callers.get(&head.caller).map(|x| x.claim));
+        let claim = self
+            .config
+            .with(|c| c.callers.get(&head.caller).map(|x| x.claim));
         claim.unwrap_or(1)
     }
 }
--- a/crates/side/src/run/mod.rs
+++ b/crates/side/src/run/mod.rs
@@ -10,9 +10,8 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use pumicecleat_net::{BodyError, ByteStream, frame_bytes};
+use pumicecleat_net::{ByteStream, frame_bytes};
 use pumicecleat_types::{Frame, Ran, Reason, Refusal, RunHead, RunRequest, Target};
 
 use crate::state::{State, Upstream};
@@ -29,7 +28,7 @@
     state.metrics.runs.inc();
     let state = Rc::clone(state);
     let frames = stream::once(async move { start(state, request).await }).flatten();
-    Box::pin(frames.map(bytes_of))
+    Box::pin(frames.map(|frame| Ok(frame_bytes(&frame))))
 }
 
 type Frames = std::pin::Pin<Box<dyn futures_util::Stream<Item = Frame>>>;
@@ -41,9 +40,9 @@
     };
     match (&request.head.target, &work.upstream) {
         (Target::Model(target), Upstream::Model(engine)) => {
-            let target = target.clone();
+            let lora = gate::lora_of(target);
             let engine = Rc::clone(engine);
-            model::run(state, work, engine, target, request)
+            model::run(state, work, engine, lora, request)
         }
         (Target::Service(target), Upstream::Service(service, keys)) => {
             let target = target.clone();
@@ -53,7 +52,10 @@
             };
             service::run(state, work, place, target, request)
         }
-        _ => only(state.refused(&request.head, refusal(Reason::WrongPool, RETRY_MS, "pool of another kind"))),
+        _ => only(state.refused(
+            &request.head,
+            refusal(Reason::WrongPool, RETRY_MS, "pool of another kind"),
+        )),
     }
 }
 
@@ -61,10 +63,6 @@
     Box::pin(stream::iter([frame]))
 }
 
-fn bytes_of(frame: Frame) -> Result<Bytes, BodyError> {
-    Ok(frame_bytes(&frame))
-}
-
 /// Refusal without load figures.
 fn refusal(reason: Reason, retry_ms: u64, detail: impl Into<String>) -> Refusal {
     Refusal {
--- a/crates/side/src/run/model.rs
+++ b/crates/side/src/run/model.rs
@@ -8,13 +8,12 @@
 use futures_util::stream;
 use pumicecleat_net::{BodyError, Sent};
 use pumicecleat_ops::{DrainGuard, events, field};
-use pumicecleat_types::{Frame, HeaderField, Lora, Millis, ModelTarget, Ran, Reason, RunRequest};
+use pumicecleat_types::{Frame, HeaderField, Lora, Millis, Ran, Reason, RunRequest};
 use pumicecleat_upstream::{
     Answer, AnswerError, AnswerFault, CallError, ChatCall, Engine, StreamCheck, StreamEvent,
     check_whole, read_answer,
 };
 
-use super::gate::lora_of;
 use super::{ANSWER_LIMIT, Frames, RETRY_MS, refusal, whole_frames};
 use crate::state::{State, Work};
 use crate::station::{Demand, Ticket, Word};
@@ -29,10 +28,9 @@
     state: Rc<State>,
     work: Work,
     engine: Rc<dyn Engine>,
-    target: ModelTarget,
+    lora: Lora,
     request: RunRequest,
 ) -> Frames {
-    let lora = lora_of(&target);
     let run = ModelRun {
         until: state.timer.now() + Millis(request.head.left_ms),
         guard: state.drain.enter(&request.head.request),
@@ -43,6 +41,7 @@
         lora,
         request,
         step: Step::Start,
+        ended: false,
     };
     Box::pin(stream::unfold(run, |mut run| async {
         let frame = run.next().await?;
@@ -60,6 +59,8 @@
     name: String,
     until: Millis,
     step: Step,
+    /// The last frame was given.
+    ended: bool,
     #[allow(dead_code, reason = "held until the run ends")]
     guard: DrainGuard,
 }
@@ -81,6 +82,12 @@
 impl ModelRun {
     /// Next frame, or `None` after the last.
     async fn next(&mut self) -> Option<Frame> {
+        let frame = self.advance().await;
+        self.ended = !matches!(frame, Some(Frame::Head { .. } | Frame::Data { .. }));
+        frame
+    }
+
+    async fn advance(&mut self) -> Option<Frame> {
         match std::mem::replace(&mut self.step, Step::Over) {
             Step::Start => Some(self.begin().await),
             Step::Relay(relay) => Some(self.relay(relay).await),
@@ -191,7 +198,9 @@
         mut answer: Box<dyn Answer>,
         status: u16,
     ) -> Frame {
-        let body = read_answer(answer.as_mut(), ANSWER_LIMIT).await.unwrap_or_default();
+        let body = read_answer(answer.as_mut(), ANSWER_LIMIT)
+            .await
+            .unwrap_or_default();
         ticket.finish(false);
         let text = String::from_utf8_lossy(&body).into_owned();
         match status {
@@ -202,7 +211,11 @@
                 self.step = Step::Rest(whole_frames(&self.state, &body).into());
                 self.head(status, "application/json")
             }
-            _ => self.broken(Ran::Unknown, "call engine", &format!("status {status}: {text}")),
+            _ => self.broken(
+                Ran::Unknown,
+                "call engine",
+                &format!("status {status}: {text}"),
+            ),
         }
     }
 
@@ -240,7 +253,11 @@
     /// The last event is here; the body's end lets the connection be used again.
     async fn close(&mut self, mut relay: Box<Relay>) {
         // Without a proper end the connection is closed instead; the answer is whole either way.
-        let _ = self.state.timer.within(CLOSE_SPAN, relay.answer.next()).await;
+        let _ = self
+            .state
+            .timer
+            .within(CLOSE_SPAN, relay.answer.next())
+            .await;
         relay.ticket.finish(true);
         self.state.metrics.whole.inc();
         let end = Frame::End {
@@ -300,6 +317,22 @@
     }
 }
 
+impl Drop for ModelRun {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        self.state.metrics.cancelled.inc();
+        let head = &self.request.head;
+        let fields = [
+            field("request", &head.request),
+            field("attempt", head.attempt),
+            field("target", &self.name),
+        ];
+        self.state.log.emit(&events::RUN_CANCELLED, &fields);
+    }
+}
+
 /// Bytes of all events that are whole, in a row.
 fn scan_events(check: &mut StreamCheck) -> Result<Vec<u8>, AnswerError> {
     let mut bytes = Vec::new();
--- a/crates/side/src/run/service.rs
+++ b/crates/side/src/run/service.rs
@@ -91,7 +91,12 @@
             ticket.finish(false);
             return self.refused(refusal(Reason::Deadline, RETRY_MS, "its entry left"));
         }
-        let key = self.request.head.key.as_deref().filter(|_| !self.target.idempotent);
+        let key = self
+            .request
+            .head
+            .key
+            .as_deref()
+            .filter(|_| !self.target.idempotent);
         let frames = match key {
             Some(text) => self.keyed(text, entry).await,
             None => self.plain().await,
@@ -138,7 +143,7 @@
             request: &head.request,
             key: &key,
             digest: Digest::of_call(&self.target.method, &self.target.path, &self.request.body),
-            left: self.left(),
+            left: self.until.since(self.state.timer.now()),
         };
         match self.place.keys.claim(&call).await {
             Claim::Won(won) => {
@@ -172,7 +177,9 @@
             Ok(answer) => {
                 let headers = answer.headers.clone();
                 let record = Answer::new(answer.status, headers, &answer.body, RECORDED);
-                self.place.keys.finish(request, key, sent, Outcome::Answer(record));
+                self.place
+                    .keys
+                    .finish(request, key, sent, Outcome::Answer(record));
                 self.answered(answer.status, answer.headers, &answer.body, false)
             }
             Err(e) if e.sent() == Sent::No => self.take_back(sent, &e),
@@ -229,7 +236,8 @@
 
     fn unknown(&self, error: &CallError) -> Frame {
         let detail = error.to_string();
-        self.state.broken(&self.request.head, Ran::Unknown, "call service", &detail)
+        self.state
+            .broken(&self.request.head, Ran::Unknown, "call service", &detail)
     }
 
     fn refused(&self, refusal: Refusal) -> Vec<Frame> {
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -7,13 +7,9 @@
 
 use monoio::net::TcpListener;
 use pumicecleat_config::model::{Pool, PoolKind, Tuning};
-use pumicecleat_ledger::Limits;
-use pumicecleat_net::{
-    Client, ClientOptions, Server, ServerOptions, Timer, bind, bind_exclusive,
-};
-use pumicecleat_ops::{
-    Admin, Drain, DrainEnd, Log, Metrics, Readiness, Stop, events, field,
-};
+use pumicecleat_ledger::{LimitError, Limits};
+use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer, bind, bind_exclusive};
+use pumicecleat_ops::{Admin, Drain, DrainEnd, Log, Metrics, Readiness, Stop, events, field};
 use pumicecleat_platform::{HttpLog, HttpVms, Log as PlatformLog, Peers};
 use pumicecleat_policy::{SchedulerOptions, Weights};
 use pumicecleat_types::{Millis, ServiceId};
@@ -35,6 +31,8 @@
 
 /// Time that the platform's services and the upstream have for a short answer.
 const ANSWER_SPAN: Duration = Duration::from_secs(2);
+/// Longest answer of a plain service, bytes.
+const ANSWER_LIMIT: u64 = 16 << 20;
 /// Time between two looks for the pool's declaration.
 const PAUSE: Duration = Duration::from_millis(50);
 /// How far a key's time may lie ahead of this VM's clock.
@@ -122,7 +120,10 @@
         self.state.timer.sleep(PAUSE).await;
         let limit = self.state.settings.common.drain_limit;
         let state = &self.state;
-        let end = state.drain.finish(stop, limit, &state.timer, &state.log).await;
+        let end = state
+            .drain
+            .finish(stop, limit, &state.timer, &state.log)
+            .await;
         self.server.stop();
         end
     }
@@ -239,16 +240,25 @@
             monoio::spawn(desk.run(outlets.orders));
             Upstream::Model(engine)
         }
-        PoolKind::Service { .. } => service(&state),
+        PoolKind::Service { .. } => match service(&state) {
+            Ok(upstream) => upstream,
+            Err(e) => return state.readiness.fail(CONFIG, &e.to_string()),
+        },
     };
     let work = Work { station, upstream };
     *state.work.borrow_mut() = Some(work.clone());
     watch(state, work).await;
 }
 
-fn service(state: &State) -> Upstream {
+fn service(state: &State) -> Result<Upstream, LimitError> {
+    let limits = key_limits(state)?;
     let peer = &state.settings.upstream;
-    let service = Rc::new(HttpService::new(&state.client, peer, ANSWER_SPAN));
+    let service = Rc::new(HttpService::new(
+        &state.client,
+        peer,
+        ANSWER_LIMIT,
+        ANSWER_SPAN,
+    ));
     let peers = Peers::parse(&state.settings.log);
     let log: Rc<dyn PlatformLog> = Rc::new(HttpLog::new(&state.client, peers, ANSWER_SPAN));
     let parts = KeyParts {
@@ -257,20 +267,15 @@
         timer: &state.timer,
     };
     let name = ServiceId::from(state.pool().as_str());
-    let keys = Keys::start(&name, state.vm(), state.incarnation, key_limits(state), parts);
-    Upstream::Service(service, keys)
+    let keys = Keys::start(&name, state.vm(), state.incarnation, limits, &parts);
+    Ok(Upstream::Service(service, keys))
 }
 
-/// Limits of keys; a window that the log does not outlast is cut to what it does.
-fn key_limits(state: &State) -> Limits {
-    let declared = state.config.with(|c| Some(c.limits.window_s)).unwrap_or(1);
-    let kept = millis(state.settings.retention.0);
-    let window = Millis((declared * 1_000).clamp(1, (kept.0 / 2).max(1)));
-    Limits::new(window, AHEAD, kept).unwrap_or_else(|e| {
-        let fields = [field("step", "limits of keys"), field("error", &e)];
-        state.log.emit(&events::INTERNAL, &fields);
-        std::process::exit(2)
-    })
+/// Limits of keys; a window that the log does not outlast is refused.
+fn key_limits(state: &State) -> Result<Limits, LimitError> {
+    let declared = state.config.with(|c| Some(c.limits.window_s)).unwrap_or(0);
+    let window = Millis(declared.saturating_mul(1_000));
+    Limits::new(window, AHEAD, millis(state.settings.retention.0))
 }
 
 fn options(state: &State, pool: &Pool) -> SchedulerOptions {
--- a/crates/side/src/state.rs
+++ b/crates/side/src/state.rs
@@ -73,6 +73,11 @@
         self.work.borrow().clone()
     }
 
+    /// Whether new work is taken.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.leaving.get() && self.healthy.get()
+    }
+
     /// Base model of the pool.
     pub(crate) fn base(&self) -> Option<BaseId> {
         match self.config.pool(self.pool())?.kind {
--- a/crates/side/src/watch.rs
+++ b/crates/side/src/watch.rs
@@ -119,7 +119,9 @@
         let shown: BTreeSet<&str> = shown.iter().map(String::as_str).collect();
         let after = work.station.resident();
         // Only what was believed before and after the question can have been lost meanwhile.
-        let lost = believed.iter().any(|l| after.contains(l) && !shown.contains(l.as_str()));
+        let lost = believed
+            .iter()
+            .any(|l| after.contains(l) && !shown.contains(l.as_str()));
         sight.losses = if lost { sight.losses + 1 } else { 0 };
         if sight.losses >= LOSSES {
             sight.losses = 0;
@@ -141,7 +143,8 @@
         let held = self.loras(running.loras.iter().map(String::as_str));
         for lora in &held {
             let name = lora.engine_name();
-            self.log.emit(&events::LORA_UNACCOUNTED, &[field("lora", &name)]);
+            self.log
+                .emit(&events::LORA_UNACCOUNTED, &[field("lora", &name)]);
         }
         work.station.reset(&resident, &held);
         sight.unaccounted = held;
@@ -169,13 +172,14 @@
 
     fn restart(&self, work: &Work, shown: &BTreeSet<&str>) {
         let upstream = &self.settings.upstream;
-        self.log.emit(&events::UPSTREAM_RESTARTED, &[field("upstream", upstream)]);
+        self.log
+            .emit(&events::UPSTREAM_RESTARTED, &[field("upstream", upstream)]);
         let resident = self.loras(shown.iter().copied());
         work.station.reset(&resident, &[]);
         self.reports_due();
     }
 
-    /// LoRAs of engine names; others, which this system did not load, are left out.
+    /// Adapters of engine names; others, which this system did not load, are left out.
     fn loras<'a>(&self, names: impl Iterator<Item = &'a str>) -> Vec<Lora> {
         let Some(base) = self.base() else {
             return Vec::new();
