Prove the side against engine, service and log faults

Cause: a side's promises (no eviction in use, whole answers of the right version, one effect a key, a truthful 'not run') need a run each, with the stand-ins' own account of what took effect. Ruled out: estimating work by max_tokens alone: a caller with a high limit was refused for a deadline it would have met; the side now learns how long answers are.

--- a/crates/side/src/dump.rs
+++ b/crates/side/src/dump.rs
@@ -55,7 +55,7 @@
             region: common.region.clone(),
             pool: self.pool().clone(),
             address: self.address.clone(),
-            upstream: self.settings.upstream.clone(),
+            upstream: self.settings.upstream.to_string(),
             incarnation: self.incarnation,
             uptime_ms: self.uptime().0,
             revision: self.config.revision(),
--- a/crates/side/src/entries.rs
+++ b/crates/side/src/entries.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,11 +28,10 @@
 }
 
 impl Entries {
-    /// Entries of a comma list.
-    pub(crate) fn new(fixed: &str) -> Self {
-        let parts = fixed.split(',').map(str::trim).filter(|p| !p.is_empty());
+    /// Entries known from the start.
+    pub(crate) fn new(fixed: &[SocketAddr]) -> Self {
         Self {
-            fixed: parts.map(str::to_owned).collect(),
+            fixed: fixed.iter().map(SocketAddr::to_string).collect(),
             ..Self::default()
         }
     }
@@ -74,6 +74,12 @@
     }
 }
 
+/// Addresses as the platform's clients take them.
+pub(crate) fn join(addresses: &[SocketAddr]) -> String {
+    let texts: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+    texts.join(",")
+}
+
 impl State {
     /// Reads the VM list again and again; never ends.
     pub(crate) async fn watch_vms(self: Rc<Self>, vms: Rc<dyn Vms>) {
@@ -88,9 +94,9 @@
                 }
                 Err(e) if up => {
                     up = false;
-                    let address = &self.settings.vms;
+                    let address = join(&self.settings.vms);
                     let fields = [
-                        field("address", address),
+                        field("address", &address),
                         field("step", "list"),
                         field("error", &e),
                     ];
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -25,6 +25,7 @@
 mod dump;
 mod entries;
 mod keys;
+mod lengths;
 mod metrics;
 mod orders;
 mod peer;
--- a/crates/side/src/run/model.rs
+++ b/crates/side/src/run/model.rs
@@ -77,6 +77,8 @@
     ticket: Ticket,
     answer: Box<dyn Answer>,
     check: StreamCheck,
+    /// Events passed on; about one a token.
+    events: u32,
 }
 
 impl ModelRun {
@@ -126,7 +128,7 @@
             claim: self.state.claim_of(head),
             priority: head.priority,
             left: Millis(head.left_ms),
-            tokens: head.tokens,
+            tokens: self.state.lengths.expect(head.tokens),
         };
         let from = self.state.timer.now();
         let submitted = self.work.station.submit(&demand);
@@ -166,6 +168,7 @@
                     ticket,
                     answer,
                     check,
+                    events: 0,
                 }));
                 self.head(200, "text/event-stream")
             }
@@ -183,14 +186,22 @@
             Err(_) => return self.broken(Ran::Unknown, "read answer", "deadline passed"),
         };
         ticket.finish(true);
-        if let Err(e) = check_whole(&peer, &body, &self.name) {
-            return self.wrong_answer(&e);
+        match check_whole(&peer, &body, &self.name) {
+            Ok(whole) => self.note_length(whole.usage.map(|u| u.completion)),
+            Err(e) => return self.wrong_answer(&e),
         }
         self.state.metrics.whole.inc();
         self.step = Step::Rest(whole_frames(&self.state, &body).into());
         self.head(200, "application/json")
     }
 
+    fn note_length(&self, tokens: Option<u64>) {
+        if let Some(tokens) = tokens {
+            let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+            self.state.lengths.note(tokens);
+        }
+    }
+
     /// An answer that is an error by its status: the engine ran nothing, but for those of 500 on.
     async fn read_error(
         &mut self,
@@ -227,7 +238,7 @@
     /// Next frame of a stream: the events that are here, or the next ones that come.
     async fn relay(&mut self, mut relay: Box<Relay>) -> Frame {
         loop {
-            match scan_events(&mut relay.check) {
+            match relay.scan_events() {
                 Ok(bytes) if bytes.is_empty() => {}
                 Ok(bytes) => {
                     if relay.check.is_done() {
@@ -259,6 +270,7 @@
             .within(CLOSE_SPAN, relay.answer.next())
             .await;
         relay.ticket.finish(true);
+        self.state.lengths.note(relay.events);
         self.state.metrics.whole.inc();
         let end = Frame::End {
             load: Some(self.work.station.figures()),
@@ -333,19 +345,22 @@
     }
 }
 
-/// Bytes of all events that are whole, in a row.
-fn scan_events(check: &mut StreamCheck) -> Result<Vec<u8>, AnswerError> {
-    let mut bytes = Vec::new();
-    while let Some(event) = check.scan_event()? {
-        let raw = match event {
-            StreamEvent::Chunk(chunk) => chunk.raw,
-            StreamEvent::Done { raw } => raw,
-        };
-        if bytes.is_empty() {
-            bytes = raw;
-        } else {
-            bytes.extend_from_slice(&raw);
+impl Relay {
+    /// Bytes of all events that are whole, in a row.
+    fn scan_events(&mut self) -> Result<Vec<u8>, AnswerError> {
+        let mut bytes = Vec::new();
+        while let Some(event) = self.check.scan_event()? {
+            self.events = self.events.saturating_add(1);
+            let raw = match event {
+                StreamEvent::Chunk(chunk) => chunk.raw,
+                StreamEvent::Done { raw } => raw,
+            };
+            if bytes.is_empty() {
+                bytes = raw;
+            } else {
+                bytes.extend_from_slice(&raw);
+            }
         }
+        Ok(bytes)
     }
-    Ok(bytes)
 }
--- a/crates/side/src/settings.rs
+++ b/crates/side/src/settings.rs
@@ -11,19 +11,19 @@
         /// address of the listener for entries
         listen: SocketAddr = "127.0.0.1:7601", "ip:port";
         /// address at which entries reach this side; empty for the listener's
-        advertise: String = "", "ip:port";
+        advertise: Option<SocketAddr> = "", "ip:port";
         /// loopback address held as this VM's slot; port 0 for none
         slot: SocketAddr = "127.0.0.1:7602", "ip:port";
         /// pool that this upstream belongs to
         pool: PoolId = "", "name";
         /// address of the upstream
-        upstream: String = "", "ip:port";
+        upstream: SocketAddr = "", "ip:port";
         /// addresses of the log service, for pools of plain services
-        log: String = "", "ip:port,...";
+        log: Vec<SocketAddr> = "", "ip:port,...";
         /// addresses of the VM list; empty to use the entries setting alone
-        vms: String = "", "ip:port,...";
+        vms: Vec<SocketAddr> = "", "ip:port,...";
         /// addresses of entries known from the start
-        entries: String = "", "ip:port,...";
+        entries: Vec<SocketAddr> = "", "ip:port,...";
         /// time the log keeps records; must be longer than the window of keys
         retention: Span = "48h", "span";
         /// longest time between two pieces of an engine's answer
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -19,8 +19,9 @@
 use crate::SideSettings;
 use crate::config::Configuration;
 use crate::dump::Dumper;
-use crate::entries::Entries;
+use crate::entries::{Entries, join};
 use crate::keys::{KeyParts, Keys};
+use crate::lengths::Lengths;
 use crate::metrics::SideMetrics;
 use crate::orders::OrderDesk;
 use crate::peer::PeerHandler;
@@ -164,11 +165,7 @@
 }
 
 fn build_state(settings: SideSettings, bound: SocketAddr, timer: &Timer, log: &Log) -> State {
-    let address = if settings.advertise.is_empty() {
-        bound.to_string()
-    } else {
-        settings.advertise.clone()
-    };
+    let address = settings.advertise.unwrap_or(bound).to_string();
     let readiness = Readiness::new(&[CONFIG, UPSTREAM, STAYING], log);
     readiness.hold(STAYING);
     State {
@@ -183,6 +180,7 @@
         config: Configuration::default(),
         entries: Entries::new(&settings.entries),
         reporters: Reporters::default(),
+        lengths: Lengths::default(),
         leaving: Cell::new(false),
         healthy: Cell::new(false),
         work: RefCell::default(),
@@ -211,7 +209,7 @@
     monoio::spawn(Rc::clone(state).report());
     monoio::spawn(assemble(Rc::clone(state)));
     if !state.settings.vms.is_empty() {
-        let peers = Peers::parse(&state.settings.vms);
+        let peers = Peers::parse(&join(&state.settings.vms));
         let vms = Rc::new(HttpVms::new(&state.client, peers, ANSWER_SPAN));
         monoio::spawn(Rc::clone(state).watch_vms(vms));
     }
@@ -230,8 +228,8 @@
     monoio::spawn(async move { driven.drive(outlets.changed).await });
     let upstream = match pool.kind {
         PoolKind::Model { .. } => {
-            let peer = &state.settings.upstream;
-            let engine = Rc::new(VllmEngine::new(&state.client, peer, ANSWER_SPAN));
+            let peer = state.settings.upstream.to_string();
+            let engine = Rc::new(VllmEngine::new(&state.client, &peer, ANSWER_SPAN));
             let desk = OrderDesk {
                 state: Rc::clone(&state),
                 station: station.clone(),
@@ -252,14 +250,14 @@
 
 fn service(state: &State) -> Result<Upstream, LimitError> {
     let limits = key_limits(state)?;
-    let peer = &state.settings.upstream;
+    let peer = state.settings.upstream.to_string();
     let service = Rc::new(HttpService::new(
         &state.client,
-        peer,
+        &peer,
         ANSWER_LIMIT,
         ANSWER_SPAN,
     ));
-    let peers = Peers::parse(&state.settings.log);
+    let peers = Peers::parse(&join(&state.settings.log));
     let log: Rc<dyn PlatformLog> = Rc::new(HttpLog::new(&state.client, peers, ANSWER_SPAN));
     let parts = KeyParts {
         log: &log,
--- a/crates/side/src/state.rs
+++ b/crates/side/src/state.rs
@@ -13,6 +13,7 @@
 use crate::config::Configuration;
 use crate::entries::Entries;
 use crate::keys::Keys;
+use crate::lengths::Lengths;
 use crate::metrics::SideMetrics;
 use crate::report::Reporters;
 use crate::station::Station;
@@ -39,6 +40,7 @@
     pub(crate) config: Configuration,
     pub(crate) entries: Entries,
     pub(crate) reporters: Reporters,
+    pub(crate) lengths: Lengths,
     pub(crate) leaving: Cell<bool>,
     pub(crate) healthy: Cell<bool>,
     pub(crate) work: RefCell<Option<Work>>,
--- /dev/null
+++ b/crates/side/tests/bench/mod.rs
@@ -0,0 +1,369 @@
+//! A side with stand-ins and a small fake entry on one loop.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pumicecleat_config::{Change, ChangeId, Fold, Record, Source, parse};
+use pumicecleat_net::{
+    Client, ClientOptions, FrameReader, Handler, Incoming, Reply, Server, ServerOptions, Timer,
+    bind, peer_reply, plain_reply, read_all,
+};
+use pumicecleat_ops::{Log as EventLog, LogOptions, Settings};
+use pumicecleat_side::{Side, SideSettings};
+use pumicecleat_standin::{
+    Engine, EngineFaults, EngineOptions, Log, LogFaults, LogOptions as StandinLogOptions, Running,
+    Service, ServiceFaults, ServiceOptions, Store, StoreFaults, StoreOptions,
+};
+use pumicecleat_types::{
+    ConfigReply, Frame, LoadBid, LoadTurn, LogRecord, Lora, ModelTarget, Report, ReportReply,
+    RunHead, RunRequest, ServiceTarget, Target, decode, encode,
+};
+
+/// Longest wait of any step of a test.
+pub const SPAN: Duration = Duration::from_secs(20);
+
+const CONFIG: &str = "
+[base.m]
+context = 4096
+[adapter.a]
+base = 'm'
+version.v1.path = 'a/v1'
+version.v2.path = 'a/v2'
+[adapter.b]
+base = 'm'
+version.v1.path = 'b/v1'
+[adapter.c]
+base = 'm'
+version.v1.path = 'c/v1'
+[caller.school]
+keys = ['0000000000000000000000000000000000000000000000000000000000000000']
+claim = 1
+adapters = ['*']
+services = ['booking']
+[pool.lm]
+kind = 'model'
+base = 'm'
+slots = 2
+batch = 4
+queue = 64
+[pool.booking]
+kind = 'service'
+concurrency = 4
+queue = 64
+[service.booking]
+pool = 'booking'
+[[service.booking.route]]
+prefix = '/holds'
+idempotent = false
+[[service.booking.route]]
+prefix = '/list'
+idempotent = true
+";
+
+/// What the fake entry saw and does.
+#[derive(Default)]
+pub struct Seen {
+    /// Last report of each VM.
+    pub reports: BTreeMap<String, Report>,
+    /// Bids, in order.
+    pub bids: Vec<LoadBid>,
+}
+
+struct FakeEntry {
+    fold: Fold,
+    seen: Rc<RefCell<Seen>>,
+    timer: Timer,
+}
+
+impl Handler for FakeEntry {
+    fn handle(&self, request: Incoming, _: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
+        let path = request.uri().path().to_owned();
+        let snapshot = self.fold.snapshot_bytes();
+        let revision = self.fold.revision();
+        let seen = Rc::clone(&self.seen);
+        let timer = self.timer.clone();
+        Box::pin(async move {
+            let mut body = request.into_body();
+            let bytes = read_all(&mut body, 1 << 20, SPAN, &timer).await.unwrap();
+            match path.as_str() {
+                "/peer/v1/config" => peer_reply(&ConfigReply::Snapshot(snapshot)),
+                "/peer/v1/report" => {
+                    let report: Report = decode(&bytes).unwrap();
+                    seen.borrow_mut()
+                        .reports
+                        .insert(report.vm.to_string(), report);
+                    peer_reply(&ReportReply {
+                        next_ms: 200,
+                        revision,
+                        whole: false,
+                    })
+                }
+                "/peer/v1/load" => {
+                    seen.borrow_mut().bids.push(decode(&bytes).unwrap());
+                    peer_reply(&LoadTurn::Go { ttl_ms: 2_000 })
+                }
+                _ => plain_reply(404, ""),
+            }
+        })
+    }
+}
+
+/// Everything that a test of a side needs.
+pub struct Bench {
+    pub timer: Timer,
+    pub client: Client,
+    pub seen: Rc<RefCell<Seen>>,
+    pub log: Running<LogFaults>,
+    pub store: Running<StoreFaults>,
+    pub engine: Running<EngineFaults>,
+    pub service: Running<ServiceFaults>,
+    fold: Fold,
+    entry: String,
+}
+
+impl Bench {
+    /// Stand-ins and the fake entry.
+    pub fn start() -> Self {
+        let timer = Timer::start();
+        let store = Store::start(
+            StoreOptions {
+                load_ms: 50,
+                ..StoreOptions::default()
+            },
+            &timer,
+        )
+        .unwrap();
+        let options = EngineOptions {
+            base: "m".into(),
+            slots: 2,
+            batch: 4,
+            step_ms: 5,
+            slow_ms: 5,
+            store: Some(store.address.to_string()),
+            check_fencing: true,
+            ..EngineOptions::default()
+        };
+        let engine = Engine::start(options, &timer).unwrap();
+        let service = Service::start(ServiceOptions::default(), &timer).unwrap();
+        let log = Log::start(StandinLogOptions::default(), &timer).unwrap();
+        let seen = Rc::default();
+        let fold = fold_of(CONFIG);
+        let entry = start_entry(&fold, &seen, &timer);
+        Self {
+            client: Client::new_ext(ClientOptions::default(), &timer),
+            timer,
+            seen,
+            log,
+            store,
+            engine,
+            service,
+            fold,
+            entry,
+        }
+    }
+
+    /// A side of the pool of engines.
+    pub fn model_side(&self, vm: &str) -> Side {
+        let upstream = self.engine.address.to_string();
+        self.side(vm, "lm", &upstream)
+    }
+
+    /// A side of the pool of services.
+    pub fn service_side(&self, vm: &str) -> Side {
+        let upstream = self.service.address.to_string();
+        self.side(vm, "booking", &upstream)
+    }
+
+    fn side(&self, vm: &str, pool: &str, upstream: &str) -> Side {
+        let log = self.log.address.to_string();
+        let args = [
+            "--vm",
+            vm,
+            "--data-centre",
+            "bp-a",
+            "--region",
+            "hu-central",
+            "--listen",
+            "127.0.0.1:0",
+            "--admin",
+            "127.0.0.1:0",
+            "--slot",
+            "127.0.0.1:0",
+            "--pool",
+            pool,
+            "--upstream",
+            upstream,
+            "--log",
+            &log,
+            "--entries",
+            &self.entry,
+            "--stall",
+            "500ms",
+            "--log-level",
+            "off",
+        ];
+        let settings = SideSettings::read("side", &args, &BTreeMap::new()).unwrap();
+        let log = EventLog::new_ext(&LogOptions::default());
+        Side::start(settings, &self.timer, &log).unwrap()
+    }
+
+    /// Waits until the entry heard that the side's upstream is healthy.
+    pub async fn until_healthy(&self, vm: &str) {
+        self.until(|seen| seen.reports.get(vm).is_some_and(|r| r.healthy))
+            .await;
+    }
+
+    /// Waits until what the entry saw is as asked.
+    pub async fn until(&self, holds: impl Fn(&Seen) -> bool) {
+        let waiting = async {
+            while !holds(&self.seen.borrow()) {
+                self.timer.sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let waited = self.timer.within(SPAN, waiting).await;
+        waited.expect("the entry does not come to see it");
+    }
+
+    /// A chat attempt for `adapter`.
+    pub fn chat(&self, request: &str, adapter: &str, tokens: u32, stream: bool) -> RunRequest {
+        let lora = Lora::new("m", adapter, "v1");
+        let body = serde_json::json!({
+            "model": lora.engine_name(),
+            "messages": [{"role": "user", "content": "tonight?"}],
+            "max_tokens": tokens,
+            "stream": stream,
+        });
+        let target = Target::Model(ModelTarget {
+            base: lora.base.clone(),
+            adapter: lora.adapter.clone(),
+            version: lora.version.clone(),
+            stamp: self.fold.config().stamp(&lora).unwrap_or_default(),
+        });
+        let mut run = self.run(request, "lm", target, serde_json::to_vec(&body).unwrap());
+        run.head.tokens = tokens;
+        run.head.stream = stream;
+        run
+    }
+
+    /// A call of the booking service.
+    pub fn call(&self, request: &str, path: &str, key: Option<&str>, body: &str) -> RunRequest {
+        let target = Target::Service(ServiceTarget {
+            service: "booking".into(),
+            method: "POST".into(),
+            path: path.into(),
+            headers: Vec::new(),
+            idempotent: path.starts_with("/list"),
+        });
+        let mut run = self.run(request, "booking", target, body.as_bytes().to_vec());
+        run.head.key = key.map(str::to_owned);
+        run
+    }
+
+    fn run(&self, request: &str, pool: &str, target: Target, body: Vec<u8>) -> RunRequest {
+        RunRequest {
+            head: RunHead {
+                request: request.into(),
+                attempt: 1,
+                pool: pool.into(),
+                revision: self.fold.revision(),
+                caller: "school".into(),
+                target,
+                left_ms: 5_000,
+                priority: 0,
+                stream: false,
+                tokens: 1,
+                key: None,
+            },
+            body,
+        }
+    }
+
+    /// Sends an attempt and gives the reader of its frames.
+    pub async fn send(&self, side: &Side, run: &RunRequest) -> FrameReader {
+        let request = http::Request::post("/peer/v1/run")
+            .body(Bytes::from(encode(run)))
+            .unwrap();
+        let peer = side.address().to_string();
+        let response = self.client.send(&peer, request, SPAN).await.unwrap();
+        FrameReader::new(response)
+    }
+
+    /// All frames of an attempt.
+    pub async fn frames(&self, side: &Side, run: &RunRequest) -> Vec<Frame> {
+        let mut reader = self.send(side, run).await;
+        let mut frames = Vec::new();
+        while let Some(frame) = self.next(&mut reader).await {
+            frames.push(frame);
+        }
+        frames
+    }
+
+    /// Next frame.
+    pub async fn next(&self, reader: &mut FrameReader) -> Option<Frame> {
+        self.timer
+            .within(SPAN, reader.next())
+            .await
+            .expect("a frame in time")
+            .unwrap()
+    }
+
+    /// What a stand-in says took effect.
+    pub async fn effects(&self, address: SocketAddr) -> serde_json::Value {
+        let request = http::Request::get("/effects").body(Bytes::new()).unwrap();
+        let mut response = self
+            .client
+            .send(&address.to_string(), request, SPAN)
+            .await
+            .unwrap();
+        let body = response.read(1 << 24, SPAN).await.unwrap();
+        serde_json::from_slice(&body).unwrap()
+    }
+}
+
+fn fold_of(text: &str) -> Fold {
+    let config = parse(&[Source {
+        name: "test.toml",
+        bytes: text.as_bytes(),
+    }])
+    .unwrap();
+    let mut fold = Fold::new();
+    let id = ChangeId::try_from("first".to_owned()).unwrap();
+    let change = Change::new(id, 0, fold.config(), &config, "test");
+    let data = Record::Change(Box::new(change)).to_bytes();
+    fold.apply(&LogRecord {
+        offset: 0,
+        at: 0,
+        data,
+    })
+    .unwrap();
+    fold
+}
+
+fn start_entry(fold: &Fold, seen: &Rc<RefCell<Seen>>, timer: &Timer) -> String {
+    let handler = FakeEntry {
+        fold: fold.clone(),
+        seen: Rc::clone(seen),
+        timer: timer.clone(),
+    };
+    let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let server = Server::new_ext(ServerOptions::default(), Rc::new(handler), timer);
+    monoio::spawn(async move { server.serve(listener).await });
+    address
+}
+
+/// Bytes of the data frames.
+pub fn body_of(frames: &[Frame]) -> Vec<u8> {
+    let pieces = frames.iter().filter_map(|f| match f {
+        Frame::Data { bytes } => Some(bytes.as_slice()),
+        _ => None,
+    });
+    pieces.collect::<Vec<_>>().concat()
+}
--- /dev/null
+++ b/crates/side/tests/keys.rs
@@ -0,0 +1,264 @@
+//! Calls that may not be repeated, through sides of one service.
+
+mod bench;
+
+use std::time::Duration;
+
+use bench::{Bench, body_of};
+use pumicecleat_net::run;
+use pumicecleat_side::Side;
+use pumicecleat_standin::{LogFaults, ServiceFaults};
+use pumicecleat_types::{Frame, Ran, Reason};
+
+struct Pair {
+    bench: Bench,
+    sides: [Side; 2],
+}
+
+async fn pair() -> Pair {
+    let bench = Bench::start();
+    let sides = [bench.service_side("vm-1"), bench.service_side("vm-2")];
+    bench.until_healthy("vm-1").await;
+    bench.until_healthy("vm-2").await;
+    let pair = Pair { bench, sides };
+    pair.until_keys_work().await;
+    pair
+}
+
+impl Pair {
+    /// Both sides have caught up with the log.
+    async fn until_keys_work(&self) {
+        for (n, side) in self.sides.iter().enumerate() {
+            let key = format!("warm-{n}");
+            while self.call(side, &key, "warm").await != Told::Whole(false) {
+                self.bench.timer.sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+
+    async fn call(&self, side: &Side, key: &str, body: &str) -> Told {
+        let run = self.bench.call("r", "/holds", Some(key), body);
+        told(&self.bench.frames(side, &run).await)
+    }
+
+    /// Times that calls with `key` took effect.
+    async fn effects(&self, key: &str) -> u64 {
+        let effects = self.bench.effects(self.bench.service.address).await;
+        let rows = effects.as_array().unwrap().iter();
+        rows.filter(|r| r["key"] == key)
+            .map(|r| r["count"].as_u64().unwrap())
+            .sum()
+    }
+}
+
+/// What an attempt came to.
+#[derive(Debug, PartialEq)]
+enum Told {
+    /// Answered; `true` if from the record.
+    Whole(bool),
+    NotRun(Reason),
+    Unknown,
+}
+
+fn told(frames: &[Frame]) -> Told {
+    match frames {
+        [Frame::Refused(refusal)] => Told::NotRun(refusal.reason),
+        [Frame::Broken { ran, .. }] => {
+            assert_ne!(*ran, Ran::No);
+            Told::Unknown
+        }
+        [Frame::Head { replayed, .. }, .., Frame::End { .. }] => {
+            assert!(!body_of(frames).is_empty());
+            Told::Whole(*replayed)
+        }
+        _ => panic!("{frames:?}"),
+    }
+}
+
+#[test]
+fn a_repeat_gets_the_recorded_answer_from_either_side() {
+    run(async {
+        let pair = pair().await;
+        assert_eq!(
+            pair.call(&pair.sides[0], "k", "seat 4").await,
+            Told::Whole(false)
+        );
+        for side in &pair.sides {
+            let again = async {
+                while pair.call(side, "k", "seat 4").await != Told::Whole(true) {
+                    pair.bench.timer.sleep(Duration::from_millis(10)).await;
+                }
+            };
+            pair.bench
+                .timer
+                .within(bench::SPAN, again)
+                .await
+                .expect("a recorded answer");
+        }
+        assert_eq!(pair.effects("k").await, 1);
+        let other = pair.call(&pair.sides[1], "k", "seat 5").await;
+        assert_eq!(other, Told::NotRun(Reason::KeyReused));
+    })
+    .unwrap();
+}
+
+#[test]
+fn one_of_two_at_once_takes_effect() {
+    run(async {
+        let pair = pair().await;
+        for n in 0..20 {
+            let key = format!("k{n}");
+            let first = pair.call(&pair.sides[0], &key, "x");
+            let second = pair.call(&pair.sides[1], &key, "x");
+            let (a, b) = futures_util::future::join(first, second).await;
+            assert_eq!(pair.effects(&key).await, 1, "{a:?} {b:?}");
+            assert!(
+                [&a, &b].iter().any(|t| matches!(t, Told::Whole(_))),
+                "{a:?} {b:?}"
+            );
+        }
+    })
+    .unwrap();
+}
+
+struct Fault {
+    name: &'static str,
+    log: fn(&mut LogFaults),
+    service: fn(&mut ServiceFaults),
+    allowed: fn(&Told) -> bool,
+    /// Effects that may have been seen.
+    effects: std::ops::RangeInclusive<u64>,
+}
+
+const FAULTS: [Fault; 8] = [
+    Fault {
+        name: "append reply lost",
+        log: |f| f.lose_replies = 1,
+        service: |_| {},
+        allowed: |t| *t == Told::Whole(false),
+        effects: 1..=1,
+    },
+    Fault {
+        name: "appends refused",
+        log: |f| f.reject = 3,
+        service: |_| {},
+        allowed: |t| *t == Told::NotRun(Reason::LogDown),
+        effects: 0..=0,
+    },
+    Fault {
+        name: "log down",
+        log: |f| f.down = true,
+        service: |_| {},
+        allowed: |t| *t == Told::NotRun(Reason::LogDown),
+        effects: 0..=0,
+    },
+    Fault {
+        name: "log stalls",
+        log: |f| f.stall = true,
+        service: |_| {},
+        allowed: |t| *t == Told::NotRun(Reason::LogDown),
+        effects: 0..=0,
+    },
+    Fault {
+        name: "answer lost",
+        log: |_| {},
+        service: |f| f.lose_answers = 1,
+        allowed: |t| *t == Told::Unknown,
+        effects: 1..=1,
+    },
+    Fault {
+        name: "answer cut",
+        log: |_| {},
+        service: |f| f.truncate = 1,
+        allowed: |t| *t == Told::Unknown,
+        effects: 1..=1,
+    },
+    Fault {
+        name: "fails after the effect",
+        log: |_| {},
+        service: |f| f.fail_after = 1,
+        allowed: |t| *t == Told::Whole(false),
+        effects: 1..=1,
+    },
+    Fault {
+        name: "service freezes",
+        log: |_| {},
+        service: |f| f.freeze = true,
+        allowed: |t| *t == Told::Unknown,
+        effects: 0..=1,
+    },
+];
+
+#[test]
+fn no_fault_doubles_an_effect_or_hides_one() {
+    for fault in FAULTS {
+        run(async {
+            let pair = pair().await;
+            let mut log = LogFaults::default();
+            (fault.log)(&mut log);
+            pair.bench.log.set_faults(log);
+            let mut service = ServiceFaults::default();
+            (fault.service)(&mut service);
+            pair.bench.service.set_faults(service);
+            let mut run = pair.bench.call("r", "/holds", Some("k"), "x");
+            run.head.left_ms = 1_500;
+            let first = told(&pair.bench.frames(&pair.sides[0], &run).await);
+            assert!((fault.allowed)(&first), "{}: {first:?}", fault.name);
+            pair.bench.log.set_faults(LogFaults::default());
+            pair.bench.service.set_faults(ServiceFaults::default());
+            let effects = pair.effects("k").await;
+            assert!(
+                fault.effects.contains(&effects),
+                "{}: {effects}",
+                fault.name
+            );
+            pair.repeat_until_settled(&fault, &first).await;
+        })
+        .unwrap();
+    }
+}
+
+impl Pair {
+    /// Repeats through the other side until the key has an answer for good, and counts.
+    async fn repeat_until_settled(&self, fault: &Fault, first: &Told) {
+        let settled = async {
+            loop {
+                match self.call(&self.sides[1], "k", "x").await {
+                    Told::Whole(_) => return true,
+                    Told::NotRun(Reason::KeyUnknown) if *first == Told::Unknown => return false,
+                    _ => self.bench.timer.sleep(Duration::from_millis(50)).await,
+                }
+            }
+        };
+        let answered = self.bench.timer.within(bench::SPAN, settled).await;
+        let answered = answered.unwrap_or_else(|_| panic!("{}: never settled", fault.name));
+        let effects = self.effects("k").await;
+        assert!(effects <= 1, "{}: {effects} effects", fault.name);
+        assert!(!answered || effects == 1, "{}", fault.name);
+    }
+}
+
+#[test]
+fn an_old_key_is_refused() {
+    run(async {
+        let pair = pair().await;
+        // A UUIDv7 of the year 2024.
+        let told = pair
+            .call(&pair.sides[0], "018d0000-0000-7000-8000-000000000000", "x")
+            .await;
+        assert_eq!(told, Told::NotRun(Reason::KeyExpired));
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_service_that_is_gone_is_told_as_not_run() {
+    run(async {
+        let pair = pair().await;
+        pair.bench.service.stop();
+        pair.bench.timer.sleep(Duration::from_millis(20)).await;
+        let told = pair.call(&pair.sides[0], "k", "x").await;
+        assert!(matches!(told, Told::NotRun(_)), "{told:?}");
+    })
+    .unwrap();
+}
--- /dev/null
+++ b/crates/side/tests/model.rs
@@ -0,0 +1,328 @@
+//! A side before a model engine.
+
+mod bench;
+
+use std::time::Duration;
+
+use bench::{Bench, body_of};
+use pumicecleat_net::run;
+use pumicecleat_standin::{ChatMessage, EngineFaults, expected_tokens};
+use pumicecleat_types::{Frame, Ran, Reason};
+
+fn expected(adapter: &str, tokens: u64) -> String {
+    let messages = [ChatMessage::new("user", "tonight?")];
+    expected_tokens(&format!("{adapter}@v1"), &messages, 0, tokens).concat()
+}
+
+fn whole_text(frames: &[Frame]) -> String {
+    let body: serde_json::Value = serde_json::from_slice(&body_of(frames)).unwrap();
+    body["choices"][0]["message"]["content"]
+        .as_str()
+        .unwrap()
+        .to_owned()
+}
+
+#[test]
+fn an_absent_adapter_is_loaded_and_answers_whole() {
+    run(async {
+        let bench = Bench::start();
+        let side = bench.model_side("vm-1");
+        bench.until_healthy("vm-1").await;
+        for adapter in ["a", "b", "c", "a"] {
+            let frames = bench
+                .frames(&side, &bench.chat(adapter, adapter, 5, false))
+                .await;
+            assert!(
+                matches!(frames.first(), Some(Frame::Head { status: 200, .. })),
+                "{frames:?}"
+            );
+            assert!(
+                matches!(frames.last(), Some(Frame::End { .. })),
+                "{frames:?}"
+            );
+            assert_eq!(whole_text(&frames), expected(adapter, 5));
+        }
+        let effects = bench.effects(bench.engine.address).await;
+        assert_eq!(effects["counters"]["evicted_in_use"], 0);
+        assert_eq!(effects["counters"]["loads"], 4);
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_stream_gives_each_token_and_its_end() {
+    run(async {
+        let bench = Bench::start();
+        let side = bench.model_side("vm-1");
+        bench.until_healthy("vm-1").await;
+        let frames = bench.frames(&side, &bench.chat("r", "a", 20, true)).await;
+        let text = String::from_utf8(body_of(&frames)).unwrap();
+        assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+        assert!(
+            frames.len() > 15,
+            "tokens come one by one: {}",
+            frames.len()
+        );
+        assert!(matches!(frames.last(), Some(Frame::End { .. })));
+    })
+    .unwrap();
+}
+
+struct Fault {
+    name: &'static str,
+    faults: fn(&mut EngineFaults),
+    stream: bool,
+    /// Whether the last frame may be this one.
+    ends: fn(&Frame) -> bool,
+}
+
+fn is_broken(frame: &Frame) -> bool {
+    matches!(frame, Frame::Broken { ran, .. } if *ran != Ran::No)
+}
+
+fn is_refused(frame: &Frame) -> bool {
+    matches!(frame, Frame::Refused(_))
+}
+
+const FAULTS: [Fault; 7] = [
+    Fault {
+        name: "other model, whole",
+        faults: |f| f.wrong_model = 1,
+        stream: false,
+        ends: is_broken,
+    },
+    Fault {
+        name: "other model, stream",
+        faults: |f| f.wrong_model = 1,
+        stream: true,
+        ends: is_broken,
+    },
+    Fault {
+        name: "cut, whole",
+        faults: |f| f.truncate = 1,
+        stream: false,
+        ends: is_broken,
+    },
+    Fault {
+        name: "cut, stream",
+        faults: |f| f.truncate = 1,
+        stream: true,
+        ends: is_broken,
+    },
+    Fault {
+        name: "dies",
+        faults: |f| f.die_after_tokens = Some(2),
+        stream: true,
+        ends: is_broken,
+    },
+    Fault {
+        name: "freezes",
+        faults: |f| f.freeze = true,
+        stream: true,
+        ends: is_broken,
+    },
+    Fault {
+        name: "refuses",
+        faults: |f| f.refuse = 1,
+        stream: false,
+        ends: is_refused,
+    },
+];
+
+#[test]
+fn a_wrong_or_broken_answer_is_never_whole() {
+    for fault in FAULTS {
+        run(async {
+            let bench = Bench::start();
+            let side = bench.model_side("vm-1");
+            bench.until_healthy("vm-1").await;
+            bench
+                .frames(&side, &bench.chat("warm", "a", 1, false))
+                .await;
+            let mut faults = EngineFaults::default();
+            (fault.faults)(&mut faults);
+            bench.engine.set_faults(faults);
+            let mut run = bench.chat("r", "a", 8, fault.stream);
+            run.head.left_ms = 2_000;
+            let frames = bench.frames(&side, &run).await;
+            assert!(
+                frames.last().is_some_and(fault.ends),
+                "{}: {frames:?}",
+                fault.name
+            );
+        })
+        .unwrap();
+    }
+}
+
+#[test]
+fn what_the_configuration_lacks_is_refused_as_not_run() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut pumicecleat_types::RunRequest),
+        reason: Reason,
+    }
+    let cases = [
+        Case {
+            name: "other stamp",
+            change: |r| {
+                if let pumicecleat_types::Target::Model(m) = &mut r.head.target {
+                    m.stamp ^= 1;
+                }
+            },
+            reason: Reason::StaleConfig,
+        },
+        Case {
+            name: "unknown version",
+            change: |r| {
+                if let pumicecleat_types::Target::Model(m) = &mut r.head.target {
+                    m.version = "v9".into();
+                }
+            },
+            reason: Reason::StaleConfig,
+        },
+        Case {
+            name: "other pool",
+            change: |r| r.head.pool = "booking".into(),
+            reason: Reason::WrongPool,
+        },
+        Case {
+            name: "no time",
+            change: |r| r.head.left_ms = 0,
+            reason: Reason::Deadline,
+        },
+    ];
+    run(async {
+        let bench = Bench::start();
+        let side = bench.model_side("vm-1");
+        bench.until_healthy("vm-1").await;
+        for case in cases {
+            let mut run = bench.chat("r", "a", 1, false);
+            (case.change)(&mut run);
+            let frames = bench.frames(&side, &run).await;
+            let [Frame::Refused(refusal)] = &frames[..] else {
+                panic!("{}: {frames:?}", case.name);
+            };
+            assert_eq!(refusal.reason, case.reason, "{}", case.name);
+        }
+        assert_eq!(
+            bench.effects(bench.engine.address).await["runs"],
+            serde_json::json!([])
+        );
+    })
+    .unwrap();
+}
+
+#[test]
+fn an_entry_that_leaves_ends_its_work_at_the_engine() {
+    run(async {
+        let bench = Bench::start();
+        let side = bench.model_side("vm-1");
+        bench.until_healthy("vm-1").await;
+        let mut reader = bench.send(&side, &bench.chat("r", "a", 10_000, true)).await;
+        for _ in 0..3 {
+            bench.next(&mut reader).await.unwrap();
+        }
+        drop(reader);
+        let aborted = async {
+            while bench.effects(bench.engine.address).await["counters"]["aborted"] != 1 {
+                bench.timer.sleep(Duration::from_millis(10)).await;
+            }
+        };
+        bench
+            .timer
+            .within(bench::SPAN, aborted)
+            .await
+            .expect("the engine goes on");
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_restarted_side_evicts_nothing_that_still_runs() {
+    run(async {
+        let bench = Bench::start();
+        let first = bench.model_side("vm-1");
+        bench.until_healthy("vm-1").await;
+        let mut reader = bench
+            .send(&first, &bench.chat("long", "a", 400, true))
+            .await;
+        for _ in 0..3 {
+            bench.next(&mut reader).await.unwrap();
+        }
+        // The first side's request goes on while a second one takes the engine over.
+        let second = bench.model_side("vm-2");
+        bench.until_healthy("vm-2").await;
+        for adapter in ["b", "c", "b", "c"] {
+            let frames = bench
+                .frames(&second, &bench.chat(adapter, adapter, 2, false))
+                .await;
+            assert!(
+                matches!(frames.last(), Some(Frame::End { .. })),
+                "{frames:?}"
+            );
+        }
+        let effects = bench.effects(bench.engine.address).await;
+        assert_eq!(effects["counters"]["evicted_in_use"], 0, "{effects}");
+    })
+    .unwrap();
+}
+
+#[test]
+fn an_engine_that_restarts_cold_is_noticed() {
+    run(async {
+        let bench = Bench::start();
+        let side = bench.model_side("vm-1");
+        bench.until_healthy("vm-1").await;
+        bench
+            .frames(&side, &bench.chat("warm", "a", 1, false))
+            .await;
+        bench.engine.set_faults(EngineFaults {
+            restart: true,
+            cold_ms: 300,
+            ..EngineFaults::default()
+        });
+        bench
+            .until(|seen| {
+                seen.reports["vm-1"]
+                    .resident
+                    .as_ref()
+                    .is_some_and(Vec::is_empty)
+            })
+            .await;
+        bench.until_healthy("vm-1").await;
+        let frames = bench
+            .frames(&side, &bench.chat("again", "a", 4, false))
+            .await;
+        assert_eq!(whole_text(&frames), expected("a", 4));
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_load_that_lies_or_fails_refuses_its_requests_as_not_run() {
+    for faults in [
+        EngineFaults {
+            fail_loads: 100,
+            ..EngineFaults::default()
+        },
+        EngineFaults {
+            lie_loads: 100,
+            ..EngineFaults::default()
+        },
+    ] {
+        run(async {
+            let bench = Bench::start();
+            let side = bench.model_side("vm-1");
+            bench.until_healthy("vm-1").await;
+            bench.engine.set_faults(faults);
+            let frames = bench.frames(&side, &bench.chat("r", "a", 1, false)).await;
+            assert!(matches!(&frames[..], [Frame::Refused(_)]), "{frames:?}");
+            assert_eq!(
+                bench.effects(bench.engine.address).await["runs"],
+                serde_json::json!([])
+            );
+        })
+        .unwrap();
+    }
+}
