--- a/crates/config/src/fold/mod.rs
+++ b/crates/config/src/fold/mod.rs
@@ -27,6 +27,7 @@
 
 use pumicecleat_types::{LogRecord, decode, encode};
 
+use crate::delta::{Delta, DeltaError};
 use crate::digest::Digest;
 use crate::model::Config;
 use crate::state::State;
@@ -89,6 +90,15 @@
         self.state.digest()
     }
 
+    /// Digest that the configuration in force would have after a delta, for the author of a
+    /// change; neither fit nor result are checked.
+    ///
+    /// # Errors
+    /// [`DeltaError`] if the delta's keys are out of order.
+    pub fn digest_after(&self, delta: &Delta) -> Result<Digest, DeltaError> {
+        self.state.digest_after(delta)
+    }
+
     /// Offset of the record wanted next.
     #[must_use]
     pub fn next(&self) -> u64 {
--- a/crates/config/src/parse/declare.rs
+++ b/crates/config/src/parse/declare.rs
@@ -1,10 +1,14 @@
 //! What each kind of table declares.
 
+use std::collections::BTreeMap;
+
 use pumicecleat_types::VersionId;
 use toml::de::DeTable;
 
-use super::fields::{Fields, Notes, Value, entries};
+use super::fields::Fields;
+use super::notes::Notes;
 use super::source::Text;
+use super::value::{Value, entries};
 use crate::fault::Problem;
 use crate::model::{
     Adapter, Base, Caller, Config, Grant, KeyRule, Limits, Pool, PoolKind, Route, Service, Tuning,
@@ -102,7 +106,7 @@
     let mut adapter = Adapter {
         base: fields.string("base").into(),
         default: fields.optional("default").map(VersionId::from),
-        versions: std::collections::BTreeMap::new(),
+        versions: BTreeMap::new(),
     };
     for (name, path, value) in fields.tables("version") {
         if let Some(version) = scan_version(fields.notes(), path, value) {
--- a/crates/config/src/parse/fields.rs
+++ b/crates/config/src/parse/fields.rs
@@ -1,130 +1,13 @@
 //! Fields of a table: typed reads that note places, and report what is missing, wrong or unknown.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
+use super::notes::Notes;
 use super::source::Text;
-use crate::fault::{Fault, Place, Problem};
-
-/// Places of fields and faults met so far.
-#[derive(Default)]
-pub(super) struct Notes {
-    places: BTreeMap<String, Place>,
-    faulty: BTreeSet<String>,
-    pub(super) faults: Vec<Fault>,
-}
-
-impl Notes {
-    /// Place of a field, or of the table nearest above it.
-    pub(super) fn place(&self, field: &str) -> Option<Place> {
-        let mut path = field;
-        loop {
-            if let Some(place) = self.places.get(path) {
-                return Some(place.clone());
-            }
-            path = &path[..path.rfind(['.', '['])?];
-        }
-    }
-
-    /// Whether a fault found by the checks only follows from one known already.
-    pub(super) fn explain(&self, fault: &Fault) -> bool {
-        let field = fault.field.as_str();
-        let below = |path: &String| path.starts_with(field);
-        let next = self.faulty.range(field.to_owned()..).next();
-        match fault.problem {
-            Problem::Empty => next.is_some_and(below),
-            _ => self.faulty.contains(field),
-        }
-    }
-
-    /// Notes a field's place, or that it had one.
-    pub(super) fn declare(&mut self, path: &str, place: Place) {
-        let Some(first) = self.places.get(path).cloned() else {
-            self.places.insert(path.to_owned(), place);
-            return;
-        };
-        self.fault(path, place, Problem::Twice { first });
-    }
-
-    pub(super) fn fault(&mut self, path: &str, place: Place, problem: Problem) {
-        self.faulty.insert(path.to_owned());
-        self.faults.push(Fault {
-            place: Some(place),
-            field: path.to_owned(),
-            problem,
-        });
-    }
-}
-
-/// A value at its path.
-#[derive(Clone, Copy)]
-pub(super) struct Value<'t> {
-    text: &'t Text<'t>,
-    inner: &'t Spanned<DeValue<'t>>,
-}
-
-impl<'t> Value<'t> {
-    pub(super) fn new(text: &'t Text<'t>, inner: &'t Spanned<DeValue<'t>>) -> Self {
-        Self { text, inner }
-    }
-
-    fn place(self) -> Place {
-        self.text.place(self.inner.span().start)
-    }
-
-    /// What `read` makes of it; else a fault naming the type wanted.
-    fn typed<T>(
-        self,
-        notes: &mut Notes,
-        path: &str,
-        expected: &'static str,
-        read: impl FnOnce(&'t DeValue<'t>) -> Option<T>,
-    ) -> Option<T> {
-        let value = self.inner.get_ref();
-        let result = read(value);
-        if result.is_none() {
-            let found = value.type_str();
-            notes.fault(path, self.place(), Problem::Type { expected, found });
-        }
-        result
-    }
-
-    /// Table.
-    pub(super) fn table(self, notes: &mut Notes, path: &str) -> Option<&'t DeTable<'t>> {
-        self.typed(notes, path, "table", DeValue::as_table)
-    }
-
-    fn string(self, notes: &mut Notes, path: &str) -> Option<&'t str> {
-        self.typed(notes, path, "string", DeValue::as_str)
-    }
-
-    fn number(self, notes: &mut Notes, path: &str, most: u64) -> Option<u64> {
-        let integer = self.typed(notes, path, "integer", DeValue::as_integer)?;
-        let value = u64::from_str_radix(integer.as_str(), integer.radix()).ok();
-        let fits = value.filter(|v| *v <= most);
-        if fits.is_none() {
-            let found = integer.as_str().to_owned();
-            let problem = Problem::Range {
-                found,
-                least: 0,
-                most,
-            };
-            notes.fault(path, self.place(), problem);
-        }
-        fits
-    }
-
-    /// Values of an array with their paths.
-    fn list(self, notes: &mut Notes, path: &str) -> Vec<(String, Value<'t>)> {
-        let array = self.typed(notes, path, "array", DeValue::as_array);
-        let values = array.into_iter().flat_map(|a| a.iter()).enumerate();
-        values
-            .map(|(i, inner)| (format!("{path}[{i}]"), Self::new(self.text, inner)))
-            .collect()
-    }
-}
+use super::value::{Value, entries};
+use crate::fault::{Place, Problem};
 
 /// Table being read.
 pub(super) struct Fields<'n, 't> {
@@ -296,23 +179,3 @@
         }
     }
 }
-
-/// Entries of a table, with path and value; a name declared before is a fault and left out.
-pub(super) fn entries<'t>(
-    notes: &mut Notes,
-    text: &'t Text<'t>,
-    path: &str,
-    value: Value<'t>,
-) -> Vec<(&'t str, String, Value<'t>)> {
-    let mut entries = Vec::new();
-    for (key, inner) in value.table(notes, path).into_iter().flatten() {
-        let name: &str = key.get_ref();
-        let path = format!("{path}.{name}");
-        let known = notes.places.contains_key(&path);
-        notes.declare(&path, text.place(key.span().start));
-        if !known {
-            entries.push((name, path, Value::new(text, inner)));
-        }
-    }
-    entries
-}
--- a/crates/config/src/parse/mod.rs
+++ b/crates/config/src/parse/mod.rs
@@ -7,7 +7,9 @@
 
 mod declare;
 mod fields;
+mod notes;
 mod source;
+mod value;
 
 use crate::check::check;
 use crate::fault::{Fault, Faults};
--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -62,6 +62,20 @@
         self.sum.digest()
     }
 
+    /// Digest after a delta, at the price of the delta.
+    pub(crate) fn digest_after(&self, delta: &Delta) -> Result<Digest, DeltaError> {
+        let mut sum = self.sum;
+        for step in delta.steps()? {
+            if let Some(old) = self.config.item(&step.key()) {
+                sum.sub(&old);
+            }
+            if let Some(new) = step.item() {
+                sum.add(new);
+            }
+        }
+        Ok(sum.digest())
+    }
+
     /// Takes a delta in if its result is free of faults and has the digest; else all stays.
     /// Gives the keys it touched.
     pub(crate) fn advance(&mut self, delta: &Delta, digest: Digest) -> Result<Vec<Key>, Denial> {
--- /dev/null
+++ b/crates/config/tests/bytes.rs
@@ -0,0 +1,116 @@
+//! Arbitrary bytes: neither the parser nor the decoding of records panics.
+
+use proptest::prelude::*;
+use proptest::sample::Index;
+use pumicecleat_config::{Fold, FoldEvent, Source, parse};
+use pumicecleat_types::LogRecord;
+
+const FILES: &[&[u8]] = &[
+    include_bytes!("cases/good/csillagkapu/models.toml"),
+    include_bytes!("cases/good/csillagkapu/booking.toml"),
+    include_bytes!("cases/good/vithu-koottam/seeds.toml"),
+    include_bytes!("cases/bad/types/a.toml"),
+];
+
+/// Change of a byte string at a place.
+#[derive(Clone, Debug)]
+enum Mutation {
+    Set(u8),
+    Insert(Vec<u8>),
+    Cut(u8),
+    Double(u8),
+}
+
+fn mutation() -> impl Strategy<Value = (Index, Mutation)> {
+    let words = prop::sample::select(vec!["[", "]]", "=", "\"", "'''", "\n", ".", "{", "\u{e9}"]);
+    let kind = prop_oneof![
+        any::<u8>().prop_map(Mutation::Set),
+        words.prop_map(|w| Mutation::Insert(w.as_bytes().to_vec())),
+        any::<u8>().prop_map(Mutation::Cut),
+        any::<u8>().prop_map(Mutation::Double),
+    ];
+    (any::<Index>(), kind)
+}
+
+fn mutate(bytes: &mut Vec<u8>, at: Index, mutation: &Mutation) {
+    let at = at.index(bytes.len() + 1);
+    let end = |len: u8| bytes.len().min(at + usize::from(len));
+    match mutation {
+        Mutation::Set(byte) => bytes.iter_mut().skip(at).take(1).for_each(|b| *b = *byte),
+        Mutation::Insert(word) => drop(bytes.splice(at..at, word.iter().copied())),
+        Mutation::Cut(len) => drop(bytes.drain(at..end(*len))),
+        Mutation::Double(len) => {
+            let part = bytes[at..end(*len)].to_vec();
+            bytes.splice(at..at, part);
+        }
+    }
+}
+
+fn try_parse(bytes: &[u8]) {
+    let name = "a.toml";
+    let source = Source { name, bytes };
+    if let Err(faults) = parse(&[source]) {
+        assert!(!faults.0.is_empty());
+        let lines = bytes.split(|b| *b == b'\n').count();
+        let mut places = faults.0.iter().filter_map(|f| f.place.as_ref());
+        assert!(places.all(|p| (1..=lines).contains(&p.line)));
+    }
+}
+
+fn try_apply(data: Vec<u8>) {
+    let (offset, at) = (0, 0);
+    let mut fold = Fold::new();
+    let event = fold.apply(&LogRecord { offset, at, data }).unwrap();
+    if matches!(event, FoldEvent::Garbage { .. }) {
+        assert_eq!(fold.revision(), 0);
+    }
+    assert_eq!(fold.next(), 1);
+}
+
+fn record() -> Vec<u8> {
+    use pumicecleat_config::{Change, ChangeId, Record};
+    let sources = FILES[..2].iter().map(|bytes| Source { name: "a", bytes });
+    let config = parse(&sources.collect::<Vec<_>>()).unwrap();
+    let id = ChangeId::try_from("x".to_owned()).unwrap();
+    let change = Change::new(id, 0, Fold::new().config(), &config, "test");
+    Record::Change(Box::new(change)).to_bytes()
+}
+
+proptest! {
+    #[test]
+    fn parse_takes_any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        try_parse(&bytes);
+    }
+
+    #[test]
+    fn parse_takes_any_text(text in "[a-z.=\\[\\]{}\"'0-9 \n-]{0,200}") {
+        try_parse(text.as_bytes());
+    }
+
+    #[test]
+    fn parse_takes_mutations(
+        file in any::<Index>(),
+        mutations in prop::collection::vec(mutation(), 1..6),
+    ) {
+        let mut bytes = file.get(FILES).to_vec();
+        for (at, mutation) in &mutations {
+            mutate(&mut bytes, *at, mutation);
+        }
+        try_parse(&bytes);
+    }
+
+    #[test]
+    fn fold_takes_any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = Fold::from_snapshot(&bytes);
+        try_apply(bytes);
+    }
+
+    #[test]
+    fn fold_takes_mutations(mutations in prop::collection::vec(mutation(), 1..4)) {
+        let mut bytes = record();
+        for (at, mutation) in &mutations {
+            mutate(&mut bytes, *at, mutation);
+        }
+        try_apply(bytes);
+    }
+}
--- /dev/null
+++ b/crates/config/tests/tables.rs
@@ -0,0 +1,337 @@
+//! Tables of cases: routes, grants, keys, stamps, differences, snapshots.
+
+use std::collections::BTreeSet;
+
+use pumicecleat_config::model::{Config, Limits};
+use pumicecleat_config::{
+    Change, ChangeId, Delta, DueReason, Fold, FoldEvent, KeyIndex, Objection, Record, Snapshot,
+    Source, WINDOW, diff, digest, parse,
+};
+use pumicecleat_types::{LogRecord, Lora, VmId, encode};
+
+const MODELS: &[u8] = include_bytes!("cases/good/csillagkapu/models.toml");
+const CALLERS: &[u8] = include_bytes!("cases/good/csillagkapu/callers.toml");
+const BOOKING: &[u8] = include_bytes!("cases/good/csillagkapu/booking.toml");
+
+fn sample() -> Config {
+    let source = |name, bytes| Source { name, bytes };
+    parse(&[
+        source("models.toml", MODELS),
+        source("callers.toml", CALLERS),
+        source("booking.toml", BOOKING),
+    ])
+    .unwrap()
+}
+
+struct RouteCase {
+    method: &'static str,
+    path: &'static str,
+    /// Prefix of the route, and whether it is idempotent.
+    want: Option<(&'static str, bool)>,
+}
+
+#[rustfmt::skip]
+const ROUTES: &[RouteCase] = &[
+    RouteCase { method: "GET", path: "/booking", want: Some(("/booking", true)) },
+    RouteCase { method: "GET", path: "/booking/", want: Some(("/booking", true)) },
+    RouteCase { method: "GET", path: "/booking?x=//", want: Some(("/booking", true)) },
+    RouteCase { method: "GET", path: "/booking/holds/7", want: Some(("/booking", true)) },
+    RouteCase { method: "POST", path: "/booking/holds/7", want: Some(("/booking/holds", false)) },
+    RouteCase { method: "POST", path: "/booking/holdsx", want: None },
+    RouteCase { method: "GET", path: "/bookings", want: None },
+    RouteCase { method: "DELETE", path: "/booking/holds", want: None },
+    RouteCase { method: "get", path: "/booking", want: None },
+    RouteCase { method: "GET", path: "/booking/../admin", want: None },
+    RouteCase { method: "GET", path: "/booking/%2E%2e/admin", want: None },
+    RouteCase { method: "GET", path: "/booking//holds", want: None },
+    RouteCase { method: "GET", path: "/booking\\holds", want: None },
+    RouteCase { method: "GET", path: "", want: None },
+    RouteCase { method: "GET", path: "booking", want: None },
+];
+
+#[test]
+fn routes() {
+    let config = sample();
+    for case in ROUTES {
+        let route = config.services["booking"].route(case.method, case.path);
+        let found = route.map(|r| (r.prefix.as_str(), r.idempotent));
+        assert_eq!(found, case.want, "{} {}", case.method, case.path);
+    }
+}
+
+struct GrantCase {
+    caller: &'static str,
+    adapter: &'static str,
+    service: &'static str,
+    want: (bool, bool),
+}
+
+#[rustfmt::skip]
+const GRANTS: &[GrantCase] = &[
+    GrantCase { caller: "booking-app", adapter: "itinerary", service: "booking", want: (true, true) },
+    GrantCase { caller: "booking-app", adapter: "sky-brief", service: "other", want: (true, false) },
+    GrantCase { caller: "booking-app", adapter: "school-mail", service: "", want: (false, false) },
+    GrantCase { caller: "booking-app", adapter: "itinerary-2", service: "", want: (false, false) },
+    GrantCase { caller: "front-desk", adapter: "school-mail", service: "booking", want: (true, false) },
+];
+
+#[test]
+fn grants() {
+    let config = sample();
+    for case in GRANTS {
+        let caller = &config.callers[case.caller];
+        let adapter = caller.may_adapter(&case.adapter.into());
+        let service = caller.may_service(&case.service.into());
+        assert_eq!((adapter, service), case.want, "{}", case.caller);
+    }
+}
+
+struct KeyCase {
+    bearer: &'static str,
+    want: Option<&'static str>,
+}
+
+#[rustfmt::skip]
+const KEYS: &[KeyCase] = &[
+    KeyCase { bearer: "csillagkapu app key", want: Some("booking-app") },
+    KeyCase { bearer: "front desk key", want: Some("front-desk") },
+    KeyCase { bearer: "front desk key ", want: None },
+    KeyCase { bearer: "", want: None },
+];
+
+#[test]
+fn keys() {
+    let config = sample();
+    let mut index = KeyIndex::new(&config);
+    for case in KEYS {
+        let want = case.want.map(Into::into);
+        assert_eq!(config.caller_by_key(case.bearer), want.as_ref());
+        assert_eq!(index.caller(case.bearer), want.as_ref());
+    }
+    for (id, caller) in &config.callers {
+        index.remove(id, caller);
+    }
+    assert!(KEYS.iter().all(|case| index.caller(case.bearer).is_none()));
+}
+
+struct EditCase {
+    name: &'static str,
+    edit: fn(&mut Config),
+    /// Lines of the difference, by their start.
+    lines: &'static [&'static str],
+    /// The stamp of itinerary v7 stays.
+    same_stamp: bool,
+}
+
+#[rustfmt::skip]
+const EDITS: &[EditCase] = &[
+    EditCase { name: "nothing", edit: |_| {}, lines: &[], same_stamp: true },
+    EditCase {
+        name: "path",
+        edit: |c| change_path(c, "elsewhere"),
+        lines: &["~ adapter.itinerary.version.v7 {\"path\":\"csillagkapu/itinerary/v7\"} -> {\"path\":\"elsewhere\"}"],
+        same_stamp: false,
+    },
+    EditCase {
+        name: "version",
+        edit: |c| drop(c.adapters.get_mut("itinerary").unwrap().versions.remove("v6")),
+        lines: &["- adapter.itinerary.version.v6"],
+        same_stamp: true,
+    },
+    EditCase {
+        name: "adapter",
+        edit: |c| drop(c.adapters.remove("itinerary")),
+        lines: &["- adapter.itinerary", "- adapter.itinerary.version.v6", "- adapter.itinerary.version.v7"],
+        same_stamp: false,
+    },
+    EditCase {
+        name: "limits and base",
+        edit: |c| { c.limits.body = 5; c.bases.insert("new".into(), c.bases["hu-assistant-8b"].clone()); },
+        lines: &["+ base.new {\"context\":8192}", "~ limits "],
+        same_stamp: true,
+    },
+];
+
+fn change_path(config: &mut Config, path: &str) {
+    let adapter = config.adapters.get_mut("itinerary").unwrap();
+    path.clone_into(&mut adapter.versions.get_mut("v7").unwrap().path);
+}
+
+#[test]
+fn edits() {
+    let a = sample();
+    let lora = Lora::new("hu-assistant-8b", "itinerary", "v7");
+    for case in EDITS {
+        let mut b = a.clone();
+        (case.edit)(&mut b);
+        let found: Vec<_> = diff(&a, &b).iter().map(ToString::to_string).collect();
+        assert_eq!(found.len(), case.lines.len(), "{}", case.name);
+        let mut pairs = found.iter().zip(case.lines);
+        assert!(pairs.all(|(f, l)| f.starts_with(l)), "{found:?}");
+        assert_eq!(Delta::between(&a, &b).apply(&a).as_ref(), Ok(&b));
+        assert_eq!(Delta::between(&b, &a).apply(&b).as_ref(), Ok(&a));
+        assert_eq!(digest(&a) == digest(&b), a == b);
+        assert_eq!(a.stamp(&lora) == b.stamp(&lora), case.same_stamp);
+    }
+    assert!(a.stamp(&Lora::new("other", "itinerary", "v7")).is_none());
+}
+
+fn record(fold: &Fold, at: u64, record: &Record) -> LogRecord {
+    let offset = fold.next();
+    let data = record.to_bytes();
+    LogRecord { offset, at, data }
+}
+
+fn change(fold: &Fold, at: u64, base: u64, to: &Config) -> LogRecord {
+    let id = ChangeId::try_from(format!("change-{}", fold.next())).unwrap();
+    let change = Change::new(id, base, fold.config(), to, "test");
+    record(fold, at, &Record::Change(Box::new(change)))
+}
+
+fn snapshot(fold: &Fold, at: u64, snapshot: Snapshot) -> LogRecord {
+    record(fold, at, &Record::Snapshot(Box::new(snapshot)))
+}
+
+struct SnapshotCase {
+    edit: fn(&mut Snapshot),
+    want: fn(&FoldEvent) -> bool,
+}
+
+/// Snapshots that hold together but for others than the readers that know better.
+#[rustfmt::skip]
+const SNAPSHOTS: &[SnapshotCase] = &[
+    SnapshotCase { edit: |_| {}, want: |e| *e == FoldEvent::Confirmed },
+    SnapshotCase {
+        edit: |s| { s.config.limits.body = 9; s.digest = digest(&s.config); },
+        want: |e| matches!(e, FoldEvent::Ignored(Objection::Mismatch { .. })),
+    },
+    SnapshotCase {
+        edit: |s| s.window.clear(),
+        want: |e| matches!(e, FoldEvent::Ignored(Objection::Mismatch { .. })),
+    },
+    SnapshotCase {
+        edit: |s| s.config.limits.body = 9,
+        want: |e| matches!(e, FoldEvent::Ignored(Objection::Body)),
+    },
+    SnapshotCase {
+        edit: |s| s.revision = s.next + 1,
+        want: |e| matches!(e, FoldEvent::Ignored(Objection::Numbers)),
+    },
+    SnapshotCase {
+        edit: |s| { s.next = 0; s.revision = 0; s.window.clear(); },
+        want: |e| matches!(e, FoldEvent::Ignored(Objection::Forgotten { .. })),
+    },
+];
+
+#[test]
+fn snapshots() {
+    let mut origin = Fold::new();
+    for at in 0..3 {
+        let to = Config {
+            limits: Limits {
+                body: 100 + at,
+                ..Limits::default()
+            },
+            ..sample()
+        };
+        let record = change(&origin, at, origin.revision(), &to);
+        origin.apply(&record).unwrap();
+    }
+    let fold = Fold::from_snapshot(&origin.snapshot_bytes()).unwrap();
+    for (i, case) in SNAPSHOTS.iter().enumerate() {
+        let mut fold = fold.clone();
+        let before = fold.digest();
+        let mut state = fold.snapshot();
+        (case.edit)(&mut state);
+        let event = fold.apply(&snapshot(&fold, 9, state)).unwrap();
+        assert!((case.want)(&event), "case {i}: {event:?}");
+        assert_eq!(fold.digest(), before);
+    }
+    let mut peer = origin.snapshot();
+    peer.config.limits.body = 9;
+    assert!(Fold::from_snapshot(&encode(&peer)).is_err());
+    assert_eq!(
+        origin.clone().adopt(&encode(&Fold::new().snapshot())).ok(),
+        Some(false)
+    );
+}
+
+/// Readers agree also on verdicts that have left the window.
+#[test]
+fn window_is_bounded() {
+    let mut fold = Fold::new();
+    let first = change(&fold, 0, 0, &sample());
+    fold.apply(&first).unwrap();
+    let mut late = None;
+    for i in 0..WINDOW as u64 + 50 {
+        if i == 40 {
+            late = Some(Fold::from_snapshot(&fold.snapshot_bytes()).unwrap());
+        }
+        let refused = change(&fold, i, 0, &Config::default());
+        fold.apply(&refused).unwrap();
+        if let Some(late) = &mut late {
+            late.apply(&refused).unwrap();
+        }
+    }
+    let late = late.unwrap();
+    assert_eq!(late.snapshot().window, fold.snapshot().window);
+    assert_eq!(fold.snapshot().window.len(), WINDOW);
+    let id = ChangeId::try_from("change-0".to_owned()).unwrap();
+    assert_eq!(fold.verdict(&id), None);
+    // A repeat from before the window is stale, so it still can't take effect twice.
+    let again = LogRecord {
+        offset: fold.next(),
+        ..first
+    };
+    assert!(matches!(fold.apply(&again), Ok(FoldEvent::Refused { .. })));
+}
+
+const RETENTION: u64 = 400_000;
+
+struct DueCase {
+    /// Changes refused after the first, one a millisecond.
+    records: u64,
+    now: u64,
+    want: Option<(DueReason, u64)>,
+}
+
+#[rustfmt::skip]
+const DUE: &[DueCase] = &[
+    DueCase { records: 1, now: 99_999, want: None },
+    DueCase { records: 1, now: 100_000, want: Some((DueReason::Age, 100_000)) },
+    DueCase { records: 4_094, now: 5_000, want: None },
+    DueCase { records: 4_095, now: 5_000, want: Some((DueReason::Size, 4_095)) },
+    DueCase { records: 5_000, now: 5_000, want: Some((DueReason::Size, 4_095)) },
+];
+
+#[test]
+fn due() {
+    let entries: BTreeSet<VmId> = (0..340).map(|i| format!("entry-{i}").into()).collect();
+    assert_eq!(Fold::new().snapshot_due(u64::MAX, RETENTION), None);
+    for case in DUE {
+        let mut fold = Fold::new();
+        let first = change(&fold, 0, 0, &sample());
+        fold.apply(&first).unwrap();
+        for at in 1..=case.records {
+            let refused = change(&fold, at, 0, &Config::default());
+            fold.apply(&refused).unwrap();
+        }
+        let due = fold.snapshot_due(case.now, RETENTION);
+        assert_eq!(due.map(|d| (d.reason, d.since)), case.want);
+        let Some(due) = due else {
+            continue;
+        };
+        let turns: Vec<u64> = entries.iter().map(|e| due.turn(e, &entries)).collect();
+        assert_eq!(turns.iter().filter(|t| **t == due.since).count(), 1);
+        assert!(turns.iter().all(|t| *t <= due.since + RETENTION / 16));
+        let record = snapshot(&fold, case.now, fold.snapshot());
+        assert_eq!(fold.apply(&record), Ok(FoldEvent::Confirmed));
+        assert_eq!(fold.snapshot_due(case.now, RETENTION), None);
+        // A second entry's copy does no harm.
+        let copy = LogRecord {
+            offset: fold.next(),
+            ..record
+        };
+        assert_eq!(fold.apply(&copy), Ok(FoldEvent::Confirmed));
+    }
+}
