Measure the decisions in virtual time

Cause: nothing told how the decisions fare against a simple policy, or against one that sees the future.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,1 +1,9 @@
 //! Measurements: the path, the policy, and the slopes behind docs/CAPACITY.md.
+//!
+//! Each measurement is a module and a subcommand; all print JSON lines.
+
+pub mod policy;
+
+mod args;
+
+pub use args::{Args, Command};
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,3 +1,8 @@
 //! Reads arguments and calls the library.
 
-fn main() {}
+use pumicecleat_measure::Args;
+
+fn main() {
+    let args: Args = argh::from_env();
+    args.command.run();
+}
--- /dev/null
+++ b/crates/measure/src/policy/rules/ours.rs
@@ -0,0 +1,110 @@
+//! The product's decisions behind the replay's interfaces.
+
+use pumicecleat_policy::{
+    Action, Ask, Choice, GiveUp, Job, JobId, LoadEnd, LoraIx, Outcome, PoolIx, Router,
+    RouterOptions, Scheduler, UpstreamFigures, UpstreamIx,
+};
+use pumicecleat_types::{LoadTurn, Millis, Reason};
+
+use super::{Choose, Question, Side, View};
+use crate::policy::shape::{LOAD, Shape};
+
+const POOL: PoolIx = PoolIx(0);
+
+impl Side for Scheduler {
+    fn submit(&mut self, job: Job, now: Millis) -> Result<(), GiveUp> {
+        self.submit(job, now)
+    }
+
+    fn poll(&mut self, now: Millis) -> Vec<Action> {
+        self.poll(now)
+    }
+
+    fn next_wake(&self, now: Millis) -> Option<Millis> {
+        self.next_wake(now)
+    }
+
+    fn finished(&mut self, id: JobId, whole: bool, now: Millis) {
+        self.finished(id, whole, now);
+    }
+
+    fn cancel(&mut self, id: JobId) {
+        self.cancel(id);
+    }
+
+    fn turn(&mut self, turn: LoadTurn, now: Millis) {
+        self.turn(turn, now);
+    }
+
+    fn no_turn(&mut self, roll: u64, now: Millis) {
+        self.no_turn(roll, now);
+    }
+
+    fn loaded(&mut self, lora: LoraIx, end: LoadEnd, now: Millis) {
+        self.loaded(lora, end, now);
+    }
+
+    fn unloaded(&mut self, lora: LoraIx, now: Millis) {
+        self.unloaded(lora, true, now);
+    }
+
+    fn close(&mut self, reason: Reason) {
+        self.close(reason);
+    }
+
+    fn reopen(&mut self, now: Millis) {
+        self.reset(&[], &[], now);
+        self.reopen();
+    }
+
+    fn view(&self) -> View {
+        View {
+            load: self.figures(),
+            resident: self.resident(),
+            loading: self.loading(),
+        }
+    }
+}
+
+/// The router.
+pub(super) struct Routed(Router);
+
+impl Routed {
+    pub(super) fn new(_shape: &Shape, entry: u32) -> Self {
+        let options = RouterOptions {
+            seed: u64::from(entry),
+            load: LOAD,
+            ..RouterOptions::default()
+        };
+        Self(Router::new_ext(options))
+    }
+}
+
+impl Choose for Routed {
+    fn report(&mut self, up: UpstreamIx, state: &UpstreamFigures, view: &View, now: Millis) {
+        let resident = Some(view.resident.as_slice());
+        self.0.report(up, POOL, state, resident, view.loading, now);
+    }
+
+    fn choose(&mut self, question: &Question<'_>, now: Millis) -> Result<UpstreamIx, Millis> {
+        let ask = Ask {
+            pool: POOL,
+            lora: Some(question.lora),
+            prefix: None,
+            left: question.left,
+            tried: question.tried,
+        };
+        match self.0.choose(&ask, now) {
+            Choice::Send(pick) => Ok(pick.up),
+            Choice::Refuse { retry } => Err(retry),
+        }
+    }
+
+    fn sent(&mut self, up: UpstreamIx, lora: LoraIx, now: Millis) {
+        self.0.sent(up, Some(lora), now);
+    }
+
+    fn ended(&mut self, up: UpstreamIx, lora: LoraIx, outcome: Outcome, now: Millis) {
+        self.0.ended(up, Some(lora), outcome, now);
+    }
+}
