Compare a shift with the same trace without it

Conclusion: the steady figure is now the same span of the same trace without the shift, and the quotient is taken over all seeds.

--- a/crates/measure/src/policy/args.rs
+++ b/crates/measure/src/policy/args.rs
@@ -67,10 +67,11 @@
         }
     }
 
-    /// The same trace without its flood.
+    /// The same trace without its flood or shift.
     pub(super) fn calm(&self, seed: u64) -> Load {
         Load {
             flood: false,
+            shift: false,
             ..self.load(seed)
         }
     }
--- a/crates/measure/src/policy/mod.rs
+++ b/crates/measure/src/policy/mod.rs
@@ -22,6 +22,7 @@
 pub use fault::Fault;
 pub use preset::Preset;
 
+use replay::Tally;
 use report::Line;
 use rules::Rules;
 use shape::Shape;
@@ -47,18 +48,21 @@
 
 fn replay_seed(shape: &Shape, args: &PolicyArgs, seed: u64) -> Vec<Line> {
     let trace = Trace::draw(shape, &args.load(seed));
-    let calm = args.flood.then(|| Trace::draw(shape, &args.calm(seed)));
-    let mut lines = Vec::new();
-    for rules in Rules::ALL {
-        let tally = replay::replay(shape, &trace, *rules, args.fault, seed);
-        let mut line = Line::new(shape, &trace, rules.name(), args, seed, &tally);
+    let disturbed = args.flood || args.shift;
+    let calm = disturbed.then(|| Trace::draw(shape, &args.calm(seed)));
+    let measure = |name: &'static str, run: &dyn Fn(&Trace) -> Tally| {
+        let tally = run(&trace);
+        let mut line = Line::new(shape, &trace, name, args, seed, &tally);
         if let Some(calm) = &calm {
-            let before = replay::replay(shape, calm, *rules, args.fault, seed);
-            line.share = Some(shares::worst(shape, (&trace, &tally), (calm, &before)));
+            line.compare(shape, (&trace, &tally), (calm, &run(calm)));
         }
-        lines.push(line);
-    }
-    let tally = bound::estimate(shape, &trace);
-    lines.push(Line::new(shape, &trace, "bound", args, seed, &tally));
+        line
+    };
+    let replayed = |rules: &Rules| {
+        let run = |trace: &Trace| replay::replay(shape, trace, *rules, args.fault, seed);
+        measure(rules.name(), &run)
+    };
+    let mut lines: Vec<Line> = Rules::ALL.iter().map(replayed).collect();
+    lines.push(measure("bound", &|trace| bound::estimate(shape, trace)));
     lines
 }
--- a/crates/measure/src/policy/report.rs
+++ b/crates/measure/src/policy/report.rs
@@ -6,7 +6,7 @@
 use super::PolicyArgs;
 use super::replay::Tally;
 use super::shape::Shape;
-use super::shares::ShareError;
+use super::shares::{self, ShareError};
 use super::trace::Trace;
 
 /// Span after a shift within which stalls are to be back.
@@ -38,13 +38,11 @@
     pub(super) kept: u64,
     pub(super) loads: u64,
     pub(super) evictions: u64,
-    /// Stall of a request before the middle, and from a minute after it on, seconds.
-    pub(super) before: f64,
-    pub(super) after: f64,
-    #[serde(skip)]
+    /// Mean stall in the second minute after the middle, seconds: with the shift, and without.
+    pub(super) settled_s: f64,
+    pub(super) steady_s: f64,
+    /// Part of the tokens in time that callers under their claim lose to a flood.
     pub(super) share: Option<ShareError>,
-    pub(super) share_worst: Option<f64>,
-    pub(super) share_all: Option<f64>,
 }
 
 impl Line {
@@ -59,8 +57,7 @@
         let mut stalls = tally.stalls.clone();
         stalls.sort_unstable();
         let met = tally.met.iter().filter(|m| **m).count();
-        let steady = (Millis(trace.end.0 / 6), trace.middle);
-        let settled = (trace.middle + SETTLE, trace.end);
+        let settled = second_minute(trace, tally);
         Self {
             preset: shape.name,
             policy,
@@ -80,20 +77,28 @@
             kept: tally.kept,
             loads: tally.loads,
             evictions: tally.evictions,
-            before: mean_stall(trace, tally, steady),
-            after: mean_stall(trace, tally, settled),
+            settled_s: settled,
+            steady_s: settled,
             share: None,
-            share_worst: None,
-            share_all: None,
+        }
+    }
+
+    /// Takes in the run of the same trace without its flood or shift.
+    pub(super) fn compare(
+        &mut self,
+        shape: &Shape,
+        disturbed: (&Trace, &Tally),
+        calm: (&Trace, &Tally),
+    ) {
+        self.steady_s = second_minute(calm.0, calm.1);
+        if disturbed.0.load.flood {
+            self.share = Some(shares::error(shape, disturbed, calm));
         }
     }
 
     /// The line as JSON.
     pub(super) fn json(&self) -> String {
-        let mut line = self.clone();
-        line.share_worst = self.share.map(|s| s.worst);
-        line.share_all = self.share.map(|s| s.all);
-        serde_json::to_string(&line).unwrap_or_default()
+        serde_json::to_string(self).unwrap_or_default()
     }
 }
 
@@ -102,6 +107,12 @@
     sorted.get(at).map_or(0.0, |s| s.as_secs())
 }
 
+/// Mean stall in the second minute after the middle, when a shift is to be over.
+fn second_minute(trace: &Trace, tally: &Tally) -> f64 {
+    let begin = trace.middle + SETTLE;
+    mean_stall(trace, tally, (begin, begin + SETTLE))
+}
+
 /// Mean stall of the requests that came in a span, seconds.
 fn mean_stall(trace: &Trace, tally: &Tally, (begin, end): (Millis, Millis)) -> f64 {
     let asks = trace.asks.iter().zip(&tally.stalls);
--- a/crates/measure/src/policy/shares.rs
+++ b/crates/measure/src/policy/shares.rs
@@ -5,13 +5,14 @@
 //! counts.
 
 use pumicecleat_policy::CallerIx;
+use serde::Serialize;
 
 use super::replay::Tally;
 use super::shape::Shape;
 use super::trace::{FLOODER, Trace};
 
 /// Errors of the callers that do not flood.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub(super) struct ShareError {
     /// Of the worst of them.
     pub(super) worst: f64,
@@ -20,7 +21,7 @@
 }
 
 /// Share error of a run with its flood against the run without.
-pub(super) fn worst(shape: &Shape, flood: (&Trace, &Tally), calm: (&Trace, &Tally)) -> ShareError {
+pub(super) fn error(shape: &Shape, flood: (&Trace, &Tally), calm: (&Trace, &Tally)) -> ShareError {
     let under = (0..shape.callers).map(CallerIx).filter(|c| *c != FLOODER);
     let pairs: Vec<_> = under
         .map(|c| (in_time(flood, c), in_time(calm, c)))
--- a/crates/measure/src/policy/summary.rs
+++ b/crates/measure/src/policy/summary.rs
@@ -31,8 +31,8 @@
     evictions: Spread,
     /// Part of returned callers that were answered in time.
     kept: Spread,
-    /// Mean stall from a minute after the middle over the one before it.
-    settled: Spread,
+    /// Stall in the second minute after the middle over that without the shift, all seeds together.
+    settled: f64,
     share_worst: Spread,
     share_all: Spread,
 }
@@ -78,6 +78,7 @@
 
 fn summarise(name: &'static str, lines: &[Line]) -> PolicySummary {
     let over = |f: &dyn Fn(&Line) -> f64| spread(lines.iter().map(f));
+    let sum = |f: &dyn Fn(&Line) -> f64| lines.iter().map(f).sum::<f64>();
     PolicySummary {
         summary: name,
         preset: lines.first().map_or("", |l| l.preset),
@@ -92,7 +93,7 @@
         loads: over(&|l| count(l.loads)),
         evictions: over(&|l| count(l.evictions)),
         kept: over(&|l| quotient(count(l.kept), count(l.returned))),
-        settled: over(&|l| quotient(l.after, l.before)),
+        settled: quotient(sum(&|l| l.settled_s), sum(&|l| l.steady_s)),
         share_worst: over(&|l| l.share.map_or(0.0, |s| s.worst)),
         share_all: over(&|l| l.share.map_or(0.0, |s| s.all)),
     }
