Measure the router's cost, memory and homes; take figures that ride on answers

Cause: the choice must stay under 5 us at 7,800 upstreams and 24,000 adapters, and entries must agree on homes. An upstream that refuses as down moves behind its peers, where a report was needed before to get it back.

--- /dev/null
+++ b/crates/policy/benches/router/groups.rs
@@ -0,0 +1,36 @@
+//! The other way weighed: rendezvous hashing in two levels, by groups, and its plain form with one
+//! group.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Upstreams in groups by their keys.
+pub struct Groups {
+    groups: Vec<Vec<u64>>,
+}
+
+impl Groups {
+    /// Groups of `keys`, as many as `count`, fixed in advance at every entry.
+    pub fn new(keys: &[u64], count: usize) -> Self {
+        let mut groups = vec![Vec::new(); count];
+        for &key in keys {
+            let group = usize::try_from(key % count as u64).expect("fits");
+            groups[group].push(key);
+        }
+        Self { groups }
+    }
+
+    /// Homes of an adapter: the best upstream of each of its `count` best groups with any.
+    pub fn homes(&self, lora: u64, count: usize) -> Vec<u64> {
+        let rank = |n: u64| xxh3_64_with_seed(&lora.to_le_bytes(), n);
+        let used = (0..self.groups.len()).filter(|&g| !self.groups[g].is_empty());
+        let mut ranked: Vec<(u64, usize)> = used.map(|g| (rank(g as u64), g)).collect();
+        if ranked.len() > count {
+            ranked.select_nth_unstable_by(count, |a, b| b.cmp(a));
+            ranked.truncate(count);
+        }
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        let members = ranked.iter().map(|&(_, g)| &self.groups[g]);
+        let best = members.filter_map(|m| m.iter().copied().max_by_key(|&up| rank(up)));
+        best.collect()
+    }
+}
--- a/crates/policy/src/router/choose.rs
+++ b/crates/policy/src/router/choose.rs
@@ -4,7 +4,7 @@
 
 use super::ask::{Ask, Choice, Pick};
 use super::estimate::{load_us, queue_us};
-use super::pool::{Pool, Standing};
+use super::pool::Standing;
 use super::upstream::Hold;
 use super::{Router, draw::Draw};
 use crate::{LoraIx, UpstreamIx};
@@ -213,10 +213,3 @@
         scored.iter().find(alike).copied()
     }
 }
-
-impl Pool {
-    /// Upstreams that may get work.
-    pub(super) fn usable(&self) -> usize {
-        self.fresh.len() + self.behind.len()
-    }
-}
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! `ask` holds the question and the answer, `upstream` what is known of one upstream, `pool`, `ring`
 //! and `holders` where candidates come from, `estimate` the expected wait, `choose` the choice,
-//! `outcome` what attempts teach, `hints` cached prefixes, and `budget` the bound on retries.
+//! `place` keeps the pools' indices, `outcome` what attempts teach, `hints` cached prefixes, and `budget` the bound on retries.
 
 mod ask;
 mod budget;
@@ -20,6 +20,7 @@
 mod key;
 mod options;
 mod outcome;
+mod place;
 mod pool;
 mod ring;
 mod upstream;
@@ -35,7 +36,7 @@
 use draw::Draw;
 use hints::Hints;
 use key::index_key;
-use pool::{Pool, Standing};
+use pool::Pool;
 use upstream::Upstream;
 
 /// Choice of upstream for one entry.
@@ -96,7 +97,8 @@
         loading: Option<LoraIx>,
         now: Millis,
     ) {
-        let (lag, load) = (self.options.lag, self.load);
+        let lag = self.options.lag;
+        let late = lag + self.load + self.load;
         self.pool(pool);
         self.upstream(up);
         self.change(up, |u| {
@@ -109,7 +111,8 @@
                 u.set_resident(loras);
             }
             u.set_loading(loading, now);
-            u.settle(now, lag, load);
+            u.settle(now, lag);
+            u.settle_coming(now, late);
         });
     }
 
@@ -202,7 +205,8 @@
     fn pool(&mut self, pool: PoolIx) {
         let at = pool.0 as usize;
         if at >= self.pools.len() {
-            self.pools.resize_with(at + 1, Pool::default);
+            let points = self.options.points;
+            self.pools.resize_with(at + 1, || Pool::new(points));
         }
     }
 
@@ -212,76 +216,4 @@
             self.upstreams.push(Upstream::new(UpstreamIx(next)));
         }
     }
-
-    /// Changes a known upstream, and the pools' indices with it.
-    fn change(&mut self, up: UpstreamIx, edit: impl FnOnce(&mut Upstream)) {
-        let upstream = &mut self.upstreams[up.0 as usize];
-        let before = Place::of(upstream);
-        edit(upstream);
-        let after = Place::of(upstream);
-        if before.slot() != after.slot() {
-            self.withdraw(up, &before);
-            self.enter(up, &after);
-        } else if before.held != after.held {
-            self.rehold(up, &before, &after);
-        }
-    }
-
-    fn withdraw(&mut self, up: UpstreamIx, place: &Place) {
-        if place.standing == Standing::Out {
-            return;
-        }
-        let pool = &mut self.pools[place.pool.0 as usize];
-        pool.remove(up, place.key, place.standing);
-        for &lora in &place.held {
-            pool.holders.remove(lora, up);
-        }
-    }
-
-    fn enter(&mut self, up: UpstreamIx, place: &Place) {
-        if place.standing == Standing::Out {
-            return;
-        }
-        let pool = &mut self.pools[place.pool.0 as usize];
-        pool.insert(up, place.key, place.standing);
-        for &lora in &place.held {
-            pool.holders.insert(lora, up);
-        }
-    }
-
-    fn rehold(&mut self, up: UpstreamIx, before: &Place, after: &Place) {
-        if after.standing == Standing::Out {
-            return;
-        }
-        let pool = &mut self.pools[after.pool.0 as usize];
-        for &lora in before.held.iter().filter(|l| !after.held.contains(l)) {
-            pool.holders.remove(lora, up);
-        }
-        for &lora in after.held.iter().filter(|l| !before.held.contains(l)) {
-            pool.holders.insert(lora, up);
-        }
-    }
-}
-
-/// Where an upstream is indexed.
-struct Place {
-    standing: Standing,
-    pool: PoolIx,
-    key: u64,
-    held: Vec<LoraIx>,
-}
-
-impl Place {
-    fn of(upstream: &Upstream) -> Self {
-        Self {
-            standing: upstream.standing(),
-            pool: upstream.pool,
-            key: upstream.key,
-            held: upstream.held(),
-        }
-    }
-
-    fn slot(&self) -> (Standing, PoolIx, u64) {
-        (self.standing, self.pool, self.key)
-    }
 }
--- a/crates/policy/src/router/options.rs
+++ b/crates/policy/src/router/options.rs
@@ -9,8 +9,10 @@
     pub seed: u64,
     /// Holders of an adapter that one choice looks at.
     pub holders: usize,
-    /// Homes of an adapter that one choice looks at.
+    /// Homes of an adapter that one choice looks at; the same at every entry.
     pub homes: usize,
+    /// Points of each upstream on the hash ring; the same at every entry.
+    pub points: u64,
     /// Expected time to load an adapter, until [`Router::set_load`](super::Router::set_load).
     pub load: Millis,
     /// Time by which a new copy must beat the copies there are.
@@ -41,6 +43,7 @@
             seed: 0,
             holders: 4,
             homes: 4,
+            points: 8,
             load: Millis(500),
             spread: Millis(250),
             slack: Millis(100),
--- a/crates/policy/src/router/outcome.rs
+++ b/crates/policy/src/router/outcome.rs
@@ -22,23 +22,45 @@
         }
     }
 
+    /// Takes in load figures that came with an answer or a refusal.
+    pub fn heard(&mut self, up: UpstreamIx, load: LoadFigures, now: Millis) {
+        let lag = self.options.lag;
+        let Some(upstream) = self.upstreams.get_mut(up.0 as usize) else {
+            return;
+        };
+        upstream.load = load;
+        upstream.settle(now, lag);
+        self.alive(up, now);
+    }
+
     /// Learns from the end of an attempt at `up`.
     pub fn ended(&mut self, up: UpstreamIx, lora: Option<LoraIx>, outcome: Outcome, now: Millis) {
-        if self.upstreams.get(up.0 as usize).is_none() {
+        let Some(upstream) = self.upstreams.get_mut(up.0 as usize) else {
             return;
-        }
-        self.upstreams[up.0 as usize].note_end();
+        };
+        upstream.note_end();
         match outcome {
             Outcome::Whole => self.whole(up, now),
-            Outcome::Refused(reason, load) => self.refused(up, lora, reason, load),
+            Outcome::Refused(reason, load) => {
+                self.alive(up, now);
+                self.refused(up, lora, reason, load, now);
+            }
             Outcome::Stalled => self.stall(up, now),
             Outcome::Failed => self.change(up, |u| u.suspect = true),
         }
     }
 
     fn whole(&mut self, up: UpstreamIx, now: Millis) {
+        self.upstreams[up.0 as usize].stalled = Millis(0);
+        self.alive(up, now);
+    }
+
+    /// Notes a sign of life.
+    fn alive(&mut self, up: UpstreamIx, now: Millis) {
         let upstream = &mut self.upstreams[up.0 as usize];
-        upstream.stalled = Millis(0);
+        if upstream.seen.is_none() {
+            return;
+        }
         upstream.seen = Some(now);
         if upstream.suspect {
             self.change(up, |u| u.suspect = false);
@@ -57,17 +79,19 @@
         lora: Option<LoraIx>,
         reason: Reason,
         load: Option<LoadFigures>,
+        now: Millis,
     ) {
-        let service = self.options.service;
-        let upstream = &mut self.upstreams[up.0 as usize];
         if let Some(load) = load {
-            upstream.load = load;
+            self.heard(up, load, now);
         }
+        let service = self.options.service;
         match reason {
             Reason::Leaving => self.leaving(up),
-            Reason::UpstreamDown | Reason::WrongPool => self.change(up, |u| u.usable = false),
+            Reason::UpstreamDown | Reason::WrongPool => self.change(up, |u| u.suspect = true),
             Reason::LoadFailed => self.change(up, |u| drop_coming(u, lora)),
-            Reason::Overloaded if load.is_none() => raise_wait(upstream, service),
+            Reason::Overloaded if load.is_none() => {
+                raise_wait(&mut self.upstreams[up.0 as usize], service);
+            }
             _ => {}
         }
     }
--- a/crates/policy/src/router/pool.rs
+++ b/crates/policy/src/router/pool.rs
@@ -5,7 +5,7 @@
 use crate::UpstreamIx;
 
 /// Upstreams of one pool that may get new work.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Pool {
     /// Upstreams heard of lately, ascending.
     pub(super) fresh: Vec<UpstreamIx>,
@@ -30,6 +30,20 @@
 }
 
 impl Pool {
+    pub(super) fn new(points: u64) -> Self {
+        Self {
+            fresh: Vec::new(),
+            behind: Vec::new(),
+            ring: Ring::new(points),
+            holders: Holders::default(),
+        }
+    }
+
+    /// Upstreams that may get work.
+    pub(super) fn usable(&self) -> usize {
+        self.fresh.len() + self.behind.len()
+    }
+
     pub(super) fn insert(&mut self, up: UpstreamIx, key: u64, standing: Standing) {
         match standing {
             Standing::Fresh => {
--- a/crates/policy/src/router/ring.rs
+++ b/crates/policy/src/router/ring.rs
@@ -9,15 +9,14 @@
 use super::key::point;
 use crate::UpstreamIx;
 
-/// Points of each upstream.
-const POINTS: u64 = 8;
-
 /// Separates the probes' seeds from the points' seeds.
 const PROBE: u64 = 1 << 32;
 
 /// Upstreams on a ring.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Ring {
+    /// Points of each upstream.
+    share: u64,
     points: BTreeSet<(u64, UpstreamIx)>,
 }
 
@@ -29,14 +28,19 @@
 }
 
 impl Ring {
+    pub(super) fn new(share: u64) -> Self {
+        let points = BTreeSet::new();
+        Self { share, points }
+    }
+
     pub(super) fn insert(&mut self, up: UpstreamIx, key: u64) {
-        for n in 0..POINTS {
+        for n in 0..self.share {
             self.points.insert((point(key, n), up));
         }
     }
 
     pub(super) fn remove(&mut self, up: UpstreamIx, key: u64) {
-        for n in 0..POINTS {
+        for n in 0..self.share {
             self.points.remove(&(point(key, n), up));
         }
     }
--- a/crates/policy/src/router/upstream.rs
+++ b/crates/policy/src/router/upstream.rs
@@ -116,17 +116,20 @@
         });
     }
 
-    /// Forgets own sends that a report made at `now` must contain.
-    pub(super) fn settle(&mut self, now: Millis, lag: Millis, load: Millis) {
+    /// Forgets own sends that figures got at `now` must contain.
+    pub(super) fn settle(&mut self, now: Millis, lag: Millis) {
         while self.sends.front().is_some_and(|&at| now.since(at) > lag) {
             self.sends.pop_front();
         }
+    }
+
+    /// Forgets expected adapters that a report shows, or should have shown within `late`.
+    pub(super) fn settle_coming(&mut self, now: Millis, late: Millis) {
         let (resident, loading) = (&self.resident, self.loading);
         self.coming.retain(|a| {
             let arrived = resident.binary_search(&a.lora).is_ok();
             let seen = loading.is_some_and(|l| l.lora == a.lora);
-            let late = now.since(a.since) > load + load + lag;
-            !arrived && !seen && !late
+            !arrived && !seen && now.since(a.since) <= late
         });
     }
 
