--- a/crates/policy/src/router/choose.rs
+++ b/crates/policy/src/router/choose.rs
@@ -87,7 +87,7 @@
                 let mut draw = self.draw;
                 let mut ups = pool.holders.sample(lora, self.options.holders, &mut draw);
                 self.draw = draw;
-                ups.extend(pool.ring.homes(key, self.options.homes));
+                ups.extend(pool.homes(lora, key, self.options.homes));
                 ups
             }
             None => Vec::new(),
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -187,12 +187,12 @@
         pool.map_or(&[], |p| p.holders.of(lora))
     }
 
-    /// Homes of an adapter in a pool, the first one best.
+    /// Homes for one more copy of an adapter in a pool, the first one best.
     #[must_use]
     pub fn homes(&self, pool: PoolIx, lora: LoraIx) -> Vec<UpstreamIx> {
         let key = self.lora_key(lora);
         let pool = self.pools.get(pool.0 as usize);
-        pool.map_or_else(Vec::new, |p| p.ring.homes(key, self.options.homes))
+        pool.map_or_else(Vec::new, |p| p.homes(lora, key, self.options.homes))
     }
 
     fn lora_key(&self, lora: LoraIx) -> u64 {
--- a/crates/policy/src/router/pool.rs
+++ b/crates/policy/src/router/pool.rs
@@ -2,7 +2,7 @@
 
 use super::holders::Holders;
 use super::ring::Ring;
-use crate::UpstreamIx;
+use crate::{LoraIx, UpstreamIx};
 
 /// Upstreams of one pool that may get new work.
 #[derive(Clone, Debug)]
@@ -39,6 +39,13 @@
         }
     }
 
+    /// Homes for one more copy of an adapter: its first ones, or the next as these fill with copies.
+    pub(super) fn homes(&self, lora: LoraIx, key: u64, count: usize) -> Vec<UpstreamIx> {
+        let copies = self.holders.of(lora).len();
+        let first = copies - copies % count.max(1);
+        self.ring.homes(key, first, count)
+    }
+
     /// Upstreams that may get work.
     pub(super) fn usable(&self) -> usize {
         self.fresh.len() + self.behind.len()
--- a/crates/policy/src/router/ring.rs
+++ b/crates/policy/src/router/ring.rs
@@ -45,9 +45,11 @@
         }
     }
 
-    /// At most `count` homes of the adapter of this key, the first one best.
-    pub(super) fn homes(&self, key: u64, count: usize) -> Vec<UpstreamIx> {
-        let probes = (0..count as u64).map(|n| point(key, PROBE + n));
+    /// At most `count` homes of the adapter of this key, found by the probes from number `first` on,
+    /// the first one best.
+    pub(super) fn homes(&self, key: u64, first: usize, count: usize) -> Vec<UpstreamIx> {
+        let numbers = first as u64..(first + count) as u64;
+        let probes = numbers.map(|n| point(key, PROBE + n));
         let mut found: Vec<Found> = probes.filter_map(|p| self.successor(p)).collect();
         found.sort_unstable();
         let mut homes = Vec::with_capacity(found.len());
