--- a/crates/policy/src/router/ring.rs
+++ b/crates/policy/src/router/ring.rs
@@ -9,15 +9,14 @@
 use super::key::point;
 use crate::UpstreamIx;
 
-/// Points of each upstream.
-const POINTS: u64 = 8;
-
 /// Separates the probes' seeds from the points' seeds.
 const PROBE: u64 = 1 << 32;
 
 /// Upstreams on a ring.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Ring {
+    /// Points of each upstream.
+    share: u64,
     points: BTreeSet<(u64, UpstreamIx)>,
 }
 
@@ -29,21 +28,28 @@
 }
 
 impl Ring {
+    pub(super) fn new(share: u64) -> Self {
+        let points = BTreeSet::new();
+        Self { share, points }
+    }
+
     pub(super) fn insert(&mut self, up: UpstreamIx, key: u64) {
-        for n in 0..POINTS {
+        for n in 0..self.share {
             self.points.insert((point(key, n), up));
         }
     }
 
     pub(super) fn remove(&mut self, up: UpstreamIx, key: u64) {
-        for n in 0..POINTS {
+        for n in 0..self.share {
             self.points.remove(&(point(key, n), up));
         }
     }
 
-    /// At most `count` homes of the adapter of this key, the first one best.
-    pub(super) fn homes(&self, key: u64, count: usize) -> Vec<UpstreamIx> {
-        let probes = (0..count as u64).map(|n| point(key, PROBE + n));
+    /// At most `count` homes of the adapter of this key, found by the probes from number `first` on,
+    /// the first one best.
+    pub(super) fn homes(&self, key: u64, first: usize, count: usize) -> Vec<UpstreamIx> {
+        let numbers = first as u64..(first + count) as u64;
+        let probes = numbers.map(|n| point(key, PROBE + n));
         let mut found: Vec<Found> = probes.filter_map(|p| self.successor(p)).collect();
         found.sort_unstable();
         let mut homes = Vec::with_capacity(found.len());
