Mend limits of the server, scanners and timer

Found by reading: a connection over the limit was closed in silence; the event scanner looked again from its start at each push, and copied the rest at each event; a frame in pieces was decoded from its start at each piece; a span near the end of the clock's range panicked in the timer's addition.

Now: 503 with a short JSON body; each byte is looked at once; a frame carries its length in four bytes (both ends are in this crate; the wire form between our processes changes with it); spans are capped at 100 years. Server::closed waits for the last byte of every answer, so that a stop needn't guess a pause. Tally counts for the server and for Drain alike.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -20,19 +20,25 @@
 mod body;
 mod client;
 mod error;
+mod frame;
+mod full;
 mod peer;
+mod pending;
 mod reply;
 mod runtime;
 mod server;
 mod sse;
+mod tally;
 mod timer;
 
 pub use body::{Body, BodyError, ByteStream, read_all};
 pub use client::{Client, ClientOptions, Response};
 pub use error::{NetError, Sent};
-pub use peer::{FrameError, FrameReader, frame_bytes, post};
+pub use frame::{FrameError, FrameReader, FrameScanner, frame_bytes};
+pub use peer::post;
 pub use reply::{json_reply, peer_reply, plain_reply};
 pub use runtime::{RuntimeError, run};
 pub use server::{Handler, Incoming, Reply, Server, ServerOptions, bind, bind_exclusive};
 pub use sse::{SseEvent, SseScanner, TooLong};
+pub use tally::{Tally, TallyGuard};
 pub use timer::{Elapsed, Sleep, Timer};
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,6 +1,5 @@
 //! The server: connections under limits, each request to one handler, a stop that cuts nothing.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -17,7 +16,14 @@
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
-use crate::{Body, Timer};
+use crate::full::refuse;
+use crate::{Body, Tally, Timer};
+
+/// Share of the connections' limit that may be refused with an answer at once; more are closed.
+const REFUSED_SHARE: usize = 8;
+
+/// Pause of a listener after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 
 /// A request as it arrives.
 pub type Incoming = http::Request<hyper::body::Incoming>;
@@ -34,10 +40,12 @@
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerOptions {
-    /// Connections at once.
+    /// Connections at once; one more is answered 503 and closed.
     pub connections: usize,
-    /// Longest head, bytes.
+    /// Longest head, bytes, from 8 KiB on; a longer one is answered 431.
     pub head: usize,
+    /// Most header fields in a head; more are answered 431.
+    pub fields: usize,
     /// Time for a head to arrive, and for a connection to stay idle.
     pub head_span: Duration,
 }
@@ -47,6 +55,7 @@
         Self {
             connections: 10_000,
             head: 16 * 1024,
+            fields: 64,
             head_span: Duration::from_secs(30),
         }
     }
@@ -80,7 +89,8 @@
     options: ServerOptions,
     handler: Rc<dyn Handler>,
     timer: Timer,
-    open: Cell<usize>,
+    open: Tally,
+    refused: Tally,
     /// Closed when the server stops.
     stop: Sender<Infallible>,
     stopped: Receiver<Infallible>,
@@ -95,7 +105,8 @@
             options,
             handler,
             timer: timer.clone(),
-            open: Cell::new(0),
+            open: Tally::new(),
+            refused: Tally::new(),
             stop,
             stopped,
         };
@@ -112,7 +123,7 @@
                 None => break,
                 Some(Ok((stream, peer))) => self.admit(stream, peer),
                 // Out of descriptors, or the peer left: the listener itself is sound.
-                Some(Err(_)) => self.state.timer.sleep(Duration::from_millis(5)).await,
+                Some(Err(_)) => self.state.timer.sleep(ACCEPT_PAUSE).await,
             }
         }
     }
@@ -125,18 +136,36 @@
     /// Connections open now.
     #[must_use]
     pub fn open(&self) -> usize {
-        self.state.open.get()
+        self.state.open.count()
+    }
+
+    /// Waits until no connection is open: after a stop, until the last byte of every answer left.
+    pub async fn closed(&self) {
+        self.state.open.zero().await;
     }
 
     fn admit(&self, stream: TcpStream, peer: SocketAddr) {
         if self.open() >= self.state.options.connections {
-            return;
+            return self.refuse(stream);
         }
-        self.state.open.set(self.open() + 1);
+        let guard = self.state.open.enter();
         let server = self.clone();
         monoio::spawn(async move {
             server.converse(stream, peer).await;
-            server.state.open.set(server.open() - 1);
+            drop(guard);
+        });
+    }
+
+    fn refuse(&self, stream: TcpStream) {
+        let most = self.state.options.connections / REFUSED_SHARE + 1;
+        if self.state.refused.count() >= most {
+            return;
+        }
+        let guard = self.state.refused.enter();
+        let timer = self.state.timer.clone();
+        monoio::spawn(async move {
+            refuse(stream, &timer).await;
+            drop(guard);
         });
     }
 
@@ -155,6 +184,7 @@
         let connection = http1::Builder::new()
             .timer(MonoioTimer)
             .header_read_timeout(options.head_span)
+            .max_headers(options.fields)
             .max_buf_size(options.head.max(8192))
             .serve_connection(MonoioIo::new(io), service);
         let mut connection = std::pin::pin!(connection);
--- a/crates/net/src/sse.rs
+++ b/crates/net/src/sse.rs
@@ -4,6 +4,8 @@
 
 use snafu::Snafu;
 
+use crate::pending::Pending;
+
 /// An event longer than allowed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("step scan events: one is over {limit} bytes"))]
@@ -32,10 +34,14 @@
     }
 }
 
-/// Scanner over the bytes of a stream, which may be cut anywhere.
+/// Scanner over the bytes of a stream, which may be cut anywhere. Looks at each byte once.
 #[derive(Debug)]
 pub struct SseScanner {
-    pending: Vec<u8>,
+    pending: Pending,
+    /// Bytes of the pending event that were looked at.
+    seen: usize,
+    /// Start of the line that `seen` stands in.
+    line: usize,
     limit: usize,
 }
 
@@ -44,53 +50,61 @@
     #[must_use]
     pub fn new(limit: usize) -> Self {
         Self {
-            pending: Vec::new(),
+            pending: Pending::default(),
+            seen: 0,
+            line: 0,
             limit,
         }
     }
 
     /// Adds bytes that arrived.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.pending.extend_from_slice(bytes);
+        self.pending.push(bytes);
     }
 
     /// Next whole event, or `None` until more bytes come.
     ///
     /// # Errors
-    /// [`TooLong`] if the next event is over the limit.
+    /// [`TooLong`] if the next event is over the limit; nothing can be read after it.
     pub fn scan_event(&mut self) -> Result<Option<SseEvent>, TooLong> {
         let limit = self.limit;
-        let end = scan_blank_line(&self.pending);
-        let length = end.unwrap_or(self.pending.len());
+        let end = self.scan_blank_line();
+        let length = end.unwrap_or(self.seen);
         if length > limit {
             return TooLongSnafu { limit }.fail();
         }
         let Some(end) = end else {
             return Ok(None);
         };
-        let rest = self.pending.split_off(end);
-        let raw = std::mem::replace(&mut self.pending, rest);
+        let raw = self.pending.bytes()[..end].to_vec();
+        self.pending.take(end);
+        self.seen = 0;
+        self.line = 0;
         Ok(Some(read_event(raw)))
     }
 
     /// Bytes of an event that has not ended.
     #[must_use]
     pub fn pending(&self) -> &[u8] {
-        &self.pending
+        self.pending.bytes()
     }
-}
 
-/// Length up to and with the first blank line; lines end in LF or CR LF.
-fn scan_blank_line(bytes: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    while let Some(length) = bytes[start..].iter().position(|b| *b == b'\n') {
-        let line = &bytes[start..start + length];
-        start += length + 1;
-        if line.is_empty() || line == b"\r" {
-            return Some(start);
+    /// Length up to and with the first blank line; lines end in LF or CR LF.
+    fn scan_blank_line(&mut self) -> Option<usize> {
+        let bytes = self.pending.bytes();
+        while let Some(length) = bytes[self.seen..].iter().position(|b| *b == b'\n') {
+            let end = self.seen + length;
+            let line = &bytes[self.line..end];
+            let blank = line.is_empty() || line == b"\r";
+            self.seen = end + 1;
+            self.line = end + 1;
+            if blank {
+                return Some(end + 1);
+            }
         }
+        self.seen = bytes.len();
+        None
     }
-    None
 }
 
 fn read_event(raw: Vec<u8>) -> SseEvent {
--- a/crates/net/src/timer.rs
+++ b/crates/net/src/timer.rs
@@ -14,6 +14,12 @@
 
 use pumicecleat_types::Millis;
 
+/// Longest span; a longer one, from a peer's header perhaps, ends after this one.
+const LONGEST: Duration = Duration::from_hours(100 * 365 * 24);
+
+/// Longest sleep of the driver; it looks again after it.
+const LONGEST_SLEEP: Duration = Duration::from_hours(1);
+
 /// Handle of the timer service.
 #[derive(Clone)]
 pub struct Timer {
@@ -63,13 +69,14 @@
     /// Subscription that ends after `span`.
     #[must_use]
     pub fn sleep(&self, span: Duration) -> Sleep {
-        self.subscribe(Instant::now() + span)
+        self.subscribe(Instant::now() + span.min(LONGEST))
     }
 
     /// Subscription that ends at `at`.
     #[must_use]
     pub fn sleep_until(&self, at: Millis) -> Sleep {
-        self.subscribe(self.start + Duration::from_millis(at.0))
+        let span = Duration::from_millis(at.0);
+        self.subscribe(self.start + span.min(LONGEST))
     }
 
     /// Result of `work` if it ends within `span`.
@@ -158,13 +165,16 @@
             return Poll::Ready(());
         };
         loop {
-            let first = fire_due(&state, Instant::now());
+            let now = Instant::now();
+            let first = fire_due(&state, now);
             state.borrow_mut().driver = Some(cx.waker().clone());
             let Some(at) = first else {
                 self.sleep = None;
                 return Poll::Pending;
             };
-            let mut sleep = Box::pin(monoio::time::sleep_until(at.into()));
+            let mut sleep = Box::pin(monoio::time::sleep_until(
+                at.min(now + LONGEST_SLEEP).into(),
+            ));
             if sleep.as_mut().poll(cx).is_pending() {
                 self.sleep = Some(sleep);
                 return Poll::Pending;
--- a/crates/ops/examples/daemon.rs
+++ b/crates/ops/examples/daemon.rs
@@ -33,6 +33,9 @@
 
 const PROGRAM: &str = "ticker";
 
+/// Longest wait for the last bytes of answers to leave.
+const CLOSE_SPAN: Duration = Duration::from_secs(1);
+
 struct Ticker {
     settings: TickSettings,
     timer: Timer,
@@ -116,10 +119,10 @@
     stop.first().await;
     log.emit(&events::STOP_ASKED, &[field("source", "signal")]);
     readiness.fail("listening", "stopping");
-    callers.stop();
     let end = drain.finish(&stop, limit, &timer, &log).await;
-    // The last chunks of what has ended are still on their way to the sockets.
-    timer.sleep(Duration::from_millis(50)).await;
+    callers.stop();
+    // The last bytes of what has ended are still on their way to the sockets.
+    let _ = timer.within(CLOSE_SPAN, callers.closed()).await;
     log.emit_last(&events::STOPPED, &[field("cut", end.cut().len())]);
     match end {
         DrainEnd::Finished => ExitCode::SUCCESS,
--- a/crates/ops/src/stop/drain.rs
+++ b/crates/ops/src/stop/drain.rs
@@ -2,14 +2,13 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::future::{Future, poll_fn};
+use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Poll, Waker};
 use std::time::Duration;
 
 use futures_util::future::{Either, select};
-use pumicecleat_net::Timer;
+use pumicecleat_net::{Tally, TallyGuard, Timer};
 use pumicecleat_types::RequestId;
 
 use super::Stop;
@@ -19,20 +18,22 @@
 #[derive(Clone, Debug, Default)]
 pub struct Drain {
     state: Rc<RefCell<State>>,
+    tally: Tally,
 }
 
 #[derive(Debug, Default)]
 struct State {
     next: u64,
     open: BTreeMap<u64, RequestId>,
-    waiting: Vec<Waker>,
 }
 
 /// Keeps its request under way until dropped.
 #[derive(Debug)]
 pub struct DrainGuard {
-    drain: Drain,
+    state: Rc<RefCell<State>>,
     number: u64,
+    // Dropped after the request is taken out, so that who waits for zero sees none open.
+    _count: TallyGuard,
 }
 
 /// How a drain ended.
@@ -62,8 +63,9 @@
         state.open.insert(number, request.clone());
         drop(state);
         DrainGuard {
-            drain: self.clone(),
+            state: Rc::clone(&self.state),
             number,
+            _count: self.tally.enter(),
         }
     }
 
@@ -76,22 +78,12 @@
     /// Number of requests under way.
     #[must_use]
     pub fn count(&self) -> usize {
-        self.state.borrow().open.len()
+        self.tally.count()
     }
 
     /// Waits until no request is under way.
     pub async fn idle(&self) {
-        poll_fn(|cx| {
-            let mut state = self.state.borrow_mut();
-            if state.open.is_empty() {
-                return Poll::Ready(());
-            }
-            if !state.waiting.iter().any(|w| w.will_wake(cx.waker())) {
-                state.waiting.push(cx.waker().clone());
-            }
-            Poll::Pending
-        })
-        .await;
+        self.tally.zero().await;
     }
 
     /// Waits until no request is under way, a second signal comes or `limit` passes, and logs how
@@ -143,16 +135,7 @@
 
 impl Drop for DrainGuard {
     fn drop(&mut self) {
-        let mut state = self.drain.state.borrow_mut();
-        state.open.remove(&self.number);
-        if !state.open.is_empty() {
-            return;
-        }
-        let waiting = std::mem::take(&mut state.waiting);
-        drop(state);
-        for waker in waiting {
-            waker.wake();
-        }
+        self.state.borrow_mut().open.remove(&self.number);
     }
 }
 
