--- /dev/null
+++ b/crates/ops/tests/admin.rs
@@ -0,0 +1,131 @@
+//! The admin listener over HTTP.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer, bind, run};
+use pumicecleat_ops::{Admin, Dump, Log, LogOptions, Metrics, Readiness};
+use serde_json::{Value, json};
+
+const SPAN: Duration = Duration::from_secs(5);
+
+struct State;
+
+impl Dump for State {
+    fn dump(&self) -> Value {
+        json!({ "revision": 7 })
+    }
+}
+
+struct Case {
+    method: &'static str,
+    path: &'static str,
+    status: u16,
+    /// Parts of the body.
+    parts: &'static [&'static str],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        method: "GET",
+        path: "/healthz",
+        status: 200,
+        parts: &["ok"],
+    },
+    Case {
+        method: "GET",
+        path: "/readyz",
+        status: 503,
+        parts: &[r#"{"ready":false,"unmet":[{"condition":"config","reason":"log is down"}]}"#],
+    },
+    Case {
+        method: "GET",
+        path: "/dump",
+        status: 200,
+        parts: &[r#"{"revision":7}"#],
+    },
+    Case {
+        method: "GET",
+        path: "/metrics",
+        status: 200,
+        parts: &[
+            "pumicecleat_loads_total 3\n",
+            "pumicecleat_open{kind=\"stream\"} 2\n",
+            "pumicecleat_wait_seconds_bucket{le=\"0.1\",kind=\"stream\"} 1\n",
+            "pumicecleat_process_resident_memory_bytes ",
+            "pumicecleat_process_cpu_seconds_total ",
+            "pumicecleat_process_open_fds ",
+            "pumicecleat_process_uptime_seconds ",
+            "# EOF\n",
+        ],
+    },
+    Case {
+        method: "GET",
+        path: "/other",
+        status: 404,
+        parts: &["/metrics"],
+    },
+    Case {
+        method: "GET",
+        path: "/",
+        status: 404,
+        parts: &["/dump"],
+    },
+    Case {
+        method: "POST",
+        path: "/dump",
+        status: 405,
+        parts: &["only GET"],
+    },
+    Case {
+        method: "DELETE",
+        path: "/healthz",
+        status: 405,
+        parts: &["only GET"],
+    },
+];
+
+fn metrics() -> Metrics {
+    let metrics = Metrics::new();
+    metrics.counter("loads", "Loads").inc_by(3);
+    let labels = vec![("kind", "stream")];
+    metrics.gauges("open", "Open").get_or_create(&labels).set(2);
+    let waits = metrics.histograms("wait_seconds", "Waits", &[0.1, 1.0]);
+    waits.get_or_create(&labels).observe(0.05);
+    metrics
+}
+
+#[test]
+fn each_path_answers_as_documented() {
+    run(async {
+        let timer = Timer::start();
+        let log = Log::to_writer(&LogOptions::default(), std::io::sink());
+        let readiness = Readiness::new(&["config", "listening"], &log);
+        readiness.hold("config");
+        readiness.hold("listening");
+        assert!(readiness.is_ready());
+        readiness.fail("config", "log is down");
+        let admin = Rc::new(Admin::new(&metrics(), &readiness, Rc::new(State)));
+        let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let server = Server::new_ext(ServerOptions::default(), admin, &timer);
+        monoio::spawn(async move { server.serve(listener).await });
+        let client = Client::new_ext(ClientOptions::default(), &timer);
+        for case in CASES {
+            let request = http::Request::builder()
+                .method(case.method)
+                .uri(case.path)
+                .body(Bytes::new())
+                .unwrap();
+            let mut response = client.send(&address, request, SPAN).await.unwrap();
+            assert_eq!(response.status(), case.status, "{}", case.path);
+            let body = response.read(1 << 20, SPAN).await.unwrap();
+            let body = String::from_utf8(body).unwrap();
+            for part in case.parts {
+                assert!(body.contains(part), "{}: {part} not in {body}", case.path);
+            }
+        }
+    })
+    .unwrap();
+}
--- /dev/null
+++ b/crates/ops/tests/log.rs
@@ -0,0 +1,157 @@
+//! Lines in both forms, levels, and a writer that stands still.
+
+use std::io::{self, Write};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use pumicecleat_ops::{Event, Field, Level, Log, LogFormat, LogOptions, events, field};
+use serde_json::{Value, json};
+
+const SPAN: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Default)]
+struct Shared(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Shared {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Takes nothing until its sender is dropped.
+struct Stuck(Receiver<()>);
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = self.0.recv();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn lines(format: LogFormat, level: Level, emit: impl Fn(&Log)) -> Vec<String> {
+    let target = Shared::default();
+    let options = LogOptions {
+        level,
+        format,
+        origin: "side/vm-1".into(),
+    };
+    let log = Log::to_writer(&options, target.clone());
+    emit(&log);
+    assert!(log.flush(SPAN));
+    let bytes = target.0.lock().unwrap().clone();
+    let text = String::from_utf8(bytes).unwrap();
+    text.lines().map(str::to_owned).collect()
+}
+
+struct Case<'a> {
+    event: &'static Event,
+    fields: &'a [Field<'a>],
+    text: &'static str,
+    json: Value,
+}
+
+#[test]
+fn lines_hold_number_name_and_fields_in_both_forms() {
+    let address = "127.0.0.1:9".parse::<std::net::SocketAddr>().unwrap();
+    let long = "é".repeat(2000);
+    let cut = "é".repeat(512);
+    let cases = [
+        Case {
+            event: &events::LISTENING,
+            fields: &[field("purpose", "admin"), field("address", &address)],
+            text: "INFO  side/vm-1 E1003 listening purpose=admin address=127.0.0.1:9",
+            json: json!({ "purpose": "admin", "address": "127.0.0.1:9" }),
+        },
+        Case {
+            event: &events::LOAD_FAILED,
+            fields: &[
+                field("lora", "a b"),
+                field("error", "line\nE9999 forged \"x\" \u{1b}[0m"),
+                field("again_ms", 250_u64),
+            ],
+            text: r#"WARN  side/vm-1 E3012 load_failed lora="a b" error="line\nE9999 forged \"x\" \u001b[0m" again_ms=250"#,
+            json: json!({ "lora": "a b", "error": "line\nE9999 forged \"x\" \u{1b}[0m", "again_ms": 250 }),
+        },
+        Case {
+            event: &events::OLD_FENCE_SEEN,
+            fields: &[
+                field("number", -1),
+                field("newest", 0.5),
+                field("refused", true),
+            ],
+            text: "WARN  side/vm-1 E4005 old_fence_seen number=-1 newest=0.5 refused=true",
+            json: json!({ "number": -1, "newest": 0.5, "refused": true }),
+        },
+        Case {
+            event: &events::READY,
+            fields: &[],
+            text: "INFO  side/vm-1 E1005 ready",
+            json: json!({}),
+        },
+    ];
+    for case in &cases {
+        let emit = |log: &Log| log.emit(case.event, case.fields);
+        let text = lines(LogFormat::Text, Level::Info, emit);
+        let (_time, rest) = text[0].split_once(' ').unwrap();
+        assert_eq!(rest, case.text);
+        let line = lines(LogFormat::Json, Level::Info, emit);
+        assert_eq!((text.len(), line.len()), (1, 1));
+        let value: Value = serde_json::from_str(&line[0]).unwrap();
+        assert_eq!(value["fields"], case.json);
+        assert_eq!(value["code"], case.event.code);
+        assert_eq!(value["origin"], "side/vm-1");
+    }
+    let emit = |log: &Log| log.emit(&events::UNLOADED, &[field("lora", &long)]);
+    assert!(lines(LogFormat::Text, Level::Info, emit)[0].ends_with(&format!("lora={cut}")));
+}
+
+#[test]
+fn only_events_up_to_the_level_are_logged() {
+    let cases = [
+        (Level::Off, 0),
+        (Level::Error, 1),
+        (Level::Warn, 2),
+        (Level::Info, 3),
+        (Level::Debug, 4),
+    ];
+    for (level, count) in cases {
+        let emitted = lines(LogFormat::Text, level, |log| {
+            for event in [
+                &events::INTERNAL,
+                &events::PEER_DOWN,
+                &events::READY,
+                &events::RUN_DONE,
+            ] {
+                log.emit(event, &[]);
+            }
+        });
+        assert_eq!(emitted.len(), count, "{level}");
+    }
+}
+
+#[test]
+fn a_writer_that_stands_still_never_holds_the_program() {
+    let (release, gate): (Sender<()>, _) = channel();
+    let log = Log::to_writer(&LogOptions::default(), Stuck(gate));
+    let from = Instant::now();
+    for _ in 0..20_000 {
+        log.emit(&events::READY, &[]);
+    }
+    assert!(from.elapsed() < SPAN, "{:?}", from.elapsed());
+    let dropped = log.dropped();
+    assert!((15_000..=16_000).contains(&dropped), "{dropped}");
+    let from = Instant::now();
+    drop(log);
+    assert!(from.elapsed() < SPAN, "the drop waits for the writer");
+    drop(release);
+}
--- /dev/null
+++ b/crates/ops/tests/settings.rs
@@ -0,0 +1,211 @@
+//! Flag over environment over default, and every fault at once.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pumicecleat_ops::{ByteSize, Exit, Level, SettingValue, Settings, Span, settings};
+
+settings! {
+    /// Program of this test.
+    pub struct TestSettings {
+        /// address for callers
+        listen: SocketAddr = "127.0.0.1:8080", "ip:port";
+        /// longest body
+        body_limit: ByteSize = "8MiB", "size";
+        /// address of the log
+        log_service: SocketAddr = "", "ip:port";
+        /// addresses of peers
+        peers: Vec<SocketAddr> = "", "ip:port,...";
+        /// name shown
+        label: Option<String> = "", "name";
+    }
+}
+
+const GIVEN: [&str; 8] = [
+    "--vm",
+    "v1",
+    "--data-centre",
+    "bp-a",
+    "--region",
+    "hu",
+    "--log-service",
+    "10.0.0.1:7",
+];
+
+struct Case {
+    args: &'static [&'static str],
+    environment: &'static [(&'static str, &'static str)],
+    /// Parts that the faults must hold, one a fault.
+    faults: &'static [&'static str],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        args: &[],
+        environment: &[],
+        faults: &[],
+    },
+    Case {
+        args: &[
+            "--listen",
+            "nowhere",
+            "--admin",
+            "1.2.3.4",
+            "--body-limit",
+            "8MB",
+        ],
+        environment: &[
+            ("PUMICECLEAT_DRAIN_LIMIT", "3"),
+            ("PUMICECLEAT_LOG_LEVEL", "loud"),
+        ],
+        faults: &[
+            "--log-level (PUMICECLEAT_LOG_LEVEL): \"loud\" from the environment is not one of",
+            "--admin (PUMICECLEAT_ADMIN): \"1.2.3.4\" from the flag is not an IP address",
+            "--drain-limit (PUMICECLEAT_DRAIN_LIMIT): \"3\" from the environment",
+            "--listen (PUMICECLEAT_LISTEN): \"nowhere\" from the flag",
+            "--body-limit (PUMICECLEAT_BODY_LIMIT): \"8MB\" from the flag is not a size",
+        ],
+    },
+    Case {
+        args: &[
+            "--lisen",
+            "127.0.0.1:1",
+            "--peers",
+            "127.0.0.1:1,x",
+            "stray",
+        ],
+        environment: &[("PUMICECLEAT_LABEL", "two words")],
+        faults: &["--lisen", "stray", "--peers", "--label"],
+    },
+    Case {
+        args: &["--vm", "v2", "--label"],
+        environment: &[],
+        faults: &[
+            "No value provided for option '--label'",
+            "--vm (PUMICECLEAT_VM): flag given twice",
+        ],
+    },
+    Case {
+        args: &[],
+        environment: &[("PUMICECLEAT_LISTEN", "")],
+        faults: &["--listen (PUMICECLEAT_LISTEN): \"\" from the environment"],
+    },
+];
+
+fn read(case: &Case, given: &[&str]) -> Result<TestSettings, Exit> {
+    let args: Vec<&str> = given.iter().chain(case.args).copied().collect();
+    let owned = |(name, text): &(&str, &str)| ((*name).to_owned(), (*text).to_owned());
+    let environment: BTreeMap<_, _> = case.environment.iter().map(owned).collect();
+    TestSettings::read("test", &args, &environment)
+}
+
+#[test]
+fn every_fault_is_told_at_once() {
+    for case in CASES {
+        let faults = match read(case, &GIVEN) {
+            Ok(_) => Vec::new(),
+            Err(Exit::Faults(faults)) => faults.iter().map(ToString::to_string).collect(),
+            Err(Exit::Help(help)) => panic!("help: {help}"),
+        };
+        assert_eq!(faults.len(), case.faults.len(), "{faults:#?}");
+        for part in case.faults {
+            assert!(
+                faults.iter().any(|f| f.contains(part)),
+                "{part} not in {faults:#?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn what_has_no_default_must_be_given() {
+    let case = Case {
+        args: &[],
+        environment: &[],
+        faults: &[],
+    };
+    let Err(Exit::Faults(faults)) = read(&case, &[]) else {
+        panic!("settings without a VM were taken");
+    };
+    let flags: Vec<&str> = faults.iter().map(|f| f.flag.as_str()).collect();
+    assert_eq!(
+        flags,
+        ["--vm", "--data-centre", "--region", "--log-service"]
+    );
+}
+
+#[test]
+fn a_flag_goes_before_the_environment_and_that_before_the_default() {
+    let case = Case {
+        args: &["--listen", "127.0.0.1:1", "--peers", "127.0.0.1:2, [::1]:3"],
+        environment: &[
+            ("PUMICECLEAT_LISTEN", "broken, but never looked at"),
+            ("PUMICECLEAT_DRAIN_LIMIT", "5m"),
+            ("PUMICECLEAT_LOG_LEVEL", "off"),
+        ],
+        faults: &[],
+    };
+    let settings = read(&case, &GIVEN).unwrap();
+    assert_eq!(settings.listen.port(), 1);
+    assert_eq!(settings.peers.len(), 2);
+    assert_eq!(settings.common.drain_limit, Duration::from_mins(5));
+    assert_eq!(settings.common.log_level, Level::Off);
+    assert_eq!(settings.body_limit, ByteSize(8 << 20));
+    assert_eq!(settings.label, None);
+}
+
+#[test]
+fn help_names_unit_environment_and_default_of_each_flag() {
+    let case = Case {
+        args: &["--listen", "x", "--help"],
+        environment: &[],
+        faults: &[],
+    };
+    let Err(Exit::Help(help)) = read(&case, &[]) else {
+        panic!("no help");
+    };
+    for row in TestSettings::rows() {
+        let flag = format!("--{} ", row.name.replace('_', "-"));
+        let variable = format!("PUMICECLEAT_{},", row.name.to_uppercase());
+        let line = help.lines().find(|l| l.contains(&variable)).unwrap();
+        assert!(line.contains(&flag) && line.contains(row.unit), "{line}");
+        assert!(line.contains(row.default), "{line}");
+    }
+}
+
+#[test]
+fn spans_and_sizes_need_a_known_unit_and_fit() {
+    let spans = [
+        ("250ms", Some(250)),
+        ("3s", Some(3000)),
+        ("5m", Some(300_000)),
+        ("1h", Some(3_600_000)),
+        ("0s", Some(0)),
+        ("3", None),
+        ("s", None),
+        ("-3s", None),
+        ("1.5s", None),
+        ("3 s", None),
+        ("", None),
+        ("99999999999999999999s", None),
+        ("18446744073709551615h", None),
+    ];
+    for (text, ms) in spans {
+        let wanted = ms.map(|ms| Span(Duration::from_millis(ms)));
+        assert_eq!(Span::parse(text), wanted, "{text}");
+    }
+    let sizes = [
+        ("512", Some(512)),
+        ("1B", Some(1)),
+        ("64KiB", Some(65536)),
+        ("1GiB", Some(1 << 30)),
+        ("64kib", None),
+        ("64K", None),
+        ("17179869184GiB", None),
+        ("", None),
+    ];
+    for (text, bytes) in sizes {
+        assert_eq!(ByteSize::parse(text), bytes.map(ByteSize), "{text}");
+    }
+}
--- /dev/null
+++ b/crates/ops/tests/stop.rs
@@ -0,0 +1,261 @@
+//! Stop of a whole process by signals, and the wait for requests under way.
+
+use std::cell::Cell;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::rc::Rc;
+use std::sync::mpsc::{RecvTimeoutError, Sender, channel};
+use std::time::{Duration, Instant};
+
+use pumicecleat_net::{Timer, run};
+use pumicecleat_ops::{Drain, DrainEnd, Log, LogOptions, Stop};
+use serde_json::Value;
+
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// The example, ended with the test, or by force after the limit.
+struct Daemon {
+    child: Child,
+    _done: Sender<()>,
+    stderr: BufReader<ChildStderr>,
+    lines: Vec<Value>,
+}
+
+impl Daemon {
+    fn start(ticks: &str, limit: &str) -> Self {
+        let me = std::env::current_exe().unwrap();
+        let example = me
+            .parent()
+            .unwrap()
+            .with_file_name("examples")
+            .join("daemon");
+        let mut child = Command::new(example)
+            .args([
+                "--vm",
+                "v1",
+                "--data-centre",
+                "bp-a",
+                "--region",
+                "hu",
+                "--admin",
+            ])
+            .args(["127.0.0.1:0", "--log-format", "json", "--ticks", ticks])
+            .args(["--drain-limit", limit])
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        Self {
+            _done: end_after_limit(child.id()),
+            child,
+            stderr,
+            lines: Vec::new(),
+        }
+    }
+
+    /// Reads events until one of the given number.
+    fn until(&mut self, code: &str) -> Value {
+        loop {
+            let mut line = String::new();
+            let length = self.stderr.read_line(&mut line).unwrap();
+            assert!(length > 0, "{code} is not among {:?}", self.lines);
+            let event: Value = serde_json::from_str(&line).unwrap();
+            self.lines.push(event.clone());
+            if event["code"] == code {
+                return event;
+            }
+        }
+    }
+
+    /// Addresses of the admin listener and of the callers'.
+    fn addresses(&mut self) -> [String; 2] {
+        let mut next = || {
+            self.until("E1003")["fields"]["address"]
+                .as_str()
+                .unwrap()
+                .to_owned()
+        };
+        [next(), next()]
+    }
+
+    fn signal(&self, name: &str) {
+        assert!(send_signal(name, self.child.id()));
+    }
+
+    fn wait(&mut self) -> Option<i32> {
+        let end = Instant::now() + LIMIT;
+        while Instant::now() < end {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("process goes on after {LIMIT:?}");
+    }
+}
+
+fn send_signal(name: &str, process: u32) -> bool {
+    let process = process.to_string();
+    let status = Command::new("kill").args(["-s", name, &process]).status();
+    status.is_ok_and(|status| status.success())
+}
+
+/// Kills `process` after the limit, so that a read of its output ends, unless the sender is dropped.
+fn end_after_limit(process: u32) -> Sender<()> {
+    let (done, waiting) = channel();
+    std::thread::spawn(move || {
+        if waiting.recv_timeout(LIMIT) == Err(RecvTimeoutError::Timeout) {
+            send_signal("KILL", process);
+        }
+    });
+    done
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn get(address: &str, path: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(LIMIT)).unwrap();
+    let head = format!("GET {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes()).unwrap();
+    stream
+}
+
+fn rest(mut stream: TcpStream) -> String {
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text
+}
+
+struct Case {
+    ticks: &'static str,
+    limit: &'static str,
+    signals: &'static [&'static str],
+    status: i32,
+    /// Number of the event that tells how the drain ended.
+    end: &'static str,
+    whole: bool,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        ticks: "50",
+        limit: "60s",
+        signals: &["TERM"],
+        status: 0,
+        end: "E1032",
+        whole: true,
+    },
+    Case {
+        ticks: "50",
+        limit: "60s",
+        signals: &["INT"],
+        status: 0,
+        end: "E1032",
+        whole: true,
+    },
+    Case {
+        ticks: "5000",
+        limit: "300ms",
+        signals: &["TERM"],
+        status: 1,
+        end: "E1033",
+        whole: false,
+    },
+    Case {
+        ticks: "5000",
+        limit: "60s",
+        signals: &["TERM", "TERM"],
+        status: 1,
+        end: "E1034",
+        whole: false,
+    },
+    Case {
+        ticks: "5000",
+        limit: "60s",
+        signals: &["TERM", "INT"],
+        status: 1,
+        end: "E1034",
+        whole: false,
+    },
+];
+
+#[test]
+fn signals_drain_and_end_the_process() {
+    for case in CASES {
+        let mut daemon = Daemon::start(case.ticks, case.limit);
+        let [admin, callers] = daemon.addresses();
+        let mut open = get(&callers, "/");
+        let mut first = [0; 16];
+        open.read_exact(&mut first).unwrap();
+        daemon.signal(case.signals[0]);
+        let drain = daemon.until("E1031");
+        assert_eq!(drain["fields"]["open"], 1);
+        assert!(rest(get(&admin, "/readyz")).starts_with("HTTP/1.1 503"));
+        if let Some(second) = case.signals.get(1) {
+            assert!(rest(get(&callers, "/")).contains(r#""ran":"no""#));
+            daemon.signal(second);
+        }
+        daemon.until(case.end);
+        let last = daemon.until("E1035");
+        assert_eq!(last["fields"]["cut"], u64::from(!case.whole));
+        let named = daemon
+            .lines
+            .iter()
+            .any(|l| l["fields"]["request"] == "request-1");
+        assert_eq!(named, !case.whole);
+        assert_eq!(daemon.wait(), Some(case.status), "{:?}", daemon.lines);
+        let mut body = Vec::new();
+        let ended = open.read_to_end(&mut body).is_ok() && body.ends_with(b"0\r\n\r\n");
+        assert_eq!(ended, case.whole);
+    }
+}
+
+#[test]
+fn a_drain_waits_for_the_last_guard_only() {
+    run(async {
+        let timer = Timer::start();
+        let drain = Drain::new();
+        drain.idle().await;
+        let (one, two) = (drain.enter(&"a".into()), drain.enter(&"b".into()));
+        assert_eq!(drain.open(), ["a".into(), "b".into()]);
+        let idle = Rc::new(Cell::new(false));
+        let (waiting, seen) = (drain.clone(), Rc::clone(&idle));
+        monoio::spawn(async move {
+            waiting.idle().await;
+            seen.set(true);
+        });
+        for (guard, wanted) in [(one, false), (two, true)] {
+            drop(guard);
+            timer.sleep(Duration::from_millis(20)).await;
+            assert_eq!(idle.get(), wanted);
+        }
+    })
+    .unwrap();
+}
+
+#[test]
+fn a_stop_by_hand_counts_as_a_signal() {
+    run(async {
+        let timer = Timer::start();
+        let log = Log::to_writer(&LogOptions::default(), std::io::sink());
+        let (stop, drain) = (Stop::by_hand(), Drain::new());
+        let _open = drain.enter(&"a".into());
+        stop.ask_once();
+        stop.ask_once();
+        stop.first().await;
+        let short = Duration::from_millis(20);
+        let end = drain.finish(&stop, short, &timer, &log).await;
+        assert_eq!(end, DrainEnd::Limited(vec!["a".into()]));
+        stop.ask();
+        let end = drain.finish(&stop, LIMIT, &timer, &log).await;
+        assert_eq!(end, DrainEnd::Interrupted(vec!["a".into()]));
+    })
+    .unwrap();
+}
