--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -38,6 +38,18 @@
     },
 }
 
+impl BodyError {
+    /// HTTP status that tells a peer what was wrong with its body.
+    #[must_use]
+    pub fn status(&self) -> u16 {
+        match self {
+            Self::TooLong { .. } => 413,
+            Self::TooSlow { .. } => 408,
+            Self::Broken { .. } => 400,
+        }
+    }
+}
+
 /// Body to send.
 pub enum Body {
     /// Known whole; sent with its length.
--- a/crates/net/src/full.rs
+++ b/crates/net/src/full.rs
@@ -2,17 +2,15 @@
 
 use std::time::Duration;
 
-use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt};
+use monoio::io::AsyncWriteRentExt;
 use monoio::net::TcpStream;
 
 use crate::Timer;
+use crate::linger::linger;
 
-/// Time for the refusal to be written, and for the peer to close.
+/// Time for the refusal to be written.
 const REFUSE_SPAN: Duration = Duration::from_secs(1);
 
-/// Bytes read at a time while waiting for the peer to close.
-const READ_BYTES: usize = 1024;
-
 /// Head and body of the refusal.
 const REFUSAL: &str = concat!(
     "HTTP/1.1 503 Service Unavailable\r\n",
@@ -25,23 +23,9 @@
 );
 
 /// Writes the refusal and closes.
-pub(crate) async fn refuse(stream: TcpStream, timer: &Timer) {
-    // A peer that neither reads nor closes is cut off.
-    let _ = timer.within(REFUSE_SPAN, write_refusal(stream)).await;
-}
-
-async fn write_refusal(mut stream: TcpStream) {
-    let (written, _) = stream.write_all(REFUSAL.as_bytes()).await;
-    if written.is_err() || stream.shutdown().await.is_err() {
-        return;
-    }
-    // A close with bytes unread would reset the connection, and the refusal with it.
-    let mut buffer = vec![0; READ_BYTES];
-    loop {
-        let (read, back) = stream.read(buffer).await;
-        buffer = back;
-        if !matches!(read, Ok(1..)) {
-            return;
-        }
+pub(crate) async fn refuse(mut stream: TcpStream, timer: &Timer) {
+    let write = stream.write_all(REFUSAL.as_bytes());
+    if let Ok((Ok(_), _)) = timer.within(REFUSE_SPAN, write).await {
+        linger(stream, timer).await;
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -22,6 +22,7 @@
 mod error;
 mod frame;
 mod full;
+mod linger;
 mod peer;
 mod pending;
 mod reply;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,7 +1,7 @@
 //! The server: connections under limits, each request to one handler, a stop that cuts nothing.
 
 use std::convert::Infallible;
-use std::future::Future;
+use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use futures_util::FutureExt;
 use futures_util::future::{Either, select};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,6 +18,7 @@
 use monoio_compat::hyper::{MonoioIo, MonoioTimer};
 
 use crate::full::refuse;
+use crate::linger::linger;
 use crate::{Body, Tally, Timer};
 
 /// Share of the connections' limit that may be refused with an answer at once; more are closed.
@@ -176,23 +178,24 @@
             return;
         };
         let handler = Rc::clone(&self.state.handler);
-        let service = service_fn(move |request| {
-            let reply = handler.handle(request, peer);
-            async move { Ok::<_, Infallible>(reply.await) }
-        });
+        let service =
+            service_fn(move |request| handler.handle(request, peer).map(Ok::<_, Infallible>));
         let options = &self.state.options;
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(MonoioTimer)
             .header_read_timeout(options.head_span)
             .max_headers(options.fields)
             .max_buf_size(options.head.max(8192))
             .serve_connection(MonoioIo::new(io), service);
-        let mut connection = std::pin::pin!(connection);
-        let ended = self.unless_stopping(connection.as_mut()).await;
-        if ended.is_none() {
-            connection.as_mut().graceful_shutdown();
+        let ended = poll_fn(|cx| connection.poll_without_shutdown(cx));
+        if self.unless_stopping(ended).await.is_none() {
+            Pin::new(&mut connection).graceful_shutdown();
             // A peer that breaks off ends its own exchange only.
-            let _ = connection.await;
+            let _ = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+        }
+        let io = connection.into_parts().io.inner();
+        if let Ok(stream) = io.try_into_comp_io() {
+            linger(stream, &self.state.timer).await;
         }
     }
 
