--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -1,6 +1,6 @@
 //! Chat requests in the OpenAI form.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// Tokens of an answer whose request sets no limit.
 const NATURAL_LENGTH: u64 = 16;
@@ -9,21 +9,22 @@
 const ASSISTANT: &str = "assistant";
 
 /// A message of a chat.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChatMessage {
     role: String,
     content: Content,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(untagged)]
 enum Content {
     Text(String),
     Parts(Vec<ContentPart>),
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct ContentPart {
+    r#type: String,
     text: String,
 }
 
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -23,6 +23,7 @@
 mod text;
 
 pub use chat::ChatMessage;
+pub use effects::{EngineCounters, EngineEffects, OrderEffect, OrderKind, RunEffect, RunState};
 pub use faults::EngineFaults;
 pub use options::EngineOptions;
 pub use start::Engine;
--- a/crates/standin/src/log/faults.rs
+++ b/crates/standin/src/log/faults.rs
@@ -16,7 +16,7 @@
     pub reject: u64,
     /// Delay of every answer, milliseconds.
     pub delay_ms: u64,
-    /// Oldest offset to keep, by stream.
+    /// Offset by stream, before which records are trimmed.
     pub trim_before: BTreeMap<String, u64>,
     /// Every request is taken and never answered.
     pub stall: bool,
--- a/crates/standin/src/serve/running.rs
+++ b/crates/standin/src/serve/running.rs
@@ -21,7 +21,7 @@
     },
 }
 
-/// A stand-in that serves.
+/// A stand-in that serves; it serves on when this is dropped.
 pub struct Running<F> {
     /// Address it listens on, with the port it was given.
     pub address: SocketAddr,
--- a/crates/standin/src/service/effects.rs
+++ b/crates/standin/src/service/effects.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// What an effect is counted by.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
@@ -15,15 +15,15 @@
 #[derive(Default)]
 pub(crate) struct Effects(BTreeMap<Cause, u64>);
 
-/// Effects of one path and key.
-#[derive(Serialize)]
-pub(crate) struct Effect<'a> {
+/// Effects of one path and key, as `GET /effects` shows them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceEffect {
     /// Path without its query.
-    pub(crate) path: &'a str,
+    pub path: String,
     /// Idempotency key, else request id, else nothing.
-    pub(crate) key: &'a str,
+    pub key: String,
     /// Times it took effect.
-    pub(crate) count: u64,
+    pub count: u64,
 }
 
 impl Effects {
@@ -39,14 +39,12 @@
     }
 
     /// All, in order of path and key.
-    pub(crate) fn list(&self) -> Vec<Effect<'_>> {
-        self.0
-            .iter()
-            .map(|(cause, count)| Effect {
-                path: &cause.path,
-                key: &cause.key,
-                count: *count,
-            })
-            .collect()
+    pub(crate) fn list(&self) -> Vec<ServiceEffect> {
+        let view = |(cause, count): (&Cause, &u64)| ServiceEffect {
+            path: cause.path.clone(),
+            key: cause.key.clone(),
+            count: *count,
+        };
+        self.0.iter().map(view).collect()
     }
 }
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -4,5 +4,6 @@
 mod faults;
 mod handler;
 
+pub use effects::ServiceEffect;
 pub use faults::ServiceFaults;
 pub use handler::{Service, ServiceOptions};
