--- /dev/null
+++ b/crates/entry/src/caller/admit.rs
@@ -0,0 +1,51 @@
+//! Whether a request is taken at all, and whose it is.
+
+use std::net::SocketAddr;
+
+use http::header::AUTHORIZATION;
+use pumicecleat_net::Incoming;
+use pumicecleat_ops::{events, field};
+use pumicecleat_types::CallerId;
+
+use crate::fault::{Fault, RETRY};
+use crate::shared::Shared;
+
+/// Scheme of the header.
+const SCHEME: &str = "bearer ";
+
+/// Refuses new work of a process that stops or has no configuration.
+pub(super) fn check_open(shared: &Shared) -> Result<(), Fault> {
+    if shared.stop.is_asked() {
+        return Err(Fault::later("stopping", "this entry is stopping", RETRY));
+    }
+    if !shared.readiness.is_ready() {
+        return Err(Fault::later("not_ready", "this entry is not ready", RETRY));
+    }
+    Ok(())
+}
+
+/// Caller of a request.
+pub(super) fn identify(
+    shared: &Shared,
+    incoming: &Incoming,
+    peer: SocketAddr,
+) -> Result<CallerId, Fault> {
+    let caller = bearer(incoming).and_then(|key| shared.current.caller(key));
+    caller.ok_or_else(|| {
+        let fields = [
+            field("peer", &peer),
+            field("target", incoming.uri().path()),
+            field("reason", "unknown key"),
+        ];
+        shared.log.emit(&events::CALLER_REFUSED, &fields);
+        Fault::bad(401, "invalid_api_key", "no known key in Authorization")
+    })
+}
+
+fn bearer(incoming: &Incoming) -> Option<&str> {
+    let value = incoming.headers().get(AUTHORIZATION)?.to_str().ok()?;
+    let scheme = value.get(..SCHEME.len())?;
+    scheme
+        .eq_ignore_ascii_case(SCHEME)
+        .then(|| value[SCHEME.len()..].trim())
+}
--- /dev/null
+++ b/crates/entry/src/caller/chat.rs
@@ -0,0 +1,109 @@
+//! Chat requests.
+
+use std::rc::Rc;
+
+use http::{HeaderMap, HeaderValue};
+use http::header::{CACHE_CONTROL, CONTENT_TYPE};
+use pumicecleat_net::{Body, Reply};
+use pumicecleat_ops::{events, field};
+use pumicecleat_types::RequestId;
+use pumicecleat_upstream::{BodyFault, ChatBody, ChatLimits};
+
+use super::headers::{put_course, read_deadline, read_priority};
+use super::{Call, read_body};
+use crate::fault::Fault;
+use crate::request::{Answer, Content, Exchange, Job, Repeat, resolve_model};
+use crate::shared::Shared;
+use crate::stream::{Opened, open};
+
+/// Messages that the prefix hash covers: the system's words and the first of the caller's.
+const PREFIX_MESSAGES: usize = 2;
+
+/// Answers a chat request.
+pub(super) async fn answer(shared: &Rc<Shared>, mut call: Call) -> Result<Reply, Fault> {
+    let bytes = read_body(shared, &mut call).await?;
+    let chat = parse(shared, &call.request, &bytes)?;
+    let job = make_job(shared, &call, chat)?;
+    let stream = job.stream;
+    let mut exchange = Exchange::new(shared, job, call.guard);
+    if stream {
+        return Ok(streamed(exchange).await);
+    }
+    let result = exchange.whole().await;
+    Ok(finish(exchange, result))
+}
+
+fn parse(shared: &Shared, request: &RequestId, bytes: &[u8]) -> Result<ChatBody, Fault> {
+    let limits = ChatLimits {
+        bytes: bytes.len().max(1),
+        ..ChatLimits::default()
+    };
+    ChatBody::parse(bytes, &limits).map_err(|fault| {
+        let fields = [field("request", request), field("reason", &fault)];
+        shared.log.emit(&events::REQUEST_MALFORMED, &fields);
+        Fault::bad(400, body_code(&fault), fault.to_string())
+    })
+}
+
+fn body_code(fault: &BodyFault) -> &'static str {
+    match fault {
+        BodyFault::TooLong { .. } => "body_too_long",
+        BodyFault::Encoding { .. } => "body_not_utf8",
+        BodyFault::Json { .. } => "body_not_json",
+        BodyFault::TooDeep { .. } => "body_too_deep",
+        BodyFault::Field { .. } => "bad_field",
+    }
+}
+
+fn make_job(shared: &Shared, call: &Call, chat: ChatBody) -> Result<Job, Fault> {
+    let headers = call.incoming.headers();
+    Ok(Job {
+        resolved: resolve_model(shared, &call.caller, chat.model())?,
+        request: call.request.clone(),
+        caller: call.caller.clone(),
+        arrived: call.arrived,
+        deadline: call.arrived + read_deadline(shared, headers)?,
+        priority: read_priority(shared, &call.caller, headers)?,
+        stream: chat.stream(),
+        key: None,
+        repeat: Repeat::Freely,
+        prefix: Some(chat.prefix_hash(PREFIX_MESSAGES)),
+        content: Content::Chat(Box::new(chat)),
+    })
+}
+
+async fn streamed(exchange: Exchange) -> Reply {
+    let relay = match open(exchange).await {
+        Opened::Stream(relay) => relay,
+        Opened::Whole(answer, exchange) => return finish(exchange, Ok(answer)),
+        Opened::Fault(fault, exchange) => return finish(exchange, Err(fault)),
+    };
+    let mut headers = HeaderMap::new();
+    let kind = HeaderValue::from_static("text/event-stream; charset=utf-8");
+    headers.insert(CONTENT_TYPE, kind);
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    put_course(&mut headers, relay.exchange());
+    let mut reply = Reply::new(relay.into_body());
+    *reply.headers_mut() = headers;
+    reply
+}
+
+/// Reply by an answer's whole body, or by a fault.
+fn finish(mut exchange: Exchange, result: Result<Answer, Fault>) -> Reply {
+    let mut reply = match result {
+        Ok(answer) => {
+            exchange.note_first();
+            exchange.note_whole();
+            let mut reply = Reply::new(Body::whole(answer.body));
+            let kind = HeaderValue::from_static("application/json");
+            reply.headers_mut().insert(CONTENT_TYPE, kind);
+            reply
+        }
+        Err(fault) => {
+            exchange.note_fault(&fault);
+            fault.reply()
+        }
+    };
+    put_course(reply.headers_mut(), &exchange);
+    reply
+}
--- /dev/null
+++ b/crates/entry/src/caller/mod.rs
@@ -0,0 +1,134 @@
+//! What callers ask of this entry.
+//!
+//! `admit` refuses what can't be taken at all, `headers` reads what a request's head says, `chat`
+//! and `service` make a job of it, `models` lists what a caller may reach.
+
+mod admit;
+mod chat;
+mod headers;
+mod models;
+mod service;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use http::header::{CONNECTION, HeaderName};
+use http::{HeaderValue, Method};
+use pumicecleat_net::{BodyError, Handler, Incoming, Reply, read_all};
+use pumicecleat_ops::{DrainGuard, events, field};
+use pumicecleat_types::{CallerId, Millis, RequestId};
+use uuid::Uuid;
+
+use crate::config::ensure_fresh;
+use crate::fault::Fault;
+use crate::shared::Shared;
+
+/// Header with the request's id.
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+
+/// Path of chat requests.
+const CHAT: &str = "/v1/chat/completions";
+
+/// Path of the list of models.
+const MODELS: &str = "/v1/models";
+
+/// Handler of the callers' listener.
+pub(crate) struct CallerHandler {
+    shared: Rc<Shared>,
+}
+
+/// A request whose caller is known.
+struct Call {
+    request: RequestId,
+    caller: CallerId,
+    arrived: Millis,
+    incoming: Incoming,
+    guard: DrainGuard,
+}
+
+impl CallerHandler {
+    pub(crate) fn new(shared: &Rc<Shared>) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+        }
+    }
+}
+
+impl Handler for CallerHandler {
+    fn handle(
+        &self,
+        request: Incoming,
+        peer: SocketAddr,
+    ) -> Pin<Box<dyn Future<Output = Reply>>> {
+        let shared = Rc::clone(&self.shared);
+        Box::pin(async move { answer(&shared, request, peer).await })
+    }
+}
+
+async fn answer(shared: &Rc<Shared>, incoming: Incoming, peer: SocketAddr) -> Reply {
+    let request = RequestId::from(Uuid::now_v7().to_string());
+    let result = take(shared, &request, incoming, peer).await;
+    let mut reply = result.unwrap_or_else(|fault| fault.reply());
+    let headers = reply.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(request.as_str()) {
+        headers.insert(REQUEST_ID, id);
+    }
+    if shared.stop.is_asked() {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+async fn take(
+    shared: &Rc<Shared>,
+    request: &RequestId,
+    incoming: Incoming,
+    peer: SocketAddr,
+) -> Result<Reply, Fault> {
+    admit::check_open(shared)?;
+    let guard = shared.drain.enter(request);
+    let arrived = shared.timer.now();
+    ensure_fresh(shared).await;
+    let caller = admit::identify(shared, &incoming, peer)?;
+    let call = Call {
+        request: request.clone(),
+        caller,
+        arrived,
+        incoming,
+        guard,
+    };
+    let path = call.incoming.uri().path();
+    match (call.incoming.method(), path) {
+        (&Method::POST, CHAT) => chat::answer(shared, call).await,
+        (&Method::GET, MODELS) => Ok(models::answer(shared, &call.caller)),
+        (_, CHAT | MODELS) => Err(Fault::bad(405, "method_not_allowed", "no such method here")),
+        _ => service::answer(shared, call).await,
+    }
+}
+
+/// Whole body of a request.
+async fn read_body(shared: &Shared, call: &mut Call) -> Result<Vec<u8>, Fault> {
+    let limit = shared.current.with(|config| config.limits.body);
+    let span = shared.options.body_span;
+    let body = call.incoming.body_mut();
+    let declared = http_body::Body::size_hint(body).lower();
+    let read = if declared > limit {
+        Err(BodyError::TooLong { limit })
+    } else {
+        read_all(body, limit, span, &shared.timer).await
+    };
+    read.map_err(|error| body_fault(shared, &call.request, &error))
+}
+
+fn body_fault(shared: &Shared, request: &RequestId, error: &BodyError) -> Fault {
+    let fields = [field("request", request), field("reason", error)];
+    shared.log.emit(&events::REQUEST_MALFORMED, &fields);
+    let (status, code) = match error {
+        BodyError::TooLong { .. } => (413, "body_too_long"),
+        BodyError::TooSlow { .. } => (408, "body_too_slow"),
+        BodyError::Broken { .. } => (400, "body_broken"),
+    };
+    Fault::bad(status, code, error.to_string())
+}
--- /dev/null
+++ b/crates/entry/src/config/follow.rs
@@ -0,0 +1,205 @@
+//! Reading on in the log.
+//!
+//! The fold only moves forward, so that a process which was paused, or reads twice at once, takes
+//! nothing back. During an outage the revision held stays in force; other entries are asked for a
+//! newer one.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_config::FoldEvent;
+use pumicecleat_ops::{events, field};
+use pumicecleat_platform::{Batch, ReadError};
+use pumicecleat_types::{LogRecord, Millis};
+
+use super::{Current, STREAM, peers};
+use crate::shared::Shared;
+
+/// Records of one read.
+const READ_RECORDS: u32 = 256;
+
+/// Longest wait of a read for a record.
+const READ_WAIT: Duration = Duration::from_secs(2);
+
+/// Pause after a read that failed.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Age of the last read up to which a request is decided without another.
+const FRESH: Millis = Millis(5_000);
+
+/// Longest wait of a request for a read.
+const REFRESH_SPAN: Duration = Duration::from_millis(500);
+
+/// Name of the readiness condition.
+pub(crate) const CONDITION: &str = "config";
+
+/// Follows the stream until the process ends.
+pub(crate) async fn follow(shared: Rc<Shared>) {
+    loop {
+        if !read_on(&shared, READ_WAIT).await {
+            peers::ask(&shared).await;
+            shared.timer.sleep(PAUSE).await;
+        }
+    }
+}
+
+/// Reads what the log holds now, if it was not read lately: after a pause of the process.
+pub(crate) async fn ensure_fresh(shared: &Shared) {
+    let current = &shared.current;
+    if current.outage.get().is_some() || current.is_fresh(shared.timer.now(), FRESH) {
+        return;
+    }
+    refresh(shared).await;
+}
+
+/// Reads what the log holds now; during an outage asks other entries.
+pub(crate) async fn refresh(shared: &Shared) {
+    let read = async {
+        if !read_on(shared, Duration::ZERO).await {
+            peers::ask(shared).await;
+        }
+    };
+    // Out of time, the revision held decides; sides refuse what is older than theirs.
+    let _ = shared.timer.within(REFRESH_SPAN, read).await;
+}
+
+/// Reads once from the offset wanted; false if the log did not answer.
+async fn read_on(shared: &Shared, wait: Duration) -> bool {
+    let from = shared.current.next();
+    let read = shared.records.read(STREAM, from, READ_RECORDS, wait).await;
+    match read {
+        Ok(batch) => take(shared, &batch),
+        Err(ReadError::Trimmed { first, .. }) => return skip_to_snapshot(shared, from, first).await,
+        Err(e) => {
+            note_down(shared, &e);
+            return false;
+        }
+    }
+    true
+}
+
+fn take(shared: &Shared, batch: &Batch) {
+    note_up(shared);
+    for record in &batch.records {
+        if !apply(shared, record) {
+            return;
+        }
+    }
+    if shared.current.next() >= batch.next {
+        confirm(shared);
+    }
+}
+
+/// Reads from the oldest record kept up to a snapshot that starts the fold anew.
+async fn skip_to_snapshot(shared: &Shared, wanted: u64, first: u64) -> bool {
+    let fields = [
+        field("stream", STREAM),
+        field("wanted", wanted),
+        field("first", first),
+    ];
+    shared.log.emit(&events::RECORDS_TRIMMED, &fields);
+    let mut from = first;
+    loop {
+        let read = shared
+            .records
+            .read(STREAM, from, READ_RECORDS, Duration::ZERO)
+            .await;
+        let batch = match read {
+            Ok(batch) => batch,
+            Err(e) => {
+                note_down(shared, &e);
+                return false;
+            }
+        };
+        let started = batch.records.iter().any(|record| apply(shared, record));
+        if started {
+            return true;
+        }
+        let Some(last) = batch.records.last() else {
+            return false;
+        };
+        from = last.offset + 1;
+    }
+}
+
+/// Takes a record in; false if it lies behind a gap that it can't close.
+fn apply(shared: &Shared, record: &LogRecord) -> bool {
+    let event = match shared.current.apply(record) {
+        Ok(event) => event,
+        Err(_) => return false,
+    };
+    let offset = field("offset", record.offset);
+    match &event {
+        FoldEvent::Accepted { .. } | FoldEvent::Started { .. } => in_force(shared, "log"),
+        FoldEvent::Refused { cause, .. } => {
+            let revision = field("revision", shared.current.revision());
+            let fields = [revision, offset, field("reason", cause)];
+            shared.log.emit(&events::CONFIG_REFUSED, &fields);
+        }
+        FoldEvent::Garbage { detail, .. } => {
+            let fields = [offset, field("error", detail)];
+            shared.log.emit(&events::RECORD_BAD, &fields);
+        }
+        FoldEvent::Ignored(objection) => {
+            let fields = [offset, field("error", objection)];
+            shared.log.emit(&events::RECORD_BAD, &fields);
+        }
+        _ => {}
+    }
+    shared.current.next() > record.offset || matches!(event, FoldEvent::Started { .. })
+}
+
+/// Notes that a newer revision is in force.
+pub(super) fn in_force(shared: &Shared, source: &str) {
+    let revision = shared.current.revision();
+    let fields = [
+        field("revision", revision),
+        field("offset", shared.current.next()),
+        field("source", source),
+    ];
+    shared.log.emit(&events::CONFIG_IN_FORCE, &fields);
+    shared.meters.revision(revision);
+    if source != "log" {
+        hold(shared);
+    }
+}
+
+/// Becomes ready with a configuration that is read to its end.
+fn confirm(shared: &Shared) {
+    let now = shared.timer.now();
+    shared.current.confirmed.set(Some(now));
+    hold(shared);
+}
+
+fn hold(shared: &Shared) {
+    if shared.current.revision() > 0 {
+        shared.readiness.hold(CONDITION);
+    }
+}
+
+fn note_down(shared: &Shared, error: &ReadError) {
+    if shared.current.outage.get().is_some() {
+        return;
+    }
+    shared.current.outage.set(Some(shared.timer.now()));
+    let address = field("address", shared.options.log.as_str());
+    let fields = [address, field("step", "read"), field("error", error)];
+    shared.log.emit(&events::LOG_DOWN, &fields);
+}
+
+fn note_up(shared: &Shared) {
+    let Some(since) = shared.current.outage.take() else {
+        return;
+    };
+    let down = shared.timer.now().since(since).0;
+    let address = field("address", shared.options.log.as_str());
+    let fields = [address, field("down_ms", down)];
+    shared.log.emit(&events::LOG_UP, &fields);
+}
+
+impl Current {
+    /// Whether another process speaks of a newer revision than the one in force here.
+    pub(crate) fn is_behind(&self, revision: u64) -> bool {
+        revision > self.revision()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/directory/mod.rs
@@ -0,0 +1,174 @@
+//! Sides and adapters by name, and the choice among them.
+//!
+//! Soft state: it may be wrong for seconds, and the sides' refusals correct it. `names` gives
+//! indices, `side` and `listed` keep what reports and the VM list said, `report` takes reports in,
+//! `vms` reads the list, `expire` watches for silence and `dump` shows it all.
+
+mod dump;
+mod expire;
+mod listed;
+mod names;
+mod report;
+mod side;
+mod vms;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pumicecleat_policy::{
+    Ask, Choice, LoraIx, Outcome, PoolIx, Router, RouterOptions, UpstreamIx, lora_key,
+};
+use pumicecleat_types::{LoadFigures, Lora, Millis, PoolId, VmId};
+
+pub use dump::SideDump;
+pub(crate) use expire::watch_silence;
+pub(crate) use report::{Pace, Taken};
+pub(crate) use vms::follow_vms;
+
+use listed::Listed;
+use names::Names;
+use side::Side;
+
+/// Sides and adapters known to this entry.
+pub(crate) struct Directory {
+    router: Router,
+    names: Names,
+    sides: BTreeMap<VmId, Side>,
+    /// VM of each upstream in use, by index.
+    by_index: Vec<Option<VmId>>,
+    listed: Listed,
+}
+
+/// Where one attempt goes.
+#[derive(Clone, Debug)]
+pub(crate) struct Destination {
+    pub(crate) up: UpstreamIx,
+    pub(crate) vm: VmId,
+    pub(crate) address: String,
+}
+
+/// Choice of a destination.
+#[derive(Clone, Debug)]
+pub(crate) enum Chosen {
+    /// Send it there.
+    Send(Destination),
+    /// Every upstream is too late.
+    Late { retry: Millis },
+    /// No upstream may get work.
+    Nowhere { retry: Millis },
+}
+
+impl Directory {
+    /// Directory without sides; `seed` differs between entries.
+    pub(crate) fn new(seed: u64) -> Self {
+        let options = RouterOptions {
+            seed,
+            ..RouterOptions::default()
+        };
+        Self {
+            router: Router::new_ext(options),
+            names: Names::default(),
+            sides: BTreeMap::new(),
+            by_index: Vec::new(),
+            listed: Listed::default(),
+        }
+    }
+
+    /// Index of a pool.
+    pub(crate) fn pool(&mut self, pool: &PoolId) -> PoolIx {
+        self.names.pool(pool)
+    }
+
+    /// Index of an adapter's version.
+    pub(crate) fn lora(&mut self, lora: &Lora) -> LoraIx {
+        let given = self.names.lora(lora.base.as_str(), &lora.engine_name());
+        if given.fresh {
+            self.router.name_lora(given.lora, lora_key(lora));
+        }
+        given.lora
+    }
+
+    /// Where a request should go.
+    pub(crate) fn choose(&mut self, ask: &Ask<'_>, now: Millis) -> Chosen {
+        match self.router.choose(ask, now) {
+            Choice::Refuse { retry } if self.router.usable(ask.pool) == 0 => {
+                Chosen::Nowhere { retry }
+            }
+            Choice::Refuse { retry } => Chosen::Late { retry },
+            Choice::Send(pick) => match self.destination(pick.up) {
+                Some(destination) => Chosen::Send(destination),
+                None => Chosen::Nowhere { retry: Millis(0) },
+            },
+        }
+    }
+
+    /// Counts an attempt sent.
+    pub(crate) fn sent(&mut self, up: UpstreamIx, lora: Option<LoraIx>, now: Millis) {
+        self.router.sent(up, lora, now);
+    }
+
+    /// Learns from the end of an attempt.
+    pub(crate) fn ended(
+        &mut self,
+        up: UpstreamIx,
+        lora: Option<LoraIx>,
+        outcome: Outcome,
+        now: Millis,
+    ) {
+        self.router.ended(up, lora, outcome, now);
+    }
+
+    /// Takes in load figures that came with an answer.
+    pub(crate) fn heard(&mut self, up: UpstreamIx, load: LoadFigures, now: Millis) {
+        self.router.heard(up, load, now);
+    }
+
+    /// Expected time of a load.
+    pub(crate) fn set_load(&mut self, load: Millis) {
+        self.router.set_load(load);
+    }
+
+    /// Sides known.
+    pub(crate) fn len(&self) -> usize {
+        self.sides.len()
+    }
+
+    /// Adapters' versions seen so far.
+    pub(crate) fn loras(&self) -> usize {
+        self.names.loras()
+    }
+
+    /// VMs listed.
+    pub(crate) fn listed(&self) -> usize {
+        self.listed.len()
+    }
+
+    /// Entries by the VM list.
+    pub(crate) fn entries(&self) -> BTreeSet<VmId> {
+        self.listed.entries()
+    }
+
+    /// Peer addresses of entries by the VM list.
+    pub(crate) fn entry_addresses(&self) -> Vec<String> {
+        self.listed.addresses()
+    }
+
+    fn destination(&self, up: UpstreamIx) -> Option<Destination> {
+        let vm = self.by_index.get(up.0 as usize)?.as_ref()?;
+        let side = self.sides.get(vm)?;
+        Some(Destination {
+            up,
+            vm: vm.clone(),
+            address: side.address.clone(),
+        })
+    }
+
+    /// Forgets a side; its index may go to another.
+    fn forget(&mut self, vm: &VmId) -> Option<UpstreamIx> {
+        let side = self.sides.remove(vm)?;
+        self.router.forget(side.up);
+        if let Some(place) = self.by_index.get_mut(side.up.0 as usize) {
+            *place = None;
+        }
+        Some(side.up)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/directory/report.rs
@@ -0,0 +1,194 @@
+//! Sides' reports.
+
+use pumicecleat_config::model::{Config, PoolKind};
+use pumicecleat_policy::{LoraIx, UpstreamFigures, UpstreamIx, upstream_key};
+use pumicecleat_types::{Lora, Millis, Report, VmId};
+
+use super::Directory;
+use super::side::Side;
+
+/// Weight of the newest report in the mean length, as one over.
+const NEW: u64 = 8;
+
+/// Shortest time between two reports of a side.
+const SHORTEST: Millis = Millis(500);
+
+/// Longest time between two reports of a side: it is suspect after twice that.
+const LONGEST: Millis = Millis(7_000);
+
+/// Reports missed from which on a side is overdue.
+const MISSED: u64 = 3;
+
+/// Length assumed before the first report, bytes.
+const LENGTH: u64 = 400;
+
+/// Milliseconds in a second.
+const SECOND: u64 = 1_000;
+
+/// Pace of reports, so that all together stay under a rate.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pace {
+    length: u64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self { length: LENGTH }
+    }
+}
+
+impl Pace {
+    /// Counts a report of `length` bytes.
+    pub(crate) fn count(&mut self, length: usize) {
+        let kept = self.length * (NEW - 1);
+        self.length = (kept + length as u64) / NEW;
+    }
+
+    /// Time until a side's next report, where `sides` share `rate` bytes a second.
+    pub(crate) fn next(self, sides: usize, rate: u64) -> Millis {
+        let all = self.length * sides as u64 * SECOND;
+        Millis(all / rate.max(1)).clamp(SHORTEST, LONGEST)
+    }
+}
+
+/// What became of a report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Taken {
+    /// Of an older incarnation, or overtaken.
+    Old,
+    /// Taken in.
+    Known {
+        /// The next must be whole.
+        whole: bool,
+    },
+    /// First one of this incarnation, or after a silence.
+    Seen {
+        /// The next must be whole.
+        whole: bool,
+        /// Takes no new work.
+        leaving: bool,
+    },
+}
+
+impl Directory {
+    /// Takes a report in.
+    pub(crate) fn report(&mut self, report: &Report, config: &Config, now: Millis) -> Taken {
+        let known = self.sides.get(&report.vm);
+        let same = known.is_some_and(|s| s.incarnation == report.incarnation);
+        if known.is_some_and(|s| is_old(s, report)) {
+            return Taken::Old;
+        }
+        let silent = known.is_none_or(|s| s.silent);
+        let resident = match (&report.resident, known) {
+            (Some(names), _) => Some(self.residents(names, report, config)),
+            (None, Some(side)) if same => side.resident.clone(),
+            _ => None,
+        };
+        let whole = resident.is_none();
+        if !same {
+            // What was learned of an earlier process, such as that it leaves, is void.
+            self.forget(&report.vm);
+        }
+        let side = self.side(report, resident, config, now);
+        let leaving = side.leaving;
+        self.put(&report.vm, side, now);
+        if same && !silent {
+            return Taken::Known { whole };
+        }
+        Taken::Seen { whole, leaving }
+    }
+
+    fn side(
+        &mut self,
+        report: &Report,
+        resident: Option<Vec<LoraIx>>,
+        config: &Config,
+        now: Millis,
+    ) -> Side {
+        let loading = report.loading.as_ref();
+        let loading = loading.and_then(|name| self.resident(name, report, config));
+        Side {
+            up: self.upstream(&report.vm),
+            address: report.address.clone(),
+            incarnation: report.incarnation,
+            seq: report.seq,
+            pool: report.pool.clone(),
+            pool_ix: self.names.pool(&report.pool),
+            centre: report.centre.clone(),
+            leaving: report.leaving || self.listed.is_leaving(&report.vm),
+            healthy: report.healthy,
+            load: report.load,
+            resident,
+            loading,
+            revision: report.revision,
+            seen: now,
+            next: LONGEST,
+            silent: false,
+        }
+    }
+
+    fn put(&mut self, vm: &VmId, side: Side, now: Millis) {
+        let figures = UpstreamFigures {
+            load: side.load,
+            leaving: side.leaving,
+            healthy: side.healthy,
+        };
+        let resident = side.resident.as_deref();
+        self.router
+            .report(side.up, side.pool_ix, &figures, resident, side.loading, now);
+        self.sides.insert(vm.clone(), side);
+    }
+
+    fn residents(&mut self, names: &[String], report: &Report, config: &Config) -> Vec<LoraIx> {
+        let known = names.iter();
+        known
+            .filter_map(|name| self.resident(name, report, config))
+            .collect()
+    }
+
+    fn resident(&mut self, engine: &str, report: &Report, config: &Config) -> Option<LoraIx> {
+        let pool = config.pools.get(&report.pool)?;
+        let PoolKind::Model { base, .. } = &pool.kind else {
+            return None;
+        };
+        let (adapter, version) = engine.rsplit_once('@')?;
+        let lora = Lora::new(base.as_str(), adapter, version);
+        Some(self.lora(&lora))
+    }
+
+    /// Notes when a side was told to report next.
+    pub(crate) fn expect(&mut self, vm: &VmId, next: Millis) {
+        if let Some(side) = self.sides.get_mut(vm) {
+            side.next = next;
+        }
+    }
+
+    /// Whether a side has missed several reports.
+    pub(crate) fn is_overdue(&self, vm: &VmId, now: Millis) -> bool {
+        let side = self.sides.get(vm);
+        side.is_none_or(|s| now.since(s.seen).0 > s.next.0 * MISSED + SHORTEST.0)
+    }
+
+    /// Index of an upstream: the one it has, or a free one.
+    pub(crate) fn upstream(&mut self, vm: &VmId) -> UpstreamIx {
+        if let Some(side) = self.sides.get(vm) {
+            return side.up;
+        }
+        let held = self.by_index.iter().position(|p| p.as_ref() == Some(vm));
+        let free = || self.by_index.iter().position(Option::is_none);
+        let at = held.or_else(free).unwrap_or(self.by_index.len());
+        if at == self.by_index.len() {
+            self.by_index.push(None);
+        }
+        self.by_index[at] = Some(vm.clone());
+        let up = UpstreamIx(u32::try_from(at).unwrap_or(u32::MAX));
+        self.router.name_upstream(up, upstream_key(vm));
+        up
+    }
+}
+
+/// Whether a report says less than what is known.
+fn is_old(side: &Side, report: &Report) -> bool {
+    let same = report.incarnation == side.incarnation;
+    report.incarnation < side.incarnation || (same && report.seq <= side.seq)
+}
--- a/crates/entry/src/fault.rs
+++ b/crates/entry/src/fault.rs
@@ -164,3 +164,8 @@
         Self { status, code, ran }
     }
 }
+
+/// Stable code of a reason.
+pub(crate) fn reason_code(reason: Reason) -> &'static str {
+    Face::of(reason).code
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,3 +1,49 @@
-//! Reads arguments and calls the library.
+//! The process that meets callers: identity, choice of upstream, retry, and the whole answer.
+//! Reads settings and calls the library.
 
-fn main() {}
+use std::process::ExitCode;
+
+use pumicecleat_entry::{Entry, EntrySettings, Parts};
+use pumicecleat_net::{Timer, run};
+use pumicecleat_ops::{DrainEnd, Log, Settings, Stop, events, field};
+
+const PROGRAM: &str = "pumicecleat-entry";
+
+fn main() -> ExitCode {
+    let settings = match EntrySettings::from_process(PROGRAM) {
+        Ok(settings) => settings,
+        Err(exit) => return exit.report(PROGRAM),
+    };
+    let log = Log::new_ext(&settings.common.log_options(PROGRAM));
+    match run(serve(&settings, &log)) {
+        Ok(Some(DrainEnd::Finished)) => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
+
+async fn serve(settings: &EntrySettings, log: &Log) -> Option<DrainEnd> {
+    let common = &settings.common;
+    let fields = [
+        field("program", PROGRAM),
+        field("version", env!("CARGO_PKG_VERSION")),
+        field("vm", &common.vm),
+        field("centre", &common.centre),
+        field("region", &common.region),
+    ];
+    log.emit(&events::STARTED, &fields);
+    let timer = Timer::start();
+    let stop = match Stop::listen() {
+        Ok(stop) => stop,
+        Err(e) => {
+            let fields = [field("step", "listen for signals"), field("error", &e)];
+            log.emit_last(&events::INTERNAL, &fields);
+            return None;
+        }
+    };
+    let parts = Parts::over_http(settings, &timer);
+    // A listener that can't be bound has logged why.
+    let entry = Entry::start(settings, &parts, &timer, log, &stop).ok()?;
+    let end = entry.run().await;
+    Entry::log_end(log, &end);
+    Some(end)
+}
--- /dev/null
+++ b/crates/entry/src/request/attempt.rs
@@ -0,0 +1,345 @@
+//! One attempt at one side.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method};
+use pumicecleat_net::{FrameError, FrameReader, NetError, Sent};
+use pumicecleat_policy::{LoraIx, Outcome, UpstreamIx};
+use pumicecleat_types::{
+    Frame, HeaderField, LoadFigures, Millis, Ran, Reason, RunHead, RunRequest, encode,
+};
+
+use super::failure::Loss;
+use super::{Course, Failure, Job};
+use crate::directory::Destination;
+use crate::shared::Shared;
+
+/// Path of the exchange.
+const PATH: &str = "/peer/v1/run";
+
+/// Time for a side to take a connection and answer its head, which it does at once.
+const HEAD_SPAN: Duration = Duration::from_secs(1);
+
+/// Time between two looks at whether a side still reports.
+const TICK: Duration = Duration::from_millis(500);
+
+/// Looks in a row that must find reports overdue: after a pause of this process one does.
+const OVERDUE_TICKS: u32 = 2;
+
+/// Time for the proper end of a body that has shown its last frame.
+const END_SPAN: Duration = Duration::from_millis(100);
+
+/// First status of an error.
+const ERROR: u16 = 400;
+
+/// First status of an upstream's own fault.
+const FAILED: u16 = 500;
+
+/// Status by which an engine denies a model.
+const NO_MODEL: u16 = 404;
+
+/// An attempt under way. Dropping it closes its connection, and the side cancels it.
+pub(crate) struct Attempt {
+    pub(crate) destination: Destination,
+    frames: FrameReader,
+    sent: SentGuard,
+}
+
+/// Start of an answer.
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerHead {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<HeaderField>,
+}
+
+impl AnswerHead {
+    /// Whether the upstream answers by an error.
+    pub(crate) fn is_error(&self) -> bool {
+        self.status >= ERROR
+    }
+}
+
+/// What follows the start of an answer.
+pub(crate) enum Part {
+    Data(Vec<u8>),
+    End(Option<LoadFigures>),
+}
+
+/// Counts an attempt with the router until it ends.
+struct SentGuard {
+    shared: Rc<Shared>,
+    up: UpstreamIx,
+    lora: Option<LoraIx>,
+    outcome: Option<Outcome>,
+}
+
+/// An attempt to send.
+pub(crate) struct Outgoing<'a> {
+    pub(crate) job: &'a Job,
+    pub(crate) destination: Destination,
+    pub(crate) number: u32,
+    pub(crate) left: Millis,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Attempt {
+    /// Sends an attempt and waits for the start of its answer.
+    pub(crate) async fn open(
+        shared: &Rc<Shared>,
+        outgoing: Outgoing<'_>,
+    ) -> Result<(Self, AnswerHead), Failure> {
+        let job = outgoing.job;
+        let number = outgoing.number;
+        let mut sent = SentGuard::new(shared, outgoing.destination.up, job.resolved.lora_ix);
+        let destination = outgoing.destination.clone();
+        let request = outgoing.into_request();
+        let address = &destination.address;
+        let response = shared.client.send(address, request, HEAD_SPAN).await;
+        let response = match response {
+            Ok(response) => response,
+            Err(e) => return Err(sent.fail(net_failure(&e))),
+        };
+        if response.status() != 200 {
+            let status = response.status();
+            let error = format!("peer {address}: status {status}");
+            return Err(sent.fail(lost(Ran::Unknown, "await frames", error)));
+        }
+        let mut attempt = Self {
+            destination,
+            frames: FrameReader::new(response),
+            sent,
+        };
+        match attempt.read_head(shared, job, number).await {
+            Ok(head) => Ok((attempt, head)),
+            Err(failure) => Err(attempt.fail(failure)),
+        }
+    }
+
+    /// Next part of the answer, if it comes within `span`.
+    pub(crate) async fn next_part(
+        &mut self,
+        shared: &Shared,
+        span: Duration,
+    ) -> Result<Part, Failure> {
+        let next = shared.timer.within(span, self.frames.next()).await;
+        let Ok(next) = next else {
+            let error = format!("peer {}: silent for {span:?}", self.destination.address);
+            return Err(stalled("read answer", error));
+        };
+        match self.frame(next)? {
+            Frame::Data { bytes } => Ok(Part::Data(bytes)),
+            Frame::End { load } => Ok(Part::End(load)),
+            Frame::Broken { ran, step, detail } => Err(self.broken(ran, &step, &detail)),
+            Frame::Head { .. } | Frame::Refused(_) => {
+                let error = format!("peer {}: frame out of place", self.destination.address);
+                Err(lost(Ran::Unknown, "read answer", error))
+            }
+        }
+    }
+
+    /// Takes in load figures that came with the answer.
+    pub(crate) fn learn(&self, shared: &Shared, load: Option<LoadFigures>) {
+        if let Some(load) = load {
+            let now = shared.timer.now();
+            let up = self.destination.up;
+            shared.directory.borrow_mut().heard(up, load, now);
+        }
+    }
+
+    /// Ends an attempt that was answered whole, and keeps its connection.
+    pub(crate) async fn finish(mut self, shared: &Shared) {
+        // A side that is slow to end its body only loses the connection.
+        let _ = shared.timer.within(END_SPAN, self.frames.next()).await;
+        self.sent.outcome = Some(Outcome::Whole);
+    }
+
+    /// Ends an attempt that failed.
+    pub(crate) fn fail(mut self, failure: Failure) -> Failure {
+        self.sent.outcome = Some(failure.outcome());
+        failure
+    }
+
+    async fn read_head(
+        &mut self,
+        shared: &Shared,
+        job: &Job,
+        number: u32,
+    ) -> Result<AnswerHead, Failure> {
+        match self.first_frame(shared).await? {
+            Frame::Head {
+                request,
+                attempt,
+                model,
+                status,
+                headers,
+                ..
+            } => {
+                if request != job.request || attempt != number {
+                    let asked = format!("{}/{number}", job.request);
+                    let answered = format!("{request}/{attempt}");
+                    return Err(Failure::Mismatch { asked, answered });
+                }
+                self.check_model(job, model.as_deref(), status)?;
+                Ok(AnswerHead { status, headers })
+            }
+            Frame::Refused(refusal) => Err(Failure::Refused(refusal)),
+            Frame::Broken { ran, step, detail } => Err(self.broken(ran, &step, &detail)),
+            Frame::Data { .. } | Frame::End { .. } => {
+                let error = format!("peer {}: no head", self.destination.address);
+                Err(lost(Ran::Unknown, "read head", error))
+            }
+        }
+    }
+
+    /// First frame; the side may hold it back while the request waits, as long as it reports.
+    async fn first_frame(&mut self, shared: &Shared) -> Result<Frame, Failure> {
+        let mut overdue_ticks = 0;
+        while overdue_ticks < OVERDUE_TICKS {
+            let next = shared.timer.within(TICK, self.frames.next()).await;
+            if let Ok(next) = next {
+                return self.frame(next);
+            }
+            let now = shared.timer.now();
+            let overdue = shared
+                .directory
+                .borrow()
+                .is_overdue(&self.destination.vm, now);
+            overdue_ticks = if overdue { overdue_ticks + 1 } else { 0 };
+        }
+        let error = format!("peer {}: reports overdue", self.destination.address);
+        Err(stalled("await head", error))
+    }
+
+    fn check_model(&self, job: &Job, model: Option<&str>, status: u16) -> Result<(), Failure> {
+        let Some(asked) = job.engine() else {
+            return Ok(());
+        };
+        if status >= FAILED || status == NO_MODEL {
+            let error = format!("peer {}: engine status {status}", self.destination.address);
+            return Err(lost(Ran::Unknown, "read head", error));
+        }
+        let unnamed = model.is_none() && status >= ERROR;
+        if unnamed || model == Some(asked) {
+            return Ok(());
+        }
+        Err(Failure::Mismatch {
+            asked: asked.to_owned(),
+            answered: model.unwrap_or_default().to_owned(),
+        })
+    }
+
+    fn frame(&self, next: Result<Option<Frame>, FrameError>) -> Result<Frame, Failure> {
+        let address = &self.destination.address;
+        match next {
+            Ok(Some(frame)) => Ok(frame),
+            Ok(None) => {
+                let error = format!("peer {address}: frames end without End");
+                Err(lost(Ran::Unknown, "read answer", error))
+            }
+            Err(e) => {
+                let error = format!("peer {address}: {e}");
+                Err(lost(Ran::Unknown, "read answer", error))
+            }
+        }
+    }
+
+    fn broken(&self, ran: Ran, step: &str, detail: &str) -> Failure {
+        let error = format!("peer {}: {detail}", self.destination.address);
+        lost(ran, step, error)
+    }
+}
+
+impl Outgoing<'_> {
+    fn into_request(self) -> http::Request<Bytes> {
+        let job = self.job;
+        let message = RunRequest {
+            head: RunHead {
+                request: job.request.clone(),
+                attempt: self.number,
+                pool: job.resolved.pool.clone(),
+                revision: job.resolved.revision,
+                caller: job.caller.clone(),
+                target: job.resolved.target.clone(),
+                left_ms: self.left.0,
+                priority: job.priority,
+                stream: job.stream,
+                key: job.key.clone(),
+            },
+            body: self.body,
+        };
+        let mut request = http::Request::new(Bytes::from(encode(&message)));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = http::Uri::from_static(PATH);
+        let kind = HeaderValue::from_static("application/msgpack");
+        request.headers_mut().insert(CONTENT_TYPE, kind);
+        request
+    }
+}
+
+impl SentGuard {
+    fn new(shared: &Rc<Shared>, up: UpstreamIx, lora: Option<LoraIx>) -> Self {
+        let now = shared.timer.now();
+        shared.directory.borrow_mut().sent(up, lora, now);
+        shared.meters.attempt();
+        Self {
+            shared: Rc::clone(shared),
+            up,
+            lora,
+            outcome: None,
+        }
+    }
+
+    fn fail(&mut self, failure: Failure) -> Failure {
+        self.outcome = Some(failure.outcome());
+        failure
+    }
+}
+
+impl Drop for SentGuard {
+    fn drop(&mut self) {
+        let now = self.shared.timer.now();
+        // An attempt given up tells nothing of its upstream; this reason only ends it.
+        let given_up = Outcome::Refused(Reason::Deadline, None);
+        let outcome = self.outcome.unwrap_or(given_up);
+        let mut directory = self.shared.directory.borrow_mut();
+        directory.ended(self.up, self.lora, outcome, now);
+    }
+}
+
+fn net_failure(error: &NetError) -> Failure {
+    let ran = match error.sent() {
+        Sent::No => Ran::No,
+        Sent::Maybe => Ran::Unknown,
+    };
+    let slow = matches!(
+        error,
+        NetError::AnswerTimeout { .. } | NetError::ConnectTimeout { .. }
+    );
+    Failure::Lost(Loss {
+        ran,
+        stalled: slow,
+        step: "send attempt".to_owned(),
+        error: error.to_string(),
+    })
+}
+
+pub(crate) fn lost(ran: Ran, step: &str, error: String) -> Failure {
+    Failure::Lost(Loss {
+        ran,
+        stalled: false,
+        step: step.to_owned(),
+        error,
+    })
+}
+
+fn stalled(step: &str, error: String) -> Failure {
+    Failure::Lost(Loss {
+        ran: Ran::Unknown,
+        stalled: true,
+        step: step.to_owned(),
+        error,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/request/job.rs
@@ -0,0 +1,71 @@
+//! What a caller asked.
+
+use pumicecleat_types::{CallerId, Millis, RequestId};
+use pumicecleat_upstream::ChatBody;
+
+use super::Resolved;
+
+/// What a caller asked, the same in every attempt.
+pub(crate) struct Job {
+    pub(crate) request: RequestId,
+    pub(crate) caller: CallerId,
+    pub(crate) resolved: Resolved,
+    /// When the request's head came.
+    pub(crate) arrived: Millis,
+    pub(crate) deadline: Millis,
+    /// Higher first.
+    pub(crate) priority: u8,
+    /// Answer token by token.
+    pub(crate) stream: bool,
+    pub(crate) key: Option<String>,
+    pub(crate) repeat: Repeat,
+    pub(crate) content: Content,
+    /// Hash of the prompt's prefix.
+    pub(crate) prefix: Option<u64>,
+}
+
+/// Body of a request.
+pub(crate) enum Content {
+    /// Of a chat request.
+    Chat(Box<ChatBody>),
+    /// Of a call of a plain service.
+    Plain(Vec<u8>),
+}
+
+/// Whether an attempt that may have run can be followed by another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Repeat {
+    /// Idempotent.
+    Freely,
+    /// Once, as the sides settle by the key what took effect.
+    ByKey,
+    /// Never.
+    Never,
+}
+
+impl Job {
+    /// Engine name asked for, if a model is.
+    pub(crate) fn engine(&self) -> Option<&str> {
+        self.resolved.engine.as_deref()
+    }
+
+    /// Time left at `now`.
+    pub(crate) fn left(&self, now: Millis) -> Millis {
+        self.deadline.since(now)
+    }
+
+    /// Priority in the engines' terms: lower first.
+    pub(crate) fn engine_priority(&self) -> i32 {
+        -i32::from(self.priority)
+    }
+
+    /// Body for the upstream.
+    pub(crate) fn body(&self) -> Vec<u8> {
+        match &self.content {
+            Content::Chat(chat) => {
+                chat.render(self.engine().unwrap_or_default(), self.engine_priority())
+            }
+            Content::Plain(bytes) => bytes.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request/mod.rs
@@ -0,0 +1,22 @@
+//! One request: attempts at sides until one is answered whole, or a truthful fault.
+//!
+//! `job` is what the caller asked, `course` what became of it so far, `resolve` finds its target in
+//! the configuration. `attempt` sends one attempt and reads its frames, `failure` tells how one
+//! failed, `settle` decides what follows, `whole` collects an answer that is not streamed.
+
+mod attempt;
+mod course;
+mod exchange;
+mod failure;
+mod job;
+mod resolve;
+mod settle;
+mod whole;
+
+pub(crate) use attempt::{AnswerHead, Attempt, Part, lost};
+pub(crate) use course::Course;
+pub(crate) use exchange::Exchange;
+pub(crate) use failure::Failure;
+pub(crate) use job::{Content, Job, Repeat};
+pub(crate) use resolve::{Resolved, ServiceRoute, resolve_model, resolve_service};
+pub(crate) use whole::{Answer, answer_failure};
--- /dev/null
+++ b/crates/entry/src/request/settle.rs
@@ -0,0 +1,129 @@
+//! What follows a failed attempt: another one, or the fault that the caller gets.
+//!
+//! An attempt that did not run may always be followed by another. One that may have run is followed
+//! only if the request is idempotent, or once with its key, by which the sides settle what took
+//! effect. No fault says "not run" once an attempt may have run.
+
+use std::mem;
+
+use pumicecleat_ops::{events, field};
+use pumicecleat_types::{Millis, Ran, Reason, Target};
+
+use super::{Exchange, Failure, Repeat, resolve_model};
+use crate::config::refresh;
+use crate::fault::Fault;
+
+/// Attempts of one request at most.
+const ATTEMPTS: u32 = 5;
+
+impl Exchange {
+    /// Takes a failed attempt in.
+    ///
+    /// # Errors
+    /// The fault for the caller, if nothing follows.
+    pub(crate) async fn settle(&mut self, failure: Failure) -> Result<(), Fault> {
+        self.note_failure(&failure);
+        let fault = failure.fault();
+        if !self.may_follow(&failure) {
+            let earlier = self.course.last.take();
+            let told = match failure {
+                Failure::Nowhere { .. } | Failure::Late { .. } => earlier.unwrap_or(fault),
+                _ => fault,
+            };
+            self.note_unknown();
+            return Err(self.course.truthful(told));
+        }
+        self.course.last = Some(fault);
+        self.note_retry(&failure);
+        if is_stale(&failure) {
+            self.resolve_anew().await?;
+        }
+        Ok(())
+    }
+
+    /// Counts and logs a failed attempt, whatever follows.
+    pub(crate) fn note_failure(&mut self, failure: &Failure) {
+        self.course.end(failure.ran());
+        if let Failure::Refused(_) = failure {
+            self.shared.meters.refused(failure.cause());
+        }
+        let Failure::Mismatch { asked, answered } = failure else {
+            return;
+        };
+        self.shared.meters.mismatch();
+        let fields = [
+            field("request", &self.job.request),
+            field("attempt", self.course.attempts),
+            field("upstream", self.upstream()),
+            field("asked", asked),
+            field("answered", answered),
+        ];
+        self.shared.log.emit(&events::ANSWER_MISMATCH, &fields);
+    }
+
+    fn may_follow(&mut self, failure: &Failure) -> bool {
+        let open = !failure.is_final()
+            && self.left() > Millis(0)
+            && self.course.attempts < ATTEMPTS
+            && self.is_repeatable(failure);
+        open && self.shared.budget.borrow_mut().retry()
+    }
+
+    fn is_repeatable(&mut self, failure: &Failure) -> bool {
+        if failure.ran() == Ran::No {
+            return true;
+        }
+        match self.job.repeat {
+            Repeat::Freely => true,
+            Repeat::ByKey => !mem::replace(&mut self.course.keyed, true),
+            Repeat::Never => false,
+        }
+    }
+
+    fn note_retry(&self, failure: &Failure) {
+        self.shared.meters.retried(failure.cause());
+        let fields = [
+            field("request", &self.job.request),
+            field("attempt", self.course.attempts),
+            field("upstream", self.upstream()),
+            field("reason", failure.cause()),
+        ];
+        self.shared.log.emit(&events::ATTEMPT_RETRIED, &fields);
+    }
+
+    fn note_unknown(&self) {
+        if self.job.repeat == Repeat::Freely || self.course.ran() == Ran::No {
+            return;
+        }
+        let fields = [
+            field("request", &self.job.request),
+            field("caller", &self.job.caller),
+            field("key", self.job.key.as_deref().unwrap_or_default()),
+            field("upstream", self.upstream()),
+        ];
+        self.shared.log.emit(&events::OUTCOME_UNKNOWN, &fields);
+    }
+
+    /// Finds the target again under the newest configuration. The same side is asked once more, as
+    /// it may have been the one behind.
+    async fn resolve_anew(&mut self) -> Result<(), Fault> {
+        refresh(&self.shared).await;
+        if !mem::replace(&mut self.course.stale, true) {
+            self.course.tried.pop();
+        }
+        let (Target::Model(_), Some(engine)) = (&self.job.resolved.target, self.job.engine()) else {
+            self.job.resolved.revision = self.shared.current.revision();
+            return Ok(());
+        };
+        let resolved = resolve_model(&self.shared, &self.job.caller, engine);
+        match resolved {
+            Ok(resolved) => self.job.resolved = resolved,
+            Err(fault) => return Err(self.course.truthful(fault)),
+        }
+        Ok(())
+    }
+}
+
+fn is_stale(failure: &Failure) -> bool {
+    matches!(failure, Failure::Refused(r) if r.reason == Reason::StaleConfig)
+}
--- /dev/null
+++ b/crates/entry/src/request/whole.rs
@@ -0,0 +1,146 @@
+//! Answers that are not streamed: committed only when whole.
+
+use pumicecleat_types::{HeaderField, Ran};
+use pumicecleat_upstream::{AnswerError, AnswerFault, check_whole};
+use serde::Deserialize;
+
+use super::attempt::{Part, lost};
+use super::{AnswerHead, Attempt, Exchange, Failure};
+use crate::fault::Fault;
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<HeaderField>,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Answer {
+    fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
+/// An engine's error.
+#[derive(Deserialize)]
+struct EngineError {
+    error: Option<EngineWords>,
+    message: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct EngineWords {
+    message: Option<String>,
+}
+
+impl Exchange {
+    /// Whole answer within the deadline.
+    ///
+    /// # Errors
+    /// The fault for the caller.
+    pub(crate) async fn whole(&mut self) -> Result<Answer, Fault> {
+        let timer = self.timer().clone();
+        let work = timer.within(self.patience(), self.try_whole()).await;
+        let Ok(result) = work else {
+            return Err(self.late());
+        };
+        result
+    }
+
+    async fn try_whole(&mut self) -> Result<Answer, Fault> {
+        loop {
+            match self.one_whole().await {
+                Ok(answer) => return self.accept(answer),
+                Err(failure) => self.settle(failure).await?,
+            }
+        }
+    }
+
+    async fn one_whole(&mut self) -> Result<Answer, Failure> {
+        let left = self.left();
+        let (attempt, head) = self.attempt(self.job.body(), left).await?;
+        self.collect(attempt, head).await
+    }
+
+    /// Reads an answer to its end.
+    pub(crate) async fn collect(
+        &mut self,
+        mut attempt: Attempt,
+        head: AnswerHead,
+    ) -> Result<Answer, Failure> {
+        let body = match self.read_body(&mut attempt).await {
+            Ok(body) => body,
+            Err(failure) => return Err(attempt.fail(failure)),
+        };
+        if let Err(failure) = self.check(&attempt, &head, &body) {
+            return Err(attempt.fail(failure));
+        }
+        attempt.finish(&self.shared).await;
+        self.course.end(Ran::Yes);
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        })
+    }
+
+    async fn read_body(&self, attempt: &mut Attempt) -> Result<Vec<u8>, Failure> {
+        let mut body = Vec::new();
+        loop {
+            let part = attempt.next_part(&self.shared, self.shared.options.stall);
+            match part.await? {
+                Part::End(load) => {
+                    attempt.learn(&self.shared, load);
+                    return Ok(body);
+                }
+                Part::Data(bytes) if body.is_empty() => body = bytes,
+                Part::Data(bytes) => body.extend_from_slice(&bytes),
+            }
+            let limit = self.shared.options.answer;
+            if body.len() > limit {
+                let error = format!("peer {}: over {limit} bytes", attempt.destination.address);
+                return Err(lost(Ran::Yes, "read answer", error));
+            }
+        }
+    }
+
+    fn check(&self, attempt: &Attempt, head: &AnswerHead, body: &[u8]) -> Result<(), Failure> {
+        let Some(engine) = self.job.engine() else {
+            return Ok(());
+        };
+        if head.is_error() {
+            return Ok(());
+        }
+        let checked = check_whole(&attempt.destination.address, body, engine);
+        checked.map(drop).map_err(|e| answer_failure(&e))
+    }
+
+    /// An engine's word on a body that it can't take becomes a fault; all else is passed on.
+    pub(crate) fn accept(&self, answer: Answer) -> Result<Answer, Fault> {
+        if self.job.engine().is_none() || answer.is_success() {
+            return Ok(answer);
+        }
+        let message = engine_words(&answer.body);
+        let message = message.unwrap_or_else(|| "the engine can't take this body".to_owned());
+        Err(Fault::bad(answer.status, "engine_refused", message))
+    }
+}
+
+/// Failure of an attempt whose answer is wrong.
+pub(crate) fn answer_failure(error: &AnswerError) -> Failure {
+    match &error.source {
+        AnswerFault::Model { expected, found } | AnswerFault::Crossed { expected, found } => {
+            Failure::Mismatch {
+                asked: expected.clone(),
+                answered: found.clone(),
+            }
+        }
+        _ => lost(Ran::Unknown, "check answer", error.to_string()),
+    }
+}
+
+fn engine_words(body: &[u8]) -> Option<String> {
+    let error: EngineError = serde_json::from_slice(body).ok()?;
+    error.error.and_then(|e| e.message).or(error.message)
+}
--- /dev/null
+++ b/crates/entry/src/shared.rs
@@ -0,0 +1,80 @@
+//! What the parts of one entry share.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_net::{Client, Timer};
+use pumicecleat_ops::{Drain, Log, Readiness, Stop};
+use pumicecleat_platform::Log as Records;
+use pumicecleat_policy::{LoadOrder, RetryBudget};
+use pumicecleat_types::{RegionId, VmId};
+
+use crate::config::Current;
+use crate::directory::Directory;
+use crate::meters::Meters;
+
+/// Settings as the parts need them.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    pub(crate) vm: VmId,
+    pub(crate) region: RegionId,
+    /// Addresses of the log, for events.
+    pub(crate) log: String,
+    /// Addresses of the VM list, for events.
+    pub(crate) vms: String,
+    /// Peer addresses of other entries, from settings.
+    pub(crate) peers: Vec<SocketAddr>,
+    /// Own peer address.
+    pub(crate) own: SocketAddr,
+    pub(crate) store: String,
+    pub(crate) retention_ms: u64,
+    pub(crate) body_span: Duration,
+    pub(crate) stall: Duration,
+    /// Longest whole answer, bytes.
+    pub(crate) answer: usize,
+    /// Bytes a second of all reports.
+    pub(crate) report_rate: u64,
+}
+
+/// What the parts of one entry share.
+pub(crate) struct Shared {
+    pub(crate) options: Options,
+    pub(crate) timer: Timer,
+    pub(crate) client: Client,
+    pub(crate) log: Log,
+    pub(crate) records: Rc<dyn Records>,
+    pub(crate) current: Current,
+    pub(crate) directory: RefCell<Directory>,
+    pub(crate) budget: RefCell<RetryBudget>,
+    pub(crate) order: RefCell<LoadOrder>,
+    pub(crate) readiness: Readiness,
+    pub(crate) drain: Drain,
+    pub(crate) stop: Stop,
+    pub(crate) meters: Meters,
+    /// Peer to ask next.
+    pub(crate) turn: Cell<usize>,
+}
+
+impl Shared {
+    /// At most `count` peer addresses of other entries, others at each call.
+    pub(crate) fn next_peers(&self, count: usize) -> Vec<String> {
+        let own = self.options.own.to_string();
+        let settled = self.options.peers.iter().map(SocketAddr::to_string);
+        let mut peers: Vec<String> = settled.collect();
+        peers.extend(self.directory.borrow().entry_addresses());
+        peers.retain(|p| *p != own);
+        peers.sort_unstable();
+        peers.dedup();
+        if peers.is_empty() {
+            return peers;
+        }
+        let turn = self.turn.get();
+        self.turn.set(turn.wrapping_add(1));
+        let first = turn % peers.len();
+        peers.rotate_left(first);
+        peers.truncate(count);
+        peers
+    }
+}
--- /dev/null
+++ b/crates/entry/src/start/mod.rs
@@ -0,0 +1,216 @@
+//! Putting an entry together, and its graceful stop.
+
+mod dump;
+mod running;
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_net::{Client, ClientOptions, Handler, Server, ServerOptions, Timer, bind};
+use pumicecleat_ops::{Admin, Drain, Log, Metrics, Readiness, Stop, events, field};
+use pumicecleat_platform::{HttpLog, HttpVms, Log as Records, Peers, Vms};
+use pumicecleat_policy::{BudgetOptions, LoadOrder, LoadOrderOptions, RetryBudget};
+use snafu::{ResultExt, Snafu};
+
+use crate::EntrySettings;
+use crate::caller::CallerHandler;
+use crate::config::{self, Current};
+use crate::directory::{Directory, follow_vms, watch_silence};
+use crate::meters::Meters;
+use crate::peer::PeerHandler;
+use crate::shared::{Options, Shared};
+
+pub use dump::{EntryDump, OrderDump};
+pub use running::{Addresses, Entry};
+
+/// Time for an exchange with the platform, beside what it waits by request.
+const PLATFORM_SPAN: Duration = Duration::from_secs(2);
+
+/// Retries at hand at the start.
+const RETRY_BURST: u32 = 20;
+
+/// Readiness condition of the listeners.
+const LISTENERS: &str = "listeners";
+
+/// The platform as an entry needs it.
+#[derive(Clone)]
+pub struct Parts {
+    /// Log service.
+    pub records: Rc<dyn Records>,
+    /// VM list, if there is one.
+    pub vms: Option<Rc<dyn Vms>>,
+}
+
+/// An entry that can't start.
+#[derive(Debug, Snafu)]
+#[snafu(display("step bind, listener {purpose}, address {address}: {source}"))]
+pub struct StartError {
+    purpose: &'static str,
+    address: SocketAddr,
+    source: io::Error,
+}
+
+impl Parts {
+    /// The platform over HTTP.
+    #[must_use]
+    pub fn over_http(settings: &EntrySettings, timer: &Timer) -> Self {
+        let client = Client::new_ext(ClientOptions::default(), timer);
+        let log = HttpLog::new(&client, Peers::parse(&settings.log), PLATFORM_SPAN);
+        let list = join(&settings.vms);
+        let vms = (!list.is_empty())
+            .then(|| Rc::new(HttpVms::new(&client, Peers::parse(&list), PLATFORM_SPAN)) as Rc<dyn Vms>);
+        Self {
+            records: Rc::new(log),
+            vms,
+        }
+    }
+}
+
+impl Entry {
+    /// Starts an entry on this loop; a port 0 in the settings lets the system choose one.
+    ///
+    /// # Errors
+    /// [`StartError`] if a listener can't be bound.
+    pub fn start(
+        settings: &EntrySettings,
+        parts: &Parts,
+        timer: &Timer,
+        log: &Log,
+        stop: &Stop,
+    ) -> Result<Self, StartError> {
+        let metrics = Metrics::new();
+        let callers = listen("callers", settings.listen, log)?;
+        let peers = listen("peers", settings.peer_listen, log)?;
+        let admin = listen("admin", settings.common.admin, log)?;
+        let addresses = Addresses {
+            callers: callers.address,
+            peers: peers.address,
+            admin: admin.address,
+        };
+        let options = options(settings, addresses.peers);
+        let shared = Rc::new(share(settings, options, parts, timer, log, stop, &metrics));
+        let state = Rc::new(dump::State::new(&shared));
+        let handler = Admin::new(&metrics, &shared.readiness, state);
+        let admin = serve(admin, Rc::new(handler), ServerOptions::default(), timer);
+        let limits = ServerOptions {
+            connections: settings.connections,
+            ..ServerOptions::default()
+        };
+        let handler = Rc::new(CallerHandler::new(&shared));
+        let callers = serve(callers, handler, limits, timer);
+        let handler = Rc::new(PeerHandler::new(&shared));
+        let peers = serve(peers, handler, ServerOptions::default(), timer);
+        shared.readiness.hold(LISTENERS);
+        spawn_loops(&shared, parts);
+        let servers = running::Servers {
+            callers,
+            peers,
+            admin,
+        };
+        Ok(Self::new(shared, addresses, servers, settings.common.drain_limit))
+    }
+}
+
+fn options(settings: &EntrySettings, bound: SocketAddr) -> Options {
+    Options {
+        vm: settings.common.vm.clone(),
+        region: settings.common.region.clone(),
+        log: settings.log.clone(),
+        vms: join(&settings.vms),
+        peers: settings.peers.clone(),
+        own: settings.peer_address.unwrap_or(bound),
+        store: settings.store.clone(),
+        retention_ms: saturating_ms(settings.retention.0),
+        body_span: settings.body_span.0,
+        stall: settings.stall.0,
+        answer: usize::try_from(settings.answer.0).unwrap_or(usize::MAX),
+        report_rate: settings.report_rate.0,
+    }
+}
+
+fn share(
+    settings: &EntrySettings,
+    options: Options,
+    parts: &Parts,
+    timer: &Timer,
+    log: &Log,
+    stop: &Stop,
+    metrics: &Metrics,
+) -> Shared {
+    let budget = BudgetOptions {
+        percent: settings.retries,
+        burst: RETRY_BURST,
+    };
+    let seed = pumicecleat_policy::upstream_key(&options.vm);
+    Shared {
+        options,
+        timer: timer.clone(),
+        client: Client::new_ext(ClientOptions::default(), timer),
+        log: log.clone(),
+        records: Rc::clone(&parts.records),
+        current: Current::default(),
+        directory: RefCell::new(Directory::new(seed)),
+        budget: RefCell::new(RetryBudget::new_ext(budget)),
+        order: RefCell::new(LoadOrder::new_ext(LoadOrderOptions::default())),
+        readiness: Readiness::new(&[config::CONDITION, LISTENERS, running::RUNNING], log),
+        drain: Drain::new(),
+        stop: stop.clone(),
+        meters: Meters::new(metrics),
+        turn: Cell::new(0),
+    }
+}
+
+struct Bound {
+    listener: monoio::net::TcpListener,
+    address: SocketAddr,
+}
+
+fn listen(purpose: &'static str, address: SocketAddr, log: &Log) -> Result<Bound, StartError> {
+    let bound = bind(address).and_then(|listener| {
+        let address = listener.local_addr()?;
+        Ok(Bound { listener, address })
+    });
+    match &bound {
+        Ok(bound) => {
+            let fields = [field("purpose", purpose), field("address", &bound.address)];
+            log.emit(&events::LISTENING, &fields);
+        }
+        Err(e) => {
+            let fields = [
+                field("purpose", purpose),
+                field("address", &address),
+                field("error", e),
+            ];
+            log.emit(&events::BIND_FAILED, &fields);
+        }
+    }
+    bound.context(StartSnafu { purpose, address })
+}
+
+fn serve(bound: Bound, handler: Rc<dyn Handler>, options: ServerOptions, timer: &Timer) -> Server {
+    let server = Server::new_ext(options, handler, timer);
+    let accepting = server.clone();
+    monoio::spawn(async move { accepting.serve(bound.listener).await });
+    server
+}
+
+fn spawn_loops(shared: &Rc<Shared>, parts: &Parts) {
+    monoio::spawn(config::follow(Rc::clone(shared)));
+    monoio::spawn(config::append_snapshots(Rc::clone(shared)));
+    monoio::spawn(watch_silence(Rc::clone(shared)));
+    if let Some(vms) = &parts.vms {
+        monoio::spawn(follow_vms(Rc::clone(shared), Rc::clone(vms)));
+    }
+}
+
+fn join(addresses: &[SocketAddr]) -> String {
+    let texts: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+    texts.join(",")
+}
+
+fn saturating_ms(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/start/running.rs
@@ -0,0 +1,106 @@
+//! A running entry, and its end.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_net::Server;
+use pumicecleat_ops::{DrainEnd, events, field};
+
+use crate::shared::Shared;
+
+/// Readiness condition that a stop takes away.
+pub(super) const RUNNING: &str = "running";
+
+/// Time for the last bytes of answers that have ended to leave.
+const FLUSH: Duration = Duration::from_millis(100);
+
+/// Addresses that a running entry listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For sides and other entries.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+pub(super) struct Servers {
+    pub(super) callers: Server,
+    pub(super) peers: Server,
+    pub(super) admin: Server,
+}
+
+/// A running entry.
+pub struct Entry {
+    shared: Rc<Shared>,
+    addresses: Addresses,
+    servers: Servers,
+    limit: Duration,
+}
+
+impl Entry {
+    pub(super) fn new(
+        shared: Rc<Shared>,
+        addresses: Addresses,
+        servers: Servers,
+        limit: Duration,
+    ) -> Self {
+        shared.readiness.hold(RUNNING);
+        Self {
+            shared,
+            addresses,
+            servers,
+            limit,
+        }
+    }
+
+    /// Addresses that it listens on.
+    #[must_use]
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Whether it takes requests.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.shared.readiness.is_ready() && !self.shared.stop.is_asked()
+    }
+
+    /// Revision of the configuration in force, 0 for none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.shared.current.revision()
+    }
+
+    /// Serves until a stop is asked for and every request under way has ended, or the stop is
+    /// asked for again, or the drain limit passes.
+    pub async fn run(self) -> DrainEnd {
+        self.shared.stop.first().await;
+        self.shared.readiness.fail(RUNNING, "stopping");
+        let drain = &self.shared.drain;
+        let end = drain
+            .finish(
+                &self.shared.stop,
+                self.limit,
+                &self.shared.timer,
+                &self.shared.log,
+            )
+            .await;
+        self.servers.callers.stop();
+        self.shared.timer.sleep(FLUSH).await;
+        self.servers.peers.stop();
+        self.servers.admin.stop();
+        end
+    }
+
+    /// Logs the end of the process.
+    pub fn log_end(log: &pumicecleat_ops::Log, end: &DrainEnd) {
+        let fields = [
+            field("cut", end.cut().len()),
+            field("dropped_lines", log.dropped()),
+        ];
+        log.emit_last(&events::STOPPED, &fields);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/stream/open.rs
@@ -0,0 +1,67 @@
+//! Attempts until the first bytes of a stream are there.
+
+use pumicecleat_types::Ran;
+
+use super::feed::{Fed, Feed};
+use super::relay::Relay;
+use crate::fault::Fault;
+use crate::request::{Answer, Exchange, Failure};
+
+/// What a streamed request comes to before anything is sent to its caller.
+pub(crate) enum Opened {
+    /// Bytes are there.
+    Stream(Box<Relay>),
+    /// The upstream answered by something else than a stream.
+    Whole(Answer, Exchange),
+    /// Nothing follows.
+    Fault(Fault, Exchange),
+}
+
+/// One attempt's beginning.
+enum Begun {
+    Fed(Feed, Fed),
+    Whole(Answer),
+}
+
+/// Tries until the first bytes are there, within the deadline.
+pub(crate) async fn open(mut exchange: Exchange) -> Opened {
+    let timer = exchange.timer().clone();
+    let work = timer.within(exchange.patience(), try_open(&mut exchange));
+    match work.await {
+        Ok(Ok(Begun::Fed(feed, first))) => {
+            exchange.course.end(Ran::Yes);
+            Opened::Stream(Box::new(Relay::new(exchange, feed, first)))
+        }
+        Ok(Ok(Begun::Whole(answer))) => match exchange.accept(answer) {
+            Ok(answer) => Opened::Whole(answer, exchange),
+            Err(fault) => Opened::Fault(fault, exchange),
+        },
+        Ok(Err(fault)) => Opened::Fault(fault, exchange),
+        Err(_) => Opened::Fault(exchange.late(), exchange),
+    }
+}
+
+async fn try_open(exchange: &mut Exchange) -> Result<Begun, Fault> {
+    loop {
+        match one_open(exchange).await {
+            Ok(begun) => return Ok(begun),
+            Err(failure) => exchange.settle(failure).await?,
+        }
+    }
+}
+
+async fn one_open(exchange: &mut Exchange) -> Result<Begun, Failure> {
+    let left = exchange.left();
+    let body = exchange.job.body();
+    let (attempt, head) = exchange.attempt(body, left).await?;
+    if head.is_error() {
+        let answer = exchange.collect(attempt, head).await?;
+        return Ok(Begun::Whole(answer));
+    }
+    let mut feed = Feed::new(attempt, exchange.job.engine().unwrap_or_default());
+    let stall = exchange.shared.options.stall;
+    match feed.next(&exchange.shared, stall).await {
+        Ok(fed) => Ok(Begun::Fed(feed, fed)),
+        Err(failure) => Err(feed.fail(failure)),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/stream/splice.rs
@@ -0,0 +1,96 @@
+//! Fitting the events of a resumed answer to those already passed on.
+//!
+//! The caller sees one answer: one id, one creation time, one opening role, and one count of tokens
+//! over all attempts. Only resumed streams pay for reading and writing their events anew.
+
+use pumicecleat_upstream::{Chunk, Progress};
+use serde_json::{Map, Value, json};
+
+/// Fits events to a first answer.
+#[derive(Debug)]
+pub(super) struct Splice {
+    /// Fields of the first answer that hold for all.
+    same: Map<String, Value>,
+    /// Tokens passed on before.
+    tokens: u64,
+}
+
+/// Fields that are the same in all events of one answer.
+const SAME: [&str; 3] = ["id", "created", "system_fingerprint"];
+
+impl Splice {
+    /// Fits events to an answer that began by `first` and came as far as `progress`.
+    pub(super) fn new(first: &[u8], progress: &Progress) -> Self {
+        let event = read_event(first).unwrap_or_default();
+        let same = event.into_iter().filter(|(name, _)| SAME.contains(&name.as_str()));
+        Self {
+            same: same.collect(),
+            tokens: progress.tokens,
+        }
+    }
+
+    /// Fits an event; false if nothing of it is left to pass on.
+    pub(super) fn fit(&mut self, chunk: &mut Chunk) -> bool {
+        let Some(mut event) = read_event(&chunk.raw) else {
+            return true;
+        };
+        for (name, value) in &self.same {
+            event.insert(name.clone(), value.clone());
+        }
+        self.add_tokens(&mut event);
+        if let Some(usage) = &mut chunk.usage {
+            usage.completion += self.tokens;
+        }
+        let was_role = drop_role(&mut event);
+        if was_role && is_idle(&event, chunk) {
+            return false;
+        }
+        chunk.raw = write_event(&event);
+        true
+    }
+
+    /// The prompt of a resumed attempt holds the text before; its tokens belong to the answer.
+    fn add_tokens(&self, event: &mut Map<String, Value>) {
+        let Some(Value::Object(usage)) = event.get_mut("usage") else {
+            return;
+        };
+        let count = |usage: &Map<String, Value>, name| usage.get(name).and_then(Value::as_u64);
+        let prompt = count(usage, "prompt_tokens").unwrap_or(0);
+        let answer = count(usage, "completion_tokens").unwrap_or(0);
+        let prompt = prompt.saturating_sub(self.tokens);
+        let answer = answer + self.tokens;
+        usage.insert("prompt_tokens".to_owned(), json!(prompt));
+        usage.insert("completion_tokens".to_owned(), json!(answer));
+        usage.insert("total_tokens".to_owned(), json!(prompt + answer));
+    }
+}
+
+/// Takes the opening role out; tells whether there was one.
+fn drop_role(event: &mut Map<String, Value>) -> bool {
+    let choice = event.get_mut("choices").and_then(|c| c.get_mut(0));
+    let delta = choice.and_then(|c| c.get_mut("delta"));
+    let delta = delta.and_then(Value::as_object_mut);
+    delta.is_some_and(|d| d.remove("role").is_some())
+}
+
+/// Whether an event without its role says nothing.
+fn is_idle(event: &Map<String, Value>, chunk: &Chunk) -> bool {
+    let usage = event.get("usage").is_some_and(|u| !u.is_null());
+    chunk.content.is_empty() && chunk.finish.is_none() && !chunk.extra && !usage
+}
+
+fn read_event(raw: &[u8]) -> Option<Map<String, Value>> {
+    let text = std::str::from_utf8(raw).ok()?;
+    let lines = text.lines().filter_map(|line| line.strip_prefix("data:"));
+    let data: Vec<&str> = lines.map(str::trim_start).collect();
+    serde_json::from_str(&data.join("\n")).ok()
+}
+
+fn write_event(event: &Map<String, Value>) -> Vec<u8> {
+    let mut raw = b"data: ".to_vec();
+    // A map of JSON values always encodes.
+    let data = serde_json::to_vec(event).unwrap_or_default();
+    raw.extend_from_slice(&data);
+    raw.extend_from_slice(b"\n\n");
+    raw
+}
