--- /dev/null
+++ b/crates/net/src/full.rs
@@ -0,0 +1,31 @@
+//! What a connection over the limit gets: a short 503, so that its peer needn't guess.
+
+use std::time::Duration;
+
+use monoio::io::AsyncWriteRentExt;
+use monoio::net::TcpStream;
+
+use crate::Timer;
+use crate::linger::linger;
+
+/// Time for the refusal to be written.
+const REFUSE_SPAN: Duration = Duration::from_secs(1);
+
+/// Head and body of the refusal.
+const REFUSAL: &str = concat!(
+    "HTTP/1.1 503 Service Unavailable\r\n",
+    "content-type: application/json\r\n",
+    "content-length: 88\r\n",
+    "retry-after: 1\r\n",
+    "connection: close\r\n",
+    "\r\n",
+    r#"{"error":{"code":"overloaded","message":"too many connections","type":"api"},"ran":"no"}"#,
+);
+
+/// Writes the refusal and closes.
+pub(crate) async fn refuse(mut stream: TcpStream, timer: &Timer) {
+    let write = stream.write_all(REFUSAL.as_bytes());
+    if let Ok((Ok(_), _)) = timer.within(REFUSE_SPAN, write).await {
+        linger(stream, timer).await;
+    }
+}
