--- a/crates/side/src/run/model.rs
+++ b/crates/side/src/run/model.rs
@@ -10,8 +10,8 @@
 use pumicecleat_ops::{DrainGuard, events, field};
 use pumicecleat_types::{Frame, HeaderField, Lora, Millis, Ran, Reason, RunRequest};
 use pumicecleat_upstream::{
-    Answer, AnswerError, AnswerFault, CallError, ChatCall, Engine, StreamCheck, StreamEvent,
-    check_whole, read_answer,
+    Answer, AnswerError, AnswerFault, CallError, ChatCall, Engine, Expect, StreamCheck,
+    StreamEvent, check_whole, read_answer,
 };
 
 use super::{ANSWER_LIMIT, Frames, RETRY_MS, refusal, whole_frames};
@@ -163,7 +163,7 @@
     async fn open(&mut self, ticket: Ticket, answer: Box<dyn Answer>) -> Frame {
         match answer.status() {
             200 if self.request.head.stream => {
-                let check = StreamCheck::new(answer.peer(), &self.name, EVENT_LIMIT);
+                let check = StreamCheck::new(self.expect(answer.peer()), EVENT_LIMIT);
                 self.step = Step::Relay(Box::new(Relay {
                     ticket,
                     answer,
@@ -186,7 +186,7 @@
             Err(_) => return self.broken(Ran::Unknown, "read answer", "deadline passed"),
         };
         ticket.finish(true);
-        match check_whole(&peer, &body, &self.name) {
+        match check_whole(self.expect(&peer), &body) {
             Ok(whole) => self.note_length(whole.usage.map(|u| u.completion)),
             Err(e) => return self.wrong_answer(&e),
         }
@@ -195,6 +195,15 @@
         self.head(200, "application/json")
     }
 
+    /// What an answer must name: engines end its id in the request's.
+    fn expect<'a>(&'a self, peer: &'a str) -> Expect<'a> {
+        Expect {
+            peer,
+            model: &self.name,
+            request: Some(self.request.head.request.as_str()),
+        }
+    }
+
     fn note_length(&self, tokens: Option<u64>) {
         if let Some(tokens) = tokens {
             let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
