--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -2,12 +2,13 @@
 
 use std::rc::Rc;
 
-use http::{HeaderMap, HeaderValue};
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
+use http::{HeaderMap, HeaderValue};
 use pumicecleat_net::{Body, Reply};
 use pumicecleat_ops::{events, field};
 use pumicecleat_types::RequestId;
 use pumicecleat_upstream::{BodyFault, ChatBody, ChatLimits};
+use serde::Deserialize;
 
 use super::headers::{put_course, read_deadline, read_priority};
 use super::{Call, read_body};
@@ -19,11 +20,22 @@
 /// Messages that the prefix hash covers: the system's words and the first of the caller's.
 const PREFIX_MESSAGES: usize = 2;
 
+/// Tokens expected where a body sets no limit.
+const TOKENS: u32 = 512;
+
+/// Fields of a body that limit its answer.
+#[derive(Default, Deserialize)]
+struct TokenLimit {
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+}
+
 /// Answers a chat request.
 pub(super) async fn answer(shared: &Rc<Shared>, mut call: Call) -> Result<Reply, Fault> {
     let bytes = read_body(shared, &mut call).await?;
     let chat = parse(shared, &call.request, &bytes)?;
-    let job = make_job(shared, &call, chat)?;
+    let mut job = make_job(shared, &call, chat)?;
+    job.tokens = read_tokens(&bytes);
     let stream = job.stream;
     let mut exchange = Exchange::new(shared, job, call.guard);
     if stream {
@@ -65,6 +77,7 @@
         deadline: call.arrived + read_deadline(shared, headers)?,
         priority: read_priority(shared, &call.caller, headers)?,
         stream: chat.stream(),
+        tokens: TOKENS,
         key: None,
         repeat: Repeat::Freely,
         prefix: Some(chat.prefix_hash(PREFIX_MESSAGES)),
@@ -72,6 +85,13 @@
     })
 }
 
+/// Most tokens that a checked body allows.
+fn read_tokens(bytes: &[u8]) -> u32 {
+    let limit = serde_json::from_slice::<TokenLimit>(bytes).unwrap_or_default();
+    let most = limit.max_completion_tokens.or(limit.max_tokens);
+    most.unwrap_or(TOKENS)
+}
+
 async fn streamed(exchange: Exchange) -> Reply {
     let relay = match open(exchange).await {
         Opened::Stream(relay) => relay,
--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -57,11 +57,7 @@
 }
 
 impl Handler for CallerHandler {
-    fn handle(
-        &self,
-        request: Incoming,
-        peer: SocketAddr,
-    ) -> Pin<Box<dyn Future<Output = Reply>>> {
+    fn handle(&self, request: Incoming, peer: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
         let shared = Rc::clone(&self.shared);
         Box::pin(async move { answer(&shared, request, peer).await })
     }
--- a/crates/entry/src/caller/models.rs
+++ b/crates/entry/src/caller/models.rs
@@ -33,8 +33,12 @@
     let Some(caller) = config.callers.get(caller) else {
         return Vec::new();
     };
-    let open = config.adapters.iter().filter(|(id, _)| caller.may_adapter(id));
-    open.flat_map(|(id, adapter)| models_of(id, adapter)).collect()
+    let open = config
+        .adapters
+        .iter()
+        .filter(|(id, _)| caller.may_adapter(id));
+    open.flat_map(|(id, adapter)| models_of(id, adapter))
+        .collect()
 }
 
 fn models_of(id: &AdapterId, adapter: &Adapter) -> Vec<Model> {
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -45,6 +45,7 @@
         deadline: call.arrived + read_deadline(shared, headers)?,
         priority: read_priority(shared, &call.caller, headers)?,
         stream: false,
+        tokens: 1,
         key,
         repeat,
         prefix: None,
--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -2,7 +2,8 @@
 //!
 //! The fold only moves forward, so that a process which was paused, or reads twice at once, takes
 //! nothing back. During an outage the revision held stays in force; other entries are asked for a
-//! newer one.
+//! newer one. The platform's `Follower` is not used here: it tells only once that it has caught up,
+//! while requests need to know when the log was last read to its end.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +25,9 @@
 /// Pause after a read that failed.
 const PAUSE: Duration = Duration::from_millis(500);
 
+/// Pause after a read that gave nothing.
+const SHORT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Age of the last read up to which a request is decided without another.
 const FRESH: Millis = Millis(5_000);
 
@@ -36,9 +40,13 @@
 /// Follows the stream until the process ends.
 pub(crate) async fn follow(shared: Rc<Shared>) {
     loop {
+        let before = shared.current.next();
         if !read_on(&shared, READ_WAIT).await {
             peers::ask(&shared).await;
             shared.timer.sleep(PAUSE).await;
+        } else if shared.current.next() == before {
+            // A log that does not wait by itself must not be asked in a hurry.
+            shared.timer.sleep(SHORT_PAUSE).await;
         }
     }
 }
@@ -69,7 +77,9 @@
     let read = shared.records.read(STREAM, from, READ_RECORDS, wait).await;
     match read {
         Ok(batch) => take(shared, &batch),
-        Err(ReadError::Trimmed { first, .. }) => return skip_to_snapshot(shared, from, first).await,
+        Err(ReadError::Trimmed { first, .. }) => {
+            return skip_to_snapshot(shared, from, first).await;
+        }
         Err(e) => {
             note_down(shared, &e);
             return false;
--- a/crates/entry/src/directory/listed.rs
+++ b/crates/entry/src/directory/listed.rs
@@ -39,9 +39,7 @@
         let fresh = leaving.difference(&self.leaving).cloned().collect();
         self.leaving = leaving;
         let entries = vms.iter().filter(|v| v.role == VmRole::Entry);
-        self.entries = entries
-            .map(|v| (v.vm.clone(), v.address.clone()))
-            .collect();
+        self.entries = entries.map(|v| (v.vm.clone(), v.address.clone())).collect();
         Change {
             leaving: fresh,
             gone: self.count_absent(vms),
--- a/crates/entry/src/peer/mod.rs
+++ b/crates/entry/src/peer/mod.rs
@@ -49,11 +49,7 @@
 }
 
 impl Handler for PeerHandler {
-    fn handle(
-        &self,
-        request: Incoming,
-        peer: SocketAddr,
-    ) -> Pin<Box<dyn Future<Output = Reply>>> {
+    fn handle(&self, request: Incoming, peer: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
         let shared = Rc::clone(&self.shared);
         let pace = Rc::clone(&self.pace);
         Box::pin(async move { answer(&shared, &pace, request, peer).await })
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -11,9 +11,10 @@
 use pumicecleat_types::{
     Frame, HeaderField, LoadFigures, Millis, Ran, Reason, RunHead, RunRequest, encode,
 };
+use pumicecleat_upstream::Expect;
 
 use super::failure::Loss;
-use super::{Course, Failure, Job};
+use super::{Failure, Job};
 use crate::directory::Destination;
 use crate::shared::Shared;
 
@@ -140,6 +141,15 @@
         }
     }
 
+    /// What an answer to this attempt must say of itself.
+    pub(crate) fn expect<'a>(&'a self, job: &'a Job, engine: &'a str) -> Expect<'a> {
+        Expect {
+            peer: &self.destination.address,
+            model: engine,
+            request: Some(job.request.as_str()),
+        }
+    }
+
     /// Takes in load figures that came with the answer.
     pub(crate) fn learn(&self, shared: &Shared, load: Option<LoadFigures>) {
         if let Some(load) = load {
@@ -266,6 +276,7 @@
                 left_ms: self.left.0,
                 priority: job.priority,
                 stream: job.stream,
+                tokens: job.tokens,
                 key: job.key.clone(),
             },
             body: self.body,
--- a/crates/entry/src/request/job.rs
+++ b/crates/entry/src/request/job.rs
@@ -17,6 +17,8 @@
     pub(crate) priority: u8,
     /// Answer token by token.
     pub(crate) stream: bool,
+    /// Tokens the answer may have; 1 for a plain service.
+    pub(crate) tokens: u32,
     pub(crate) key: Option<String>,
     pub(crate) repeat: Repeat,
     pub(crate) content: Content,
--- a/crates/entry/src/request/resolve.rs
+++ b/crates/entry/src/request/resolve.rs
@@ -45,7 +45,9 @@
     caller: &CallerId,
     model: &str,
 ) -> Result<Resolved, Fault> {
-    let found = shared.current.with(|config| find_model(config, caller, model));
+    let found = shared
+        .current
+        .with(|config| find_model(config, caller, model));
     let Some((target, pool)) = found else {
         return Err(unknown_model(model));
     };
--- a/crates/entry/src/request/settle.rs
+++ b/crates/entry/src/request/settle.rs
@@ -111,7 +111,8 @@
         if !mem::replace(&mut self.course.stale, true) {
             self.course.tried.pop();
         }
-        let (Target::Model(_), Some(engine)) = (&self.job.resolved.target, self.job.engine()) else {
+        let (Target::Model(_), Some(engine)) = (&self.job.resolved.target, self.job.engine())
+        else {
             self.job.resolved.revision = self.shared.current.revision();
             return Ok(());
         };
--- a/crates/entry/src/request/whole.rs
+++ b/crates/entry/src/request/whole.rs
@@ -112,7 +112,8 @@
         if head.is_error() {
             return Ok(());
         }
-        let checked = check_whole(&attempt.destination.address, body, engine);
+        let expect = attempt.expect(&self.job, engine);
+        let checked = check_whole(expect, body);
         checked.map(drop).map_err(|e| answer_failure(&e))
     }
 
--- a/crates/entry/src/start/dump.rs
+++ b/crates/entry/src/start/dump.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use pumicecleat_ops::Dump;
-use pumicecleat_types::{DataCentre, RequestId, VmId};
+use pumicecleat_types::{RequestId, VmId};
 use serde::{Deserialize, Serialize};
 
 use crate::config::ConfigDump;
--- a/crates/entry/src/start/mod.rs
+++ b/crates/entry/src/start/mod.rs
@@ -60,8 +60,9 @@
         let client = Client::new_ext(ClientOptions::default(), timer);
         let log = HttpLog::new(&client, Peers::parse(&settings.log), PLATFORM_SPAN);
         let list = join(&settings.vms);
-        let vms = (!list.is_empty())
-            .then(|| Rc::new(HttpVms::new(&client, Peers::parse(&list), PLATFORM_SPAN)) as Rc<dyn Vms>);
+        let vms = (!list.is_empty()).then(|| {
+            Rc::new(HttpVms::new(&client, Peers::parse(&list), PLATFORM_SPAN)) as Rc<dyn Vms>
+        });
         Self {
             records: Rc::new(log),
             vms,
@@ -110,7 +111,12 @@
             peers,
             admin,
         };
-        Ok(Self::new(shared, addresses, servers, settings.common.drain_limit))
+        Ok(Self::new(
+            shared,
+            addresses,
+            servers,
+            settings.common.drain_limit,
+        ))
     }
 }
 
--- a/crates/entry/src/start/running.rs
+++ b/crates/entry/src/start/running.rs
@@ -12,8 +12,8 @@
 /// Readiness condition that a stop takes away.
 pub(super) const RUNNING: &str = "running";
 
-/// Time for the last bytes of answers that have ended to leave.
-const FLUSH: Duration = Duration::from_millis(100);
+/// Longest wait for the last bytes of answers that have ended to leave.
+const FLUSH: Duration = Duration::from_secs(1);
 
 /// Addresses that a running entry listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,7 +89,9 @@
             )
             .await;
         self.servers.callers.stop();
-        self.shared.timer.sleep(FLUSH).await;
+        // Answers that have ended may still be on their way to the sockets.
+        let closed = self.servers.callers.closed();
+        let _ = self.shared.timer.within(FLUSH, closed).await;
         self.servers.peers.stop();
         self.servers.admin.stop();
         end
--- a/crates/entry/src/stream/feed.rs
+++ b/crates/entry/src/stream/feed.rs
@@ -5,7 +5,7 @@
 use pumicecleat_types::Ran;
 use pumicecleat_upstream::{AnswerError, Chunk, StreamCheck, StreamEvent};
 
-use crate::request::{Attempt, Failure, Part, answer_failure, lost};
+use crate::request::{Attempt, Failure, Job, Part, answer_failure, lost};
 use crate::shared::Shared;
 
 /// Longest event, bytes.
@@ -28,11 +28,11 @@
 }
 
 impl Feed {
-    /// Feed of an attempt whose answer must be of `engine`.
-    pub(super) fn new(attempt: Attempt, engine: &str) -> Self {
-        let peer = attempt.destination.address.clone();
+    /// Feed of an attempt whose answer must be to `job`.
+    pub(super) fn new(attempt: Attempt, job: &Job) -> Self {
+        let expect = attempt.expect(job, job.engine().unwrap_or_default());
         Self {
-            check: StreamCheck::new(&peer, engine, EVENT_LIMIT),
+            check: StreamCheck::new(expect, EVENT_LIMIT),
             attempt,
             done: None,
         }
--- a/crates/entry/src/stream/open.rs
+++ b/crates/entry/src/stream/open.rs
@@ -58,7 +58,7 @@
         let answer = exchange.collect(attempt, head).await?;
         return Ok(Begun::Whole(answer));
     }
-    let mut feed = Feed::new(attempt, exchange.job.engine().unwrap_or_default());
+    let mut feed = Feed::new(attempt, &exchange.job);
     let stall = exchange.shared.options.stall;
     match feed.next(&exchange.shared, stall).await {
         Ok(fed) => Ok(Begun::Fed(feed, fed)),
--- a/crates/entry/src/stream/resume.rs
+++ b/crates/entry/src/stream/resume.rs
@@ -40,8 +40,7 @@
             let body = self.resumed_body().map_err(|e| format!("{cause}; {e}"))?;
             match self.exchange.attempt(body, left).await {
                 Ok((attempt, head)) if !head.is_error() => {
-                    let engine = self.exchange.job.engine().unwrap_or_default();
-                    self.feed = Some(Feed::new(attempt, engine));
+                    self.feed = Some(Feed::new(attempt, &self.exchange.job));
                     self.splice = Some(Splice::new(&self.first, &self.progress));
                     self.exchange.course.end(Ran::Yes);
                     self.note_resumed(&from);
--- a/crates/entry/src/stream/splice.rs
+++ b/crates/entry/src/stream/splice.rs
@@ -22,7 +22,9 @@
     /// Fits events to an answer that began by `first` and came as far as `progress`.
     pub(super) fn new(first: &[u8], progress: &Progress) -> Self {
         let event = read_event(first).unwrap_or_default();
-        let same = event.into_iter().filter(|(name, _)| SAME.contains(&name.as_str()));
+        let same = event
+            .into_iter()
+            .filter(|(name, _)| SAME.contains(&name.as_str()));
         Self {
             same: same.collect(),
             tokens: progress.tokens,
--- /dev/null
+++ b/crates/entry/tests/entry/main.rs
@@ -0,0 +1,12 @@
+//! An entry against sides that play frames by script, and a stand-in of the log.
+
+mod caller;
+mod config;
+mod faults;
+mod input;
+mod resume;
+mod script;
+mod side;
+mod stop;
+mod truth;
+mod world;
