Keep the engine's steps on their schedule

A late wake-up no longer delays the step after it; a step more than its own length late starts the schedule anew, since catching up without bound would make steps of no time.

--- a/crates/standin/src/engine/start.rs
+++ b/crates/standin/src/engine/start.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use pumicecleat_net::{Client, ClientOptions, Timer};
+use pumicecleat_types::Millis;
 
 use super::metrics::Sample;
 use super::state::State;
@@ -58,7 +59,7 @@
                 due = self.timer.now();
                 continue;
             }
-            due = due.max(self.timer.now()) + self.begin_step();
+            due = next_due(due, self.begin_step(), self.timer.now());
             self.timer.sleep_until(due).await;
             if !self.faults.get().freeze {
                 let die_at = &mut self.faults.edit().die_after_tokens;
@@ -72,7 +73,7 @@
     }
 
     /// Admits what waits and gives the time of the step.
-    fn begin_step(&self) -> pumicecleat_types::Millis {
+    fn begin_step(&self) -> Millis {
         let faults = self.faults.get();
         let mut state = self.state.borrow_mut();
         state.batch.admit();
@@ -86,10 +87,17 @@
                 let mut state = self.state.borrow_mut();
                 let sample = Sample::of(&state.batch);
                 state.lagging.push(now, sample);
-                let lag = pumicecleat_types::Millis(self.options.metrics_lag_ms);
+                let lag = Millis(self.options.metrics_lag_ms);
                 state.sample_at(now - lag);
             }
             self.timer.sleep(SAMPLE_SPAN).await;
         }
     }
 }
+
+/// End of the step after the one that was due at `last`; a late wake-up doesn't delay it, unless
+/// it came later than a whole step.
+fn next_due(last: Millis, span: Millis, now: Millis) -> Millis {
+    let due = last + span;
+    if due > now { due } else { now + span }
+}
