--- a/crates/policy/benches/stall/main.rs
+++ b/crates/policy/benches/stall/main.rs
@@ -8,81 +8,88 @@
 use pumicecleat_types::Millis;
 use serde_json::json;
 
-use trial::{HEADER, Site, Tally, run};
+use trial::{HEADER, LONG, SHORT, Site, Tally, run};
 
+/// Seeds of each figure.
 const SEEDS: u64 = 10;
 
-/// A site of today's size, and a larger one.
-const SITES: [Site; 5] = [
-    Site {
-        name: "small, frozen engine reports",
-        entries: 3,
-        engines: 9,
-        loras: 80,
-        rate: 10.0,
-        load: 500,
-        frozen: 1,
-        reports: true,
-    },
+/// A site of today's size.
+const SMALL: Site = Site {
+    name: "small, frozen engine reports",
+    entries: 3,
+    engines: 9,
+    loras: 80,
+    rate: 10.0,
+    load: 500,
+    frozen: 1,
+    freezes: &LONG,
+    reports: true,
+};
+
+/// A larger site, with a faster store.
+const LARGE: Site = Site {
+    name: "large, ten frozen engines report",
+    entries: 8,
+    engines: 200,
+    loras: 1_800,
+    rate: 220.0,
+    load: 50,
+    frozen: 10,
+    freezes: &LONG,
+    reports: true,
+};
+
+const SITES: [Site; 6] = [
+    SMALL,
     Site {
         name: "small, frozen engine silent",
-        entries: 3,
-        engines: 9,
-        loras: 80,
-        rate: 10.0,
-        load: 500,
-        frozen: 1,
         reports: false,
+        ..SMALL
     },
     Site {
-        name: "large, ten frozen engines report",
-        entries: 8,
-        engines: 200,
-        loras: 1_800,
-        rate: 220.0,
-        load: 50,
-        frozen: 10,
-        reports: true,
+        name: "small, short freezes",
+        freezes: &SHORT,
+        ..SMALL
     },
     Site {
         name: "small, none frozen",
-        entries: 3,
-        engines: 9,
-        loras: 80,
-        rate: 10.0,
-        load: 500,
         frozen: 0,
-        reports: true,
+        ..SMALL
     },
+    LARGE,
     Site {
         name: "large, none frozen",
-        entries: 8,
-        engines: 200,
-        loras: 1_800,
-        rate: 220.0,
-        load: 50,
         frozen: 0,
-        reports: true,
+        ..LARGE
     },
 ];
 
 fn main() {
-    let base = RouterOptions::default();
-    let off = RouterOptions {
-        demote: None,
-        ..base
-    };
-    let on = |span| RouterOptions {
-        demote: Some(Millis(span)),
-        ..base
-    };
     for site in SITES {
-        print(site, "no demotion", off);
-        print(site, "one header timeout", on(HEADER));
-        print(site, "four header timeouts", on(4 * HEADER));
+        for (way, options) in ways() {
+            print(site, way, options);
+        }
     }
 }
 
+/// No demotion, the rule of one header timeout, and what was tried beyond it.
+fn ways() -> [(&'static str, RouterOptions); 5] {
+    let demoted = |demote: Option<u64>, most: u64, probe| RouterOptions {
+        demote: demote.map(Millis),
+        demote_most: Millis(most),
+        probe,
+        ..RouterOptions::default()
+    };
+    let long = 8 * HEADER;
+    [
+        ("no demotion", demoted(None, HEADER, false)),
+        ("one header timeout", demoted(Some(HEADER), HEADER, false)),
+        ("eight header timeouts", demoted(Some(long), long, false)),
+        ("doubling up to eight", demoted(Some(HEADER), long, false)),
+        ("doubling, one probe", demoted(Some(HEADER), long, true)),
+    ]
+}
+
 fn print(site: Site, way: &str, options: RouterOptions) {
     let mut tallies: Vec<Tally> = (0..SEEDS).map(|seed| run(site, options, seed)).collect();
     for tally in &mut tallies {
--- a/crates/policy/benches/stall/trial.rs
+++ b/crates/policy/benches/stall/trial.rs
@@ -1,6 +1,7 @@
 //! One seeded run in virtual time: entries with a router each, before engines of which some freeze.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use pumicecleat_policy::{
     Ask, BudgetOptions, Choice, LoraIx, Outcome, PoolIx, RetryBudget, Router, RouterOptions,
@@ -29,8 +30,19 @@
 /// Length of a run, milliseconds.
 const LENGTH: u64 = 120_000;
 
-/// Time of the freeze, milliseconds.
-const FREEZE: std::ops::Range<u64> = 40_000..100_000;
+/// Time of requests whose waits count, milliseconds.
+const COUNTED: Range<u64> = 40_000..100_000;
+
+/// A freeze of most of that time, milliseconds.
+pub const LONG: [Range<u64>; 1] = [COUNTED];
+
+/// Four short freezes, milliseconds.
+pub const SHORT: [Range<u64>; 4] = [
+    40_000..43_000,
+    55_000..58_000,
+    70_000..73_000,
+    85_000..88_000,
+];
 
 /// Site and fault of a run.
 #[derive(Clone, Copy)]
@@ -45,6 +57,8 @@
     pub load: u64,
     /// Engines that freeze.
     pub frozen: u32,
+    /// Times of the freezes.
+    pub freezes: &'static [Range<u64>],
     /// Frozen engines' sides go on reporting.
     pub reports: bool,
 }
@@ -57,7 +71,7 @@
     pub requests: u64,
     pub failed: u64,
     pub loads: u64,
-    /// Waits for the first token while engines were frozen, milliseconds.
+    /// Waits for the first token in the time that counts, milliseconds.
     pub waits: Vec<u64>,
 }
 
@@ -167,7 +181,7 @@
     }
 
     fn frozen(&self, up: u32, now: u64) -> bool {
-        up < self.site.frozen && FREEZE.contains(&now)
+        up < self.site.frozen && self.site.freezes.iter().any(|f| f.contains(&now))
     }
 
     fn step(&mut self, event: &Event, now: u64) {
@@ -251,7 +265,8 @@
         }
         self.attempts[attempt].begun = true;
         let r = &self.requests[self.attempts[attempt].request];
-        if FREEZE.contains(&r.at) {
+        self.routers[r.entry].answering(UpstreamIx(up), Millis(now));
+        if COUNTED.contains(&r.at) {
             self.tally.waits.push(now - r.at);
         }
         let run = self.rng.random_range(SERVICE / 2..SERVICE * 3 / 2);
--- a/crates/policy/src/router/choose.rs
+++ b/crates/policy/src/router/choose.rs
@@ -179,7 +179,7 @@
 
     fn stalled(&self, up: UpstreamIx, now: Millis) -> bool {
         let upstream = self.upstreams.get(up.0 as usize);
-        upstream.is_some_and(|u| u.stalled > now)
+        upstream.is_some_and(|u| u.demotion.holds(now, &self.options))
     }
 
     fn wait_us(
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -8,11 +8,12 @@
 //!
 //! `ask` holds the question and the answer, `upstream` what is known of one upstream, `pool`, `ring`
 //! and `holders` where candidates come from, `estimate` the expected wait, `choose` the choice,
-//! `place` keeps the pools' indices, `outcome` what attempts teach, `hints` cached prefixes, and `budget` the bound on retries.
+//! `demotion` the order of stalled upstreams, `place` keeps the pools' indices, `outcome` what attempts teach, `hints` cached prefixes, and `budget` the bound on retries.
 
 mod ask;
 mod budget;
 mod choose;
+mod demotion;
 mod draw;
 mod estimate;
 mod hints;
--- a/crates/policy/src/router/options.rs
+++ b/crates/policy/src/router/options.rs
@@ -29,8 +29,13 @@
     pub suspect: Millis,
     /// Age of a report from which on its upstream is forgotten.
     pub forget: Millis,
-    /// Time that a stalled upstream stays behind its peers; `None` to leave it in its place.
+    /// Time that a stalled upstream stays behind its peers, doubled by each further stall without an
+    /// answer between; `None` to leave it in its place.
     pub demote: Option<Millis>,
+    /// Longest time that a stalled upstream stays behind its peers.
+    pub demote_most: Millis,
+    /// After that time, one attempt at a time until an answer begins.
+    pub probe: bool,
     /// When to come back where no upstream is usable.
     pub retry: Millis,
     /// Prefix hints kept, over all upstreams.
@@ -53,6 +58,8 @@
             suspect: Millis(15_000),
             forget: Millis(120_000),
             demote: Some(Millis(2_000)),
+            demote_most: Millis(16_000),
+            probe: true,
             retry: Millis(1_000),
             hints: 16_384,
         }
--- a/crates/policy/src/router/outcome.rs
+++ b/crates/policy/src/router/outcome.rs
@@ -4,16 +4,19 @@
 
 use super::Router;
 use super::ask::Outcome;
+use super::demotion::Demotion;
 use super::upstream::{Hold, Upstream};
 use crate::{LoraIx, UpstreamIx};
 
 impl Router {
     /// Counts an attempt sent to `up`.
     pub fn sent(&mut self, up: UpstreamIx, lora: Option<LoraIx>, now: Millis) {
-        let Some(upstream) = self.upstreams.get_mut(up.0 as usize) else {
+        if !self.reported(up) {
             return;
-        };
+        }
+        let upstream = &mut self.upstreams[up.0 as usize];
         upstream.note_send(now);
+        upstream.demotion.sent(now);
         let Some(lora) = lora else {
             return;
         };
@@ -25,22 +28,33 @@
     /// Takes in load figures that came with an answer or a refusal.
     pub fn heard(&mut self, up: UpstreamIx, load: LoadFigures, now: Millis) {
         let lag = self.options.lag;
-        let Some(upstream) = self.upstreams.get_mut(up.0 as usize) else {
-            return;
-        };
-        upstream.load = load;
-        upstream.settle(now, lag);
-        self.alive(up, now);
+        if self.reported(up) {
+            let upstream = &mut self.upstreams[up.0 as usize];
+            upstream.load = load;
+            upstream.settle(now, lag);
+            self.alive(up, now);
+        }
+    }
+
+    /// Learns that an answer of `up` has begun.
+    pub fn answering(&mut self, up: UpstreamIx, now: Millis) {
+        if self.reported(up) {
+            self.upstreams[up.0 as usize].demotion = Demotion::default();
+            self.alive(up, now);
+        }
     }
 
     /// Learns from the end of an attempt at `up`.
     pub fn ended(&mut self, up: UpstreamIx, lora: Option<LoraIx>, outcome: Outcome, now: Millis) {
-        let Some(upstream) = self.upstreams.get_mut(up.0 as usize) else {
+        if !self.reported(up) {
+            if matches!(outcome, Outcome::Refused(Reason::Leaving, _)) {
+                self.leaving(up);
+            }
             return;
-        };
-        upstream.note_end();
+        }
+        self.upstreams[up.0 as usize].note_end();
         match outcome {
-            Outcome::Whole => self.whole(up, now),
+            Outcome::Whole => self.answering(up, now),
             Outcome::Refused(reason, load) => {
                 self.alive(up, now);
                 self.refused(up, lora, reason, load, now);
@@ -50,17 +64,14 @@
         }
     }
 
-    fn whole(&mut self, up: UpstreamIx, now: Millis) {
-        self.upstreams[up.0 as usize].stalled = Millis(0);
-        self.alive(up, now);
+    fn reported(&self, up: UpstreamIx) -> bool {
+        let upstream = self.upstreams.get(up.0 as usize);
+        upstream.is_some_and(|u| u.seen.is_some())
     }
 
     /// Notes a sign of life.
     fn alive(&mut self, up: UpstreamIx, now: Millis) {
         let upstream = &mut self.upstreams[up.0 as usize];
-        if upstream.seen.is_none() {
-            return;
-        }
         upstream.seen = Some(now);
         if upstream.suspect {
             self.change(up, |u| u.suspect = false);
@@ -68,9 +79,8 @@
     }
 
     fn stall(&mut self, up: UpstreamIx, now: Millis) {
-        if let Some(span) = self.options.demote {
-            self.upstreams[up.0 as usize].stalled = now + span;
-        }
+        let options = &self.options;
+        self.upstreams[up.0 as usize].demotion.stall(now, options);
     }
 
     fn refused(
--- a/crates/policy/src/router/upstream.rs
+++ b/crates/policy/src/router/upstream.rs
@@ -4,6 +4,7 @@
 
 use pumicecleat_types::{LoadFigures, Millis};
 
+use super::demotion::Demotion;
 use super::key::index_key;
 use super::pool::Standing;
 use crate::{LoraIx, PoolIx, UpstreamIx};
@@ -46,8 +47,7 @@
     pub(super) suspect: bool,
     /// Last report or answer, `None` before the first report.
     pub(super) seen: Option<Millis>,
-    /// Stalled: behind its peers until this time.
-    pub(super) stalled: Millis,
+    pub(super) demotion: Demotion,
     pub(super) resident: Vec<LoraIx>,
     pub(super) loading: Option<Arrival>,
     pub(super) coming: Vec<Arrival>,
@@ -64,7 +64,7 @@
             leaving: false,
             suspect: false,
             seen: None,
-            stalled: Millis(0),
+            demotion: Demotion::default(),
             resident: Vec::new(),
             loading: None,
             coming: Vec::new(),
--- /dev/null
+++ b/crates/policy/tests/router_budget.rs
@@ -0,0 +1,39 @@
+//! Retries never exceed the burst and the share of requests, over any stretch of time.
+
+use proptest::prelude::*;
+use pumicecleat_policy::{BudgetOptions, RetryBudget};
+
+proptest! {
+    #[test]
+    fn retries_are_bounded_over_any_stretch(
+        percent in 0..100_u32,
+        burst in 0..20_u32,
+        requests in prop::collection::vec(any::<bool>(), 0..300),
+        from in 0..300_usize,
+    ) {
+        let mut budget = RetryBudget::new_ext(BudgetOptions { percent, burst });
+        let (mut seen, mut retried) = (0, 0);
+        for (n, &request) in requests.iter().enumerate() {
+            let granted = !request && budget.retry();
+            if request {
+                budget.request();
+            }
+            if n >= from {
+                seen += u32::from(request);
+                retried += u32::from(granted);
+            }
+        }
+        prop_assert!(retried * 100 <= burst * 100 + seen * percent);
+    }
+
+    #[test]
+    fn steady_failures_get_their_share(percent in 1..100_u32, burst in 2..20_u32) {
+        let mut budget = RetryBudget::new_ext(BudgetOptions { percent, burst });
+        let granted = (0..1_000).filter(|_| {
+            budget.request();
+            budget.retry()
+        });
+        let granted = u32::try_from(granted.count()).unwrap();
+        prop_assert!(granted >= 10 * percent);
+    }
+}
--- a/crates/policy/tests/router_cases.rs
+++ b/crates/policy/tests/router_cases.rs
@@ -8,6 +8,8 @@
 const POOL: PoolIx = PoolIx(0);
 const LORA: LoraIx = LoraIx(7);
 const PREFIX: u64 = 99;
+/// Seeds of the draws that break ties.
+const SEEDS: u64 = 16;
 const AMPLE: Millis = Millis(60_000);
 const ASK: Ask<'_> = Ask {
     pool: POOL,
@@ -39,6 +41,7 @@
     Ended(u32, Outcome),
     Expire(u64),
     Gap(u32),
+    Answering(u32),
 }
 
 struct Case {
@@ -158,6 +161,30 @@
         &[Then::Sent(0, 20)],
         Some(1),
     ),
+    case(
+        "one send too many for the batch",
+        &[(Holder, 0), (Holder, 100)],
+        &[Then::Sent(0, 9)],
+        Some(1),
+    ),
+    case(
+        "an end gives its place back",
+        &[(Holder, 0), (Holder, 100)],
+        &[Then::Sent(0, 9), Then::Ended(0, Outcome::Whole)],
+        Some(0),
+    ),
+    case(
+        "sent there before",
+        &[(Idle, 200), (Idle, 0)],
+        &[Then::Sent(0, 1)],
+        Some(0),
+    ),
+    case(
+        "load failed there",
+        &[(Idle, 200), (Idle, 0)],
+        &[Then::Sent(0, 1), refused(Reason::LoadFailed)],
+        Some(1),
+    ),
     case(
         "overload counts",
         &[(Holder, 0), (Holder, 0)],
@@ -233,8 +260,12 @@
     }
 }
 
-fn router(ups: Ups) -> Router {
-    let mut router = Router::new_ext(RouterOptions::default());
+fn router(ups: Ups, seed: u64) -> Router {
+    let options = RouterOptions {
+        seed,
+        ..RouterOptions::default()
+    };
+    let mut router = Router::new_ext(options);
     for (ix, &(is, wait)) in (0..).map(UpstreamIx).zip(ups) {
         let holds = !matches!(is, Idle | Loader | Full);
         let resident: &[LoraIx] = if holds { &[LORA] } else { &[] };
@@ -254,8 +285,7 @@
     router
 }
 
-fn apply(router: &mut Router, then: Then) {
-    let now = Millis(1);
+fn apply(router: &mut Router, then: Then, now: Millis) {
     match then {
         Then::Leaving(up) => router.leaving(UpstreamIx(up)),
         Then::Forget(up) => router.forget(UpstreamIx(up)),
@@ -265,6 +295,7 @@
         Then::Ended(up, outcome) => router.ended(UpstreamIx(up), Some(LORA), outcome, now),
         Then::Expire(at) => drop(router.expire(Millis(at))),
         Then::Gap(up) => router.cache_gap(UpstreamIx(up)),
+        Then::Answering(up) => router.answering(UpstreamIx(up), now),
     }
 }
 
@@ -278,37 +309,67 @@
     }
 }
 
+fn check(case: &Case, seed: u64) {
+    let mut router = router(case.ups, seed);
+    for &then in case.then {
+        apply(&mut router, then, Millis(1));
+    }
+    let ask = Ask {
+        left: case.left,
+        tried: case.tried,
+        ..ASK
+    };
+    let got = chosen(&mut router, &ask, Millis(2));
+    assert_eq!(got, case.want, "{}, seed {seed}", case.name);
+}
+
 #[test]
-fn choices() {
+fn choices_at_any_seed() {
     for case in CASES {
-        let mut router = router(case.ups);
-        case.then.iter().for_each(|&t| apply(&mut router, t));
-        let ask = Ask {
-            left: case.left,
-            tried: case.tried,
-            ..ASK
-        };
-        assert_eq!(
-            chosen(&mut router, &ask, Millis(2)),
-            case.want,
-            "{}",
-            case.name
-        );
+        (0..SEEDS).for_each(|seed| check(case, seed));
     }
 }
 
+/// What happens at a time, and the choice expected after it.
+struct Step {
+    at: u64,
+    then: Option<Then>,
+    want: u32,
+}
+
+const fn step(at: u64, then: Option<Then>, want: u32) -> Step {
+    Step { at, then, want }
+}
+
 #[test]
-fn a_demotion_lapses() {
-    let span = RouterOptions::default().demote.unwrap();
-    let mut router = router(PAIR);
-    router.ended(UpstreamIx(0), Some(LORA), Outcome::Stalled, Millis(0));
-    assert_eq!(chosen(&mut router, &ASK, span - Millis(1)), Some(1));
-    assert_eq!(chosen(&mut router, &ASK, span), Some(0));
+fn a_demotion_lapses_doubles_and_ends() {
+    let stalled = Some(Then::Ended(0, Outcome::Stalled));
+    let steps = [
+        step(0, stalled, 1),
+        step(1_999, None, 1),
+        step(2_000, None, 0),
+        step(2_000, Some(Then::Sent(0, 1)), 1),
+        step(4_000, stalled, 1),
+        step(4_500, stalled, 1),
+        step(8_499, None, 1),
+        step(8_500, None, 0),
+        step(8_500, Some(Then::Sent(0, 1)), 1),
+        step(8_600, Some(Then::Answering(0)), 0),
+        step(9_000, stalled, 1),
+        step(11_000, None, 0),
+    ];
+    let mut router = router(PAIR, 0);
+    for Step { at, then, want } in steps {
+        if let Some(then) = then {
+            apply(&mut router, then, Millis(at));
+        }
+        assert_eq!(chosen(&mut router, &ASK, Millis(at)), Some(want), "at {at}");
+    }
 }
 
 #[test]
 fn a_plain_service_takes_the_less_busy_of_two() {
-    let mut router = router(&[(Idle, 50), (Idle, 0)]);
+    let mut router = router(&[(Idle, 50), (Idle, 0)], 0);
     let ask = Ask { lora: None, ..ASK };
     for _ in 0..20 {
         assert_eq!(chosen(&mut router, &ask, Millis(1)), Some(1));
