--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -107,6 +107,12 @@
         self.admin
     }
 
+    /// Whether it takes work.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.state.readiness.is_ready()
+    }
+
     /// State for people.
     #[must_use]
     pub fn dump(&self) -> crate::SideDump {
