Keep no reverse references of adapters

Cause: one fold of 24,000 adapters held 41 MB resident, above the 32 MB that a daemon may spend on control; a set per referenced version took most of it. Ruled out: counting references (it can't name who is left dangling); keeping them in one sorted set of pairs (some 5 MB for a look-up that only the rare removal of a base model needs). Conclusion: below the limit, with 10 MB left for the rest of a daemon; an adapter's own map of versions is the largest part that remains.

--- a/crates/config/src/check/links.rs
+++ b/crates/config/src/check/links.rs
@@ -1,7 +1,9 @@
-//! References between items, kept both ways.
+//! References between items, and what a change could leave dangling.
 //!
-//! The reverse index tells which items a removal could leave dangling, so that a small change is
-//! checked without looking at the rest.
+//! Few items refer to others across tables (callers, services, pools), so that their references
+//! are kept in reverse, and a small change is checked without a look at the rest. Adapters are
+//! many and refer to few base models: their references are not kept but searched on the rare
+//! removal of a base model. Kept, they took half of the memory of a fold.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -11,7 +13,7 @@
 use crate::fault::Problem;
 use crate::model::{Caller, Config, Item, Key, Pool, PoolKind};
 
-/// Who refers to what, and who holds which key hash.
+/// Who refers to what across tables, and who holds which key hash.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Links {
     users: BTreeMap<Key, BTreeSet<Key>>,
@@ -21,6 +23,9 @@
 impl Links {
     /// Notes what an item refers to.
     pub(crate) fn add(&mut self, item: &Item) {
+        if is_searched(item) {
+            return;
+        }
         let user = item.key();
         for (_, target) in targets(item) {
             self.users.entry(target).or_default().insert(user.clone());
@@ -35,6 +40,9 @@
 
     /// Forgets what an item refers to.
     pub(crate) fn remove(&mut self, item: &Item) {
+        if is_searched(item) {
+            return;
+        }
         let user = item.key();
         for (_, target) in targets(item) {
             forget(&mut self.users, &target, &user);
@@ -55,9 +63,14 @@
                 Key::Caller(id) => more.extend(self.sharers(config, id)),
                 _ => {}
             }
-            if matches!(key, Key::Pool(_)) || !config.holds(key) {
+            let held = config.holds(key);
+            if matches!(key, Key::Pool(_)) || !held {
                 more.extend(self.users.get(key).into_iter().flatten().cloned());
             }
+            if let (Key::Base(id), false) = (key, held) {
+                let adapters = config.adapters.iter().filter(|(_, a)| a.base == *id);
+                more.extend(adapters.map(|(id, _)| Key::Adapter(id.clone())));
+            }
         }
         keys.extend(more);
     }
@@ -113,6 +126,12 @@
     }
 }
 
+/// Whether the item's references are not kept: those of an adapter to its base model are searched,
+/// and an adapter is checked with each of its versions.
+fn is_searched(item: &Item) -> bool {
+    matches!(item, Item::Adapter { .. })
+}
+
 fn is_model(pool: &Pool) -> bool {
     matches!(pool.kind, PoolKind::Model { .. })
 }
--- a/crates/config/src/check/mod.rs
+++ b/crates/config/src/check/mod.rs
@@ -10,32 +10,29 @@
 pub(crate) use links::Links;
 
 use crate::fault::{Fault, Problem};
-use crate::model::{Config, Key};
+use crate::model::{Config, Item};
 
 /// Faults of a whole configuration, in the order of its items.
 #[must_use]
 pub fn check(config: &Config) -> Vec<Fault> {
-    let keys = config.keys();
     let mut links = Links::default();
-    for item in keys.iter().filter_map(|key| config.item(key)) {
+    for item in config.items() {
         links.add(&item);
     }
-    check_keys(config, &links, keys.iter())
+    check_items(config, &links, config.items())
 }
 
-/// Faults of the items under `keys`; a key without an item has none.
-pub(crate) fn check_keys<'k>(
+/// Faults of some items of `config`.
+pub(crate) fn check_items(
     config: &Config,
     links: &Links,
-    keys: impl Iterator<Item = &'k Key>,
+    items: impl Iterator<Item = Item>,
 ) -> Vec<Fault> {
     let mut report = Report::default();
-    for key in keys {
-        if let Some(item) = config.item(key) {
-            report.path = key.to_string();
-            value::check_item(&item, &mut report);
-            links.check_item(config, &item, &mut report);
-        }
+    for item in items {
+        report.path = item.key().to_string();
+        value::check_item(&item, &mut report);
+        links.check_item(config, &item, &mut report);
     }
     report.faults
 }
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -68,7 +68,7 @@
 /// Differences that lead from `a` to `b`, in order of keys.
 #[must_use]
 pub fn diff(a: &Config, b: &Config) -> Vec<Difference> {
-    let keys: BTreeSet<Key> = a.keys().into_iter().chain(b.keys()).collect();
+    let keys: BTreeSet<Key> = a.keys().chain(b.keys()).collect();
     keys.iter().filter_map(|key| compare(a, b, key)).collect()
 }
 
--- a/crates/config/src/digest.rs
+++ b/crates/config/src/digest.rs
@@ -56,10 +56,8 @@
     /// Sum over all items.
     pub(crate) fn of(config: &Config) -> Self {
         let mut sum = Self::default();
-        for key in config.keys() {
-            if let Some(item) = config.item(&key) {
-                sum.add(&item);
-            }
+        for item in config.items() {
+            sum.add(&item);
         }
         sum
     }
--- a/crates/config/src/model/item.rs
+++ b/crates/config/src/model/item.rs
@@ -134,19 +134,25 @@
     }
 
     /// Keys of all items, in order.
-    #[must_use]
-    pub fn keys(&self) -> Vec<Key> {
-        let mut keys: Vec<Key> = self.bases.keys().cloned().map(Key::Base).collect();
-        keys.extend(self.adapters.keys().cloned().map(Key::Adapter));
-        for (id, adapter) in &self.adapters {
-            let versions = adapter.versions.keys().cloned();
-            keys.extend(versions.map(|v| Key::Version(id.clone(), v)));
-        }
-        keys.extend(self.callers.keys().cloned().map(Key::Caller));
-        keys.extend(self.pools.keys().cloned().map(Key::Pool));
-        keys.extend(self.services.keys().cloned().map(Key::Service));
-        keys.extend([Key::Tuning, Key::Limits]);
-        keys
+    pub fn keys(&self) -> impl Iterator<Item = Key> + '_ {
+        let bases = self.bases.keys().cloned().map(Key::Base);
+        let adapters = self.adapters.keys().cloned().map(Key::Adapter);
+        let versions = self.adapters.iter().flat_map(version_keys);
+        let callers = self.callers.keys().cloned().map(Key::Caller);
+        let pools = self.pools.keys().cloned().map(Key::Pool);
+        let services = self.services.keys().cloned().map(Key::Service);
+        bases
+            .chain(adapters)
+            .chain(versions)
+            .chain(callers)
+            .chain(pools)
+            .chain(services)
+            .chain([Key::Tuning, Key::Limits])
+    }
+
+    /// All items, in the order of their keys.
+    pub fn items(&self) -> impl Iterator<Item = Item> + '_ {
+        self.keys().filter_map(|key| self.item(&key))
     }
 
     /// Puts an item in, in place of the one under its key. A version needs its adapter: without
@@ -196,3 +202,8 @@
         }
     }
 }
+
+fn version_keys<'a>((id, adapter): (&'a AdapterId, &'a Adapter)) -> impl Iterator<Item = Key> + 'a {
+    let versions = adapter.versions.keys().cloned();
+    versions.map(|version| Key::Version(id.clone(), version))
+}
--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::check::{Links, check, check_keys};
+use crate::check::{Links, check, check_items};
 use crate::delta::{Delta, DeltaError};
 use crate::digest::{Digest, Sum};
 use crate::fault::Fault;
@@ -47,7 +47,7 @@
     fn index(config: Config) -> Self {
         let mut sum = Sum::default();
         let mut links = Links::default();
-        for item in config.keys().iter().filter_map(|key| config.item(key)) {
+        for item in config.items() {
             sum.add(&item);
             links.add(&item);
         }
@@ -107,7 +107,8 @@
         let touched: BTreeSet<Key> = undo.iter().map(|(key, _)| key.clone()).collect();
         let mut wide = touched.clone();
         self.links.widen(&self.config, &mut wide);
-        let faults = check_keys(&self.config, &self.links, wide.iter());
+        let items = wide.iter().filter_map(|key| self.config.item(key));
+        let faults = check_items(&self.config, &self.links, items);
         if faults.is_empty() {
             Ok(touched.into_iter().collect())
         } else {
--- a/crates/config/tests/fold/naive.rs
+++ b/crates/config/tests/fold/naive.rs
@@ -129,11 +129,7 @@
 
 /// Result of a delta, by a list of all items.
 fn rebuild(config: &Config, delta: &Delta) -> Config {
-    let keys = config.keys();
-    let mut items: BTreeMap<Key, Item> = keys
-        .into_iter()
-        .filter_map(|key| config.item(&key).map(|item| (key, item)))
-        .collect();
+    let mut items: BTreeMap<Key, Item> = config.items().map(|i| (i.key(), i)).collect();
     items.retain(|key, _| !delta.removed.contains(key));
     items.extend(delta.put.iter().map(|item| (item.key(), item.clone())));
     let all = Delta {
--- a/crates/config/tests/fold/world.rs
+++ b/crates/config/tests/fold/world.rs
@@ -169,7 +169,7 @@
         Flaw::Order => {
             let first = change.delta.put.first().cloned();
             change.delta.put.extend(first);
-            change.delta.removed.extend(view.config.keys().pop());
+            change.delta.removed.extend(view.config.keys().last());
         }
         Flaw::Future => change.base += 2,
     }
