--- a/crates/policy/src/router/pool.rs
+++ b/crates/policy/src/router/pool.rs
@@ -41,9 +41,9 @@
 
     /// Homes for one more copy of an adapter: its first ones, or the next as these fill with copies.
     pub(super) fn homes(&self, lora: LoraIx, key: u64, count: usize) -> Vec<UpstreamIx> {
-        let copies = self.holders.of(lora).len();
-        let first = copies - copies % count.max(1);
-        self.ring.homes(key, first, count)
+        let held = self.holders.of(lora);
+        let first = held.len() - held.len() % count.max(1);
+        self.ring.homes(key, first, count, held)
     }
 
     /// Upstreams that may get work.
--- a/crates/policy/src/router/ring.rs
+++ b/crates/policy/src/router/ring.rs
@@ -12,6 +12,9 @@
 /// Separates the probes' seeds from the points' seeds.
 const PROBE: u64 = 1 << 32;
 
+/// Probes for each home at most, where they find holders or the same upstreams again.
+const REACH: usize = 4;
+
 /// Upstreams on a ring.
 #[derive(Clone, Debug)]
 pub(super) struct Ring {
@@ -45,20 +48,28 @@
         }
     }
 
-    /// At most `count` homes of the adapter of this key, found by the probes from number `first` on,
-    /// the first one best.
-    pub(super) fn homes(&self, key: u64, first: usize, count: usize) -> Vec<UpstreamIx> {
-        let numbers = first as u64..(first + count) as u64;
-        let probes = numbers.map(|n| point(key, PROBE + n));
-        let mut found: Vec<Found> = probes.filter_map(|p| self.successor(p)).collect();
-        found.sort_unstable();
-        let mut homes = Vec::with_capacity(found.len());
-        for f in found {
-            if !homes.contains(&f.up) {
-                homes.push(f.up);
+    /// At most `count` homes of the adapter of this key other than `held`, found by the probes from
+    /// number `first` on, the one nearest to its probe first. `held` is ascending.
+    pub(super) fn homes(
+        &self,
+        key: u64,
+        first: usize,
+        count: usize,
+        held: &[UpstreamIx],
+    ) -> Vec<UpstreamIx> {
+        let mut found: Vec<Found> = Vec::with_capacity(count);
+        for n in first..first + count * REACH {
+            if found.len() == count {
+                break;
             }
+            let probe = point(key, PROBE + n as u64);
+            let next = self.successor(probe);
+            let new = |f: &Found| !found.iter().any(|g| g.up == f.up);
+            let free = |f: &Found| held.binary_search(&f.up).is_err();
+            found.extend(next.filter(|f| new(f) && free(f)));
         }
-        homes
+        found.sort_unstable();
+        found.iter().map(|f| f.up).collect()
     }
 
     fn successor(&self, probe: u64) -> Option<Found> {
