Count tokens over engines; keep targets on the peer and UTF-8 headers whole

Cause: an engine that goes on with an answer counts its own tokens from nothing, so Progress lost those of the one before; a path http://elsewhere/ or a CONNECT left the peer; header values in UTF-8 were left out.

--- a/crates/upstream/src/call/exchange.rs
+++ b/crates/upstream/src/call/exchange.rs
@@ -106,15 +106,16 @@
     }
 }
 
-/// Request with a JSON body, or with none.
+/// Request for a path of the peer itself, with a JSON body or with none.
 pub(crate) fn build(
     peer: &str,
     method: Method,
     path: &str,
     body: Bytes,
 ) -> Result<http::Request<Bytes>, CallError> {
-    let Ok(uri) = path.parse() else {
-        let detail = format!("path {path:?} is malformed");
+    let origin = path.starts_with('/') && method != Method::CONNECT;
+    let (true, Ok(uri)) = (origin, path.parse()) else {
+        let detail = format!("target {method} {path:?} is malformed");
         return RequestSnafu { peer, detail }.fail();
     };
     let json = !body.is_empty();
--- a/crates/upstream/src/call/headers.rs
+++ b/crates/upstream/src/call/headers.rs
@@ -42,7 +42,7 @@
     Ok(headers)
 }
 
-/// Headers of an upstream that go to the caller; one that is not text is left out.
+/// Headers of an upstream that go to the caller; one that is not UTF-8 is left out.
 pub(crate) fn pass_back(all: &HeaderMap) -> Vec<HeaderField> {
     let named = named_by_connection(all);
     let kept = all.iter().filter(|(name, _)| !is_hop(name, &named));
@@ -77,6 +77,6 @@
 fn field(name: &HeaderName, value: &HeaderValue) -> Option<HeaderField> {
     Some(HeaderField {
         name: name.as_str().to_owned(),
-        value: value.to_str().ok()?.to_owned(),
+        value: std::str::from_utf8(value.as_bytes()).ok()?.to_owned(),
     })
 }
--- a/crates/upstream/src/check/progress.rs
+++ b/crates/upstream/src/check/progress.rs
@@ -9,6 +9,8 @@
     pub text: String,
     /// Tokens of that text: the engine's count, else one for each chunk with text.
     pub tokens: u64,
+    /// Tokens of engines before the present one, whose own counts start anew.
+    pub earlier: u64,
     /// Holds more than text, so that another engine can't go on from it.
     pub extra: bool,
 }
@@ -19,9 +21,14 @@
         self.text.push_str(&chunk.content);
         self.extra |= chunk.extra;
         match chunk.usage {
-            Some(usage) if usage.completion > 0 => self.tokens = usage.completion,
+            Some(usage) if usage.completion > 0 => self.tokens = self.earlier + usage.completion,
             _ if chunk.content.is_empty() => {}
             _ => self.tokens += 1,
         }
     }
+
+    /// Another engine goes on from here.
+    pub fn resume(&mut self) {
+        self.earlier = self.tokens;
+    }
 }
--- a/crates/upstream/tests/chat.rs
+++ b/crates/upstream/tests/chat.rs
@@ -35,7 +35,7 @@
     Progress {
         text: text.into(),
         tokens,
-        extra: false,
+        ..Progress::default()
     }
 }
 
--- a/crates/upstream/tests/engine.rs
+++ b/crates/upstream/tests/engine.rs
@@ -218,6 +218,7 @@
         assert!(broken.is_err());
         assert!(progress.tokens > 0 && progress.tokens < TOKENS);
         let resumed = body.render_resumed(LORA, 0, &progress).unwrap();
+        progress.resume();
         let ended = follow(&two, chat("r-1", resumed), &mut progress).await;
         assert_eq!(ended, Ok(()));
         assert_eq!(progress.text, whole_text());
--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -34,7 +34,7 @@
 #[test]
 fn headers_of_one_hop_stay_behind() {
     let reply = "HTTP/1.1 201 Created\r\nContent-Length: 2\r\nConnection: close, X-Hop\r\n\
-                 X-Hop: 1\r\nKeep-Alive: 5\r\nX-Request-Id: r-1\r\nX-Seat: 7\r\n\r\nok";
+                 X-Hop: 1\r\nKeep-Alive: 5\r\nX-Request-Id: r-1\r\nX-Seat: hét\r\n\r\nok";
     with_client(|client| async move {
         let (address, peer) = answer_once(reply);
         let passed = call(&[
@@ -54,6 +54,7 @@
         assert_eq!((answer.status, &answer.body[..]), (201, &b"ok"[..]));
         let names: Vec<&str> = answer.headers.iter().map(|h| h.name.as_str()).collect();
         assert_eq!(names, ["x-request-id", "x-seat"]);
+        assert_eq!(answer.headers[1].value, "hét");
         let request = peer.join().unwrap().to_lowercase();
         assert!(request.starts_with("post /holds?seat=7 http/1.1\r\n"));
         for stays in [
@@ -61,7 +62,7 @@
             "private",
             "trailers",
             "chunked",
-            "99",
+            "content-length: 99",
             "forged",
             "keep-alive",
         ] {
@@ -135,9 +136,12 @@
 fn calls_that_never_left_are_told() {
     with_client(|client| async move {
         let refused = service(&client, &closed_address());
-        let mut calls = vec![call(&[]), call(&[]), call(&[]), call(&[("a b", "c")])];
+        let mut calls = vec![call(&[]); 5];
         calls[1].path = "no path".into();
-        calls[2].method = "B A D".into();
+        calls[2].path = "http://elsewhere/holds".into();
+        calls[3].method = "B A D".into();
+        calls[4].method = "CONNECT".into();
+        calls.push(call(&[("a b", "c")]));
         for call in calls {
             let error = refused.call(&call, SPAN).await.unwrap_err();
             assert_eq!(error.sent(), Sent::No, "{error}");
--- a/crates/upstream/tests/stream.rs
+++ b/crates/upstream/tests/stream.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use pumicecleat_upstream::{
-    AnswerError, AnswerFault, Chunk, Expect, Progress, StreamCheck, StreamEvent, check_whole,
+    AnswerError, AnswerFault, Chunk, Expect, Progress, StreamCheck, StreamEvent, Usage, check_whole,
 };
 
 const LIMIT: usize = 512;
@@ -138,6 +138,15 @@
     }
     assert_eq!(progress.text, "വിത\n");
     assert_eq!(progress.tokens, 2);
+    progress.resume();
+    progress.add(&Chunk {
+        usage: Some(Usage {
+            prompt: 5,
+            completion: 3,
+        }),
+        ..Chunk::default()
+    });
+    assert_eq!(progress.tokens, 5);
     assert_eq!(finish.as_deref(), Some("stop"));
     assert!(stream.as_bytes().ends_with(&raw));
 }
