--- /dev/null
+++ b/crates/cli/tests/fleet/mod.rs
@@ -0,0 +1,273 @@
+//! Real processes on loopback: entries, sides and stand-ins, each killed at the end of its test.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+mod http;
+mod process;
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+pub use http::{Answer, get, post};
+pub use process::Process;
+
+/// Longest wait of any step of a test.
+pub const SPAN: Duration = Duration::from_secs(30);
+
+/// Bearer key of the configuration.
+pub const KEY: &str = "demo-key";
+
+/// A deployment of real processes.
+pub struct Fleet {
+    pub log: Process,
+    pub store: Process,
+    pub vms: Process,
+    pub engines: Vec<Process>,
+    pub service: Process,
+    pub entries: Vec<Process>,
+    pub sides: BTreeMap<String, Process>,
+}
+
+/// Sizes of a deployment.
+pub struct FleetOptions {
+    pub entries: usize,
+    pub engines: usize,
+    pub engine_args: &'static [&'static str],
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            entries: 1,
+            engines: 2,
+            engine_args: &["--slots", "2", "--batch", "8"],
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts a deployment with the sample configuration, and waits until it is ready.
+    pub fn start(options: &FleetOptions) -> Self {
+        let mut fleet = Self::start_platform(options);
+        fleet.apply_sample();
+        for n in 0..options.entries {
+            fleet.start_entry(n);
+        }
+        for n in 0..options.engines {
+            fleet.start_engine_side(n);
+        }
+        fleet.start_service_side("booking-0");
+        fleet.until_ready();
+        fleet
+    }
+
+    fn start_platform(options: &FleetOptions) -> Self {
+        let log = Process::standin("log", &[]);
+        let store = Process::standin("store", &["--load-ms", "100"]);
+        let vms = Process::standin("vms", &[]);
+        let weights = store.address.clone();
+        let mut args = vec!["--base", "hu-base", "--store", &weights];
+        args.extend(options.engine_args);
+        let engines = (0..options.engines).map(|_| Process::standin("engine", &args));
+        let engines = engines.collect();
+        Self {
+            log,
+            store,
+            vms,
+            engines,
+            service: Process::standin("service", &[]),
+            entries: Vec::new(),
+            sides: BTreeMap::new(),
+        }
+    }
+
+    fn apply_sample(&self) {
+        let file = sample("demo.toml");
+        let out = self.operate(&["apply", "--log", &self.log.address, &file]);
+        assert!(out.status.success(), "{out:?}");
+    }
+
+    /// Runs the operators' command.
+    pub fn operate(&self, args: &[&str]) -> std::process::Output {
+        process::command("pumicecleat").args(args).output().unwrap()
+    }
+
+    /// Starts entry number `n` and lists its VM.
+    pub fn start_entry(&mut self, n: usize) {
+        let vm = format!("entry-{n}");
+        let peers: Vec<String> = self.entries.iter().map(|e| e.peer.clone()).collect();
+        let peers = peers.join(",");
+        let args = [
+            "--vm",
+            &vm,
+            "--data-centre",
+            "bp-a",
+            "--region",
+            "hu-central",
+            "--listen",
+            "127.0.0.1:0",
+            "--peer-listen",
+            "127.0.0.1:0",
+            "--admin",
+            "127.0.0.1:0",
+            "--log",
+            &self.log.address,
+            "--vms",
+            &self.vms.address,
+            "--peers",
+            &peers,
+        ];
+        let entry = Process::entry(&args);
+        self.list_vm(&vm, "entry", "live", &entry.peer, None);
+        self.entries.push(entry);
+    }
+
+    /// Starts the side of engine number `n`.
+    pub fn start_engine_side(&mut self, n: usize) {
+        let vm = format!("engine-{n}");
+        let upstream = self.engines[n].address.clone();
+        self.start_side(&vm, "engines", &upstream);
+    }
+
+    /// Starts a side of the service.
+    pub fn start_service_side(&mut self, vm: &str) {
+        let upstream = self.service.address.clone();
+        self.start_side(vm, "booking", &upstream);
+    }
+
+    fn start_side(&mut self, vm: &str, pool: &str, upstream: &str) {
+        let args = [
+            "--vm",
+            vm,
+            "--data-centre",
+            "bp-a",
+            "--region",
+            "hu-central",
+            "--listen",
+            "127.0.0.1:0",
+            "--admin",
+            "127.0.0.1:0",
+            "--slot",
+            "127.0.0.1:0",
+            "--pool",
+            pool,
+            "--upstream",
+            upstream,
+            "--log",
+            &self.log.address,
+            "--vms",
+            &self.vms.address,
+            "--stall",
+            "1s",
+        ];
+        let side = Process::side(&args);
+        self.list_vm(vm, "upstream", "live", &side.address, Some(pool));
+        self.sides.insert(vm.to_owned(), side);
+    }
+
+    /// Puts a VM on the platform's list.
+    pub fn list_vm(&self, vm: &str, role: &str, state: &str, address: &str, pool: Option<&str>) {
+        let body = serde_json::json!({
+            "vm": vm, "role": role, "state": state, "address": address,
+            "centre": "bp-a", "region": "hu-central", "pool": pool,
+        });
+        let answer = post(
+            &self.vms.address,
+            &format!("/v1/vms/{vm}"),
+            &[],
+            &body.to_string(),
+        );
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    /// Waits until every entry sees every side healthy, at the newest revision.
+    pub fn until_ready(&self) {
+        for entry in &self.entries {
+            until("an entry sees all sides", || {
+                let dump = get(&entry.admin, "/dump").json();
+                let revision = dump["config"]["revision"].as_u64().unwrap_or(0);
+                let sides = dump["sides"].as_array().cloned().unwrap_or_default();
+                let fine =
+                    |s: &serde_json::Value| s["healthy"] == true && s["revision"] == revision;
+                revision > 0
+                    && dump["ready"] == true
+                    && sides.len() == self.sides.len()
+                    && sides.iter().all(fine)
+            });
+        }
+    }
+
+    /// Sends a chat request that is not streamed.
+    pub fn chat(&self, entry: usize, model: &str, tokens: u32) -> Answer {
+        let body = chat_body(model, tokens, false);
+        post(
+            &self.entries[entry].address,
+            "/v1/chat/completions",
+            &[],
+            &body,
+        )
+    }
+
+    /// Holds a seat.
+    pub fn hold(&self, entry: usize, key: &str, body: &str) -> Answer {
+        let headers = [("idempotency-key", key)];
+        post(&self.entries[entry].address, "/seats/hold", &headers, body)
+    }
+
+    /// Times that calls with `key` took effect.
+    pub fn effects(&self, key: &str) -> u64 {
+        let effects = get(&self.service.address, "/effects").json();
+        let rows = effects.as_array().cloned().unwrap_or_default();
+        let counts = rows
+            .iter()
+            .filter(|r| r["key"] == key)
+            .filter_map(|r| r["count"].as_u64());
+        counts.sum()
+    }
+
+    /// Sum over the engines of a counter of theirs.
+    pub fn engine_count(&self, counter: &str) -> u64 {
+        let effects = self
+            .engines
+            .iter()
+            .map(|e| get(&e.address, "/effects").json());
+        effects
+            .filter_map(|e| e["counters"][counter].as_u64())
+            .sum()
+    }
+}
+
+/// Body of a chat request.
+pub fn chat_body(model: &str, tokens: u32, stream: bool) -> String {
+    serde_json::json!({
+        "model": model,
+        "stream": stream,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": "tonight?"}],
+    })
+    .to_string()
+}
+
+/// Text that an engine gives for [`chat_body`].
+pub fn expected_text(lora: &str, tokens: u64) -> String {
+    let messages = [pumicecleat_standin::ChatMessage::new("user", "tonight?")];
+    pumicecleat_standin::expected_tokens(lora, &messages, 0, tokens).concat()
+}
+
+/// Path of a sample file.
+pub fn sample(name: &str) -> String {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
+    root.join("../../examples")
+        .join(name)
+        .to_string_lossy()
+        .into_owned()
+}
+
+/// Waits until `holds`.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + SPAN;
+    while !holds() {
+        assert!(Instant::now() < end, "never: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -43,6 +43,11 @@
     let parts = Parts::over_http(settings, &timer);
     // A listener that can't be bound has logged why.
     let entry = Entry::start(settings, &parts, &timer, log, &stop).ok()?;
+    let at = entry.addresses();
+    println!(
+        "listening {} peers {} admin {}",
+        at.callers, at.peers, at.admin
+    );
     let end = entry.run().await;
     Entry::log_end(log, &end);
     Some(end)
