Prove promises under kills, freezes, outages and races with real processes

Cause: each promise needs its run under failure, through the whole system. One test failed first: a restarted side's entry was asked before it had heard of the new address; the fault was the test's wait, which now looks for the new address.

--- a/crates/cli/tests/fleet/http.rs
+++ b/crates/cli/tests/fleet/http.rs
@@ -74,7 +74,45 @@
     exchange(peer, "POST", path, headers, body)
 }
 
-fn exchange(peer: &str, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+/// A request whose answer is read bit by bit.
+pub struct Live {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl Live {
+    /// Sends a POST and reads nothing yet.
+    pub fn post(peer: &str, path: &str, body: &str) -> Self {
+        let mut stream = TcpStream::connect(peer).unwrap();
+        stream.set_read_timeout(Some(SPAN)).unwrap();
+        let head = head_of(peer, "POST", path, &[], body);
+        stream
+            .write_all(format!("{head}\r\n{body}").as_bytes())
+            .unwrap();
+        Self {
+            stream,
+            bytes: Vec::new(),
+        }
+    }
+
+    /// Reads until `count` events are here.
+    pub fn read_events(&mut self, count: usize) {
+        let mut buffer = [0; 4096];
+        while self.bytes.windows(6).filter(|w| w == b"data: ").count() < count {
+            let read = self.stream.read(&mut buffer).unwrap();
+            assert_ne!(read, 0, "{}", String::from_utf8_lossy(&self.bytes));
+            self.bytes.extend_from_slice(&buffer[..read]);
+        }
+    }
+
+    /// Reads the rest.
+    pub fn finish(mut self) -> Answer {
+        let read = self.stream.read_to_end(&mut self.bytes);
+        parse(&self.bytes, read.is_ok())
+    }
+}
+
+fn head_of(peer: &str, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> String {
     let mut head = format!(
         "{method} {path} HTTP/1.1\r\nhost: {peer}\r\nconnection: close\r\nauthorization: Bearer \
          {KEY}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n",
@@ -83,6 +121,11 @@
     for (name, value) in headers {
         head.push_str(&format!("{name}: {value}\r\n"));
     }
+    head
+}
+
+fn exchange(peer: &str, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+    let head = head_of(peer, method, path, headers, body);
     let Ok(mut stream) = TcpStream::connect(peer) else {
         return no_answer();
     };
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -8,7 +8,7 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-pub use http::{Answer, get, post};
+pub use http::{Answer, Live, get, post};
 pub use process::Process;
 
 /// Longest wait of any step of a test.
@@ -24,6 +24,7 @@
     pub vms: Process,
     pub engines: Vec<Process>,
     pub service: Process,
+    retention: &'static str,
     pub entries: Vec<Process>,
     pub sides: BTreeMap<String, Process>,
 }
@@ -33,6 +34,9 @@
     pub entries: usize,
     pub engines: usize,
     pub engine_args: &'static [&'static str],
+    pub log_args: &'static [&'static str],
+    /// Time that entries take the log to keep records.
+    pub retention: &'static str,
 }
 
 impl Default for FleetOptions {
@@ -41,6 +45,8 @@
             entries: 1,
             engines: 2,
             engine_args: &["--slots", "2", "--batch", "8"],
+            log_args: &[],
+            retention: "48h",
         }
     }
 }
@@ -62,7 +68,7 @@
     }
 
     fn start_platform(options: &FleetOptions) -> Self {
-        let log = Process::standin("log", &[]);
+        let log = Process::standin("log", options.log_args);
         let store = Process::standin("store", &["--load-ms", "100"]);
         let vms = Process::standin("vms", &[]);
         let weights = store.address.clone();
@@ -76,6 +82,7 @@
             vms,
             engines,
             service: Process::standin("service", &[]),
+            retention: options.retention,
             entries: Vec::new(),
             sides: BTreeMap::new(),
         }
@@ -92,6 +99,11 @@
         process::command("pumicecleat").args(args).output().unwrap()
     }
 
+    /// Command of a program.
+    pub fn command(&self, program: &str) -> std::process::Command {
+        process::command(program)
+    }
+
     /// Starts entry number `n` and lists its VM.
     pub fn start_entry(&mut self, n: usize) {
         let vm = format!("entry-{n}");
@@ -116,6 +128,8 @@
             &self.vms.address,
             "--peers",
             &peers,
+            "--retention",
+            self.retention,
         ];
         let entry = Process::entry(&args);
         self.list_vm(&vm, "entry", "live", &entry.peer, None);
@@ -187,8 +201,13 @@
                 let dump = get(&entry.admin, "/dump").json();
                 let revision = dump["config"]["revision"].as_u64().unwrap_or(0);
                 let sides = dump["sides"].as_array().cloned().unwrap_or_default();
-                let fine =
-                    |s: &serde_json::Value| s["healthy"] == true && s["revision"] == revision;
+                let fine = |s: &serde_json::Value| {
+                    let vm = s["vm"].as_str().unwrap_or_default();
+                    let address = self.sides.get(vm).map(|p| p.address.as_str());
+                    s["healthy"] == true
+                        && s["revision"] == revision
+                        && s["address"].as_str() == address
+                };
                 revision > 0
                     && dump["ready"] == true
                     && sides.len() == self.sides.len()
@@ -208,6 +227,37 @@
         )
     }
 
+    /// Starts a stream.
+    pub fn stream(&self, entry: usize, model: &str, tokens: u32) -> Live {
+        let body = chat_body(model, tokens, true);
+        Live::post(&self.entries[entry].address, "/v1/chat/completions", &body)
+    }
+
+    /// Numbers of the engines that run a request now.
+    pub fn running(&self) -> Vec<usize> {
+        let is_running = |e: &Process| {
+            let effects = get(&e.address, "/effects").json();
+            let runs = effects["runs"].as_array().cloned().unwrap_or_default();
+            runs.iter().any(|r| r["state"] == "running")
+        };
+        let engines = self.engines.iter().enumerate();
+        engines
+            .filter(|(_, e)| is_running(e))
+            .map(|(n, _)| n)
+            .collect()
+    }
+
+    /// Sets faults of a stand-in.
+    pub fn set_faults(&self, peer: &str, faults: &serde_json::Value) {
+        let answer = post(peer, "/faults", &[], &faults.to_string());
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    /// Side of engine number `n`.
+    pub fn engine_side(&mut self, n: usize) -> &mut Process {
+        self.sides.get_mut(&format!("engine-{n}")).unwrap()
+    }
+
     /// Holds a seat.
     pub fn hold(&self, entry: usize, key: &str, body: &str) -> Answer {
         let headers = [("idempotency-key", key)];
