--- a/crates/policy/src/router/choose.rs
+++ b/crates/policy/src/router/choose.rs
@@ -4,7 +4,7 @@
 
 use super::ask::{Ask, Choice, Pick};
 use super::estimate::{load_us, queue_us};
-use super::pool::{Pool, Standing};
+use super::pool::Standing;
 use super::upstream::Hold;
 use super::{Router, draw::Draw};
 use crate::{LoraIx, UpstreamIx};
@@ -87,7 +87,7 @@
                 let mut draw = self.draw;
                 let mut ups = pool.holders.sample(lora, self.options.holders, &mut draw);
                 self.draw = draw;
-                ups.extend(pool.ring.homes(key, self.options.homes));
+                ups.extend(pool.homes(lora, key, self.options.homes));
                 ups
             }
             None => Vec::new(),
@@ -179,7 +179,7 @@
 
     fn stalled(&self, up: UpstreamIx, now: Millis) -> bool {
         let upstream = self.upstreams.get(up.0 as usize);
-        upstream.is_some_and(|u| u.stalled > now)
+        upstream.is_some_and(|u| u.demotion.holds(now, &self.options))
     }
 
     fn wait_us(
@@ -213,10 +213,3 @@
         scored.iter().find(alike).copied()
     }
 }
-
-impl Pool {
-    /// Upstreams that may get work.
-    pub(super) fn usable(&self) -> usize {
-        self.fresh.len() + self.behind.len()
-    }
-}
--- a/crates/policy/src/router/options.rs
+++ b/crates/policy/src/router/options.rs
@@ -9,8 +9,10 @@
     pub seed: u64,
     /// Holders of an adapter that one choice looks at.
     pub holders: usize,
-    /// Homes of an adapter that one choice looks at.
+    /// Homes of an adapter that one choice looks at; the same at every entry.
     pub homes: usize,
+    /// Points of each upstream on the hash ring; the same at every entry.
+    pub points: u64,
     /// Expected time to load an adapter, until [`Router::set_load`](super::Router::set_load).
     pub load: Millis,
     /// Time by which a new copy must beat the copies there are.
@@ -27,8 +29,13 @@
     pub suspect: Millis,
     /// Age of a report from which on its upstream is forgotten.
     pub forget: Millis,
-    /// Time that a stalled upstream stays behind its peers; `None` to leave it in its place.
+    /// Time that a stalled upstream stays behind its peers, doubled by each further stall without an
+    /// answer between; `None` to leave it in its place.
     pub demote: Option<Millis>,
+    /// Longest time that a stalled upstream stays behind its peers.
+    pub demote_most: Millis,
+    /// After that time, one attempt at a time until an answer begins.
+    pub probe: bool,
     /// When to come back where no upstream is usable.
     pub retry: Millis,
     /// Prefix hints kept, over all upstreams.
@@ -41,6 +48,7 @@
             seed: 0,
             holders: 4,
             homes: 4,
+            points: 8,
             load: Millis(500),
             spread: Millis(250),
             slack: Millis(100),
@@ -50,6 +58,8 @@
             suspect: Millis(15_000),
             forget: Millis(120_000),
             demote: Some(Millis(2_000)),
+            demote_most: Millis(16_000),
+            probe: true,
             retry: Millis(1_000),
             hints: 16_384,
         }
--- a/crates/policy/src/router/pool.rs
+++ b/crates/policy/src/router/pool.rs
@@ -2,10 +2,10 @@
 
 use super::holders::Holders;
 use super::ring::Ring;
-use crate::UpstreamIx;
+use crate::{LoraIx, UpstreamIx};
 
 /// Upstreams of one pool that may get new work.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Pool {
     /// Upstreams heard of lately, ascending.
     pub(super) fresh: Vec<UpstreamIx>,
@@ -30,6 +30,27 @@
 }
 
 impl Pool {
+    pub(super) fn new(points: u64) -> Self {
+        Self {
+            fresh: Vec::new(),
+            behind: Vec::new(),
+            ring: Ring::new(points),
+            holders: Holders::default(),
+        }
+    }
+
+    /// Homes for one more copy of an adapter: its first ones, or the next as these fill with copies.
+    pub(super) fn homes(&self, lora: LoraIx, key: u64, count: usize) -> Vec<UpstreamIx> {
+        let held = self.holders.of(lora);
+        let first = held.len() - held.len() % count.max(1);
+        self.ring.homes(key, first, count, held)
+    }
+
+    /// Upstreams that may get work.
+    pub(super) fn usable(&self) -> usize {
+        self.fresh.len() + self.behind.len()
+    }
+
     pub(super) fn insert(&mut self, up: UpstreamIx, key: u64, standing: Standing) {
         match standing {
             Standing::Fresh => {
--- a/crates/policy/src/router/upstream.rs
+++ b/crates/policy/src/router/upstream.rs
@@ -4,6 +4,7 @@
 
 use pumicecleat_types::{LoadFigures, Millis};
 
+use super::demotion::Demotion;
 use super::key::index_key;
 use super::pool::Standing;
 use crate::{LoraIx, PoolIx, UpstreamIx};
@@ -46,8 +47,7 @@
     pub(super) suspect: bool,
     /// Last report or answer, `None` before the first report.
     pub(super) seen: Option<Millis>,
-    /// Stalled: behind its peers until this time.
-    pub(super) stalled: Millis,
+    pub(super) demotion: Demotion,
     pub(super) resident: Vec<LoraIx>,
     pub(super) loading: Option<Arrival>,
     pub(super) coming: Vec<Arrival>,
@@ -64,7 +64,7 @@
             leaving: false,
             suspect: false,
             seen: None,
-            stalled: Millis(0),
+            demotion: Demotion::default(),
             resident: Vec::new(),
             loading: None,
             coming: Vec::new(),
@@ -116,17 +116,20 @@
         });
     }
 
-    /// Forgets own sends that a report made at `now` must contain.
-    pub(super) fn settle(&mut self, now: Millis, lag: Millis, load: Millis) {
+    /// Forgets own sends that figures got at `now` must contain.
+    pub(super) fn settle(&mut self, now: Millis, lag: Millis) {
         while self.sends.front().is_some_and(|&at| now.since(at) > lag) {
             self.sends.pop_front();
         }
+    }
+
+    /// Forgets expected adapters that a report shows, or should have shown within `late`.
+    pub(super) fn settle_coming(&mut self, now: Millis, late: Millis) {
         let (resident, loading) = (&self.resident, self.loading);
         self.coming.retain(|a| {
             let arrived = resident.binary_search(&a.lora).is_ok();
             let seen = loading.is_some_and(|l| l.lora == a.lora);
-            let late = now.since(a.since) > load + load + lag;
-            !arrived && !seen && !late
+            !arrived && !seen && now.since(a.since) <= late
         });
     }
 
