Compare two drawn holders, not four

Cause: entries see figures up to a second old; the more holders each compares, the more of them crowd the same one. Also: a drawn holder that is stalled, suspect or tried is passed over for a ready one near it.

--- a/crates/policy/src/router/choose.rs
+++ b/crates/policy/src/router/choose.rs
@@ -15,8 +15,8 @@
 /// Prefix holders that one choice looks at.
 const PREFIXED: usize = 2;
 
-/// Stalled upstreams that a draw steps over at most.
-const STALLED: usize = 16;
+/// Upstreams that are not ready and that a draw steps over at most.
+const STEPS: usize = 16;
 
 /// Expected waits of this many times the time left are refused: figures lag, so less may be wrong.
 const LATE: u64 = 2;
@@ -78,66 +78,65 @@
     }
 
     fn candidates(&mut self, ask: &Ask<'_>, now: Millis) -> Vec<Scored> {
-        let Some(pool) = self.pools.get(ask.pool.0 as usize) else {
-            return Vec::new();
-        };
-        let ups = match ask.lora {
-            Some(lora) => {
-                let key = self.lora_key(lora);
-                let mut draw = self.draw;
-                let mut ups = pool.holders.sample(lora, self.options.holders, &mut draw);
-                self.draw = draw;
-                ups.extend(pool.homes(lora, key, self.options.homes));
-                ups
-            }
-            None => Vec::new(),
-        };
-        let mut scored = self.score(ask, &ups, now);
-        let hinted = self.hinted(ask);
-        scored.extend(self.score(ask, &hinted, now));
-        if !scored.iter().any(|s| s.class == Class::Ready) {
-            let drawn = self.drawn(ask, now);
-            scored.extend(self.score(ask, &drawn, now));
+        let mut ups = self.near(ask, now);
+        if let Some(prefix) = ask.prefix {
+            let hinted = self.hints.of(prefix, PREFIXED);
+            ups.extend(hinted);
+        }
+        let scored = self.score(ask, &ups, now);
+        if scored.iter().any(|s| s.class == Class::Ready) {
+            return scored;
         }
-        scored
+        ups.extend(self.drawn(ask, now));
+        self.score(ask, &ups, now)
     }
 
-    fn hinted(&self, ask: &Ask<'_>) -> Vec<UpstreamIx> {
-        let Some(prefix) = ask.prefix else {
+    /// Some holders, then the homes.
+    fn near(&mut self, ask: &Ask<'_>, now: Millis) -> Vec<UpstreamIx> {
+        let (Some(pool), Some(lora)) = (self.pools.get(ask.pool.0 as usize), ask.lora) else {
             return Vec::new();
         };
-        self.hints.of(prefix, PREFIXED).collect()
+        let mut draw = self.draw;
+        let holders = pool.holders.of(lora);
+        let mut near = self.walk(ask, holders, self.options.holders, &mut draw, now);
+        near.extend(pool.homes(lora, self.lora_key(lora), self.options.homes));
+        self.draw = draw;
+        near
     }
 
     /// Upstreams drawn from the fresh ones, or else from the suspect ones.
     fn drawn(&mut self, ask: &Ask<'_>, now: Millis) -> Vec<UpstreamIx> {
-        let mut draw = self.draw;
         let Some(pool) = self.pools.get(ask.pool.0 as usize) else {
             return Vec::new();
         };
-        let mut drawn = self.walk(ask, &pool.fresh, &mut draw, now);
+        let mut draw = self.draw;
+        let mut drawn = self.walk(ask, &pool.fresh, DRAWN, &mut draw, now);
         if drawn.is_empty() {
-            drawn = self.walk(ask, &pool.behind, &mut draw, now);
+            drawn = self.walk(ask, &pool.behind, DRAWN, &mut draw, now);
         }
         self.draw = draw;
         drawn
     }
 
-    /// First ready upstreams after drawn places; a stalled one where no ready one is near.
+    /// At most `count` of `ups`, the first ready ones after drawn places, or the best near them.
     fn walk(
         &self,
         ask: &Ask<'_>,
         ups: &[UpstreamIx],
+        count: usize,
         draw: &mut Draw,
         now: Millis,
     ) -> Vec<UpstreamIx> {
-        let reach = ups.len().min(ask.tried.len() + STALLED + 1);
-        let mut taken = Vec::with_capacity(DRAWN);
-        for _ in 0..DRAWN {
+        let reach = ups.len().min(ask.tried.len() + count + STEPS);
+        let mut taken = Vec::with_capacity(count);
+        for _ in 0..count.min(ups.len()) {
             let start = draw.below(ups.len());
             let near = (0..reach).map(|n| ups[(start + n) % ups.len()]);
-            let open = near.filter(|u| !ask.tried.contains(u) && !taken.contains(u));
-            let next = open.min_by_key(|&u| self.stalled(u, now));
+            let mut open = near.filter(|u| !ask.tried.contains(u) && !taken.contains(u));
+            let ready = open
+                .clone()
+                .find(|&u| self.class(ask, u, now) == Some(Class::Ready));
+            let next = ready.or_else(|| open.next());
             taken.extend(next);
         }
         taken
@@ -172,16 +171,11 @@
         match upstream.standing() {
             Standing::Out => None,
             Standing::Behind => Some(Class::Suspect),
-            Standing::Fresh if self.stalled(up, now) => Some(Class::Stalled),
+            Standing::Fresh if upstream.demotion.holds(now, &self.options) => Some(Class::Stalled),
             Standing::Fresh => Some(Class::Ready),
         }
     }
 
-    fn stalled(&self, up: UpstreamIx, now: Millis) -> bool {
-        let upstream = self.upstreams.get(up.0 as usize);
-        upstream.is_some_and(|u| u.demotion.holds(now, &self.options))
-    }
-
     fn wait_us(
         &self,
         up: UpstreamIx,
--- a/crates/policy/src/router/holders.rs
+++ b/crates/policy/src/router/holders.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use super::draw::Draw;
 use crate::{LoraIx, UpstreamIx};
 
 /// Holders in one pool.
@@ -35,14 +34,4 @@
     pub(super) fn of(&self, lora: LoraIx) -> &[UpstreamIx] {
         self.map.get(&lora).map_or(&[], Vec::as_slice)
     }
-
-    /// At most `count` holders: all of them, or an evenly spaced sample from a drawn start.
-    pub(super) fn sample(&self, lora: LoraIx, count: usize, draw: &mut Draw) -> Vec<UpstreamIx> {
-        let ups = self.of(lora);
-        let start = draw.below(ups.len());
-        let taken = count.min(ups.len());
-        (0..taken)
-            .map(|n| ups[(start + n * ups.len() / taken) % ups.len()])
-            .collect()
-    }
 }
--- a/crates/policy/src/router/options.rs
+++ b/crates/policy/src/router/options.rs
@@ -46,7 +46,7 @@
     fn default() -> Self {
         Self {
             seed: 0,
-            holders: 4,
+            holders: 2,
             homes: 4,
             points: 8,
             load: Millis(500),
