--- a/crates/net/examples/connections.rs
+++ b/crates/net/examples/connections.rs
@@ -22,8 +22,11 @@
 /// Time between two pieces of a stream.
 const PACE: Duration = Duration::from_millis(100);
 
-/// Time for memory to settle before it is read.
-const SETTLE: Duration = Duration::from_secs(2);
+/// Time for buffers to be used in full before memory is read.
+const SETTLE: Duration = Duration::from_secs(6);
+
+/// Bytes of a piece, as of an engine's event.
+const PIECE: [u8; 280] = [b'x'; 280];
 
 /// Time for an answer to begin.
 const SPAN: Duration = Duration::from_secs(10);
@@ -37,7 +40,7 @@
         }
         let pieces = stream::unfold(self.0.clone(), |timer| async move {
             timer.sleep(PACE).await;
-            Some((Ok(Bytes::from_static(b"data: token\n\n")), timer))
+            Some((Ok(Bytes::from_static(&PIECE)), timer))
         });
         let reply = Reply::new(Body::Stream(Box::pin(pieces)));
         Box::pin(std::future::ready(reply))
