Make the stand-ins' timing tests independent of the machine's load

With four copies of the tests at once, beside other work, 2 of 40 runs failed in the store's slowdown (halfway case, 345 ms for 350) and then 1 of 60 in the restart (129 ms for 140). Both bounds were wrong, not the stand-ins: a load that comes later than planned ends the other one earlier, and the cold time runs from the order, not from its answer. Dropped one check, that the figures aren't shown at once: the raised bound says the same.

--- a/crates/standin/tests/standins/engine.rs
+++ b/crates/standin/tests/standins/engine.rs
@@ -2,20 +2,24 @@
 
 use std::time::{Duration, Instant};
 
-use futures_util::future::join_all;
+use futures_util::future::{join, join_all};
 use pumicecleat_net::Timer;
-use pumicecleat_standin::{Engine, EngineEffects, EngineOptions, RunState};
+use pumicecleat_standin::{Engine, EngineEffects, EngineFaults, EngineOptions, RunState, Running};
 use serde_json::{Value, json};
 
 use crate::bench::{Peer, Streamed, ask, expected, ms, run_of, test};
 
 const LORA: &str = "sowing@v3";
 
-async fn start(options: EngineOptions, timer: &Timer) -> Peer {
+async fn start_engine(options: EngineOptions, timer: &Timer) -> (Running<EngineFaults>, Peer) {
     let engine = Engine::start(options, timer).unwrap();
     let peer = Peer::new(engine.address, timer);
     peer.load(LORA).await;
-    peer
+    (engine, peer)
+}
+
+async fn start(options: EngineOptions, timer: &Timer) -> Peer {
+    start_engine(options, timer).await.1
 }
 
 fn quick() -> EngineOptions {
@@ -183,6 +187,8 @@
     }
 }
 
+/// Time for all requests of a case to arrive at the frozen engine.
+const ARRIVAL_SPAN: Duration = Duration::from_millis(150);
 /// Time of the steps of every case, but for the rounding of its first instant.
 const STEPS_MS: u128 = 199;
 
@@ -205,24 +211,26 @@
                 slow_chance: case.slow_chance,
                 ..EngineOptions::default()
             };
-            let peer = start(options, &timer).await;
-            let from = Instant::now();
+            let (engine, peer) = start_engine(options, &timer).await;
+            engine.set_faults(EngineFaults {
+                freeze: true,
+                ..EngineFaults::default()
+            });
             let requests = (0..case.requests).map(|n| {
                 let request = ask(LORA, "hi", case.tokens);
                 let peer = peer.clone();
                 async move { peer.chat(&request, &n.to_string()).await.unwrap() }
             });
-            join_all(requests).await;
+            let lift = async {
+                timer.sleep(ARRIVAL_SPAN).await;
+                engine.set_faults(EngineFaults::default());
+                Instant::now()
+            };
+            let (_, from) = join(join_all(requests), lift).await;
             let took = ms(from);
             let effects: EngineEffects = peer.effects().await;
             let counters = effects.counters;
-            // Requests of one batch may arrive a step apart.
-            let steps = case.steps..=case.steps + 2;
-            assert!(
-                steps.contains(&counters.steps),
-                "{}: {counters:?}",
-                case.name
-            );
+            assert_eq!(counters.steps, case.steps, "{}", case.name);
             assert_eq!(
                 counters.tokens,
                 case.requests * case.tokens,
@@ -243,7 +251,7 @@
             ..EngineOptions::default()
         };
         let peer = start(options, &timer).await;
-        let first = peer.open_stream(&ask(LORA, "hi", 30), "first").await;
+        let first = peer.open_stream(&ask(LORA, "hi", 10_000), "first").await;
         let mut waiting = Vec::new();
         for (id, priority) in [("late", 5), ("soon", -1), ("later", 5), ("middle", 0)] {
             let mut request = ask(LORA, "hi", 2);
@@ -290,15 +298,14 @@
             ..EngineOptions::default()
         };
         let peer = start(options, &timer).await;
-        let reader = peer.open_stream(&ask(LORA, "hi", 10_000), "r").await;
         let from = Instant::now();
+        let reader = peer.open_stream(&ask(LORA, "hi", 10_000), "r").await;
         let shown = "vllm:lora_requests_info{running_lora_adapters=\"sowing@v3\",\
             waiting_lora_adapters=\"\",max_lora=\"4\"}";
-        assert!(!peer.get("/metrics").await.text().contains(shown));
         while !peer.get("/metrics").await.text().contains(shown) {
             timer.sleep(Duration::from_millis(5)).await;
         }
-        assert!(ms(from) >= 250, "{} ms", ms(from));
+        assert!(ms(from) >= 299, "{} ms", ms(from));
         drop(reader);
     });
 }
--- a/crates/standin/tests/standins/engine_faults.rs
+++ b/crates/standin/tests/standins/engine_faults.rs
@@ -186,9 +186,9 @@
         let (_, peer) = start(&timer).await;
         let mut reader = peer.open_stream(&ask(LORA, "hi", 10_000), "r").await;
         let faults = json!({"restart": true, "cold_ms": 150});
+        let from = Instant::now();
         let shown = peer.post("/faults", &faults).await.unwrap();
         assert_eq!(shown.json()["restart"], false);
-        let from = Instant::now();
         while reader.read().await {}
         assert!(reader.streamed.broken && !reader.streamed.done);
         assert_eq!(peer.get("/health").await.status, 503);
@@ -199,7 +199,7 @@
         while peer.get("/health").await.status != 200 {
             timer.sleep(Duration::from_millis(5)).await;
         }
-        assert!(ms(from) >= 140, "{} ms", ms(from));
+        assert!(ms(from) >= 149, "{} ms", ms(from));
         assert_eq!(
             peer.chat(&ask(LORA, "hi", 1), "s").await.unwrap().status,
             404
--- a/crates/standin/tests/standins/vms.rs
+++ b/crates/standin/tests/standins/vms.rs
@@ -83,7 +83,7 @@
 fn changes_show_late() {
     test(|timer| async move {
         let options = VmListOptions {
-            lag_ms: 100,
+            lag_ms: 400,
             ..VmListOptions::default()
         };
         let list = VmList::start(options, &timer).unwrap();
@@ -99,7 +99,7 @@
         while peer.get("/v1/vms").await.json()["version"] != 1 {
             timer.sleep(Duration::from_millis(2)).await;
         }
-        assert!(ms(from) >= 99, "{} ms", ms(from));
+        assert!(ms(from) >= 399, "{} ms", ms(from));
     });
 }
 
