--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -97,10 +97,10 @@
     };
     let path = call.incoming.uri().path();
     match (call.incoming.method(), path) {
-        (&Method::POST, CHAT) => chat::answer(shared, call).await,
+        (&Method::POST, CHAT) => Box::pin(chat::answer(shared, call)).await,
         (&Method::GET, MODELS) => Ok(models::answer(shared, &call.caller)),
         (_, CHAT | MODELS) => Err(Fault::bad(405, "method_not_allowed", "no such method here")),
-        _ => service::answer(shared, call).await,
+        _ => Box::pin(service::answer(shared, call)).await,
     }
 }
 
--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -134,9 +134,8 @@
 
 /// Takes a record in; false if it lies behind a gap that it can't close.
 fn apply(shared: &Shared, record: &LogRecord) -> bool {
-    let event = match shared.current.apply(record) {
-        Ok(event) => event,
-        Err(_) => return false,
+    let Ok(event) = shared.current.apply(record) else {
+        return false;
     };
     let offset = field("offset", record.offset);
     match &event {
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -76,7 +76,8 @@
             left,
             body,
         };
-        Attempt::open(&self.shared, outgoing).await
+        // Boxed, as it is large and only lives until the answer starts.
+        Box::pin(Attempt::open(&self.shared, outgoing)).await
     }
 
     fn choose(&self, left: Millis) -> Result<Destination, Failure> {
--- a/crates/entry/src/request/whole.rs
+++ b/crates/entry/src/request/whole.rs
@@ -41,7 +41,9 @@
     /// The fault for the caller.
     pub(crate) async fn whole(&mut self) -> Result<Answer, Fault> {
         let timer = self.timer().clone();
-        let work = timer.within(self.patience(), self.try_whole()).await;
+        let work = timer
+            .within(self.patience(), Box::pin(self.try_whole()))
+            .await;
         let Ok(result) = work else {
             return Err(self.late());
         };
--- a/crates/entry/src/stream/open.rs
+++ b/crates/entry/src/stream/open.rs
@@ -19,18 +19,18 @@
 
 /// One attempt's beginning.
 enum Begun {
-    Fed(Feed, Fed),
+    Fed(Box<Feed>, Fed),
     Whole(Answer),
 }
 
 /// Tries until the first bytes are there, within the deadline.
 pub(crate) async fn open(mut exchange: Exchange) -> Opened {
     let timer = exchange.timer().clone();
-    let work = timer.within(exchange.patience(), try_open(&mut exchange));
+    let work = timer.within(exchange.patience(), Box::pin(try_open(&mut exchange)));
     match work.await {
         Ok(Ok(Begun::Fed(feed, first))) => {
             exchange.course.end(Ran::Yes);
-            Opened::Stream(Box::new(Relay::new(exchange, feed, first)))
+            Opened::Stream(Box::new(Relay::new(exchange, *feed, first)))
         }
         Ok(Ok(Begun::Whole(answer))) => match exchange.accept(answer) {
             Ok(answer) => Opened::Whole(answer, exchange),
@@ -61,7 +61,7 @@
     let mut feed = Feed::new(attempt, &exchange.job);
     let stall = exchange.shared.options.stall;
     match feed.next(&exchange.shared, stall).await {
-        Ok(fed) => Ok(Begun::Fed(feed, fed)),
+        Ok(first) => Ok(Begun::Fed(Box::new(feed), first)),
         Err(failure) => Err(feed.fail(failure)),
     }
 }
--- a/crates/entry/src/stream/relay.rs
+++ b/crates/entry/src/stream/relay.rs
@@ -104,7 +104,8 @@
         match feed.next(&self.exchange.shared, stall).await {
             Ok(Fed::Chunks(chunks)) => self.ready = self.pass(chunks),
             Ok(Fed::End(done)) => self.end(done).await,
-            Err(failure) => self.recover(failure).await,
+            // Boxed, as each open stream would hold room for it.
+            Err(failure) => Box::pin(self.recover(failure)).await,
         }
     }
 
--- a/crates/entry/tests/entry/side.rs
+++ b/crates/entry/tests/entry/side.rs
@@ -24,6 +24,9 @@
 /// Time between two reports.
 const PACE: Duration = Duration::from_millis(200);
 
+/// One script an attempt, whichever side it comes to; the last is played again and again.
+pub(crate) type Scripts = Rc<RefCell<VecDeque<Vec<Act>>>>;
+
 /// A side that plays frames by script, and reports.
 pub(crate) struct FakeSide {
     pub(crate) address: SocketAddr,
@@ -32,8 +35,7 @@
 
 struct State {
     name: &'static str,
-    /// One script an attempt; the last is played again and again.
-    scripts: RefCell<VecDeque<Vec<Act>>>,
+    scripts: Scripts,
     seen: RefCell<Vec<RunRequest>>,
     dropped: Cell<usize>,
     revision: Cell<u64>,
@@ -50,12 +52,12 @@
 }
 
 impl FakeSide {
-    pub(crate) fn start(name: &'static str, scripts: &[Vec<Act>], timer: &Timer) -> Self {
+    pub(crate) fn start(name: &'static str, scripts: &Scripts, timer: &Timer) -> Self {
         let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
         let state = Rc::new(State {
             name,
-            scripts: RefCell::new(scripts.iter().cloned().collect()),
+            scripts: Rc::clone(scripts),
             seen: RefCell::default(),
             dropped: Cell::new(0),
             revision: Cell::new(0),
@@ -198,6 +200,8 @@
                 Act::Pause(span) => self.state.timer.sleep(span).await,
                 Act::Hang | Act::NoHead => std::future::pending().await,
                 Act::Cut => {
+                    // What was played before leaves first.
+                    self.state.timer.sleep(Duration::from_millis(20)).await;
                     self.ended = true;
                     let detail = "cut by script".to_owned();
                     return Some((Err(BodyError::Broken { detail }), self));
@@ -258,11 +262,13 @@
     }
 
     fn data(&self, act: &Act) -> String {
-        let chunk = |delta: Value, finish: Value| self.event("tour@v1", delta, &finish);
+        let chunk = |delta: Value, finish: Value| self.event("tour@v1", &delta, &finish);
         match act {
             Act::Role => chunk(json!({"role": "assistant", "content": ""}), Value::Null),
             Act::Text(text) => chunk(json!({ "content": text }), Value::Null),
-            Act::FalseText(text) => self.event("tour@v2", json!({ "content": text }), &Value::Null),
+            Act::FalseText(text) => {
+                self.event("tour@v2", &json!({ "content": text }), &Value::Null)
+            }
             Act::CrossedText(text) => chunk(json!({ "content": text }), Value::Null)
                 .replace(self.request.head.request.as_str(), "another"),
             Act::Finish => chunk(json!({}), json!("stop")),
@@ -278,7 +284,7 @@
         format!("chatcmpl-{}", self.request.head.request)
     }
 
-    fn event(&self, model: &str, delta: Value, finish: &Value) -> String {
+    fn event(&self, model: &str, delta: &Value, finish: &Value) -> String {
         let event = json!({
             "id": self.id(), "object": "chat.completion.chunk", "created": self.created(),
             "model": model,
--- a/crates/entry/tests/entry/world.rs
+++ b/crates/entry/tests/entry/world.rs
@@ -1,9 +1,13 @@
 //! An entry with what surrounds it.
 
+use std::cell::RefCell;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use pumicecleat_config::model::Config;
 use pumicecleat_config::{Change, ChangeId, Fold, Record, Source, hash_key, parse};
 use pumicecleat_entry::{Entry, EntrySettings, Parts};
 use pumicecleat_net::{Client, ClientOptions, Timer, run};
@@ -32,6 +36,29 @@
     changes: u32,
 }
 
+/// An author of the configuration that races another.
+pub(crate) struct Rival {
+    records: Rc<dyn Records>,
+    fold: Fold,
+}
+
+impl Rival {
+    /// Appends a change from what it holds.
+    pub(crate) async fn apply(&mut self, config: &str) {
+        let id = ChangeId::try_from("change-of-rival".to_owned()).unwrap();
+        let (revision, from) = (self.fold.revision(), self.fold.config());
+        let change = Change::new(id, revision, from, &read_config(config), "vithu");
+        let data = Record::Change(Box::new(change)).to_bytes();
+        self.records.append("config", vec![data]).await.unwrap();
+    }
+}
+
+fn read_config(text: &str) -> Config {
+    let name = "test.toml";
+    let bytes = text.as_bytes();
+    parse(&[Source { name, bytes }]).unwrap()
+}
+
 /// An entry, with the handle that stops it.
 pub(crate) struct Started {
     pub(crate) entry: Entry,
@@ -67,9 +94,7 @@
 
     /// Appends a change to `config` and gives its revision.
     pub(crate) async fn apply(&mut self, config: &str) -> u64 {
-        let name = "test.toml";
-        let bytes = config.as_bytes();
-        let config = parse(&[Source { name, bytes }]).unwrap();
+        let config = read_config(config);
         self.changes += 1;
         let id = ChangeId::try_from(format!("change-{}", self.changes)).unwrap();
         let change = Change::new(
@@ -107,16 +132,29 @@
         Rc::new(HttpLog::new(&self.client, peers, Duration::from_secs(1)))
     }
 
+    /// Another author, who holds what this one holds now.
+    pub(crate) fn rival(&self) -> Rival {
+        Rival {
+            records: self.records(),
+            fold: self.fold.clone(),
+        }
+    }
+
     /// Starts an entry under further settings.
     pub(crate) fn start(&self, args: &[&str]) -> Started {
-        let settings = self.settings(args);
         let parts = Parts {
             records: self.records(),
             vms: None,
         };
+        self.start_with(args, &parts)
+    }
+
+    /// Starts an entry on parts of the case's own.
+    pub(crate) fn start_with(&self, args: &[&str], parts: &Parts) -> Started {
+        let settings = self.settings(args);
         let stop = Stop::by_hand();
         let log = quiet();
-        let entry = Entry::start(&settings, &parts, &self.timer, &log, &stop).unwrap();
+        let entry = Entry::start(&settings, parts, &self.timer, &log, &stop).unwrap();
         Started { entry, stop }
     }
 
@@ -149,17 +187,19 @@
         started
     }
 
-    /// Starts sides, one script list each, and lets them report to the entry.
+    /// Starts sides that play one script an attempt, and lets them report to the entry.
     pub(crate) async fn sides(
         &self,
         started: &Started,
         pool: &'static str,
-        scripts: &[Vec<Vec<Act>>],
+        count: usize,
+        scripts: &[Vec<Act>],
     ) -> Vec<FakeSide> {
+        let scripts = Rc::new(RefCell::new(scripts.iter().cloned().collect()));
         let names = ["side-1", "side-2", "side-3", "side-4"];
         let mut sides = Vec::new();
-        for (name, scripts) in names.into_iter().zip(scripts) {
-            let side = FakeSide::start(name, scripts, &self.timer);
+        for name in names.into_iter().take(count) {
+            let side = FakeSide::start(name, &scripts, &self.timer);
             let entry = started.entry.addresses().peers;
             side.join(&self.client, entry, pool).await;
             sides.push(side);
@@ -174,6 +214,22 @@
         }
     }
 
+    /// Text that an entry's admin listener gives.
+    pub(crate) async fn admin(&self, started: &Started, path: &str) -> String {
+        self.get(started.entry.addresses().admin, path).await
+    }
+
+    /// Text at a path.
+    pub(crate) async fn get(&self, address: SocketAddr, path: &str) -> String {
+        let mut request = http::Request::new(Bytes::new());
+        *request.uri_mut() = path.parse().unwrap();
+        let span = Duration::from_secs(2);
+        let peer = address.to_string();
+        let sent = self.client.send(&peer, request, span);
+        let body = sent.await.unwrap().read(1 << 20, span).await;
+        String::from_utf8(body.unwrap()).unwrap()
+    }
+
     /// Waits until something holds, for ten seconds at most.
     pub(crate) async fn until(&self, holds: impl Fn() -> bool) {
         let end = self.timer.now().0 + 10_000;
