--- a/crates/measure/src/args.rs
+++ b/crates/measure/src/args.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 
+use crate::path::PathArgs;
 use crate::policy::PolicyArgs;
 
 /// Measurements of pumicecleat, as JSON lines.
@@ -16,6 +17,8 @@
 #[derive(FromArgs, Debug)]
 #[argh(subcommand)]
 pub enum Command {
+    /// Streams direct to an engine, and through entry and side.
+    Path(PathArgs),
     /// The decisions under load and faults, in virtual time.
     Policy(PolicyArgs),
 }
@@ -24,6 +27,7 @@
     /// Runs the measurement and prints its lines.
     pub fn run(&self) {
         match self {
+            Self::Path(args) => crate::path::run(args),
             Self::Policy(args) => crate::policy::run(args),
         }
     }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Each measurement is a module and a subcommand; all print JSON lines.
 
+pub mod path;
 pub mod policy;
 
 mod args;
--- /dev/null
+++ b/crates/measure/src/path/load.rs
@@ -0,0 +1,165 @@
+//! Callers: streams that open over a span, and what each saw.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use pumicecleat_net::{Client, ClientOptions, Response, SseScanner, Timer, run};
+
+use super::parts::{KEY, MODEL};
+use super::thread::resident;
+
+const SPAN: Duration = Duration::from_mins(2);
+const EVENT: usize = 1 << 16;
+/// Longest time told apart, microseconds.
+const LONGEST: u64 = 60_000_000;
+
+/// Streams to open.
+pub(super) struct Load {
+    pub(super) way: &'static str,
+    pub(super) peer: String,
+    pub(super) streams: usize,
+    pub(super) tokens: u32,
+    pub(super) spread_ms: u64,
+}
+
+/// What the streams saw.
+pub(super) struct Take {
+    /// Time to the first token, microseconds.
+    pub(super) first: Histogram<u64>,
+    /// Time between tokens, microseconds.
+    pub(super) gaps: Histogram<u64>,
+    pub(super) events: u64,
+    pub(super) whole: usize,
+    pub(super) failed: usize,
+    pub(super) span: Duration,
+    /// Growth of resident memory while all streams were open, bytes.
+    pub(super) memory: u64,
+}
+
+impl Load {
+    /// Opens all streams on a loop of their own, and reads each to its end.
+    pub(super) fn run(&self) -> Take {
+        run(self.all()).expect("a loop starts")
+    }
+
+    async fn all(&self) -> Take {
+        let timer = Timer::start();
+        let client = Client::new_ext(ClientOptions::default(), &timer);
+        let before = resident();
+        let start = Instant::now();
+        let take = Rc::new(RefCell::new(Take::new()));
+        let mut tasks = Vec::new();
+        for n in 0..self.streams {
+            let at = self.spread_ms * n as u64 / self.streams as u64;
+            let stream = Stream {
+                client: client.clone(),
+                peer: self.peer.clone(),
+                tokens: self.tokens,
+                take: Rc::clone(&take),
+            };
+            let timer = timer.clone();
+            tasks.push(monoio::spawn(async move {
+                timer.sleep(Duration::from_millis(at)).await;
+                stream.run().await;
+            }));
+        }
+        timer
+            .sleep(Duration::from_millis(self.spread_ms + 500))
+            .await;
+        let memory = resident().saturating_sub(before);
+        for task in tasks {
+            task.await;
+        }
+        let mut done = take.replace(Take::new());
+        done.span = start.elapsed();
+        done.memory = memory;
+        done
+    }
+}
+
+impl Take {
+    fn new() -> Self {
+        let histogram = || Histogram::new_with_max(LONGEST, 3).expect("three digits are allowed");
+        Self {
+            first: histogram(),
+            gaps: histogram(),
+            events: 0,
+            whole: 0,
+            failed: 0,
+            span: Duration::ZERO,
+            memory: 0,
+        }
+    }
+}
+
+struct Stream {
+    client: Client,
+    peer: String,
+    tokens: u32,
+    take: Rc<RefCell<Take>>,
+}
+
+impl Stream {
+    async fn run(&self) {
+        let start = Instant::now();
+        let whole = match self.client.send(&self.peer, self.request(), SPAN).await {
+            Ok(response) if response.status() == 200 => self.read(response, start).await,
+            _ => false,
+        };
+        let mut take = self.take.borrow_mut();
+        if whole {
+            take.whole += 1;
+        } else {
+            take.failed += 1;
+        }
+    }
+
+    fn request(&self) -> http::Request<Bytes> {
+        let body = serde_json::json!({
+            "model": MODEL,
+            "stream": true,
+            "max_tokens": self.tokens,
+            "messages": [{"role": "user", "content": "x"}],
+        });
+        let request = http::Request::post("/v1/chat/completions")
+            .header("authorization", format!("Bearer {KEY}"))
+            .header("content-type", "application/json")
+            .header("x-deadline-ms", "120000");
+        let request = request.body(Bytes::from(body.to_string()));
+        request.expect("constant parts make a request")
+    }
+
+    /// Reads to the end; `true` if it was proper.
+    async fn read(&self, mut response: Response, start: Instant) -> bool {
+        let mut scanner = SseScanner::new(EVENT);
+        let mut last = None;
+        let mut done = false;
+        while let Some(piece) = response.next().await {
+            let Ok(piece) = piece else {
+                return false;
+            };
+            scanner.push(&piece);
+            while let Ok(Some(event)) = scanner.scan_event() {
+                done = event.data() == b"[DONE]";
+                let now = Instant::now();
+                self.note(last, now, start);
+                last = Some(now);
+            }
+        }
+        done
+    }
+
+    fn note(&self, last: Option<Instant>, now: Instant, start: Instant) {
+        let mut take = self.take.borrow_mut();
+        take.events += 1;
+        let (histogram, from) = match last {
+            None => (&mut take.first, start),
+            Some(last) => (&mut take.gaps, last),
+        };
+        let us = u64::try_from(now.duration_since(from).as_micros()).unwrap_or(u64::MAX);
+        histogram.saturating_record(us);
+    }
+}
--- /dev/null
+++ b/crates/measure/src/path/thread.rs
@@ -0,0 +1,66 @@
+//! Threads and what they cost, from the system's own accounts.
+
+use std::fs;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use pumicecleat_net::run;
+
+/// A part's loop on a thread of its own, for the life of the process.
+pub(super) struct Part<T> {
+    /// What the part told of itself once started.
+    pub(super) told: T,
+    id: u64,
+}
+
+impl<T: Send + 'static> Part<T> {
+    /// Starts `part` on a loop; it must send what it has to tell, once, and go on for ever.
+    pub(super) fn start<F>(
+        name: &str,
+        part: impl FnOnce(mpsc::Sender<T>) -> F + Send + 'static,
+    ) -> Self
+    where
+        F: Future<Output = ()>,
+    {
+        let (sender, told) = mpsc::channel();
+        let (id_sender, id) = mpsc::channel();
+        let body = move || {
+            // The reader waits for both before it goes on.
+            let _ = id_sender.send(thread_id());
+            let ended = run(part(sender));
+            ended.expect("a loop starts where others have");
+        };
+        let named = thread::Builder::new().name(name.to_owned());
+        named.spawn(body).expect("a thread starts");
+        Self {
+            id: id.recv().expect("the thread tells its id"),
+            told: told.recv().expect("the part starts"),
+        }
+    }
+
+    /// Processor time so far.
+    pub(super) fn time(&self) -> Duration {
+        let path = format!("/proc/self/task/{}/schedstat", self.id);
+        let text = fs::read_to_string(path).unwrap_or_default();
+        let nanos = text.split_whitespace().next().and_then(|w| w.parse().ok());
+        Duration::from_nanos(nanos.unwrap_or(0))
+    }
+}
+
+/// Id of this thread in the system's accounts.
+fn thread_id() -> u64 {
+    let link = fs::read_link("/proc/thread-self").unwrap_or_default();
+    let last = link.file_name().and_then(|n| n.to_str().map(str::to_owned));
+    last.and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+/// Resident memory of the process, bytes.
+pub(super) fn resident() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|w| w.parse::<u64>().ok());
+    pages.unwrap_or(0) * 4096
+}
