--- a/crates/ledger/src/ledger/read.rs
+++ b/crates/ledger/src/ledger/read.rs
@@ -45,7 +45,7 @@
         if record.offset < self.next {
             return Vec::new();
         }
-        let mut events = self.skip_to(record.offset);
+        let mut events = self.trimmed(record.offset);
         self.next = record.offset + 1;
         self.clock = self.clock.max(Millis(record.at));
         self.book.forget(self.clock);
@@ -63,11 +63,15 @@
         })
     }
 
-    // The window before an intent that waits may hold records trimmed unread.
-    fn skip_to(&mut self, offset: u64) -> Vec<Event> {
-        if offset == self.next {
+    /// Notes that the stream keeps nothing before `first`, which a reader far behind is told.
+    ///
+    /// Own attempts whose intent hasn't been read back are lost: the window before it may hold
+    /// records that were trimmed unread.
+    pub fn trimmed(&mut self, first: u64) -> Vec<Event> {
+        if first <= self.next {
             return Vec::new();
         }
+        self.next = first;
         self.void_where(Reason::LogDown, |_, phase| phase == Phase::Waiting)
     }
 
