Tell entries the wait of requests that need no load

Cause: requests for absent adapters wait for the store, not for the engine; with them in the expected wait, entries sent the next request for the same adapter elsewhere and had it loaded twice.

--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -227,7 +227,7 @@
     #[must_use]
     pub fn figures(&self) -> LoadFigures {
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let wait = self.estimate.drain(self.queue.tokens(), self.options.batch);
+        let wait = self.room_wait();
         LoadFigures {
             running: self.running(),
             waiting: count(self.queue.len()),
--- a/crates/policy/src/scheduler/queue/lane.rs
+++ b/crates/policy/src/scheduler/queue/lane.rs
@@ -43,6 +43,7 @@
     ranks: BTreeMap<CallerIx, BTreeSet<Rank>>,
     arrived: BTreeSet<(Millis, JobId)>,
     starts: BTreeSet<(Millis, JobId)>,
+    tokens: u64,
 }
 
 impl Lane {
@@ -53,11 +54,13 @@
             .insert(Rank::of(job));
         self.arrived.insert((job.arrived, job.id));
         self.starts.insert((start, job.id));
+        self.tokens += u64::from(job.tokens);
     }
 
     pub(super) fn remove(&mut self, job: &Job, start: Millis) {
         self.arrived.remove(&(job.arrived, job.id));
         self.starts.remove(&(start, job.id));
+        self.tokens -= u64::from(job.tokens);
         let Some(ranks) = self.ranks.get_mut(&job.caller) else {
             return;
         };
@@ -76,6 +79,11 @@
         self.arrived.len()
     }
 
+    /// Work waiting.
+    pub(in crate::scheduler) fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
     /// Arrival of the oldest.
     pub(in crate::scheduler) fn oldest(&self) -> Option<Millis> {
         self.arrived.first().map(|(at, _)| *at)
--- a/crates/policy/src/scheduler/send.rs
+++ b/crates/policy/src/scheduler/send.rs
@@ -7,7 +7,6 @@
 
 use super::queue::{Head, Lane};
 use super::{Action, Scheduler, Sent};
-use crate::LoraIx;
 
 /// Work by which a caller may run ahead of its share, in units per claim.
 const AHEAD: f64 = 512.0;
@@ -58,15 +57,14 @@
 
     /// First requests of each caller, for each adapter that is ready.
     fn heads(&self) -> impl Iterator<Item = Head> {
-        self.sendable()
-            .filter_map(|lora| self.queue.lane(lora))
-            .flat_map(Lane::heads)
+        self.runnable().flat_map(Lane::heads)
     }
 
-    /// Adapters whose requests could run now.
-    fn sendable(&self) -> impl Iterator<Item = Option<LoraIx>> {
+    /// Requests that need no load.
+    pub(super) fn runnable(&self) -> impl Iterator<Item = &Lane> {
         let ready = self.residency.ready_all().map(Some);
-        std::iter::once(None).chain(ready)
+        let lanes = std::iter::once(None).chain(ready);
+        lanes.filter_map(|lora| self.queue.lane(lora))
     }
 
     /// Whether an idle engine waits for a fuller batch.
@@ -85,13 +83,12 @@
         if span.0 == 0 || self.running() > 0 {
             return None;
         }
-        let lanes = || self.sendable().filter_map(|lora| self.queue.lane(lora));
-        let count: usize = lanes().map(Lane::count).sum();
+        let count: usize = self.runnable().map(Lane::count).sum();
         if count == 0 || count >= self.options.batch as usize {
             return None;
         }
-        let oldest = lanes().filter_map(Lane::oldest).min()?;
-        let start = lanes().filter_map(Lane::start_by).min()?;
+        let oldest = self.runnable().filter_map(Lane::oldest).min()?;
+        let start = self.runnable().filter_map(Lane::start_by).min()?;
         Some((oldest + span).min(start))
     }
 
