--- a/crates/policy/benches/router/homes.rs
+++ b/crates/policy/benches/router_cost/homes.rs
@@ -4,11 +4,11 @@
 use std::hint::black_box;
 
 use pumicecleat_policy::{LoraIx, Router, RouterOptions, UpstreamIx, upstream_key};
-use pumicecleat_types::VmId;
+use pumicecleat_types::{Millis, VmId};
 use serde_json::json;
 
 use crate::clock::time;
-use crate::fleet::{POOL, Size, router};
+use crate::fleet::{POOL, Size, figures, rng};
 use crate::groups::Groups;
 
 /// Fleet at the size to design for.
@@ -62,10 +62,13 @@
     print(&way, t.median, &counts, differ);
 }
 
+/// Router that knows every upstream, with nothing resident.
 fn named(options: RouterOptions) -> Router {
-    let mut router = router(SIZE, options);
-    for up in 0..SIZE.upstreams {
-        router.name_upstream(UpstreamIx(up), key(up));
+    let mut router = Router::new_ext(options);
+    let figures = figures(&mut rng(1));
+    for up in (0..SIZE.upstreams).map(UpstreamIx) {
+        router.name_upstream(up, key(up.0));
+        router.report(up, POOL, &figures, Some(&[]), None, Millis(0));
     }
     router
 }
--- a/crates/policy/benches/stall/main.rs
+++ b/crates/policy/benches/router_trial/main.rs
@@ -1,14 +1,16 @@
-//! Trial of the router's settings: engines that freeze, with and without the demotion of stalled
-//! upstreams, over ten seeds. Prints JSON lines.
+//! Trial of the router over ten seeds: engines that freeze, with and without the demotion of stalled
+//! upstreams, and busy sites under other settings. Prints JSON lines.
 
 mod engine;
+mod site;
 mod trial;
 
 use pumicecleat_policy::RouterOptions;
 use pumicecleat_types::Millis;
 use serde_json::json;
 
-use trial::{HEADER, LONG, SHORT, Site, Tally, run};
+use site::{LONG, SHORT, Site, Tally};
+use trial::{HEADER, run};
 
 /// Seeds of each figure.
 const SEEDS: u64 = 10;
@@ -64,16 +66,58 @@
     },
 ];
 
+/// Busy sites without a fault, for the settings.
+const BUSY: [Site; 2] = [
+    Site {
+        name: "small, busy",
+        frozen: 0,
+        rate: 18.0,
+        ..SMALL
+    },
+    Site {
+        name: "large, busy",
+        frozen: 0,
+        rate: 450.0,
+        ..LARGE
+    },
+];
+
 fn main() {
     for site in SITES {
-        for (way, options) in ways() {
-            print(site, way, options);
+        for (way, options) in demotions() {
+            print("stall", site, way, options);
+        }
+    }
+    for site in BUSY {
+        for (way, options) in settings() {
+            print("settings", site, way, options);
         }
     }
 }
 
+/// One setting changed at a time.
+fn settings() -> [(&'static str, RouterOptions); 8] {
+    let base = RouterOptions::default();
+    let holders = |holders| RouterOptions { holders, ..base };
+    let homes = |homes| RouterOptions { homes, ..base };
+    let spread = |ms| RouterOptions {
+        spread: Millis(ms),
+        ..base
+    };
+    [
+        ("as set", base),
+        ("1 holder", holders(1)),
+        ("4 holders", holders(4)),
+        ("8 holders", holders(8)),
+        ("2 homes", homes(2)),
+        ("8 homes", homes(8)),
+        ("new copy at no margin", spread(0)),
+        ("new copy at 1 s margin", spread(1_000)),
+    ]
+}
+
 /// No demotion, the rule of one header timeout, and what was tried beyond it.
-fn ways() -> [(&'static str, RouterOptions); 5] {
+fn demotions() -> [(&'static str, RouterOptions); 5] {
     let demoted = |demote: Option<u64>, most: u64, probe| RouterOptions {
         demote: demote.map(Millis),
         demote_most: Millis(most),
@@ -90,7 +134,7 @@
     ]
 }
 
-fn print(site: Site, way: &str, options: RouterOptions) {
+fn print(bench: &str, site: Site, way: &str, options: RouterOptions) {
     let mut tallies: Vec<Tally> = (0..SEEDS).map(|seed| run(site, options, seed)).collect();
     for tally in &mut tallies {
         tally.waits.sort_unstable();
@@ -103,7 +147,7 @@
     };
     println!(
         "{}",
-        json!({"bench": "stall", "site": site.name, "way": way, "seeds": SEEDS,
+        json!({"bench": bench, "site": site.name, "way": way, "seeds": SEEDS,
             "hits": spread(&|t| t.hits), "failed": spread(&|t| t.failed),
             "requests": spread(&|t| t.requests), "loads": spread(&|t| t.loads),
             "wait_p50_ms": spread(&|t| quantile(&t.waits, 50)),
--- a/crates/policy/src/router/choose.rs
+++ b/crates/policy/src/router/choose.rs
@@ -118,7 +118,7 @@
         drawn
     }
 
-    /// At most `count` of `ups`, the first ready ones after drawn places, or the best near them.
+    /// At most `count` of `ups`: the first ready ones after drawn places, or else the first untried.
     fn walk(
         &self,
         ask: &Ask<'_>,
