Prove that a load from before a restart settles nothing

Of 26 mutants tried by hand on a scratch copy, 23 were caught. Of the three others, one let such a load settle the reservation of a later one: it has a test now, which fails with the mutant. One changed the load figures shown before any is old enough, where the first sample is empty anyway: that branch is gone. The third, steps that go on while frozen, is held by the second check after the step's time and changes nothing seen.

--- a/crates/standin/src/engine/metrics.rs
+++ b/crates/standin/src/engine/metrics.rs
@@ -62,14 +62,12 @@
         self.recent.push_back((now, sample));
     }
 
-    /// Newest figures taken at `until` or before; none yet: all zero.
+    /// Newest figures taken at `until` or before, else the oldest.
     pub(crate) fn at(&mut self, until: Millis) -> Sample {
         while self.recent.get(1).is_some_and(|(at, _)| *at <= until) {
             self.recent.pop_front();
         }
-        match self.recent.front() {
-            Some((at, sample)) if *at <= until => sample.clone(),
-            _ => Sample::default(),
-        }
+        let oldest = self.recent.front();
+        oldest.map(|(_, sample)| sample.clone()).unwrap_or_default()
     }
 }
--- a/crates/standin/tests/standins/engine_orders.rs
+++ b/crates/standin/tests/standins/engine_orders.rs
@@ -219,6 +219,38 @@
     });
 }
 
+#[test]
+fn a_load_from_before_a_restart_settles_nothing() {
+    test(|timer| async move {
+        let options = StoreOptions {
+            load_ms: 100,
+            ..StoreOptions::default()
+        };
+        let store = Store::start(options, &timer).unwrap();
+        let options = EngineOptions {
+            store: Some(store.address.to_string()),
+            ..EngineOptions::default()
+        };
+        let engine = Engine::start(options, &timer).unwrap();
+        let peer = Peer::new(engine.address, &timer);
+        let body = json!({"lora_name": "a", "lora_path": "ok/a"});
+        let again = async {
+            timer.sleep(Duration::from_millis(50)).await;
+            engine.set_faults(EngineFaults {
+                restart: true,
+                cold_ms: 0,
+                ..EngineFaults::default()
+            });
+            peer.load("a").await;
+        };
+        let (first, ()) = join(peer.post(LOAD, &body), again).await;
+        assert_eq!(first.unwrap().status, 500);
+        let effects: EngineEffects = peer.effects().await;
+        assert_eq!(effects.counters.loads, 1);
+        assert_eq!(resident(&peer).await, ["a"]);
+    });
+}
+
 struct EvictCase {
     name: &'static str,
     batch: usize,
