--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -34,7 +34,7 @@
     /// name of the base model (default: base)
     #[argh(option, default = "\"base\".into()")]
     base: String,
-    /// LoRA slots (default: 4)
+    /// slots for a LoRA each (default: 4)
     #[argh(option, default = "4")]
     slots: usize,
     /// requests in a step (default: 32)
--- a/crates/standin/tests/standins/engine_faults.rs
+++ b/crates/standin/tests/standins/engine_faults.rs
@@ -185,7 +185,7 @@
     test(|timer| async move {
         let (_, peer) = start(&timer).await;
         let mut reader = peer.open_stream(&ask(LORA, "hi", 10_000), "r").await;
-        let faults = json!({"restart": true, "cold_ms": 150});
+        let faults = json!({"restart": true, "cold_ms": 600});
         let from = Instant::now();
         let shown = peer.post("/faults", &faults).await.unwrap();
         assert_eq!(shown.json()["restart"], false);
@@ -199,7 +199,7 @@
         while peer.get("/health").await.status != 200 {
             timer.sleep(Duration::from_millis(5)).await;
         }
-        assert!(ms(from) >= 149, "{} ms", ms(from));
+        assert!(ms(from) >= 599, "{} ms", ms(from));
         assert_eq!(
             peer.chat(&ask(LORA, "hi", 1), "s").await.unwrap().status,
             404
