--- a/crates/upstream/tests/chat.rs
+++ b/crates/upstream/tests/chat.rs
@@ -131,6 +131,8 @@
 #[test]
 fn wrong_texts_are_refused() {
     let deep = format!(r#"{{"a":{}{}}}"#, "[".repeat(8), "]".repeat(8));
+    let quoted = SOUND.replace("Be brief.", &r#"[{\"["#.repeat(9));
+    assert!(parse(&quoted).is_ok());
     let long = format!(r#"{{"a":"{}"}}"#, "a".repeat(2_000));
     assert_eq!(parse(&deep).unwrap_err(), BodyFault::TooDeep { limit: 8 });
     assert_eq!(
--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -121,6 +121,21 @@
     }
 }
 
+#[test]
+fn only_the_call_names_its_key() {
+    with_client(|client| async move {
+        let (address, peer) = answer_once("HTTP/1.1 204 No Content\r\n\r\n");
+        let keyless = ServiceCall {
+            key: None,
+            ..call(&[("idempotency-key", "forged")])
+        };
+        let service = service(&client, &address.to_string());
+        service.call(&keyless, SPAN).await.unwrap();
+        let request = peer.join().unwrap().to_lowercase();
+        assert!(!request.contains("idempotency-key"), "{request}");
+    });
+}
+
 #[test]
 fn answers_without_body_need_no_length() {
     with_client(|client| async move {
