Choose among pools of one base, resolve calls anew, log what begins once

Cause: the configuration allows several pools for one base model; a route may change between two attempts; an engine's refusal of a body was told as run; a silent peer was logged at each try.

--- a/crates/entry/src/config/peers.rs
+++ b/crates/entry/src/config/peers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pumicecleat_net::post;
+use pumicecleat_net::{NetError, post};
 use pumicecleat_ops::{events, field};
 use pumicecleat_types::{ConfigAsk, ConfigReply};
 
@@ -36,18 +36,28 @@
     let reply = match post(&shared.client, peer, PATH, &ask, SPAN).await {
         Ok(reply) => reply,
         Err(e) => {
-            let fields = [
-                field("peer", peer),
-                field("step", "config"),
-                field("error", &e),
-            ];
-            shared.log.emit(&events::PEER_DOWN, &fields);
+            note_down(shared, peer, &e);
             return false;
         }
     };
+    if shared.silent.borrow_mut().remove(peer) {
+        shared.log.emit(&events::PEER_UP, &[field("peer", peer)]);
+    }
     take(shared, peer, reply)
 }
 
+fn note_down(shared: &Shared, peer: &str, error: &NetError) {
+    if !shared.silent.borrow_mut().insert(peer.to_owned()) {
+        return;
+    }
+    let fields = [
+        field("peer", peer),
+        field("step", "config"),
+        field("error", error),
+    ];
+    shared.log.emit(&events::PEER_DOWN, &fields);
+}
+
 fn take(shared: &Shared, peer: &str, reply: ConfigReply) -> bool {
     let before = shared.current.revision();
     match reply {
--- a/crates/entry/src/config/snapshots.rs
+++ b/crates/entry/src/config/snapshots.rs
@@ -12,12 +12,15 @@
 /// Time between two looks.
 const PACE: Duration = Duration::from_secs(1);
 
+/// Pause after an append that failed.
+const PAUSE: Duration = Duration::from_secs(10);
+
 /// Appends snapshots when it is this entry's turn, until the process ends.
 pub(crate) async fn append_snapshots(shared: Rc<Shared>) {
     loop {
         shared.timer.sleep(PACE).await;
-        if is_turn(&shared) {
-            append(&shared).await;
+        if is_turn(&shared) && !append(&shared).await {
+            shared.timer.sleep(PAUSE).await;
         }
     }
 }
@@ -32,7 +35,8 @@
     due.turn(&shared.options.vm, &entries) <= now
 }
 
-async fn append(shared: &Shared) {
+/// Appends a snapshot; false if it may not stand.
+async fn append(shared: &Shared) -> bool {
     let (revision, bytes) = {
         let state = shared.current.state.borrow();
         let snapshot = Box::new(state.fold.snapshot());
@@ -42,6 +46,7 @@
         Ok(at) => {
             let fields = [field("offset", at.first), field("revision", revision)];
             shared.log.emit(&events::SNAPSHOT_WRITTEN, &fields);
+            true
         }
         // It stays due until one stands in the log, whoever wrote it.
         Err(e) => {
@@ -51,6 +56,7 @@
                 field("error", &e),
             ];
             shared.log.emit(&events::APPEND_UNSURE, &fields);
+            false
         }
     }
 }
--- a/crates/entry/src/directory/mod.rs
+++ b/crates/entry/src/directory/mod.rs
@@ -78,6 +78,18 @@
         self.names.pool(pool)
     }
 
+    /// Of pools that could take a request, the one with most upstreams that may get work.
+    pub(crate) fn best_pool(&mut self, pools: Vec<PoolId>) -> Option<PoolId> {
+        let mut best: Option<(usize, PoolId)> = None;
+        for pool in pools {
+            let count = self.router.usable(self.names.pool(&pool));
+            if best.as_ref().is_none_or(|(most, _)| count > *most) {
+                best = Some((count, pool));
+            }
+        }
+        best.map(|(_, pool)| pool)
+    }
+
     /// Index of an adapter's version.
     pub(crate) fn lora(&mut self, lora: &Lora) -> LoraIx {
         let given = self.names.lora(lora.base.as_str(), &lora.engine_name());
@@ -127,6 +139,17 @@
         self.router.set_load(load);
     }
 
+    /// VM of an upstream, for logs.
+    pub(crate) fn vm(&self, up: UpstreamIx) -> &str {
+        let vm = self.by_index.get(up.0 as usize).and_then(Option::as_ref);
+        vm.map_or("", VmId::as_str)
+    }
+
+    /// Engine name of an adapter's version, for logs.
+    pub(crate) fn engine(&self, lora: LoraIx) -> &str {
+        self.names.engine(lora)
+    }
+
     /// Sides known.
     pub(crate) fn len(&self) -> usize {
         self.sides.len()
--- a/crates/entry/src/directory/report.rs
+++ b/crates/entry/src/directory/report.rs
@@ -60,13 +60,15 @@
     Known {
         /// The next must be whole.
         whole: bool,
+        /// Takes no new work since this report.
+        leaves: bool,
     },
     /// First one of this incarnation, or after a silence.
     Seen {
         /// The next must be whole.
         whole: bool,
-        /// Takes no new work.
-        leaving: bool,
+        /// Takes no new work since this report.
+        leaves: bool,
     },
 }
 
@@ -79,6 +81,7 @@
             return Taken::Old;
         }
         let silent = known.is_none_or(|s| s.silent);
+        let left = same && known.is_some_and(|s| s.leaving);
         let resident = match (&report.resident, known) {
             (Some(names), _) => Some(self.residents(names, report, config)),
             (None, Some(side)) if same => side.resident.clone(),
@@ -90,12 +93,12 @@
             self.forget(&report.vm);
         }
         let side = self.side(report, resident, config, now);
-        let leaving = side.leaving;
+        let leaves = side.leaving && !left;
         self.put(&report.vm, side, now);
         if same && !silent {
-            return Taken::Known { whole };
+            return Taken::Known { whole, leaves };
         }
-        Taken::Seen { whole, leaving }
+        Taken::Seen { whole, leaves }
     }
 
     fn side(
--- a/crates/entry/src/directory/vms.rs
+++ b/crates/entry/src/directory/vms.rs
@@ -54,8 +54,8 @@
             let fields = [field("vm", vm)];
             shared.log.emit(&events::VM_LISTED_LEAVING, &fields);
         }
-        if *vm == shared.options.vm && !shared.stop.is_asked() {
-            shared.log.emit(&events::STOP_ASKED, &[source]);
+        if *vm == shared.options.vm {
+            shared.leaving.set(true);
             shared.stop.ask_once();
         }
     }
--- a/crates/entry/src/peer/load.rs
+++ b/crates/entry/src/peer/load.rs
@@ -19,24 +19,28 @@
     let turn = shared.order.borrow_mut().bid(up, wanted.as_ref(), now);
     let load = shared.order.borrow().load();
     shared.directory.borrow_mut().set_load(load);
-    note(shared, bid, before, up, turn);
+    if let LoadTurn::Go { .. } = turn {
+        note(shared, bid, before, up);
+    }
     turn
 }
 
-fn note(
-    shared: &Shared,
-    bid: &LoadBid,
-    before: Option<(UpstreamIx, LoraIx)>,
-    up: UpstreamIx,
-    turn: LoadTurn,
-) {
-    let same = before.is_some_and(|(holder, _)| holder == up);
-    let (LoadTurn::Go { .. }, false, Some(lora)) = (turn, same, &bid.lora) else {
-        return;
-    };
+/// Logs a turn that was given, and the one before if it was not given back.
+fn note(shared: &Shared, bid: &LoadBid, before: Option<(UpstreamIx, LoraIx)>, up: UpstreamIx) {
+    if let Some((holder, lora)) = before {
+        if holder == up {
+            return;
+        }
+        let directory = shared.directory.borrow();
+        let fields = [
+            field("upstream", directory.vm(holder)),
+            field("lora", directory.engine(lora)),
+        ];
+        shared.log.emit(&events::TURN_LAPSED, &fields);
+    }
     let fields = [
         field("upstream", &bid.vm),
-        field("lora", lora),
+        field("lora", bid.lora.as_deref().unwrap_or_default()),
         field("waiting", bid.waiting),
     ];
     shared.log.emit(&events::TURN_GIVEN, &fields);
--- a/crates/entry/src/peer/report.rs
+++ b/crates/entry/src/peer/report.rs
@@ -43,9 +43,22 @@
 
 /// Logs what a report changed; gives whether the next must be whole.
 fn note(shared: &Shared, report: &Report, taken: &Taken) -> bool {
-    let Taken::Seen { whole, leaving } = *taken else {
-        return *taken == Taken::Known { whole: true };
+    let (whole, leaves) = match *taken {
+        Taken::Old => return false,
+        Taken::Known { whole, leaves } => (whole, leaves),
+        Taken::Seen { whole, leaves } => {
+            note_seen(shared, report);
+            (whole, leaves)
+        }
     };
+    if leaves {
+        let fields = [field("upstream", &report.vm), field("source", "report")];
+        shared.log.emit(&events::SIDE_LEAVING, &fields);
+    }
+    whole
+}
+
+fn note_seen(shared: &Shared, report: &Report) {
     let fields = [
         field("upstream", &report.vm),
         field("address", &report.address),
@@ -53,11 +66,6 @@
         field("incarnation", report.incarnation),
     ];
     shared.log.emit(&events::SIDE_SEEN, &fields);
-    if leaving {
-        let fields = [field("upstream", &report.vm), field("source", "report")];
-        shared.log.emit(&events::SIDE_LEAVING, &fields);
-    }
-    whole
 }
 
 /// Reads the log at once: a side holds a newer revision than this entry.
--- a/crates/entry/src/request/resolve.rs
+++ b/crates/entry/src/request/resolve.rs
@@ -7,7 +7,7 @@
     VersionId,
 };
 
-use crate::fault::Fault;
+use crate::fault::{Fault, RETRY};
 use crate::shared::Shared;
 
 /// Target of a request under one revision.
@@ -48,9 +48,13 @@
     let found = shared
         .current
         .with(|config| find_model(config, caller, model));
-    let Some((target, pool)) = found else {
+    let Some(Asked { target, pools }) = found else {
         return Err(unknown_model(model));
     };
+    let Some(pool) = shared.directory.borrow_mut().best_pool(pools) else {
+        let message = format!("no pool runs the base model of {model:?}");
+        return Err(Fault::later("no_upstream", message, RETRY));
+    };
     let lora = Lora {
         base: target.base.clone(),
         adapter: target.adapter.clone(),
@@ -73,7 +77,13 @@
     Fault::bad(404, "model_not_found", message)
 }
 
-fn find_model(config: &Config, caller: &CallerId, model: &str) -> Option<(ModelTarget, PoolId)> {
+/// What a name means, and the pools that may run it.
+struct Asked {
+    target: ModelTarget,
+    pools: Vec<PoolId>,
+}
+
+fn find_model(config: &Config, caller: &CallerId, model: &str) -> Option<Asked> {
     let (name, version) = match model.rsplit_once('@') {
         Some((name, version)) => (name, Some(version)),
         None => (model, None),
@@ -88,9 +98,10 @@
         adapter: id.clone(),
         version: version.clone(),
     };
-    let target = model_target(config, &lora)?;
-    let pool = find_pool(config, &adapter.base)?;
-    Some((target, pool))
+    Some(Asked {
+        target: model_target(config, &lora)?,
+        pools: find_pools(config, &adapter.base),
+    })
 }
 
 fn model_target(config: &Config, lora: &Lora) -> Option<ModelTarget> {
@@ -111,12 +122,11 @@
     Some(version)
 }
 
-/// First pool that runs a base model.
-fn find_pool(config: &Config, base: &BaseId) -> Option<PoolId> {
-    let mut pools = config.pools.iter();
+/// Pools that run a base model.
+fn find_pools(config: &Config, base: &BaseId) -> Vec<PoolId> {
     let runs = |kind: &PoolKind| matches!(kind, PoolKind::Model { base: b, .. } if b == base);
-    let (id, _) = pools.find(|(_, pool)| runs(&pool.kind))?;
-    Some(id.clone())
+    let pools = config.pools.iter().filter(|(_, pool)| runs(&pool.kind));
+    pools.map(|(id, _)| id.clone()).collect()
 }
 
 /// Finds the declared route of a call, if `caller` may reach its service.
@@ -129,8 +139,7 @@
 ) -> Result<ServiceRoute, Fault> {
     let found = shared
         .current
-        .with(|config| find_route(config, caller, method, path));
-    let found = found?;
+        .with(|config| find_route(config, caller, method, path))?;
     let target = Target::Service(ServiceTarget {
         service: found.service,
         method: method.to_owned(),
--- a/crates/entry/src/request/settle.rs
+++ b/crates/entry/src/request/settle.rs
@@ -9,9 +9,9 @@
 use pumicecleat_ops::{events, field};
 use pumicecleat_types::{Millis, Ran, Reason, Target};
 
-use super::{Exchange, Failure, Repeat, resolve_model};
+use super::{Exchange, Failure, Repeat, Resolved, resolve_model, resolve_service};
 use crate::config::refresh;
-use crate::fault::Fault;
+use crate::fault::{Fault, RETRY};
 
 /// Attempts of one request at most.
 const ATTEMPTS: u32 = 5;
@@ -47,6 +47,14 @@
         if let Failure::Refused(_) = failure {
             self.shared.meters.refused(failure.cause());
         }
+        if let Failure::Lost(loss) = failure
+            && loss.stalled
+        {
+            let waited = self.timer().now().since(self.job.arrived);
+            let upstream = field("upstream", self.upstream());
+            let fields = [upstream, field("wait_ms", waited.0)];
+            self.shared.log.emit(&events::SIDE_STALLED, &fields);
+        }
         let Failure::Mismatch { asked, answered } = failure else {
             return;
         };
@@ -111,18 +119,30 @@
         if !mem::replace(&mut self.course.stale, true) {
             self.course.tried.pop();
         }
-        let (Target::Model(_), Some(engine)) = (&self.job.resolved.target, self.job.engine())
-        else {
-            self.job.resolved.revision = self.shared.current.revision();
-            return Ok(());
-        };
-        let resolved = resolve_model(&self.shared, &self.job.caller, engine);
-        match resolved {
+        match self.resolved_anew() {
             Ok(resolved) => self.job.resolved = resolved,
             Err(fault) => return Err(self.course.truthful(fault)),
         }
         Ok(())
     }
+
+    fn resolved_anew(&self) -> Result<Resolved, Fault> {
+        let (shared, caller) = (&self.shared, &self.job.caller);
+        let service = match &self.job.resolved.target {
+            Target::Model(_) => {
+                let engine = self.job.engine().unwrap_or_default();
+                return resolve_model(shared, caller, engine);
+            }
+            Target::Service(service) => service,
+        };
+        let headers = service.headers.clone();
+        let route = resolve_service(shared, caller, &service.method, &service.path, headers)?;
+        if route.idempotent != service.idempotent {
+            let message = "the route's declaration changed";
+            return Err(Fault::later("config_changing", message, RETRY));
+        }
+        Ok(route.resolved)
+    }
 }
 
 fn is_stale(failure: &Failure) -> bool {
--- a/crates/entry/src/request/whole.rs
+++ b/crates/entry/src/request/whole.rs
@@ -79,7 +79,9 @@
             return Err(attempt.fail(failure));
         }
         attempt.finish(&self.shared).await;
-        self.course.end(Ran::Yes);
+        // An engine that can't take a body ran nothing.
+        let refused = head.is_error() && self.job.engine().is_some();
+        self.course.end(if refused { Ran::No } else { Ran::Yes });
         Ok(Answer {
             status: head.status,
             headers: head.headers,
@@ -126,7 +128,8 @@
         }
         let message = engine_words(&answer.body);
         let message = message.unwrap_or_else(|| "the engine can't take this body".to_owned());
-        Err(Fault::bad(answer.status, "engine_refused", message))
+        let fault = Fault::bad(answer.status, "engine_refused", message);
+        Err(self.course.truthful(fault))
     }
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,6 +1,7 @@
 //! What the parts of one entry share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,6 +54,10 @@
     pub(crate) drain: Drain,
     pub(crate) stop: Stop,
     pub(crate) meters: Meters,
+    /// The VM list says that this VM leaves.
+    pub(crate) leaving: Cell<bool>,
+    /// Peers that did not answer last time.
+    pub(crate) silent: RefCell<BTreeSet<String>>,
     /// Peer to ask next.
     pub(crate) turn: Cell<usize>,
 }
--- a/crates/entry/src/start/mod.rs
+++ b/crates/entry/src/start/mod.rs
@@ -165,6 +165,8 @@
         drain: Drain::new(),
         stop: stop.clone(),
         meters: Meters::new(metrics),
+        leaving: Cell::new(false),
+        silent: RefCell::default(),
         turn: Cell::new(0),
     }
 }
--- a/crates/entry/src/start/running.rs
+++ b/crates/entry/src/start/running.rs
@@ -78,6 +78,13 @@
     /// asked for again, or the drain limit passes.
     pub async fn run(self) -> DrainEnd {
         self.shared.stop.first().await;
+        let source = if self.shared.leaving.get() {
+            "VM list"
+        } else {
+            "signal"
+        };
+        let fields = [field("source", source)];
+        self.shared.log.emit(&events::STOP_ASKED, &fields);
         self.shared.readiness.fail(RUNNING, "stopping");
         let drain = &self.shared.drain;
         let end = drain
