--- a/crates/cli/tests/fleet/http.rs
+++ b/crates/cli/tests/fleet/http.rs
@@ -1,5 +1,6 @@
 //! A caller that blocks: one request a connection.
 
+use std::fmt::Write as _;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
@@ -119,7 +120,8 @@
         body.len()
     );
     for (name, value) in headers {
-        head.push_str(&format!("{name}: {value}\r\n"));
+        // Writing to a string can't fail.
+        let _ = write!(head, "{name}: {value}\r\n");
     }
     head
 }
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Real processes on loopback: entries, sides and stand-ins, each killed at the end of its test.
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses a part")]
 
+mod folder;
 mod http;
 mod process;
 
@@ -8,8 +9,9 @@
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
+pub use folder::Folder;
 pub use http::{Answer, Live, get, post};
-pub use process::Process;
+pub use process::{Process, command};
 
 /// Longest wait of any step of a test.
 pub const SPAN: Duration = Duration::from_secs(30);
@@ -90,20 +92,10 @@
 
     fn apply_sample(&self) {
         let file = sample("demo.toml");
-        let out = self.operate(&["apply", "--log", &self.log.address, &file]);
+        let out = operate(&["apply", "--log", &self.log.address, &file]);
         assert!(out.status.success(), "{out:?}");
     }
 
-    /// Runs the operators' command.
-    pub fn operate(&self, args: &[&str]) -> std::process::Output {
-        process::command("pumicecleat").args(args).output().unwrap()
-    }
-
-    /// Command of a program.
-    pub fn command(&self, program: &str) -> std::process::Command {
-        process::command(program)
-    }
-
     /// Starts entry number `n` and lists its VM.
     pub fn start_entry(&mut self, n: usize) {
         let vm = format!("entry-{n}");
@@ -247,12 +239,6 @@
             .collect()
     }
 
-    /// Sets faults of a stand-in.
-    pub fn set_faults(&self, peer: &str, faults: &serde_json::Value) {
-        let answer = post(peer, "/faults", &[], &faults.to_string());
-        assert_eq!(answer.status, 200, "{answer:?}");
-    }
-
     /// Side of engine number `n`.
     pub fn engine_side(&mut self, n: usize) -> &mut Process {
         self.sides.get_mut(&format!("engine-{n}")).unwrap()
@@ -287,6 +273,17 @@
     }
 }
 
+/// Runs the operators' command.
+pub fn operate(args: &[&str]) -> std::process::Output {
+    command("pumicecleat").args(args).output().unwrap()
+}
+
+/// Sets faults of a stand-in.
+pub fn set_faults(peer: &str, faults: &serde_json::Value) {
+    let answer = post(peer, "/faults", &[], &faults.to_string());
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
 /// Body of a chat request.
 pub fn chat_body(model: &str, tokens: u32, stream: bool) -> String {
     serde_json::json!({
--- a/crates/cli/tests/outage.rs
+++ b/crates/cli/tests/outage.rs
@@ -6,42 +6,9 @@
 use std::thread;
 use std::time::Duration;
 
-use fleet::{Fleet, FleetOptions, get, sample, until};
+use fleet::{Fleet, FleetOptions, Folder, command, get, operate, set_faults, until};
 use serde_json::json;
 
-/// Files of changed samples, removed at the end.
-struct Folder(std::path::PathBuf);
-
-impl Folder {
-    fn new(name: &str) -> Self {
-        let folder = format!("pumicecleat-{name}-{}", std::process::id());
-        let path = std::env::temp_dir().join(folder);
-        std::fs::create_dir_all(&path).unwrap();
-        Self(path)
-    }
-
-    /// The sample with another claim for its caller.
-    fn with_claim(&self, claim: usize) -> String {
-        self.with("claim = 2", &format!("claim = {claim}"))
-    }
-
-    fn with(&self, from: &str, to: &str) -> String {
-        let text = std::fs::read_to_string(sample("demo.toml")).unwrap();
-        assert!(text.contains(from));
-        let name: String = to.chars().filter(char::is_ascii_alphanumeric).collect();
-        let file = self.0.join(format!("{name}.toml"));
-        std::fs::write(&file, text.replace(from, to)).unwrap();
-        file.to_string_lossy().into_owned()
-    }
-}
-
-impl Drop for Folder {
-    fn drop(&mut self) {
-        // A folder that is left over harms nothing.
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 fn revision(fleet: &Fleet, entry: usize) -> u64 {
     let dump = get(&fleet.entries[entry].admin, "/dump").json();
     dump["config"]["revision"].as_u64().unwrap_or(0)
@@ -61,7 +28,7 @@
         let operators: Vec<Child> = (0..4)
             .map(|n| {
                 let file = folder.with_claim(10 + round * 4 + n);
-                let mut command = fleet.command("pumicecleat");
+                let mut command = command("pumicecleat");
                 command.args(["apply", "--log", &fleet.log.address, "--base", &base, &file]);
                 command.spawn().unwrap()
             })
@@ -93,13 +60,13 @@
     let fleet = Fleet::start(&FleetOptions::default());
     let folder = Folder::new("lost");
     let before = revision(&fleet, 0);
-    fleet.set_faults(&fleet.log.address, &json!({"lose_replies": 2}));
-    let out = fleet.operate(&["apply", "--log", &fleet.log.address, &folder.with_claim(5)]);
+    set_faults(&fleet.log.address, &json!({"lose_replies": 2}));
+    let out = operate(&["apply", "--log", &fleet.log.address, &folder.with_claim(5)]);
     assert!(out.status.success(), "{out:?}");
     until("the entry has it", || revision(&fleet, 0) > before);
     thread::sleep(Duration::from_millis(500));
     let after = revision(&fleet, 0);
-    let out = fleet.operate(&["apply", "--log", &fleet.log.address, &folder.with_claim(5)]);
+    let out = operate(&["apply", "--log", &fleet.log.address, &folder.with_claim(5)]);
     let said = String::from_utf8_lossy(&out.stdout).into_owned();
     assert!(said.contains("nothing to change"), "{said}");
     assert_eq!(revision(&fleet, 0), after);
@@ -110,7 +77,7 @@
     let mut fleet = Fleet::start(&FleetOptions::default());
     let folder = Folder::new("outage");
     assert_eq!(fleet.hold(0, "before", "{}").status, 200);
-    fleet.set_faults(&fleet.log.address, &json!({"down": true}));
+    set_faults(&fleet.log.address, &json!({"down": true}));
     assert_eq!(fleet.chat(0, "sky-brief", 4).status, 200);
     until("holds are refused", || {
         fleet.hold(0, "during", "{}").code() == "log_unavailable"
@@ -119,7 +86,7 @@
     assert_eq!(answer.ran(), "no", "{answer:?}");
     assert!(answer.has("retry-after"), "{answer:?}");
     assert_eq!(fleet.effects("during"), 0);
-    let out = fleet.operate(&["apply", "--log", &fleet.log.address, &folder.with_claim(6)]);
+    let out = operate(&["apply", "--log", &fleet.log.address, &folder.with_claim(6)]);
     assert_eq!(out.status.code(), Some(1), "{out:?}");
     // A new entry starts from the other's state; a new side hears it from either.
     fleet.start_entry(1);
@@ -128,7 +95,7 @@
     fleet.until_ready();
     assert_eq!(revision(&fleet, 1), revision(&fleet, 0));
     assert_eq!(fleet.chat(1, "itinerary", 4).status, 200);
-    fleet.set_faults(&fleet.log.address, &json!({}));
+    set_faults(&fleet.log.address, &json!({}));
     until("holds work again", || {
         fleet.hold(1, "during", "{}").status == 200
     });
@@ -147,7 +114,7 @@
     fleet.entries[0].signal("STOP");
     let gone = "[adapter.sky-brief.version.v1]\npath = \"sky-brief/v1\"\n";
     let file = folder.with(gone, "");
-    let out = fleet.operate(&["apply", "--log", &fleet.log.address, &file]);
+    let out = operate(&["apply", "--log", &fleet.log.address, &file]);
     assert!(out.status.success(), "{out:?}");
     until("the other entry has it", || revision(&fleet, 1) == 2);
     until("sides have it", || {
@@ -172,7 +139,7 @@
     let mut fleet = Fleet::start(&options);
     let folder = Folder::new("trim");
     for claim in [3, 4] {
-        let out = fleet.operate(&[
+        let out = operate(&[
             "apply",
             "--log",
             &fleet.log.address,
@@ -220,8 +187,8 @@
             .collect();
         for round in 0..6_usize {
             let side = &fleet.sides[names[round % 2]];
-            fleet.set_faults(&fleet.log.address, &json!({"lose_replies": 2}));
-            fleet.set_faults(&fleet.service.address, &json!({"lose_answers": 1}));
+            set_faults(&fleet.log.address, &json!({"lose_replies": 2}));
+            set_faults(&fleet.service.address, &json!({"lose_answers": 1}));
             side.signal("STOP");
             thread::sleep(Duration::from_millis(60));
             side.signal("CONT");
--- a/crates/cli/tests/path.rs
+++ b/crates/cli/tests/path.rs
@@ -2,29 +2,32 @@
 
 mod fleet;
 
-use fleet::{Fleet, FleetOptions, chat_body, expected_text, get, post, sample, until};
+use fleet::{
+    Fleet, FleetOptions, Folder, chat_body, expected_text, get, operate, post, sample, until,
+};
+
+struct Asked {
+    model: &'static str,
+    lora: &'static str,
+}
 
 #[test]
 fn requests_are_answered_from_one_end_to_the_other() {
     let fleet = Fleet::start(&FleetOptions::default());
-    struct Case {
-        model: &'static str,
-        lora: &'static str,
-    }
     let cases = [
-        Case {
+        Asked {
             model: "sky-brief",
             lora: "sky-brief@v2",
         },
-        Case {
+        Asked {
             model: "sky-brief@v1",
             lora: "sky-brief@v1",
         },
-        Case {
+        Asked {
             model: "school-mail",
             lora: "school-mail@v1",
         },
-        Case {
+        Asked {
             model: "itinerary@v1",
             lora: "itinerary@v1",
         },
@@ -53,78 +56,15 @@
     assert_eq!(fleet.engine_count("evicted_in_use"), 0);
 }
 
-#[test]
-fn the_command_line_checks_compares_applies_and_shows() {
-    let fleet = Fleet::start(&FleetOptions::default());
-    let log = fleet.log.address.as_str();
-    let file = sample("demo.toml");
-    let folder = std::env::temp_dir().join(format!("pumicecleat-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let changed = folder.join("changed.toml").to_string_lossy().into_owned();
-    let text = std::fs::read_to_string(&file).unwrap();
-    std::fs::write(&changed, text.replace("claim = 2", "claim = 7")).unwrap();
-    let bad = folder.join("bad.toml").to_string_lossy().into_owned();
-    std::fs::write(&bad, "[adapter.x]\nbase = 'none'\nspeed = 3\n").unwrap();
-    let admin = fleet.entries[0].admin.as_str();
-    struct Case<'a> {
-        args: &'a [&'a str],
-        status: i32,
-        says: &'a [&'a str],
-    }
-    let cases = [
-        Case {
-            args: &["check", &file],
-            status: 0,
-            says: &["ok: 3 adapters"],
-        },
-        Case {
-            args: &["check", &bad],
-            status: 2,
-            says: &["bad.toml:2", "bad.toml:3", "speed"],
-        },
-        Case {
-            args: &["check", "none.toml"],
-            status: 2,
-            says: &["none.toml"],
-        },
-        Case {
-            args: &["diff", "--log", log, &changed],
-            status: 0,
-            says: &["1 changes", "front-desk"],
-        },
-        Case {
-            args: &["apply", "--log", log, &file],
-            status: 0,
-            says: &["nothing to change"],
-        },
-        Case {
-            args: &["apply", "--log", log, "--base", "0", &changed],
-            status: 3,
-            says: &["refused"],
-        },
-        Case {
-            args: &["apply", "--log", log, &changed],
-            status: 0,
-            says: &["accepted: revision"],
-        },
-        Case {
-            args: &["apply", "--log", "127.0.0.1:1", &changed],
-            status: 1,
-            says: &["step"],
-        },
-        Case {
-            args: &["status", admin],
-            status: 0,
-            says: &["entry entry-0", "side engine-0", "side booking-0"],
-        },
-        Case {
-            args: &["dump", admin],
-            status: 0,
-            says: &["\"role\": \"entry\""],
-        },
-    ];
-    for case in &cases {
-        let out = fleet.operate(case.args);
+struct Said<'a> {
+    args: &'a [&'a str],
+    status: i32,
+    says: &'a [&'a str],
+}
+
+fn run_all(cases: &[Said<'_>]) {
+    for case in cases {
+        let out = operate(case.args);
         let said = format!(
             "{}{}",
             String::from_utf8_lossy(&out.stdout),
@@ -140,71 +80,118 @@
             assert!(said.contains(word), "{:?} lacks {word}: {said}", case.args);
         }
     }
+}
+
+fn said<'a>(args: &'a [&'a str], status: i32, says: &'a [&'a str]) -> Said<'a> {
+    Said { args, status, says }
+}
+
+#[test]
+fn check_reports_every_fault_by_file_line_and_field() {
+    let folder = Folder::new("check");
+    let file = sample("demo.toml");
+    let bad = folder.write("bad.toml", "[adapter.x]\nbase = 'none'\nspeed = 3\n");
+    run_all(&[
+        said(&["check", &file], 0, &["ok: 3 adapters"]),
+        said(&["check", &bad], 2, &["bad.toml:2", "bad.toml:3", "speed"]),
+        said(&["check", "none.toml"], 2, &["none.toml"]),
+        said(&["check"], 2, &["no file"]),
+    ]);
+}
+
+#[test]
+fn the_command_line_compares_applies_and_shows() {
+    let fleet = Fleet::start(&FleetOptions::default());
+    let log = fleet.log.address.as_str();
+    let admin = fleet.entries[0].admin.as_str();
+    let folder = Folder::new("command");
+    let file = sample("demo.toml");
+    let next = folder.with_claim(7);
+    let shown = ["entry entry-0", "side engine-0", "side booking-0"];
+    run_all(&[
+        said(
+            &["diff", "--log", log, &next],
+            0,
+            &["1 changes", "front-desk"],
+        ),
+        said(&["apply", "--log", log, &file], 0, &["nothing to change"]),
+        said(
+            &["apply", "--log", log, "--base", "0", &next],
+            3,
+            &["refused"],
+        ),
+        said(&["apply", "--log", log, &next], 0, &["accepted: revision"]),
+        said(&["apply", "--log", "127.0.0.1:1", &next], 1, &["step"]),
+        said(&["status", admin], 0, &shown),
+        said(&["dump", admin], 0, &["\"role\": \"entry\""]),
+    ]);
     fleet.until_ready();
-    std::fs::remove_dir_all(&folder).unwrap();
 }
 
+struct Bad {
+    path: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: &'static str,
+    status: u16,
+}
+
+const OK: &str = r#"{"model":"sky-brief","messages":[{"role":"user","content":"x"}]}"#;
+
+const BAD: [Bad; 8] = [
+    Bad {
+        path: "/v1/chat/completions",
+        headers: &[],
+        body: "{",
+        status: 400,
+    },
+    Bad {
+        path: "/v1/chat/completions",
+        headers: &[],
+        body: "{}",
+        status: 400,
+    },
+    Bad {
+        path: "/v1/chat/completions",
+        headers: &[],
+        body: r#"{"model":"none","messages":[{"role":"user","content":"x"}]}"#,
+        status: 404,
+    },
+    Bad {
+        path: "/v1/chat/completions",
+        headers: &[],
+        body: r#"{"model":"sky-brief@v9","messages":[{"role":"user","content":"x"}]}"#,
+        status: 404,
+    },
+    Bad {
+        path: "/v1/chat/completions",
+        headers: &[("x-deadline-ms", "soon")],
+        body: OK,
+        status: 400,
+    },
+    Bad {
+        path: "/nowhere",
+        headers: &[],
+        body: "{}",
+        status: 404,
+    },
+    Bad {
+        path: "/seats/hold",
+        headers: &[],
+        body: "{}",
+        status: 400,
+    },
+    Bad {
+        path: "/seats/hold",
+        headers: &[("idempotency-key", "")],
+        body: "{}",
+        status: 400,
+    },
+];
+
 #[test]
 fn bad_requests_get_clear_errors_and_no_effect() {
     let fleet = Fleet::start(&FleetOptions::default());
-    struct Case {
-        path: &'static str,
-        headers: &'static [(&'static str, &'static str)],
-        body: &'static str,
-        status: u16,
-    }
-    let ok = r#"{"model":"sky-brief","messages":[{"role":"user","content":"x"}]}"#;
-    let cases = [
-        Case {
-            path: "/v1/chat/completions",
-            headers: &[],
-            body: "{",
-            status: 400,
-        },
-        Case {
-            path: "/v1/chat/completions",
-            headers: &[],
-            body: "{}",
-            status: 400,
-        },
-        Case {
-            path: "/v1/chat/completions",
-            headers: &[],
-            body: r#"{"model":"none","messages":[{"role":"user","content":"x"}]}"#,
-            status: 404,
-        },
-        Case {
-            path: "/v1/chat/completions",
-            headers: &[],
-            body: r#"{"model":"sky-brief@v9","messages":[{"role":"user","content":"x"}]}"#,
-            status: 404,
-        },
-        Case {
-            path: "/v1/chat/completions",
-            headers: &[("x-deadline-ms", "soon")],
-            body: ok,
-            status: 400,
-        },
-        Case {
-            path: "/nowhere",
-            headers: &[],
-            body: "{}",
-            status: 404,
-        },
-        Case {
-            path: "/seats/hold",
-            headers: &[],
-            body: "{}",
-            status: 400,
-        },
-        Case {
-            path: "/seats/hold",
-            headers: &[("idempotency-key", "")],
-            body: "{}",
-            status: 400,
-        },
-    ];
-    for case in &cases {
+    for case in &BAD {
         let answer = post(
             &fleet.entries[0].address,
             case.path,
@@ -231,13 +218,10 @@
         entries: 2,
         ..FleetOptions::default()
     });
-    let text = std::fs::read_to_string(sample("demo.toml")).unwrap();
-    let folder = std::env::temp_dir().join(format!("pumicecleat-force-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let file = folder.join("next.toml").to_string_lossy().into_owned();
-    std::fs::write(&file, text.replace("claim = 2", "claim = 3")).unwrap();
+    let folder = Folder::new("force");
+    let file = folder.with_claim(3);
     let from = std::time::Instant::now();
-    let out = fleet.operate(&["apply", "--log", &fleet.log.address, &file]);
+    let out = operate(&["apply", "--log", &fleet.log.address, &file]);
     assert!(out.status.success(), "{out:?}");
     until("both entries at the next revision", || {
         fleet
@@ -247,5 +231,4 @@
     });
     fleet.until_ready();
     assert!(from.elapsed().as_secs() < 5, "{:?}", from.elapsed());
-    std::fs::remove_dir_all(&folder).unwrap();
 }
