Name the format of records; document the configuration

Cause: a reader that doesn't know a new field would refuse what a newer one accepts, so that verdicts would differ during an upgrade. Ruled out: leaving it to the order of upgrades alone; refusing later formats (the same difference); ignoring unknown fields in the digest. Conclusion: a later format stops a fold before the record, which the tables show; its process serves on by the revision it holds.

--- a/crates/config/src/digest.rs
+++ b/crates/config/src/digest.rs
@@ -13,8 +13,7 @@
 //!   accidents and faults of the code, not against them.
 //!
 //! The canonical encoding is `MessagePack` with field names of one [`Item`], with ordered maps and
-//! sets only. A new field in an item therefore changes digests: all processes must know it before
-//! an operator's command uses it.
+//! sets only. A new field in an item therefore changes digests, and needs a new format of records.
 
 use std::fmt;
 
--- a/crates/config/src/fold/event.rs
+++ b/crates/config/src/fold/event.rs
@@ -99,6 +99,13 @@
         /// Why.
         detail: String,
     },
+    /// Record of a later format. The fold stays before it: this process must be upgraded.
+    Newer {
+        /// Offset.
+        offset: u64,
+        /// Format.
+        format: u32,
+    },
     /// Snapshot that agrees with this fold.
     Confirmed,
     /// Snapshot not used.
--- a/crates/config/src/fold/mod.rs
+++ b/crates/config/src/fold/mod.rs
@@ -25,7 +25,7 @@
 mod record;
 mod window;
 
-use pumicecleat_types::{LogRecord, decode, encode};
+use pumicecleat_types::{LogRecord, encode};
 
 use crate::delta::{Delta, DeltaError};
 use crate::digest::Digest;
@@ -38,7 +38,7 @@
 pub use due::{Due, DueReason, Mark};
 pub use event::{Cause, FoldEvent, GapError, Verdict};
 pub use objection::Objection;
-pub use record::{Change, ChangeId, ChangeIdError, Record, Settled, Snapshot};
+pub use record::{Change, ChangeId, ChangeIdError, Record, RecordError, Settled, Snapshot};
 pub use window::WINDOW;
 
 use event::GapSnafu;
@@ -120,21 +120,25 @@
         if record.offset < self.next {
             return Ok(FoldEvent::Old);
         }
-        let decoded = decode::<Record>(&record.data);
+        let decoded = Record::from_bytes(&record.data);
         if record.offset > self.next {
             return match decoded {
                 Ok(Record::Snapshot(snapshot)) => self.start(record, *snapshot),
                 _ => self.gap(record),
             };
         }
+        if let Err(RecordError::Newer { format }) = decoded {
+            let offset = record.offset;
+            return Ok(FoldEvent::Newer { offset, format });
+        }
         self.next = record.offset.saturating_add(1);
         self.mark.count(record);
         Ok(match decoded {
             Ok(Record::Change(change)) => self.judge(record.offset, *change),
             Ok(Record::Snapshot(snapshot)) => self.compare(record, &snapshot),
-            Err(source) => FoldEvent::Garbage {
+            Err(error) => FoldEvent::Garbage {
                 offset: record.offset,
-                detail: source.to_string(),
+                detail: error.to_string(),
             },
         })
     }
--- a/crates/config/src/fold/record.rs
+++ b/crates/config/src/fold/record.rs
@@ -1,10 +1,14 @@
 //! Records of the `config` stream.
+//!
+//! A record names its format. Readers of different versions must not come to different verdicts,
+//! so that one who meets a later format judges nothing from there on.
 
 use std::fmt;
 
-use pumicecleat_types::encode;
+use pumicecleat_types::{CodecError, decode, encode};
 use serde::{Deserialize, Serialize};
-use snafu::{Snafu, ensure};
+use serde_with::{Bytes, serde_as};
+use snafu::{ResultExt, Snafu, ensure};
 
 use super::due::Mark;
 use super::event::Verdict;
@@ -12,6 +16,8 @@
 use crate::digest::{Digest, digest};
 use crate::model::Config;
 
+/// Format of records, raised with any change of what they hold or of how digests are made.
+const FORMAT: u32 = 1;
 const ID_LEN: usize = 64;
 
 /// Unique id of a change, given by its author; at most 64 bytes, not empty.
@@ -118,10 +124,48 @@
     Snapshot(Box<Snapshot>),
 }
 
+/// Record as it stands in the log.
+#[serde_as]
+#[derive(Serialize, Deserialize)]
+struct Envelope {
+    format: u32,
+    #[serde_as(as = "Bytes")]
+    body: Vec<u8>,
+}
+
+/// Bytes that are not a record known here.
+#[derive(Debug, Snafu)]
+pub enum RecordError {
+    /// Written by a later version, which alone knows how to judge it.
+    #[snafu(display("step record: format {format} is newer than {FORMAT}"))]
+    Newer {
+        /// Format.
+        format: u32,
+    },
+    /// Not a record.
+    #[snafu(display("step record: {source}"))]
+    Malformed {
+        /// Why.
+        source: CodecError,
+    },
+}
+
 impl Record {
     /// Bytes for the log.
     #[must_use]
     pub fn to_bytes(&self) -> Vec<u8> {
-        encode(self)
+        let format = FORMAT;
+        let body = encode(self);
+        encode(&Envelope { format, body })
+    }
+
+    /// Record from the log.
+    ///
+    /// # Errors
+    /// [`RecordError`] if it is none, or of a later format.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, RecordError> {
+        let Envelope { format, body } = decode(bytes).context(MalformedSnafu)?;
+        ensure!(format <= FORMAT, NewerSnafu { format });
+        decode(&body).context(MalformedSnafu)
     }
 }
--- a/crates/config/tests/bytes.rs
+++ b/crates/config/tests/bytes.rs
@@ -64,7 +64,8 @@
     if matches!(event, FoldEvent::Garbage { .. }) {
         assert_eq!(fold.revision(), 0);
     }
-    assert_eq!(fold.next(), 1);
+    let newer = matches!(event, FoldEvent::Newer { .. });
+    assert_eq!(fold.next(), u64::from(!newer));
 }
 
 fn record() -> Vec<u8> {
--- a/crates/config/tests/fold/naive.rs
+++ b/crates/config/tests/fold/naive.rs
@@ -8,7 +8,7 @@
 use pumicecleat_config::{
     Cause, Change, ChangeId, Delta, Mark, Record, Settled, Snapshot, Verdict, check, digest,
 };
-use pumicecleat_types::{LogRecord, decode};
+use pumicecleat_types::LogRecord;
 
 const DETAIL_LEN: usize = 200;
 
@@ -50,7 +50,7 @@
 
     /// Judges the next record of the log.
     pub fn step(&mut self, record: &LogRecord, rule: Rule) {
-        if let Ok(Record::Change(change)) = decode(&record.data) {
+        if let Ok(Record::Change(change)) = Record::from_bytes(&record.data) {
             self.judge(record.offset, &change, rule);
         }
         self.next = record.offset + 1;
--- a/crates/config/tests/fold/reader.rs
+++ b/crates/config/tests/fold/reader.rs
@@ -1,7 +1,7 @@
 //! Readers of a log: in order or with repeats, from its start, a trimmed log or a peer.
 
 use pumicecleat_config::{Fold, FoldEvent, GapError, Record};
-use pumicecleat_types::{LogRecord, decode, encode};
+use pumicecleat_types::{LogRecord, encode};
 
 use crate::naive::Naive;
 
@@ -46,7 +46,7 @@
             offset: next,
             ..record.clone()
         };
-        match (self.kind, decode::<Record>(&record.data)) {
+        match (self.kind, Record::from_bytes(&record.data)) {
             (Kind::TakeSnapshots, Ok(Record::Snapshot(s))) => {
                 if let Ok(fold) = Fold::from_snapshot(&encode(&s)) {
                     self.fold = fold;
@@ -64,7 +64,9 @@
         let mut at = first;
         while let Some(record) = log.get(at) {
             at += 1;
+            let before = self.fold.next();
             if let Ok(FoldEvent::Started { .. }) = self.apply(record) {
+                assert!(self.fold.next() > before, "would read for ever");
                 at = first.max(usize::try_from(self.fold.next()).unwrap());
             }
         }
--- a/crates/config/tests/tables.rs
+++ b/crates/config/tests/tables.rs
@@ -247,13 +247,43 @@
         assert!((case.want)(&event), "case {i}: {event:?}");
         assert_eq!(fold.digest(), before);
     }
-    let mut peer = origin.snapshot();
-    peer.config.limits.body = 9;
-    assert!(Fold::from_snapshot(&encode(&peer)).is_err());
-    assert_eq!(
-        origin.clone().adopt(&encode(&Fold::new().snapshot())).ok(),
-        Some(false)
-    );
+}
+
+struct PeerCase {
+    edit: fn(&mut Snapshot),
+    /// Whether it is taken in, or `None` for an error.
+    want: Option<bool>,
+}
+
+/// Snapshots from peers, for a reader that holds the state at `next` 1.
+#[rustfmt::skip]
+const PEERS: &[PeerCase] = &[
+    PeerCase { edit: |_| {}, want: Some(false) },
+    PeerCase { edit: |s| s.next += 1, want: Some(true) },
+    PeerCase { edit: |s| { s.next += 1; s.config.limits.body = 9; }, want: None },
+    PeerCase {
+        edit: |s| { s.next += 1; s.config.limits.body = 9; s.digest = digest(&s.config); },
+        want: None,
+    },
+    PeerCase {
+        edit: |s| { s.next += 1; s.revision = 0; s.config = Config::default(); s.digest = digest(&s.config); },
+        want: None,
+    },
+];
+
+#[test]
+fn peers() {
+    let mut origin = Fold::new();
+    let first = change(&origin, 0, 0, &sample());
+    origin.apply(&first).unwrap();
+    for (i, case) in PEERS.iter().enumerate() {
+        let mut fold = origin.clone();
+        let mut state = origin.snapshot();
+        (case.edit)(&mut state);
+        assert_eq!(fold.adopt(&encode(&state)).ok(), case.want, "case {i}");
+        assert_eq!(fold.digest(), origin.digest());
+    }
+    assert!(origin.clone().adopt(b"garbage").is_err());
 }
 
 /// Readers agree also on verdicts that have left the window.
@@ -286,6 +316,25 @@
     assert!(matches!(fold.apply(&again), Ok(FoldEvent::Refused { .. })));
 }
 
+/// A record of a later format stops the fold until the process is upgraded, whatever follows.
+#[test]
+fn later_format_stops() {
+    let mut fold = Fold::new();
+    let first = change(&fold, 0, 0, &sample());
+    let data = encode(&serde_json::json!({ "format": 2, "body": [1, 2] }));
+    let later = LogRecord {
+        data,
+        ..first.clone()
+    };
+    assert!(matches!(
+        fold.apply(&later),
+        Ok(FoldEvent::Newer { format: 2, .. })
+    ));
+    let next = LogRecord { offset: 1, ..first };
+    assert!(fold.apply(&next).is_err());
+    assert_eq!((fold.next(), fold.revision()), (0, 0));
+}
+
 const RETENTION: u64 = 400_000;
 
 struct DueCase {
