Test decisions by tables and against a naive version

Cause: the search covers few keys and no key with a time in it. Ruled out: a naive version that keeps marks as it reads; it would share the ledger's faults of forgetting, so it scans all it has read for each question.

--- /dev/null
+++ b/crates/ledger/tests/decisions.rs
@@ -0,0 +1,548 @@
+//! What a side decides on a call, by what stands in its stream: tables of cases.
+
+use pumicecleat_ledger::{
+    Abandon, Admission, Answer, Attempt, Call, Digest, Done, Event, Intent, Key, Ledger, Limits,
+    Outcome, Owner, Record, Span, StepError, Verdict, Won,
+};
+use pumicecleat_types::{LogRecord, Millis, Reason};
+
+const START: u64 = 1_000_000;
+const WINDOW: u64 = 10_000;
+const AHEAD: u64 = 1_000;
+const KEPT: u64 = 20_000;
+const WAIT: u64 = 500;
+const BODY: &[u8] = b"seat 41";
+
+fn owner(vm: &str, incarnation: u64) -> Owner {
+    Owner {
+        vm: vm.into(),
+        incarnation,
+    }
+}
+
+fn ledger(first: u64, end: u64) -> Ledger {
+    let limits = Limits::new(Millis(WINDOW), Millis(AHEAD), Millis(KEPT)).unwrap();
+    Ledger::new(owner("a", 2), limits, Span { first, end })
+}
+
+fn key() -> Key {
+    Key::parse(&"c".into(), "k").unwrap()
+}
+
+fn timed(at: u64) -> Key {
+    let id = uuid::Builder::from_unix_timestamp_millis(at, &[7; 10]).into_uuid();
+    Key::parse(&"c".into(), &id.to_string()).unwrap()
+}
+
+fn attempt(vm: &str, incarnation: u64) -> Attempt {
+    Attempt {
+        owner: owner(vm, incarnation),
+        seq: 0,
+    }
+}
+
+fn intent(attempt: &Attempt) -> Record {
+    Record::Intent(Intent {
+        attempt: attempt.clone(),
+        key: key(),
+        digest: Digest::of(BODY),
+        deadline: Millis(START + WAIT),
+    })
+}
+
+fn abandon(attempt: &Attempt) -> Record {
+    Record::Abandon(Abandon {
+        attempt: attempt.clone(),
+        key: key(),
+    })
+}
+
+fn done(attempt: &Attempt, outcome: Outcome) -> Record {
+    Record::Done(Done {
+        attempt: attempt.clone(),
+        key: key(),
+        digest: Digest::of(BODY),
+        outcome,
+    })
+}
+
+fn answer() -> Outcome {
+    Outcome::Answer(Answer::new(201, Vec::new(), b"held", 64))
+}
+
+fn append(offset: u64, at: u64, records: &[Record]) -> LogRecord {
+    LogRecord {
+        offset,
+        at,
+        data: Record::encode_batch(records),
+    }
+}
+
+fn call<'a>(key: &'a Key, body: &[u8], now: u64) -> Call<'a> {
+    Call {
+        key,
+        digest: Digest::of(body),
+        now: Millis(now),
+        deadline: Millis(now + WAIT),
+    }
+}
+
+#[derive(Debug, PartialEq)]
+enum Decision {
+    Claim,
+    Replay(Outcome),
+    Refuse(Reason),
+}
+
+fn decide(ledger: &mut Ledger, call: &Call<'_>) -> Decision {
+    match ledger.admit(call) {
+        Admission::Claim(_) => Decision::Claim,
+        Admission::Replay(outcome) => Decision::Replay(outcome.clone()),
+        Admission::Refuse(reason) => Decision::Refuse(reason),
+    }
+}
+
+struct StreamCase {
+    name: &'static str,
+    records: Vec<Record>,
+    body: &'static [u8],
+    now: u64,
+    decision: Decision,
+}
+
+fn stream_case(name: &'static str, records: Vec<Record>, decision: Decision) -> StreamCase {
+    StreamCase {
+        name,
+        records,
+        body: BODY,
+        now: START,
+        decision,
+    }
+}
+
+fn same_body_cases() -> Vec<StreamCase> {
+    let other = attempt("b", 1);
+    let before = attempt("a", 1);
+    let busy = Decision::Refuse(Reason::KeyBusy);
+    let unknown = || Decision::Refuse(Reason::KeyUnknown);
+    let replay = || Decision::Replay(answer());
+    let answered = vec![intent(&other), done(&other, answer())];
+    let lost = vec![intent(&other), done(&other, Outcome::Unknown)];
+    let reversed = vec![intent(&other), done(&other, answer()), abandon(&other)];
+    let second = vec![intent(&other), intent(&before), abandon(&other)];
+    vec![
+        stream_case("empty stream", vec![], Decision::Claim),
+        stream_case("running elsewhere", vec![intent(&other)], busy),
+        stream_case("of a predecessor", vec![intent(&before)], unknown()),
+        stream_case(
+            "abandoned",
+            vec![intent(&other), abandon(&other)],
+            Decision::Claim,
+        ),
+        stream_case("answered", answered, replay()),
+        stream_case(
+            "answered, intent trimmed",
+            vec![done(&other, answer())],
+            replay(),
+        ),
+        stream_case("answer lost", lost, unknown()),
+        stream_case("abandoned after its answer", reversed, replay()),
+        stream_case("second in line, first abandoned", second, unknown()),
+    ]
+}
+
+fn other_body_cases() -> Vec<StreamCase> {
+    let other = attempt("b", 1);
+    let reused = || Decision::Refuse(Reason::KeyReused);
+    let abandoned = vec![intent(&other), abandon(&other)];
+    let mut cases = vec![
+        stream_case("than a running one", vec![intent(&other)], reused()),
+        stream_case(
+            "than an answered one",
+            vec![done(&other, answer())],
+            reused(),
+        ),
+        stream_case("than an abandoned one", abandoned, reused()),
+    ];
+    for case in &mut cases {
+        case.body = b"seat 42";
+    }
+    cases
+}
+
+fn later_cases() -> Vec<StreamCase> {
+    let open = || vec![intent(&attempt("b", 1))];
+    let unknown = || Decision::Refuse(Reason::KeyUnknown);
+    let late = stream_case("deadline passed", open(), unknown());
+    let kept = stream_case("window over, key kept on", open(), unknown());
+    let gone = stream_case("forgotten", open(), Decision::Claim);
+    vec![
+        StreamCase {
+            now: START + WAIT + 1,
+            ..late
+        },
+        StreamCase {
+            now: START + WINDOW + AHEAD - 1,
+            ..kept
+        },
+        StreamCase {
+            now: START + WINDOW + AHEAD,
+            ..gone
+        },
+    ]
+}
+
+#[test]
+fn calls_are_decided_by_the_stream() {
+    let cases = [same_body_cases(), other_body_cases(), later_cases()];
+    for case in cases.into_iter().flatten() {
+        let mut ledger = ledger(0, 1);
+        ledger.read(&append(0, START, &case.records));
+        let decision = decide(&mut ledger, &call(&key(), case.body, case.now));
+        assert_eq!(decision, case.decision, "{}", case.name);
+    }
+}
+
+struct AgeCase {
+    minted: u64,
+    decision: Decision,
+}
+
+const AGES: &[AgeCase] = &[
+    AgeCase {
+        minted: START - WINDOW,
+        decision: Decision::Refuse(Reason::KeyExpired),
+    },
+    AgeCase {
+        minted: START - WINDOW + 1,
+        decision: Decision::Claim,
+    },
+    AgeCase {
+        minted: START + AHEAD,
+        decision: Decision::Claim,
+    },
+    AgeCase {
+        minted: START + AHEAD + 1,
+        decision: Decision::Refuse(Reason::KeyInvalid),
+    },
+];
+
+#[test]
+fn keys_with_a_time_are_bound_to_the_window() {
+    for case in AGES {
+        let key = timed(case.minted);
+        let decision = decide(&mut ledger(0, 0), &call(&key, BODY, START));
+        assert_eq!(decision, case.decision, "{}", case.minted);
+    }
+}
+
+struct ReadCase {
+    name: &'static str,
+    /// Records before the own intent, in the same append.
+    before: Vec<Record>,
+    /// Time of the append by the log's clock.
+    at: u64,
+    /// Loss, or `None` for a win.
+    loss: Option<Verdict>,
+    /// Whether an abandon is owed.
+    owed: bool,
+}
+
+fn read_cases() -> Vec<ReadCase> {
+    let other = attempt("b", 1);
+    let refused = |reason| Some(Verdict::Refuse(reason));
+    let case = |name, before, loss, owed| ReadCase {
+        name,
+        before,
+        at: START,
+        loss,
+        owed,
+    };
+    vec![
+        case("first", vec![], None, false),
+        case(
+            "behind another",
+            vec![intent(&other)],
+            refused(Reason::KeyBusy),
+            true,
+        ),
+        case(
+            "behind an abandoned one",
+            vec![intent(&other), abandon(&other)],
+            None,
+            false,
+        ),
+        case(
+            "behind an answer",
+            vec![done(&other, answer())],
+            Some(Verdict::Replay(answer())),
+            false,
+        ),
+        case(
+            "behind a lost answer",
+            vec![done(&other, Outcome::Unknown)],
+            refused(Reason::KeyUnknown),
+            false,
+        ),
+        ReadCase {
+            at: START + WINDOW + 1,
+            ..case(
+                "too old by the log's clock",
+                vec![],
+                refused(Reason::KeyExpired),
+                false,
+            )
+        },
+        ReadCase {
+            at: START - AHEAD - 1,
+            ..case(
+                "too new by the log's clock",
+                vec![],
+                refused(Reason::KeyInvalid),
+                false,
+            )
+        },
+    ]
+}
+
+fn claimed(ledger: &mut Ledger, key: &Key) -> Intent {
+    match ledger.admit(&call(key, BODY, START)) {
+        Admission::Claim(intent) => intent,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The records of a case, for the key of the intent.
+fn rekey(record: &Record, key: &Key) -> Record {
+    let mut record = record.clone();
+    match &mut record {
+        Record::Intent(r) => r.key = key.clone(),
+        Record::Abandon(r) => r.key = key.clone(),
+        Record::Done(r) => r.key = key.clone(),
+    }
+    record
+}
+
+#[test]
+fn an_intent_wins_only_if_it_is_first() {
+    let key = timed(START);
+    for case in read_cases() {
+        let mut ledger = ledger(0, 0);
+        let intent = claimed(&mut ledger, &key);
+        let attempt = intent.attempt.clone();
+        let mut batch: Vec<Record> = case.before.iter().map(|r| rekey(r, &key)).collect();
+        batch.push(Record::Intent(intent));
+        let events = ledger.read(&append(0, case.at, &batch));
+        match (&events[..], case.loss) {
+            ([Event::Won(won)], None) => assert_eq!(*won.attempt(), attempt, "{}", case.name),
+            ([Event::Lost { verdict, .. }], Some(loss)) => {
+                assert_eq!(*verdict, loss, "{}", case.name);
+            }
+            (events, loss) => panic!("{}: {events:?}, expected {loss:?}", case.name),
+        }
+        assert_eq!(
+            ledger.owed().count(),
+            usize::from(case.owed),
+            "{}",
+            case.name
+        );
+        assert!(
+            ledger.read(&append(0, case.at, &batch)).is_empty(),
+            "{}",
+            case.name
+        );
+    }
+}
+
+fn won(ledger: &mut Ledger) -> Won {
+    let intent = claimed(ledger, &key());
+    let offset = ledger.next();
+    let events = ledger.read(&append(offset, START, &[Record::Intent(intent)]));
+    match events.into_iter().next() {
+        Some(Event::Won(won)) => won,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_win_is_sent_once() {
+    let mut ledger = ledger(0, 0);
+    let won = won(&mut ledger);
+    let sent = ledger.sent(won.clone(), Millis(START)).unwrap();
+    let again = ledger.sent(won.clone(), Millis(START));
+    assert!(matches!(again, Err(StepError::Sent { .. })));
+    assert!(matches!(
+        ledger.void(won.attempt()),
+        Err(StepError::Sent { .. })
+    ));
+    assert!(ledger.expire(Millis(START + WINDOW)).is_empty());
+    ledger.finish(sent.clone(), answer()).unwrap();
+    assert!(matches!(
+        ledger.finish(sent, answer()),
+        Err(StepError::Closed { .. })
+    ));
+    assert!(matches!(
+        ledger.void(won.attempt()),
+        Err(StepError::Closed { .. })
+    ));
+}
+
+#[test]
+fn a_late_win_is_void() {
+    let mut ledger = ledger(0, 0);
+    let won = won(&mut ledger);
+    let late = ledger.sent(won.clone(), Millis(START + WAIT)).unwrap_err();
+    assert_eq!(
+        late.to_string(),
+        "step send, attempt a#2/0: deadline 1000500 ms has passed"
+    );
+    assert_eq!(ledger.owed().collect::<Vec<_>>(), [&abandon(won.attempt())]);
+    assert!(matches!(
+        ledger.sent(won, Millis(START)),
+        Err(StepError::Closed { .. })
+    ));
+}
+
+#[test]
+fn a_void_intent_is_abandoned_when_it_turns_up() {
+    let mut ledger = ledger(0, 0);
+    let intent = claimed(&mut ledger, &key());
+    let attempt = intent.attempt.clone();
+    let not_run = ledger.void(&attempt).unwrap();
+    assert_eq!(*not_run.attempt(), attempt);
+    assert_eq!(ledger.owed().count(), 0);
+    assert!(
+        ledger
+            .read(&append(0, START, &[Record::Intent(intent)]))
+            .is_empty()
+    );
+    assert_eq!(ledger.owed().collect::<Vec<_>>(), [&abandon(&attempt)]);
+    ledger.read(&append(1, START, &[abandon(&attempt)]));
+    assert_eq!(ledger.owed().count(), 0);
+    assert_eq!(
+        decide(&mut ledger, &call(&key(), BODY, START)),
+        Decision::Claim
+    );
+}
+
+#[test]
+fn an_outcome_is_owed_until_it_is_read_back() {
+    let mut ledger = ledger(0, 0);
+    let won = won(&mut ledger);
+    let sent = ledger.sent(won, Millis(START)).unwrap();
+    let record = ledger.finish(sent, answer()).unwrap().clone();
+    assert_eq!(ledger.owed().collect::<Vec<_>>(), [&record]);
+    ledger.read(&append(1, START, &[record]));
+    assert_eq!(ledger.owed().count(), 0);
+    let again = decide(&mut ledger, &call(&key(), BODY, START + 1));
+    assert_eq!(again, Decision::Replay(answer()));
+}
+
+#[test]
+fn a_starting_side_admits_nothing_before_it_has_caught_up() {
+    let mut ledger = ledger(3, 5);
+    for offset in 3..5 {
+        let early = decide(&mut ledger, &call(&key(), BODY, START));
+        assert_eq!(early, Decision::Refuse(Reason::LogDown));
+        ledger.read(&append(offset, START, &[]));
+    }
+    assert_eq!(
+        decide(&mut ledger, &call(&key(), BODY, START)),
+        Decision::Claim
+    );
+}
+
+#[test]
+fn a_fast_clock_forgets_nothing() {
+    let mut ledger = ledger(0, 0);
+    ledger.read(&append(0, START, &[intent(&attempt("b", 1))]));
+    let now = START + 2 * WINDOW;
+    let key = key();
+    let Admission::Claim(intent) = ledger.admit(&call(&key, BODY, now)) else {
+        panic!("by its own clock the key is free");
+    };
+    let events = ledger.read(&append(1, START + 1, &[Record::Intent(intent)]));
+    assert!(matches!(
+        &events[..],
+        [Event::Lost {
+            verdict: Verdict::Refuse(Reason::KeyBusy),
+            ..
+        }]
+    ));
+}
+
+#[test]
+fn a_record_that_cannot_be_read_bars_its_window() {
+    let mut ledger = ledger(0, 0);
+    let key = key();
+    let first = claimed(&mut ledger, &key);
+    let garbage = LogRecord {
+        offset: 0,
+        at: START,
+        data: vec![0xc1],
+    };
+    assert_eq!(
+        ledger.read(&garbage),
+        [Event::Unreadable {
+            offset: 0,
+            bytes: 1
+        }]
+    );
+    let events = ledger.read(&append(1, START, &[Record::Intent(first)]));
+    assert!(matches!(
+        &events[..],
+        [Event::Lost {
+            verdict: Verdict::Refuse(Reason::LogDown),
+            ..
+        }]
+    ));
+    let barred = decide(&mut ledger, &call(&key, BODY, START + WINDOW));
+    assert_eq!(barred, Decision::Refuse(Reason::LogDown));
+    let free = decide(
+        &mut ledger,
+        &call(&timed(START + WINDOW), BODY, START + WINDOW + AHEAD),
+    );
+    assert_eq!(free, Decision::Claim);
+}
+
+#[test]
+fn what_waits_over_a_gap_is_lost() {
+    let mut ledger = ledger(0, 0);
+    let intent = claimed(&mut ledger, &key());
+    let events = ledger.read(&append(7, START, &[Record::Intent(intent)]));
+    assert!(matches!(
+        &events[..],
+        [Event::Lost {
+            verdict: Verdict::Refuse(Reason::LogDown),
+            ..
+        }]
+    ));
+    assert_eq!(ledger.owed().count(), 1);
+    assert_eq!(ledger.next(), 8);
+}
+
+#[test]
+fn forgetting_gives_the_bytes_back() {
+    let mut ledger = ledger(0, 0);
+    let empty = ledger.size();
+    let other = attempt("b", 1);
+    ledger.read(&append(0, START, &[intent(&other), done(&other, answer())]));
+    assert!(ledger.size() > empty);
+    assert_eq!(ledger.dump().keys, 1);
+    ledger.read(&append(1, START + WINDOW + AHEAD, &[]));
+    assert_eq!(ledger.size(), empty);
+    assert_eq!(ledger.dump().keys, 0);
+}
+
+#[test]
+fn the_dump_names_attempts_under_way() {
+    let mut ledger = ledger(0, 0);
+    let won = won(&mut ledger);
+    let sent = ledger.sent(won, Millis(START)).unwrap();
+    let dump = ledger.dump();
+    assert_eq!(dump.own[0].phase, "sent");
+    assert_eq!(dump.own[0].attempt, *sent.attempt());
+    assert_eq!(dump.own[0].attempt.to_string(), "a#2/0");
+    assert_eq!(dump.own[0].key.to_string(), "c/k");
+    assert!(!pumicecleat_types::encode(&dump).is_empty());
+}
--- /dev/null
+++ b/crates/ledger/tests/differential/main.rs
@@ -0,0 +1,73 @@
+//! Random traces through [`Ledger`](pumicecleat_ledger::Ledger) and through a naive version that
+//! keeps all it has read and decides by scanning it. Seeds are fixed; failures shrink.
+
+mod naive;
+mod trace;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use pumicecleat_ledger::{Key, Ledger, Record};
+use pumicecleat_types::LogRecord;
+
+use trace::{Pair, batch, ops, side};
+
+const SEED: u64 = 20_261_202;
+const CASES: u32 = 600;
+const BYTES: usize = 300;
+
+fn config() -> Config {
+    Config {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+fn read_all(data: Vec<u8>) -> Ledger {
+    let mut ledger = side();
+    ledger.read(&LogRecord {
+        offset: 0,
+        at: 1,
+        data,
+    });
+    ledger
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn decides_as_the_naive_version(ops in ops()) {
+        let mut pair = Pair::new();
+        for op in ops {
+            pair.step(&op)?;
+        }
+    }
+
+    #[test]
+    fn any_bytes_are_read_without_panic(data in prop::collection::vec(any::<u8>(), 0..BYTES)) {
+        prop_assert_eq!(read_all(data).next(), 1);
+    }
+
+    #[test]
+    fn a_damaged_batch_is_read_without_panic(records in batch(), at in any::<prop::sample::Index>(), byte in any::<u8>()) {
+        let mut data = Record::encode_batch(&records);
+        let at = at.index(data.len());
+        data[at] = byte;
+        prop_assert_eq!(read_all(data).next(), 1);
+    }
+
+    #[test]
+    fn a_batch_survives_its_encoding(records in batch()) {
+        let data = Record::encode_batch(&records);
+        prop_assert_eq!(Record::decode_batch(&data).unwrap(), records);
+    }
+
+    #[test]
+    fn any_text_is_a_key_or_an_error(text in any::<String>()) {
+        if let Ok(key) = Key::parse(&"c".into(), &text) {
+            prop_assert!(text.contains(key.text()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/keys.rs
@@ -0,0 +1,247 @@
+//! Texts of keys, spans, digests and bodies: tables of cases.
+
+use pumicecleat_ledger::{Answer, Body, Digest, KEY_LIMIT, Key, KeyError, LimitError, Limits};
+use pumicecleat_types::{CallerId, Millis};
+
+fn caller() -> CallerId {
+    "csillagkapu".into()
+}
+
+struct KeyCase {
+    text: &'static str,
+    key: Result<&'static str, KeyError>,
+    minted: Option<u64>,
+}
+
+fn key_cases() -> Vec<KeyCase> {
+    let strange = |found| KeyError::Character {
+        caller: caller(),
+        found,
+    };
+    let empty = KeyError::Empty { caller: caller() };
+    vec![
+        KeyCase {
+            text: "seat-41",
+            key: Ok("seat-41"),
+            minted: None,
+        },
+        KeyCase {
+            text: "\"seat-41\"",
+            key: Ok("seat-41"),
+            minted: None,
+        },
+        KeyCase {
+            text: "",
+            key: Err(empty.clone()),
+            minted: None,
+        },
+        KeyCase {
+            text: "\"\"",
+            key: Err(empty),
+            minted: None,
+        },
+        KeyCase {
+            text: "\"",
+            key: Err(strange('"')),
+            minted: None,
+        },
+        KeyCase {
+            text: "seat 41",
+            key: Err(strange(' ')),
+            minted: None,
+        },
+        KeyCase {
+            text: "seat\n41",
+            key: Err(strange('\n')),
+            minted: None,
+        },
+        KeyCase {
+            text: "szék",
+            key: Err(strange('é')),
+            minted: None,
+        },
+        KeyCase {
+            text: "017f22e2-79b0-7cc3-98c4-dc0c0c07398f",
+            key: Ok("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"),
+            minted: Some(1_645_557_742_000),
+        },
+        KeyCase {
+            text: "919108f7-52d1-4320-9bac-f847db4148a8",
+            key: Ok("919108f7-52d1-4320-9bac-f847db4148a8"),
+            minted: None,
+        },
+    ]
+}
+
+#[test]
+fn texts_are_checked() {
+    for case in key_cases() {
+        let key = Key::parse(&caller(), case.text);
+        let minted = key.as_ref().ok().and_then(Key::minted);
+        assert_eq!(
+            key.as_ref().map(Key::text),
+            case.key.as_ref().copied(),
+            "{:?}",
+            case.text
+        );
+        assert_eq!(minted, case.minted.map(Millis), "{:?}", case.text);
+    }
+}
+
+#[test]
+fn long_texts_are_refused() {
+    let longest = "k".repeat(KEY_LIMIT);
+    let longer = "k".repeat(KEY_LIMIT + 1);
+    assert!(Key::parse(&caller(), &longest).is_ok());
+    let error = Key::parse(&caller(), &longer).unwrap_err();
+    assert_eq!(
+        error.to_string(),
+        "step key, caller csillagkapu: 256 bytes, at most 255"
+    );
+}
+
+#[test]
+fn callers_do_not_share_keys() {
+    let one = Key::parse(&caller(), "k").unwrap();
+    let other = Key::parse(&"vithu-koottam".into(), "k").unwrap();
+    assert_ne!(one, other);
+}
+
+struct LimitCase {
+    window: u64,
+    ahead: u64,
+    kept: u64,
+    error: Option<LimitError>,
+}
+
+const LIMITS: &[LimitCase] = &[
+    LimitCase {
+        window: 100,
+        ahead: 10,
+        kept: 111,
+        error: None,
+    },
+    LimitCase {
+        window: 0,
+        ahead: 10,
+        kept: 111,
+        error: Some(LimitError::Zero),
+    },
+    LimitCase {
+        window: 100,
+        ahead: 10,
+        kept: 110,
+        error: Some(LimitError::Kept {
+            window: Millis(100),
+            ahead: Millis(10),
+            kept: Millis(110),
+        }),
+    },
+    LimitCase {
+        window: u64::MAX,
+        ahead: 1,
+        kept: u64::MAX,
+        error: Some(LimitError::Kept {
+            window: Millis(u64::MAX),
+            ahead: Millis(1),
+            kept: Millis(u64::MAX),
+        }),
+    },
+];
+
+#[test]
+fn a_window_is_shorter_than_the_log() {
+    for case in LIMITS {
+        let limits = Limits::new(Millis(case.window), Millis(case.ahead), Millis(case.kept));
+        assert_eq!(
+            limits.err(),
+            case.error,
+            "{} {} {}",
+            case.window,
+            case.ahead,
+            case.kept
+        );
+    }
+}
+
+struct CallCase {
+    method: &'static str,
+    path: &'static str,
+    body: &'static [u8],
+}
+
+const CALLS: &[CallCase] = &[
+    CallCase {
+        method: "POST",
+        path: "/holds",
+        body: b"1",
+    },
+    CallCase {
+        method: "PUT",
+        path: "/holds",
+        body: b"1",
+    },
+    CallCase {
+        method: "POST",
+        path: "/holds1",
+        body: b"",
+    },
+    CallCase {
+        method: "POST",
+        path: "/hold",
+        body: b"s1",
+    },
+    CallCase {
+        method: "POST/",
+        path: "holds",
+        body: b"1",
+    },
+];
+
+#[test]
+fn digests_tell_calls_apart() {
+    let digest = |c: &CallCase| Digest::of_call(c.method, c.path, c.body).to_string();
+    let digests: std::collections::BTreeSet<String> = CALLS.iter().map(digest).collect();
+    assert_eq!(digests.len(), CALLS.len());
+}
+
+struct BodyCase {
+    body: &'static [u8],
+    limit: usize,
+    whole: bool,
+}
+
+const BODIES: &[BodyCase] = &[
+    BodyCase {
+        body: b"",
+        limit: 0,
+        whole: true,
+    },
+    BodyCase {
+        body: b"held",
+        limit: 4,
+        whole: true,
+    },
+    BodyCase {
+        body: b"held!",
+        limit: 4,
+        whole: false,
+    },
+];
+
+#[test]
+fn large_bodies_are_kept_as_digests() {
+    for case in BODIES {
+        let answer = Answer::new(200, Vec::new(), case.body, case.limit);
+        let large = Body::Large {
+            digest: Digest::of(case.body),
+            bytes: case.body.len() as u64,
+        };
+        let expected = if case.whole {
+            Body::Whole(case.body.to_vec())
+        } else {
+            large
+        };
+        assert_eq!(answer.body, expected, "{:?}", case.body);
+    }
+}
