--- a/crates/policy/src/load_order/bids.rs
+++ b/crates/policy/src/load_order/bids.rs
@@ -37,14 +37,28 @@
         self.sides.retain(|_, e| e.at >= since);
     }
 
-    /// Side whose bid is the most urgent: most requests per load, then the longest wait.
+    /// Side whose bid is the most urgent.
     pub(super) fn first(&self, now: Millis) -> Option<UpstreamIx> {
-        self.sides
+        let ranked = self
+            .sides
             .iter()
-            .max_by_key(|(side, e)| {
-                let waited = e.bid.waited + now.since(e.at);
-                (e.bid.waiting, waited, Reverse(**side))
-            })
-            .map(|(side, _)| *side)
+            .map(|(side, e)| (rank(*side, e, now), *side));
+        ranked.max().map(|(_, side)| side)
     }
+
+    /// Number of bids that are more urgent than the side's.
+    pub(super) fn before(&self, side: UpstreamIx, now: Millis) -> u64 {
+        let Some(own) = self.sides.get(&side).map(|e| rank(side, e, now)) else {
+            return 0;
+        };
+        let others = self.sides.iter();
+        let before = others.filter(|(other, e)| rank(**other, e, now) > own);
+        before.count() as u64
+    }
+}
+
+/// Most requests per load, then the longest wait.
+fn rank(side: UpstreamIx, entry: &Entry, now: Millis) -> (u32, Millis, Reverse<UpstreamIx>) {
+    let waited = entry.bid.waited + now.since(entry.at);
+    (entry.bid.waiting, waited, Reverse(side))
 }
--- a/crates/policy/src/load_order/mod.rs
+++ b/crates/policy/src/load_order/mod.rs
@@ -53,7 +53,7 @@
         let Some(bid) = bid else {
             self.bids.remove(side);
             self.end(side, now);
-            return self.wait(now);
+            return self.wait(side, now);
         };
         self.drop_stale(now);
         if let Some(holder) = self.holder.filter(|h| h.side == side) {
@@ -68,7 +68,7 @@
             self.bids.remove(side);
             return self.grant(side, bid.lora, now, now);
         }
-        self.wait(now)
+        self.wait(side, now)
     }
 
     /// A side is gone: its turn and its bid end.
@@ -122,11 +122,13 @@
         }
     }
 
-    /// When to bid again: about when the turn is expected to end.
-    fn wait(&self, now: Millis) -> LoadTurn {
+    /// When to bid again: when the side's turn is expected to come, the loads before it counted.
+    fn wait(&self, side: UpstreamIx, now: Millis) -> LoadTurn {
         let end = self.holder.map(|h| h.since + self.pace.load());
         let left = end.map_or(Millis(0), |at| at.since(now));
-        let again = left.clamp(self.options.shortest, self.options.longest);
+        let before = self.bids.before(side, now);
+        let turn = left + Millis(self.pace.load().0 * before);
+        let again = turn.clamp(self.options.shortest, self.options.longest);
         LoadTurn::Wait { again_ms: again.0 }
     }
 }
--- a/crates/policy/src/load_order/options.rs
+++ b/crates/policy/src/load_order/options.rs
@@ -20,7 +20,7 @@
         Self {
             load: Millis(500),
             fresh: Millis(1_000),
-            shortest: Millis(20),
+            shortest: Millis(5),
             longest: Millis(200),
         }
     }
