Hold less for each request: box what is rare, drop the head's buffer early

Cause: a request's future held room for reads of the log and for retries, and its headers kept the connection's first read buffer.

--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -37,6 +37,8 @@
     let mut job = make_job(shared, &call, chat)?;
     job.tokens = read_tokens(&bytes);
     let stream = job.stream;
+    // Its headers hold the connection's first read buffer.
+    drop(call.incoming);
     let mut exchange = Exchange::new(shared, job, call.guard);
     if stream {
         return Ok(streamed(exchange).await);
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -23,6 +23,8 @@
         content: Content::Plain(body),
         ..job
     };
+    // Its headers hold the connection's first read buffer.
+    drop(call.incoming);
     let mut exchange = Exchange::new(shared, job, call.guard);
     let result = exchange.whole().await;
     Ok(finish(exchange, result))
--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -57,7 +57,8 @@
     if current.outage.get().is_some() || current.is_fresh(shared.timer.now(), FRESH) {
         return;
     }
-    refresh(shared).await;
+    // Boxed, as each request would hold room for it.
+    Box::pin(refresh(shared)).await;
 }
 
 /// Reads what the log holds now; during an outage asks other entries.
--- a/crates/entry/src/request/whole.rs
+++ b/crates/entry/src/request/whole.rs
@@ -54,7 +54,7 @@
         loop {
             match self.one_whole().await {
                 Ok(answer) => return self.accept(answer),
-                Err(failure) => self.settle(failure).await?,
+                Err(failure) => Box::pin(self.settle(failure)).await?,
             }
         }
     }
--- a/crates/entry/src/stream/open.rs
+++ b/crates/entry/src/stream/open.rs
@@ -45,7 +45,7 @@
     loop {
         match one_open(exchange).await {
             Ok(begun) => return Ok(begun),
-            Err(failure) => exchange.settle(failure).await?,
+            Err(failure) => Box::pin(exchange.settle(failure)).await?,
         }
     }
 }
@@ -55,7 +55,7 @@
     let body = exchange.job.body();
     let (attempt, head) = exchange.attempt(body, left).await?;
     if head.is_error() {
-        let answer = exchange.collect(attempt, head).await?;
+        let answer = Box::pin(exchange.collect(attempt, head)).await?;
         return Ok(Begun::Whole(answer));
     }
     let mut feed = Feed::new(attempt, &exchange.job);
