--- a/crates/config/examples/fold.rs
+++ b/crates/config/examples/fold.rs
@@ -22,7 +22,7 @@
     println!("parse of {} bytes: {:?}", bytes.len(), start.elapsed());
     let mut fold = Fold::new();
     let change = Change::new(id(0), 0, fold.config(), &config, "bench");
-    let (first, took) = apply(&mut fold, &Record::Change(Box::new(change)));
+    let (first, took) = apply(&mut fold, Record::Change(Box::new(change)).to_bytes());
     println!("first change: {first} bytes, {took:?}");
     measure_changes(&mut fold, config);
     measure_snapshot(&mut fold);
@@ -33,7 +33,7 @@
     let mut bytes = 0;
     for i in 1..=CHANGES {
         let record = change(fold, &mut config, i);
-        let (size, took) = apply(fold, &record);
+        let (size, took) = apply(fold, record.to_bytes());
         bytes += size;
         times.push(took);
     }
@@ -57,8 +57,8 @@
     let copy = Fold::from_snapshot(&bytes).expect("own snapshot");
     println!("start from {} bytes: {:?}", bytes.len(), start.elapsed());
     assert_eq!(copy.digest(), fold.digest());
-    let record = Record::Snapshot(Box::new(copy.snapshot()));
-    let (_, took) = apply(fold, &record);
+    let record = copy.snapshot_record();
+    let (_, took) = apply(fold, record);
     println!("check of a snapshot record: {took:?}");
 }
 
@@ -90,8 +90,7 @@
     }))
 }
 
-fn apply(fold: &mut Fold, record: &Record) -> (usize, Duration) {
-    let data = record.to_bytes();
+fn apply(fold: &mut Fold, data: Vec<u8>) -> (usize, Duration) {
     let bytes = data.len();
     let record = LogRecord {
         offset: fold.next(),
--- a/crates/config/src/fold/adopt.rs
+++ b/crates/config/src/fold/adopt.rs
@@ -8,9 +8,9 @@
 use super::Fold;
 use super::event::{FoldEvent, GapError, short};
 use super::objection::Objection;
-use super::record::Snapshot;
+use super::record::{Settled, Snapshot};
+use super::view::SnapshotView;
 use super::window::{WINDOW, Window};
-use crate::digest::digest;
 use crate::state::State;
 
 /// A peer's snapshot that can't be used.
@@ -73,7 +73,7 @@
     }
 
     /// Says whether a snapshot record agrees with the state held.
-    pub(super) fn compare(&mut self, record: &LogRecord, snapshot: &Snapshot) -> FoldEvent {
+    pub(super) fn compare(&mut self, record: &LogRecord, snapshot: &SnapshotView) -> FoldEvent {
         if let Some(objection) = self.object(record.offset, snapshot) {
             return FoldEvent::Ignored(objection);
         }
@@ -81,9 +81,14 @@
         FoldEvent::Confirmed
     }
 
-    fn object(&self, offset: u64, snapshot: &Snapshot) -> Option<Objection> {
+    fn object(&self, offset: u64, snapshot: &SnapshotView) -> Option<Objection> {
         let next = snapshot.next;
-        if next > offset || !is_ordered(snapshot) {
+        let numbers = Numbers {
+            revision: snapshot.revision,
+            next,
+            covered: snapshot.mark.covered,
+        };
+        if next > offset || !numbers.fit(&snapshot.window) {
             return Some(Objection::Numbers);
         }
         let Some((revision, known)) = self.window.at(next) else {
@@ -94,7 +99,7 @@
             return Some(Objection::Mismatch { next });
         }
         // Others will start from the body, so that it must be what its digest says.
-        (digest(&snapshot.config) != snapshot.digest).then_some(Objection::Body)
+        (snapshot.sum.digest() != snapshot.digest).then_some(Objection::Body)
     }
 
     fn advance_to(&mut self, snapshot: Snapshot) -> Result<(), Objection> {
@@ -109,7 +114,12 @@
     }
 
     fn build(snapshot: Snapshot) -> Result<Self, Objection> {
-        if !is_ordered(&snapshot) {
+        let numbers = Numbers {
+            revision: snapshot.revision,
+            next: snapshot.next,
+            covered: snapshot.mark.covered,
+        };
+        if !numbers.fit(&snapshot.window) {
             return Err(Objection::Numbers);
         }
         let state = State::new(snapshot.config).map_err(|faults| Objection::Faulty {
@@ -133,13 +143,21 @@
     }
 }
 
-/// Whether a snapshot's numbers may stand together.
-fn is_ordered(snapshot: &Snapshot) -> bool {
-    let window = &snapshot.window;
-    let rising = window.is_sorted_by(|a, b| a.offset < b.offset);
-    let within = window.last().is_none_or(|s| s.offset < snapshot.next);
-    let reached = snapshot.revision <= snapshot.next && snapshot.mark.covered <= snapshot.next;
-    let ids: BTreeSet<_> = window.iter().map(|s| &s.id).collect();
-    let unique = ids.len() == window.len() && window.len() <= WINDOW;
-    rising && within && reached && unique
+/// Numbers of a snapshot.
+struct Numbers {
+    revision: u64,
+    next: u64,
+    covered: u64,
+}
+
+impl Numbers {
+    /// Whether they may stand together, and with the window.
+    fn fit(&self, window: &[Settled]) -> bool {
+        let rising = window.is_sorted_by(|a, b| a.offset < b.offset);
+        let within = window.last().is_none_or(|s| s.offset < self.next);
+        let reached = self.revision <= self.next && self.covered <= self.next;
+        let ids: BTreeSet<_> = window.iter().map(|s| &s.id).collect();
+        let unique = ids.len() == window.len() && window.len() <= WINDOW;
+        rising && within && reached && unique
+    }
 }
--- a/crates/config/src/fold/mod.rs
+++ b/crates/config/src/fold/mod.rs
@@ -21,17 +21,20 @@
 mod change;
 mod due;
 mod event;
+mod items;
 mod objection;
 mod record;
+mod view;
 mod window;
 
-use pumicecleat_types::{LogRecord, encode};
+use pumicecleat_types::LogRecord;
 
 use crate::delta::{Delta, DeltaError};
 use crate::digest::Digest;
 use crate::model::Config;
 use crate::state::State;
 
+use view::RecordView;
 use window::Window;
 
 pub use adopt::SnapshotError;
@@ -120,13 +123,13 @@
         if record.offset < self.next {
             return Ok(FoldEvent::Old);
         }
-        let decoded = Record::from_bytes(&record.data);
         if record.offset > self.next {
-            return match decoded {
+            return match Record::from_bytes(&record.data) {
                 Ok(Record::Snapshot(snapshot)) => self.start(record, *snapshot),
                 _ => self.gap(record),
             };
         }
+        let decoded = RecordView::from_bytes(&record.data);
         if let Err(RecordError::Newer { format }) = decoded {
             let offset = record.offset;
             return Ok(FoldEvent::Newer { offset, format });
@@ -134,8 +137,8 @@
         self.next = record.offset.saturating_add(1);
         self.mark.count(record);
         Ok(match decoded {
-            Ok(Record::Change(change)) => self.judge(record.offset, *change),
-            Ok(Record::Snapshot(snapshot)) => self.compare(record, &snapshot),
+            Ok(RecordView::Change(change)) => self.judge(record.offset, *change),
+            Ok(RecordView::Snapshot(view)) => self.compare(record, &view),
             Err(error) => FoldEvent::Garbage {
                 offset: record.offset,
                 detail: error.to_string(),
@@ -149,7 +152,7 @@
         GapSnafu { wanted, found }.fail()
     }
 
-    /// Whole state for the log or for peers.
+    /// Whole state, with a configuration of its own.
     #[must_use]
     pub fn snapshot(&self) -> Snapshot {
         Snapshot {
@@ -161,10 +164,4 @@
             mark: self.mark.clone(),
         }
     }
-
-    /// Whole state, encoded for peers.
-    #[must_use]
-    pub fn snapshot_bytes(&self) -> Vec<u8> {
-        encode(&self.snapshot())
-    }
 }
--- a/crates/config/src/fold/record.rs
+++ b/crates/config/src/fold/record.rs
@@ -6,12 +6,14 @@
 use std::fmt;
 
 use pumicecleat_types::{CodecError, decode, encode};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_with::{Bytes, serde_as};
 use snafu::{ResultExt, Snafu, ensure};
 
 use super::due::Mark;
 use super::event::Verdict;
+use super::items;
 use crate::delta::Delta;
 use crate::digest::{Digest, digest};
 use crate::model::Config;
@@ -108,6 +110,7 @@
     /// Digest of the configuration.
     pub digest: Digest,
     /// Configuration.
+    #[serde(with = "items")]
     pub config: Config,
     /// Changes settled last, by offset.
     pub window: Vec<Settled>,
@@ -154,9 +157,7 @@
     /// Bytes for the log.
     #[must_use]
     pub fn to_bytes(&self) -> Vec<u8> {
-        let format = FORMAT;
-        let body = encode(self);
-        encode(&Envelope { format, body })
+        seal(self)
     }
 
     /// Record from the log.
@@ -164,8 +165,20 @@
     /// # Errors
     /// [`RecordError`] if it is none, or of a later format.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, RecordError> {
-        let Envelope { format, body } = decode(bytes).context(MalformedSnafu)?;
-        ensure!(format <= FORMAT, NewerSnafu { format });
-        decode(&body).context(MalformedSnafu)
+        open(bytes)
     }
 }
+
+/// Bytes of a record in its envelope.
+pub(super) fn seal<R: Serialize>(record: &R) -> Vec<u8> {
+    let format = FORMAT;
+    let body = encode(record);
+    encode(&Envelope { format, body })
+}
+
+/// Record from its envelope.
+pub(super) fn open<R: DeserializeOwned>(bytes: &[u8]) -> Result<R, RecordError> {
+    let Envelope { format, body } = decode(bytes).context(MalformedSnafu)?;
+    ensure!(format <= FORMAT, NewerSnafu { format });
+    decode(&body).context(MalformedSnafu)
+}
--- a/crates/config/tests/fold/main.rs
+++ b/crates/config/tests/fold/main.rs
@@ -8,7 +8,7 @@
 use proptest::sample::Index;
 use proptest::strategy::ValueTree;
 use proptest::test_runner::TestRunner;
-use pumicecleat_config::Fold;
+use pumicecleat_config::{Fold, Record};
 use pumicecleat_types::LogRecord;
 
 use naive::{Naive, Rule};
@@ -74,7 +74,10 @@
         reader.read(log, 0);
         prop_assert_eq!(reader.differs(world.states.last().unwrap()), None);
         let copy = Fold::from_snapshot(&reader.fold.snapshot_bytes()).unwrap();
-        prop_assert_eq!(copy.snapshot(), reader.fold.snapshot());
+        let snapshot = reader.fold.snapshot();
+        prop_assert_eq!(&copy.snapshot(), &snapshot);
+        let record = Record::from_bytes(&reader.fold.snapshot_record()).ok();
+        prop_assert_eq!(record, Some(Record::Snapshot(Box::new(snapshot))));
     }
 }
 
--- a/crates/config/tests/fold/world.rs
+++ b/crates/config/tests/fold/world.rs
@@ -250,13 +250,13 @@
 }
 
 fn pool(a: u8, b: u8) -> Pool {
-    let kind = if a.is_multiple_of(2) {
+    let kind = if b.is_multiple_of(2) {
         PoolKind::Service { concurrency: 1 }
     } else {
         PoolKind::Model {
-            base: b.to_string().into(),
+            base: a.to_string().into(),
             slots: 1,
-            batch: u32::from(b),
+            batch: u32::from(a),
             fencing: false,
         }
     };
