Mark records so that stray bytes don't stop a fold

Cause: a run of 3,000 cases of the fold's test failed: three bytes, 92 02 90, read as an empty record of format 2, at which every reader would stop. Ruled out: passing over later formats (readers of two versions would differ); leaving such bytes out of the test. Conclusion: an envelope bears a magic text; the table holds the bytes found.

--- a/crates/config/src/fold/adopt.rs
+++ b/crates/config/src/fold/adopt.rs
@@ -6,6 +6,7 @@
 use snafu::{ResultExt, Snafu};
 
 use super::Fold;
+use super::due::Mark;
 use super::event::{FoldEvent, GapError, short};
 use super::objection::Objection;
 use super::record::{Settled, Snapshot};
@@ -83,11 +84,7 @@
 
     fn object(&self, offset: u64, snapshot: &SnapshotView) -> Option<Objection> {
         let next = snapshot.next;
-        let numbers = Numbers {
-            revision: snapshot.revision,
-            next,
-            covered: snapshot.mark.covered,
-        };
+        let numbers = Numbers::new(snapshot.revision, next, &snapshot.mark);
         if next > offset || !numbers.fit(&snapshot.window) {
             return Some(Objection::Numbers);
         }
@@ -114,11 +111,7 @@
     }
 
     fn build(snapshot: Snapshot) -> Result<Self, Objection> {
-        let numbers = Numbers {
-            revision: snapshot.revision,
-            next: snapshot.next,
-            covered: snapshot.mark.covered,
-        };
+        let numbers = Numbers::new(snapshot.revision, snapshot.next, &snapshot.mark);
         if !numbers.fit(&snapshot.window) {
             return Err(Objection::Numbers);
         }
@@ -151,6 +144,15 @@
 }
 
 impl Numbers {
+    fn new(revision: u64, next: u64, mark: &Mark) -> Self {
+        let covered = mark.covered;
+        Self {
+            revision,
+            next,
+            covered,
+        }
+    }
+
     /// Whether they may stand together, and with the window.
     fn fit(&self, window: &[Settled]) -> bool {
         let rising = window.is_sorted_by(|a, b| a.offset < b.offset);
--- a/crates/config/src/fold/record.rs
+++ b/crates/config/src/fold/record.rs
@@ -20,6 +20,7 @@
 
 /// Format of records, raised with any change of what they hold or of how digests are made.
 const FORMAT: u32 = 1;
+const MAGIC: &str = "pumicecleat config record";
 const ID_LEN: usize = 64;
 
 /// Unique id of a change, given by its author; at most 64 bytes, not empty.
@@ -131,6 +132,7 @@
 #[serde_as]
 #[derive(Serialize, Deserialize)]
 struct Envelope {
+    magic: String,
     format: u32,
     #[serde_as(as = "Bytes")]
     body: Vec<u8>,
@@ -145,6 +147,9 @@
         /// Format.
         format: u32,
     },
+    /// Something else in an envelope alike.
+    #[snafu(display("step record: no record of this stream"))]
+    Foreign,
     /// Not a record.
     #[snafu(display("step record: {source}"))]
     Malformed {
@@ -171,14 +176,22 @@
 
 /// Bytes of a record in its envelope.
 pub(super) fn seal<R: Serialize>(record: &R) -> Vec<u8> {
-    let format = FORMAT;
-    let body = encode(record);
-    encode(&Envelope { format, body })
+    encode(&Envelope {
+        magic: MAGIC.to_owned(),
+        format: FORMAT,
+        body: encode(record),
+    })
 }
 
 /// Record from its envelope.
 pub(super) fn open<R: DeserializeOwned>(bytes: &[u8]) -> Result<R, RecordError> {
-    let Envelope { format, body } = decode(bytes).context(MalformedSnafu)?;
+    let envelope: Envelope = decode(bytes).context(MalformedSnafu)?;
+    let Envelope {
+        magic,
+        format,
+        body,
+    } = envelope;
+    ensure!(magic == MAGIC, ForeignSnafu);
     ensure!(format <= FORMAT, NewerSnafu { format });
     decode(&body).context(MalformedSnafu)
 }
--- a/crates/config/tests/tables.rs
+++ b/crates/config/tests/tables.rs
@@ -316,23 +316,45 @@
     assert!(matches!(fold.apply(&again), Ok(FoldEvent::Refused { .. })));
 }
 
-/// A record of a later format stops the fold until the process is upgraded, whatever follows.
+struct EnvelopeCase {
+    data: Vec<u8>,
+    /// Stops the fold; else it is garbage, which the fold passes over.
+    stops: bool,
+}
+
+/// A record of a later format stops the fold until the process is upgraded, whatever follows;
+/// stray bytes don't.
 #[test]
 fn later_format_stops() {
-    let mut fold = Fold::new();
-    let first = change(&fold, 0, 0, &sample());
-    let data = encode(&serde_json::json!({ "format": 2, "body": [1, 2] }));
-    let later = LogRecord {
-        data,
-        ..first.clone()
+    let envelope = |magic, format| {
+        let fields = serde_json::json!({ "magic": magic, "format": format, "body": [1, 2] });
+        encode(&fields)
     };
-    assert!(matches!(
-        fold.apply(&later),
-        Ok(FoldEvent::Newer { format: 2, .. })
-    ));
-    let next = LogRecord { offset: 1, ..first };
-    assert!(fold.apply(&next).is_err());
-    assert_eq!((fold.next(), fold.revision()), (0, 0));
+    let magic = "pumicecleat config record";
+    #[rustfmt::skip]
+    let cases = [
+        EnvelopeCase { data: envelope(magic, 2), stops: true },
+        EnvelopeCase { data: envelope(magic, 1), stops: false },
+        EnvelopeCase { data: envelope("another", 2), stops: false },
+        EnvelopeCase { data: vec![146, 2, 144], stops: false },
+    ];
+    for (i, case) in cases.into_iter().enumerate() {
+        let mut fold = Fold::new();
+        let first = change(&fold, 0, 0, &sample());
+        let (at, data) = (0, case.data);
+        let event = fold
+            .apply(&LogRecord {
+                offset: 0,
+                at,
+                data,
+            })
+            .unwrap();
+        let stopped = matches!(event, FoldEvent::Newer { format: 2, .. });
+        assert_eq!(stopped, case.stops, "case {i}: {event:?}");
+        let next = fold.apply(&LogRecord { offset: 1, ..first });
+        assert_eq!(next.is_err(), case.stops);
+        assert_eq!(fold.revision() == 0, case.stops);
+    }
 }
 
 const RETENTION: u64 = 400_000;
