Put changes of pools, weights and the window in force at running sides

Cause: a side took its queue's options and its window once, at its start, so that a change of them was not in force until the process was replaced. Ruled out: changing a live ledger's window in place (what it has forgotten can't come back); the stream is read anew instead, once no own attempt is under way. Run: the new test failed against the sides of the commit before, and passes now.

--- a/crates/cli/tests/path.rs
+++ b/crates/cli/tests/path.rs
@@ -232,3 +232,27 @@
     fleet.until_ready();
     assert!(from.elapsed().as_secs() < 5, "{:?}", from.elapsed());
 }
+
+#[test]
+fn a_changed_pool_and_window_are_in_force_at_the_sides() {
+    let fleet = Fleet::start(&FleetOptions::default());
+    let folder = Folder::new("tune");
+    let text = std::fs::read_to_string(sample("demo.toml")).unwrap();
+    let text = text
+        .replace("slots = 2", "slots = 1")
+        .replace("window_s = 43200", "window_s = 3600");
+    let file = folder.write("tuned.toml", &text);
+    assert_eq!(fleet.hold(0, "before", "{}").status, 200);
+    let out = operate(&["apply", "--log", &fleet.log.address, &file]);
+    assert!(out.status.success(), "{out:?}");
+    until("the sides of engines have fewer slots", || {
+        let dump = get(&fleet.sides["engine-0"].admin, "/dump").json();
+        dump["queue"]["load"]["slots"] == 1
+    });
+    until("the side of the service has another window", || {
+        let dump = get(&fleet.sides["booking-0"].admin, "/dump").json();
+        dump["keys"]["limits"]["window"] == 3_600_000 && dump["keys"]["caught_up"] == true
+    });
+    assert_eq!(fleet.hold(0, "before", "{}").json()["effect"], 1);
+    assert_eq!(fleet.effects("before"), 1);
+}
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Takes new slots, batch, queue and weights; what was learned stays, and nothing resident is
+    /// unloaded for fewer slots before its place is wanted.
+    pub fn retune(&mut self, options: SchedulerOptions) {
+        self.options = options;
+        self.residency.set_slots(options.slots);
+    }
+
     /// Takes a request in, to be sent or refused by a later poll.
     ///
     /// # Errors
--- a/crates/policy/src/scheduler/residency.rs
+++ b/crates/policy/src/scheduler/residency.rs
@@ -35,6 +35,10 @@
         }
     }
 
+    pub(super) fn set_slots(&mut self, slots: u32) {
+        self.slots = slots as usize;
+    }
+
     /// Whether requests may be sent to it.
     pub(super) fn ready(&self, lora: LoraIx) -> bool {
         self.held.get(&lora).is_some_and(|s| !s.leaving)
--- a/crates/side/src/config.rs
+++ b/crates/side/src/config.rs
@@ -179,5 +179,6 @@
                 .readiness
                 .fail(CONFIG, "it does not declare this side's pool"),
         }
+        self.retune();
     }
 }
--- a/crates/side/src/keys/mod.rs
+++ b/crates/side/src/keys/mod.rs
@@ -36,7 +36,9 @@
     log: Rc<dyn Log>,
     events: EventLog,
     timer: Timer,
-    limits: Limits,
+    limits: Cell<Limits>,
+    /// Since when the ledger has been one for other limits.
+    outdated: Cell<Option<Millis>>,
     /// The log answered last.
     up: Cell<bool>,
     waiting: RefCell<BTreeMap<Attempt, Sender<Event>>>,
@@ -82,7 +84,8 @@
             log: Rc::clone(parts.log),
             events: parts.events.clone(),
             timer: parts.timer.clone(),
-            limits,
+            limits: Cell::new(limits),
+            outdated: Cell::new(None),
             up: Cell::new(true),
             waiting: RefCell::default(),
             outbox: RefCell::default(),
@@ -98,6 +101,14 @@
         keys
     }
 
+    /// Takes new limits; the stream is read anew for them.
+    pub(crate) fn set_limits(&self, limits: Limits) {
+        if self.state.limits.replace(limits) != limits {
+            let now = self.state.timer.now();
+            self.state.outdated.set(Some(now));
+        }
+    }
+
     /// Notes that a call goes to the service now.
     pub(crate) fn sent(&self, won: Won) -> Result<Sent, StepError> {
         self.state.ledger.borrow_mut().sent(won, wall_clock())
--- a/crates/side/src/keys/reader.rs
+++ b/crates/side/src/keys/reader.rs
@@ -5,7 +5,7 @@
 use pumicecleat_ledger::{Event, Ledger, Span};
 use pumicecleat_ops::{events, field};
 use pumicecleat_platform::{Batch, ReadError};
-use pumicecleat_types::LogRecord;
+use pumicecleat_types::{LogRecord, Millis};
 
 use super::Keys;
 use crate::state::wall_clock;
@@ -13,12 +13,18 @@
 const BATCH: u32 = 1_000;
 const WAIT: Duration = Duration::from_secs(2);
 const PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for own attempts to end before the ledger is made anew.
+const PATIENCE: Millis = Millis(10_000);
 
 impl Keys {
     /// Follows the stream; never ends.
     pub(super) async fn follow(&self) {
         self.begin().await;
         loop {
+            if self.is_due_anew() {
+                self.state.outdated.set(None);
+                self.begin().await;
+            }
             let next = self.state.ledger.borrow().next();
             match self.read_from(next, WAIT).await {
                 Ok(batch) => self.take(&batch.records),
@@ -30,6 +36,17 @@
         }
     }
 
+    /// Whether to start over for other limits: once no own attempt is under way, whose outcome
+    /// would be lost, or after a while all the same.
+    fn is_due_anew(&self) -> bool {
+        let Some(since) = self.state.outdated.get() else {
+            return false;
+        };
+        let dump = self.state.ledger.borrow().dump();
+        let idle = dump.own.is_empty() && dump.owed == 0;
+        idle || self.state.timer.now().since(since) > PATIENCE
+    }
+
     /// Finds what the stream holds at this side's start.
     async fn begin(&self) {
         loop {
@@ -48,7 +65,7 @@
         let mut owner = ledger.dump().owner;
         // Numbers of attempts start over, so that they need a name of their own in the log.
         owner.incarnation += 1;
-        *ledger = Ledger::new(owner, self.state.limits, Span { first, end });
+        *ledger = Ledger::new(owner, self.state.limits.get(), Span { first, end });
         drop(ledger);
         // A dropped sender ends its attempt's wait, which finds the attempt closed.
         self.state.waiting.borrow_mut().clear();
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -35,6 +35,7 @@
 mod start;
 mod state;
 mod station;
+mod tune;
 mod watch;
 
 pub use dump::SideDump;
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 
 use monoio::net::TcpListener;
-use pumicecleat_config::model::{Pool, PoolKind, Tuning};
-use pumicecleat_ledger::{LimitError, Limits};
+use pumicecleat_config::model::PoolKind;
+use pumicecleat_ledger::LimitError;
 use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer, bind, bind_exclusive};
 use pumicecleat_ops::{Admin, Drain, DrainEnd, Log, Metrics, Readiness, Stop, events, field};
 use pumicecleat_platform::{HttpLog, HttpVms, Log as PlatformLog, Peers};
-use pumicecleat_policy::{SchedulerOptions, Weights};
-use pumicecleat_types::{Millis, ServiceId};
+use pumicecleat_types::ServiceId;
 use pumicecleat_upstream::{HttpService, VllmEngine};
 use snafu::{ResultExt, Snafu};
 
@@ -36,14 +35,6 @@
 const ANSWER_LIMIT: u64 = 16 << 20;
 /// Time between two looks for the pool's declaration.
 const PAUSE: Duration = Duration::from_millis(50);
-/// How far a key's time may lie ahead of this VM's clock.
-const AHEAD: Millis = Millis(60_000);
-/// Expected time of a load until some have been seen: the store gives about two a second.
-const FIRST_LOAD: Millis = Millis(500);
-/// Expected time of a token until some answers have been seen, microseconds.
-const FIRST_TOKEN: u32 = 12_000;
-/// Expected time of a call of a plain service until some have been seen, microseconds.
-const FIRST_CALL: u32 = 20_000;
 
 /// A side that could not start.
 #[derive(Debug, Snafu)]
@@ -229,7 +220,7 @@
         }
         state.timer.sleep(PAUSE).await;
     };
-    let (station, outlets) = Station::new_ext(options(&state, &pool), &state.timer);
+    let (station, outlets) = Station::new_ext(state.scheduler_options(&pool), &state.timer);
     let driven = station.clone();
     monoio::spawn(async move { driven.drive(outlets.changed).await });
     let upstream = match pool.kind {
@@ -255,7 +246,7 @@
 }
 
 fn service(state: &State) -> Result<Upstream, LimitError> {
-    let limits = key_limits(state)?;
+    let limits = state.key_limits()?;
     let peer = state.settings.upstream.to_string();
     let service = Rc::new(HttpService::new(
         &state.client,
@@ -274,45 +265,3 @@
     let keys = Keys::start(&name, state.vm(), state.incarnation, limits, &parts);
     Ok(Upstream::Service(service, keys))
 }
-
-/// Limits of keys; a window that the log does not outlast is refused.
-fn key_limits(state: &State) -> Result<Limits, LimitError> {
-    let declared = state.config.with(|c| Some(c.limits.window_s)).unwrap_or(0);
-    let window = Millis(declared.saturating_mul(1_000));
-    Limits::new(window, AHEAD, millis(state.settings.retention.0))
-}
-
-fn options(state: &State, pool: &Pool) -> SchedulerOptions {
-    let tuning = state.config.with(|c| Some(c.tuning)).unwrap_or_default();
-    let weights = weights(tuning);
-    let queue = pool.queue;
-    match &pool.kind {
-        PoolKind::Model { slots, batch, .. } => SchedulerOptions {
-            slots: *slots,
-            batch: *batch,
-            queue,
-            weights,
-            load: FIRST_LOAD,
-            token_us: FIRST_TOKEN,
-        },
-        PoolKind::Service { concurrency } => SchedulerOptions {
-            slots: 0,
-            batch: *concurrency,
-            queue,
-            weights,
-            load: FIRST_LOAD,
-            token_us: FIRST_CALL,
-        },
-    }
-}
-
-fn weights(tuning: Tuning) -> Weights {
-    Weights {
-        stall: tuning.stall,
-        batch: tuning.batch,
-    }
-}
-
-fn millis(span: Duration) -> Millis {
-    Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
-}
--- a/crates/side/src/station/mod.rs
+++ b/crates/side/src/station/mod.rs
@@ -227,6 +227,12 @@
         self.pump();
     }
 
+    /// Takes new options.
+    pub(crate) fn retune(&self, options: SchedulerOptions) {
+        self.state.scheduler.borrow_mut().retune(options);
+        self.pump();
+    }
+
     /// Load.
     pub(crate) fn figures(&self) -> LoadFigures {
         self.state.scheduler.borrow().figures()
