--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -45,7 +45,8 @@
             peers::ask(&shared).await;
             shared.timer.sleep(PAUSE).await;
         } else if shared.current.next() == before {
-            // A log that does not wait by itself must not be asked in a hurry.
+            // Neither a log that does not wait by itself nor a record that can't be judged may
+            // make this loop spin.
             shared.timer.sleep(SHORT_PAUSE).await;
         }
     }
@@ -146,6 +147,7 @@
             let fields = [revision, offset, field("reason", cause)];
             shared.log.emit(&events::CONFIG_REFUSED, &fields);
         }
+        FoldEvent::Newer { format, .. } => note_newer(shared, record.offset, *format),
         FoldEvent::Garbage { detail, .. } => {
             let fields = [offset, field("error", detail)];
             shared.log.emit(&events::RECORD_BAD, &fields);
@@ -159,6 +161,17 @@
     shared.current.next() > record.offset || matches!(event, FoldEvent::Started { .. })
 }
 
+/// Logs once that this process can't follow. It serves on by the revision held; sides that know
+/// more refuse what differs.
+fn note_newer(shared: &Shared, offset: u64, format: u32) {
+    if shared.current.newer.replace(Some(offset)) == Some(offset) {
+        return;
+    }
+    let error = format!("format {format} is newer than this program");
+    let fields = [field("offset", offset), field("error", &error)];
+    shared.log.emit(&events::RECORD_BAD, &fields);
+}
+
 /// Notes that a newer revision is in force.
 pub(super) fn in_force(shared: &Shared, source: &str) {
     let revision = shared.current.revision();
--- a/crates/entry/src/config/mod.rs
+++ b/crates/entry/src/config/mod.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Current {
     state: RefCell<State>,
     confirmed: Cell<Option<Millis>>,
+    /// Offset of a record that only a later version of this program can judge.
+    newer: Cell<Option<u64>>,
     outage: Cell<Option<Millis>>,
 }
 
@@ -119,7 +121,7 @@
         let mut state = self.state.borrow_mut();
         let event = state.fold.apply(record)?;
         match &event {
-            FoldEvent::Old => {}
+            FoldEvent::Old | FoldEvent::Newer { .. } => {}
             FoldEvent::Started { .. } => state.restart(),
             FoldEvent::Accepted { touched, .. } => {
                 state.recent.push(record);
--- a/crates/entry/src/directory/expire.rs
+++ b/crates/entry/src/directory/expire.rs
@@ -12,7 +12,7 @@
 /// Time between two looks.
 const PACE: Duration = Duration::from_secs(1);
 
-/// Age of a report from which on its side counts as silent.
+/// Age of a report from which on its side counts as silent, beyond the reports it may miss.
 const SILENT: Millis = Millis(15_000);
 
 /// A side that fell silent.
@@ -44,6 +44,8 @@
 impl Directory {
     /// Moves silent sides behind the others, and forgets them later.
     fn expire(&mut self, now: Millis) -> Vec<Silence> {
+        // Where reports are rare, more time passes before one is missed.
+        let now = now.since(self.patience());
         for up in self.router.expire(now) {
             let place = self.by_index.get_mut(up.0 as usize);
             if let Some(vm) = place.and_then(Option::take) {
--- a/crates/entry/src/directory/mod.rs
+++ b/crates/entry/src/directory/mod.rs
@@ -36,6 +36,8 @@
     /// VM of each upstream in use, by index.
     by_index: Vec<Option<VmId>>,
     listed: Listed,
+    /// Time between two reports of a side.
+    pace: Millis,
 }
 
 /// Where one attempt goes.
@@ -70,6 +72,7 @@
             sides: BTreeMap::new(),
             by_index: Vec::new(),
             listed: Listed::default(),
+            pace: Millis(0),
         }
     }
 
--- a/crates/entry/src/directory/report.rs
+++ b/crates/entry/src/directory/report.rs
@@ -13,8 +13,8 @@
 /// Shortest time between two reports of a side.
 const SHORTEST: Millis = Millis(500);
 
-/// Longest time between two reports of a side: it is suspect after twice that.
-const LONGEST: Millis = Millis(7_000);
+/// Longest time between two reports of a side.
+const LONGEST: Millis = Millis(60_000);
 
 /// Reports missed from which on a side is overdue.
 const MISSED: u64 = 3;
@@ -125,7 +125,7 @@
             loading,
             revision: report.revision,
             seen: now,
-            next: LONGEST,
+            next: self.pace,
             silent: false,
         }
     }
@@ -159,8 +159,9 @@
         Some(self.lora(&lora))
     }
 
-    /// Notes when a side was told to report next.
+    /// Notes when a side was told to report next, which is the pace of all.
     pub(crate) fn expect(&mut self, vm: &VmId, next: Millis) {
+        self.pace = next;
         if let Some(side) = self.sides.get_mut(vm) {
             side.next = next;
         }
@@ -169,7 +170,12 @@
     /// Whether a side has missed several reports.
     pub(crate) fn is_overdue(&self, vm: &VmId, now: Millis) -> bool {
         let side = self.sides.get(vm);
-        side.is_none_or(|s| now.since(s.seen).0 > s.next.0 * MISSED + SHORTEST.0)
+        side.is_none_or(|s| now.since(s.seen) > missed(s.next) + SHORTEST)
+    }
+
+    /// Time beyond which reports are missed, at the pace that holds now.
+    pub(super) fn patience(&self) -> Millis {
+        missed(self.pace)
     }
 
     /// Index of an upstream: the one it has, or a free one.
@@ -190,6 +196,10 @@
     }
 }
 
+fn missed(pace: Millis) -> Millis {
+    Millis(pace.0.saturating_mul(MISSED))
+}
+
 /// Whether a report says less than what is known.
 fn is_old(side: &Side, report: &Report) -> bool {
     let same = report.incarnation == side.incarnation;
--- a/crates/entry/tests/entry/config.rs
+++ b/crates/entry/tests/entry/config.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use pumicecleat_config::Record;
 use pumicecleat_entry::{Entry, Parts};
 use pumicecleat_platform::{AppendError, Appended, Batch, Local, Log, ReadError};
 use pumicecleat_standin::LogFaults;
@@ -61,6 +62,21 @@
     });
 }
 
+/// A snapshot stands in the log before what it covers is trimmed.
+#[test]
+fn appends_a_snapshot_when_one_is_due() {
+    case(|| async {
+        let world = World::new().await;
+        let _started = world.start_ready(&["--retention", "2s"]).await;
+        let from = world.next();
+        let wait = Duration::from_secs(5);
+        let records = world.records();
+        let batch = records.read("config", from, 1, wait).await.unwrap();
+        let record = Record::from_bytes(&batch.records[0].data).unwrap();
+        assert!(matches!(record, Record::Snapshot(s) if s.next == from));
+    });
+}
+
 #[test]
 fn serves_on_during_an_outage() {
     case(|| async {
--- a/crates/entry/tests/entry/faults.rs
+++ b/crates/entry/tests/entry/faults.rs
@@ -209,3 +209,18 @@
         }
     });
 }
+
+/// An answer over the limit is not held in memory to its end, nor passed on in part.
+#[test]
+fn bounds_whole_answers() {
+    case(|| async {
+        let world = World::new().await;
+        let started = world.start_ready(&["--answer", "64"]).await;
+        let mut script = vec![Act::Head];
+        script.extend(vec![Act::Bytes("0123456789abcdef"); 100]);
+        script.push(Act::End);
+        world.sides(&started, POOL, 1, &[script]).await;
+        let told = world.caller(&started).chat(false).await;
+        assert_eq!((told.status, told.error().1.as_str()), (502, "yes"));
+    });
+}
