--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -220,6 +220,18 @@
     shared.log.emit(&events::LOG_UP, &fields);
 }
 
+/// Reads the log at once, as a side holds a newer revision; one read serves all that say so.
+pub(crate) fn catch_up(shared: &Rc<Shared>) {
+    if shared.current.catching_up.replace(true) {
+        return;
+    }
+    let shared = Rc::clone(shared);
+    monoio::spawn(async move {
+        refresh(&shared).await;
+        shared.current.catching_up.set(false);
+    });
+}
+
 impl Current {
     /// Whether another process speaks of a newer revision than the one in force here.
     pub(crate) fn is_behind(&self, revision: u64) -> bool {
--- a/crates/entry/src/config/mod.rs
+++ b/crates/entry/src/config/mod.rs
@@ -16,7 +16,7 @@
 use pumicecleat_types::{CallerId, ConfigAsk, ConfigReply, LogRecord, Millis};
 use serde::{Deserialize, Serialize};
 
-pub(crate) use follow::{CONDITION, ensure_fresh, follow, refresh};
+pub(crate) use follow::{CONDITION, catch_up, ensure_fresh, follow, refresh};
 pub(crate) use snapshots::append_snapshots;
 
 use recent::Recent;
@@ -32,6 +32,8 @@
     /// Offset of a record that only a later version of this program can judge.
     newer: Cell<Option<u64>>,
     outage: Cell<Option<Millis>>,
+    /// A read for a side that is ahead is under way.
+    catching_up: Cell<bool>,
 }
 
 #[derive(Default)]
--- a/crates/entry/src/peer/report.rs
+++ b/crates/entry/src/peer/report.rs
@@ -8,7 +8,7 @@
 use pumicecleat_types::{Report, ReportReply};
 
 use super::Message;
-use crate::config::refresh;
+use crate::config::catch_up;
 use crate::directory::{Pace, Taken};
 use crate::shared::Shared;
 
@@ -67,9 +67,3 @@
     ];
     shared.log.emit(&events::SIDE_SEEN, &fields);
 }
-
-/// Reads the log at once: a side holds a newer revision than this entry.
-fn catch_up(shared: &Rc<Shared>) {
-    let shared = Rc::clone(shared);
-    monoio::spawn(async move { refresh(&shared).await });
-}
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -3,24 +3,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Method};
 use pumicecleat_net::{FrameError, FrameReader, NetError, Sent};
-use pumicecleat_policy::{LoraIx, Outcome, UpstreamIx};
-use pumicecleat_types::{
-    Frame, HeaderField, LoadFigures, Millis, Ran, Reason, RunHead, RunRequest, encode,
-};
+use pumicecleat_policy::Outcome;
+use pumicecleat_types::{Frame, HeaderField, LoadFigures, Ran};
 use pumicecleat_upstream::Expect;
 
 use super::failure::Loss;
+use super::outgoing::Outgoing;
+use super::sent::SentGuard;
 use super::{Failure, Job};
 use crate::directory::Destination;
 use crate::shared::Shared;
 
-/// Path of the exchange.
-const PATH: &str = "/peer/v1/run";
-
 /// Time for a side to take a connection and answer its head, which it does at once.
 const HEAD_SPAN: Duration = Duration::from_secs(1);
 
@@ -69,23 +63,6 @@
     End(Option<LoadFigures>),
 }
 
-/// Counts an attempt with the router until it ends.
-struct SentGuard {
-    shared: Rc<Shared>,
-    up: UpstreamIx,
-    lora: Option<LoraIx>,
-    outcome: Option<Outcome>,
-}
-
-/// An attempt to send.
-pub(crate) struct Outgoing<'a> {
-    pub(crate) job: &'a Job,
-    pub(crate) destination: Destination,
-    pub(crate) number: u32,
-    pub(crate) left: Millis,
-    pub(crate) body: Vec<u8>,
-}
-
 impl Attempt {
     /// Sends an attempt and waits for the start of its answer.
     pub(crate) async fn open(
@@ -262,64 +239,6 @@
     }
 }
 
-impl Outgoing<'_> {
-    fn into_request(self) -> http::Request<Bytes> {
-        let job = self.job;
-        let message = RunRequest {
-            head: RunHead {
-                request: job.request.clone(),
-                attempt: self.number,
-                pool: job.resolved.pool.clone(),
-                revision: job.resolved.revision,
-                caller: job.caller.clone(),
-                target: job.resolved.target.clone(),
-                left_ms: self.left.0,
-                priority: job.priority,
-                stream: job.stream,
-                tokens: job.tokens,
-                key: job.key.clone(),
-            },
-            body: self.body,
-        };
-        let mut request = http::Request::new(Bytes::from(encode(&message)));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = http::Uri::from_static(PATH);
-        let kind = HeaderValue::from_static("application/msgpack");
-        request.headers_mut().insert(CONTENT_TYPE, kind);
-        request
-    }
-}
-
-impl SentGuard {
-    fn new(shared: &Rc<Shared>, up: UpstreamIx, lora: Option<LoraIx>) -> Self {
-        let now = shared.timer.now();
-        shared.directory.borrow_mut().sent(up, lora, now);
-        shared.meters.attempt();
-        Self {
-            shared: Rc::clone(shared),
-            up,
-            lora,
-            outcome: None,
-        }
-    }
-
-    fn fail(&mut self, failure: Failure) -> Failure {
-        self.outcome = Some(failure.outcome());
-        failure
-    }
-}
-
-impl Drop for SentGuard {
-    fn drop(&mut self) {
-        let now = self.shared.timer.now();
-        // An attempt given up tells nothing of its upstream; this reason only ends it.
-        let given_up = Outcome::Refused(Reason::Deadline, None);
-        let outcome = self.outcome.unwrap_or(given_up);
-        let mut directory = self.shared.directory.borrow_mut();
-        directory.ended(self.up, self.lora, outcome, now);
-    }
-}
-
 fn net_failure(error: &NetError) -> Failure {
     let ran = match error.sent() {
         Sent::No => Ran::No,
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -8,7 +8,7 @@
 use pumicecleat_policy::Ask;
 use pumicecleat_types::{Millis, Ran};
 
-use super::attempt::Outgoing;
+use super::outgoing::Outgoing;
 use super::{AnswerHead, Attempt, Course, Failure, Job};
 use crate::directory::{Chosen, Destination};
 use crate::fault::{Fault, RETRY};
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -1,15 +1,18 @@
 //! One request: attempts at sides until one is answered whole, or a truthful fault.
 //!
 //! `job` is what the caller asked, `course` what became of it so far, `resolve` finds its target in
-//! the configuration. `attempt` sends one attempt and reads its frames, `failure` tells how one
-//! failed, `settle` decides what follows, `whole` collects an answer that is not streamed.
+//! the configuration. `attempt` makes one attempt and reads its frames: `outgoing` is what it sends,
+//! `sent` counts it with the router. `failure` tells how one failed, `settle` decides what follows,
+//! `whole` collects an answer that is not streamed.
 
 mod attempt;
 mod course;
 mod exchange;
 mod failure;
 mod job;
+mod outgoing;
 mod resolve;
+mod sent;
 mod settle;
 mod whole;
 
