--- a/crates/config/src/fold/record.rs
+++ b/crates/config/src/fold/record.rs
@@ -6,18 +6,21 @@
 use std::fmt;
 
 use pumicecleat_types::{CodecError, decode, encode};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_with::{Bytes, serde_as};
 use snafu::{ResultExt, Snafu, ensure};
 
 use super::due::Mark;
 use super::event::Verdict;
+use super::items;
 use crate::delta::Delta;
 use crate::digest::{Digest, digest};
 use crate::model::Config;
 
 /// Format of records, raised with any change of what they hold or of how digests are made.
 const FORMAT: u32 = 1;
+const MAGIC: &str = "pumicecleat config record";
 const ID_LEN: usize = 64;
 
 /// Unique id of a change, given by its author; at most 64 bytes, not empty.
@@ -108,6 +111,7 @@
     /// Digest of the configuration.
     pub digest: Digest,
     /// Configuration.
+    #[serde(with = "items")]
     pub config: Config,
     /// Changes settled last, by offset.
     pub window: Vec<Settled>,
@@ -128,6 +132,7 @@
 #[serde_as]
 #[derive(Serialize, Deserialize)]
 struct Envelope {
+    magic: String,
     format: u32,
     #[serde_as(as = "Bytes")]
     body: Vec<u8>,
@@ -142,6 +147,9 @@
         /// Format.
         format: u32,
     },
+    /// Something else in an envelope alike.
+    #[snafu(display("step record: no record of this stream"))]
+    Foreign,
     /// Not a record.
     #[snafu(display("step record: {source}"))]
     Malformed {
@@ -154,9 +162,7 @@
     /// Bytes for the log.
     #[must_use]
     pub fn to_bytes(&self) -> Vec<u8> {
-        let format = FORMAT;
-        let body = encode(self);
-        encode(&Envelope { format, body })
+        seal(self)
     }
 
     /// Record from the log.
@@ -164,8 +170,28 @@
     /// # Errors
     /// [`RecordError`] if it is none, or of a later format.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, RecordError> {
-        let Envelope { format, body } = decode(bytes).context(MalformedSnafu)?;
-        ensure!(format <= FORMAT, NewerSnafu { format });
-        decode(&body).context(MalformedSnafu)
+        open(bytes)
     }
 }
+
+/// Bytes of a record in its envelope.
+pub(super) fn seal<R: Serialize>(record: &R) -> Vec<u8> {
+    encode(&Envelope {
+        magic: MAGIC.to_owned(),
+        format: FORMAT,
+        body: encode(record),
+    })
+}
+
+/// Record from its envelope.
+pub(super) fn open<R: DeserializeOwned>(bytes: &[u8]) -> Result<R, RecordError> {
+    let envelope: Envelope = decode(bytes).context(MalformedSnafu)?;
+    let Envelope {
+        magic,
+        format,
+        body,
+    } = envelope;
+    ensure!(magic == MAGIC, ForeignSnafu);
+    ensure!(format <= FORMAT, NewerSnafu { format });
+    decode(&body).context(MalformedSnafu)
+}
