--- a/crates/side/src/keys/claim.rs
+++ b/crates/side/src/keys/claim.rs
@@ -1,8 +1,10 @@
 //! A call's way to its turn: admission, the intent in the log, and the wait for its reading back.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use async_channel::Receiver;
+use futures_util::future::{Either, select};
 use pumicecleat_ledger::{Admission, Attempt, Call, Event, Intent, Outcome, Record, Verdict, Won};
 use pumicecleat_ops::{events, field};
 use pumicecleat_types::{Millis, Reason};
@@ -58,25 +60,32 @@
             .waiting
             .borrow_mut()
             .insert(attempt.clone(), sender);
-        self.state.outbox.borrow_mut().push(Record::Intent(intent));
-        self.wake();
         let span = Duration::from_millis(left.0);
-        let event = self.state.timer.within(span, decided.recv()).await;
+        let decision = pin!(self.state.timer.within(span, decided.recv()));
+        let refusal = pin!(self.refusal(intent));
+        let event = select(decision, refusal).await;
         self.state.waiting.borrow_mut().remove(&attempt);
         match event {
-            Ok(Ok(event)) => claim_of(event),
+            Either::Left((Ok(Ok(event)), _)) => claim_of(event),
             // The log did not carry the intent in time, or refused it.
             _ => self.void(&attempt, &decided),
         }
     }
 
+    /// Appends an intent; ends only if the log refused it for good. What counts of any other word
+    /// is what is read back.
+    async fn refusal(&self, intent: Intent) {
+        let data = Record::encode_batch(&[Record::Intent(intent)]);
+        let written = self.state.appender.append(data).await;
+        self.note_append(written.as_ref().err());
+        if !written.is_err_and(|e| e.is_refusal()) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Makes the attempt impossible before it is told as not run.
     fn void(&self, attempt: &Attempt, decided: &Receiver<Event>) -> Claim {
         let voided = self.state.ledger.borrow_mut().void(attempt);
-        self.state
-            .outbox
-            .borrow_mut()
-            .retain(|r| r.attempt() != attempt);
         self.wake();
         match (voided, decided.try_recv()) {
             (Ok(_), _) => Claim::Refused(Reason::LogDown),
--- a/crates/side/src/keys/mod.rs
+++ b/crates/side/src/keys/mod.rs
@@ -1,7 +1,7 @@
 //! Idempotency keys of one service's calls: the ledger, and the log's stream behind it.
 //!
-//! `claim` takes a call through admission and the wait for its intent to be read back; `reader`
-//! follows the stream; `writer` appends intents and outcomes, many in one append.
+//! `claim` takes a call through admission, the append of its intent and the wait for it to be read
+//! back; `reader` follows the stream; `writer` appends outcomes. Many records ride in one append.
 
 mod claim;
 mod reader;
@@ -13,12 +13,11 @@
 
 use async_channel::Sender;
 use pumicecleat_ledger::{
-    Attempt, Digest, Dump, Event, Key, Ledger, Limits, Outcome, Owner, Record, Sent, Span,
-    StepError, Won,
+    Attempt, Digest, Dump, Event, Key, Ledger, Limits, Outcome, Owner, Sent, Span, StepError, Won,
 };
 use pumicecleat_net::Timer;
 use pumicecleat_ops::{Log as EventLog, events, field};
-use pumicecleat_platform::Log;
+use pumicecleat_platform::{AppendOptions, Appender, Log};
 use pumicecleat_types::{Millis, Reason, RequestId, ServiceId, VmId};
 
 use crate::state::wall_clock;
@@ -42,7 +41,7 @@
     /// The log answered last.
     up: Cell<bool>,
     waiting: RefCell<BTreeMap<Attempt, Sender<Event>>>,
-    outbox: RefCell<Vec<Record>>,
+    appender: Appender,
     wake: Sender<()>,
 }
 
@@ -78,9 +77,16 @@
             first: 0,
             end: u64::MAX,
         };
+        let stream = format!("intents.{service}");
+        let options = AppendOptions {
+            seed: incarnation,
+            ..AppendOptions::default()
+        };
+        let appender = Appender::start(Rc::clone(parts.log), parts.timer, &stream, options);
         let state = State {
             ledger: RefCell::new(Ledger::new(owner, limits, unknown)),
-            stream: format!("intents.{service}"),
+            stream,
+            appender,
             log: Rc::clone(parts.log),
             events: parts.events.clone(),
             timer: parts.timer.clone(),
@@ -88,7 +94,6 @@
             outdated: Cell::new(None),
             up: Cell::new(true),
             waiting: RefCell::default(),
-            outbox: RefCell::default(),
             wake,
         };
         let keys = Self {
--- a/crates/side/src/keys/reader.rs
+++ b/crates/side/src/keys/reader.rs
@@ -2,38 +2,68 @@
 
 use std::time::Duration;
 
-use pumicecleat_ledger::{Event, Ledger, Span};
+use pumicecleat_ledger::{Attempt, Event, Ledger, Span};
 use pumicecleat_ops::{events, field};
-use pumicecleat_platform::{Batch, ReadError};
+use pumicecleat_platform::{
+    BackoffOptions, FollowError, FollowEvent, FollowOptions, Follower, ReadError,
+};
 use pumicecleat_types::{LogRecord, Millis};
 
 use super::Keys;
 use crate::state::wall_clock;
 
 const BATCH: u32 = 1_000;
+/// Time that the log may wait for a record: an outage shows no later.
 const WAIT: Duration = Duration::from_secs(2);
+/// Longest pause after failures: calls with keys are refused meanwhile.
+const LONGEST: Duration = Duration::from_millis(500);
+/// Time between two looks at what is due by the clock.
+const TICK: Duration = Duration::from_secs(1);
+/// Time until the next try to find the stream's span.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for own attempts to end before the ledger is made anew.
 const PATIENCE: Millis = Millis(10_000);
 
+fn options() -> FollowOptions {
+    FollowOptions {
+        batch: BATCH,
+        wait: WAIT,
+        backoff: BackoffOptions {
+            max: LONGEST,
+            ..BackoffOptions::default()
+        },
+    }
+}
+
 impl Keys {
     /// Follows the stream; never ends.
     pub(super) async fn follow(&self) {
-        self.begin().await;
         loop {
-            if self.is_due_anew() {
-                self.state.outdated.set(None);
-                self.begin().await;
-            }
-            let next = self.state.ledger.borrow().next();
-            match self.read_from(next, WAIT).await {
-                Ok(batch) => self.take(&batch.records),
-                Err(ReadError::Trimmed { first, next, .. }) => self.restart(first, next),
-                Err(_) => self.state.timer.sleep(PAUSE).await,
+            let span = self.find_span().await;
+            self.start_over(span);
+            self.follow_from(span.first).await;
+        }
+    }
+
+    /// Follows from `first` until the ledger must be made anew.
+    async fn follow_from(&self, first: u64) {
+        let log = std::rc::Rc::clone(&self.state.log);
+        let timer = &self.state.timer;
+        let mut follower = Follower::new_ext(log, timer, &self.state.stream, first, options());
+        while !self.is_due_anew() {
+            match timer.within(TICK, follower.next()).await {
+                Ok(Ok(FollowEvent::Records(records))) => self.take(&records),
+                Ok(Ok(FollowEvent::CaughtUp { .. })) => self.note_up(),
+                Ok(Ok(FollowEvent::Outage { detail })) => self.note_down(&detail),
+                // What was trimmed unread can't be judged any more.
+                Ok(Ok(FollowEvent::Trimmed { first, .. })) => return self.note_trimmed(first),
+                Ok(Err(e)) => return self.note_gap(&e),
+                Err(_) => {}
             }
             let due = self.state.ledger.borrow_mut().expire(wall_clock());
             self.tell(due);
         }
+        self.state.outdated.set(None);
     }
 
     /// Whether to start over for other limits: once no own attempt is under way, whose outcome
@@ -47,45 +77,51 @@
         idle || self.state.timer.now().since(since) > PATIENCE
     }
 
-    /// Finds what the stream holds at this side's start.
-    async fn begin(&self) {
+    /// What the stream holds now.
+    async fn find_span(&self) -> Span {
+        let (log, stream) = (&self.state.log, &self.state.stream);
         loop {
-            match self.read_from(0, Duration::ZERO).await {
-                Ok(batch) => return self.restart(batch.first, batch.next),
-                Err(ReadError::Trimmed { first, next, .. }) => return self.restart(first, next),
-                Err(_) => self.state.timer.sleep(PAUSE).await,
+            match log.read(stream, 0, 1, Duration::ZERO).await {
+                Ok(batch) => {
+                    return Span {
+                        first: batch.first,
+                        end: batch.next,
+                    };
+                }
+                Err(ReadError::Trimmed { first, next, .. }) => return Span { first, end: next },
+                Err(e) => self.note_down(&e.to_string()),
             }
+            self.state.timer.sleep(PAUSE).await;
         }
     }
 
-    /// Starts over at `first`: what was trimmed unread can't be judged any more, so that every
-    /// attempt that waits is told as not run and a fresh ledger decides.
-    fn restart(&self, first: u64, end: u64) {
+    /// A fresh ledger decides from now on; attempts that wait are told what is certain of them.
+    fn start_over(&self, span: Span) {
         let mut ledger = self.state.ledger.borrow_mut();
         let mut owner = ledger.dump().owner;
         // Numbers of attempts start over, so that they need a name of their own in the log.
         owner.incarnation += 1;
-        *ledger = Ledger::new(owner, self.state.limits.get(), Span { first, end });
+        *ledger = Ledger::new(owner, self.state.limits.get(), span);
         drop(ledger);
         // A dropped sender ends its attempt's wait, which finds the attempt closed.
         self.state.waiting.borrow_mut().clear();
-        self.state.outbox.borrow_mut().clear();
     }
 
-    async fn read_from(&self, from: u64, wait: Duration) -> Result<Batch, ReadError> {
-        let read = self
-            .state
-            .log
-            .read(&self.state.stream, from, BATCH, wait)
-            .await;
-        match &read {
-            Err(e @ ReadError::Failed { .. }) => self.note_down(e),
-            Ok(_) | Err(ReadError::Trimmed { .. }) => self.note_up(),
-        }
-        read
+    fn note_trimmed(&self, first: u64) {
+        let fields = [
+            field("stream", &self.state.stream),
+            field("wanted", self.state.ledger.borrow().next()),
+            field("first", first),
+        ];
+        self.state.events.emit(&events::RECORDS_TRIMMED, &fields);
+    }
+
+    fn note_gap(&self, error: &FollowError) {
+        let fields = [field("step", "follow stream"), field("error", error)];
+        self.state.events.emit(&events::INTERNAL, &fields);
     }
 
-    fn note_down(&self, error: &ReadError) {
+    fn note_down(&self, error: &str) {
         if self.state.up.replace(false) {
             let fields = [
                 field("address", &self.state.stream),
@@ -104,6 +140,7 @@
     }
 
     fn take(&self, records: &[LogRecord]) {
+        self.note_up();
         for record in records {
             let events = self.state.ledger.borrow_mut().read(record);
             self.tell(events);
@@ -122,7 +159,7 @@
         }
     }
 
-    fn tell_attempt(&self, attempt: &pumicecleat_ledger::Attempt, event: &Event) {
+    fn tell_attempt(&self, attempt: &Attempt, event: &Event) {
         let waiting = self.state.waiting.borrow_mut().remove(attempt);
         if let Some(sender) = waiting {
             // Its claim may have been given up; the attempt is void then and stays unsent.
