Test misfitting deltas and hashes alike

Cause: trials that broke single lines of the crate left four that no test saw: three checks of a delta (the naive fold takes deltas in by the same code) and the comparison within a bucket of the key index. Ruled out: a second implementation of deltas in the tests; a table is shorter and as strict. Conclusion: the table of deltas and a near hash find the four.

--- a/crates/config/tests/tables.rs
+++ b/crates/config/tests/tables.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use pumicecleat_config::model::{Config, Limits};
+use pumicecleat_config::model::{Config, Key, Limits};
 use pumicecleat_config::{
     Change, ChangeId, Delta, DueReason, Fold, FoldEvent, KeyIndex, Objection, Record, Snapshot,
-    Source, WINDOW, diff, digest, parse,
+    Source, WINDOW, diff, digest, hash_key, parse,
 };
 use pumicecleat_types::{LogRecord, Lora, VmId, encode};
 
@@ -108,6 +108,12 @@
         assert_eq!(config.caller_by_key(case.bearer), want.as_ref());
         assert_eq!(index.caller(case.bearer), want.as_ref());
     }
+    // A hash that starts like the key's is not the key's.
+    let near = format!("{:0<64}", &hash_key("near key")[..16]);
+    let mut caller = config.callers["front-desk"].clone();
+    caller.keys = [near].into();
+    index.put(&"near".into(), &caller);
+    assert_eq!(index.caller("near key"), None);
     for (id, caller) in &config.callers {
         index.remove(id, caller);
     }
@@ -176,6 +182,77 @@
     assert!(a.stamp(&Lora::new("other", "itinerary", "v7")).is_none());
 }
 
+struct DeltaCase {
+    /// Keys taken out.
+    removed: fn() -> Vec<Key>,
+    /// Keys of the sample whose items are put in again.
+    put: fn() -> Vec<Key>,
+    want: Result<(), &'static str>,
+}
+
+fn itinerary() -> Key {
+    Key::Adapter("itinerary".into())
+}
+
+fn version(name: &str) -> Key {
+    Key::Version("itinerary".into(), name.into())
+}
+
+#[rustfmt::skip]
+const DELTAS: &[DeltaCase] = &[
+    DeltaCase { removed: Vec::new, put: Vec::new, want: Ok(()) },
+    DeltaCase { removed: || vec![version("v6")], put: || vec![version("v7")], want: Ok(()) },
+    DeltaCase {
+        removed: || vec![version("v5")], put: Vec::new,
+        want: Err("step delta: 'adapter.itinerary.version.v5' is not declared"),
+    },
+    DeltaCase {
+        removed: || vec![itinerary(), version("v6")], put: Vec::new,
+        want: Err("step delta: 'adapter.itinerary' still has versions"),
+    },
+    DeltaCase {
+        removed: || vec![itinerary(), version("v6"), version("v7")], put: Vec::new, want: Ok(()),
+    },
+    DeltaCase {
+        removed: || vec![itinerary(), version("v6"), version("v7")],
+        put: || vec![Key::Version("itinerary".into(), "v6".into())],
+        want: Err("step delta: 'adapter.itinerary.version.v6' is out of order or comes twice"),
+    },
+    DeltaCase {
+        removed: || vec![version("v7"), version("v6")], put: Vec::new,
+        want: Err("step delta: 'adapter.itinerary.version.v6' is out of order or comes twice"),
+    },
+    DeltaCase {
+        removed: Vec::new, put: || vec![version("v6"), version("v6")],
+        want: Err("step delta: 'adapter.itinerary.version.v6' is out of order or comes twice"),
+    },
+    DeltaCase {
+        removed: || vec![Key::Limits], put: Vec::new,
+        want: Err("step delta: 'limits' can't be removed"),
+    },
+];
+
+#[test]
+fn deltas() {
+    let config = sample();
+    for case in DELTAS {
+        let items = (case.put)()
+            .into_iter()
+            .map(|key| config.item(&key).unwrap());
+        let delta = Delta {
+            removed: (case.removed)(),
+            put: items.collect(),
+        };
+        let found = delta.apply(&config).map(drop).map_err(|e| e.to_string());
+        assert_eq!(found, case.want.map_err(str::to_owned));
+    }
+    let orphan = Delta {
+        put: vec![config.item(&version("v6")).unwrap()],
+        ..Delta::default()
+    };
+    assert!(orphan.apply(&Config::default()).is_err());
+}
+
 fn record(fold: &Fold, at: u64, record: &Record) -> LogRecord {
     let offset = fold.next();
     let data = record.to_bytes();
