--- a/crates/measure/src/policy/trace.rs
+++ b/crates/measure/src/policy/trace.rs
@@ -17,7 +17,7 @@
 const SHIFTED: usize = 200;
 
 /// Rate of the flood, as a multiple of the shape's rate.
-const FLOOD: f64 = 4.0;
+const FLOOD: f64 = 12.0;
 
 /// Adapters that the flooding caller uses.
 const FLOOD_LORAS: u32 = 3;
