Report the wait of a typical caller

Cause: under a flood the wait reported was the flooder's; entries moved the others' requests away from the upstreams that held their adapters.

--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod residency;
 mod send;
 mod share;
+mod wait;
 
 use std::collections::BTreeMap;
 
@@ -62,6 +63,8 @@
     loading: Loading,
     orders: Vec<Action>,
     closed: Option<Reason>,
+    /// Time of the latest poll.
+    seen: Millis,
 }
 
 impl Scheduler {
@@ -80,6 +83,7 @@
             loading: Loading::new(),
             orders: Vec::new(),
             closed: None,
+            seen: Millis(0),
         }
     }
 
@@ -93,9 +97,8 @@
         }
         self.admit(&job, now)?;
         self.make_room(&job)?;
-        if self.queue.backlog(job.caller).jobs == 0 {
-            self.shares.join(job.caller);
-        }
+        let backlog = self.queue.backlog(job.caller).jobs > 0;
+        self.shares.arrive(job.caller, backlog, now);
         let service = self.estimate.service(u64::from(job.tokens));
         self.queue.add(job, job.deadline - service);
         Ok(())
@@ -104,6 +107,7 @@
     /// Orders that are due, to be carried out every one. To be called after every other call that
     /// tells something, and at [`next_wake`](Self::next_wake).
     pub fn poll(&mut self, now: Millis) -> Vec<Action> {
+        self.seen = now;
         self.expire(now);
         self.send(now);
         self.load(now);
@@ -227,7 +231,7 @@
     #[must_use]
     pub fn figures(&self) -> LoadFigures {
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let wait = self.room_wait();
+        let wait = self.typical_wait(self.seen);
         LoadFigures {
             running: self.running(),
             waiting: count(self.queue.len()),
--- a/crates/policy/src/scheduler/share.rs
+++ b/crates/policy/src/scheduler/share.rs
@@ -6,39 +6,66 @@
 
 use std::collections::BTreeMap;
 
+use pumicecleat_types::Millis;
+
 use crate::CallerIx;
 
-/// Standings kept at most before those behind the clock are dropped.
+/// Accounts kept at most before idle ones behind the clock are dropped.
 const KEEP: usize = 1024;
 
+/// Span for which a caller counts as active after a request.
+const ACTIVE: Millis = Millis(60_000);
+
+#[derive(Clone, Copy, Debug)]
+struct Account {
+    spent: f64,
+    seen: Millis,
+}
+
 /// Work had per claim.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Shares {
     clock: f64,
-    spent: BTreeMap<CallerIx, f64>,
+    accounts: BTreeMap<CallerIx, Account>,
 }
 
 impl Shares {
-    /// A caller without waiting requests has one again.
-    pub(super) fn join(&mut self, caller: CallerIx) {
-        if self.spent.len() >= KEEP {
+    /// A caller has a request; `backlog` tells whether others of its own wait already.
+    pub(super) fn arrive(&mut self, caller: CallerIx, backlog: bool, now: Millis) {
+        if self.accounts.len() >= KEEP {
             let clock = self.clock;
-            self.spent.retain(|_, s| *s > clock);
+            self.accounts
+                .retain(|_, a| a.spent > clock || now.since(a.seen) < ACTIVE);
         }
-        let spent = self.spent.entry(caller).or_default();
-        *spent = spent.max(self.clock);
+        let clock = self.clock;
+        let account = self.accounts.entry(caller).or_insert(Account {
+            spent: clock,
+            seen: now,
+        });
+        account.seen = now;
+        if !backlog {
+            account.spent = account.spent.max(clock);
+        }
+    }
+
+    /// Callers that had a request of late.
+    pub(super) fn active(&self, now: Millis) -> usize {
+        let accounts = self.accounts.values();
+        accounts.filter(|a| now.since(a.seen) < ACTIVE).count()
     }
 
     /// Work had per claim.
     pub(super) fn standing(&self, caller: CallerIx) -> f64 {
-        self.spent.get(&caller).copied().unwrap_or(self.clock)
+        let account = self.accounts.get(&caller);
+        account.map_or(self.clock, |a| a.spent)
     }
 
     /// Charges work to a caller.
     pub(super) fn charge(&mut self, caller: CallerIx, claim: u32, work: u32) {
         let cost = f64::from(work.max(1)) / f64::from(claim.max(1));
-        let spent = self.standing(caller) + cost;
-        self.spent.insert(caller, spent);
+        if let Some(account) = self.accounts.get_mut(&caller) {
+            account.spent += cost;
+        }
     }
 
     /// Moves the clock up to the least standing of those that wait.
