Count on slower answers where there is a wait

Cause: under overload requests reach the engine at the last moment that a mean answer allows, and about half were cut off by their deadline.

--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -17,8 +17,13 @@
         if let Some(span) = failing {
             return Err(give_up(Reason::LoadFailed, span));
         }
-        let service = self.estimate.service(u64::from(job.tokens));
-        let end = now + self.wait(job) + service;
+        let wait = self.wait(job);
+        let service = if wait.0 > 0 {
+            self.estimate.safe_service(job.tokens)
+        } else {
+            self.estimate.service(job.tokens)
+        };
+        let end = now + wait + service;
         if end > job.deadline {
             let late = end - job.deadline;
             return Err(give_up(Reason::Overloaded, late));
@@ -26,6 +31,15 @@
         Ok(())
     }
 
+    /// When the request must start to be met safely; or likely, if there is no time for safety.
+    pub(super) fn start_by(&self, job: &Job, now: Millis) -> Millis {
+        let safe = job.deadline - self.estimate.safe_service(job.tokens);
+        if safe > now {
+            return safe;
+        }
+        job.deadline - self.estimate.service(job.tokens)
+    }
+
     /// Expected wait of a request that comes now.
     fn wait(&self, job: &Job) -> Millis {
         let queue = self.caller_wait(job.caller, job.claim);
--- a/crates/policy/src/scheduler/estimate.rs
+++ b/crates/policy/src/scheduler/estimate.rs
@@ -7,6 +7,9 @@
 /// Weight of the newest sample.
 const NEW: f64 = 0.1;
 
+/// Mean deviations by which an answer may be slower and still be counted on.
+const MARGIN: f64 = 2.0;
+
 /// Weight of the newest load: loads are few.
 const NEW_LOAD: f64 = 0.3;
 
@@ -14,6 +17,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Estimate {
     unit: f64,
+    /// Mean deviation from `unit`.
+    spread: f64,
     load: f64,
     step_us: u32,
 }
@@ -22,6 +27,7 @@
     pub(super) fn new(options: &SchedulerOptions) -> Self {
         Self {
             unit: f64::from(options.token_us) / 1000.0,
+            spread: 0.0,
             load: span(options.load),
             step_us: options.token_us,
         }
@@ -30,6 +36,8 @@
     /// A whole answer to `tokens` of estimated work took `took`.
     pub(super) fn answered(&mut self, tokens: u32, took: Millis) {
         let sample = span(took) / f64::from(tokens.max(1));
+        let off = (sample - self.unit).abs();
+        self.spread += NEW * (off - self.spread);
         self.unit += NEW * (sample - self.unit);
     }
 
@@ -49,8 +57,14 @@
     }
 
     /// Time of an answer to `tokens` of estimated work, once sent.
-    pub(super) fn service(&self, tokens: u64) -> Millis {
-        millis(self.unit * approximate(tokens))
+    pub(super) fn service(&self, tokens: u32) -> Millis {
+        millis(self.unit * f64::from(tokens))
+    }
+
+    /// Time within which most answers to `tokens` of estimated work are whole, once sent.
+    pub(super) fn safe_service(&self, tokens: u32) -> Millis {
+        let most = self.unit + MARGIN * self.spread;
+        millis(most * f64::from(tokens))
     }
 
     /// Time until `tokens` of waiting work have been sent, `lanes` at a time.
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -99,8 +99,8 @@
         self.make_room(&job)?;
         let backlog = self.queue.backlog(job.caller).jobs > 0;
         self.shares.arrive(job.caller, backlog, now);
-        let service = self.estimate.service(u64::from(job.tokens));
-        self.queue.add(job, job.deadline - service);
+        let start = self.start_by(&job, now);
+        self.queue.add(job, start);
         Ok(())
     }
 
