Back off by collisions where no entry answers

Cause: each unanswered bid doubled the span before a load without a turn, so that sides waited for seconds at an idle store.

--- a/crates/policy/src/scheduler/loading.rs
+++ b/crates/policy/src/scheduler/loading.rs
@@ -53,7 +53,10 @@
     pub(super) stage: Stage,
     /// A turn may be held at an entry.
     pub(super) held: bool,
-    unanswered: u32,
+    /// The load in hand goes without a turn.
+    alone: bool,
+    /// Loads without a turn that others seem to have slowed down.
+    collisions: u32,
     failed: BTreeMap<LoraIx, BackOff>,
 }
 
@@ -62,7 +65,8 @@
         Self {
             stage: Stage::Idle { next: Millis(0) },
             held: false,
-            unanswered: 0,
+            alone: false,
+            collisions: 0,
             failed: BTreeMap::new(),
         }
     }
@@ -87,7 +91,7 @@
 
     /// An entry answered.
     pub(super) fn turn(&mut self, turn: LoadTurn, now: Millis) {
-        self.unanswered = 0;
+        self.alone = false;
         match (turn, &mut self.stage) {
             (LoadTurn::Go { ttl_ms }, Stage::Loading { renew, .. }) => {
                 *renew = now + Millis(ttl_ms / 2);
@@ -109,22 +113,32 @@
         }
     }
 
-    /// No entry answered: goes alone after a random span that doubles.
+    /// No entry answered: goes alone after a random span, longer where loads have collided.
     pub(super) fn no_turn(&mut self, load: Millis, roll: u64, now: Millis) {
         self.held = false;
         match &mut self.stage {
             Stage::Loading { renew, .. } => *renew = now + load,
             stage @ Stage::Asked => {
-                let doublings = self.unanswered.min(MOST_DOUBLINGS);
-                let window = load.0.max(1) << doublings;
-                self.unanswered += 1;
+                let window = load.0.max(1) << self.collisions;
                 let at = now + Millis(roll % window);
                 *stage = Stage::Alone { at };
+                self.alone = true;
             }
             _ => {}
         }
     }
 
+    /// A load ended well; one without a turn that took long has met another.
+    pub(super) fn took(&mut self, took: Millis, load: Millis) {
+        if !self.alone {
+            self.collisions = 0;
+        } else if took.0 * 2 > load.0 * 3 {
+            self.collisions = (self.collisions + 1).min(MOST_DOUBLINGS);
+        } else {
+            self.collisions = self.collisions.saturating_sub(1);
+        }
+    }
+
     /// A load failed; gives the span in which it won't be tried.
     pub(super) fn back_off(&mut self, lora: LoraIx, now: Millis) -> Millis {
         self.failed
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -153,7 +153,7 @@
 
     /// No entry answered the bid; `roll` is a random number.
     pub fn no_turn(&mut self, roll: u64, now: Millis) {
-        self.loading.no_turn(self.estimate.load(), roll, now);
+        self.loading.no_turn(self.options.load, roll, now);
     }
 
     /// An ordered load ended.
@@ -167,7 +167,11 @@
         };
         self.loading.stage = Stage::Idle { next: now };
         match end {
-            LoadEnd::Done => self.estimate.loaded(now.since(since)),
+            LoadEnd::Done => {
+                let took = now.since(since);
+                self.loading.took(took, self.options.load);
+                self.estimate.loaded(took);
+            }
             LoadEnd::Failed => self.fail(lora, now),
             LoadEnd::Busy { retry } => {
                 let next = now + retry;
