--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -21,6 +21,7 @@
 mod residency;
 mod send;
 mod share;
+mod wait;
 
 use std::collections::BTreeMap;
 
@@ -62,6 +63,8 @@
     loading: Loading,
     orders: Vec<Action>,
     closed: Option<Reason>,
+    /// Time of the latest poll.
+    seen: Millis,
 }
 
 impl Scheduler {
@@ -80,6 +83,7 @@
             loading: Loading::new(),
             orders: Vec::new(),
             closed: None,
+            seen: Millis(0),
         }
     }
 
@@ -100,17 +104,17 @@
         }
         self.admit(&job, now)?;
         self.make_room(&job)?;
-        if self.queue.backlog(job.caller).jobs == 0 {
-            self.shares.join(job.caller);
-        }
-        let service = self.estimate.service(u64::from(job.tokens));
-        self.queue.add(job, job.deadline - service);
+        let backlog = self.queue.backlog(job.caller).jobs > 0;
+        self.shares.arrive(job.caller, backlog, now);
+        let start = self.start_by(&job, now);
+        self.queue.add(job, start);
         Ok(())
     }
 
     /// Orders that are due, to be carried out every one. To be called after every other call that
     /// tells something, and at [`next_wake`](Self::next_wake).
     pub fn poll(&mut self, now: Millis) -> Vec<Action> {
+        self.seen = now;
         self.expire(now);
         self.send(now);
         self.load(now);
@@ -156,7 +160,7 @@
 
     /// No entry answered the bid; `roll` is a random number.
     pub fn no_turn(&mut self, roll: u64, now: Millis) {
-        self.loading.no_turn(self.estimate.load(), roll, now);
+        self.loading.no_turn(self.options.load, roll, now);
     }
 
     /// An ordered load ended.
@@ -170,7 +174,11 @@
         };
         self.loading.stage = Stage::Idle { next: now };
         match end {
-            LoadEnd::Done => self.estimate.loaded(now.since(since)),
+            LoadEnd::Done => {
+                let took = now.since(since);
+                self.loading.took(took, self.options.load);
+                self.estimate.loaded(took);
+            }
             LoadEnd::Failed => self.fail(lora, now),
             LoadEnd::Busy { retry } => {
                 let next = now + retry;
@@ -234,7 +242,7 @@
     #[must_use]
     pub fn figures(&self) -> LoadFigures {
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let wait = self.room_wait();
+        let wait = self.typical_wait(self.seen);
         LoadFigures {
             running: self.running(),
             waiting: count(self.queue.len()),
