--- a/crates/entry/src/caller/admit.rs
+++ b/crates/entry/src/caller/admit.rs
@@ -1,10 +1,7 @@
 //! Whether a request is taken at all, and whose it is.
 
-use std::net::SocketAddr;
-
 use http::header::AUTHORIZATION;
 use pumicecleat_net::Incoming;
-use pumicecleat_ops::{events, field};
 use pumicecleat_types::CallerId;
 
 use crate::fault::{Fault, RETRY};
@@ -25,21 +22,9 @@
 }
 
 /// Caller of a request.
-pub(super) fn identify(
-    shared: &Shared,
-    incoming: &Incoming,
-    peer: SocketAddr,
-) -> Result<CallerId, Fault> {
+pub(super) fn identify(shared: &Shared, incoming: &Incoming) -> Result<CallerId, Fault> {
     let caller = bearer(incoming).and_then(|key| shared.current.caller(key));
-    caller.ok_or_else(|| {
-        let fields = [
-            field("peer", &peer),
-            field("target", incoming.uri().path()),
-            field("reason", "unknown key"),
-        ];
-        shared.log.emit(&events::CALLER_REFUSED, &fields);
-        Fault::bad(401, "invalid_api_key", "no known key in Authorization")
-    })
+    caller.ok_or_else(|| Fault::bad(401, "invalid_api_key", "no known key in Authorization"))
 }
 
 fn bearer(incoming: &Incoming) -> Option<&str> {
--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -5,8 +5,6 @@
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
 use http::{HeaderMap, HeaderValue};
 use pumicecleat_net::{Body, Reply};
-use pumicecleat_ops::{events, field};
-use pumicecleat_types::RequestId;
 use pumicecleat_upstream::{BodyFault, ChatBody, ChatLimits};
 use serde::Deserialize;
 
@@ -33,7 +31,7 @@
 /// Answers a chat request.
 pub(super) async fn answer(shared: &Rc<Shared>, mut call: Call) -> Result<Reply, Fault> {
     let bytes = read_body(shared, &mut call).await?;
-    let chat = parse(shared, &call.request, &bytes)?;
+    let chat = parse(&bytes)?;
     let mut job = make_job(shared, &call, chat)?;
     job.tokens = read_tokens(&bytes);
     let stream = job.stream;
@@ -47,16 +45,13 @@
     Ok(finish(exchange, result))
 }
 
-fn parse(shared: &Shared, request: &RequestId, bytes: &[u8]) -> Result<ChatBody, Fault> {
+fn parse(bytes: &[u8]) -> Result<ChatBody, Fault> {
     let limits = ChatLimits {
         bytes: bytes.len().max(1),
         ..ChatLimits::default()
     };
-    ChatBody::parse(bytes, &limits).map_err(|fault| {
-        let fields = [field("request", request), field("reason", &fault)];
-        shared.log.emit(&events::REQUEST_MALFORMED, &fields);
-        Fault::bad(400, body_code(&fault), fault.to_string())
-    })
+    let parsed = ChatBody::parse(bytes, &limits);
+    parsed.map_err(|fault| Fault::bad(400, body_code(&fault), fault.to_string()))
 }
 
 fn body_code(fault: &BodyFault) -> &'static str {
--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -1,12 +1,13 @@
 //! What callers ask of this entry.
 //!
 //! `admit` refuses what can't be taken at all, `headers` reads what a request's head says, `chat`
-//! and `service` make a job of it, `models` lists what a caller may reach.
+//! and `service` make a job of it, `models` lists what a caller may reach, `seen` notes refusals.
 
 mod admit;
 mod chat;
 mod headers;
 mod models;
+mod seen;
 mod service;
 
 use std::future::Future;
@@ -17,10 +18,12 @@
 use http::header::{CONNECTION, HeaderName};
 use http::{HeaderValue, Method};
 use pumicecleat_net::{BodyError, Handler, Incoming, Reply, read_all};
-use pumicecleat_ops::{DrainGuard, events, field};
+use pumicecleat_ops::DrainGuard;
 use pumicecleat_types::{CallerId, Millis, RequestId};
 use uuid::Uuid;
 
+use seen::Seen;
+
 use crate::config::ensure_fresh;
 use crate::fault::Fault;
 use crate::shared::Shared;
@@ -64,11 +67,20 @@
 }
 
 async fn answer(shared: &Rc<Shared>, incoming: Incoming, peer: SocketAddr) -> Reply {
-    let request = RequestId::from(Uuid::now_v7().to_string());
-    let result = take(shared, &request, incoming, peer).await;
-    let mut reply = result.unwrap_or_else(|fault| fault.reply());
+    let mut seen = Seen {
+        request: RequestId::from(Uuid::now_v7().to_string()),
+        peer,
+        path: incoming.uri().path().to_owned(),
+        arrived: shared.timer.now(),
+        caller: None,
+    };
+    let result = take(shared, &mut seen, incoming).await;
+    let mut reply = result.unwrap_or_else(|fault| {
+        seen.refused(shared, &fault);
+        fault.reply()
+    });
     let headers = reply.headers_mut();
-    if let Ok(id) = HeaderValue::from_str(request.as_str()) {
+    if let Ok(id) = HeaderValue::from_str(seen.request.as_str()) {
         headers.insert(REQUEST_ID, id);
     }
     if shared.stop.is_asked() {
@@ -77,21 +89,16 @@
     reply
 }
 
-async fn take(
-    shared: &Rc<Shared>,
-    request: &RequestId,
-    incoming: Incoming,
-    peer: SocketAddr,
-) -> Result<Reply, Fault> {
+async fn take(shared: &Rc<Shared>, seen: &mut Seen, incoming: Incoming) -> Result<Reply, Fault> {
     admit::check_open(shared)?;
-    let guard = shared.drain.enter(request);
-    let arrived = shared.timer.now();
+    let guard = shared.drain.enter(&seen.request);
     ensure_fresh(shared).await;
-    let caller = admit::identify(shared, &incoming, peer)?;
+    let caller = admit::identify(shared, &incoming)?;
+    seen.caller = Some(caller.clone());
     let call = Call {
-        request: request.clone(),
+        request: seen.request.clone(),
         caller,
-        arrived,
+        arrived: seen.arrived,
         incoming,
         guard,
     };
@@ -115,12 +122,10 @@
     } else {
         read_all(body, limit, span, &shared.timer).await
     };
-    read.map_err(|error| body_fault(shared, &call.request, &error))
+    read.map_err(|error| body_fault(&error))
 }
 
-fn body_fault(shared: &Shared, request: &RequestId, error: &BodyError) -> Fault {
-    let fields = [field("request", request), field("reason", error)];
-    shared.log.emit(&events::REQUEST_MALFORMED, &fields);
+fn body_fault(error: &BodyError) -> Fault {
     let (status, code) = match error {
         BodyError::TooLong { .. } => (413, "body_too_long"),
         BodyError::TooSlow { .. } => (408, "body_too_slow"),
--- a/crates/entry/tests/entry/faults.rs
+++ b/crates/entry/tests/entry/faults.rs
@@ -6,7 +6,7 @@
 
 use crate::caller::chat;
 use crate::script::{Act, False, stream, whole};
-use crate::world::{POOL, World, case};
+use crate::world::{POOL, World, case, config_with};
 
 /// Whole body of another version.
 const OTHER_VERSION: &str = r#"{"id":"chatcmpl-1","model":"tour@v2","choices":[
@@ -224,3 +224,21 @@
         assert_eq!((told.status, told.error().1.as_str()), (502, "yes"));
     });
 }
+
+/// Of two pools for one base model, one without upstreams is no reason to refuse.
+#[test]
+fn chooses_a_pool_that_has_upstreams() {
+    const EMPTY: &str = "[pool.another]
+kind = 'model'
+base = 'magyar-7b'
+slots = 4
+batch = 8";
+    case(|| async {
+        let mut world = World::bare();
+        world.apply(&config_with(EMPTY)).await;
+        let started = world.start_ready(&[]).await;
+        let sides = world.sides(&started, POOL, 1, &[whole("Jó")]).await;
+        assert_eq!(world.caller(&started).chat(false).await.status, 200);
+        assert_eq!(sides[0].seen()[0].head.pool.as_str(), POOL);
+    });
+}
--- a/crates/entry/tests/entry/resume.rs
+++ b/crates/entry/tests/entry/resume.rs
@@ -48,6 +48,9 @@
 fn breaks() -> Vec<Break> {
     let rest = stream(&[" ég", "!"]);
     let refused = vec![Refuse(Reason::Overloaded)];
+    let tail = [Text("!"), Finish, Done, End];
+    let role_with_text = [Head, Act::RoleText(" ég")].into_iter().chain(tail);
+    let role_with_text = role_with_text.collect();
     let row = |name, end, then| Break { name, end, then };
     vec![
         row("cut", vec![Cut], vec![rest.clone()]),
@@ -70,6 +73,7 @@
             vec![Act::Bytes("data: {\n\n"), Hang],
             vec![rest.clone()],
         ),
+        row("role with text", vec![Cut], vec![role_with_text]),
         row("refused once more", vec![Cut], vec![refused, rest]),
         row(
             "broken twice",
--- a/crates/entry/tests/entry/script.rs
+++ b/crates/entry/tests/entry/script.rs
@@ -15,6 +15,8 @@
     Status(u16),
     /// Events of a stream, one for each text; with the role first.
     Role,
+    /// Event with the role and a text.
+    RoleText(&'static str),
     /// Event with a text.
     Text(&'static str),
     /// Event with a text, of another model.
--- a/crates/entry/tests/entry/side.rs
+++ b/crates/entry/tests/entry/side.rs
@@ -265,6 +265,9 @@
         let chunk = |delta: Value, finish: Value| self.event("tour@v1", &delta, &finish);
         match act {
             Act::Role => chunk(json!({"role": "assistant", "content": ""}), Value::Null),
+            Act::RoleText(text) => {
+                chunk(json!({"role": "assistant", "content": text}), Value::Null)
+            }
             Act::Text(text) => chunk(json!({ "content": text }), Value::Null),
             Act::FalseText(text) => {
                 self.event("tour@v2", &json!({ "content": text }), &Value::Null)
