--- a/crates/net/src/reply.rs
+++ b/crates/net/src/reply.rs
@@ -1,6 +1,9 @@
 //! Replies of the usual kinds.
 
-use http::header::CONTENT_TYPE;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use pumicecleat_types::encode;
 use serde::Serialize;
 
@@ -38,3 +41,10 @@
     reply.headers_mut().insert(CONTENT_TYPE, kind);
     reply
 }
+
+/// Span of a `Retry-After` in seconds; a date is not read.
+#[must_use]
+pub fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    text.trim().parse().ok().map(Duration::from_secs)
+}
--- a/crates/platform/src/http/exchange.rs
+++ b/crates/platform/src/http/exchange.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::HeaderMap;
-use http::header::{CONTENT_TYPE, RETRY_AFTER};
-use pumicecleat_net::{Client, Response};
+use http::header::CONTENT_TYPE;
+use pumicecleat_net::{Client, Response, retry_after};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use snafu::ResultExt;
@@ -113,9 +112,3 @@
 fn peer_of(response: &Response) -> String {
     response.peer().to_owned()
 }
-
-/// Span of a `Retry-After` in seconds; a date is not read.
-fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
-    text.trim().parse().ok().map(Duration::from_secs)
-}
--- a/crates/platform/src/http/peers.rs
+++ b/crates/platform/src/http/peers.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,6 +26,15 @@
         }
     }
 
+    /// Peers at these addresses.
+    #[must_use]
+    pub fn new(addresses: &[SocketAddr]) -> Self {
+        Self {
+            list: addresses.iter().map(SocketAddr::to_string).collect(),
+            first: Cell::new(0),
+        }
+    }
+
     /// Sends `request` to the first peer that takes it; only a request of which no byte left is
     /// sent to another peer.
     pub(crate) async fn send(
@@ -34,6 +44,10 @@
         span: Duration,
     ) -> Result<Response, NetError> {
         let count = self.list.len();
+        if count == 0 {
+            let peer = String::from("none given");
+            return Err(NetError::Address { peer });
+        }
         let first = self.first.get();
         for at in first..first + count - 1 {
             let index = at % count;
--- a/crates/platform/tests/platform/http.rs
+++ b/crates/platform/tests/platform/http.rs
@@ -9,7 +9,8 @@
 use crate::common::with_client;
 use bytes::Bytes;
 use pumicecleat_net::{
-    Body, BodyError, Client, Handler, Incoming, Reply, Server, ServerOptions, bind,
+    Body, BodyError, Client, ClientOptions, Handler, Incoming, Reply, Server, ServerOptions, Timer,
+    bind, run,
 };
 use pumicecleat_platform::{
     AppendError, Fault, HttpLog, HttpStore, HttpVms, Log, Peers, ReadError, Store, StoreError, Vms,
@@ -296,3 +297,14 @@
         );
     });
 }
+
+#[test]
+fn no_address_at_all_is_an_error_and_not_a_panic() {
+    let result = run(async {
+        let client = Client::new_ext(ClientOptions::default(), &Timer::start());
+        let log = HttpLog::new(&client, Peers::new(&[]), Duration::from_secs(1));
+        log.append("config", vec![b"x".to_vec()]).await
+    });
+    let error = result.unwrap().unwrap_err();
+    assert!(matches!(error, AppendError::Refused { .. }), "{error}");
+}
--- a/crates/side/src/entries.rs
+++ b/crates/side/src/entries.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use pumicecleat_ops::{events, field};
-use pumicecleat_platform::{VmList, Vms};
+use pumicecleat_platform::{Peers, VmList, Vms};
 use pumicecleat_types::{VmRole, VmState};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -74,12 +74,6 @@
     }
 }
 
-/// Addresses as the platform's clients take them.
-pub(crate) fn join(addresses: &[SocketAddr]) -> String {
-    let texts: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
-    texts.join(",")
-}
-
 impl State {
     /// Reads the VM list again and again; never ends.
     pub(crate) async fn watch_vms(self: Rc<Self>, vms: Rc<dyn Vms>) {
@@ -94,7 +88,7 @@
                 }
                 Err(e) if up => {
                     up = false;
-                    let address = join(&self.settings.vms);
+                    let address = Peers::new(&self.settings.vms);
                     let fields = [
                         field("address", &address),
                         field("step", "list"),
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -18,7 +18,7 @@
 use crate::SideSettings;
 use crate::config::Configuration;
 use crate::dump::Dumper;
-use crate::entries::{Entries, join};
+use crate::entries::Entries;
 use crate::keys::{KeyParts, Keys};
 use crate::lengths::Lengths;
 use crate::metrics::SideMetrics;
@@ -206,7 +206,7 @@
     monoio::spawn(Rc::clone(state).report());
     monoio::spawn(assemble(Rc::clone(state)));
     if !state.settings.vms.is_empty() {
-        let peers = Peers::parse(&join(&state.settings.vms));
+        let peers = Peers::new(&state.settings.vms);
         let vms = Rc::new(HttpVms::new(&state.client, peers, ANSWER_SPAN));
         monoio::spawn(Rc::clone(state).watch_vms(vms));
     }
@@ -254,7 +254,7 @@
         ANSWER_LIMIT,
         ANSWER_SPAN,
     ));
-    let peers = Peers::parse(&join(&state.settings.log));
+    let peers = Peers::new(&state.settings.log);
     let log: Rc<dyn PlatformLog> = Rc::new(HttpLog::new(&state.client, peers, ANSWER_SPAN));
     let parts = KeyParts {
         log: &log,
--- a/crates/upstream/src/call/error.rs
+++ b/crates/upstream/src/call/error.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
-use http::header::RETRY_AFTER;
-use pumicecleat_net::{NetError, Sent};
+use pumicecleat_net::{NetError, Sent, retry_after};
 use snafu::Snafu;
 
 /// When to come back, by the upstream's word.
@@ -15,9 +14,7 @@
     /// Span of a `Retry-After` in seconds; a date is not read.
     #[must_use]
     pub fn read(headers: &HeaderMap) -> Self {
-        let text = headers.get(RETRY_AFTER).and_then(|v| v.to_str().ok());
-        let secs = text.and_then(|t| t.trim().parse().ok());
-        Self(secs.map(Duration::from_secs))
+        Self(retry_after(headers))
     }
 }
 
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -23,7 +23,6 @@
 mod chat;
 mod check;
 mod engine;
-mod local;
 mod service;
 
 pub use call::{CallError, Retry};
@@ -36,5 +35,5 @@
     Answer, ChatCall, Engine, Loaded, Order, OrderError, Running, VllmEngine, load_confirmed,
     read_answer,
 };
-pub use local::Local;
+pub use pumicecleat_net::Local;
 pub use service::{HttpService, Service, ServiceAnswer, ServiceCall};
