policy: an adapter that the engine keeps lets others come first

Cause: a side that asks its engine before each unload, and hears that the victim is in use, chose the same victim again at once: least demand ranks before the last use. As long as another giver of work ran it, requests for absent adapters waited to their deadline, and the side bid, granted and asked the engine in a tight loop, although another idle adapter could go. Ruled out: ranking by last use first, which changes whom the policy evicts in calm times; giving the turn back, which the next bid undoes. Change: what the engine kept is no victim for 250 ms; the scheduler wakes then.

--- a/crates/policy/src/scheduler/load.rs
+++ b/crates/policy/src/scheduler/load.rs
@@ -119,7 +119,7 @@
     /// Adapter to evict: without pins or waiting requests, least in demand.
     fn victim(&self, now: Millis) -> Option<LoraIx> {
         self.residency
-            .unpinned()
+            .unpinned(now)
             .filter(|(lora, _)| self.queue.lane(Some(*lora)).is_none())
             .min_by(|a, b| {
                 let rate = |lora| self.demand.rate(lora, now);
@@ -132,7 +132,9 @@
 
     /// When the load in hand acts by itself, if that is to come.
     pub(super) fn load_wake(&self, now: Millis) -> Option<Millis> {
-        self.loading.wake().filter(|at| *at > now)
+        let stage = self.loading.wake().filter(|at| *at > now);
+        let kept = self.residency.next_try(now);
+        stage.into_iter().chain(kept).min()
     }
 }
 
--- a/crates/policy/src/scheduler/residency.rs
+++ b/crates/policy/src/scheduler/residency.rs
@@ -9,6 +9,9 @@
 
 use crate::LoraIx;
 
+/// Span in which an adapter that the engine kept is not tried again: others come first.
+const KEPT: Millis = Millis(250);
+
 /// A slot that holds an adapter.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Slot {
@@ -18,6 +21,8 @@
     pub(super) used: Millis,
     /// An unload has been ordered.
     leaving: bool,
+    /// No unload before then: the engine kept it.
+    kept: Millis,
 }
 
 /// Slots of one engine.
@@ -65,19 +70,26 @@
     }
 
     /// Adapters that may be evicted now.
-    pub(super) fn unpinned(&self) -> impl Iterator<Item = (LoraIx, &Slot)> {
+    pub(super) fn unpinned(&self, now: Millis) -> impl Iterator<Item = (LoraIx, &Slot)> {
         self.held
             .iter()
-            .filter(|(_, s)| s.pins == 0 && !s.leaving)
+            .filter(move |(_, s)| s.pins == 0 && !s.leaving && s.kept <= now)
             .map(|(lora, s)| (*lora, s))
     }
 
+    /// When the next adapter that the engine kept may be tried again.
+    pub(super) fn next_try(&self, now: Millis) -> Option<Millis> {
+        let kept = self.held.values().map(|s| s.kept);
+        kept.filter(|at| *at > now).min()
+    }
+
     /// Takes a slot for a loaded adapter.
     pub(super) fn put(&mut self, lora: LoraIx, pins: u32, now: Millis) {
         let slot = self.held.entry(lora).or_insert(Slot {
             pins: 0,
             used: now,
             leaving: false,
+            kept: now,
         });
         slot.pins += pins;
     }
@@ -119,6 +131,7 @@
         } else if let Some(slot) = self.held.get_mut(&lora) {
             slot.leaving = false;
             slot.used = now;
+            slot.kept = now + KEPT;
         }
     }
 
