tests: kill mutants that survived by hand trials

Cause: trials of mutants against the tests of each promise left survivors: resuming without the last character of the text so far; one caller's key replayed to another; a side that takes new work while it leaves.

--- a/crates/entry/tests/entry/resume.rs
+++ b/crates/entry/tests/entry/resume.rs
@@ -42,13 +42,20 @@
 struct Break {
     name: &'static str,
     end: Vec<Act>,
+    /// Text that the last attempt must go on from.
+    so_far: &'static str,
     then: Vec<Vec<Act>>,
 }
 
 fn breaks() -> Vec<Break> {
     let rest = stream(&[" ég", "!"]);
     let refused = vec![Refuse(Reason::Overloaded)];
-    let row = |name, end, then| Break { name, end, then };
+    let row = |name, end, then| Break {
+        name,
+        end,
+        so_far: "Jó",
+        then,
+    };
     vec![
         row("cut", vec![Cut], vec![rest.clone()]),
         row("broken", vec![Act::Broken(Ran::Yes)], vec![rest.clone()]),
@@ -71,11 +78,14 @@
             vec![rest.clone()],
         ),
         row("refused once more", vec![Cut], vec![refused, rest]),
-        row(
-            "broken twice",
-            vec![Cut],
-            vec![vec![Head, Role, Text(" ég"), Cut], stream(&["!"])],
-        ),
+        Break {
+            so_far: "Jó ég",
+            ..row(
+                "broken twice",
+                vec![Cut],
+                vec![vec![Head, Role, Text(" ég"), Cut], stream(&["!"])],
+            )
+        },
     ]
 }
 
@@ -102,6 +112,9 @@
             let resumed = resumed.max_by_key(|r| r.head.attempt).unwrap();
             let body: Value = serde_json::from_slice(&resumed.body).unwrap();
             assert_eq!(body["continue_final_message"], json!(true), "{name}");
+            let last = body["messages"].as_array().and_then(|m| m.last());
+            let so_far = json!({"role": "assistant", "content": row.so_far});
+            assert_eq!(last, Some(&so_far), "{name}");
         }
     });
 }
--- /dev/null
+++ b/crates/side/tests/leave.rs
@@ -0,0 +1,93 @@
+//! A side that leaves: no new work, whoever still asks, and no answer cut.
+
+mod bench;
+
+use std::time::Duration;
+
+use bench::{Bench, body_of};
+use futures_util::future::join;
+use pumicecleat_net::run;
+use pumicecleat_ops::{DrainEnd, Stop};
+use pumicecleat_standin::ServiceFaults;
+use pumicecleat_types::{Frame, Reason, RunRequest};
+
+const TOKENS: u32 = 200;
+
+/// Time for work to come under way: an idle side holds it for others to batch it with.
+const START: Duration = Duration::from_millis(500);
+
+/// Time for a side to leave.
+const PAUSE: Duration = Duration::from_millis(20);
+
+struct Case {
+    name: &'static str,
+    vm: &'static str,
+    /// Work that is under way when the side is told to leave.
+    running: fn(&Bench) -> RunRequest,
+    /// Work that comes later.
+    late: fn(&Bench) -> RunRequest,
+}
+
+const CASES: [Case; 2] = [
+    Case {
+        name: "model",
+        vm: "vm-1",
+        running: |b| b.chat("running", "a", TOKENS, true),
+        late: |b| b.chat("late", "a", 1, false),
+    },
+    Case {
+        name: "service",
+        vm: "vm-2",
+        running: |b| b.call("running", "/list", None, ""),
+        late: |b| b.call("late", "/list", None, ""),
+    },
+];
+
+#[test]
+fn a_leaving_side_refuses_new_work_and_ends_what_it_runs() {
+    for case in CASES {
+        run(async {
+            let bench = Bench::start();
+            let side = match case.vm {
+                "vm-1" => bench.model_side(case.vm),
+                _ => bench.service_side(case.vm),
+            };
+            bench.until_healthy(case.vm).await;
+            bench.service.set_faults(ServiceFaults {
+                freeze: true,
+                ..ServiceFaults::default()
+            });
+            let mut reader = bench.send(&side, &(case.running)(&bench)).await;
+            let mut frames = Vec::new();
+            if case.name == "model" {
+                frames.extend(bench.next(&mut reader).await);
+            }
+            bench.timer.sleep(START).await;
+            let stop = Stop::by_hand();
+            let leave = side.finish(&stop);
+            let use_it = async {
+                bench.timer.sleep(PAUSE).await;
+                let late = bench.frames(&side, &(case.late)(&bench)).await;
+                bench.service.set_faults(ServiceFaults::default());
+                while let Some(frame) = bench.next(&mut reader).await {
+                    frames.push(frame);
+                }
+                late
+            };
+            let (end, late) = join(leave, use_it).await;
+            let name = case.name;
+            assert_eq!(end, DrainEnd::Finished, "{name}");
+            let [Frame::Refused(refusal)] = &late[..] else {
+                panic!("{name}: {late:?}");
+            };
+            assert_eq!(refusal.reason, Reason::Leaving, "{name}");
+            let whole = matches!(frames.last(), Some(Frame::End { .. }));
+            assert!(whole, "{name}: {frames:?}");
+            if name == "model" {
+                let text = body_of(&frames);
+                assert!(text.ends_with(b"data: [DONE]\n\n"), "{name}");
+            }
+        })
+        .unwrap();
+    }
+}
