tests: what the VM list says of a side holds against its own reports

Change: fake sides that don't know of the list; three cases. Conclusion: both layers of the promise are tested apart now.

--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod faults;
 mod input;
+mod listed;
 mod peers;
 mod resume;
 mod script;
