--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -25,6 +25,7 @@
     pub engines: Vec<Process>,
     pub service: Process,
     retention: &'static str,
+    traces: Option<PathBuf>,
     pub entries: Vec<Process>,
     pub sides: BTreeMap<String, Process>,
 }
@@ -37,6 +38,8 @@
     pub log_args: &'static [&'static str],
     /// Time that entries take the log to keep records.
     pub retention: &'static str,
+    /// Folder for traces of the entries' and sides' system calls, a file a VM.
+    pub traces: Option<PathBuf>,
 }
 
 impl Default for FleetOptions {
@@ -47,6 +50,7 @@
             engine_args: &["--slots", "2", "--batch", "8"],
             log_args: &[],
             retention: "48h",
+            traces: None,
         }
     }
 }
@@ -83,6 +87,7 @@
             engines,
             service: Process::standin("service", &[]),
             retention: options.retention,
+            traces: options.traces.clone(),
             entries: Vec::new(),
             sides: BTreeMap::new(),
         }
@@ -131,7 +136,7 @@
             "--retention",
             self.retention,
         ];
-        let entry = Process::entry(&args);
+        let entry = Process::entry(&args, self.trace_of(&vm).as_deref());
         self.list_vm(&vm, "entry", "live", &entry.peer, None);
         self.entries.push(entry);
     }
@@ -174,11 +179,16 @@
             "--stall",
             "1s",
         ];
-        let side = Process::side(&args);
+        let side = Process::side(&args, self.trace_of(vm).as_deref());
         self.list_vm(vm, "upstream", "live", &side.address, Some(pool));
         self.sides.insert(vm.to_owned(), side);
     }
 
+    fn trace_of(&self, vm: &str) -> Option<PathBuf> {
+        let traces = self.traces.as_ref()?;
+        Some(traces.join(vm))
+    }
+
     /// Puts a VM on the platform's list.
     pub fn list_vm(&self, vm: &str, role: &str, state: &str, address: &str, pool: Option<&str>) {
         let body = serde_json::json!({
--- a/crates/cli/tests/fleet/process.rs
+++ b/crates/cli/tests/fleet/process.rs
@@ -1,12 +1,16 @@
 //! A process that its test started, and ends by its id.
 
 use std::io::{BufRead, BufReader};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Instant;
 
 use super::{SPAN, until};
 
+/// System calls that are traced: of processes, io_uring and shared memory.
+const TRACED: &str = "trace=process,io_uring_setup,io_uring_enter,io_uring_register,shmget,shmat,\
+    memfd_create,mmap";
+
 /// A running process.
 pub struct Process {
     child: Child,
@@ -26,18 +30,38 @@
         Self::start("pumicecleat-standin", &all)
     }
 
-    /// Entry.
-    pub fn entry(args: &[&str]) -> Self {
-        Self::start("pumicecleat-entry", args)
+    /// Entry, traced into a file if one is given.
+    pub fn entry(args: &[&str], trace: Option<&Path>) -> Self {
+        Self::program("pumicecleat-entry", args, trace)
     }
 
-    /// Side.
-    pub fn side(args: &[&str]) -> Self {
-        Self::start("pumicecleat-side", args)
+    /// Side, traced into a file if one is given.
+    pub fn side(args: &[&str], trace: Option<&Path>) -> Self {
+        Self::program("pumicecleat-side", args, trace)
+    }
+
+    fn program(program: &str, args: &[&str], trace: Option<&Path>) -> Self {
+        match trace {
+            Some(trace) => Self::start_traced(program, args, trace),
+            None => Self::start(program, args),
+        }
     }
 
     fn start(program: &str, args: &[&str]) -> Self {
-        let mut child = command(program)
+        Self::start_by(command(program), args)
+    }
+
+    /// Starts a program under the system call trace of `strace`, which ends with it.
+    fn start_traced(program: &str, args: &[&str], trace: &Path) -> Self {
+        let mut tracer = Command::new("strace");
+        // By -D the program itself is this test's child, and gets its signals.
+        tracer.args(["-D", "-f", "-o"]).arg(trace);
+        tracer.args(["-e", TRACED]).arg(path(program));
+        Self::start_by(tracer, args)
+    }
+
+    fn start_by(mut command: Command, args: &[&str]) -> Self {
+        let mut child = command
             .args(args)
             .stdout(Stdio::piped())
             .stderr(stderr())
@@ -54,7 +78,7 @@
         };
         assert!(
             !after("listening").is_empty(),
-            "{program} did not start: {line:?}"
+            "{command:?} did not start: {line:?}"
         );
         Self {
             child,
@@ -105,13 +129,17 @@
 
 /// Command of a program of this workspace, built beside this test.
 pub fn command(program: &str) -> Command {
+    Command::new(path(program))
+}
+
+fn path(program: &str) -> PathBuf {
     let mut path = PathBuf::from(env!("CARGO_BIN_EXE_pumicecleat"));
     path.set_file_name(program);
     assert!(
         path.exists(),
         "build the whole workspace first: cargo test --workspace"
     );
-    Command::new(path)
+    path
 }
 
 /// Processes log to the terminal only if asked to.
