--- a/crates/cli/tests/fleet/process.rs
+++ b/crates/cli/tests/fleet/process.rs
@@ -7,7 +7,7 @@
 
 use super::{SPAN, until};
 
-/// System calls that are traced: of processes, io_uring and shared memory.
+/// System calls that are traced: of processes, `io_uring` and shared memory.
 const TRACED: &str = "trace=process,io_uring_setup,io_uring_enter,io_uring_register,shmget,shmat,\
     memfd_create,mmap";
 
--- a/crates/cli/tests/trace.rs
+++ b/crates/cli/tests/trace.rs
@@ -131,12 +131,13 @@
     }
 }
 
+struct Case {
+    line: &'static str,
+    is_wrong: bool,
+}
+
 #[test]
 fn a_trace_with_a_forbidden_call_is_found_out() {
-    struct Case {
-        line: &'static str,
-        is_wrong: bool,
-    }
     let cases = [
         Case {
             line: "7 clone3({flags=CLONE_VM|CLONE_THREAD, exit_signal=0}, 88) = 8",
