--- a/crates/entry/tests/entry/resume.rs
+++ b/crates/entry/tests/entry/resume.rs
@@ -42,6 +42,8 @@
 struct Break {
     name: &'static str,
     end: Vec<Act>,
+    /// Text that the last attempt must go on from.
+    so_far: &'static str,
     then: Vec<Vec<Act>>,
 }
 
@@ -51,7 +53,12 @@
     let tail = [Text("!"), Finish, Done, End];
     let role_with_text = [Head, Act::RoleText(" ég")].into_iter().chain(tail);
     let role_with_text = role_with_text.collect();
-    let row = |name, end, then| Break { name, end, then };
+    let row = |name, end, then| Break {
+        name,
+        end,
+        so_far: "Jó",
+        then,
+    };
     vec![
         row("cut", vec![Cut], vec![rest.clone()]),
         row("broken", vec![Act::Broken(Ran::Yes)], vec![rest.clone()]),
@@ -75,11 +82,14 @@
         ),
         row("role with text", vec![Cut], vec![role_with_text]),
         row("refused once more", vec![Cut], vec![refused, rest]),
-        row(
-            "broken twice",
-            vec![Cut],
-            vec![vec![Head, Role, Text(" ég"), Cut], stream(&["!"])],
-        ),
+        Break {
+            so_far: "Jó ég",
+            ..row(
+                "broken twice",
+                vec![Cut],
+                vec![vec![Head, Role, Text(" ég"), Cut], stream(&["!"])],
+            )
+        },
     ]
 }
 
@@ -106,6 +116,9 @@
             let resumed = resumed.max_by_key(|r| r.head.attempt).unwrap();
             let body: Value = serde_json::from_slice(&resumed.body).unwrap();
             assert_eq!(body["continue_final_message"], json!(true), "{name}");
+            let last = body["messages"].as_array().and_then(|m| m.last());
+            let so_far = json!({"role": "assistant", "content": row.so_far});
+            assert_eq!(last, Some(&so_far), "{name}");
         }
     });
 }
