Declare the longest hold for a fuller batch

Cause: the hold was a constant of the policy, seconds long, where the first token is wanted within 0.51 s; a deployment that lets its callers wait must say so.

--- a/crates/config/src/check/limit.rs
+++ b/crates/config/src/check/limit.rs
@@ -18,6 +18,8 @@
 pub(super) const CLAIM: RangeInclusive<u64> = 1..=1_000_000;
 /// Weight of a measure, percent.
 pub(super) const WEIGHT: RangeInclusive<u64> = 0..=100;
+/// Hold for a fuller batch, milliseconds.
+pub(super) const HOLD: RangeInclusive<u64> = 0..=10_000;
 /// Deadlines, milliseconds.
 pub(super) const DEADLINE: RangeInclusive<u64> = 1..=3_600_000;
 /// Body of a request, bytes.
--- a/crates/config/src/check/value.rs
+++ b/crates/config/src/check/value.rs
@@ -131,6 +131,7 @@
 fn check_tuning(tuning: Tuning, report: &mut Report) {
     range(report, "stall", tuning.stall.into(), &limit::WEIGHT);
     range(report, "batch", tuning.batch.into(), &limit::WEIGHT);
+    range(report, "hold_ms", tuning.hold_ms, &limit::HOLD);
     if tuning.stall == 0 && tuning.batch == 0 {
         report.add("", Problem::Weights);
     }
--- a/crates/config/src/model/tuning.rs
+++ b/crates/config/src/model/tuning.rs
@@ -9,6 +9,9 @@
     pub stall: u32,
     /// Weight of full batches.
     pub batch: u32,
+    /// Longest time that an idle engine is held for a fuller batch, milliseconds, at full weight of
+    /// batches.
+    pub hold_ms: u64,
 }
 
 impl Default for Tuning {
@@ -16,6 +19,7 @@
         Self {
             stall: 50,
             batch: 50,
+            hold_ms: 200,
         }
     }
 }
--- a/crates/config/src/parse/declare.rs
+++ b/crates/config/src/parse/declare.rs
@@ -75,6 +75,7 @@
         self.config.tuning = Tuning {
             stall: fields.count_or("stall", default.stall),
             batch: fields.count_or("batch", default.batch),
+            hold_ms: fields.number_or("hold_ms", default.hold_ms),
         };
         fields.finish();
     }
