--- a/crates/measure/src/args.rs
+++ b/crates/measure/src/args.rs
@@ -4,6 +4,7 @@
 
 use crate::path::PathArgs;
 use crate::policy::PolicyArgs;
+use crate::slopes::SlopesArgs;
 
 /// Measurements of pumicecleat, as JSON lines.
 #[derive(FromArgs, Debug)]
@@ -21,6 +22,8 @@
     Path(PathArgs),
     /// The decisions under load and faults, in virtual time.
     Policy(PolicyArgs),
+    /// How state, messages and processor time grow.
+    Slopes(SlopesArgs),
 }
 
 impl Command {
@@ -29,6 +32,7 @@
         match self {
             Self::Path(args) => crate::path::run(args),
             Self::Policy(args) => crate::policy::run(args),
+            Self::Slopes(args) => crate::slopes::run(args),
         }
     }
 }
--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -4,7 +4,9 @@
 
 pub mod path;
 pub mod policy;
+pub mod slopes;
 
 mod args;
+mod json;
 
 pub use args::{Args, Command};
--- a/crates/measure/src/path/mod.rs
+++ b/crates/measure/src/path/mod.rs
@@ -12,10 +12,12 @@
 mod thread;
 
 pub use args::PathArgs;
+pub(crate) use thread::{Part as Thread, resident};
 
+use crate::json::print;
 use load::{Load, Take};
 use parts::Parts;
-use report::{Line, print};
+use report::Line;
 
 /// Runs the measurement and prints a line for each way and size.
 pub fn run(args: &PathArgs) {
--- a/crates/measure/src/path/report.rs
+++ b/crates/measure/src/path/report.rs
@@ -115,9 +115,3 @@
 fn signed(n: u64) -> i64 {
     i64::try_from(n).unwrap_or(i64::MAX)
 }
-
-/// Prints a line.
-pub(super) fn print<T: Serialize>(line: &T) {
-    // Numbers and constant texts always encode.
-    println!("{}", serde_json::to_string(line).unwrap_or_default());
-}
--- a/crates/measure/src/path/thread.rs
+++ b/crates/measure/src/path/thread.rs
@@ -8,15 +8,15 @@
 use pumicecleat_net::run;
 
 /// A part's loop on a thread of its own, for the life of the process.
-pub(super) struct Part<T> {
+pub(crate) struct Part<T> {
     /// What the part told of itself once started.
-    pub(super) told: T,
+    pub(crate) told: T,
     id: u64,
 }
 
 impl<T: Send + 'static> Part<T> {
     /// Starts `part` on a loop; it must send what it has to tell, once, and go on for ever.
-    pub(super) fn start<F>(
+    pub(crate) fn start<F>(
         name: &str,
         part: impl FnOnce(mpsc::Sender<T>) -> F + Send + 'static,
     ) -> Self
@@ -40,7 +40,7 @@
     }
 
     /// Processor time so far.
-    pub(super) fn time(&self) -> Duration {
+    pub(crate) fn time(&self) -> Duration {
         let path = format!("/proc/self/task/{}/schedstat", self.id);
         let text = fs::read_to_string(path).unwrap_or_default();
         let nanos = text.split_whitespace().next().and_then(|w| w.parse().ok());
@@ -56,7 +56,7 @@
 }
 
 /// Resident memory of the process, bytes.
-pub(super) fn resident() -> u64 {
+pub(crate) fn resident() -> u64 {
     let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = text
         .split_whitespace()
--- /dev/null
+++ b/crates/measure/src/slopes/idle/world.rs
@@ -0,0 +1,95 @@
+//! The platform's stand-ins and the entry.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use pumicecleat_config::{Change, ChangeId, Fold, Record};
+use pumicecleat_entry::{Entry, EntrySettings, Parts};
+use pumicecleat_net::{Client, ClientOptions, Timer};
+use pumicecleat_ops::{Level, Log, LogOptions, Settings, Stop};
+use pumicecleat_platform::{HttpLog, Log as Records, Peers};
+use pumicecleat_standin::{VmList, VmListOptions};
+
+use crate::slopes::fleet::{config, listed};
+
+/// Adapters declared.
+const ADAPTERS: u32 = 24_000;
+
+const PAUSE: Duration = Duration::from_millis(20);
+const SPAN: Duration = Duration::from_secs(20);
+
+/// Addresses of the platform.
+#[derive(Clone)]
+pub(super) struct World {
+    log: String,
+    vms: String,
+}
+
+/// Starts the log, with a configuration in it, and the VM list.
+pub(super) async fn start_world(sides: u32, told: mpsc::Sender<World>) {
+    let timer = Timer::start();
+    let options = pumicecleat_standin::LogOptions::default();
+    let log = pumicecleat_standin::Log::start(options, &timer).expect("the log starts");
+    let options = VmListOptions {
+        vms: (0..sides).map(listed).collect(),
+        ..VmListOptions::default()
+    };
+    let vms = VmList::start(options, &timer).expect("the VM list starts");
+    let world = World {
+        log: log.address.to_string(),
+        vms: vms.address.to_string(),
+    };
+    declare(&world.log, &timer).await;
+    // The starter waits for it.
+    let _ = told.send(world);
+    std::future::pending::<()>().await;
+}
+
+/// Appends the configuration, and reads it once so that the log's buffers have their size.
+async fn declare(log: &str, timer: &Timer) {
+    let declared = config(ADAPTERS);
+    let fold = Fold::new();
+    let id = ChangeId::try_from("first".to_owned()).expect("a short id");
+    let change = Change::new(id, 0, fold.config(), &declared, "measure");
+    let record = Record::Change(Box::new(change)).to_bytes();
+    let client = Client::new_ext(ClientOptions::default(), timer);
+    let records = HttpLog::new(&client, Peers::parse(log), SPAN);
+    let appended = records.append("config", vec![record]).await;
+    appended.expect("the log takes the configuration");
+    let read = records.read("config", 0, 1, Duration::ZERO).await;
+    read.expect("the log gives it back");
+}
+
+/// Starts an entry and tells its peer address once it is ready.
+pub(super) async fn start_entry(world: World, told: mpsc::Sender<String>) {
+    let timer = Timer::start();
+    let args = [
+        ["--vm", "entry-1"],
+        ["--data-centre", "centre-01"],
+        ["--region", "region-1"],
+        ["--listen", "127.0.0.1:0"],
+        ["--peer-listen", "127.0.0.1:0"],
+        ["--admin", "127.0.0.1:0"],
+        ["--log", &world.log],
+        ["--vms", &world.vms],
+    ]
+    .concat();
+    let settings = EntrySettings::read("entry", &args, &BTreeMap::new()).expect("settings");
+    let parts = Parts::over_http(&settings, &timer);
+    let stop = Stop::by_hand();
+    let entry = Entry::start(&settings, &parts, &timer, &quiet(), &stop).expect("entry starts");
+    while !entry.is_ready() {
+        timer.sleep(PAUSE).await;
+    }
+    // The starter waits for it.
+    let _ = told.send(entry.addresses().peers.to_string());
+    entry.run().await;
+}
+
+fn quiet() -> Log {
+    Log::new_ext(&LogOptions {
+        level: Level::Off,
+        ..LogOptions::default()
+    })
+}
--- /dev/null
+++ b/crates/measure/src/slopes/order.rs
@@ -0,0 +1,131 @@
+//! The order of loads: time of a bid, and bids a second while sides wait for their turn.
+
+use std::collections::BTreeSet;
+
+use pumicecleat_policy::{Bid, LoadOrder, LoadOrderOptions, LoraIx, UpstreamIx};
+use pumicecleat_types::{LoadBid, LoadTurn, Millis, encode};
+
+use super::clock::cost;
+use super::fleet::vm;
+use super::line::{Figure, Sample, Series};
+
+/// Sides that want a load.
+const SIDES: [u32; 5] = [10, 100, 325, 975, 7_800];
+
+/// Bids in a batch.
+const BATCH: u32 = 100;
+
+/// Time of a load at the store, one at a time.
+const LOAD: Millis = Millis(500);
+
+/// Virtual time watched, seconds and the same as a span.
+const SECONDS: u32 = 60;
+const SPAN: Millis = Millis(SECONDS as u64 * 1_000);
+
+/// Time for a bid and its reply.
+const LAG: Millis = Millis(4);
+
+/// Runs all.
+pub(super) fn run() {
+    let figure = |figure, unit| Figure {
+        part: "order",
+        figure,
+        unit,
+        per: "side that wants a load",
+    };
+    let mut time = Series::new(figure("a bid", "us"));
+    let mut rate = Series::new(figure("bids", "a second"));
+    let mut turns = Series::new(figure("turns given", "a second"));
+    for sides in SIDES {
+        let mut order = LoadOrder::new_ext(LoadOrderOptions::default());
+        (0..sides).for_each(|side| drop(bid(&mut order, side, Millis(1))));
+        time.add(
+            sides,
+            cost(BATCH, |n| drop(bid(&mut order, n % sides, Millis(2)))),
+        );
+        let seen = watch(sides);
+        rate.add(sides, Sample::once(seen.bids));
+        turns.add(sides, Sample::once(seen.turns));
+    }
+    time.fit();
+    rate.fit();
+    turns.fit();
+    print_bytes();
+}
+
+/// What a busy order saw, a second.
+struct Seen {
+    bids: f64,
+    turns: f64,
+}
+
+/// What a side does at its time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Bid,
+    GiveBack,
+}
+
+/// Sides that each want loads one after the other, in virtual time.
+fn watch(sides: u32) -> Seen {
+    let mut order = LoadOrder::new_ext(LoadOrderOptions::default());
+    let start = |side| (Millis(u64::from(side) % 200), side, Step::Bid);
+    let mut due: BTreeSet<(Millis, u32, Step)> = (0..sides).map(start).collect();
+    let (mut bids, mut turns) = (0, 0);
+    while let Some((now, side, step)) = due.pop_first() {
+        if now >= SPAN {
+            break;
+        }
+        if step == Step::GiveBack {
+            order.bid(UpstreamIx(side), None, now);
+            due.insert((now + LAG, side, Step::Bid));
+            continue;
+        }
+        bids += 1;
+        match bid(&mut order, side, now) {
+            LoadTurn::Go { .. } => {
+                turns += 1;
+                due.insert((now + LOAD, side, Step::GiveBack));
+            }
+            LoadTurn::Wait { again_ms } => {
+                due.insert((now + Millis(again_ms) + LAG, side, Step::Bid));
+            }
+        }
+    }
+    let seconds = f64::from(SECONDS);
+    Seen {
+        bids: f64::from(bids) / seconds,
+        turns: f64::from(turns) / seconds,
+    }
+}
+
+fn bid(order: &mut LoadOrder, side: u32, now: Millis) -> LoadTurn {
+    let wanted = Bid {
+        lora: LoraIx(side),
+        waiting: 1 + side % 5,
+        left: Millis(20_000),
+        waited: Millis(0),
+    };
+    order.bid(UpstreamIx(side), Some(&wanted), now)
+}
+
+fn print_bytes() {
+    let message = LoadBid {
+        vm: vm(1_234).as_str().into(),
+        lora: Some("adapter-01234@v0".to_owned()),
+        waiting: 3,
+        left_ms: 20_000,
+        waited_ms: 1_500,
+    };
+    let mut series = Series::new(Figure {
+        part: "order",
+        figure: "a bid, encoded",
+        unit: "bytes",
+        per: "bid",
+    });
+    let bytes = u32::try_from(encode(&message).len()).unwrap_or(u32::MAX);
+    series.add(1, Sample::once(f64::from(bytes)));
+    let reply = encode(&LoadTurn::Wait { again_ms: 200 });
+    let bytes = u32::try_from(reply.len()).unwrap_or(u32::MAX);
+    series.add(1, Sample::once(f64::from(bytes)));
+}
