Read the VM list only when it changed, and less often the more it lists

Ruled out: deltas (a form of our own, where HTTP has one); slower reads alone (a leaving VM would be seen too late by entries). After: a read of an unchanged list is a head; a change in another region does not touch the tag (test).

--- a/crates/entry/tests/entry/peers.rs
+++ b/crates/entry/tests/entry/peers.rs
@@ -127,9 +127,9 @@
 struct Listing(RefCell<Vec<VmEntry>>);
 
 impl Vms for Listing {
-    fn list<'a>(&'a self, _: Option<&'a str>) -> Local<'a, Result<VmList, VmsError>> {
+    fn list<'a>(&'a self, _: Option<&'a str>) -> Local<'a, Result<Rc<VmList>, VmsError>> {
         let vms = self.0.borrow().clone();
-        Box::pin(std::future::ready(Ok(VmList { vms, version: 1 })))
+        Box::pin(std::future::ready(Ok(Rc::new(VmList { vms, version: 1 }))))
     }
 }
 
--- a/crates/platform/src/http/exchange.rs
+++ b/crates/platform/src/http/exchange.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::CONTENT_TYPE;
+use http::HeaderValue;
+use http::header::{CONTENT_TYPE, ETAG, IF_NONE_MATCH};
 use pumicecleat_net::{Client, Response, retry_after};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -28,6 +29,8 @@
 pub(crate) struct Answer {
     pub(crate) status: u16,
     retry: Option<Duration>,
+    /// Tag of this state of what was asked for.
+    pub(crate) etag: Option<HeaderValue>,
     pub(crate) peer: String,
     body: Vec<u8>,
 }
@@ -46,6 +49,19 @@
         self.ask(request, wait).await
     }
 
+    /// GET that is answered by 304 if `etag` still stands.
+    pub(crate) async fn get_unless(
+        &self,
+        path: &str,
+        etag: Option<&HeaderValue>,
+    ) -> Result<Answer, Fault> {
+        let mut request = request(http::Method::GET, path, Bytes::new());
+        if let Some(etag) = etag {
+            request.headers_mut().insert(IF_NONE_MATCH, etag.clone());
+        }
+        self.ask(request, Duration::ZERO).await
+    }
+
     pub(crate) async fn head(&self, path: &str) -> Result<Answer, Fault> {
         let request = request(http::Method::HEAD, path, Bytes::new());
         self.ask(request, Duration::ZERO).await
@@ -55,7 +71,7 @@
         // Our bodies have text keys only, so that they always encode.
         let body = serde_json::to_vec(body).unwrap_or_default();
         let mut request = request(http::Method::POST, path, Bytes::from(body));
-        let json = http::HeaderValue::from_static("application/json");
+        let json = HeaderValue::from_static("application/json");
         request.headers_mut().insert(CONTENT_TYPE, json);
         self.ask(request, Duration::ZERO).await
     }
@@ -70,6 +86,7 @@
             body: body.context(NetSnafu)?,
             status: response.status(),
             retry: retry_after(response.headers()),
+            etag: response.headers().get(ETAG).cloned(),
             peer: peer_of(&response),
         })
     }
--- a/crates/platform/src/vms/mod.rs
+++ b/crates/platform/src/vms/mod.rs
@@ -2,6 +2,8 @@
 
 mod http;
 
+use std::rc::Rc;
+
 use pumicecleat_types::VmEntry;
 use snafu::Snafu;
 
@@ -37,5 +39,5 @@
     ///
     /// # Errors
     /// [`VmsError`] if there is no usable answer.
-    fn list<'a>(&'a self, region: Option<&'a str>) -> Local<'a, Result<VmList, VmsError>>;
+    fn list<'a>(&'a self, region: Option<&'a str>) -> Local<'a, Result<Rc<VmList>, VmsError>>;
 }
--- a/crates/platform/tests/platform/http.rs
+++ b/crates/platform/tests/platform/http.rs
@@ -244,18 +244,22 @@
     });
 }
 
+fn vm_in(name: &str, region: &str) -> VmEntry {
+    VmEntry {
+        vm: name.into(),
+        role: VmRole::Upstream,
+        state: VmState::Live,
+        address: "10.0.0.1:7000".into(),
+        centre: "bp-a".into(),
+        region: region.into(),
+        pool: Some("sky".into()),
+    }
+}
+
 #[test]
 fn vms_are_listed_by_region() {
     with_client(|client| async move {
-        let vm = |name: &str, region: &str| VmEntry {
-            vm: name.into(),
-            role: VmRole::Upstream,
-            state: VmState::Leaving,
-            address: "10.0.0.1:7000".into(),
-            centre: "bp-a".into(),
-            region: region.into(),
-            pool: Some("sky".into()),
-        };
+        let vm = vm_in;
         let options = VmListOptions {
             vms: vec![vm("a", "hu-central"), vm("b", "kerala-central")],
             ..VmListOptions::default()
@@ -270,6 +274,38 @@
     });
 }
 
+#[test]
+fn a_list_that_has_not_changed_is_not_sent_again() {
+    with_client(|client| async move {
+        let standin = VmsStandin::start(VmListOptions::default(), client.timer()).unwrap();
+        let peer = standin.address.to_string();
+        let vms = HttpVms::new(&client, Peers::parse(&peer), SPAN);
+        let put = async |vm: &VmEntry| {
+            let body = serde_json::to_vec(vm).unwrap();
+            let path = format!("/v1/vms/{}", vm.vm);
+            let request = http::Request::post(path).body(Bytes::from(body)).unwrap();
+            let mut response = client.send(&peer, request, SPAN).await.unwrap();
+            response.read(1 << 20, SPAN).await.unwrap();
+        };
+        let here = vm_in("a", "hu-central");
+        put(&here).await;
+        let first = vms.list(Some("hu-central")).await.unwrap();
+        put(&vm_in("b", "kerala-central")).await;
+        let again = vms.list(Some("hu-central")).await.unwrap();
+        assert!(
+            Rc::ptr_eq(&first, &again),
+            "sent again after a change elsewhere"
+        );
+        let leaving = VmEntry {
+            state: VmState::Leaving,
+            ..here
+        };
+        put(&leaving).await;
+        let changed = vms.list(Some("hu-central")).await.unwrap();
+        assert_eq!(changed.vms, [leaving]);
+    });
+}
+
 #[test]
 fn the_store_tells_what_exists() {
     with_client(|client| async move {
--- a/crates/side/src/entries.rs
+++ b/crates/side/src/entries.rs
@@ -13,8 +13,13 @@
 
 use crate::state::State;
 
-/// Time between two reads of the VM list.
+/// Shortest time between two reads of the VM list.
 const PAUSE: Duration = Duration::from_secs(1);
+/// Longest one. A side needs the list for entries that come and go; that its own VM leaves is seen
+/// by entries too, which read the list more often.
+const LONGEST: Duration = Duration::from_secs(15);
+/// VMs that a read each second may list; with more, all sides together would overrun the list.
+const VMS_A_SECOND: usize = 100;
 /// Lists in a row that must lack an entry before it is forgotten, as the list lags.
 const ABSENCES: u32 = 3;
 
@@ -74,15 +79,22 @@
     }
 }
 
+fn pace(listed: usize) -> Duration {
+    let factor = u32::try_from(listed / VMS_A_SECOND).unwrap_or(u32::MAX);
+    PAUSE.saturating_mul(factor.max(1)).min(LONGEST)
+}
+
 impl State {
     /// Reads the VM list again and again; never ends.
     pub(crate) async fn watch_vms(self: Rc<Self>, vms: Rc<dyn Vms>) {
         let region = self.settings.common.region.clone();
         let mut up = true;
+        let mut listed = 0;
         loop {
             match vms.list(Some(region.as_str())).await {
                 Ok(list) => {
                     up = true;
+                    listed = list.vms.len();
                     self.entries.take(&list);
                     self.look_for_own(&list);
                 }
@@ -98,7 +110,7 @@
                 }
                 Err(_) => {}
             }
-            self.timer.sleep(PAUSE).await;
+            self.timer.sleep(pace(listed)).await;
         }
     }
 
--- a/crates/standin/src/vms/handler.rs
+++ b/crates/standin/src/vms/handler.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use http::Method;
-use pumicecleat_net::{Reply, Timer, json_reply};
+use http::header::{ETAG, HeaderValue, IF_NONE_MATCH};
+use pumicecleat_net::{Reply, Timer, json_reply, plain_reply};
 use pumicecleat_types::{Millis, VmEntry};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::VmFaults;
 use super::history::{History, Vms};
@@ -79,7 +81,7 @@
     fn serve(&self, call: &Call) -> Result<Reply, Refusal> {
         let vm = call.path.strip_prefix("/v1/vms/").filter(|v| !v.is_empty());
         match (&call.method, vm) {
-            (&Method::GET, None) if call.path == LIST => Ok(self.list(call.field("region"))),
+            (&Method::GET, None) if call.path == LIST => Ok(self.list(call)),
             (&Method::PUT, None) if call.path == LIST => {
                 let whole = call.json::<Whole>()?;
                 Ok(self.change(|vms| *vms = by_id(whole.vms)))
@@ -100,7 +102,8 @@
         }
     }
 
-    fn list(&self, region: Option<&str>) -> Reply {
+    fn list(&self, call: &Call) -> Reply {
+        let region = call.field("region");
         let mut history = self.history.borrow_mut();
         let version = history.at(self.timer.now());
         let wanted = |e: &&VmEntry| region.is_none_or(|r| e.region.as_str() == r);
@@ -108,7 +111,11 @@
             vms: version.vms.values().filter(wanted).collect(),
             version: version.number,
         };
-        json_reply(200, &listing)
+        let tag = tag_of(&listing);
+        if call.header(IF_NONE_MATCH.as_str()) == Some(tag.as_str()) {
+            return tagged(plain_reply(304, ""), &tag);
+        }
+        tagged(json_reply(200, &listing), &tag)
     }
 
     fn change(&self, edit: impl FnOnce(&mut Vms)) -> Reply {
@@ -141,6 +148,20 @@
     }
 }
 
+/// Tag of a listing: of its VMs alone, so that changes in other regions don't touch it.
+fn tag_of(listing: &Listing<'_>) -> String {
+    // Texts and numbers only: it always encodes.
+    let vms = serde_json::to_vec(&listing.vms).unwrap_or_default();
+    format!("\"{:016x}\"", xxh3_64(&vms))
+}
+
+fn tagged(mut reply: Reply, tag: &str) -> Reply {
+    if let Ok(value) = HeaderValue::from_str(tag) {
+        reply.headers_mut().insert(ETAG, value);
+    }
+    reply
+}
+
 fn by_id(list: Vec<VmEntry>) -> Vms {
     list.into_iter().map(|e| (e.vm.clone(), e)).collect()
 }
