--- a/crates/ledger/tests/decisions.rs
+++ b/crates/ledger/tests/decisions.rs
@@ -438,6 +438,20 @@
     assert_eq!(again, Decision::Replay(answer()));
 }
 
+#[test]
+fn an_answer_counts_from_its_own_record_on() {
+    let mut ledger = ledger(0, 0);
+    let other = attempt("b", 1);
+    let later = START + WINDOW;
+    ledger.read(&append(0, START, &[intent(&other)]));
+    ledger.read(&append(1, later, &[done(&other, answer())]));
+    ledger.read(&append(2, START + WINDOW + AHEAD, &[]));
+    let kept = decide(&mut ledger, &call(&key(), BODY, START + WINDOW + AHEAD));
+    assert_eq!(kept, Decision::Replay(answer()));
+    ledger.read(&append(3, later + WINDOW + AHEAD, &[]));
+    assert_eq!(ledger.dump().marks, 0);
+}
+
 #[test]
 fn a_starting_side_admits_nothing_before_it_has_caught_up() {
     let mut ledger = ledger(3, 5);
