--- a/crates/ledger/src/ledger/book.rs
+++ b/crates/ledger/src/ledger/book.rs
@@ -167,7 +167,9 @@
     fn push(&mut self, key: &Key, mark: Mark) {
         let until = mark.until;
         self.bytes += mark.size(key);
-        self.marks.entry(key.clone()).or_default().push(mark);
+        let marks = self.marks.entry(key.clone());
+        // Nearly every key has one attempt.
+        marks.or_insert_with(|| Vec::with_capacity(1)).push(mark);
         self.schedule(key, until);
     }
 
