Wait for the first read to end before asking for readiness; rename a binding for clippy

Cause: the mutant that is ready without a configuration still passed: the first read of an empty log waits two seconds. With the longer wait it is caught by config::follows_the_log. A binding named word beside world fails clippy's similar_names.

--- a/crates/entry/tests/entry/config.rs
+++ b/crates/entry/tests/entry/config.rs
@@ -30,8 +30,8 @@
     case(|| async {
         let mut world = World::bare();
         let started = world.start(&[]);
-        // The log is read to its end, and holds nothing.
-        world.timer.sleep(Duration::from_millis(300)).await;
+        // The first read has ended, which waits two seconds for a record, and the log holds nothing.
+        world.timer.sleep(Duration::from_millis(2_300)).await;
         let told = world.caller(&started).chat(false).await;
         assert_eq!(told.error(), ("not_ready".into(), "no".into()));
         assert!(told.header("retry-after").is_some());
--- a/crates/entry/tests/entry/listed.rs
+++ b/crates/entry/tests/entry/listed.rs
@@ -98,8 +98,8 @@
             let before = sides[0].seen().len();
             for _ in 0..5 {
                 let told = caller.chat(false).await;
-                let word = ("no_upstream".to_owned(), "no".to_owned());
-                assert_eq!(told.error(), word, "{name}");
+                let refused = ("no_upstream".to_owned(), "no".to_owned());
+                assert_eq!(told.error(), refused, "{name}");
                 assert!(told.header("retry-after").is_some(), "{name}");
             }
             assert_eq!(sides[0].seen().len(), before, "{name}");
