side: a repeat whose answer was not kept is told so, not given an empty one

Cause: an answer of a call with a key is recorded whole up to 16 KiB; of a longer one only digest and length are kept. A repeat of such a call was given the recorded status with an empty body, as a whole answer: a part passed for the whole. Ruled out: recording longer answers, as the log's records have a limit; a refusal, as no reason says that the call ran. Conclusion: no caller takes an empty body for its answer. The caller still can't have the answer; a reason of its own is for the maintainers to decide.

--- a/crates/side/src/run/service.rs
+++ b/crates/side/src/run/service.rs
@@ -204,7 +204,7 @@
                 Body::Whole(body) => {
                     self.answered(answer.status, answer.headers.clone(), body, true)
                 }
-                Body::Large { .. } => self.answered(answer.status, Vec::new(), b"", true),
+                Body::Large { bytes, .. } => vec![self.not_kept(*bytes)],
             },
             Outcome::Unknown => {
                 self.refused(refusal(Reason::KeyUnknown, RETRY_MS, "outcome is unknown"))
@@ -212,6 +212,14 @@
         }
     }
 
+    /// An earlier attempt ran and was answered, but too long an answer is not recorded: nothing
+    /// could be passed on as whole.
+    fn not_kept(&self, bytes: u64) -> Frame {
+        let detail = format!("an earlier attempt ran; its answer of {bytes} bytes was not kept");
+        self.state
+            .broken(&self.request.head, Ran::Yes, "replay answer", &detail)
+    }
+
     async fn send(&self) -> Result<ServiceAnswer, CallError> {
         let head = &self.request.head;
         let call = ServiceCall {
--- a/crates/side/tests/bench/mod.rs
+++ b/crates/side/tests/bench/mod.rs
@@ -77,7 +77,7 @@
 }
 
 struct FakeEntry {
-    fold: Fold,
+    fold: Rc<RefCell<Fold>>,
     seen: Rc<RefCell<Seen>>,
     timer: Timer,
 }
@@ -85,8 +85,8 @@
 impl Handler for FakeEntry {
     fn handle(&self, request: Incoming, _: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
         let path = request.uri().path().to_owned();
-        let snapshot = self.fold.snapshot_bytes();
-        let revision = self.fold.revision();
+        let snapshot = self.fold.borrow().snapshot_bytes();
+        let revision = self.fold.borrow().revision();
         let seen = Rc::clone(&self.seen);
         let timer = self.timer.clone();
         Box::pin(async move {
@@ -124,7 +124,7 @@
     pub store: Running<StoreFaults>,
     pub engine: Running<EngineFaults>,
     pub service: Running<ServiceFaults>,
-    fold: Fold,
+    fold: Rc<RefCell<Fold>>,
     entry: String,
 }
 
@@ -154,7 +154,8 @@
         let service = Service::start(ServiceOptions::default(), &timer).unwrap();
         let log = Log::start(StandinLogOptions::default(), &timer).unwrap();
         let seen = Rc::default();
-        let fold = fold_of(CONFIG);
+        let fold = Rc::new(RefCell::new(Fold::new()));
+        declare(&fold, CONFIG);
         let entry = start_entry(&fold, &seen, &timer);
         Self {
             client: Client::new_ext(ClientOptions::default(), &timer),
@@ -169,6 +170,16 @@
         }
     }
 
+    /// Declares further items at the fake entry; the side hears of it by and by.
+    pub fn declare_more(&self, text: &str) {
+        declare(&self.fold, &format!("{CONFIG}{text}"));
+    }
+
+    /// A side of the pool of services, before another service.
+    pub fn service_side_at(&self, vm: &str, upstream: SocketAddr) -> Side {
+        self.side(vm, "booking", &upstream.to_string())
+    }
+
     /// A side of the pool of engines.
     pub fn model_side(&self, vm: &str) -> Side {
         let upstream = self.engine.address.to_string();
@@ -244,7 +255,7 @@
             base: lora.base.clone(),
             adapter: lora.adapter.clone(),
             version: lora.version.clone(),
-            stamp: self.fold.config().stamp(&lora).unwrap_or_default(),
+            stamp: self.fold.borrow().config().stamp(&lora).unwrap_or_default(),
         });
         let mut run = self.run(request, "lm", target, serde_json::to_vec(&body).unwrap());
         run.head.tokens = tokens;
@@ -272,7 +283,7 @@
                 request: request.into(),
                 attempt: 1,
                 pool: pool.into(),
-                revision: self.fold.revision(),
+                revision: self.fold.borrow().revision(),
                 caller: "school".into(),
                 target,
                 left_ms: 5_000,
@@ -327,28 +338,29 @@
     }
 }
 
-fn fold_of(text: &str) -> Fold {
+/// Puts a configuration in force at the fake entry.
+fn declare(fold: &RefCell<Fold>, text: &str) {
     let config = parse(&[Source {
         name: "test.toml",
         bytes: text.as_bytes(),
     }])
     .unwrap();
-    let mut fold = Fold::new();
-    let id = ChangeId::try_from("first".to_owned()).unwrap();
-    let change = Change::new(id, 0, fold.config(), &config, "test");
+    let mut fold = fold.borrow_mut();
+    let offset = fold.next();
+    let id = ChangeId::try_from(format!("change-{offset}")).unwrap();
+    let change = Change::new(id, fold.revision(), fold.config(), &config, "test");
     let data = Record::Change(Box::new(change)).to_bytes();
     fold.apply(&LogRecord {
-        offset: 0,
+        offset,
         at: 0,
         data,
     })
     .unwrap();
-    fold
 }
 
-fn start_entry(fold: &Fold, seen: &Rc<RefCell<Seen>>, timer: &Timer) -> String {
+fn start_entry(fold: &Rc<RefCell<Fold>>, seen: &Rc<RefCell<Seen>>, timer: &Timer) -> String {
     let handler = FakeEntry {
-        fold: fold.clone(),
+        fold: Rc::clone(fold),
         seen: Rc::clone(seen),
         timer: timer.clone(),
     };
