tests: a side behind its entry catches up before it decides

Cause: a mutant by which a side decides by an older revision than its entry's survived: the stamp of the target makes it refuse, which is safe but slow. Conclusion: the catching up itself is tested now.

--- /dev/null
+++ b/crates/side/tests/behind.rs
@@ -0,0 +1,29 @@
+//! A side that is behind its entry's configuration catches up before it decides.
+
+mod bench;
+
+use bench::Bench;
+use pumicecleat_net::run;
+use pumicecleat_types::Frame;
+
+const MORE: &str = "
+[adapter.d]
+base = 'm'
+version.v1.path = 'd/v1'
+";
+
+#[test]
+fn an_attempt_of_a_newer_revision_is_decided_by_it() {
+    run(async {
+        let bench = Bench::start();
+        let side = bench.model_side("vm-1");
+        bench.until_healthy("vm-1").await;
+        bench.declare_more(MORE);
+        let attempt = bench.chat("r", "d", 2, false);
+        assert_eq!(attempt.head.revision, 2);
+        let frames = bench.frames(&side, &attempt).await;
+        let whole = matches!(frames.last(), Some(Frame::End { .. }));
+        assert!(whole, "{frames:?}");
+    })
+    .unwrap();
+}
