Search the take-back of a send of which no byte left; skip trimmed records by the ledger's own rule

Cause: the side's driver used two moves that the search didn't know (a send taken back) or had by other means (a fresh ledger after a trim).

--- a/crates/ledger/tests/model/main.rs
+++ b/crates/ledger/tests/model/main.rs
@@ -78,6 +78,15 @@
             ..Budget::NONE
         },
     },
+    Bound {
+        name: "missed send, lost answer",
+        calls: &[SAME, SAME],
+        budget: Budget {
+            losses: 1,
+            misses: 1,
+            ..Budget::NONE
+        },
+    },
     Bound {
         name: "three calls",
         calls: &[SAME, SAME, OTHER],
@@ -286,6 +295,15 @@
         calls: &[SAME],
         budget: Budget::NONE,
     },
+    Mutant {
+        slip: Slip::MissSent,
+        breaks: "I2",
+        calls: &[SAME],
+        budget: Budget {
+            misses: 1,
+            ..Budget::NONE
+        },
+    },
     Mutant {
         slip: Slip::InventAnswer,
         breaks: "I3",
--- a/crates/ledger/tests/model/moves.rs
+++ b/crates/ledger/tests/model/moves.rs
@@ -31,6 +31,8 @@
     Read { side: usize },
     /// A side sends a won call; the upstream does it.
     Send { call: usize },
+    /// A side finds that no byte of a won call left: the upstream has seen nothing.
+    Miss { call: usize },
     /// The answer reaches the side.
     Answer { call: usize },
     /// The answer is lost.
@@ -146,6 +148,9 @@
         }
         if s.won.contains_key(&call) {
             moves.push(Move::Send { call });
+            if self.budget.misses > 0 {
+                moves.push(Move::Miss { call });
+            }
         }
         moves.push(Move::Void { call });
     }
@@ -187,6 +192,7 @@
             }
             Move::Read { side } => self.read(side),
             Move::Send { call } => self.send(call),
+            Move::Miss { call } => self.miss(call),
             Move::Answer { call } => self.answer(call),
             Move::LoseAnswer { call } => self.lose_answer(call),
             Move::Void { call } => self.void(call),
@@ -367,6 +373,31 @@
         }
     }
 
+    fn miss(&mut self, call: usize) {
+        self.budget.misses -= 1;
+        let Some((side, _)) = self.attempt(call) else {
+            return;
+        };
+        let now = Millis(self.clock);
+        let late = self.slips(Slip::MissSent);
+        let s = self.side(side);
+        let Some(won) = s.won.remove(&call) else {
+            return;
+        };
+        let attempt = won.attempt().clone();
+        match s.ledger.sent(won, now) {
+            Ok(sent) => {
+                s.ledger.unsent(sent).unwrap();
+            }
+            Err(StepError::Late { .. }) => {}
+            Err(e) => panic!("{e}"),
+        }
+        if late {
+            self.affect(call, attempt);
+        }
+        self.tell(call, Told::NotRun);
+    }
+
     fn affect(&mut self, call: usize, attempt: Attempt) {
         self.effects.push(Effect {
             call,
--- a/crates/ledger/tests/model/world.rs
+++ b/crates/ledger/tests/model/world.rs
@@ -64,6 +64,8 @@
     NeverGiveUp,
     /// Never appends owed records.
     ForgetOwed,
+    /// Takes back a send of which bytes had left.
+    MissSent,
 }
 
 /// Calls and the mistake.
@@ -90,6 +92,8 @@
     pub ticks: &'static [u64],
     /// Trims.
     pub trims: u8,
+    /// Sends of which no byte left.
+    pub misses: u8,
 }
 
 impl Budget {
@@ -100,6 +104,7 @@
         outages: 0,
         ticks: &[],
         trims: 0,
+        misses: 0,
     };
 }
 
--- a/crates/side/src/keys/reader.rs
+++ b/crates/side/src/keys/reader.rs
@@ -55,8 +55,10 @@
                 Ok(Ok(FollowEvent::Records(records))) => self.take(&records),
                 Ok(Ok(FollowEvent::CaughtUp { .. })) => self.note_up(),
                 Ok(Ok(FollowEvent::Outage { detail })) => self.note_down(&detail),
-                // What was trimmed unread can't be judged any more.
-                Ok(Ok(FollowEvent::Trimmed { first, .. })) => return self.note_trimmed(first),
+                Ok(Ok(FollowEvent::Trimmed { first, .. })) => {
+                    self.skip_trimmed(first);
+                    follower.seek(first);
+                }
                 Ok(Err(e)) => return self.note_gap(&e),
                 Err(_) => {}
             }
@@ -107,13 +109,16 @@
         self.state.waiting.borrow_mut().clear();
     }
 
-    fn note_trimmed(&self, first: u64) {
+    /// What was trimmed unread can't be judged any more: attempts that wait are lost.
+    fn skip_trimmed(&self, first: u64) {
         let fields = [
             field("stream", &self.state.stream),
             field("wanted", self.state.ledger.borrow().next()),
             field("first", first),
         ];
         self.state.events.emit(&events::RECORDS_TRIMMED, &fields);
+        let lost = self.state.ledger.borrow_mut().trimmed(first);
+        self.tell(lost);
     }
 
     fn note_gap(&self, error: &FollowError) {
