--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -2,7 +2,6 @@
 
 use pumicecleat_types::{Millis, Reason};
 
-use super::queue::Lane;
 use super::{GiveUp, Job, SHORTEST_RETRY, Scheduler};
 
 /// Longest Retry-After.
@@ -18,8 +17,7 @@
         if let Some(span) = failing {
             return Err(give_up(Reason::LoadFailed, span));
         }
-        let load = self.load_wait(job, now);
-        let wait = self.caller_wait(job.caller, job.claim).max(load);
+        let wait = self.wait(job);
         let service = if wait.0 > 0 {
             self.estimate.safe_service(job.tokens)
         } else {
@@ -28,7 +26,7 @@
         let end = now + wait + service;
         if end > job.deadline {
             let late = end - job.deadline;
-            return Err(give_up(Reason::Overloaded, late.max(load)));
+            return Err(give_up(Reason::Overloaded, late));
         }
         Ok(())
     }
@@ -42,21 +40,12 @@
         job.deadline - self.estimate.service(job.tokens)
     }
 
-    /// Expected wait for the adapter of a request that comes now: what such waits were of late, or
-    /// what the oldest has come to by now, less what others have waited for the same adapter.
-    fn load_wait(&self, job: &Job, now: Millis) -> Millis {
-        let Some(lora) = job.lora.filter(|l| !self.residency.ready(*l)) else {
-            return Millis(0);
-        };
-        let waited = |lane: &Lane| lane.oldest().map_or(Millis(0), |at| now.since(at));
-        let absent = self
-            .queue
-            .lanes()
-            .filter(|(l, _)| !self.residency.ready(*l));
-        let longest = absent.map(|(_, lane)| waited(lane)).max();
-        let expected = self.estimate.stall().max(longest.unwrap_or_default());
-        let own = self.queue.lane(Some(lora)).map_or(Millis(0), waited);
-        expected.since(own).max(self.estimate.load())
+    /// Expected wait of a request that comes now.
+    fn wait(&self, job: &Job) -> Millis {
+        let queue = self.caller_wait(job.caller, job.claim);
+        let absent = job.lora.filter(|l| !self.residency.ready(*l));
+        let load = absent.map_or(Millis(0), |_| self.estimate.load());
+        queue.max(load)
     }
 
     /// Finds a place in the queue: a full one gives up the request due last of the caller that has
--- a/crates/policy/src/scheduler/estimate.rs
+++ b/crates/policy/src/scheduler/estimate.rs
@@ -20,8 +20,6 @@
     /// Mean deviation from `unit`.
     spread: f64,
     load: f64,
-    /// Wait for an adapter, its turn included.
-    stall: f64,
     step_us: u32,
 }
 
@@ -31,7 +29,6 @@
             unit: f64::from(options.token_us) / 1000.0,
             spread: 0.0,
             load: span(options.load),
-            stall: span(options.load),
             step_us: options.token_us,
         }
     }
@@ -49,11 +46,6 @@
         self.load += NEW_LOAD * (span(took) - self.load);
     }
 
-    /// A request waited for its adapter for `stall`.
-    pub(super) fn stalled(&mut self, stall: Millis) {
-        self.stall += NEW_LOAD * (span(stall) - self.stall);
-    }
-
     /// The engine tells its step time.
     pub(super) fn stepped(&mut self, step_us: u32) {
         self.step_us = step_us;
@@ -80,11 +72,6 @@
         millis(self.unit * approximate(tokens) / f64::from(lanes.max(1)))
     }
 
-    /// Wait of a request for an absent adapter.
-    pub(super) fn stall(&self) -> Millis {
-        millis(self.stall.max(self.load))
-    }
-
     /// Time of one load.
     pub(super) fn load(&self) -> Millis {
         millis(self.load)
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -171,10 +171,6 @@
                 let took = now.since(since);
                 self.loading.took(took, self.options.load);
                 self.estimate.loaded(took);
-                let lane = self.queue.lane(Some(lora));
-                if let Some(oldest) = lane.and_then(queue::Lane::oldest) {
-                    self.estimate.stalled(now.since(oldest));
-                }
             }
             LoadEnd::Failed => self.fail(lora, now),
             LoadEnd::Busy { retry } => {
