--- a/crates/policy/src/scheduler/load.rs
+++ b/crates/policy/src/scheduler/load.rs
@@ -1,7 +1,5 @@
 //! Which adapter to load next, and which to evict for it.
 
-use std::cmp::Reverse;
-
 use pumicecleat_types::{Millis, Reason};
 
 use super::loading::Stage;
@@ -113,7 +111,7 @@
             .lanes()
             .filter(|(lora, _)| !self.residency.holds(*lora))
             .map(|(lora, lane)| bid(lora, lane, now))
-            .max_by_key(|b| (b.waiting, b.waited, Reverse(b.left)))
+            .max_by_key(|b| b.urgency(Millis(0)))
     }
 
     /// Adapter to evict: without pins or waiting requests, least in demand.
