--- a/crates/policy/src/load_order/bids.rs
+++ b/crates/policy/src/load_order/bids.rs
@@ -5,7 +5,6 @@
 
 use pumicecleat_types::Millis;
 
-use crate::scheduler::Urgency;
 use crate::{Bid, UpstreamIx};
 
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +57,8 @@
     }
 }
 
-fn rank(side: UpstreamIx, entry: &Entry, now: Millis) -> (Urgency, Reverse<UpstreamIx>) {
-    (entry.bid.urgency(now.since(entry.at)), Reverse(side))
+/// Most requests per load, then the longest wait.
+fn rank(side: UpstreamIx, entry: &Entry, now: Millis) -> (u32, Millis, Reverse<UpstreamIx>) {
+    let waited = entry.bid.waited + now.since(entry.at);
+    (entry.bid.waiting, waited, Reverse(side))
 }
--- a/crates/policy/src/scheduler/job.rs
+++ b/crates/policy/src/scheduler/job.rs
@@ -51,33 +51,6 @@
     pub waited: Millis,
 }
 
-/// Urgency of a load; the greater goes first.
-///
-/// More requests for one load go first. Among equals the longest wait does, as long as less than
-/// half of the time to start is spent; past that the newest goes first, since a store that is
-/// overrun would otherwise serve everybody too late.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Urgency {
-    waiting: u32,
-    in_time: bool,
-    order: i64,
-}
-
-impl Bid {
-    /// Urgency after a further span.
-    pub(crate) fn urgency(&self, since: Millis) -> Urgency {
-        let waited = self.waited + since;
-        let left = self.left.since(since);
-        let in_time = waited <= left;
-        let order = i64::try_from(waited.0).unwrap_or(i64::MAX);
-        Urgency {
-            waiting: self.waiting,
-            in_time,
-            order: if in_time { order } else { -order },
-        }
-    }
-}
-
 /// Order of a scheduler to its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
--- a/crates/policy/src/scheduler/load.rs
+++ b/crates/policy/src/scheduler/load.rs
@@ -1,5 +1,7 @@
 //! Which adapter to load next, and which to evict for it.
 
+use std::cmp::Reverse;
+
 use pumicecleat_types::{Millis, Reason};
 
 use super::loading::Stage;
@@ -111,7 +113,7 @@
             .lanes()
             .filter(|(lora, _)| !self.residency.holds(*lora))
             .map(|(lora, lane)| bid(lora, lane, now))
-            .max_by_key(|b| b.urgency(Millis(0)))
+            .max_by_key(|b| (b.waiting, b.waited, Reverse(b.left)))
     }
 
     /// Adapter to evict: without pins or waiting requests, least in demand.
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -35,7 +35,6 @@
 use residency::Residency;
 use share::Shares;
 
-pub(crate) use job::Urgency;
 pub use job::{Action, Bid, GiveUp, Job, JobId, LoadEnd};
 pub use options::{SchedulerOptions, Weights};
 
