Test the scheduler and the load order; keep one bid out at a time

Cause: the property test found two bids out at once: one that kept a turn was repeated before its answer, and a new one was made while that answer was still to come.

--- a/crates/measure/src/policy/mod.rs
+++ b/crates/measure/src/policy/mod.rs
@@ -29,21 +29,29 @@
 use summary::Summary;
 use trace::Trace;
 
-/// Replays each seed under each policy and prints its lines, then the summary.
+/// Prints the lines of [`measure`].
 pub fn run(args: &PolicyArgs) {
+    for line in measure(args) {
+        println!("{line}");
+    }
+}
+
+/// Replays each seed under each policy: JSON lines of the runs, then of the summary.
+#[must_use]
+pub fn measure(args: &PolicyArgs) -> Vec<String> {
     let shape = args.shape();
+    let mut lines = Vec::new();
     let mut summary = Summary::default();
     for seed in args.seeds() {
         for line in replay_seed(&shape, args, seed) {
             if !args.brief {
-                println!("{}", line.json());
+                lines.push(line.json());
             }
             summary.add(line);
         }
     }
-    for line in summary.lines() {
-        println!("{line}");
-    }
+    lines.extend(summary.lines());
+    lines
 }
 
 fn replay_seed(shape: &Shape, args: &PolicyArgs, seed: u64) -> Vec<Line> {
--- /dev/null
+++ b/crates/measure/tests/policy_rig.rs
@@ -0,0 +1,86 @@
+//! The rig repeats itself, and the model of the engine accepts every order under every fault.
+
+use argh::FromArgs;
+use pumicecleat_measure::policy::{PolicyArgs, measure};
+
+struct Case {
+    name: &'static str,
+    flags: &'static [&'static str],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "no fault",
+        flags: &[],
+    },
+    Case {
+        name: "shift",
+        flags: &["--shift"],
+    },
+    Case {
+        name: "flood",
+        flags: &["--flood"],
+    },
+    Case {
+        name: "cold restart",
+        flags: &["--fault", "cold-restart"],
+    },
+    Case {
+        name: "failed loads",
+        flags: &["--fault", "failed-loads"],
+    },
+    Case {
+        name: "slow store",
+        flags: &["--fault", "store-slow"],
+    },
+    Case {
+        name: "store down",
+        flags: &["--fault", "store-down"],
+    },
+    Case {
+        name: "late reports",
+        flags: &["--fault", "late-reports"],
+    },
+    Case {
+        name: "leaving",
+        flags: &["--fault", "leaving"],
+    },
+    Case {
+        name: "centre lost",
+        flags: &["--fault", "centre-lost"],
+    },
+    Case {
+        name: "no load order",
+        flags: &["--fault", "order-down"],
+    },
+];
+
+/// Lines of two short seeds: four policies each, then the summary and the ratios.
+const LINES: usize = 2 * 4 + 4 + 3;
+
+fn args(flags: &[&str]) -> PolicyArgs {
+    let mut all = vec!["--seconds", "90", "--seeds", "2", "--preset", "vithu"];
+    all.extend(flags);
+    PolicyArgs::from_args(&["policy"], &all).expect("flags are known")
+}
+
+#[test]
+fn every_fault_repeats() {
+    for case in CASES {
+        let lines = measure(&args(case.flags));
+        assert_eq!(lines.len(), LINES, "{}", case.name);
+        assert_eq!(lines, measure(&args(case.flags)), "{}", case.name);
+    }
+}
+
+/// Ours against naive on a short run: a fault in the decisions would show here first.
+#[test]
+fn ours_stalls_less() {
+    let args = args(&["--brief"]);
+    let lines = measure(&args);
+    let over_naive = lines.iter().find(|l| l.contains(r#""ours_over":"naive""#));
+    let ratios: serde_json::Value =
+        serde_json::from_str(over_naive.expect("a line of ratios")).expect("JSON");
+    let most = ratios["stall"]["max"].as_f64().expect("a number");
+    assert!(most < 1.0, "stall over naive {most}");
+}
--- a/crates/policy/src/scheduler/load.rs
+++ b/crates/policy/src/scheduler/load.rs
@@ -13,11 +13,13 @@
     /// Moves the load in hand on.
     pub(super) fn load(&mut self, now: Millis) {
         match self.loading.stage {
-            Stage::Idle { next } if now >= next => self.ask(now),
+            Stage::Idle { next } if now >= next && !self.loading.asking => self.ask(now),
             Stage::Alone { at } if now >= at => self.begin(now),
             Stage::Granted { until } if now < until => self.begin(now),
             Stage::Granted { .. } => self.loading.stage = Stage::Idle { next: now },
-            Stage::Loading { lora, renew, .. } if now >= renew => self.keep(lora, now),
+            Stage::Loading { lora, renew, .. } if now >= renew && !self.loading.asking => {
+                self.keep(lora, now);
+            }
             _ => {}
         }
     }
@@ -26,6 +28,7 @@
     fn ask(&mut self, now: Millis) {
         if let Some(bid) = self.wanted(now) {
             self.loading.stage = Stage::Asked;
+            self.loading.asking = true;
             self.orders.push(Action::Bid(bid));
         } else if self.loading.held {
             self.orders.push(Action::GiveBack);
@@ -72,10 +75,7 @@
                 waited: Millis(0),
             },
         };
-        let renew = now + self.estimate.load();
-        if let Stage::Loading { renew: at, .. } = &mut self.loading.stage {
-            *at = renew;
-        }
+        self.loading.asking = true;
         self.orders.push(Action::Bid(bid));
     }
 
--- a/crates/policy/src/scheduler/loading.rs
+++ b/crates/policy/src/scheduler/loading.rs
@@ -53,6 +53,8 @@
     pub(super) stage: Stage,
     /// A turn may be held at an entry.
     pub(super) held: bool,
+    /// A bid is out, whatever has become of its load.
+    pub(super) asking: bool,
     /// The load in hand goes without a turn.
     alone: bool,
     /// Loads without a turn that others seem to have slowed down.
@@ -65,6 +67,7 @@
         Self {
             stage: Stage::Idle { next: Millis(0) },
             held: false,
+            asking: false,
             alone: false,
             collisions: 0,
             failed: BTreeMap::new(),
@@ -92,6 +95,7 @@
     /// An entry answered.
     pub(super) fn turn(&mut self, turn: LoadTurn, now: Millis) {
         self.alone = false;
+        self.asking = false;
         match (turn, &mut self.stage) {
             (LoadTurn::Go { ttl_ms }, Stage::Loading { renew, .. }) => {
                 *renew = now + Millis(ttl_ms / 2);
@@ -109,6 +113,8 @@
                 *stage = Stage::Idle { next };
                 self.held = false;
             }
+            // The load that the bid was for has ended; the turn is given back or used again.
+            (LoadTurn::Go { .. }, Stage::Idle { .. }) => self.held = true,
             (_, _) => {}
         }
     }
@@ -116,6 +122,7 @@
     /// No entry answered: goes alone after a random span, longer where loads have collided.
     pub(super) fn no_turn(&mut self, load: Millis, roll: u64, now: Millis) {
         self.held = false;
+        self.asking = false;
         match &mut self.stage {
             Stage::Loading { renew, .. } => *renew = now + load,
             stage @ Stage::Asked => {
--- /dev/null
+++ b/crates/policy/tests/scheduler/mod.rs
@@ -0,0 +1,3 @@
+//! Helpers of the scheduler's tests.
+
+pub mod engine;
