--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,7 +29,7 @@
 //! assert_eq!(side.poll(Millis(4)), [Action::Load(lora)]);
 //!
 //! side.loaded(lora, LoadEnd::Done, Millis(504));
-//! let orders = side.poll(Millis(1_000));
+//! let orders = side.poll(Millis(504));
 //! assert_eq!(orders, [Action::Send(JobId(1)), Action::GiveBack]);
 //! ```
 
--- a/crates/policy/src/scheduler/send.rs
+++ b/crates/policy/src/scheduler/send.rs
@@ -14,9 +14,9 @@
 /// Holds take at most one part in this of the least slack among the requests held.
 const SLACK_PART: u64 = 4;
 
-/// Longest hold for a fuller batch, at a batch weight of 100%; it falls with the weight's square, so
-/// that a deployment that weighs stalls more hardly holds at all.
-const LONGEST_HOLD_MS: f64 = 5_000.0;
+/// Longest hold for a fuller batch, at a batch weight of 100%; it falls with the square of what the
+/// weight is over a half, so that a deployment that weighs stalls as much or more does not hold.
+const LONGEST_HOLD_MS: f64 = 6_400.0;
 
 impl Scheduler {
     /// Sends while the engine has room.
@@ -104,7 +104,7 @@
         reason = "a part of a constant"
     )]
     fn hold_span(&self) -> Millis {
-        let part = self.options.weights.batch_part();
-        Millis((LONGEST_HOLD_MS * part * part) as u64)
+        let over = (self.options.weights.batch_part() - 0.5).max(0.0) * 2.0;
+        Millis((LONGEST_HOLD_MS * over * over) as u64)
     }
 }
