--- a/crates/policy/src/scheduler/load.rs
+++ b/crates/policy/src/scheduler/load.rs
@@ -116,8 +116,18 @@
             .max_by_key(|b| (b.waiting, b.waited, Reverse(b.left)))
     }
 
-    /// Adapter to evict: without pins or waiting requests, least in demand.
+    /// Adapter to evict: an idle one, or the one that was drained.
     fn victim(&self, now: Millis) -> Option<LoraIx> {
+        let drained = || {
+            let mut unpinned = self.residency.unpinned();
+            unpinned.find(|(lora, _)| self.draining == Some(*lora))
+        };
+        self.idle_victim(now)
+            .or_else(|| drained().map(|(lora, _)| lora))
+    }
+
+    /// Adapter without pins or waiting requests that is least in demand.
+    pub(super) fn idle_victim(&self, now: Millis) -> Option<LoraIx> {
         self.residency
             .unpinned()
             .filter(|(lora, _)| self.queue.lane(Some(*lora)).is_none())
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -7,11 +7,13 @@
 //!
 //! - `queue` keeps the waiting requests, `share` the work that each caller has had.
 //! - `send` picks what goes to the engine, and holds requests back for a fuller batch.
-//! - `demand` and `residency` tell which adapter to evict; `loading` is the load in hand.
+//! - `demand` and `residency` tell which adapter to evict, `drain` frees a slot where all are in
+//!   use; `loading` is the load in hand.
 //! - `admission` refuses at once what can't be met by its deadline.
 
 mod admission;
 mod demand;
+mod drain;
 mod estimate;
 mod job;
 mod load;
@@ -61,6 +63,8 @@
     residency: Residency,
     demand: Demand,
     loading: Loading,
+    /// Adapter that gets no new requests, to free its slot.
+    draining: Option<LoraIx>,
     orders: Vec<Action>,
     closed: Option<Reason>,
     /// Time of the latest poll.
@@ -81,6 +85,7 @@
             residency: Residency::new(options.slots),
             demand: Demand::default(),
             loading: Loading::new(),
+            draining: None,
             orders: Vec::new(),
             closed: None,
             seen: Millis(0),
@@ -109,6 +114,7 @@
     pub fn poll(&mut self, now: Millis) -> Vec<Action> {
         self.seen = now;
         self.expire(now);
+        self.drain(now);
         self.send(now);
         self.load(now);
         std::mem::take(&mut self.orders)
@@ -118,7 +124,12 @@
     #[must_use]
     pub fn next_wake(&self, now: Millis) -> Option<Millis> {
         let expiry = self.queue.first_start().map(|(at, _)| at + Millis(1));
-        let wakes = [expiry, self.hold_wake(now), self.load_wake(now)];
+        let wakes = [
+            expiry,
+            self.hold_wake(now),
+            self.load_wake(now),
+            self.drain_wake(now),
+        ];
         wakes.into_iter().flatten().min().map(|at| at.max(now))
     }
 
--- a/crates/policy/src/scheduler/residency.rs
+++ b/crates/policy/src/scheduler/residency.rs
@@ -64,6 +64,12 @@
         self.slots.saturating_sub(pinned)
     }
 
+    /// Adapters that requests may be sent to, with their slots.
+    pub(super) fn slots(&self) -> impl Iterator<Item = (LoraIx, &Slot)> {
+        let ready = self.held.iter().filter(|(_, s)| !s.leaving);
+        ready.map(|(lora, s)| (*lora, s))
+    }
+
     /// Adapters that may be evicted now.
     pub(super) fn unpinned(&self) -> impl Iterator<Item = (LoraIx, &Slot)> {
         self.held
--- a/crates/policy/src/scheduler/send.rs
+++ b/crates/policy/src/scheduler/send.rs
@@ -67,6 +67,7 @@
     /// Requests that need no load.
     pub(super) fn runnable(&self) -> impl Iterator<Item = &Lane> {
         let ready = self.residency.ready_all().map(Some);
+        let ready = ready.filter(|lora| self.draining != *lora);
         let lanes = std::iter::once(None).chain(ready);
         lanes.filter_map(|lora| self.queue.lane(lora))
     }
