Add a bound that knows rates but not the future

Cause: the bound sees single requests ahead; what of the distance to it is out of reach of any policy was not known.

--- a/crates/measure/src/policy/bound.rs
+++ b/crates/measure/src/policy/bound.rs
@@ -1,9 +1,12 @@
-//! Bound by a policy that sees the future: an estimate, and a favourable one.
+//! Bounds by policies that know more than can be known: estimates, and favourable ones.
+//!
+//! All slots are one pool that any request may use, batches are never full and the store never idles
+//! while a request waits. `bound` evicts the adapter whose next request is farthest away, `rates`
+//! the one whose true popularity is least: that is the best that can be done without seeing single
+//! requests ahead, so that what lies between the two is out of reach of every real policy.
 //!
-//! All slots are one pool that any request may use, batches are never full, the store never idles
-//! while a request waits, and what is evicted is the adapter whose next request is farthest away.
 //! The load order is by requests waiting, which is best where all are known; with requests still to
-//! come neither rule is exactly optimal, hence an estimate. Loads start on demand, as in the other
+//! come neither rule is exactly optimal, hence estimates. Loads start on demand, as in the other
 //! policies: with prefetch by foresight there would be no stall to compare with.
 
 use std::collections::BTreeMap;
@@ -15,9 +18,29 @@
 use super::shape::{LOAD, SLOW_STEPS, STEP, Shape};
 use super::trace::Trace;
 
-/// Stalls, loads and evictions of the policy that sees the future.
-pub(super) fn estimate(shape: &Shape, trace: &Trace) -> Tally {
-    let mut pool = Foresight::new(shape, trace);
+/// What an eviction knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Knows {
+    /// When each adapter is asked for next.
+    Future,
+    /// How popular each adapter is, as of its latest request.
+    Rates,
+}
+
+impl Knows {
+    pub(super) const ALL: &[Self] = &[Self::Future, Self::Rates];
+
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Future => "bound",
+            Self::Rates => "rates",
+        }
+    }
+}
+
+/// Stalls, loads and evictions of one that knows so much.
+pub(super) fn estimate(shape: &Shape, trace: &Trace, knows: Knows) -> Tally {
+    let mut pool = Foresight::new(shape, trace, knows);
     let mut next = 0;
     while next < trace.asks.len() || !pool.waiting.is_empty() {
         let arrival = trace.asks.get(next).map(|a| a.at);
@@ -36,6 +59,8 @@
 
 struct Foresight<'a> {
     trace: &'a Trace,
+    knows: Knows,
+    ranks: BTreeMap<LoraIx, usize>,
     slots: usize,
     /// Requests of each adapter still to come, latest first.
     coming: BTreeMap<LoraIx, Vec<usize>>,
@@ -50,13 +75,15 @@
 }
 
 impl<'a> Foresight<'a> {
-    fn new(shape: &Shape, trace: &'a Trace) -> Self {
+    fn new(shape: &Shape, trace: &'a Trace, knows: Knows) -> Self {
         let mut coming: BTreeMap<LoraIx, Vec<usize>> = BTreeMap::new();
         for (ix, ask) in trace.asks.iter().enumerate().rev() {
             coming.entry(ask.lora).or_default().push(ix);
         }
         Self {
             trace,
+            knows,
+            ranks: BTreeMap::new(),
             slots: (shape.engines * shape.slots) as usize,
             coming,
             held: BTreeMap::new(),
@@ -71,6 +98,7 @@
     fn arrive(&mut self, ix: usize, at: Millis) {
         self.now = at;
         let lora = self.trace.asks[ix].lora;
+        self.ranks.insert(lora, self.trace.asks[ix].rank);
         if let Some(coming) = self.coming.get_mut(&lora) {
             coming.pop();
         }
@@ -133,14 +161,20 @@
         self.start();
     }
 
-    /// Unused adapter whose next request is farthest away.
+    /// Unused adapter that is worth least by what is known.
     fn victim(&self) -> Option<LoraIx> {
-        let next = |lora: &LoraIx| self.coming.get(lora).and_then(|c| c.last().copied());
-        self.held
-            .iter()
-            .filter(|(_, until)| **until <= self.now)
-            .max_by_key(|(lora, _)| next(lora).unwrap_or(usize::MAX))
-            .map(|(lora, _)| *lora)
+        let unused = self.held.iter().filter(|(_, until)| **until <= self.now);
+        let least = unused.max_by_key(|(lora, _)| self.distance(**lora));
+        least.map(|(lora, _)| *lora)
+    }
+
+    /// How far the adapter's next request is, in its unit.
+    fn distance(&self, lora: LoraIx) -> usize {
+        let known = match self.knows {
+            Knows::Future => self.coming.get(&lora).and_then(|c| c.last().copied()),
+            Knows::Rates => self.ranks.get(&lora).copied(),
+        };
+        known.unwrap_or(usize::MAX)
     }
 }
 
--- a/crates/measure/src/policy/mod.rs
+++ b/crates/measure/src/policy/mod.rs
@@ -22,6 +22,7 @@
 pub use fault::Fault;
 pub use preset::Preset;
 
+use bound::Knows;
 use replay::Tally;
 use report::Line;
 use rules::Rules;
@@ -71,6 +72,9 @@
         measure(rules.name(), &run)
     };
     let mut lines: Vec<Line> = Rules::ALL.iter().map(replayed).collect();
-    lines.push(measure("bound", &|trace| bound::estimate(shape, trace)));
+    for knows in Knows::ALL {
+        let run = |trace: &Trace| bound::estimate(shape, trace, *knows);
+        lines.push(measure(knows.name(), &run));
+    }
     lines
 }
--- a/crates/measure/src/policy/trace.rs
+++ b/crates/measure/src/policy/trace.rs
@@ -40,6 +40,8 @@
 pub(super) struct Ask {
     pub(super) at: Millis,
     pub(super) lora: LoraIx,
+    /// Rank of the adapter's popularity, the most popular first; unknown to the policies.
+    pub(super) rank: usize,
     pub(super) caller: CallerIx,
     /// Tokens the answer will have, unknown to the policies.
     pub(super) tokens: u32,
@@ -93,9 +95,9 @@
                 ranks.shift(&mut rng);
                 shift = None;
             }
-            let lora = ranks.pick(&mut rng);
-            let caller = CallerIx(lora.0 % shape.callers);
-            self.asks.push(ask(shape, at, lora, caller, &mut rng));
+            let rank = ranks.pick(&mut rng);
+            let lora = ranks.loras[rank];
+            self.asks.push(ask(shape, at, (lora, rank), &mut rng));
         }
     }
 
@@ -106,17 +108,18 @@
             at = at + gap(shape.rate * FLOOD, &mut rng);
             let nth = rng.random_range(0..FLOOD_LORAS);
             let lora = LoraIx(FLOODER.0 + nth * shape.callers);
-            self.asks.push(ask(shape, at, lora, FLOODER, &mut rng));
+            self.asks.push(ask(shape, at, (lora, 0), &mut rng));
         }
     }
 }
 
-fn ask(shape: &Shape, at: Millis, lora: LoraIx, caller: CallerIx, rng: &mut ChaCha8Rng) -> Ask {
+fn ask(shape: &Shape, at: Millis, (lora, rank): (LoraIx, usize), rng: &mut ChaCha8Rng) -> Ask {
     let limit = shape.limit;
     Ask {
         at,
         lora,
-        caller,
+        rank,
+        caller: CallerIx(lora.0 % shape.callers),
         tokens: rng.random_range(limit / 10..=limit * 9 / 10),
         limit,
     }
@@ -159,11 +162,12 @@
         ranks
     }
 
-    fn pick(&self, rng: &mut ChaCha8Rng) -> LoraIx {
+    /// Rank drawn by its weight.
+    fn pick(&self, rng: &mut ChaCha8Rng) -> usize {
         let all = self.sums[self.sums.len() - 1];
         let at = rng.random::<f64>() * all;
         let rank = self.sums.partition_point(|s| *s <= at);
-        self.loras[rank.min(self.loras.len() - 1)]
+        rank.min(self.loras.len() - 1)
     }
 
     /// Some adapters trade places: one wakes up as another falls idle.
--- a/crates/measure/tests/policy_rig.rs
+++ b/crates/measure/tests/policy_rig.rs
@@ -55,8 +55,8 @@
     },
 ];
 
-/// Lines of two short seeds: four policies each, then the summary and the ratios.
-const LINES: usize = 2 * 4 + 4 + 3;
+/// Lines of two short seeds: five policies each, then the summary and the ratios.
+const LINES: usize = 2 * 5 + 5 + 4;
 
 fn args(flags: &[&str]) -> PolicyArgs {
     let mut all = vec!["--seconds", "90", "--seeds", "2", "--preset", "vithu"];
