--- a/crates/measure/src/policy/args.rs
+++ b/crates/measure/src/policy/args.rs
@@ -1,6 +1,7 @@
 //! Flags of the measurement.
 
 use argh::FromArgs;
+use pumicecleat_types::Millis;
 
 use super::shape::Shape;
 use super::trace::Load;
@@ -28,6 +29,9 @@
     /// requests a second, in place of the preset's
     #[argh(option)]
     pub rate: Option<f64>,
+    /// longest hold for a fuller batch, milliseconds at full weight, in place of the preset's
+    #[argh(option)]
+    pub hold: Option<u64>,
     /// zipf exponent, in place of 0.9 to 1.3 spread over the seeds
     #[argh(option)]
     pub zipf: Option<f64>,
@@ -50,6 +54,7 @@
     pub(super) fn shape(&self) -> Shape {
         let mut shape = self.preset.shape();
         shape.rate = self.rate.unwrap_or(shape.rate);
+        shape.hold = self.hold.map_or(shape.hold, Millis);
         shape
     }
 
--- a/crates/measure/src/policy/preset.rs
+++ b/crates/measure/src/policy/preset.rs
@@ -43,6 +43,7 @@
             stall: 90,
             batch: 10,
         },
+        hold: Millis(200),
     }
 }
 
--- a/crates/measure/src/policy/rules/mod.rs
+++ b/crates/measure/src/policy/rules/mod.rs
@@ -100,6 +100,7 @@
         batch: shape.batch,
         queue: shape.queue,
         weights: shape.weights,
+        hold: shape.hold,
         load: LOAD,
         ..SchedulerOptions::default()
     }
--- a/crates/measure/src/policy/shape.rs
+++ b/crates/measure/src/policy/shape.rs
@@ -46,4 +46,6 @@
     /// Span in which a caller wants the whole answer.
     pub(super) span: Millis,
     pub(super) weights: Weights,
+    /// Longest hold for a fuller batch, at full weight of batches.
+    pub(super) hold: Millis,
 }
--- a/crates/policy/src/scheduler/options.rs
+++ b/crates/policy/src/scheduler/options.rs
@@ -34,6 +34,8 @@
     pub queue: u32,
     /// Weights of the deployment.
     pub weights: Weights,
+    /// Longest hold of an idle engine for a fuller batch, at a batch weight of 100%.
+    pub hold: Millis,
     /// Time of a load, until some have been seen.
     pub load: Millis,
     /// Time of one token, microseconds, until some answers have been seen.
@@ -50,6 +52,7 @@
                 stall: 50,
                 batch: 50,
             },
+            hold: Millis(200),
             load: Millis(500),
             token_us: 12_000,
         }
--- a/crates/policy/src/scheduler/send.rs
+++ b/crates/policy/src/scheduler/send.rs
@@ -14,10 +14,6 @@
 /// Holds take at most one part in this of the least slack among the requests held.
 const SLACK_PART: u64 = 4;
 
-/// Longest hold for a fuller batch, at a batch weight of 100%; it falls with the square of what the
-/// weight is over a half, so that a deployment that weighs stalls as much or more does not hold.
-const LONGEST_HOLD_MS: f64 = 6_400.0;
-
 impl Scheduler {
     /// Sends while the engine has room.
     pub(super) fn send(&mut self, now: Millis) {
@@ -88,8 +84,10 @@
         if span.0 == 0 || self.running() > 0 {
             return None;
         }
+        // A call that needs no adapter gains nothing by company.
+        let bare = self.queue.lane(None).map_or(0, Lane::count);
         let count: usize = self.runnable().map(Lane::count).sum();
-        if count == 0 || count >= self.options.batch as usize {
+        if bare > 0 || count == 0 || count >= self.options.batch as usize {
             return None;
         }
         let oldest = self.runnable().filter_map(Lane::oldest).min()?;
@@ -99,13 +97,16 @@
         Some(oldest + hold)
     }
 
+    /// Longest hold by the weights: it falls with the square of what the batch weight is over a
+    /// half, so that a deployment that weighs stalls as much or more does not hold.
     #[allow(
         clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
         clippy::cast_sign_loss,
-        reason = "a part of a constant"
+        reason = "a part of a span far below 2^52 ms"
     )]
     fn hold_span(&self) -> Millis {
         let over = (self.options.weights.batch_part() - 0.5).max(0.0) * 2.0;
-        Millis((LONGEST_HOLD_MS * over * over) as u64)
+        Millis((self.options.hold.0 as f64 * over * over) as u64)
     }
 }
--- a/crates/side/src/tune.rs
+++ b/crates/side/src/tune.rs
@@ -36,6 +36,7 @@
             batch,
             queue: pool.queue,
             weights,
+            hold: Millis(tuning.hold_ms),
             load: FIRST_LOAD,
             token_us,
         }
