--- a/crates/measure/src/path/mod.rs
+++ b/crates/measure/src/path/mod.rs
@@ -11,7 +11,7 @@
 mod report;
 mod thread;
 
-pub use args::PathArgs;
+pub use args::{PathArgs, Sizes};
 pub(crate) use thread::{Part as Thread, resident};
 
 use crate::json::print;
--- a/crates/measure/src/slopes/args.rs
+++ b/crates/measure/src/slopes/args.rs
@@ -2,6 +2,8 @@
 
 use argh::FromArgs;
 
+use crate::path::Sizes;
+
 /// Measure how state, messages and processor time of each role grow, at four sizes or more.
 #[derive(FromArgs, Clone, Debug)]
 #[argh(subcommand, name = "slopes")]
@@ -9,9 +11,12 @@
     /// parts to measure: all, or some of config, idle, keys, order, report, vms (default: all)
     #[argh(option, default = "Parts::all()")]
     pub parts: Parts,
-    /// seconds that each size of `idle` is watched (default: 15)
-    #[argh(option, default = "15")]
+    /// seconds that each size of `idle` is watched, a minute for the longest pace (default: 60)
+    #[argh(option, default = "60")]
     pub watch_s: u64,
+    /// sides that report in `idle` (default: 180,325,650,1300,2600,7800)
+    #[argh(option, default = "Sizes(vec![180, 325, 650, 1_300, 2_600, 7_800])")]
+    pub sides: Sizes,
 }
 
 /// Part of the measurement.
--- a/crates/measure/src/slopes/idle/mod.rs
+++ b/crates/measure/src/slopes/idle/mod.rs
@@ -13,14 +13,12 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use super::SlopesArgs;
 use super::line::{Figure, Sample, Series};
 use crate::path::{Thread, resident};
 use sides::Sides;
 use world::{World, start_entry, start_world};
 
-/// Sides that report. A region has 1,300.
-const SIDES: [u32; 6] = [180, 325, 650, 1_300, 2_600, 7_800];
-
 /// Time for sides and entry to settle.
 const SETTLE: Duration = Duration::from_secs(9);
 
@@ -36,8 +34,8 @@
     memory: Series,
 }
 
-/// Runs all; watches each size for `seconds`.
-pub(super) fn run(seconds: u64) {
+/// Runs each size.
+pub(super) fn run(args: &SlopesArgs) {
     let mut all = All {
         core: series("entry, part of a core", "percent"),
         report: series("entry, all its time by reports", "us a report"),
@@ -45,8 +43,9 @@
         bytes: series("reports and replies on the wire", "bytes a second"),
         memory: series("entry, memory without connections", "bytes"),
     };
-    for sides in SIDES {
-        watch(&mut all, sides, Duration::from_secs(seconds));
+    for &sides in &args.sides.0 {
+        let sides = u32::try_from(sides).unwrap_or(u32::MAX);
+        watch(&mut all, sides, Duration::from_secs(args.watch_s));
     }
     let fitted = [&all.core, &all.rate, &all.bytes, &all.memory];
     fitted.into_iter().for_each(Series::fit);
--- a/crates/measure/src/slopes/mod.rs
+++ b/crates/measure/src/slopes/mod.rs
@@ -28,7 +28,7 @@
     for part in &args.parts.0 {
         match part {
             Part::Config => config::run(),
-            Part::Idle => idle::run(args.watch_s),
+            Part::Idle => idle::run(args),
             Part::Keys => keys::run(),
             Part::Order => order::run(),
             Part::Report => report::run(),
