--- a/crates/measure/src/slopes/config.rs
+++ b/crates/measure/src/slopes/config.rs
@@ -92,10 +92,10 @@
     all.fit();
 }
 
-fn series(figure: &'static str, unit: &'static str) -> Series {
+fn series(name: &'static str, unit: &'static str) -> Series {
     Series::new(Figure {
         part: "config",
-        figure,
+        name,
         unit,
         per: "adapter",
     })
--- a/crates/measure/src/slopes/idle/mod.rs
+++ b/crates/measure/src/slopes/idle/mod.rs
@@ -22,7 +22,7 @@
 /// Time for sides and entry to settle.
 const SETTLE: Duration = Duration::from_secs(9);
 
-/// Seconds in which a side that answers each report looks for its entry.
+/// Time in which sides talk to the stand-in.
 const WARM: Duration = Duration::from_secs(4);
 
 /// Series of this part.
@@ -51,10 +51,10 @@
     fitted.into_iter().for_each(Series::fit);
 }
 
-fn series(figure: &'static str, unit: &'static str) -> Series {
+fn series(name: &'static str, unit: &'static str) -> Series {
     Series::new(Figure {
         part: "idle",
-        figure,
+        name,
         unit,
         per: "side that reports",
     })
@@ -81,7 +81,7 @@
     all.report
         .add(count, Sample::once(used / reports.max(1.0) * 1e6));
     all.rate.add(count, Sample::once(reports / took));
-    let wire = wire::measure(&entry.told).map_or(f64::NAN, |w| w.print());
+    let wire = wire::measure(&entry.told).map_or(f64::NAN, wire::Wire::print);
     all.bytes.add(count, Sample::once(reports / took * wire));
     all.memory.add(count, Sample::once(grown));
 }
--- a/crates/measure/src/slopes/idle/sides.rs
+++ b/crates/measure/src/slopes/idle/sides.rs
@@ -93,7 +93,7 @@
     let client = Client::new_ext(ClientOptions::default(), &timer);
     for side in 0..count {
         let one = Side {
-            side,
+            index: side,
             client: client.clone(),
             shared: Arc::clone(&shared),
         };
@@ -114,7 +114,7 @@
 
 /// One side that reports.
 struct Side {
-    side: u32,
+    index: u32,
     client: Client,
     shared: Arc<Shared>,
 }
@@ -125,7 +125,7 @@
         let mut seq = 0;
         while !self.shared.is_stopped() {
             seq += 1;
-            let message = report(self.side, seq, whole);
+            let message = report(self.index, seq, whole);
             let peer = self.shared.target();
             let path = "/peer/v1/report";
             let reply = post::<_, ReportReply>(&self.client, &peer, path, &message, SPAN).await;
--- a/crates/measure/src/slopes/keys.rs
+++ b/crates/measure/src/slopes/keys.rs
@@ -31,9 +31,9 @@
 /// Runs all.
 pub(super) fn run() {
     bytes();
-    let figure = |figure, unit| Figure {
+    let figure = |name, unit| Figure {
         part: "keys",
-        figure,
+        name,
         unit,
         per: "key in the window",
     };
@@ -70,9 +70,9 @@
 
 /// Bytes of one append, by the calls whose intent or outcome it carries.
 fn bytes() {
-    let figure = |figure| Figure {
+    let figure = |name| Figure {
         part: "keys",
-        figure,
+        name,
         unit: "bytes",
         per: "record",
     };
--- a/crates/measure/src/slopes/line.rs
+++ b/crates/measure/src/slopes/line.rs
@@ -36,7 +36,8 @@
     /// Part of the measurement.
     pub(super) part: &'static str,
     /// What was measured.
-    pub(super) figure: &'static str,
+    #[serde(rename = "figure")]
+    pub(super) name: &'static str,
     /// Unit of the value.
     pub(super) unit: &'static str,
     /// What is counted.
--- a/crates/measure/src/slopes/order.rs
+++ b/crates/measure/src/slopes/order.rs
@@ -27,9 +27,9 @@
 
 /// Runs all.
 pub(super) fn run() {
-    let figure = |figure, unit| Figure {
+    let figure = |name, unit| Figure {
         part: "order",
-        figure,
+        name,
         unit,
         per: "side that wants a load",
     };
@@ -127,7 +127,7 @@
     };
     let mut series = Series::new(Figure {
         part: "order",
-        figure: "a bid, encoded",
+        name: "a bid, encoded",
         unit: "bytes",
         per: "bid",
     });
--- a/crates/measure/src/slopes/report.rs
+++ b/crates/measure/src/slopes/report.rs
@@ -35,10 +35,10 @@
     series.iter().for_each(Series::fit);
 }
 
-fn by_sides(figure: &'static str, unit: &'static str) -> Figure {
+fn by_sides(name: &'static str, unit: &'static str) -> Figure {
     Figure {
         part: "report",
-        figure,
+        name,
         unit,
         per: "side",
     }
@@ -46,9 +46,9 @@
 
 /// Bytes by slots: residency is what makes a report long.
 fn print_bytes() {
-    let by_slots = |figure| Figure {
+    let by_slots = |name| Figure {
         part: "report",
-        figure,
+        name,
         unit: "bytes",
         per: "adapter named",
     };
@@ -78,7 +78,7 @@
 fn codec() {
     let mut series = Series::new(Figure {
         part: "report",
-        figure: "report, decoded",
+        name: "report, decoded",
         unit: "us",
         per: "adapter named",
     });
--- a/crates/measure/src/slopes/vms.rs
+++ b/crates/measure/src/slopes/vms.rs
@@ -15,9 +15,9 @@
 
 /// Runs all.
 pub(super) fn run() {
-    let figure = |figure, unit| Figure {
+    let figure = |name, unit| Figure {
         part: "vms",
-        figure,
+        name,
         unit,
         per: "VM listed",
     };
