fuzz: nothing may follow a stream's end

Cause: a mutant that takes events after [DONE] passed the short run; the tables of crates/upstream/tests caught it.

--- a/crates/fuzz/src/targets/stream.rs
+++ b/crates/fuzz/src/targets/stream.rs
@@ -133,6 +133,10 @@
 }
 
 fn check_end(reading: &Reading) -> Result<(), Broken> {
+    let is_done = |e: &StreamEvent| matches!(e, StreamEvent::Done { .. });
+    let end = reading.events.iter().position(is_done);
+    let last = end.is_none_or(|at| at + 1 == reading.events.len());
+    require(last, "events after the end")?;
     if reading.fault.is_some() {
         return Ok(());
     }
