tests: the leaving side's test waits for what it means, not for a span

Cause: on a busy machine (load above 40) its request had not been sent after a fixed 500 ms, and it failed once; a mutant that does not count service calls as under way passed it. Change: it waits until the request runs, and demands that the stop does not return while the request is held open.

--- a/crates/side/tests/leave.rs
+++ b/crates/side/tests/leave.rs
@@ -2,19 +2,22 @@
 
 mod bench;
 
+use std::cell::Cell;
 use std::time::Duration;
 
-use bench::{Bench, body_of};
+use bench::{Bench, SPAN, body_of};
 use futures_util::future::join;
 use pumicecleat_net::run;
 use pumicecleat_ops::{DrainEnd, Stop};
+use pumicecleat_side::Side;
 use pumicecleat_standin::ServiceFaults;
 use pumicecleat_types::{Frame, Reason, RunRequest};
 
-const TOKENS: u32 = 200;
+/// More than the engine gives within `PAUSE` and `OPEN`.
+const TOKENS: u32 = 300;
 
-/// Time for work to come under way: an idle side holds it for others to batch it with.
-const START: Duration = Duration::from_millis(500);
+/// Time for which the request stays open at least after the side was told to leave.
+const OPEN: Duration = Duration::from_millis(200);
 
 /// Time for a side to leave.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -43,6 +46,17 @@
     },
 ];
 
+/// An idle side holds work for a while, for others to batch it with.
+async fn until_running(bench: &Bench, side: &Side) {
+    let running = || {
+        let dump = serde_json::to_value(side.dump()).unwrap();
+        dump["queue"]["load"]["running"].as_u64().unwrap_or(0)
+    };
+    while running() == 0 {
+        bench.timer.sleep(PAUSE).await;
+    }
+}
+
 #[test]
 fn a_leaving_side_refuses_new_work_and_ends_what_it_runs() {
     for case in CASES {
@@ -58,23 +72,28 @@
                 ..ServiceFaults::default()
             });
             let mut reader = bench.send(&side, &(case.running)(&bench)).await;
-            let mut frames = Vec::new();
-            if case.name == "model" {
-                frames.extend(bench.next(&mut reader).await);
-            }
-            bench.timer.sleep(START).await;
+            let waiting = until_running(&bench, &side);
+            bench.timer.within(SPAN, waiting).await.unwrap();
             let stop = Stop::by_hand();
-            let leave = side.finish(&stop);
+            let goes_on = Cell::new(false);
+            let leave = async {
+                let end = side.finish(&stop).await;
+                assert!(goes_on.get(), "{}: ended with a request open", case.name);
+                end
+            };
             let use_it = async {
                 bench.timer.sleep(PAUSE).await;
                 let late = bench.frames(&side, &(case.late)(&bench)).await;
+                bench.timer.sleep(OPEN).await;
+                goes_on.set(true);
                 bench.service.set_faults(ServiceFaults::default());
+                let mut frames = Vec::new();
                 while let Some(frame) = bench.next(&mut reader).await {
                     frames.push(frame);
                 }
-                late
+                (late, frames)
             };
-            let (end, late) = join(leave, use_it).await;
+            let (end, (late, frames)) = join(leave, use_it).await;
             let name = case.name;
             assert_eq!(end, DrainEnd::Finished, "{name}");
             let [Frame::Refused(refusal)] = &late[..] else {
