--- a/crates/policy/src/scheduler/load.rs
+++ b/crates/policy/src/scheduler/load.rs
@@ -119,7 +119,7 @@
     /// Adapter to evict: an idle one, or the one that was drained.
     fn victim(&self, now: Millis) -> Option<LoraIx> {
         let drained = || {
-            let mut unpinned = self.residency.unpinned();
+            let mut unpinned = self.residency.unpinned(now);
             unpinned.find(|(lora, _)| self.draining == Some(*lora))
         };
         self.idle_victim(now)
