--- a/crates/config/src/fold/due.rs
+++ b/crates/config/src/fold/due.rs
@@ -105,12 +105,10 @@
 
 impl Fold {
     /// Whether a snapshot record is due; `now` in milliseconds since 1970, `retention` of the log
-    /// in milliseconds. At revision 0 there is nothing to keep.
+    /// in milliseconds. One is due also if nothing was accepted yet: without it, no one could start
+    /// once the records refused so far are trimmed.
     #[must_use]
     pub fn snapshot_due(&self, now: u64, retention: u64) -> Option<Due> {
-        if self.revision == 0 {
-            return None;
-        }
         let aged = self.mark.at?.saturating_add(retention / RETENTION_PART);
         let (since, reason) = match self.mark.full {
             Some(full) if full <= aged => (full, DueReason::Size),
