--- a/crates/policy/src/scheduler/demand.rs
+++ b/crates/policy/src/scheduler/demand.rs
@@ -9,7 +9,7 @@
 /// Time in which a rate halves, seconds.
 const HALF_LIFE_S: f64 = 90.0;
 
-/// Rates kept at most before the faded ones are dropped.
+/// Rates kept before the faded ones are dropped for the first time.
 const KEEP: usize = 1024;
 
 /// Count below which demand has faded.
@@ -29,16 +29,28 @@
 }
 
 /// Decayed counts of requests by adapter.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Demand {
     counts: BTreeMap<LoraIx, Count>,
+    /// Rates kept until the faded ones are dropped.
+    keep: usize,
+}
+
+impl Default for Demand {
+    fn default() -> Self {
+        Self {
+            counts: BTreeMap::new(),
+            keep: KEEP,
+        }
+    }
 }
 
 impl Demand {
     /// Counts one request.
     pub(super) fn hit(&mut self, lora: LoraIx, now: Millis) {
-        if self.counts.len() >= KEEP {
+        if self.counts.len() >= self.keep {
             self.counts.retain(|_, c| c.now(now) >= FADED);
+            self.keep = KEEP.max(self.counts.len() * 2);
         }
         let value = self.rate(lora, now) + 1.0;
         self.counts.insert(lora, Count { value, at: now });
--- a/crates/policy/src/scheduler/share.rs
+++ b/crates/policy/src/scheduler/share.rs
@@ -10,7 +10,7 @@
 
 use crate::CallerIx;
 
-/// Accounts kept at most before idle ones behind the clock are dropped.
+/// Accounts kept before idle ones behind the clock are dropped for the first time.
 const KEEP: usize = 1024;
 
 /// Span for which a caller counts as active after a request.
@@ -23,19 +23,32 @@
 }
 
 /// Work had per claim.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Shares {
     clock: f64,
     accounts: BTreeMap<CallerIx, Account>,
+    /// Accounts kept until idle ones are dropped.
+    keep: usize,
+}
+
+impl Default for Shares {
+    fn default() -> Self {
+        Self {
+            clock: 0.0,
+            accounts: BTreeMap::new(),
+            keep: KEEP,
+        }
+    }
 }
 
 impl Shares {
     /// A caller has a request; `backlog` tells whether others of its own wait already.
     pub(super) fn arrive(&mut self, caller: CallerIx, backlog: bool, now: Millis) {
-        if self.accounts.len() >= KEEP {
+        if self.accounts.len() >= self.keep {
             let clock = self.clock;
             self.accounts
                 .retain(|_, a| a.spent > clock || now.since(a.seen) < ACTIVE);
+            self.keep = KEEP.max(self.accounts.len() * 2);
         }
         let clock = self.clock;
         let account = self.accounts.entry(caller).or_insert(Account {
