--- a/crates/policy/src/scheduler/admission.rs
+++ b/crates/policy/src/scheduler/admission.rs
@@ -70,9 +70,7 @@
             if start >= now {
                 return;
             }
-            let waited = self.queue.arrived(id).map_or(Millis(0), |at| now.since(at));
-            let retry = waited.clamp(self.estimate.load(), LONGEST_RETRY);
-            self.refuse(id, Reason::Deadline, retry);
+            self.refuse(id, Reason::Deadline, self.estimate.load());
         }
     }
 }
--- a/crates/policy/src/scheduler/queue/mod.rs
+++ b/crates/policy/src/scheduler/queue/mod.rs
@@ -94,11 +94,6 @@
         self.jobs.contains_key(&id)
     }
 
-    /// When a waiting request reached the side.
-    pub(super) fn arrived(&self, id: JobId) -> Option<Millis> {
-        self.jobs.get(&id).map(|w| w.job.arrived)
-    }
-
     /// Requests waiting.
     pub(super) fn len(&self) -> usize {
         self.jobs.len()
