--- a/crates/policy/benches/scheduler_cost/main.rs
+++ b/crates/policy/benches/scheduler_cost/main.rs
@@ -78,8 +78,10 @@
 
 /// Median time of an admission, nanoseconds.
 fn measure(size: Size) -> f64 {
-    let mut side = full(size);
-    let mut times: Vec<f64> = (0..2 * BATCHES).map(|_| batch(&mut side, size)).collect();
+    let mut scheduler = full(size);
+    let mut times: Vec<f64> = (0..2 * BATCHES)
+        .map(|_| batch(&mut scheduler, size))
+        .collect();
     times.drain(..BATCHES);
     times.sort_by(f64::total_cmp);
     let (median, p95) = (times[BATCHES / 2], times[BATCHES * 95 / 100]);
@@ -90,22 +92,22 @@
     median
 }
 
-fn batch(side: &mut Scheduler, size: Size) -> f64 {
+fn batch(scheduler: &mut Scheduler, size: Size) -> f64 {
     let start = Instant::now();
     for n in 0..BATCH {
         let id = u64::from(n) + size.depth + u64::from(BUSY);
         let lora = LoraIx(n.wrapping_mul(7_919) % size.loras);
         let job = job(id, Some(lora), n % size.callers);
-        let _ = black_box(side.submit(job, Millis(1)));
-        black_box(side.poll(Millis(1)));
-        side.cancel(JobId(id));
+        let _ = black_box(scheduler.submit(job, Millis(1)));
+        black_box(scheduler.poll(Millis(1)));
+        scheduler.cancel(JobId(id));
     }
     start.elapsed().as_secs_f64() * 1e9 / f64::from(BATCH)
 }
 
 /// A side with a full batch and a queue of many adapters and callers.
 fn full(size: Size) -> Scheduler {
-    let mut side = Scheduler::new_ext(SchedulerOptions {
+    let mut scheduler = Scheduler::new_ext(SchedulerOptions {
         batch: BUSY,
         queue: u32::MAX,
         weights: Weights {
@@ -118,10 +120,10 @@
         let of = u32::try_from(n).unwrap_or(u32::MAX);
         let lora = (of >= BUSY).then_some(LoraIx(of % size.loras));
         let job = job(n, lora, of % size.callers);
-        side.submit(job, Millis(0)).expect("there is time");
-        side.poll(Millis(0));
+        scheduler.submit(job, Millis(0)).expect("there is time");
+        scheduler.poll(Millis(0));
     }
-    side
+    scheduler
 }
 
 fn job(id: u64, lora: Option<LoraIx>, caller: u32) -> Job {
