Count heads and replies in the pace of reports; space a side's looks for the configuration

Cause: an entry of a region of 1,300 sides took about 22 KB a second by docs/CAPACITY.md: the pace counted 236 bytes of the 453 that a report takes on the wire, and sides asked for the configuration each 2 s and at each report that told of a change. A change still reaches a side by its next report; two within 3 s reach it together.

--- a/crates/entry/src/directory/report.rs
+++ b/crates/entry/src/directory/report.rs
@@ -19,6 +19,10 @@
 /// Reports missed from which on a side is overdue.
 const MISSED: u64 = 3;
 
+/// What a report takes beside its own length, bytes: its head, and the reply with its head
+/// (`pumicecleat-measure slopes`).
+const WIRE: u64 = 217;
+
 /// Length assumed before the first report, bytes.
 const LENGTH: u64 = 400;
 
@@ -46,7 +50,7 @@
 
     /// Time until a side's next report, where `sides` share `rate` bytes a second.
     pub(crate) fn next(self, sides: usize, rate: u64) -> Millis {
-        let all = self.length * sides as u64 * SECOND;
+        let all = (self.length + WIRE) * sides as u64 * SECOND;
         Millis(all / rate.max(1)).clamp(SHORTEST, LONGEST)
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -32,7 +32,7 @@
         /// longest answer that is not streamed
         answer: ByteSize = "16MiB", "bytes";
         /// bytes a second that the reports of all sides may take together
-        report_rate: ByteSize = "8KiB", "bytes/s";
+        report_rate: ByteSize = "10KiB", "bytes/s";
         /// retries of refused requests, in percent of requests
         retries: u32 = "20", "percent";
     }
--- a/crates/side/src/config.rs
+++ b/crates/side/src/config.rs
@@ -4,18 +4,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use pumicecleat_config::Fold;
 use pumicecleat_config::model::{Config, Pool};
 use pumicecleat_net::post;
 use pumicecleat_ops::{events, field};
-use pumicecleat_types::{ConfigAsk, ConfigReply, LogRecord, Lora, PoolId};
+use pumicecleat_types::{ConfigAsk, ConfigReply, LogRecord, Lora, Millis, PoolId};
 
 use crate::state::{CONFIG, State};
 
 const PATH: &str = "/peer/v1/config";
 const SPAN: Duration = Duration::from_secs(3);
 /// Time between two looks for a newer revision, where no report told of one.
-const PAUSE: Duration = Duration::from_secs(2);
+const PAUSE: Duration = Duration::from_secs(9);
+/// Shortest time between two looks that reports led to: at many changes a second, each takes several.
+const SPACING: Millis = Millis(3_000);
 const START_PAUSE: Duration = Duration::from_millis(100);
 
 /// Configuration in force at this side.
@@ -24,6 +27,24 @@
     fold: RefCell<Option<Fold>>,
     /// Newest revision that an entry told of.
     told: Cell<u64>,
+    /// Wakes the look for it.
+    wake: Wake,
+    /// Time of the last look.
+    looked: Cell<Millis>,
+}
+
+/// Wakes one task.
+#[derive(Debug)]
+struct Wake {
+    sender: Sender<()>,
+    due: Receiver<()>,
+}
+
+impl Default for Wake {
+    fn default() -> Self {
+        let (sender, due) = async_channel::bounded(1);
+        Self { sender, due }
+    }
 }
 
 impl Configuration {
@@ -35,6 +56,10 @@
     /// Notes a revision that an entry told of.
     pub(crate) fn hear(&self, revision: u64) {
         self.told.set(self.told.get().max(revision));
+        if self.is_behind() {
+            // A full channel holds the same message already.
+            let _ = self.wake.sender.try_send(());
+        }
     }
 
     /// Whether an entry told of a newer revision than the one in force.
@@ -109,12 +134,22 @@
             } else {
                 PAUSE
             };
-            self.timer.sleep(pause).await;
+            let _ = self.timer.within(pause, self.config.wake.due.recv()).await;
+            self.space_looks().await;
+        }
+    }
+
+    /// Waits until the last look is far enough back; a side that has no configuration yet doesn't.
+    async fn space_looks(&self) {
+        if self.config.revision() > 0 {
+            let due = self.config.looked.get() + SPACING;
+            self.timer.sleep_until(due).await;
         }
     }
 
     /// Asks entries, one after the other, until one has given what is newest there.
     pub(crate) async fn refresh_config(&self) {
+        self.config.looked.set(self.timer.now());
         for entry in self.entries.shuffled() {
             if self.ask_config(&entry).await && !self.config.is_behind() {
                 return;
--- a/crates/side/src/report.rs
+++ b/crates/side/src/report.rs
@@ -109,9 +109,6 @@
         };
         told.resident = (!reply.whole).then_some(resident);
         self.config.hear(reply.revision);
-        if self.config.is_behind() {
-            self.refresh_config().await;
-        }
         let ms = if reply.whole { 0 } else { reply.next_ms };
         Duration::from_millis(ms.clamp(*PACE.start(), *PACE.end()))
     }
