Take a change in without whole copies of what it replaces

Cause: while a change is judged, each of its steps kept room for the whole item that it replaced (176 bytes a step, also where nothing stood before), and its keys stood in two trees and a list. At the first change of 24,000 adapters (48,000 steps) that room stays in the allocator's heap. What was replaced is now boxed, keys stand in one tree and one list, and an adapter in the change already is not listed a second time.

Ruled out: nothing else was tried for this.

Tests of crate config pass.

--- a/crates/config/src/check/links.rs
+++ b/crates/config/src/check/links.rs
@@ -59,7 +59,12 @@
         let mut more = BTreeSet::new();
         for key in keys.iter() {
             match key {
-                Key::Version(id, _) => drop(more.insert(Key::Adapter(id.clone()))),
+                Key::Version(id, _) => {
+                    let adapter = Key::Adapter(id.clone());
+                    if !keys.contains(&adapter) {
+                        more.insert(adapter);
+                    }
+                }
                 Key::Caller(id) => more.extend(self.sharers(config, id)),
                 _ => {}
             }
--- a/crates/config/src/state.rs
+++ b/crates/config/src/state.rs
@@ -20,6 +20,9 @@
     Digest,
 }
 
+/// Item as it was before a step. Boxed, as a first change has very many steps and no such items.
+type Undo = (Key, Option<Box<Item>>);
+
 /// Configuration in force.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct State {
@@ -80,37 +83,38 @@
     /// Gives the keys it touched.
     pub(crate) fn advance(&mut self, delta: &Delta, digest: Digest) -> Result<Vec<Key>, Denial> {
         let mut undo = Vec::new();
-        let result = self.try_advance(delta, digest, &mut undo);
-        if result.is_err() {
+        if let Err(denial) = self.try_advance(delta, digest, &mut undo) {
             for (key, old) in undo.into_iter().rev() {
-                self.set(&key, old);
+                self.set(&key, old.map(|item| *item));
             }
+            return Err(denial);
         }
-        result
+        let mut touched: Vec<Key> = undo.into_iter().map(|(key, _)| key).collect();
+        touched.sort_unstable();
+        Ok(touched)
     }
 
     fn try_advance(
         &mut self,
         delta: &Delta,
         digest: Digest,
-        undo: &mut Vec<(Key, Option<Item>)>,
-    ) -> Result<Vec<Key>, Denial> {
+        undo: &mut Vec<Undo>,
+    ) -> Result<(), Denial> {
         for step in delta.steps().map_err(Denial::Delta)? {
             step.fits(&self.config).map_err(Denial::Delta)?;
             let key = step.key();
             let old = self.set(&key, step.item().cloned());
-            undo.push((key, old));
+            undo.push((key, old.map(Box::new)));
         }
         if self.digest() != digest {
             return Err(Denial::Digest);
         }
-        let touched: BTreeSet<Key> = undo.iter().map(|(key, _)| key.clone()).collect();
-        let mut wide = touched.clone();
+        let mut wide: BTreeSet<Key> = undo.iter().map(|(key, _)| key.clone()).collect();
         self.links.widen(&self.config, &mut wide);
         let items = wide.iter().filter_map(|key| self.config.item(key));
         let faults = check_items(&self.config, &self.links, items);
         if faults.is_empty() {
-            Ok(touched.into_iter().collect())
+            Ok(())
         } else {
             Err(Denial::Faults(faults))
         }
