Count unaccounted requests by adapter; move what a scheduler tells into a module

Cause: a release of an adapter that nothing was unaccounted for could have taken off the pin of a request in flight, so that its adapter could have been evicted.

--- a/crates/policy/src/scheduler/job.rs
+++ b/crates/policy/src/scheduler/job.rs
@@ -11,7 +11,7 @@
 /// A request that waits for the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Job {
-    /// Number.
+    /// Number, unique while the side lives.
     pub id: JobId,
     /// Adapter, or `None` where none is needed: the base model alone, or a plain service.
     pub lora: Option<LoraIx>,
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -23,11 +23,12 @@
 mod residency;
 mod send;
 mod share;
+mod view;
 mod wait;
 
 use std::collections::BTreeMap;
 
-use pumicecleat_types::{LoadFigures, LoadTurn, Millis, Reason};
+use pumicecleat_types::{LoadTurn, Millis, Reason};
 
 use crate::LoraIx;
 use demand::Demand;
@@ -59,7 +60,8 @@
     queue: Queue,
     shares: Shares,
     sent: BTreeMap<JobId, Sent>,
-    unaccounted: u32,
+    /// Requests at the engine that this side did not send, by adapter.
+    unaccounted: BTreeMap<LoraIx, u32>,
     residency: Residency,
     demand: Demand,
     loading: Loading,
@@ -81,7 +83,7 @@
             queue: Queue::default(),
             shares: Shares::default(),
             sent: BTreeMap::new(),
-            unaccounted: 0,
+            unaccounted: BTreeMap::new(),
             residency: Residency::new(options.slots),
             demand: Demand::default(),
             loading: Loading::new(),
@@ -205,22 +207,26 @@
         self.sent.clear();
         self.residency.clear();
         self.loading = Loading::new();
-        self.unaccounted = 0;
+        self.unaccounted.clear();
         for lora in resident {
             self.residency.put(*lora, 0, now);
         }
         for lora in unaccounted {
             self.residency.put(*lora, 1, now);
-            self.unaccounted += 1;
+            *self.unaccounted.entry(*lora).or_default() += 1;
         }
     }
 
     /// A request that this side did not send has ended at the engine.
     pub fn release(&mut self, lora: LoraIx) {
-        if self.unaccounted > 0 {
-            self.unaccounted -= 1;
-            self.residency.unpin(lora);
+        let Some(count) = self.unaccounted.get_mut(&lora) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.unaccounted.remove(&lora);
         }
+        self.residency.unpin(lora);
     }
 
     /// Takes no new requests, and refuses those that wait, as when the upstream is leaving or down;
@@ -242,40 +248,6 @@
         self.estimate.stepped(step_us);
     }
 
-    /// Load of the upstream.
-    #[must_use]
-    pub fn figures(&self) -> LoadFigures {
-        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let wait = self.typical_wait(self.seen);
-        LoadFigures {
-            running: self.running(),
-            waiting: count(self.queue.len()),
-            batch: self.options.batch,
-            slots: self.options.slots,
-            spare: count(self.residency.spare()),
-            step_us: self.estimate.step_us(),
-            wait_ms: u32::try_from(wait.0).unwrap_or(u32::MAX),
-        }
-    }
-
-    /// Adapters that requests may be sent to.
-    #[must_use]
-    pub fn resident(&self) -> Vec<LoraIx> {
-        self.residency.ready_all().collect()
-    }
-
-    /// Adapter being loaded.
-    #[must_use]
-    pub fn loading(&self) -> Option<LoraIx> {
-        self.loading.lora()
-    }
-
-    /// Requests at the engine.
-    fn running(&self) -> u32 {
-        let sent = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
-        sent.saturating_add(self.unaccounted)
-    }
-
     /// Takes a waiting request out and orders its refusal.
     fn refuse(&mut self, id: JobId, reason: Reason, retry: Millis) {
         if self.queue.take(id).is_some() {
--- a/crates/policy/src/scheduler/options.rs
+++ b/crates/policy/src/scheduler/options.rs
@@ -32,7 +32,8 @@
     pub batch: u32,
     /// Requests that wait at most.
     pub queue: u32,
-    /// Weights of the deployment.
+    /// Weights of the deployment; a batch weight over a half holds requests back at an idle upstream,
+    /// which a plain service has no use for.
     pub weights: Weights,
     /// Time of a load, until some have been seen.
     pub load: Millis,
--- /dev/null
+++ b/crates/policy/src/scheduler/view.rs
@@ -0,0 +1,43 @@
+//! What a scheduler tells of itself.
+
+use pumicecleat_types::LoadFigures;
+
+use super::Scheduler;
+use crate::LoraIx;
+
+impl Scheduler {
+    /// Load of the upstream, as of the latest poll.
+    #[must_use]
+    pub fn figures(&self) -> LoadFigures {
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let wait = self.typical_wait(self.seen);
+        LoadFigures {
+            running: self.running(),
+            waiting: count(self.queue.len()),
+            batch: self.options.batch,
+            slots: self.options.slots,
+            spare: count(self.residency.spare()),
+            step_us: self.estimate.step_us(),
+            wait_ms: u32::try_from(wait.0).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// Adapters that requests may be sent to.
+    #[must_use]
+    pub fn resident(&self) -> Vec<LoraIx> {
+        self.residency.ready_all().collect()
+    }
+
+    /// Adapter being loaded.
+    #[must_use]
+    pub fn loading(&self) -> Option<LoraIx> {
+        self.loading.lora()
+    }
+
+    /// Requests at the engine.
+    pub(super) fn running(&self) -> u32 {
+        let sent = u32::try_from(self.sent.len()).unwrap_or(u32::MAX);
+        let unaccounted: u32 = self.unaccounted.values().sum();
+        sent.saturating_add(unaccounted)
+    }
+}
