--- /dev/null
+++ b/crates/platform/examples/shared_log.rs
@@ -0,0 +1,83 @@
+//! Many appenders at one log with a limit on appends: what stands, what is refused, and how long
+//! a record waits. Prints a JSON line for each number of appenders.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use pumicecleat_net::{Client, ClientOptions, Timer, run};
+use pumicecleat_platform::{AppendOptions, Appender, HttpLog, Peers};
+use pumicecleat_standin::{Log, LogOptions};
+
+/// Records that each appender's callers give in a second.
+const RECORDS: u64 = 100;
+const SECONDS: u64 = 10;
+const APPENDERS: [u64; 4] = [5, 10, 20, 40];
+
+#[derive(Default)]
+struct Tally {
+    stood: usize,
+    refused: usize,
+    waits: Vec<Duration>,
+}
+
+fn main() {
+    for appenders in APPENDERS {
+        let tally = run(measure(appenders)).expect("a loop starts");
+        print(appenders, &tally);
+    }
+}
+
+async fn measure(appenders: u64) -> Tally {
+    let timer = Timer::start();
+    let log = Log::start(LogOptions::default(), &timer).expect("the log starts");
+    let client = Client::new_ext(ClientOptions::default(), &timer);
+    let peer = log.address.to_string();
+    let tally = Rc::new(RefCell::new(Tally::default()));
+    let mut tasks = Vec::new();
+    for seed in 0..appenders {
+        let log = HttpLog::new(&client, Peers::parse(&peer), Duration::from_secs(2));
+        let options = AppendOptions {
+            seed,
+            ..AppendOptions::default()
+        };
+        let appender = Appender::start(Rc::new(log), &timer, "intents.s", options);
+        for n in 0..RECORDS * SECONDS {
+            let at = Duration::from_micros(n * 1_000_000 / RECORDS + seed * 137);
+            let task = submit(appender.clone(), timer.clone(), at, Rc::clone(&tally));
+            tasks.push(monoio::spawn(task));
+        }
+    }
+    for task in tasks {
+        task.await;
+    }
+    tally.take()
+}
+
+async fn submit(appender: Appender, timer: Timer, at: Duration, tally: Rc<RefCell<Tally>>) {
+    timer.sleep(at).await;
+    let from = Instant::now();
+    let stood = appender.append(vec![0; 200]).await.is_ok();
+    let mut tally = tally.borrow_mut();
+    if stood {
+        tally.stood += 1;
+    } else {
+        tally.refused += 1;
+    }
+    tally.waits.push(from.elapsed());
+}
+
+fn print(appenders: u64, tally: &Tally) {
+    let mut waits = tally.waits.clone();
+    waits.sort();
+    let at = |part: usize| waits[waits.len() * part / 100].as_millis();
+    println!(
+        "{{\"appenders\":{appenders},\"records_a_second\":{},\"stood\":{},\"refused\":{},\
+         \"wait_ms_p50\":{},\"wait_ms_p95\":{}}}",
+        appenders * RECORDS,
+        tally.stood,
+        tally.refused,
+        at(50),
+        at(95),
+    );
+}
