--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -196,6 +196,7 @@
 
 fn hold(shared: &Shared) {
     if shared.current.revision() > 0 {
+        shared.current.vouched.set(true);
         shared.readiness.hold(CONDITION);
     }
 }
--- a/crates/entry/src/config/mod.rs
+++ b/crates/entry/src/config/mod.rs
@@ -29,6 +29,8 @@
 pub(crate) struct Current {
     state: RefCell<State>,
     confirmed: Cell<Option<Millis>>,
+    /// What is held was the newest when it was read: to the log's end, or from a peer that vouches.
+    vouched: Cell<bool>,
     /// Offset of a record that only a later version of this program can judge.
     newer: Cell<Option<u64>>,
     outage: Cell<Option<Millis>>,
@@ -81,10 +83,11 @@
         self.state.borrow().keys.caller(bearer).cloned()
     }
 
-    /// Answers a side or a starting entry.
+    /// Answers a side or a starting entry, once this entry vouches for what it holds: one that has
+    /// read a part of the log may hold an older revision than the one in force.
     pub(crate) fn reply(&self, ask: ConfigAsk) -> ConfigReply {
         let state = self.state.borrow();
-        if state.fold.revision() == 0 {
+        if state.fold.revision() == 0 || !self.vouched.get() {
             return ConfigReply::NotReady;
         }
         let records = ask.from.and_then(|from| state.recent.from(from));
