--- a/crates/entry/src/config/snapshots.rs
+++ b/crates/entry/src/config/snapshots.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use pumicecleat_config::Record;
 use pumicecleat_ops::{events, field};
 
 use super::STREAM;
@@ -39,8 +38,7 @@
 async fn append(shared: &Shared) -> bool {
     let (revision, bytes) = {
         let state = shared.current.state.borrow();
-        let snapshot = Box::new(state.fold.snapshot());
-        (snapshot.revision, Record::Snapshot(snapshot).to_bytes())
+        (state.fold.revision(), state.fold.snapshot_record())
     };
     match shared.records.append(STREAM, vec![bytes]).await {
         Ok(at) => {
