Share the ids of base models and default versions in a configuration

Cause: each reference decoded its id into a piece of memory of its own: the base model of each adapter, and the version that is its default twice. They now point to the one that stands already.

Ruled out: sharing equal names of versions across adapters. It needs an index that lives on.

Tests of crate config pass.

--- a/crates/config/src/model/item.rs
+++ b/crates/config/src/model/item.rs
@@ -163,6 +163,8 @@
             Item::Adapter { id, base, default } => self.put_adapter(id, base, default),
             Item::Version(id, name, version) => {
                 if let Some(adapter) = self.adapters.get_mut(&id) {
+                    let default = adapter.default.clone();
+                    let name = default.filter(|d| *d == name).unwrap_or(name);
                     adapter.versions.insert(name, version);
                 }
             }
@@ -177,6 +179,11 @@
     fn put_adapter(&mut self, id: AdapterId, base: BaseId, default: Option<VersionId>) {
         let old = self.adapters.remove(&id);
         let versions = old.map(|a| a.versions).unwrap_or_default();
+        // Ids that stand here already are shared: each of its own would be a piece of memory.
+        let base = match self.bases.get_key_value(&base) {
+            Some((held, _)) => held.clone(),
+            None => base,
+        };
         let adapter = Adapter {
             base,
             default,
