Close a side's connection to an entry five seconds after its report

Cause: by docs/CAPACITY.md 1,300 kept connections of 12.5 KB took an entry over its 32 MB; between two reports a minute apart they do nothing. Ruled out: reports to fewer entries, which is a change of what an entry may know.

--- a/crates/entry/src/start/mod.rs
+++ b/crates/entry/src/start/mod.rs
@@ -29,6 +29,10 @@
 /// Time for an exchange with the platform, beside what it waits by request.
 const PLATFORM_SPAN: Duration = Duration::from_secs(2);
 
+/// Longest idle time of a side's connection: kept for the minute between two reports, those of a
+/// region's sides would take more memory than all the rest.
+const PEER_IDLE: Duration = Duration::from_secs(5);
+
 /// Retries of refused attempts at hand at the start.
 const RETRY_BURST: u32 = 20;
 
@@ -110,7 +114,11 @@
         let handler = Rc::new(CallerHandler::new(&shared));
         let callers = serve(callers, handler, limits, timer);
         let handler = Rc::new(PeerHandler::new(&shared));
-        let peers = serve(peers, handler, ServerOptions::default(), timer);
+        let limits = ServerOptions {
+            head_span: PEER_IDLE,
+            ..ServerOptions::default()
+        };
+        let peers = serve(peers, handler, limits, timer);
         shared.readiness.hold(LISTENERS);
         spawn_loops(&shared, parts);
         let servers = running::Servers {
