Box the caller in an item

Cause: an item was as large as its largest kind, a caller. The first change of 24,000 adapters decodes to a list of 48,000 items, most of them half as large, and the list is held while the change is judged.

Ruled out: nothing else was tried for this. The encoding is the same: a box is written as its value.

Tests of crate config pass.

--- a/crates/config/src/model/item.rs
+++ b/crates/config/src/model/item.rs
@@ -60,8 +60,8 @@
     },
     /// Version of an adapter.
     Version(AdapterId, VersionId, Version),
-    /// Caller.
-    Caller(CallerId, Caller),
+    /// Caller. Boxed, as it is twice as large as any other item, and lists of items are long.
+    Caller(CallerId, Box<Caller>),
     /// Pool.
     Pool(PoolId, Pool),
     /// Service.
@@ -108,7 +108,10 @@
                 let found = self.adapters.get(id)?.versions.get(version)?;
                 Some(Item::Version(id.clone(), version.clone(), found.clone()))
             }
-            Key::Caller(id) => Some(Item::Caller(id.clone(), self.callers.get(id)?.clone())),
+            Key::Caller(id) => {
+                let caller = Box::new(self.callers.get(id)?.clone());
+                Some(Item::Caller(id.clone(), caller))
+            }
             Key::Pool(id) => Some(Item::Pool(id.clone(), self.pools.get(id)?.clone())),
             Key::Service(id) => Some(Item::Service(id.clone(), self.services.get(id)?.clone())),
             Key::Tuning => Some(Item::Tuning(self.tuning)),
@@ -168,7 +171,7 @@
                     adapter.versions.insert(name, version);
                 }
             }
-            Item::Caller(id, caller) => drop(self.callers.insert(id, caller)),
+            Item::Caller(id, caller) => drop(self.callers.insert(id, *caller)),
             Item::Pool(id, pool) => drop(self.pools.insert(id, pool)),
             Item::Service(id, service) => drop(self.services.insert(id, service)),
             Item::Tuning(tuning) => self.tuning = tuning,
