--- a/crates/entry/tests/entry/config.rs
+++ b/crates/entry/tests/entry/config.rs
@@ -249,6 +249,29 @@
     });
 }
 
+#[test]
+fn serves_a_snapshot_in_place_of_a_record_too_large_to_keep() {
+    case(|| async {
+        let mut world = World::new().await;
+        let started = world.start(&[]);
+        world.until(|| started.entry.is_ready()).await;
+        let path = "p".repeat(1_000);
+        let large = (0..2_400)
+            .map(|n| format!("[adapter.l{n}]\nbase = 'magyar-7b'\nversion.v1.path = '{path}'\n"));
+        let revision = world.apply(&config_with(&large.collect::<String>())).await;
+        world.until(|| started.entry.revision() == revision).await;
+
+        let behind = ask(&world, &started.entry, Some(revision - 1)).await;
+        assert!(matches!(behind, ConfigReply::Snapshot(_)));
+        let level = ask(&world, &started.entry, Some(revision)).await;
+        assert_eq!(level, ConfigReply::Records(Vec::new()));
+        let next = world.apply(&usual_config()).await;
+        world.until(|| started.entry.revision() == next).await;
+        let one = ask(&world, &started.entry, Some(revision)).await;
+        assert!(matches!(one, ConfigReply::Records(records) if records.len() == 1));
+    });
+}
+
 async fn ask(world: &World, entry: &Entry, from: Option<u64>) -> ConfigReply {
     let peer = entry.addresses().peers.to_string();
     let ask = ConfigAsk { from };
