Carry exchanges between our processes over HTTP/2 where asked

Protocol::Http2 in the options of client and server puts all exchanges with a peer on one connection; the default stays HTTP/1.1 and nothing of the public API goes away.

The state of the HTTP/2 path is boxed, since it had widened each connection's task by 2 KB.

Not tested: giving up a paused peer by ping.

--- a/crates/net/src/client.rs
+++ b/crates/net/src/client/mod.rs
@@ -1,27 +1,31 @@
 //! The client: kept connections by peer, time limits, and the truth on whether a request left.
 
+mod pool;
+mod response;
+mod sender;
+
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
 use monoio::io::IntoPollIo;
 use monoio::net::TcpStream;
-use monoio_compat::hyper::MonoioIo;
 use snafu::{IntoError, ResultExt};
 
-use crate::body::next_piece;
 use crate::error::{
-    AddressSnafu, AnswerSnafu, AnswerTimeoutSnafu, ConnectSnafu, ConnectTimeoutSnafu, LostSnafu,
-    NotSentSnafu,
+    AddressSnafu, AnswerTimeoutSnafu, ConnectSnafu, ConnectTimeoutSnafu, LostSnafu, NotSentSnafu,
 };
-use crate::{BodyError, NetError, Timer, read_all};
+use crate::{NetError, Protocol, Timer};
+
+pub use response::Response;
+
+use pool::Pool;
+use response::Kept;
+use sender::{Sender, handshake};
 
-type Sender = SendRequest<Full<Bytes>>;
 type Request = http::Request<Full<Bytes>>;
 
 /// Limits of a client.
@@ -29,10 +33,14 @@
 pub struct ClientOptions {
     /// Time for a connection to open.
     pub connect_span: Duration,
-    /// Idle connections kept for one peer.
+    /// Idle connections kept for one peer; HTTP/2 needs one.
     pub idle: usize,
+    /// Time after which an idle connection is closed.
+    pub idle_span: Duration,
     /// Longest head of an answer, bytes.
     pub head: usize,
+    /// Protocol spoken with every peer.
+    pub protocol: Protocol,
 }
 
 impl Default for ClientOptions {
@@ -40,7 +48,9 @@
         Self {
             connect_span: Duration::from_secs(1),
             idle: 64,
+            idle_span: Duration::from_secs(20),
             head: 16 * 1024,
+            protocol: Protocol::Http1,
         }
     }
 }
@@ -54,7 +64,7 @@
 struct State {
     options: ClientOptions,
     timer: Timer,
-    idle: RefCell<BTreeMap<SocketAddr, Vec<Sender>>>,
+    pool: RefCell<Pool>,
 }
 
 impl Client {
@@ -64,7 +74,7 @@
         let state = State {
             options,
             timer: timer.clone(),
-            idle: RefCell::default(),
+            pool: RefCell::new(Pool::new(options.idle, options.idle_span)),
         };
         Self {
             state: Rc::new(state),
@@ -91,7 +101,7 @@
         span: Duration,
     ) -> Result<Response, NetError> {
         let address = parse_address(peer)?;
-        let request = with_host(request, peer);
+        let request = with_host(request, peer, self.state.options.protocol);
         let exchange = self.exchange(peer, address, request);
         match self.state.timer.within(span, exchange).await {
             Ok(result) => result,
@@ -125,7 +135,7 @@
         mut sender: Sender,
         request: Request,
     ) -> Result<Attempt, NetError> {
-        match sender.try_send_request(request).await {
+        match sender.try_send(request).await {
             Ok(response) => {
                 let (head, body) = response.into_parts();
                 Ok(Attempt::Answered(Box::new(Response {
@@ -156,43 +166,23 @@
         // Without it small requests wait for an acknowledgement; the exchange works all the same.
         let _ = stream.set_nodelay(true);
         let io = stream.into_poll_io().context(ConnectSnafu { peer })?;
-        let handshake = http1::Builder::new()
-            .max_buf_size(self.state.options.head.max(8192))
-            .handshake(MonoioIo::new(io))
-            .await;
-        let (sender, connection) = handshake.context(NotSentSnafu { peer })?;
-        monoio::spawn(async move {
-            // Its error reaches the request under way, if there is one.
-            let _ = connection.await;
-        });
+        let sender = handshake(io, &self.state.options)
+            .await
+            .context(NotSentSnafu { peer })?;
+        if let Some(shared) = sender.share() {
+            self.keep(address, shared);
+        }
         Ok(sender)
     }
 
     fn take_idle(&self, address: SocketAddr) -> Option<Sender> {
-        let mut idle = self.state.idle.borrow_mut();
-        let list = idle.get_mut(&address)?;
-        let sender = loop {
-            match list.pop() {
-                Some(s) if s.is_ready() => break Some(s),
-                Some(_) => {}
-                None => break None,
-            }
-        };
-        if list.is_empty() {
-            idle.remove(&address);
-        }
-        sender
+        let now = self.state.timer.now();
+        self.state.pool.borrow_mut().take(address, now)
     }
 
     fn keep(&self, address: SocketAddr, sender: Sender) {
-        if sender.is_closed() {
-            return;
-        }
-        let mut idle = self.state.idle.borrow_mut();
-        let list = idle.entry(address).or_default();
-        if list.len() < self.state.options.idle {
-            list.push(sender);
-        }
+        let now = self.state.timer.now();
+        self.state.pool.borrow_mut().keep(address, sender, now);
     }
 }
 
@@ -202,84 +192,25 @@
     Returned(Box<Request>, hyper::Error),
 }
 
-struct Kept {
-    client: Client,
-    address: SocketAddr,
-    sender: Sender,
-}
-
-/// Answer whose body is still to be read. Dropping it before the body's end closes its connection,
-/// which is how a peer learns that nobody waits any more.
-pub struct Response {
-    head: http::response::Parts,
-    body: hyper::body::Incoming,
-    peer: String,
-    kept: Option<Kept>,
-}
-
-impl Response {
-    /// HTTP status.
-    #[must_use]
-    pub fn status(&self) -> u16 {
-        self.head.status.as_u16()
-    }
-
-    /// Headers.
-    #[must_use]
-    pub fn headers(&self) -> &http::HeaderMap {
-        &self.head.headers
-    }
-
-    /// Peer that answered.
-    #[must_use]
-    pub fn peer(&self) -> &str {
-        &self.peer
-    }
-
-    /// Next piece of the body, or `None` at its proper end.
-    ///
-    /// # Errors
-    /// [`BodyError::Broken`] if the connection broke off first.
-    pub async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
-        let piece = next_piece(&mut self.body).await;
-        if piece.is_none() {
-            self.release();
-        }
-        piece
-    }
-
-    /// Whole body of at most `limit` bytes, if it comes within `span`.
-    ///
-    /// # Errors
-    /// [`NetError::Answer`] if it is not whole.
-    pub async fn read(&mut self, limit: u64, span: Duration) -> Result<Vec<u8>, NetError> {
-        let Some(timer) = self.kept.as_ref().map(|k| k.client.timer().clone()) else {
-            return Ok(Vec::new());
-        };
-        let bytes = read_all(&mut self.body, limit, span, &timer)
-            .await
-            .context(AnswerSnafu { peer: &self.peer })?;
-        self.release();
-        Ok(bytes)
-    }
-
-    fn release(&mut self) {
-        if let Some(kept) = self.kept.take() {
-            kept.client.keep(kept.address, kept.sender);
-        }
-    }
-}
-
 fn parse_address(peer: &str) -> Result<SocketAddr, NetError> {
     peer.parse()
         .ok()
         .ok_or_else(|| AddressSnafu { peer }.build())
 }
 
-fn with_host(request: http::Request<Bytes>, peer: &str) -> Request {
+/// Request that names `peer` where the protocol wants it.
+fn with_host(request: http::Request<Bytes>, peer: &str, protocol: Protocol) -> Request {
     let (mut head, body) = request.into_parts();
-    if let Ok(host) = http::HeaderValue::from_str(peer) {
-        head.headers.insert(http::header::HOST, host);
+    match protocol {
+        Protocol::Http1 => {
+            if let Ok(host) = http::HeaderValue::from_str(peer) {
+                head.headers.insert(http::header::HOST, host);
+            }
+        }
+        Protocol::Http2 => {
+            let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+            head.uri = format!("http://{peer}{path}").parse().unwrap_or(head.uri);
+        }
     }
     Request::from_parts(head, Full::new(body))
 }
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -11,15 +11,17 @@
 use async_channel::{Receiver, Sender};
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
-use hyper::server::conn::http1;
+use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use monoio::io::IntoPollIo;
+use monoio::net::tcp::stream_poll::TcpStreamPoll;
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
-use monoio_compat::hyper::{MonoioIo, MonoioTimer};
+use monoio_compat::hyper::{MonoioExecutor, MonoioIo, MonoioTimer};
 
 use crate::full::refuse;
 use crate::linger::linger;
-use crate::{Body, Tally, Timer};
+use crate::protocol::{CONNECTION_WINDOW, STREAM_WINDOW};
+use crate::{Body, Protocol, Tally, Timer};
 
 /// Share of the connections' limit that may be refused with an answer at once; more are closed.
 const REFUSED_SHARE: usize = 8;
@@ -42,8 +44,11 @@
 /// Limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerOptions {
-    /// Connections at once; one more is answered 503 and closed.
+    /// Connections at once, and exchanges at once on one of HTTP/2; one more connection is closed,
+    /// in HTTP/1 after a 503.
     pub connections: usize,
+    /// Protocol of every connection.
+    pub protocol: Protocol,
     /// Longest head, bytes, from 8 KiB on; a longer one is answered 431.
     pub head: usize,
     /// Most header fields in a head; more are answered 431.
@@ -56,6 +61,7 @@
     fn default() -> Self {
         Self {
             connections: 10_000,
+            protocol: Protocol::Http1,
             head: 16 * 1024,
             fields: 64,
             head_span: Duration::from_secs(30),
@@ -160,7 +166,8 @@
 
     fn refuse(&self, stream: TcpStream) {
         let most = self.state.options.connections / REFUSED_SHARE + 1;
-        if self.state.refused.count() >= most {
+        let is_text = self.state.options.protocol == Protocol::Http1;
+        if !is_text || self.state.refused.count() >= most {
             return;
         }
         let guard = self.state.refused.enter();
@@ -177,16 +184,23 @@
         let Ok(io) = stream.into_poll_io() else {
             return;
         };
+        match self.state.options.protocol {
+            Protocol::Http1 => self.converse_http1(io, peer).await,
+            // Boxed, as its state would widen every connection's task.
+            Protocol::Http2 => Box::pin(self.converse_http2(io, peer)).await,
+        }
+    }
+
+    async fn converse_http1(&self, stream: TcpStreamPoll, peer: SocketAddr) {
         let handler = Rc::clone(&self.state.handler);
-        let service =
-            service_fn(move |request| handler.handle(request, peer).map(Ok::<_, Infallible>));
+        let service = service_fn(move |r| handler.handle(r, peer).map(Ok::<_, Infallible>));
         let options = &self.state.options;
         let mut connection = http1::Builder::new()
             .timer(MonoioTimer)
             .header_read_timeout(options.head_span)
             .max_headers(options.fields)
             .max_buf_size(options.head.max(8192))
-            .serve_connection(MonoioIo::new(io), service);
+            .serve_connection(MonoioIo::new(stream), service);
         let ended = poll_fn(|cx| connection.poll_without_shutdown(cx));
         if self.unless_stopping(ended).await.is_none() {
             Pin::new(&mut connection).graceful_shutdown();
@@ -195,7 +209,27 @@
         }
         let io = connection.into_parts().io.inner();
         if let Ok(stream) = io.try_into_comp_io() {
-            linger(stream, &self.state.timer).await;
+            Box::pin(linger(stream, &self.state.timer)).await;
+        }
+    }
+
+    async fn converse_http2(&self, stream: TcpStreamPoll, peer: SocketAddr) {
+        let handler = Rc::clone(&self.state.handler);
+        let service = service_fn(move |r| handler.handle(r, peer).map(Ok::<_, Infallible>));
+        let options = &self.state.options;
+        let mut connection = http2::Builder::new(MonoioExecutor)
+            .timer(MonoioTimer)
+            .max_concurrent_streams(u32::try_from(options.connections).unwrap_or(u32::MAX))
+            .max_header_list_size(u32::try_from(options.head).unwrap_or(u32::MAX))
+            .max_send_buf_size(STREAM_WINDOW as usize)
+            .initial_stream_window_size(STREAM_WINDOW)
+            .initial_connection_window_size(CONNECTION_WINDOW)
+            .serve_connection(MonoioIo::new(stream), service);
+        let ended = self.unless_stopping(&mut connection).await;
+        if ended.is_none() {
+            Pin::new(&mut connection).graceful_shutdown();
+            // A peer that breaks off ends its own exchanges only.
+            let _ = connection.await;
         }
     }
 
