Measure what a stream costs in processes of their own

Cause: path took the growth of one process that holds callers, engine, side and entry, after a warm-up whose freed pages are used again: it said 19.5 KB for entry and side together, while an entry process alone grew by 41 KB a stream. In one process memory is no longer printed, as it can't be told apart there.

The program itself starts no process.

--- /dev/null
+++ b/crates/measure/path.sh
@@ -0,0 +1,124 @@
+#!/bin/sh
+# Measures what a stream costs in separate processes: path.sh [FOLDER [STREAMS [TOKENS [STEP_MS]]]].
+#
+# FOLDER holds the programs of one build (default: target/release). Log, engine, entry and side are
+# started on loopback, the configuration is applied, `pumicecleat-measure path` runs against them,
+# and all that was started is ended by its id. Every step is bounded in time.
+set -eu
+
+bin=${1:-target/release}
+streams=${2:-1000}
+tokens=${3:-200}
+step=${4:-50}
+
+# Tries, 0.1 s apart, for a process to say where it listens.
+tries=100
+# Longest run of the measurement, seconds.
+limit=180
+
+work=$(mktemp -d)
+started=
+
+finish() {
+    for id in $started; do
+        kill "$id" 2>/dev/null || true
+    done
+    for id in $started; do
+        wait "$id" 2>/dev/null || true
+    done
+    rm -rf "$work"
+}
+trap finish EXIT
+trap 'exit 1' INT TERM HUP
+
+# start NAME PROGRAM ARGUMENT...: leaves its id in $id.
+start() {
+    name=$1
+    shift
+    # Its reader may come before the process does.
+    : >"$work/$name"
+    "$@" >"$work/$name" 2>"$work/$name.log" &
+    id=$!
+    started="$id $started"
+}
+
+# Word after WORD in what NAME printed first.
+told() {
+    left=$tries
+    while [ "$left" -gt 0 ]; do
+        line=$(head -n 1 "$work/$1")
+        if [ -n "$line" ]; then
+            echo "$line" | tr ' ' '\n' | sed -n "/^$2\$/{n;p;q;}"
+            return
+        fi
+        left=$((left - 1))
+        sleep 0.1
+    done
+    echo "step start, process $1: no address" >&2
+    cat "$work/$1.log" >&2
+    exit 1
+}
+
+# Waits until the admin listener at ADDRESS says that its process takes work.
+ready() {
+    left=$tries
+    while [ "$left" -gt 0 ]; do
+        if curl -fs -m 1 -o "$work/readyz" "http://$1/readyz"; then
+            return
+        fi
+        left=$((left - 1))
+        sleep 0.1
+    done
+    echo "step wait, admin $1: not ready" >&2
+    exit 1
+}
+
+start log "$bin/pumicecleat-standin" log --listen 127.0.0.1:0
+log=$(told log listening)
+start engine "$bin/pumicecleat-standin" engine --listen 127.0.0.1:0 --base m \
+    --batch "$streams" --step-ms "$step" --slow-ms "$step"
+engine=$(told engine listening)
+
+hash=$("$bin/pumicecleat" key measure-key)
+cat >"$work/measure.toml" <<TOML
+[base.m]
+context = 4096
+[adapter.a]
+base = 'm'
+version.v1.path = 'a/v1'
+[caller.c]
+keys = ['$hash']
+claim = 1
+adapters = ['*']
+[pool.lm]
+kind = 'model'
+base = 'm'
+slots = 4
+batch = $streams
+queue = 10000
+TOML
+
+place="--data-centre d --region r --admin 127.0.0.1:0 --log-level off"
+# Flags in $place are parted on purpose.
+# shellcheck disable=SC2086
+start entry "$bin/pumicecleat-entry" --vm entry $place --listen 127.0.0.1:0 \
+    --peer-listen 127.0.0.1:0 --log "$log"
+entry_id=$id
+entry=$(told entry listening)
+peers=$(told entry peers)
+entry_admin=$(told entry admin)
+"$bin/pumicecleat" apply --log "$log" "$work/measure.toml" >&2
+ready "$entry_admin"
+
+# shellcheck disable=SC2086
+start side "$bin/pumicecleat-side" --vm side $place --listen 127.0.0.1:0 \
+    --slot 127.0.0.1:0 --pool lm --upstream "$engine" --entries "$peers"
+side_id=$id
+side_admin=$(told side admin)
+ready "$side_admin"
+# The entry hears of the side by its next report.
+sleep 2
+
+timeout "$limit" "$bin/pumicecleat-measure" path --streams "$streams" --tokens "$tokens" \
+    --step-ms "$step" --engine "$engine" --entry "$entry" \
+    --entry-id "$entry_id" --side-id "$side_id"
--- a/crates/measure/src/path/load.rs
+++ b/crates/measure/src/path/load.rs
@@ -9,7 +9,7 @@
 use pumicecleat_net::{Client, ClientOptions, Response, SseScanner, Timer, run};
 
 use super::parts::{KEY, MODEL};
-use super::thread::resident;
+use super::process::{Memory, Processes};
 
 const SPAN: Duration = Duration::from_mins(2);
 const EVENT: usize = 1 << 16;
@@ -23,6 +23,8 @@
     pub(super) streams: usize,
     pub(super) tokens: u32,
     pub(super) spread_ms: u64,
+    /// Processes whose memory is watched.
+    pub(super) watched: Option<Processes>,
 }
 
 /// What the streams saw.
@@ -35,8 +37,8 @@
     pub(super) whole: usize,
     pub(super) failed: usize,
     pub(super) span: Duration,
-    /// Growth of resident memory while all streams were open, bytes.
-    pub(super) memory: u64,
+    /// Growth of the watched processes while all streams were open.
+    pub(super) memory: Option<Memory>,
 }
 
 impl Load {
@@ -48,7 +50,7 @@
     async fn all(&self) -> Take {
         let timer = Timer::start();
         let client = Client::new_ext(ClientOptions::default(), &timer);
-        let before = resident();
+        let before = self.watched.map(Processes::memory);
         let start = Instant::now();
         let take = Rc::new(RefCell::new(Take::new()));
         let mut tasks = Vec::new();
@@ -69,13 +71,14 @@
         timer
             .sleep(Duration::from_millis(self.spread_ms + 500))
             .await;
-        let memory = resident().saturating_sub(before);
+        let memory = self.watched.map(Processes::memory);
+        let growth = memory.zip(before).map(|(now, before)| now.since(before));
         for task in tasks {
             task.await;
         }
         let mut done = take.replace(Take::new());
         done.span = start.elapsed();
-        done.memory = memory;
+        done.memory = growth;
         done
     }
 }
@@ -90,7 +93,7 @@
             whole: 0,
             failed: 0,
             span: Duration::ZERO,
-            memory: 0,
+            memory: None,
         }
     }
 }
--- a/crates/measure/src/path/mod.rs
+++ b/crates/measure/src/path/mod.rs
@@ -1,13 +1,19 @@
 //! `path`: what entry and side add to a stream.
 //!
 //! The same requests go direct to the stand-in engine and through entry and side, in one run.
-//! Engine, side, entry and callers each have a loop on a thread of their own, so that the
-//! processor time of each is its thread's. Memory is the growth of the whole process while the
-//! streams are open; what the direct streams take (callers and engine) is taken off.
+//!
+//! In one process, engine, side, entry and callers each have a loop on a thread of their own, so
+//! that the processor time of each is its thread's. Memory isn't told apart there: pages that one
+//! part freed are used again by another.
+//!
+//! With processes already running, the growth of the entry's and of the side's resident memory is
+//! taken while the first streams that they ever carry are open (`cold`). This program starts no
+//! process: `path.sh` does.
 
 mod args;
 mod load;
 mod parts;
+mod process;
 mod report;
 mod thread;
 
@@ -15,35 +21,79 @@
 pub(crate) use thread::{Part as Thread, resident};
 
 use crate::json::print;
+use args::Running;
 use load::{Load, Take};
-use parts::Parts;
+use parts::{Parts, Times};
+use process::Processes;
 use report::Line;
 
 /// Runs the measurement and prints a line for each way and size.
 pub fn run(args: &PathArgs) {
+    match args.running() {
+        Some(running) => measure_running(args, &running),
+        None if args.names_running() => {
+            eprintln!("step read arguments: engine, entry, entry-id and side-id go together");
+            std::process::exit(2);
+        }
+        None => measure_inside(args),
+    }
+}
+
+fn measure_inside(args: &PathArgs) {
     for &streams in &args.streams.0 {
         let parts = Parts::start(args, streams);
-        let load = |way, peer: &str| Load {
-            way,
-            peer: peer.to_owned(),
-            streams,
-            tokens: args.tokens,
-            spread_ms: args.spread_ms,
-        };
+        let load = |way, peer: &str| load(args, way, peer, streams);
+        let times = || parts.times();
         // Each way once to warm up: connections, buffers, the adapter.
         let _ = load("warm direct", &parts.engine).run();
         let _ = load("warm through", &parts.entry).run();
-        let direct = measure(&parts, &load("direct", &parts.engine));
-        let through = measure(&parts, &load("through", &parts.entry));
-        print(&direct);
-        print(&through);
-        print(&report::Added::between(&direct, &through));
+        let direct = measure(times, &load("direct", &parts.engine));
+        let through = measure(times, &load("through", &parts.entry));
+        print_all(&direct, &through);
+    }
+}
+
+fn measure_running(args: &PathArgs, running: &Running) {
+    let processes = running.processes;
+    let times = || processes.times();
+    for &streams in &args.streams.0 {
+        let cold = watched(load(args, "cold", &running.entry, streams), processes);
+        print(&measure(times, &cold));
+        let direct = load(args, "direct", &running.engine, streams);
+        let direct = measure(times, &direct);
+        let through = load(args, "through", &running.entry, streams);
+        let through = measure(times, &through);
+        print_all(&direct, &through);
     }
 }
 
-fn measure(parts: &Parts, load: &Load) -> Line {
-    let before = parts.times();
+fn load(args: &PathArgs, way: &'static str, peer: &str, streams: usize) -> Load {
+    Load {
+        way,
+        peer: peer.to_owned(),
+        streams,
+        tokens: args.tokens,
+        spread_ms: args.spread_ms,
+        watched: None,
+    }
+}
+
+fn watched(load: Load, processes: Processes) -> Load {
+    Load {
+        watched: Some(processes),
+        ..load
+    }
+}
+
+fn measure(times: impl Fn() -> Times, load: &Load) -> Line {
+    let before = times();
     let take: Take = load.run();
-    let after = parts.times();
+    let after = times();
     Line::new(load, &take, &after.since(&before))
 }
+
+fn print_all(direct: &Line, through: &Line) {
+    print(direct);
+    print(through);
+    print(&report::Added::between(direct, through));
+}
--- a/crates/measure/src/path/report.rs
+++ b/crates/measure/src/path/report.rs
@@ -52,14 +52,19 @@
     events_per_second: f64,
     first_us: Quantiles,
     gap_us: Quantiles,
-    /// Processor time of the entry's thread for an event, microseconds.
+    /// Processor time of the entry for an event, microseconds.
     entry_event_us: f64,
     side_event_us: f64,
     /// Part of one core that the entry took.
     entry_core: f64,
     /// Events a second that one core of the entry would carry.
     entry_events_per_core: f64,
-    memory_per_stream: u64,
+    /// Growth of the entry's process for a stream, bytes.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    entry_memory: Option<u64>,
+    /// Growth of the side's process for a stream, bytes.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    side_memory: Option<u64>,
 }
 
 /// What entry and side add.
@@ -70,7 +75,6 @@
     streams: usize,
     first_us: Gain,
     gap_us: Gain,
-    memory_per_stream: i64,
 }
 
 #[allow(clippy::cast_precision_loss, reason = "counts far below 2^52")]
@@ -79,6 +83,7 @@
         let events = take.events.max(1) as f64;
         let seconds = take.span.as_secs_f64();
         let entry = times.entry.as_secs_f64();
+        let streams = load.streams.max(1) as u64;
         Self {
             measure: "path",
             way: load.way,
@@ -94,7 +99,8 @@
             side_event_us: times.side.as_secs_f64() * 1e6 / events,
             entry_core: entry / seconds,
             entry_events_per_core: events / entry.max(1e-9),
-            memory_per_stream: take.memory / load.streams.max(1) as u64,
+            entry_memory: take.memory.map(|m| m.entry / streams),
+            side_memory: take.memory.map(|m| m.side / streams),
         }
     }
 }
@@ -107,7 +113,6 @@
             streams: through.streams,
             first_us: through.first_us.over(direct.first_us),
             gap_us: through.gap_us.over(direct.gap_us),
-            memory_per_stream: signed(through.memory_per_stream) - signed(direct.memory_per_stream),
         }
     }
 }
--- a/crates/measure/src/path/thread.rs
+++ b/crates/measure/src/path/thread.rs
@@ -41,10 +41,7 @@
 
     /// Processor time so far.
     pub(crate) fn time(&self) -> Duration {
-        let path = format!("/proc/self/task/{}/schedstat", self.id);
-        let text = fs::read_to_string(path).unwrap_or_default();
-        let nanos = text.split_whitespace().next().and_then(|w| w.parse().ok());
-        Duration::from_nanos(nanos.unwrap_or(0))
+        time_in(&format!("/proc/self/task/{}", self.id))
     }
 }
 
@@ -55,9 +52,21 @@
     last.and_then(|n| n.parse().ok()).unwrap_or(0)
 }
 
+/// Processor time so far of the thread with this folder of the system's accounts.
+pub(super) fn time_in(folder: &str) -> Duration {
+    let text = fs::read_to_string(format!("{folder}/schedstat")).unwrap_or_default();
+    let nanos = text.split_whitespace().next().and_then(|w| w.parse().ok());
+    Duration::from_nanos(nanos.unwrap_or(0))
+}
+
 /// Resident memory of the process, bytes.
 pub(crate) fn resident() -> u64 {
-    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    resident_in("/proc/self")
+}
+
+/// Resident memory of the process with this folder of the system's accounts, bytes.
+pub(super) fn resident_in(folder: &str) -> u64 {
+    let text = fs::read_to_string(format!("{folder}/statm")).unwrap_or_default();
     let pages = text
         .split_whitespace()
         .nth(1)
