Carry attempts at a side over one connection of HTTP/2

Cause: over HTTP/1.1 each stream held a connection to its side, with buffers of 8 KiB a direction and a queue of requests. Towards callers, upstreams, other entries and for reports HTTP/1.1 stays. The tests' sides and entries speak as the real ones do.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -36,7 +36,7 @@
 /// Status by which an engine denies a model.
 const NO_MODEL: u16 = 404;
 
-/// An attempt under way. Dropping it closes its connection, and the side cancels it.
+/// An attempt under way. Dropping it resets its HTTP/2 stream, and the side cancels it.
 pub(crate) struct Attempt {
     pub(crate) destination: Destination,
     frames: FrameReader,
@@ -75,7 +75,7 @@
         let destination = outgoing.destination.clone();
         let request = outgoing.into_request();
         let address = &destination.address;
-        let response = shared.client.send(address, request, HEAD_SPAN).await;
+        let response = shared.runs.send(address, request, HEAD_SPAN).await;
         let response = match response {
             Ok(response) => response,
             Err(e) => return Err(sent.fail(net_failure(&e))),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -43,7 +43,10 @@
 pub(crate) struct Shared {
     pub(crate) options: Options,
     pub(crate) timer: Timer,
+    /// For other entries.
     pub(crate) client: Client,
+    /// For attempts at sides: all at one side share a connection.
+    pub(crate) runs: Client,
     pub(crate) log: Log,
     pub(crate) records: Rc<dyn Records>,
     pub(crate) current: Current,
--- a/crates/entry/src/start/mod.rs
+++ b/crates/entry/src/start/mod.rs
@@ -9,7 +9,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_net::{Client, ClientOptions, Handler, Server, ServerOptions, Timer, bind};
+use pumicecleat_net::{
+    Client, ClientOptions, Handler, Protocol, Server, ServerOptions, Timer, bind,
+};
 use pumicecleat_ops::{Admin, Drain, Log, Metrics, Readiness, Stop, events, field};
 use pumicecleat_platform::{HttpLog, HttpVms, Log as Records, Peers, Vms};
 use pumicecleat_policy::{BudgetOptions, LoadOrder, LoadOrderOptions, RetryBudget};
@@ -162,6 +164,7 @@
         options,
         timer: timer.clone(),
         client: Client::new_ext(ClientOptions::default(), timer),
+        runs: Client::new_ext(run_options(), timer),
         log: log.clone(),
         records: Rc::clone(&parts.records),
         current: Current::default(),
@@ -179,6 +182,13 @@
     }
 }
 
+fn run_options() -> ClientOptions {
+    ClientOptions {
+        protocol: Protocol::Http2,
+        ..ClientOptions::default()
+    }
+}
+
 struct Bound {
     listener: monoio::net::TcpListener,
     address: SocketAddr,
--- a/crates/entry/tests/entry/side.rs
+++ b/crates/entry/tests/entry/side.rs
@@ -11,8 +11,8 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use pumicecleat_net::{
-    Body, BodyError, Client, Handler, Incoming, Reply, Server, ServerOptions, Timer, bind,
-    frame_bytes, plain_reply, post, read_all,
+    Body, BodyError, Client, Handler, Incoming, Protocol, Reply, Server, ServerOptions, Timer,
+    bind, frame_bytes, plain_reply, post, read_all,
 };
 use pumicecleat_types::{
     Frame, LoadFigures, Refusal, Report, ReportReply, RunRequest, Target, decode,
@@ -66,7 +66,11 @@
             timer: timer.clone(),
         });
         let handler = Rc::new(Runs(Rc::clone(&state)));
-        let server = Server::new_ext(ServerOptions::default(), handler, timer);
+        let options = ServerOptions {
+            protocol: Protocol::Http2,
+            ..ServerOptions::default()
+        };
+        let server = Server::new_ext(options, handler, timer);
         monoio::spawn(async move { server.serve(listener).await });
         Self { address, state }
     }
--- a/crates/net/src/client/sender.rs
+++ b/crates/net/src/client/sender.rs
@@ -90,6 +90,8 @@
                 .initial_stream_window_size(STREAM_WINDOW)
                 .initial_connection_window_size(CONNECTION_WINDOW)
                 .initial_max_send_streams(FIRST_STREAMS)
+                // By default the 1,024th late frame of a cancelled stream would end all others.
+                .max_local_error_reset_streams(None)
                 .max_header_list_size(u32::try_from(options.head).unwrap_or(u32::MAX))
                 .handshake(io)
                 .await?;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -220,6 +220,9 @@
         let mut connection = http2::Builder::new(MonoioExecutor)
             .timer(MonoioTimer)
             .max_concurrent_streams(u32::try_from(options.connections).unwrap_or(u32::MAX))
+            // By default some cancelled streams at once, or many over time, would end all others.
+            .max_pending_accept_reset_streams(options.connections)
+            .max_local_error_reset_streams(None)
             .max_header_list_size(u32::try_from(options.head).unwrap_or(u32::MAX))
             .max_send_buf_size(STREAM_WINDOW as usize)
             .initial_stream_window_size(STREAM_WINDOW)
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -8,7 +8,9 @@
 use monoio::net::TcpListener;
 use pumicecleat_config::model::PoolKind;
 use pumicecleat_ledger::LimitError;
-use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer, bind, bind_exclusive};
+use pumicecleat_net::{
+    Client, ClientOptions, Protocol, Server, ServerOptions, Timer, bind, bind_exclusive,
+};
 use pumicecleat_ops::{Admin, Drain, DrainEnd, Log, Metrics, Readiness, Stop, events, field};
 use pumicecleat_platform::{HttpLog, HttpVms, Log as PlatformLog, Peers};
 use pumicecleat_types::ServiceId;
@@ -73,7 +75,11 @@
         let state = Rc::new(build_state(settings, address, timer, log));
         log_start(&state, address, admin);
         let handler = Rc::new(PeerHandler(Rc::clone(&state)));
-        let server = Server::new_ext(ServerOptions::default(), handler, timer);
+        let options = ServerOptions {
+            protocol: Protocol::Http2,
+            ..ServerOptions::default()
+        };
+        let server = Server::new_ext(options, handler, timer);
         serve(&server, listener);
         serve(&admin_server(&state), admin_listener);
         start_tasks(&state);
--- a/crates/side/tests/bench/mod.rs
+++ b/crates/side/tests/bench/mod.rs
@@ -12,8 +12,8 @@
 use bytes::Bytes;
 use pumicecleat_config::{Change, ChangeId, Fold, Record, Source, parse};
 use pumicecleat_net::{
-    Client, ClientOptions, FrameReader, Handler, Incoming, Reply, Server, ServerOptions, Timer,
-    bind, peer_reply, plain_reply, read_all,
+    Client, ClientOptions, FrameReader, Handler, Incoming, Protocol, Reply, Server, ServerOptions,
+    Timer, bind, peer_reply, plain_reply, read_all,
 };
 use pumicecleat_ops::{Log as EventLog, LogOptions, Settings};
 use pumicecleat_side::{Side, SideSettings};
@@ -118,7 +118,10 @@
 /// Everything that a test of a side needs.
 pub struct Bench {
     pub timer: Timer,
-    pub client: Client,
+    /// For stand-ins.
+    client: Client,
+    /// For sides, as entries ask them.
+    runs: Client,
     pub seen: Rc<RefCell<Seen>>,
     pub log: Running<LogFaults>,
     pub store: Running<StoreFaults>,
@@ -159,6 +162,7 @@
         let entry = start_entry(&fold, &seen, &timer);
         Self {
             client: Client::new_ext(ClientOptions::default(), &timer),
+            runs: Client::new_ext(run_options(), &timer),
             timer,
             seen,
             log,
@@ -302,7 +306,7 @@
             .body(Bytes::from(encode(run)))
             .unwrap();
         let peer = side.address().to_string();
-        let response = self.client.send(&peer, request, SPAN).await.unwrap();
+        let response = self.runs.send(&peer, request, SPAN).await.unwrap();
         FrameReader::new(response)
     }
 
@@ -358,6 +362,13 @@
     .unwrap();
 }
 
+fn run_options() -> ClientOptions {
+    ClientOptions {
+        protocol: Protocol::Http2,
+        ..ClientOptions::default()
+    }
+}
+
 fn start_entry(fold: &Rc<RefCell<Fold>>, seen: &Rc<RefCell<Seen>>, timer: &Timer) -> String {
     let handler = FakeEntry {
         fold: Rc::clone(fold),
