--- a/crates/net/src/client/mod.rs
+++ b/crates/net/src/client/mod.rs
@@ -21,6 +21,7 @@
 use crate::{NetError, Protocol, Timer};
 
 pub use response::Response;
+pub(crate) use response::ResponseBody;
 
 use pool::Pool;
 use response::Kept;
@@ -140,13 +141,15 @@
                 let (head, body) = response.into_parts();
                 Ok(Attempt::Answered(Box::new(Response {
                     head,
-                    body,
                     peer: peer.into(),
-                    kept: Some(Kept {
-                        client: self.clone(),
-                        address,
-                        sender,
-                    }),
+                    rest: ResponseBody {
+                        body,
+                        kept: Some(Kept {
+                            client: self.clone(),
+                            address,
+                            sender,
+                        }),
+                    },
                 })))
             }
             Err(mut e) => match e.take_message() {
--- a/crates/net/src/client/response.rs
+++ b/crates/net/src/client/response.rs
@@ -23,8 +23,13 @@
 /// or its stream in HTTP/2, which is how a peer learns that nobody waits any more.
 pub struct Response {
     pub(super) head: http::response::Parts,
-    pub(super) body: hyper::body::Incoming,
     pub(super) peer: String,
+    pub(super) rest: ResponseBody,
+}
+
+/// Body of an answer whose head isn't held any more; dropping it is as dropping the answer.
+pub(crate) struct ResponseBody {
+    pub(super) body: hyper::body::Incoming,
     pub(super) kept: Option<Kept>,
 }
 
@@ -52,11 +57,7 @@
     /// # Errors
     /// [`BodyError::Broken`] if the connection broke off first.
     pub async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
-        let piece = next_piece(&mut self.body).await;
-        if piece.is_none() {
-            self.release();
-        }
-        piece
+        self.rest.next().await
     }
 
     /// Whole body of at most `limit` bytes, if it comes within `span`.
@@ -64,16 +65,32 @@
     /// # Errors
     /// [`NetError::Answer`] if it is not whole.
     pub async fn read(&mut self, limit: u64, span: Duration) -> Result<Vec<u8>, NetError> {
-        let Some(timer) = self.kept.as_ref().map(|k| k.client.timer().clone()) else {
+        let Some(timer) = self.rest.kept.as_ref().map(|k| k.client.timer().clone()) else {
             return Ok(Vec::new());
         };
-        let bytes = read_all(&mut self.body, limit, span, &timer)
+        let bytes = read_all(&mut self.rest.body, limit, span, &timer)
             .await
             .context(AnswerSnafu { peer: &self.peer })?;
-        self.release();
+        self.rest.release();
         Ok(bytes)
     }
 
+    /// The body alone, for a long stream.
+    pub(crate) fn into_body(self) -> ResponseBody {
+        self.rest
+    }
+}
+
+impl ResponseBody {
+    /// Next piece, or `None` at the proper end.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
+        let piece = next_piece(&mut self.body).await;
+        if piece.is_none() {
+            self.release();
+        }
+        piece
+    }
+
     fn release(&mut self) {
         if let Some(kept) = self.kept.take() {
             kept.client.keep(kept.address, kept.sender);
--- a/crates/net/src/frame.rs
+++ b/crates/net/src/frame.rs
@@ -7,6 +7,7 @@
 use pumicecleat_types::{CodecError, Frame, decode, encode};
 use snafu::{ResultExt, Snafu, ensure};
 
+use crate::client::ResponseBody;
 use crate::pending::Pending;
 use crate::{BodyError, Response};
 
@@ -97,7 +98,7 @@
 
 /// Reader of the frames of a side's answer.
 pub struct FrameReader {
-    response: Response,
+    body: ResponseBody,
     scanner: FrameScanner,
 }
 
@@ -106,7 +107,7 @@
     #[must_use]
     pub fn new(response: Response) -> Self {
         Self {
-            response,
+            body: response.into_body(),
             scanner: FrameScanner::new(),
         }
     }
@@ -120,7 +121,7 @@
             if let Some(frame) = self.scanner.scan_frame()? {
                 return Ok(Some(frame));
             }
-            match self.response.next().await {
+            match self.body.next().await {
                 Some(piece) => self.scanner.push(&piece.context(BodySnafu)?),
                 None if self.scanner.is_empty() => return Ok(None),
                 None => return CutSnafu.fail(),
