Hold less room in a stream's futures while it opens and runs

Cause: an opening stream held 18.4 KB of nested futures (handler 4,064, chat 2,152, open 6,248, attempt 5,992, by size_of_val in a trial), an open one 2,288 beside its relay; parts that end early or come once are boxed now.

--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -92,7 +92,8 @@
 async fn take(shared: &Rc<Shared>, seen: &mut Seen, incoming: Incoming) -> Result<Reply, Fault> {
     admit::check_open(shared)?;
     let guard = shared.drain.enter(&seen.request);
-    ensure_fresh(shared).await;
+    // Boxed, as each waiting request would hold room for it.
+    Box::pin(ensure_fresh(shared)).await;
     let caller = admit::identify(shared, &incoming)?;
     seen.caller = Some(caller.clone());
     let call = Call {
--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -75,7 +75,8 @@
         let destination = outgoing.destination.clone();
         let request = outgoing.into_request();
         let address = &destination.address;
-        let response = shared.runs.send(address, request, HEAD_SPAN).await;
+        // Boxed, as it is large and ends long before the answer's start may come.
+        let response = Box::pin(shared.runs.send(address, request, HEAD_SPAN)).await;
         let response = match response {
             Ok(response) => response,
             Err(e) => return Err(sent.fail(net_failure(&e))),
--- a/crates/entry/src/stream/open.rs
+++ b/crates/entry/src/stream/open.rs
@@ -53,14 +53,15 @@
 async fn one_open(exchange: &mut Exchange) -> Result<Begun, Failure> {
     let left = exchange.left();
     let body = exchange.job.body();
-    let (attempt, head) = exchange.attempt(body, left).await?;
+    // Boxed, as are the parts after it, so that a waiting request holds room for one of them only.
+    let (attempt, head) = Box::pin(exchange.attempt(body, left)).await?;
     if head.is_error() {
         let answer = Box::pin(exchange.collect(attempt, head)).await?;
         return Ok(Begun::Whole(answer));
     }
     let mut feed = Feed::new(attempt, &exchange.job);
     let stall = exchange.shared.options.stall;
-    match feed.next(&exchange.shared, stall).await {
+    match Box::pin(feed.next(&exchange.shared, stall)).await {
         Ok(first) => Ok(Begun::Fed(Box::new(feed), first)),
         Err(failure) => Err(feed.fail(failure)),
     }
--- a/crates/entry/src/stream/relay.rs
+++ b/crates/entry/src/stream/relay.rs
@@ -103,8 +103,8 @@
         let stall = self.exchange.shared.options.stall;
         match feed.next(&self.exchange.shared, stall).await {
             Ok(Fed::Chunks(chunks)) => self.ready = self.pass(chunks),
-            Ok(Fed::End(done)) => self.end(done).await,
-            // Boxed, as each open stream would hold room for it.
+            // Boxed, as each open stream would hold room for them.
+            Ok(Fed::End(done)) => Box::pin(self.end(done)).await,
             Err(failure) => Box::pin(self.recover(failure)).await,
         }
     }
