--- a/crates/policy/src/scheduler/demand.rs
+++ b/crates/policy/src/scheduler/demand.rs
@@ -7,7 +7,7 @@
 use crate::LoraIx;
 
 /// Time in which a rate halves, seconds.
-const HALF_LIFE_S: f64 = 90.0;
+const HALF_LIFE_S: f64 = 60.0;
 
 /// Rates kept before the faded ones are dropped for the first time.
 const KEEP: usize = 1024;
--- a/crates/policy/tests/scheduler_naive.rs
+++ b/crates/policy/tests/scheduler_naive.rs
@@ -12,7 +12,7 @@
 const AHEAD: f64 = 512.0;
 
 /// Half-life of demand in seconds, as in the scheduler.
-const HALF_LIFE_S: f64 = 90.0;
+const HALF_LIFE_S: f64 = 60.0;
 
 const FAR: Millis = Millis(1 << 40);
 
