--- a/crates/measure/path.sh
+++ b/crates/measure/path.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Measures what a stream costs in separate processes: path.sh [FOLDER [STREAMS [TOKENS [STEP_MS]]]].
+# Measures what a stream costs in separate processes: path.sh [FOLDER [STREAMS [TOKENS [STEP_MS [ENGINES]]]]].
 #
 # FOLDER holds the programs of one build (default: target/release). Log, engine, entry and side are
 # started on loopback, the configuration is applied, `pumicecleat-measure path` runs against them,
@@ -10,6 +10,7 @@
 streams=${2:-1000}
 tokens=${3:-200}
 step=${4:-50}
+engines=${5:-1}
 
 # Tries, 0.1 s apart, for a process to say where it listens.
 tries=100
@@ -75,17 +76,19 @@
 
 start log "$bin/pumicecleat-standin" log --listen 127.0.0.1:0
 log=$(told log listening)
-start engine "$bin/pumicecleat-standin" engine --listen 127.0.0.1:0 --base m \
-    --batch "$streams" --step-ms "$step" --slow-ms "$step"
-engine=$(told engine listening)
+list=
+n=0
+while [ "$n" -lt "$engines" ]; do
+    start "engine$n" "$bin/pumicecleat-standin" engine --listen 127.0.0.1:0 --base m \
+        --batch "$streams" --slots 64 --step-ms "$step" --slow-ms "$step" --ignore-fencing
+    list="$list${list:+,}$(told "engine$n" listening)"
+    n=$((n + 1))
+done
 
 hash=$("$bin/pumicecleat" key measure-key)
 cat >"$work/measure.toml" <<TOML
 [base.m]
 context = 4096
-[adapter.a]
-base = 'm'
-version.v1.path = 'a/v1'
 [caller.c]
 keys = ['$hash']
 claim = 1
@@ -93,10 +96,15 @@
 [pool.lm]
 kind = 'model'
 base = 'm'
-slots = 4
+slots = 64
 batch = $streams
 queue = 10000
 TOML
+n=0
+while [ "$n" -lt "$engines" ]; do
+    printf "[adapter.a%s]\nbase = 'm'\nversion.v1.path = 'a/v1'\n" "$n" >>"$work/measure.toml"
+    n=$((n + 1))
+done
 
 place="--data-centre d --region r --admin 127.0.0.1:0 --log-level off"
 # Flags in $place are parted on purpose.
@@ -110,15 +118,18 @@
 "$bin/pumicecleat" apply --log "$log" "$work/measure.toml" >&2
 ready "$entry_admin"
 
-# shellcheck disable=SC2086
-start side "$bin/pumicecleat-side" --vm side $place --listen 127.0.0.1:0 \
-    --slot 127.0.0.1:0 --pool lm --upstream "$engine" --entries "$peers"
-side_id=$id
-side_admin=$(told side admin)
-ready "$side_admin"
+n=0
+for engine in $(echo "$list" | tr ',' ' '); do
+    # shellcheck disable=SC2086
+    start "side$n" "$bin/pumicecleat-side" --vm "side$n" $place --listen 127.0.0.1:0 \
+        --slot 127.0.0.1:0 --pool lm --upstream "$engine" --entries "$peers"
+    side_id=$id
+    ready "$(told "side$n" admin)"
+    n=$((n + 1))
+done
 # The entry hears of the side by its next report.
 sleep 2
 
 timeout "$limit" "$bin/pumicecleat-measure" path --streams "$streams" --tokens "$tokens" \
-    --step-ms "$step" --engine "$engine" --entry "$entry" \
+    --step-ms "$step" --engine "$list" --entry "$entry" \
     --entry-id "$entry_id" --side-id "$side_id"
--- a/crates/measure/src/path/args.rs
+++ b/crates/measure/src/path/args.rs
@@ -23,7 +23,7 @@
     /// time over which the streams start, milliseconds (default: 2000)
     #[argh(option, default = "2000")]
     pub spread_ms: u64,
-    /// address of a running engine, ip:port
+    /// addresses of running engines, ip:port,...
     #[argh(option)]
     pub engine: Option<String>,
     /// address for callers of a running entry, ip:port
--- a/crates/measure/src/path/load.rs
+++ b/crates/measure/src/path/load.rs
@@ -8,7 +8,7 @@
 use hdrhistogram::Histogram;
 use pumicecleat_net::{Client, ClientOptions, Response, SseScanner, Timer, run};
 
-use super::parts::{KEY, MODEL};
+use super::parts::{KEY, model};
 use super::process::{Memory, Processes};
 
 const SPAN: Duration = Duration::from_mins(2);
@@ -19,7 +19,10 @@
 /// Streams to open.
 pub(super) struct Load {
     pub(super) way: &'static str,
-    pub(super) peer: String,
+    /// Where streams go, in turn.
+    pub(super) peers: Vec<String>,
+    /// Adapters asked for, in turn.
+    pub(super) adapters: usize,
     pub(super) streams: usize,
     pub(super) tokens: u32,
     pub(super) spread_ms: u64,
@@ -47,6 +50,24 @@
         run(self.all()).expect("a loop starts")
     }
 
+    /// Sees to it that the n-th engine holds the n-th adapter.
+    pub(super) fn preload(&self) {
+        run(self.load_all()).expect("a loop starts");
+    }
+
+    async fn load_all(&self) {
+        let client = Client::new_ext(ClientOptions::default(), &Timer::start());
+        for (n, peer) in self.peers.iter().enumerate() {
+            let body = serde_json::json!({"lora_name": model(n), "lora_path": "a/v1"});
+            let request = http::Request::post("/v1/load_lora_adapter")
+                .header("content-type", "application/json")
+                .body(Bytes::from(body.to_string()))
+                .expect("constant parts make a request");
+            // One that is loaded already is refused, which is as good.
+            let _ = client.send(peer, request, SPAN).await;
+        }
+    }
+
     async fn all(&self) -> Take {
         let timer = Timer::start();
         let client = Client::new_ext(ClientOptions::default(), &timer);
@@ -58,7 +79,8 @@
             let at = self.spread_ms * n as u64 / self.streams as u64;
             let stream = Stream {
                 client: client.clone(),
-                peer: self.peer.clone(),
+                peer: self.peers[n % self.peers.len()].clone(),
+                model: model(n % self.adapters),
                 tokens: self.tokens,
                 take: Rc::clone(&take),
             };
@@ -101,6 +123,7 @@
 struct Stream {
     client: Client,
     peer: String,
+    model: String,
     tokens: u32,
     take: Rc<RefCell<Take>>,
 }
@@ -122,7 +145,7 @@
 
     fn request(&self) -> http::Request<Bytes> {
         let body = serde_json::json!({
-            "model": MODEL,
+            "model": self.model,
             "stream": true,
             "max_tokens": self.tokens,
             "messages": [{"role": "user", "content": "x"}],
--- a/crates/measure/src/path/mod.rs
+++ b/crates/measure/src/path/mod.rs
@@ -42,7 +42,7 @@
 fn measure_inside(args: &PathArgs) {
     for &streams in &args.streams.0 {
         let parts = Parts::start(args, streams);
-        let load = |way, peer: &str| load(args, way, peer, streams);
+        let load = |way, peers: &str| load(args, way, peers, 1, streams);
         let times = || parts.times();
         // Each way once to warm up: connections, buffers, the adapter.
         let _ = load("warm direct", &parts.engine).run();
@@ -57,20 +57,24 @@
     let processes = running.processes;
     let times = || processes.times();
     for &streams in &args.streams.0 {
-        let cold = watched(load(args, "cold", &running.entry, streams), processes);
+        let engines = running.engine.split(',').count();
+        let cold = load(args, "cold", &running.entry, engines, streams);
+        let cold = watched(cold, processes);
         print(&measure(times, &cold));
-        let direct = load(args, "direct", &running.engine, streams);
+        let direct = load(args, "direct", &running.engine, engines, streams);
+        direct.preload();
         let direct = measure(times, &direct);
-        let through = load(args, "through", &running.entry, streams);
+        let through = load(args, "through", &running.entry, engines, streams);
         let through = measure(times, &through);
         print_all(&direct, &through);
     }
 }
 
-fn load(args: &PathArgs, way: &'static str, peer: &str, streams: usize) -> Load {
+fn load(args: &PathArgs, way: &'static str, peers: &str, adapters: usize, streams: usize) -> Load {
     Load {
         way,
-        peer: peer.to_owned(),
+        peers: peers.split(',').map(str::to_owned).collect(),
+        adapters,
         streams,
         tokens: args.tokens,
         spread_ms: args.spread_ms,
--- a/crates/measure/src/path/parts.rs
+++ b/crates/measure/src/path/parts.rs
@@ -19,8 +19,10 @@
 
 /// Bearer key of the one caller.
 pub(super) const KEY: &str = "measure-key";
-/// Model that callers name, the engine's own name for it too.
-pub(super) const MODEL: &str = "a@v1";
+/// Model that callers name for the n-th adapter, the engines' own name for it too.
+pub(super) fn model(n: usize) -> String {
+    format!("a{n}@v1")
+}
 
 /// All parts.
 pub(super) struct Parts {
@@ -110,7 +112,7 @@
 
 async fn append_config(log: &str, batch: usize, timer: &Timer) {
     let text = format!(
-        "[base.m]\ncontext = 4096\n[adapter.a]\nbase = 'm'\nversion.v1.path = 'a/v1'\n\
+        "[base.m]\ncontext = 4096\n[adapter.a0]\nbase = 'm'\nversion.v1.path = 'a/v1'\n\
          [caller.c]\nkeys = ['{}']\nclaim = 1\nadapters = ['*']\n\
          [pool.lm]\nkind = 'model'\nbase = 'm'\nslots = 4\nbatch = {batch}\nqueue = 10000\n",
         pumicecleat_config::hash_key(KEY)
