--- a/crates/side/src/station/mod.rs
+++ b/crates/side/src/station/mod.rs
@@ -4,7 +4,9 @@
 //! the ticket withdraws the request if it still waits, or ends it if it was sent.
 
 mod names;
+mod tell;
 mod ticket;
+mod view;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -13,14 +15,12 @@
 
 use async_channel::{Receiver, Sender};
 use pumicecleat_net::Timer;
-use pumicecleat_policy::{
-    Action, Bid, GiveUp, Job, JobId, LoadEnd, LoraIx, Scheduler, SchedulerOptions,
-};
-use pumicecleat_types::{LoadFigures, LoadTurn, Lora, Millis, Reason};
-use serde::Serialize;
+use pumicecleat_policy::{Action, Bid, GiveUp, Job, JobId, LoraIx, Scheduler, SchedulerOptions};
+use pumicecleat_types::{Lora, Millis};
 
 use names::Names;
 pub(crate) use ticket::{Ticket, Word};
+pub(crate) use view::StationDump;
 
 /// How long an adapter stays pinned after a cut answer: the engine ends it at its next step.
 const ABORT_SPAN: Duration = Duration::from_millis(500);
@@ -77,15 +77,6 @@
     pub(crate) changed: Receiver<()>,
 }
 
-/// State for people.
-#[derive(Debug, Serialize)]
-pub(crate) struct StationDump {
-    load: LoadFigures,
-    resident: Vec<String>,
-    loading: Option<String>,
-    waiting: usize,
-}
-
 impl Station {
     /// Station with nothing resident.
     pub(crate) fn new_ext(options: SchedulerOptions, timer: &Timer) -> (Self, Outlets) {
@@ -168,106 +159,6 @@
         }
     }
 
-    /// Outcome of a bid; `None` if no entry answered.
-    pub(crate) fn turn(&self, turn: Option<LoadTurn>, roll: u64) {
-        let now = self.now();
-        {
-            let mut scheduler = self.state.scheduler.borrow_mut();
-            match turn {
-                Some(turn) => scheduler.turn(turn, now),
-                None => scheduler.no_turn(roll, now),
-            }
-        }
-        self.pump();
-    }
-
-    /// Outcome of a load.
-    pub(crate) fn loaded(&self, lora: &Lora, end: LoadEnd) {
-        let ix = self.index(lora);
-        let now = self.now();
-        self.state.scheduler.borrow_mut().loaded(ix, end, now);
-        self.pump();
-    }
-
-    /// Outcome of an unload.
-    pub(crate) fn unloaded(&self, lora: &Lora, gone: bool) {
-        let ix = self.index(lora);
-        let now = self.now();
-        self.state.scheduler.borrow_mut().unloaded(ix, gone, now);
-        self.pump();
-    }
-
-    /// What the engine holds after it or this side restarted.
-    pub(crate) fn reset(&self, resident: &[Lora], unaccounted: &[Lora]) {
-        let now = self.now();
-        let resident: Vec<LoraIx> = resident.iter().map(|l| self.index(l)).collect();
-        let held: Vec<LoraIx> = unaccounted.iter().map(|l| self.index(l)).collect();
-        let mut scheduler = self.state.scheduler.borrow_mut();
-        scheduler.reset(&resident, &held, now);
-        drop(scheduler);
-        self.pump();
-    }
-
-    /// A request that this side did not send has ended.
-    pub(crate) fn release(&self, lora: &Lora) {
-        let ix = self.index(lora);
-        self.state.scheduler.borrow_mut().release(ix);
-        self.pump();
-    }
-
-    /// Takes no new requests and refuses those that wait.
-    pub(crate) fn close(&self, reason: Reason) {
-        self.state.scheduler.borrow_mut().close(reason);
-        self.pump();
-    }
-
-    /// Takes requests again.
-    pub(crate) fn reopen(&self) {
-        self.state.scheduler.borrow_mut().reopen();
-        self.pump();
-    }
-
-    /// Takes new options.
-    pub(crate) fn retune(&self, options: SchedulerOptions) {
-        self.state.scheduler.borrow_mut().retune(options);
-        self.pump();
-    }
-
-    /// Load.
-    pub(crate) fn figures(&self) -> LoadFigures {
-        self.state.scheduler.borrow().figures()
-    }
-
-    /// Engine names of what is resident, in order.
-    pub(crate) fn resident(&self) -> Vec<String> {
-        let ready = self.state.scheduler.borrow().resident();
-        let names = self.state.names.borrow();
-        let mut all: Vec<String> = ready.iter().map(|l| names.of(*l).engine_name()).collect();
-        all.sort();
-        all
-    }
-
-    /// Engine name of what is being loaded.
-    pub(crate) fn loading(&self) -> Option<String> {
-        let lora = self.state.scheduler.borrow().loading()?;
-        Some(self.state.names.borrow().of(lora).engine_name())
-    }
-
-    /// Engine name of an indexed adapter.
-    pub(crate) fn name_of(&self, lora: LoraIx) -> String {
-        self.state.names.borrow().of(lora).engine_name()
-    }
-
-    /// State for people.
-    pub(crate) fn dump(&self) -> StationDump {
-        StationDump {
-            load: self.figures(),
-            resident: self.resident(),
-            loading: self.loading(),
-            waiting: self.state.waiting.borrow().len(),
-        }
-    }
-
     fn carry_out(&self, action: Action) {
         let order = match action {
             Action::Send(id) => return self.tell(id, Word::Go),
--- /dev/null
+++ b/crates/side/src/station/tell.rs
@@ -0,0 +1,73 @@
+//! What the queue is told of its upstream, of turns at the weight store and of the configuration.
+
+use pumicecleat_policy::{LoadEnd, LoraIx, SchedulerOptions};
+use pumicecleat_types::{LoadTurn, Lora, Reason};
+
+use super::Station;
+
+impl Station {
+    /// Outcome of a bid; `None` if no entry answered.
+    pub(crate) fn turn(&self, turn: Option<LoadTurn>, roll: u64) {
+        let now = self.now();
+        {
+            let mut scheduler = self.state.scheduler.borrow_mut();
+            match turn {
+                Some(turn) => scheduler.turn(turn, now),
+                None => scheduler.no_turn(roll, now),
+            }
+        }
+        self.pump();
+    }
+
+    /// Outcome of a load.
+    pub(crate) fn loaded(&self, lora: &Lora, end: LoadEnd) {
+        let ix = self.index(lora);
+        let now = self.now();
+        self.state.scheduler.borrow_mut().loaded(ix, end, now);
+        self.pump();
+    }
+
+    /// Outcome of an unload.
+    pub(crate) fn unloaded(&self, lora: &Lora, gone: bool) {
+        let ix = self.index(lora);
+        let now = self.now();
+        self.state.scheduler.borrow_mut().unloaded(ix, gone, now);
+        self.pump();
+    }
+
+    /// What the engine holds after it or this side restarted.
+    pub(crate) fn reset(&self, resident: &[Lora], unaccounted: &[Lora]) {
+        let now = self.now();
+        let resident: Vec<LoraIx> = resident.iter().map(|l| self.index(l)).collect();
+        let held: Vec<LoraIx> = unaccounted.iter().map(|l| self.index(l)).collect();
+        let mut scheduler = self.state.scheduler.borrow_mut();
+        scheduler.reset(&resident, &held, now);
+        drop(scheduler);
+        self.pump();
+    }
+
+    /// A request that this side did not send has ended.
+    pub(crate) fn release(&self, lora: &Lora) {
+        let ix = self.index(lora);
+        self.state.scheduler.borrow_mut().release(ix);
+        self.pump();
+    }
+
+    /// Takes no new requests and refuses those that wait.
+    pub(crate) fn close(&self, reason: Reason) {
+        self.state.scheduler.borrow_mut().close(reason);
+        self.pump();
+    }
+
+    /// Takes requests again.
+    pub(crate) fn reopen(&self) {
+        self.state.scheduler.borrow_mut().reopen();
+        self.pump();
+    }
+
+    /// Takes new options.
+    pub(crate) fn retune(&self, options: SchedulerOptions) {
+        self.state.scheduler.borrow_mut().retune(options);
+        self.pump();
+    }
+}
