--- a/crates/policy/tests/scheduler_cases.rs
+++ b/crates/policy/tests/scheduler_cases.rs
@@ -14,6 +14,9 @@
     batch: u32,
     /// Weight of full batches, percent.
     weight: u32,
+    /// Longest hold, milliseconds.
+    #[serde(default)]
+    hold: u64,
     steps: Vec<Step>,
 }
 
@@ -111,6 +114,7 @@
             stall: 100 - case.weight,
             batch: case.weight,
         },
+        hold: Millis(case.hold),
         ..SchedulerOptions::default()
     });
     for (n, step) in case.steps.iter().enumerate() {
