Give the log's retention one default in entries and sides

Cause: 24 h in one and 48 h in the other, for the same thing; the default window of keys needs more than 24 h. Run: entry's tests and cli's path and outage tests pass.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -20,7 +20,7 @@
         /// peer addresses of other entries, for a start while the log is down
         peers: Vec<SocketAddr> = "", "ip:port,...";
         /// time that the log keeps records
-        retention: Span = "24h", "span";
+        retention: Span = "48h", "span";
         /// weight store whose loads this entry orders
         store: String = "weights", "name";
         /// connections of callers at once
