--- a/crates/cli/tests/outage.rs
+++ b/crates/cli/tests/outage.rs
@@ -222,3 +222,47 @@
     });
     assert!(keys.iter().all(|key| fleet.effects(key) <= 1));
 }
+
+#[test]
+fn under_a_change_of_version_each_answer_is_of_the_version_it_names() {
+    let fleet = Fleet::start(&FleetOptions::default());
+    let folder = Folder::new("version");
+    let first = folder.with("default = \"v2\"", "default = \"v1\"");
+    let back = folder.with("default = \"v2\"", "default = \"v2\"");
+    let seen: Vec<String> = thread::scope(|scope| {
+        let callers: Vec<_> = (0..6)
+            .map(|_| {
+                let fleet = &fleet;
+                scope.spawn(move || (0..40).map(|_| fleet.chat(0, "sky-brief", 3)).collect())
+            })
+            .collect();
+        for file in [&first, &back, &first] {
+            let out = operate(&["apply", "--log", &fleet.log.address, file]);
+            assert!(out.status.success(), "{out:?}");
+            thread::sleep(Duration::from_millis(400));
+        }
+        let answers: Vec<Vec<fleet::Answer>> =
+            callers.into_iter().map(|c| c.join().unwrap()).collect();
+        answers
+            .into_iter()
+            .flatten()
+            .map(|a| version_of(&a))
+            .collect()
+    });
+    assert!(
+        seen.iter().any(|v| v == "v1") && seen.iter().any(|v| v == "v2"),
+        "{seen:?}"
+    );
+    assert_eq!(fleet.engine_count("evicted_in_use"), 0);
+}
+
+/// Version that an answer names, which its text must be of.
+fn version_of(answer: &fleet::Answer) -> String {
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let head = answer.head.to_lowercase();
+    let line = head.lines().find_map(|l| l.strip_prefix("x-version: "));
+    let version = line.expect("the version is named").to_owned();
+    let text = fleet::expected_text(&format!("sky-brief@{version}"), 3);
+    assert_eq!(answer.text(), text, "{version}");
+    version
+}
