--- a/crates/net/tests/exchange.rs
+++ b/crates/net/tests/exchange.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use pumicecleat_net::{
-    Body, BodyError, Client, ClientOptions, Handler, Incoming, Protocol, Reply, Server,
+    Body, BodyError, Client, ClientOptions, Handler, Incoming, Protocol, Reply, Response, Server,
     ServerOptions, Timer, bind, run,
 };
 
@@ -77,6 +77,14 @@
     server: Server,
 }
 
+impl Bench {
+    /// Head of the answer to a GET.
+    async fn get(&self, path: &str) -> Response {
+        let sent = self.client.send(&self.address, get(path), SPAN);
+        sent.await.unwrap()
+    }
+}
+
 fn start(protocol: Protocol) -> Bench {
     let timer = Timer::start();
     let dropped = Rc::default();
@@ -133,11 +141,7 @@
     for protocol in PROTOCOLS {
         run(async {
             let bench = start(protocol);
-            let mut response = bench
-                .client
-                .send(&bench.address, get("/"), SPAN)
-                .await
-                .unwrap();
+            let mut response = bench.get("/").await;
             for n in 0..5 {
                 let piece = response.next().await.unwrap().unwrap();
                 assert_eq!(piece, format!("{n};").as_bytes());
@@ -152,11 +156,7 @@
     for protocol in PROTOCOLS {
         run(async {
             let bench = start(protocol);
-            let mut response = bench
-                .client
-                .send(&bench.address, get("/"), SPAN)
-                .await
-                .unwrap();
+            let mut response = bench.get("/").await;
             response.next().await.unwrap().unwrap();
             drop(response);
             until(&bench, 1).await;
@@ -179,11 +179,7 @@
     for protocol in PROTOCOLS {
         run(async {
             let bench = start(protocol);
-            let mut response = bench
-                .client
-                .send(&bench.address, get("/"), SPAN)
-                .await
-                .unwrap();
+            let mut response = bench.get("/").await;
             bench.server.stop();
             let whole = response
                 .read(1 << 20, Duration::from_secs(20))
