Let new requests and first pieces go before the pieces of streams under way

Cause: an engine gives all its tokens of a step at once, and the loop runs its ready tasks in the order of their waking, asking the poller only after twice as many tasks as were ready. So a new request, and the first piece of a new stream, waited behind every piece of the burst, in the side and in the entry.

Pieces of a stream that has begun now take a place in a turn: eight pass, then the poller is asked (by a pair of sockets, so that it really was), and what it told of runs. Heads, first pieces and ends take none. Places are given in order, so a piece waits for as many turns as those before it fill.

--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_net::{Client, Timer};
+use pumicecleat_net::{Client, Timer, Turns};
 use pumicecleat_ops::{Drain, Log, Readiness, Stop};
 use pumicecleat_platform::Log as Records;
 use pumicecleat_policy::{LoadOrder, RetryBudget};
@@ -43,6 +43,8 @@
 pub(crate) struct Shared {
     pub(crate) options: Options,
     pub(crate) timer: Timer,
+    /// For pieces of streams under way, which let new requests and first pieces go before.
+    pub(crate) turns: Turns,
     /// For other entries.
     pub(crate) client: Client,
     /// For attempts at sides: all at one side share a connection.
--- a/crates/entry/src/start/mod.rs
+++ b/crates/entry/src/start/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use pumicecleat_net::{
-    Client, ClientOptions, Handler, Protocol, Server, ServerOptions, Timer, bind,
+    Client, ClientOptions, Handler, Protocol, Server, ServerOptions, Timer, Turns, bind,
 };
 use pumicecleat_ops::{Admin, Drain, Log, Metrics, Readiness, Stop, events, field};
 use pumicecleat_platform::{HttpLog, HttpVms, Log as Records, Peers, Vms};
@@ -45,6 +45,9 @@
     burst: 500,
 };
 
+/// Pieces of streams under way that pass before the poller is asked again.
+const TURN: usize = 8;
+
 /// Readiness condition of the listeners.
 const LISTENERS: &str = "listeners";
 
@@ -59,11 +62,23 @@
 
 /// An entry that can't start.
 #[derive(Debug, Snafu)]
-#[snafu(display("step bind, listener {purpose}, address {address}: {source}"))]
-pub struct StartError {
-    purpose: &'static str,
-    address: SocketAddr,
-    source: io::Error,
+pub enum StartError {
+    /// A listener can't be bound.
+    #[snafu(display("step bind, listener {purpose}, address {address}: {source}"))]
+    Bind {
+        /// Use of the listener.
+        purpose: &'static str,
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// No turns for streams.
+    #[snafu(display("step start turns: {source}"))]
+    Turns {
+        /// Cause.
+        source: io::Error,
+    },
 }
 
 impl Parts {
@@ -87,7 +102,7 @@
     /// Starts an entry on this loop; a port 0 in the settings lets the system choose one.
     ///
     /// # Errors
-    /// [`StartError`] if a listener can't be bound.
+    /// [`StartError`] if a listener can't be bound, or descriptors are lacking.
     pub fn start(
         settings: &EntrySettings,
         parts: &Parts,
@@ -96,6 +111,7 @@
         stop: &Stop,
     ) -> Result<Self, StartError> {
         let metrics = Metrics::new();
+        let turns = Turns::start(TURN).context(TurnsSnafu)?;
         let callers = listen("callers", settings.listen, log)?;
         let peers = listen("peers", settings.peer_listen, log)?;
         let admin = listen("admin", settings.common.admin, log)?;
@@ -105,7 +121,9 @@
             admin: admin.address,
         };
         let options = options(settings, addresses.peers);
-        let shared = Rc::new(share(settings, options, parts, timer, log, stop, &metrics));
+        let shared = Rc::new(share(
+            settings, options, parts, timer, turns, log, stop, &metrics,
+        ));
         let state = Rc::new(dump::State::new(&shared));
         let handler = Admin::new(&metrics, &shared.readiness, state);
         let admin = serve(admin, Rc::new(handler), ServerOptions::default(), timer);
@@ -159,6 +177,7 @@
     options: Options,
     parts: &Parts,
     timer: &Timer,
+    turns: Turns,
     log: &Log,
     stop: &Stop,
     metrics: &Metrics,
@@ -171,6 +190,7 @@
     Shared {
         options,
         timer: timer.clone(),
+        turns,
         client: Client::new_ext(ClientOptions::default(), timer),
         runs: Client::new_ext(run_options(), timer),
         log: log.clone(),
@@ -221,7 +241,7 @@
             log.emit(&events::BIND_FAILED, &fields);
         }
     }
-    bound.context(StartSnafu { purpose, address })
+    bound.context(BindSnafu { purpose, address })
 }
 
 fn serve(bound: Bound, handler: Rc<dyn Handler>, options: ServerOptions, timer: &Timer) -> Server {
--- a/crates/entry/src/stream/feed.rs
+++ b/crates/entry/src/stream/feed.rs
@@ -15,6 +15,8 @@
 pub(super) struct Feed {
     attempt: Attempt,
     check: StreamCheck,
+    /// Events were given: what follows waits for its turn.
+    begun: bool,
     /// Bytes of the event that ends the stream, held back until the side says that it is whole.
     done: Option<Vec<u8>>,
 }
@@ -34,6 +36,7 @@
         Self {
             check: StreamCheck::new(expect, EVENT_LIMIT),
             attempt,
+            begun: false,
             done: None,
         }
     }
@@ -43,9 +46,13 @@
         loop {
             match self.attempt.next_part(shared, span).await? {
                 Part::Data(bytes) => {
+                    if self.begun {
+                        shared.turns.place().await;
+                    }
                     self.check.push(&bytes);
                     let chunks = self.scan().map_err(|e| answer_failure(&e))?;
                     if !chunks.is_empty() {
+                        self.begun = true;
                         return Ok(Fed::Chunks(chunks));
                     }
                 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -33,6 +33,7 @@
 mod sse;
 mod tally;
 mod timer;
+mod turns;
 
 pub use body::{Body, BodyError, ByteStream, read_all};
 pub use client::{Client, ClientOptions, Response};
@@ -47,3 +48,4 @@
 pub use sse::{SseEvent, SseScanner, TooLong};
 pub use tally::{Tally, TallyGuard};
 pub use timer::{Elapsed, Sleep, Timer};
+pub use turns::{Place, Turns};
--- a/crates/side/src/run/model/relay.rs
+++ b/crates/side/src/run/model/relay.rs
@@ -44,7 +44,14 @@
             let stall = self.state.settings.stall.0;
             let piece = self.state.timer.within(stall, relay.answer.next()).await;
             match piece {
-                Ok(Some(Ok(piece))) => relay.check.push(&piece),
+                Ok(Some(Ok(piece))) => {
+                    relay.check.push(&piece);
+                    // Held while it waits, the connection would need a second buffer.
+                    drop(piece);
+                    if relay.events > 0 {
+                        self.state.turns.place().await;
+                    }
+                }
                 Ok(Some(Err(e))) => return self.cut(&e),
                 Ok(None) => return self.end_early(&mut relay),
                 Err(_) => return self.broken(Ran::Yes, "read stream", "engine stalled"),
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -9,7 +9,7 @@
 use pumicecleat_config::model::PoolKind;
 use pumicecleat_ledger::LimitError;
 use pumicecleat_net::{
-    Client, ClientOptions, Protocol, Server, ServerOptions, Timer, bind, bind_exclusive,
+    Client, ClientOptions, Protocol, Server, ServerOptions, Timer, Turns, bind, bind_exclusive,
 };
 use pumicecleat_ops::{Admin, Drain, DrainEnd, Log, Metrics, Readiness, Stop, events, field};
 use pumicecleat_platform::{HttpLog, HttpVms, Log as PlatformLog, Peers};
@@ -35,6 +35,8 @@
 const ANSWER_SPAN: Duration = Duration::from_secs(2);
 /// Longest answer of a plain service, bytes.
 const ANSWER_LIMIT: u64 = 16 << 20;
+/// Pieces of streams under way that pass before the poller is asked again.
+const TURN: usize = 8;
 /// Time between two looks for the pool's declaration.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -51,6 +53,12 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// No turns for streams.
+    #[snafu(display("step start turns: {source}"))]
+    Turns {
+        /// Cause.
+        source: std::io::Error,
+    },
 }
 
 /// A running side.
@@ -67,12 +75,13 @@
     /// Starts a side on this thread's loop.
     ///
     /// # Errors
-    /// [`StartError`] if an address is held by another process.
+    /// [`StartError`] if an address is held by another process, or descriptors are lacking.
     pub fn start(settings: SideSettings, timer: &Timer, log: &Log) -> Result<Self, StartError> {
         let slot = hold_slot(settings.slot)?;
         let (listener, address) = listen(settings.listen, "entries")?;
         let (admin_listener, admin) = listen(settings.common.admin, "admin")?;
-        let state = Rc::new(build_state(settings, address, timer, log));
+        let turns = Turns::start(TURN).context(TurnsSnafu)?;
+        let state = Rc::new(build_state(settings, address, timer, turns, log));
         log_start(&state, address, admin);
         let handler = Rc::new(PeerHandler(Rc::clone(&state)));
         let options = ServerOptions {
@@ -167,7 +176,13 @@
     Server::new_ext(ServerOptions::default(), Rc::new(admin), &state.timer)
 }
 
-fn build_state(settings: SideSettings, bound: SocketAddr, timer: &Timer, log: &Log) -> State {
+fn build_state(
+    settings: SideSettings,
+    bound: SocketAddr,
+    timer: &Timer,
+    turns: Turns,
+    log: &Log,
+) -> State {
     let address = settings.advertise.unwrap_or(bound).to_string();
     let readiness = Readiness::new(&[CONFIG, UPSTREAM, STAYING], log);
     readiness.hold(STAYING);
@@ -175,6 +190,7 @@
         address,
         incarnation: wall_clock().0,
         timer: timer.clone(),
+        turns,
         client: Client::new_ext(ClientOptions::default(), timer),
         log: log.clone(),
         metrics: SideMetrics::new(&Metrics::new()),
--- a/crates/side/src/state.rs
+++ b/crates/side/src/state.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use pumicecleat_config::model::PoolKind;
-use pumicecleat_net::{Client, Timer};
+use pumicecleat_net::{Client, Timer, Turns};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
 use pumicecleat_types::{BaseId, Millis, PoolId, Reason, VmId};
 use pumicecleat_upstream::{Engine, Service};
@@ -32,6 +32,8 @@
     /// Start of this process, milliseconds since 1970; also the fencing number of its orders.
     pub(crate) incarnation: u64,
     pub(crate) timer: Timer,
+    /// For pieces of streams under way, which let new attempts and first pieces go before.
+    pub(crate) turns: Turns,
     pub(crate) client: Client,
     pub(crate) log: Log,
     pub(crate) metrics: SideMetrics,
