Keep one subscription for the stall of a stream, in place of one for each piece

Cause: each piece of a stream subscribed to the timer service for its own limit, told it its waker and gave it up again: three changes of a map of a thousand and two readings of the clock a token, in entry and side. The limit holds as before: a part that is not there in its span from the time it was asked for ends the stream.

--- a/crates/entry/src/request/attempt.rs
+++ b/crates/entry/src/request/attempt.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_net::{FrameError, FrameReader, NetError, Sent};
+use pumicecleat_net::{FrameError, FrameReader, NetError, Sent, Stall};
 use pumicecleat_policy::Outcome;
 use pumicecleat_types::{Frame, HeaderField, LoadFigures, Ran};
 use pumicecleat_upstream::Expect;
@@ -40,6 +40,7 @@
 pub(crate) struct Attempt {
     pub(crate) destination: Destination,
     frames: FrameReader,
+    stall: Stall,
     sent: SentGuard,
 }
 
@@ -89,6 +90,7 @@
         let mut attempt = Self {
             destination,
             frames: FrameReader::new(response),
+            stall: Stall::new(&shared.timer, shared.options.stall),
             sent,
         };
         match attempt.read_head(shared, job, number).await {
@@ -97,14 +99,11 @@
         }
     }
 
-    /// Next part of the answer, if it comes within `span`.
-    pub(crate) async fn next_part(
-        &mut self,
-        shared: &Shared,
-        span: Duration,
-    ) -> Result<Part, Failure> {
-        let next = shared.timer.within(span, self.frames.next()).await;
+    /// Next part of the answer, if it comes in the time that a stalled upstream is given.
+    pub(crate) async fn next_part(&mut self) -> Result<Part, Failure> {
+        let next = self.stall.within(self.frames.next()).await;
         let Ok(next) = next else {
+            let span = self.stall.span();
             let error = format!("peer {}: silent for {span:?}", self.destination.address);
             return Err(stalled("read answer", error));
         };
--- a/crates/entry/src/request/whole.rs
+++ b/crates/entry/src/request/whole.rs
@@ -92,7 +92,7 @@
     async fn read_body(&self, attempt: &mut Attempt) -> Result<Vec<u8>, Failure> {
         let mut body = Vec::new();
         loop {
-            let part = attempt.next_part(&self.shared, self.shared.options.stall);
+            let part = attempt.next_part();
             match part.await? {
                 Part::End(load) => {
                     attempt.learn(&self.shared, load);
--- a/crates/entry/src/stream/feed.rs
+++ b/crates/entry/src/stream/feed.rs
@@ -1,7 +1,5 @@
 //! Checked events of one attempt.
 
-use std::time::Duration;
-
 use pumicecleat_types::Ran;
 use pumicecleat_upstream::{AnswerError, Chunk, StreamCheck, StreamEvent};
 
@@ -42,9 +40,9 @@
     }
 
     /// Next checked events; nothing of a frame with a wrong one is given.
-    pub(super) async fn next(&mut self, shared: &Shared, span: Duration) -> Result<Fed, Failure> {
+    pub(super) async fn next(&mut self, shared: &Shared) -> Result<Fed, Failure> {
         loop {
-            match self.attempt.next_part(shared, span).await? {
+            match self.attempt.next_part().await? {
                 Part::Data(bytes) => {
                     if self.begun {
                         shared.turns.place().await;
--- a/crates/entry/src/stream/open.rs
+++ b/crates/entry/src/stream/open.rs
@@ -60,8 +60,7 @@
         return Ok(Begun::Whole(answer));
     }
     let mut feed = Feed::new(attempt, &exchange.job);
-    let stall = exchange.shared.options.stall;
-    match Box::pin(feed.next(&exchange.shared, stall)).await {
+    match Box::pin(feed.next(&exchange.shared)).await {
         Ok(first) => Ok(Begun::Fed(Box::new(feed), first)),
         Err(failure) => Err(feed.fail(failure)),
     }
--- a/crates/entry/src/stream/relay.rs
+++ b/crates/entry/src/stream/relay.rs
@@ -100,8 +100,7 @@
         let Some(feed) = &mut self.feed else {
             return self.stage = Stage::Broken;
         };
-        let stall = self.exchange.shared.options.stall;
-        match feed.next(&self.exchange.shared, stall).await {
+        match feed.next(&self.exchange.shared).await {
             Ok(Fed::Chunks(chunks)) => self.ready = self.pass(chunks),
             // Boxed, as each open stream would hold room for them.
             Ok(Fed::End(done)) => Box::pin(self.end(done)).await,
--- a/crates/net/src/timer.rs
+++ b/crates/net/src/timer.rs
@@ -15,7 +15,7 @@
 use pumicecleat_types::Millis;
 
 /// Longest span; a longer one, from a peer's header perhaps, ends after this one.
-const LONGEST: Duration = Duration::from_hours(100 * 365 * 24);
+pub(crate) const LONGEST: Duration = Duration::from_hours(100 * 365 * 24);
 
 /// Longest sleep of the driver; it looks again after it.
 const LONGEST_SLEEP: Duration = Duration::from_hours(1);
@@ -96,7 +96,7 @@
         .await
     }
 
-    fn subscribe(&self, at: Instant) -> Sleep {
+    pub(crate) fn subscribe(&self, at: Instant) -> Sleep {
         let mut state = self.state.borrow_mut();
         let slot = Slot {
             at,
@@ -128,6 +128,13 @@
     slot: Slot,
 }
 
+impl Sleep {
+    /// Its end.
+    pub(crate) fn at(&self) -> Instant {
+        self.slot.at
+    }
+}
+
 impl Future for Sleep {
     type Output = ();
 
--- a/crates/side/src/run/model/relay.rs
+++ b/crates/side/src/run/model/relay.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use pumicecleat_net::BodyError;
+use pumicecleat_net::{BodyError, Stall};
 use pumicecleat_ops::{events, field};
 use pumicecleat_types::{Frame, Ran};
 use pumicecleat_upstream::{Answer, AnswerError, AnswerFault, StreamCheck, StreamEvent};
@@ -21,6 +21,7 @@
     pub(super) ticket: Ticket,
     pub(super) answer: Box<dyn Answer>,
     pub(super) check: StreamCheck,
+    pub(super) stall: Stall,
     /// Events passed on; about one a token.
     pub(super) events: u32,
 }
@@ -41,8 +42,7 @@
                 }
                 Err(e) => return self.wrong_answer(&e),
             }
-            let stall = self.state.settings.stall.0;
-            let piece = self.state.timer.within(stall, relay.answer.next()).await;
+            let piece = relay.stall.within(relay.answer.next()).await;
             match piece {
                 Ok(Some(Ok(piece))) => {
                     relay.check.push(&piece);
--- a/crates/side/src/run/model/whole.rs
+++ b/crates/side/src/run/model/whole.rs
@@ -1,5 +1,6 @@
 //! Answers that are not streamed, and answers that are errors by their status.
 
+use pumicecleat_net::Stall;
 use pumicecleat_types::{Frame, Ran, Reason};
 use pumicecleat_upstream::{Answer, Expect, StreamCheck, check_whole, read_answer};
 
@@ -17,6 +18,7 @@
                     ticket,
                     answer,
                     check,
+                    stall: Stall::new(&self.state.timer, self.state.settings.stall.0),
                     events: 0,
                 }));
                 self.head(200, "text/event-stream")
