--- a/crates/net/src/pending.rs
+++ b/crates/net/src/pending.rs
@@ -27,7 +27,8 @@
     pub(crate) fn take(&mut self, length: usize) {
         self.taken += length;
         if self.taken == self.bytes.len() {
-            self.bytes.clear();
+            // Not kept for the next piece: thousands of streams each wait for theirs most of the time.
+            self.bytes = Vec::new();
             self.taken = 0;
         }
     }
