Measure what entry and side wait for a core

Each run on a busy machine had another result, by 5 to 40 ms, and nothing told the machine's part from ours.

--- a/crates/measure/src/path/parts.rs
+++ b/crates/measure/src/path/parts.rs
@@ -45,11 +45,14 @@
     log: String,
 }
 
-/// Processor times of entry and side.
+/// Processor times of entry and side, and what they waited for a core.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Times {
     pub(super) entry: Duration,
     pub(super) side: Duration,
+    /// Time that the entry was ready to run and had no core.
+    pub(super) entry_wait: Duration,
+    pub(super) side_wait: Duration,
 }
 
 impl Times {
@@ -57,6 +60,8 @@
         Self {
             entry: self.entry.saturating_sub(before.entry),
             side: self.side.saturating_sub(before.side),
+            entry_wait: self.entry_wait.saturating_sub(before.entry_wait),
+            side_wait: self.side_wait.saturating_sub(before.side_wait),
         }
     }
 }
@@ -90,6 +95,8 @@
         Times {
             entry: self.entry_part.time(),
             side: self.side_part.time(),
+            entry_wait: self.entry_part.wait(),
+            side_wait: self.side_part.wait(),
         }
     }
 }
--- a/crates/measure/src/path/process.rs
+++ b/crates/measure/src/path/process.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::parts::Times;
-use super::thread::{resident_in, time_in};
+use super::thread::{resident_in, time_in, wait_in};
 
 /// An entry and a side that someone else started.
 #[derive(Clone, Copy, Debug)]
@@ -27,8 +27,10 @@
     /// Processor times so far, over all threads.
     pub(super) fn times(self) -> Times {
         Times {
-            entry: time_of(self.entry),
-            side: time_of(self.side),
+            entry: sum_of(self.entry, time_in),
+            side: sum_of(self.side, time_in),
+            entry_wait: sum_of(self.entry, wait_in),
+            side_wait: sum_of(self.side, wait_in),
         }
     }
 
@@ -51,10 +53,10 @@
     }
 }
 
-fn time_of(id: u32) -> Duration {
+fn sum_of(id: u32, account: fn(&str) -> Duration) -> Duration {
     let tasks = fs::read_dir(Path::new(&folder(id)).join("task"));
     let tasks = tasks.into_iter().flatten().flatten();
-    tasks.map(|t| time_in(&t.path().to_string_lossy())).sum()
+    tasks.map(|t| account(&t.path().to_string_lossy())).sum()
 }
 
 fn folder(id: u32) -> String {
--- a/crates/measure/src/path/report.rs
+++ b/crates/measure/src/path/report.rs
@@ -55,6 +55,10 @@
     /// Processor time of the entry for an event, microseconds.
     entry_event_us: f64,
     side_event_us: f64,
+    /// Time for an event that the entry was ready to run and had no core, microseconds: the machine's
+    /// part of what is measured.
+    entry_wait_us: f64,
+    side_wait_us: f64,
     /// Part of one core that the entry took.
     entry_core: f64,
     /// Events a second that one core of the entry would carry.
@@ -97,6 +101,8 @@
             gap_us: Quantiles::of(&take.gaps),
             entry_event_us: entry * 1e6 / events,
             side_event_us: times.side.as_secs_f64() * 1e6 / events,
+            entry_wait_us: times.entry_wait.as_secs_f64() * 1e6 / events,
+            side_wait_us: times.side_wait.as_secs_f64() * 1e6 / events,
             entry_core: entry / seconds,
             entry_events_per_core: events / entry.max(1e-9),
             entry_memory: take.memory.map(|m| m.entry / streams),
--- a/crates/measure/src/path/thread.rs
+++ b/crates/measure/src/path/thread.rs
@@ -41,7 +41,16 @@
 
     /// Processor time so far.
     pub(crate) fn time(&self) -> Duration {
-        time_in(&format!("/proc/self/task/{}", self.id))
+        time_in(&self.folder())
+    }
+
+    /// Time so far that it was ready to run and had no core.
+    pub(super) fn wait(&self) -> Duration {
+        wait_in(&self.folder())
+    }
+
+    fn folder(&self) -> String {
+        format!("/proc/self/task/{}", self.id)
     }
 }
 
@@ -54,9 +63,18 @@
 
 /// Processor time so far of the thread with this folder of the system's accounts.
 pub(super) fn time_in(folder: &str) -> Duration {
+    account_in(folder, 0)
+}
+
+/// Time so far that the thread was ready to run and had no core.
+pub(super) fn wait_in(folder: &str) -> Duration {
+    account_in(folder, 1)
+}
+
+fn account_in(folder: &str, place: usize) -> Duration {
     let text = fs::read_to_string(format!("{folder}/schedstat")).unwrap_or_default();
-    let nanos = text.split_whitespace().next().and_then(|w| w.parse().ok());
-    Duration::from_nanos(nanos.unwrap_or(0))
+    let word = text.split_whitespace().nth(place);
+    Duration::from_nanos(word.and_then(|w| w.parse().ok()).unwrap_or(0))
 }
 
 /// Resident memory of the process, bytes.
