--- a/crates/entry/src/start/mod.rs
+++ b/crates/entry/src/start/mod.rs
@@ -46,7 +46,7 @@
 };
 
 /// Pieces of streams under way that pass before the poller is asked again.
-const TURN: usize = 8;
+const TURN: usize = 16;
 
 /// Readiness condition of the listeners.
 const LISTENERS: &str = "listeners";
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -36,7 +36,7 @@
 /// Longest answer of a plain service, bytes.
 const ANSWER_LIMIT: u64 = 16 << 20;
 /// Pieces of streams under way that pass before the poller is asked again.
-const TURN: usize = 8;
+const TURN: usize = 16;
 /// Time between two looks for the pool's declaration.
 const PAUSE: Duration = Duration::from_millis(50);
 
