--- a/crates/net/tests/timer.rs
+++ b/crates/net/tests/timer.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::future::{join_all, select};
-use pumicecleat_net::{Elapsed, Tally, Timer, run};
+use pumicecleat_net::{Elapsed, Stall, Tally, Timer, run};
 use pumicecleat_types::Millis;
 
 const LIMIT: Duration = Duration::from_secs(20);
@@ -100,3 +100,29 @@
     })
     .unwrap();
 }
+
+#[test]
+fn a_stall_is_told_by_each_part_alone_and_to_whoever_waits() {
+    run(async {
+        let timer = Timer::start();
+        let span = ms(30);
+        let mut stall = Stall::new(&timer, span);
+        // Pending once, so that a subscription is kept whose end comes within the next part.
+        for pause in [0, 20, 40] {
+            let slept = stall.within(timer.sleep(ms(1))).await;
+            // A busy machine may take longer than the span for it.
+            assert!(matches!(slept, Ok(()) | Err(Elapsed)));
+            timer.sleep(ms(pause)).await;
+            let from = Instant::now();
+            let silent = stall.within(std::future::pending::<()>());
+            assert_eq!(timer.within(LIMIT, silent).await, Ok(Err(Elapsed)));
+            assert!(from.elapsed() >= span, "after {pause} ms: told early");
+        }
+        let mut stall = Stall::new(&timer, ms(200));
+        let _ = stall.within(timer.sleep(ms(1))).await;
+        // In another task the subscription kept would wake nobody.
+        let other = monoio::spawn(async move { stall.within(std::future::pending::<()>()).await });
+        assert_eq!(timer.within(LIMIT, other).await, Ok(Err(Elapsed)));
+    })
+    .unwrap();
+}
