Let a pool of a service declare the parts of its keys

Cause: all keyed calls of a service go through one stream of the log, which every side reads whole; parts need a number that all agree on. It stands with the pool, not the service: a side serves a pool, its stream is named by the pool, and several services may share one. The number is fixed while the pool stands: a change that would deal the keys out anew is refused by every reader of the log as one that does not fit. Ruled out: an unchecked change (a key in use would be looked for in another stream); copying records between streams (no order between two streams). A record with a pool of several parts is of format 2: a reader that does not know the field would come to another digest, so it must stop there instead. Records without one stay of format 1.

--- a/crates/config/src/check/limit.rs
+++ b/crates/config/src/check/limit.rs
@@ -14,6 +14,8 @@
 pub(super) const BATCH: RangeInclusive<u64> = 1..=65_536;
 /// Requests waiting at a side.
 pub(super) const QUEUE: RangeInclusive<u64> = 1..=1_048_576;
+/// Parts of a service's keys.
+pub(super) const PARTS: RangeInclusive<u64> = 1..=1_024;
 /// Claim on capacity.
 pub(super) const CLAIM: RangeInclusive<u64> = 1..=1_000_000;
 /// Weight of a measure, percent.
--- a/crates/config/src/check/value.rs
+++ b/crates/config/src/check/value.rs
@@ -84,8 +84,9 @@
             range(report, "slots", (*slots).into(), &limit::SLOTS);
             range(report, "batch", (*batch).into(), &limit::BATCH);
         }
-        PoolKind::Service { concurrency } => {
+        PoolKind::Service { concurrency, parts } => {
             range(report, "concurrency", (*concurrency).into(), &limit::BATCH);
+            range(report, "parts", (*parts).into(), &limit::PARTS);
         }
     }
 }
--- a/crates/config/src/delta.rs
+++ b/crates/config/src/delta.rs
@@ -48,6 +48,19 @@
         /// Key.
         key: Key,
     },
+    /// Deals the keys of a pool that stands out anew.
+    #[snafu(display(
+        "step delta: '{key}' has its keys in {parts} parts and can't have them in {asked}: \
+         keys in use would be forgotten; declare another pool"
+    ))]
+    Parts {
+        /// Key.
+        key: Key,
+        /// Parts as they stand.
+        parts: u32,
+        /// Parts asked for.
+        asked: u32,
+    },
     /// Puts a version in without its adapter.
     #[snafu(display("step delta: '{key}' has no adapter"))]
     Orphan {
@@ -91,6 +104,14 @@
                 ensure!(config.adapters.contains_key(adapter), OrphanSnafu { key });
                 Ok(())
             }
+            Self::Put(Item::Pool(id, pool)) => {
+                let Some(old) = config.pools.get(id) else {
+                    return Ok(());
+                };
+                let (parts, asked) = (old.parts(), pool.parts());
+                ensure!(old.may_become(pool), PartsSnafu { key, parts, asked });
+                Ok(())
+            }
             Self::Put(_) => Ok(()),
         }
     }
--- a/crates/config/src/fold/record.rs
+++ b/crates/config/src/fold/record.rs
@@ -16,10 +16,12 @@
 use super::items;
 use crate::delta::Delta;
 use crate::digest::{Digest, digest};
-use crate::model::Config;
+use crate::model::{Config, Item};
 
-/// Format of records, raised with any change of what they hold or of how digests are made.
-const FORMAT: u32 = 1;
+/// Latest format of records, raised with any change of what they hold or of how digests are made.
+const FORMAT: u32 = 2;
+/// Format of records that hold no pool with keys in several parts: older readers know these.
+const PLAIN: u32 = 1;
 const MAGIC: &str = "pumicecleat config record";
 const ID_LEN: usize = 64;
 
@@ -162,7 +164,11 @@
     /// Bytes for the log.
     #[must_use]
     pub fn to_bytes(&self) -> Vec<u8> {
-        seal(self)
+        let parted = match self {
+            Self::Change(change) => change.delta.put.iter().any(is_parted),
+            Self::Snapshot(snapshot) => has_parted(&snapshot.config),
+        };
+        seal(self, parted)
     }
 
     /// Record from the log.
@@ -174,11 +180,20 @@
     }
 }
 
+fn is_parted(item: &Item) -> bool {
+    matches!(item, Item::Pool(_, pool) if pool.parts() > 1)
+}
+
+/// Whether a pool has its keys in several parts, of which readers of the first format don't know.
+pub(super) fn has_parted(config: &Config) -> bool {
+    config.pools.values().any(|p| p.parts() > 1)
+}
+
 /// Bytes of a record in its envelope.
-pub(super) fn seal<R: Serialize>(record: &R) -> Vec<u8> {
+pub(super) fn seal<R: Serialize>(record: &R, parted: bool) -> Vec<u8> {
     encode(&Envelope {
         magic: MAGIC.to_owned(),
-        format: FORMAT,
+        format: if parted { FORMAT } else { PLAIN },
         body: encode(record),
     })
 }
--- a/crates/config/src/fold/view.rs
+++ b/crates/config/src/fold/view.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::due::Mark;
-use super::record::{Change, Settled, open, seal};
+use super::record::{Change, Settled, has_parted, open, seal};
 use super::{Fold, RecordError, items};
 use crate::digest::{Digest, Sum};
 use crate::model::Config;
@@ -62,7 +62,8 @@
     /// Whole state as a record, encoded for the log.
     #[must_use]
     pub fn snapshot_record(&self) -> Vec<u8> {
-        seal(&RecordRef::Snapshot(self.view()))
+        let parted = has_parted(self.config());
+        seal(&RecordRef::Snapshot(self.view()), parted)
     }
 
     fn view(&self) -> SnapshotRef<'_> {
--- a/crates/config/src/parse/declare.rs
+++ b/crates/config/src/parse/declare.rs
@@ -166,6 +166,7 @@
         },
         "service" => PoolKind::Service {
             concurrency: fields.count("concurrency"),
+            parts: fields.count_or("parts", 1),
         },
         word => {
             fields.word("kind", word, KINDS);
@@ -178,7 +179,10 @@
 
 /// Without a kind there is no telling which other fields are unknown.
 fn unknown_pool(queue: u32) -> Pool {
-    let kind = PoolKind::Service { concurrency: 1 };
+    let kind = PoolKind::Service {
+        concurrency: 1,
+        parts: 1,
+    };
     Pool { kind, queue }
 }
 
--- a/crates/config/tests/fold/naive.rs
+++ b/crates/config/tests/fold/naive.rs
@@ -87,6 +87,7 @@
             detail: short(&e.to_string()),
         })?;
         assert_eq!(result, rebuild(&self.config, &change.delta));
+        assert!(keeps_parts(&self.config, &result));
         if digest(&result) != change.digest && rule != Rule::AnyDigest {
             return Err(Cause::Digest);
         }
@@ -139,6 +140,18 @@
     all.apply(&Config::default()).unwrap()
 }
 
+/// Whether no pool of a service that stands has its keys dealt out anew.
+fn keeps_parts(old: &Config, new: &Config) -> bool {
+    let parts = |config: &Config, id: &_| match config.pools.get(id)?.kind {
+        PoolKind::Service { parts, .. } => Some(parts),
+        PoolKind::Model { .. } => None,
+    };
+    old.pools.keys().all(|id| {
+        let pair = parts(old, id).zip(parts(new, id));
+        pair.is_none_or(|(a, b)| a == b)
+    })
+}
+
 /// Whether every reference has its target and no two callers share a key.
 fn is_closed(config: &Config) -> bool {
     let adapters = config.adapters.values().all(|a| {
--- a/crates/config/tests/fold/world.rs
+++ b/crates/config/tests/fold/world.rs
@@ -251,7 +251,10 @@
 
 fn pool(a: u8, b: u8) -> Pool {
     let kind = if b.is_multiple_of(2) {
-        PoolKind::Service { concurrency: 1 }
+        PoolKind::Service {
+            concurrency: 1,
+            parts: 1 + u32::from(a % 2),
+        }
     } else {
         PoolKind::Model {
             base: a.to_string().into(),
--- a/crates/config/tests/tables.rs
+++ b/crates/config/tests/tables.rs
@@ -410,9 +410,10 @@
     let magic = "pumicecleat config record";
     #[rustfmt::skip]
     let cases = [
-        EnvelopeCase { data: envelope(magic, 2), stops: true },
+        EnvelopeCase { data: envelope(magic, 3), stops: true },
+        EnvelopeCase { data: envelope(magic, 2), stops: false },
         EnvelopeCase { data: envelope(magic, 1), stops: false },
-        EnvelopeCase { data: envelope("another", 2), stops: false },
+        EnvelopeCase { data: envelope("another", 3), stops: false },
         EnvelopeCase { data: vec![146, 2, 144], stops: false },
     ];
     for (i, case) in cases.into_iter().enumerate() {
@@ -426,7 +427,7 @@
                 data,
             })
             .unwrap();
-        let stopped = matches!(event, FoldEvent::Newer { format: 2, .. });
+        let stopped = matches!(event, FoldEvent::Newer { format: 3, .. });
         assert_eq!(stopped, case.stops, "case {i}: {event:?}");
         let next = fold.apply(&LogRecord { offset: 1, ..first });
         assert_eq!(next.is_err(), case.stops);
--- a/crates/side/src/tune.rs
+++ b/crates/side/src/tune.rs
@@ -29,7 +29,7 @@
         };
         let (slots, batch, token_us) = match &pool.kind {
             PoolKind::Model { slots, batch, .. } => (*slots, *batch, FIRST_TOKEN),
-            PoolKind::Service { concurrency } => (0, *concurrency, FIRST_CALL),
+            PoolKind::Service { concurrency, .. } => (0, *concurrency, FIRST_CALL),
         };
         SchedulerOptions {
             slots,
