Open a part of a service's keys at its first call, and close it when idle

Cause: each side of a service read and kept every keyed call of it. At most 4 parts are read for the first time at once, and 256 calls wait for it: for half of their time, then they are refused as not run, so that the entry can try another side. The wait comes before the queue, so that it takes no place that others could use. A part that is opened again has an incarnation of its own, later than the last one. A side whose number of parts is no longer the declared one refuses keyed calls as not run (StaleConfig). With one part nothing changes: it is open from the start to the end. Ruled out: one reader for all parts with a filter (bytes stay); a lease for a part (lapses while its holder is paused; the order of records needs none).

--- a/crates/ledger/src/key.rs
+++ b/crates/ledger/src/key.rs
@@ -7,6 +7,7 @@
 
 use pumicecleat_types::{CallerId, Millis};
 use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 use snafu::{Snafu, ensure};
 use uuid::Uuid;
 
@@ -104,6 +105,21 @@
         self.minted
     }
 
+    /// Which of `parts` parts of a service's keys it is in, from 0. The same at every process of
+    /// every version: keys would be forgotten else.
+    #[must_use]
+    pub fn part(&self, parts: u32) -> u32 {
+        let caller = self.caller.as_str();
+        let mut hash = Sha256::new();
+        hash.update((caller.len() as u64).to_be_bytes());
+        hash.update(caller);
+        hash.update(self.text.as_bytes());
+        let hash: [u8; 32] = hash.finalize().into();
+        let first = hash.first_chunk().copied().unwrap_or_default();
+        // A remainder by a `u32` is one.
+        u32::try_from(u64::from_be_bytes(first) % u64::from(parts.max(1))).unwrap_or_default()
+    }
+
     /// Bytes of its text and its caller's name.
     pub(crate) fn size(&self) -> usize {
         self.text.len() + self.caller.as_str().len()
--- a/crates/ledger/src/ledger/mod.rs
+++ b/crates/ledger/src/ledger/mod.rs
@@ -84,6 +84,19 @@
         self.owed.values()
     }
 
+    /// Whose attempts are own.
+    #[must_use]
+    pub fn owner(&self) -> &Owner {
+        &self.owner
+    }
+
+    /// Whether no own attempt is under way and the stream lacks nothing: the reader may stop
+    /// here, and another ledger of the same stream take its place.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.own.is_empty() && self.owed.is_empty()
+    }
+
     /// Bytes held, about.
     #[must_use]
     pub fn size(&self) -> usize {
--- a/crates/ledger/tests/keys.rs
+++ b/crates/ledger/tests/keys.rs
@@ -245,3 +245,38 @@
         assert_eq!(answer.body, expected, "{:?}", case.body);
     }
 }
+
+struct PartCase {
+    caller: &'static str,
+    text: &'static str,
+    parts: u32,
+    part: u32,
+}
+
+#[rustfmt::skip]
+const PARTS: &[PartCase] = &[
+    PartCase { caller: "csillagkapu", text: "seat-41", parts: 1, part: 0 },
+    PartCase { caller: "csillagkapu", text: "seat-41", parts: 8, part: 2 },
+    PartCase { caller: "csillagkapu", text: "\"seat-41\"", parts: 8, part: 2 },
+    PartCase { caller: "vithu-koottam", text: "seat-41", parts: 8, part: 0 },
+    PartCase { caller: "csillagkapu", text: "seat-42", parts: 8, part: 6 },
+    PartCase { caller: "csillagkapu", text: "seat-41", parts: 1_024, part: 1_018 },
+];
+
+/// A part is for ever: another hash would forget the keys in use.
+#[test]
+fn parts_of_keys() {
+    let part = |c: &PartCase| Key::parse(&c.caller.into(), c.text).unwrap().part(c.parts);
+    let found: Vec<u32> = PARTS.iter().map(part).collect();
+    let want: Vec<u32> = PARTS.iter().map(|c| c.part).collect();
+    assert_eq!(found, want);
+    let mut counts = [0_u32; 16];
+    for n in 0..16_000 {
+        let key = Key::parse(&caller(), &format!("seat-{n}")).unwrap();
+        counts[key.part(16) as usize] += 1;
+    }
+    assert!(
+        counts.iter().all(|c| (800..1_200).contains(c)),
+        "{counts:?}"
+    );
+}
--- a/crates/side/src/dump.rs
+++ b/crates/side/src/dump.rs
@@ -6,6 +6,7 @@
 use pumicecleat_types::{DataCentre, PoolId, RegionId, RequestId, VmId};
 use serde::Serialize;
 
+use crate::keys::KeysDump;
 use crate::state::{State, Upstream};
 use crate::station::StationDump;
 
@@ -27,7 +28,7 @@
     entries: Vec<String>,
     open: Vec<RequestId>,
     queue: Option<StationDump>,
-    keys: Option<pumicecleat_ledger::Dump>,
+    keys: Option<KeysDump>,
 }
 
 /// Shows a side's state.
--- a/crates/side/src/keys/claim.rs
+++ b/crates/side/src/keys/claim.rs
@@ -9,7 +9,8 @@
 use pumicecleat_ops::{events, field};
 use pumicecleat_types::{Millis, Reason};
 
-use super::{KeyCall, Keys, step_reason};
+use super::KeyCall;
+use super::part::{Part, step_reason};
 use crate::state::wall_clock;
 
 /// Longest wait for an attempt that runs with the same key.
@@ -27,7 +28,7 @@
     Refused(Reason),
 }
 
-impl Keys {
+impl Part {
     /// Claims a call's key.
     pub(crate) async fn claim(&self, call: &KeyCall<'_>) -> Claim {
         if !self.state.up.get() {
--- a/crates/side/src/keys/mod.rs
+++ b/crates/side/src/keys/mod.rs
@@ -1,27 +1,48 @@
-//! Idempotency keys of one service's calls: the ledger, and the log's stream behind it.
+//! Idempotency keys of one service's calls, in parts of which each has a stream of the log.
 //!
-//! `claim` takes a call through admission, the append of its intent and the wait for it to be read
-//! back; `reader` follows the stream; `writer` appends outcomes. Many records ride in one append.
+//! Which part a key is in follows from the key and the number of parts alone. A side opens a part
+//! when the first call with a key of it comes, and admits nothing in it before it has read all that
+//! stood in its stream then. It closes a part that no call has wanted for a while and to whose
+//! stream nothing is owed. Where all keys are in one part, that is open from the start to the end.
+//!
+//! Any side may have any part open, at once with others: only the order of records in the part's
+//! stream decides.
+//!
+//! `part` is one part; `claim` takes a call through admission, the append of its intent and the
+//! wait for it to be read back; `reader` follows the stream; `writer` appends outcomes.
 
 mod claim;
+mod dump;
+mod part;
 mod reader;
 mod writer;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
-use async_channel::Sender;
-use pumicecleat_ledger::{
-    Attempt, Digest, Dump, Event, Key, Ledger, Limits, Outcome, Owner, Sent, Span, StepError, Won,
-};
+use pumicecleat_ledger::{Digest, Key, Limits};
 use pumicecleat_net::Timer;
-use pumicecleat_ops::{Log as EventLog, events, field};
-use pumicecleat_platform::{AppendOptions, Appender, Log};
+use pumicecleat_ops::Log as EventLog;
+use pumicecleat_platform::Log;
 use pumicecleat_types::{Millis, Reason, RequestId, ServiceId, VmId};
 
 use crate::state::wall_clock;
 pub(crate) use claim::Claim;
+pub(crate) use dump::KeysDump;
+pub(crate) use part::Hold;
+use part::Part;
+
+/// Parts that are read for the first time at once.
+const OPENING: usize = 4;
+/// Calls that wait for parts to open.
+const WAITING: usize = 256;
+/// Longest such wait; half of a call's time is left for another side.
+const OPEN_SPAN: Millis = Millis(10_000);
+const OPEN_PAUSE: Duration = Duration::from_millis(5);
+/// Time between two looks for parts to close.
+const SWEEP: Duration = Duration::from_millis(250);
 
 /// Keys of the calls of one service at this side. Clones share them.
 #[derive(Clone)]
@@ -30,19 +51,28 @@
 }
 
 struct State {
-    ledger: RefCell<Ledger>,
-    stream: String,
-    log: Rc<dyn Log>,
-    events: EventLog,
-    timer: Timer,
-    limits: Cell<Limits>,
-    /// Since when the ledger has been one for other limits.
-    outdated: Cell<Option<Millis>>,
-    /// The log answered last.
-    up: Cell<bool>,
-    waiting: RefCell<BTreeMap<Attempt, Sender<Event>>>,
-    appender: Appender,
-    wake: Sender<()>,
+    context: KeyContext,
+    /// Number of parts.
+    parts: u32,
+    open: RefCell<BTreeMap<u32, Part>>,
+    /// Last incarnation of each part that was closed.
+    closed: RefCell<BTreeMap<u32, u64>>,
+    /// Calls that wait for a part to open.
+    waiting: Cell<usize>,
+}
+
+/// What keys are kept with.
+pub(crate) struct KeyContext {
+    pub(crate) service: ServiceId,
+    pub(crate) vm: VmId,
+    /// Start of this process.
+    pub(crate) incarnation: u64,
+    pub(crate) limits: Cell<Limits>,
+    /// Time without calls after which a part is closed.
+    pub(crate) idle: Millis,
+    pub(crate) log: Rc<dyn Log>,
+    pub(crate) events: EventLog,
+    pub(crate) timer: Timer,
 }
 
 /// A call that may not be repeated.
@@ -59,121 +89,137 @@
 }
 
 impl Keys {
-    /// Keys of `service`; reads its stream from now on.
-    pub(crate) fn start(
-        service: &ServiceId,
-        vm: &VmId,
-        incarnation: u64,
-        limits: Limits,
-        parts: &KeyParts<'_>,
-    ) -> Self {
-        let (wake, due) = async_channel::bounded(1);
-        let owner = Owner {
-            vm: vm.clone(),
-            incarnation,
-        };
-        // Until the stream's span is known the ledger has not caught up, and admits nothing.
-        let unknown = Span {
-            first: 0,
-            end: u64::MAX,
-        };
-        let stream = format!("intents.{service}");
-        let options = AppendOptions {
-            seed: incarnation,
-            ..AppendOptions::default()
-        };
-        let appender = Appender::start(Rc::clone(parts.log), parts.timer, &stream, options);
+    /// Keys of a service, in as many `parts`.
+    pub(crate) fn start(context: KeyContext, parts: u32) -> Self {
         let state = State {
-            ledger: RefCell::new(Ledger::new(owner, limits, unknown)),
-            stream,
-            appender,
-            log: Rc::clone(parts.log),
-            events: parts.events.clone(),
-            timer: parts.timer.clone(),
-            limits: Cell::new(limits),
-            outdated: Cell::new(None),
-            up: Cell::new(true),
-            waiting: RefCell::default(),
-            wake,
+            context,
+            parts,
+            open: RefCell::default(),
+            closed: RefCell::default(),
+            waiting: Cell::new(0),
         };
         let keys = Self {
             state: Rc::new(state),
         };
-        let reader = keys.clone();
-        monoio::spawn(async move { reader.follow().await });
-        let writer = keys.clone();
-        monoio::spawn(async move { writer.write(due).await });
+        if parts == 1 {
+            keys.open(0);
+        } else {
+            let swept = keys.clone();
+            monoio::spawn(async move { swept.sweep().await });
+        }
         keys
     }
 
-    /// Takes new limits; the stream is read anew for them.
+    /// Number of parts.
+    pub(crate) fn parts(&self) -> u32 {
+        self.state.parts
+    }
+
+    /// Takes new limits; each stream is read anew for them.
     pub(crate) fn set_limits(&self, limits: Limits) {
-        if self.state.limits.replace(limits) != limits {
-            let now = self.state.timer.now();
-            self.state.outdated.set(Some(now));
+        self.state.context.limits.set(limits);
+        for part in self.state.open.borrow().values() {
+            part.set_limits(limits);
         }
     }
 
-    /// Notes that a call goes to the service now.
-    pub(crate) fn sent(&self, won: Won) -> Result<Sent, StepError> {
-        self.state.ledger.borrow_mut().sent(won, wall_clock())
+    /// Holds the part of a call's key, once it has caught up with the log.
+    ///
+    /// # Errors
+    /// Why the call is not run, if that takes too much of the time `left`.
+    pub(crate) async fn hold(&self, key: &Key, left: Millis) -> Result<Hold, Reason> {
+        let at = key.part(self.state.parts);
+        if let Some(hold) = self.try_hold(at)
+            && (self.state.parts == 1 || hold.caught_up())
+        {
+            return Ok(hold);
+        }
+        let _place = Place::take(&self.state).ok_or(Reason::Overloaded)?;
+        let timer = &self.state.context.timer;
+        let until = timer.now() + Millis(left.0 / 2).min(OPEN_SPAN);
+        loop {
+            let hold = self.try_hold(at);
+            let up = hold.as_ref().is_none_or(|h| h.is_up());
+            if let Some(hold) = hold.filter(|h| h.caught_up()) {
+                return Ok(hold);
+            }
+            if !up {
+                return Err(Reason::LogDown);
+            }
+            if timer.now() >= until {
+                return Err(Reason::Overloaded);
+            }
+            timer.sleep(OPEN_PAUSE).await;
+        }
     }
 
-    /// Takes back a call that failed before a byte left; `true` if it may be told as not run.
-    pub(crate) fn unsent(&self, sent: Sent) -> bool {
-        let taken = self.state.ledger.borrow_mut().unsent(sent).is_ok();
-        self.wake();
-        taken
+    /// Holds a part that is open, or starts to open it, unless enough are opening now.
+    fn try_hold(&self, at: u32) -> Option<Hold> {
+        let known = self.state.open.borrow().get(&at).map(Hold::new);
+        if known.is_some() {
+            return known;
+        }
+        let opening = {
+            let open = self.state.open.borrow();
+            open.values().filter(|p| !p.caught_up()).count()
+        };
+        (opening < OPENING).then(|| Hold::new(&self.open(at)))
     }
 
-    /// Gives up a call that was not sent; `true` if it may be told as not run.
-    pub(crate) fn withdraw(&self, won: &Won) -> bool {
-        let voided = self.state.ledger.borrow_mut().void(won.attempt()).is_ok();
-        self.wake();
-        voided
+    fn open(&self, at: u32) -> Part {
+        let context = &self.state.context;
+        let last = self.state.closed.borrow().get(&at).copied();
+        // A clock that was set back must not lead to a name that was used.
+        let incarnation = last.map_or(context.incarnation, |l| wall_clock().0.max(l + 1));
+        let part = Part::open(context, self.stream(at), incarnation);
+        self.state.open.borrow_mut().insert(at, part.clone());
+        part
     }
 
-    /// Records what came of a call.
-    pub(crate) fn finish(&self, request: &RequestId, key: &Key, sent: Sent, outcome: Outcome) {
-        if outcome == Outcome::Unknown {
-            let fields = [field("request", request), field("key", key.text())];
-            self.state.events.emit(&events::KEY_UNKNOWN, &fields);
-        }
-        let finished = self
-            .state
-            .ledger
-            .borrow_mut()
-            .finish(sent, outcome)
-            .map(|_| ());
-        if let Err(e) = finished {
-            let fields = [field("step", "finish"), field("error", &e)];
-            self.state.events.emit(&events::INTERNAL, &fields);
+    fn stream(&self, at: u32) -> String {
+        let service = &self.state.context.service;
+        if self.state.parts == 1 {
+            format!("intents.{service}")
+        } else {
+            format!("intents.{service}.{at}")
         }
-        self.wake();
     }
 
-    /// State for people.
-    pub(crate) fn dump(&self) -> Dump {
-        self.state.ledger.borrow().dump()
+    /// Closes parts that are not wanted any more; never ends.
+    async fn sweep(&self) {
+        loop {
+            self.state.context.timer.sleep(SWEEP).await;
+            let idle = self.state.context.idle;
+            let mut closed = self.state.closed.borrow_mut();
+            self.state.open.borrow_mut().retain(|&at, part| {
+                let ends = part.is_idle(idle);
+                if ends {
+                    closed.insert(at, part.close());
+                }
+                !ends
+            });
+        }
     }
+}
 
-    fn wake(&self) {
-        // A full channel holds the same message already.
-        let _ = self.state.wake.try_send(());
-    }
+/// Place of a call that waits for a part to open.
+struct Place<'a> {
+    waiting: &'a Cell<usize>,
 }
 
-/// What keys are kept with.
-pub(crate) struct KeyParts<'a> {
-    pub(crate) log: &'a Rc<dyn Log>,
-    pub(crate) events: &'a EventLog,
-    pub(crate) timer: &'a Timer,
+impl<'a> Place<'a> {
+    fn take(state: &'a State) -> Option<Self> {
+        let waiting = &state.waiting;
+        if waiting.get() >= WAITING {
+            return None;
+        }
+        waiting.set(waiting.get() + 1);
+        Some(Self { waiting })
+    }
 }
 
-/// Refusal that stands for a step that the ledger does not allow.
-fn step_reason(error: &StepError) -> Reason {
-    match error {
-        StepError::Late { .. } => Reason::Deadline,
-        StepError::Closed { .. } | StepError::Sent { .. } => Reason::KeyUnknown,
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.waiting.set(self.waiting.get() - 1);
     }
 }
--- a/crates/side/src/keys/reader.rs
+++ b/crates/side/src/keys/reader.rs
@@ -9,7 +9,7 @@
 };
 use pumicecleat_types::{LogRecord, Millis};
 
-use super::Keys;
+use super::part::Part;
 use crate::state::wall_clock;
 
 const BATCH: u32 = 1_000;
@@ -35,22 +35,21 @@
     }
 }
 
-impl Keys {
-    /// Follows the stream; never ends.
+impl Part {
+    /// Follows the stream until the part is closed.
     pub(super) async fn follow(&self) {
-        loop {
-            let span = self.find_span().await;
+        while let Some(span) = self.find_span().await {
             self.start_over(span);
             self.follow_from(span.first).await;
         }
     }
 
-    /// Follows from `first` until the ledger must be made anew.
+    /// Follows from `first` until the ledger must be made anew, or the part is closed.
     async fn follow_from(&self, first: u64) {
         let log = std::rc::Rc::clone(&self.state.log);
         let timer = &self.state.timer;
         let mut follower = Follower::new_ext(log, timer, &self.state.stream, first, options());
-        while !self.is_due_anew() {
+        while !self.state.closed.get() && !self.is_due_anew() {
             match timer.within(TICK, follower.next()).await {
                 Ok(Ok(FollowEvent::Records(records))) => self.take(&records),
                 Ok(Ok(FollowEvent::CaughtUp { .. })) => self.note_up(),
@@ -74,33 +73,34 @@
         let Some(since) = self.state.outdated.get() else {
             return false;
         };
-        let dump = self.state.ledger.borrow().dump();
-        let idle = dump.own.is_empty() && dump.owed == 0;
-        idle || self.state.timer.now().since(since) > PATIENCE
+        self.is_settled() || self.state.timer.now().since(since) > PATIENCE
     }
 
-    /// What the stream holds now.
-    async fn find_span(&self) -> Span {
+    /// What the stream holds now; `None` once the part is closed.
+    async fn find_span(&self) -> Option<Span> {
         let (log, stream) = (&self.state.log, &self.state.stream);
-        loop {
+        while !self.state.closed.get() {
             match log.read(stream, 0, 1, Duration::ZERO).await {
                 Ok(batch) => {
-                    return Span {
+                    return Some(Span {
                         first: batch.first,
                         end: batch.next,
-                    };
+                    });
+                }
+                Err(ReadError::Trimmed { first, next, .. }) => {
+                    return Some(Span { first, end: next });
                 }
-                Err(ReadError::Trimmed { first, next, .. }) => return Span { first, end: next },
                 Err(e) => self.note_down(&e.to_string()),
             }
             self.state.timer.sleep(PAUSE).await;
         }
+        None
     }
 
     /// A fresh ledger decides from now on; attempts that wait are told what is certain of them.
     fn start_over(&self, span: Span) {
         let mut ledger = self.state.ledger.borrow_mut();
-        let mut owner = ledger.dump().owner;
+        let mut owner = ledger.owner().clone();
         // Numbers of attempts start over, so that they need a name of their own in the log.
         owner.incarnation += 1;
         *ledger = Ledger::new(owner, self.state.limits.get(), span);
--- a/crates/side/src/keys/writer.rs
+++ b/crates/side/src/keys/writer.rs
@@ -9,7 +9,7 @@
 use pumicecleat_platform::SubmitError;
 use pumicecleat_types::Millis;
 
-use super::Keys;
+use super::part::Part;
 
 /// Time after which what is owed and not read back is appended again.
 const AGAIN: Millis = Millis(1_000);
@@ -17,11 +17,11 @@
 /// When each record owed was appended last.
 type Appended = BTreeMap<Attempt, Millis>;
 
-impl Keys {
-    /// Appends what is owed whenever there is something; never ends.
+impl Part {
+    /// Appends what is owed whenever there is something, until the part is closed.
     pub(super) async fn write(&self, due: Receiver<()>) {
         let mut appended = Appended::new();
-        loop {
+        while !self.state.closed.get() {
             let span = Duration::from_millis(AGAIN.0);
             // Woken or not, what is owed is looked at.
             let _ = self.state.timer.within(span, due.recv()).await;
--- a/crates/side/src/run/service.rs
+++ b/crates/side/src/run/service.rs
@@ -17,7 +17,7 @@
 use pumicecleat_upstream::{CallError, Service, ServiceAnswer, ServiceCall};
 
 use super::{Frames, RETRY_MS, refusal, whole_frames};
-use crate::keys::{Claim, KeyCall, Keys};
+use crate::keys::{Claim, Hold, KeyCall, Keys};
 use crate::state::{State, Work};
 use crate::station::{Demand, Ticket, Word};
 
@@ -70,6 +70,12 @@
     }
 }
 
+/// A call's key, and the hold on its part.
+struct Keyed {
+    key: Key,
+    part: Hold,
+}
+
 struct ServiceRun {
     state: Rc<State>,
     work: Work,
@@ -83,6 +89,11 @@
     /// Frames of the whole answer; `entry` is closed once the entry has left.
     async fn once(&self, entry: Option<&Sender<Vec<Frame>>>) -> Vec<Frame> {
         let _guard = self.state.drain.enter(&self.request.head.request);
+        // A part is opened before the call takes a place in the queue that others could use.
+        let keyed = match self.hold().await {
+            Ok(keyed) => keyed,
+            Err(refusal) => return self.refused(refusal),
+        };
         let mut ticket = match self.queue().await {
             Ok(ticket) => ticket,
             Err(refusal) => return self.refused(refusal),
@@ -91,20 +102,35 @@
             ticket.finish(false);
             return self.refused(refusal(Reason::Deadline, RETRY_MS, "its entry left"));
         }
-        let key = self
-            .request
-            .head
-            .key
-            .as_deref()
-            .filter(|_| !self.target.idempotent);
-        let frames = match key {
-            Some(text) => self.keyed(text, entry).await,
+        let frames = match &keyed {
+            Some(keyed) => self.keyed(keyed, entry).await,
             None => self.plain().await,
         };
         ticket.finish(true);
         frames
     }
 
+    /// The key, and the part of the service's keys that it is in, of a call with one.
+    async fn hold(&self) -> Result<Option<Keyed>, Refusal> {
+        let head = &self.request.head;
+        let text = head.key.as_deref().filter(|_| !self.target.idempotent);
+        let Some(text) = text else {
+            return Ok(None);
+        };
+        let key = Key::parse(&head.caller, text);
+        let key = key.map_err(|e| refusal(Reason::KeyInvalid, 0, e.to_string()))?;
+        let keys = &self.place.keys;
+        let declared = self.state.config.pool(self.state.pool());
+        if declared.is_none_or(|p| p.parts() != keys.parts()) {
+            let detail = "this side deals the keys out by another declaration";
+            return Err(refusal(Reason::StaleConfig, RETRY_MS, detail));
+        }
+        let part = keys.hold(&key, Millis(head.left_ms)).await;
+        let detail = "its part of the keys is not open here";
+        let part = part.map_err(|reason| refusal(reason, RETRY_MS, detail))?;
+        Ok(Some(Keyed { key, part }))
+    }
+
     async fn queue(&self) -> Result<Ticket, Refusal> {
         let head = &self.request.head;
         let demand = Demand {
@@ -112,7 +138,7 @@
             caller: head.caller.as_str(),
             claim: self.state.claim_of(head),
             priority: head.priority,
-            left: Millis(head.left_ms),
+            left: self.until.since(self.state.timer.now()),
             tokens: 1,
         };
         let detail = "the queue can't meet it";
@@ -133,25 +159,22 @@
     }
 
     /// A call with a key: sent only if its intent is the first in the log.
-    async fn keyed(&self, text: &str, entry: Option<&Sender<Vec<Frame>>>) -> Vec<Frame> {
+    async fn keyed(&self, keyed: &Keyed, entry: Option<&Sender<Vec<Frame>>>) -> Vec<Frame> {
         let head = &self.request.head;
-        let key = match Key::parse(&head.caller, text) {
-            Ok(key) => key,
-            Err(e) => return self.refused(refusal(Reason::KeyInvalid, 0, e.to_string())),
-        };
+        let Keyed { key, part } = keyed;
         let call = KeyCall {
             request: &head.request,
-            key: &key,
+            key,
             digest: Digest::of_call(&self.target.method, &self.target.path, &self.request.body),
             left: self.until.since(self.state.timer.now()),
         };
-        match self.place.keys.claim(&call).await {
+        match part.claim(&call).await {
             Claim::Won(won) => {
                 if entry.is_some_and(Sender::is_closed) {
-                    return self.withdraw(&won);
+                    return self.withdraw(part, &won);
                 }
-                match self.place.keys.sent(won) {
-                    Ok(sent) => self.send_won(&key, sent).await,
+                match part.sent(won) {
+                    Ok(sent) => self.send_won(keyed, sent).await,
                     Err(e) => self.refused(refusal(Reason::Deadline, RETRY_MS, e.to_string())),
                 }
             }
@@ -162,8 +185,8 @@
         }
     }
 
-    fn withdraw(&self, won: &pumicecleat_ledger::Won) -> Vec<Frame> {
-        let reason = if self.place.keys.withdraw(won) {
+    fn withdraw(&self, part: &Hold, won: &pumicecleat_ledger::Won) -> Vec<Frame> {
+        let reason = if part.withdraw(won) {
             Reason::Deadline
         } else {
             Reason::KeyUnknown
@@ -171,27 +194,31 @@
         self.refused(refusal(reason, RETRY_MS, "its entry left"))
     }
 
-    async fn send_won(&self, key: &Key, sent: pumicecleat_ledger::Sent) -> Vec<Frame> {
+    async fn send_won(&self, keyed: &Keyed, sent: pumicecleat_ledger::Sent) -> Vec<Frame> {
         let request = &self.request.head.request;
+        let Keyed { key, part } = keyed;
         match self.send().await {
             Ok(answer) => {
                 let headers = answer.headers.clone();
                 let record = Answer::new(answer.status, headers, &answer.body, RECORDED);
-                self.place
-                    .keys
-                    .finish(request, key, sent, Outcome::Answer(record));
+                part.finish(request, key, sent, Outcome::Answer(record));
                 self.answered(answer.status, answer.headers, &answer.body, false)
             }
-            Err(e) if e.sent() == Sent::No => self.take_back(sent, &e),
+            Err(e) if e.sent() == Sent::No => self.take_back(part, sent, &e),
             Err(e) => {
-                self.place.keys.finish(request, key, sent, Outcome::Unknown);
+                part.finish(request, key, sent, Outcome::Unknown);
                 vec![self.unknown(&e)]
             }
         }
     }
 
-    fn take_back(&self, sent: pumicecleat_ledger::Sent, error: &CallError) -> Vec<Frame> {
-        if self.place.keys.unsent(sent) {
+    fn take_back(
+        &self,
+        part: &Hold,
+        sent: pumicecleat_ledger::Sent,
+        error: &CallError,
+    ) -> Vec<Frame> {
+        if part.unsent(sent) {
             return vec![self.failed(error)];
         }
         vec![self.unknown(error)]
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -21,7 +21,7 @@
 use crate::config::Configuration;
 use crate::dump::Dumper;
 use crate::entries::Entries;
-use crate::keys::{KeyParts, Keys};
+use crate::keys::{KeyContext, Keys};
 use crate::lengths::Lengths;
 use crate::metrics::SideMetrics;
 use crate::orders::OrderDesk;
@@ -29,6 +29,7 @@
 use crate::report::Reporters;
 use crate::state::{CONFIG, STAYING, State, UPSTREAM, Upstream, Work, wall_clock};
 use crate::station::Station;
+use crate::tune::millis;
 use crate::watch::watch;
 
 /// Time that the platform's services and the upstream have for a short answer.
@@ -241,7 +242,7 @@
             monoio::spawn(desk.run(outlets.orders));
             Upstream::Model(engine)
         }
-        PoolKind::Service { .. } => match service(&state) {
+        PoolKind::Service { parts, .. } => match service(&state, parts) {
             Ok(upstream) => upstream,
             Err(e) => return state.readiness.fail(CONFIG, &e.to_string()),
         },
@@ -251,7 +252,7 @@
     watch(state, work).await;
 }
 
-fn service(state: &State) -> Result<Upstream, LimitError> {
+fn service(state: &State, parts: u32) -> Result<Upstream, LimitError> {
     let limits = state.key_limits()?;
     let peer = state.settings.upstream.to_string();
     let service = Rc::new(HttpService::new(
@@ -262,12 +263,16 @@
     ));
     let peers = Peers::new(&state.settings.log);
     let log: Rc<dyn PlatformLog> = Rc::new(HttpLog::new(&state.client, peers, ANSWER_SPAN));
-    let parts = KeyParts {
-        log: &log,
-        events: &state.log,
-        timer: &state.timer,
+    let context = KeyContext {
+        service: ServiceId::from(state.pool().as_str()),
+        vm: state.vm().clone(),
+        incarnation: state.incarnation,
+        limits: Cell::new(limits),
+        idle: millis(state.settings.key_idle.0),
+        log,
+        events: state.log.clone(),
+        timer: state.timer.clone(),
     };
-    let name = ServiceId::from(state.pool().as_str());
-    let keys = Keys::start(&name, state.vm(), state.incarnation, limits, &parts);
+    let keys = Keys::start(context, parts);
     Ok(Upstream::Service(service, keys))
 }
--- a/crates/side/src/tune.rs
+++ b/crates/side/src/tune.rs
@@ -73,6 +73,6 @@
     }
 }
 
-fn millis(span: Duration) -> Millis {
+pub(crate) fn millis(span: Duration) -> Millis {
     Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/side/tests/bench/mod.rs
+++ b/crates/side/tests/bench/mod.rs
@@ -13,7 +13,7 @@
 use pumicecleat_config::{Change, ChangeId, Fold, Record, Source, parse};
 use pumicecleat_net::{
     Client, ClientOptions, FrameReader, Handler, Incoming, Protocol, Reply, Server, ServerOptions,
-    Timer, bind, peer_reply, plain_reply, read_all,
+    Timer, bind, peer_reply, plain_reply, read_all, run,
 };
 use pumicecleat_ops::{Log as EventLog, LogOptions, Settings};
 use pumicecleat_side::{Side, SideSettings};
@@ -56,6 +56,7 @@
 [pool.booking]
 kind = 'service'
 concurrency = 4
+parts = PARTS
 queue = 64
 [service.booking]
 pool = 'booking'
@@ -129,11 +130,17 @@
     pub service: Running<ServiceFaults>,
     fold: Rc<RefCell<Fold>>,
     entry: String,
+    config: String,
 }
 
 impl Bench {
     /// Stand-ins and the fake entry.
     pub fn start() -> Self {
+        Self::start_with(1)
+    }
+
+    /// As many parts of the service's keys.
+    pub fn start_with(parts: u32) -> Self {
         let timer = Timer::start();
         let store = Store::start(
             StoreOptions {
@@ -158,7 +165,8 @@
         let log = Log::start(StandinLogOptions::default(), &timer).unwrap();
         let seen = Rc::default();
         let fold = Rc::new(RefCell::new(Fold::new()));
-        declare(&fold, CONFIG);
+        let config = CONFIG.replace("PARTS", &parts.to_string());
+        declare(&fold, &config);
         let entry = start_entry(&fold, &seen, &timer);
         Self {
             client: Client::new_ext(ClientOptions::default(), &timer),
@@ -171,12 +179,21 @@
             service,
             fold,
             entry,
+            config,
         }
     }
 
     /// Declares further items at the fake entry; the side hears of it by and by.
     pub fn declare_more(&self, text: &str) {
-        declare(&self.fold, &format!("{CONFIG}{text}"));
+        declare(&self.fold, &format!("{}{text}", self.config));
+    }
+
+    /// Takes the pool of services out, and puts it back with another number of parts.
+    pub fn deal_anew(&self, parts: u32) {
+        let start = self.config.find("[pool.booking]").unwrap();
+        let without = self.config[..start].replace("services = ['booking']", "");
+        declare(&self.fold, &without);
+        declare(&self.fold, &CONFIG.replace("PARTS", &parts.to_string()));
     }
 
     /// A side of the pool of services, before another service.
@@ -197,6 +214,33 @@
     }
 
     fn side(&self, vm: &str, pool: &str, upstream: &str) -> Side {
+        let settings = self.settings(vm, pool, upstream);
+        let log = EventLog::new_ext(&LogOptions::default());
+        Side::start(settings, &self.timer, &log).unwrap()
+    }
+
+    /// A side of the pool of services in a thread of its own, which can be killed.
+    pub fn mortal_side(&self, vm: &str) -> Mortal {
+        let settings = self.settings(vm, "booking", &self.service.address.to_string());
+        let (kill, killed) = async_channel::bounded::<()>(1);
+        let (started, start) = std::sync::mpsc::channel();
+        let thread = std::thread::spawn(move || {
+            let live = async move {
+                let log = EventLog::new_ext(&LogOptions::default());
+                let side = Side::start(settings, &Timer::start(), &log).unwrap();
+                started.send(side.address()).unwrap();
+                let _ = killed.recv().await;
+            };
+            run(live).unwrap();
+        });
+        Mortal {
+            address: start.recv().unwrap(),
+            kill,
+            thread,
+        }
+    }
+
+    fn settings(&self, vm: &str, pool: &str, upstream: &str) -> SideSettings {
         let log = self.log.address.to_string();
         let args = [
             "--vm",
@@ -221,12 +265,12 @@
             &self.entry,
             "--stall",
             "500ms",
+            "--key-idle",
+            "300ms",
             "--log-level",
             "off",
         ];
-        let settings = SideSettings::read("side", &args, &BTreeMap::new()).unwrap();
-        let log = EventLog::new_ext(&LogOptions::default());
-        Side::start(settings, &self.timer, &log).unwrap()
+        SideSettings::read("side", &args, &BTreeMap::new()).unwrap()
     }
 
     /// Waits until the entry heard that the side's upstream is healthy.
@@ -302,10 +346,15 @@
 
     /// Sends an attempt and gives the reader of its frames.
     pub async fn send(&self, side: &Side, run: &RunRequest) -> FrameReader {
+        self.send_to(side.address(), run).await
+    }
+
+    /// Sends an attempt to the side at `address`.
+    pub async fn send_to(&self, address: SocketAddr, run: &RunRequest) -> FrameReader {
         let request = http::Request::post("/peer/v1/run")
             .body(Bytes::from(encode(run)))
             .unwrap();
-        let peer = side.address().to_string();
+        let peer = address.to_string();
         let response = self.runs.send(&peer, request, SPAN).await.unwrap();
         FrameReader::new(response)
     }
@@ -342,6 +391,21 @@
     }
 }
 
+/// A side that can be killed.
+pub struct Mortal {
+    pub address: SocketAddr,
+    kill: async_channel::Sender<()>,
+    thread: std::thread::JoinHandle<()>,
+}
+
+impl Mortal {
+    /// Ends its loop with all that runs on it.
+    pub fn kill(self) {
+        self.kill.send_blocking(()).unwrap();
+        self.thread.join().unwrap();
+    }
+}
+
 /// Puts a configuration in force at the fake entry.
 fn declare(fold: &RefCell<Fold>, text: &str) {
     let config = parse(&[Source {
