Notice that the log is back for a quiet stream; close a part only once all of its stream is read

Cause: a side's wait for the next record was cut short each second for a look at what is due, and the log was asked to wait two seconds, so that an empty read never ended. Sites with one busy side would have met it. Now the wait is kept over the looks, and a follower that knows of an outage reads without waiting, so that its end shows at once. A part is closed only at the stream's end. Test: an_outage_ends_also_for_a_quiet_stream. Side's keys and parts tests and platform's tests pass.

--- a/crates/platform/src/follower/mod.rs
+++ b/crates/platform/src/follower/mod.rs
@@ -99,12 +99,14 @@
                 self.resume = None;
             }
             let start = self.timer.now();
-            let read = self.log.read(
-                &self.stream,
-                self.next,
-                self.options.batch,
-                self.options.wait,
-            );
+            // The end of an outage shows at once.
+            let wait = if self.outage {
+                Duration::ZERO
+            } else {
+                self.options.wait
+            };
+            let batch = self.options.batch;
+            let read = self.log.read(&self.stream, self.next, batch, wait);
             let event = match read.await {
                 Ok(batch) => self.take(batch, start)?,
                 Err(ReadError::Trimmed { first, next, .. }) => Some(self.trimmed(first, next)),
--- a/crates/side/src/keys/part.rs
+++ b/crates/side/src/keys/part.rs
@@ -36,6 +36,8 @@
     pub(super) outdated: Cell<Option<Millis>>,
     /// The log answered last.
     pub(super) up: Cell<bool>,
+    /// All that the stream holds is read, by the last read.
+    pub(super) at_end: Cell<bool>,
     pub(super) waiting: RefCell<BTreeMap<Attempt, Sender<Event>>>,
     pub(super) appender: Appender,
     pub(super) wake: Sender<()>,
@@ -76,6 +78,7 @@
             limits: Cell::new(limits),
             outdated: Cell::new(None),
             up: Cell::new(true),
+            at_end: Cell::new(false),
             waiting: RefCell::default(),
             wake,
             users: Cell::new(0),
@@ -103,9 +106,11 @@
     }
 
     /// Whether it may be closed: no call has held it for `span`, and nothing is owed to its stream.
+    /// All of that is read, as an own intent may stand there that has yet to be abandoned.
     pub(super) fn is_idle(&self, span: Millis) -> bool {
         let since = self.state.timer.now().since(self.state.used.get());
-        self.state.users.get() == 0 && since >= span && self.is_settled()
+        let rests = self.state.users.get() == 0 && since >= span;
+        rests && self.state.at_end.get() && self.is_settled()
     }
 
     /// Whether no own attempt is under way and the stream lacks nothing.
--- a/crates/side/src/keys/reader.rs
+++ b/crates/side/src/keys/reader.rs
@@ -1,5 +1,6 @@
 //! Reading the service's stream, from its earliest kept record on.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use pumicecleat_ledger::{Attempt, Event, Ledger, Span};
@@ -17,7 +18,7 @@
 const WAIT: Duration = Duration::from_secs(2);
 /// Longest pause after failures: calls with keys are refused meanwhile.
 const LONGEST: Duration = Duration::from_millis(500);
-/// Time between two looks at what is due by the clock.
+/// Longest time between two looks at what is due by the clock.
 const TICK: Duration = Duration::from_secs(1);
 /// Time until the next try to find the stream's span.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -49,24 +50,45 @@
         let log = std::rc::Rc::clone(&self.state.log);
         let timer = &self.state.timer;
         let mut follower = Follower::new_ext(log, timer, &self.state.stream, first, options());
-        while !self.state.closed.get() && !self.is_due_anew() {
-            match timer.within(TICK, follower.next()).await {
-                Ok(Ok(FollowEvent::Records(records))) => self.take(&records),
-                Ok(Ok(FollowEvent::CaughtUp { .. })) => self.note_up(),
-                Ok(Ok(FollowEvent::Outage { detail })) => self.note_down(&detail),
-                Ok(Ok(FollowEvent::Trimmed { first, .. })) => {
+        while let Some(event) = self.next_event(&mut follower).await {
+            match event {
+                Ok(FollowEvent::Records(records)) => self.take(&records),
+                Ok(FollowEvent::CaughtUp { .. }) => self.note_end(),
+                Ok(FollowEvent::Outage { detail }) => self.note_down(&detail),
+                Ok(FollowEvent::Trimmed { first, .. }) => {
                     self.skip_trimmed(first);
                     follower.seek(first);
                 }
-                Ok(Err(e)) => return self.note_gap(&e),
-                Err(_) => {}
+                Err(e) => return self.note_gap(&e),
             }
-            let due = self.state.ledger.borrow_mut().expire(wall_clock());
-            self.tell(due);
+            self.expire();
         }
         self.state.outdated.set(None);
     }
 
+    /// Next event of the stream, or `None` once it is not to be followed any more.
+    ///
+    /// The wait for it is never given up for a look at what is due: a read that is cut short each
+    /// time would not show that the log is back.
+    async fn next_event(
+        &self,
+        follower: &mut Follower,
+    ) -> Option<Result<FollowEvent, FollowError>> {
+        let mut next = pin!(follower.next());
+        while !self.state.closed.get() && !self.is_due_anew() {
+            match self.state.timer.within(TICK, next.as_mut()).await {
+                Ok(event) => return Some(event),
+                Err(_) => self.expire(),
+            }
+        }
+        None
+    }
+
+    fn expire(&self) {
+        let due = self.state.ledger.borrow_mut().expire(wall_clock());
+        self.tell(due);
+    }
+
     /// Whether to start over for other limits: once no own attempt is under way, whose outcome
     /// would be lost, or after a while all the same.
     fn is_due_anew(&self) -> bool {
@@ -127,6 +149,7 @@
     }
 
     fn note_down(&self, error: &str) {
+        self.state.at_end.set(false);
         if self.state.up.replace(false) {
             let fields = [
                 field("address", &self.state.stream),
@@ -144,8 +167,15 @@
         }
     }
 
+    /// All of the stream is read.
+    fn note_end(&self) {
+        self.note_up();
+        self.state.at_end.set(true);
+    }
+
     fn take(&self, records: &[LogRecord]) {
         self.note_up();
+        self.state.at_end.set(false);
         for record in records {
             let events = self.state.ledger.borrow_mut().read(record);
             self.tell(events);
--- a/crates/side/tests/keys.rs
+++ b/crates/side/tests/keys.rs
@@ -262,3 +262,30 @@
     })
     .unwrap();
 }
+
+#[test]
+fn an_outage_ends_also_for_a_quiet_stream() {
+    run(async {
+        let pair = pair().await;
+        let side = &pair.sides[0];
+        let up = || serde_json::to_value(side.dump()).unwrap()["keys"]["up"] == true;
+        let until = async |want: bool| {
+            let seen = async {
+                while up() != want {
+                    pair.bench.timer.sleep(Duration::from_millis(10)).await;
+                }
+            };
+            pair.bench.timer.within(bench::SPAN, seen).await.unwrap();
+        };
+        let down = LogFaults {
+            down: true,
+            ..LogFaults::default()
+        };
+        pair.bench.log.set_faults(down);
+        until(false).await;
+        pair.bench.log.set_faults(LogFaults::default());
+        until(true).await;
+        assert_eq!(pair.call(side, "k", "x").await, Told::Whole(false));
+    })
+    .unwrap();
+}
