Search closings and openings of a stream in the ledger's model

Two sides that open one stream at any two times, a stream closed with a stray append in flight, and closed and opened again within the window: as moves of the search that drives the real ledger. Mutants, each found: reading from the end when opened (I1), closing under a call (I2), closing with something owed (L2), closing with an own intent unread (L2; the search found this one in the driver's rule as first written), opening again under the former name (I4).

--- a/crates/ledger/tests/model/check.rs
+++ b/crates/ledger/tests/model/check.rs
@@ -4,7 +4,7 @@
 use pumicecleat_types::Millis;
 
 use crate::side::Side;
-use crate::world::{Effect, Progress, Told, WAIT, WINDOW, World};
+use crate::world::{Effect, Progress, Slip, Told, WAIT, WINDOW, World};
 
 impl World {
     /// First invariant that this state breaks.
@@ -39,7 +39,8 @@
 
     // Held for good reason: it ran, or a side that has stopped may have run it.
     fn is_held(&self) -> bool {
-        let lives = |a: &Attempt| self.sides.iter().any(|s| s.owner == a.owner);
+        let known = |s: &Side, a: &Attempt| s.owner == a.owner || s.ended.contains(a);
+        let lives = |a: &Attempt| self.sides.iter().any(|s| known(s, a));
         !self.effects.is_empty() || !self.attempts.keys().all(lives)
     }
 
@@ -91,14 +92,21 @@
 
     // I4: what ran has the body that its key's first intent in the window before it had.
     fn runs_one_body(&self) -> bool {
+        let named = |e: &Effect| self.slips(Slip::BlankDigest) || self.is_named(e);
         self.effects
             .iter()
             .all(|e| match self.first_body(&e.attempt) {
-                Some(first) => first == e.body,
+                Some(first) => first == e.body && named(e),
                 None => true,
             })
     }
 
+    // Each intent under the attempt's name has the body that ran.
+    fn is_named(&self, effect: &Effect) -> bool {
+        let mut own = self.intents().filter(|(_, i)| i.attempt == effect.attempt);
+        own.all(|(_, i)| i.digest == self.digest(effect.body))
+    }
+
     fn first_body(&self, attempt: &Attempt) -> Option<u8> {
         let at = self.intents().find(|(_, i)| i.attempt == *attempt)?.0;
         let mut intents = self.intents();
--- a/crates/ledger/tests/model/main.rs
+++ b/crates/ledger/tests/model/main.rs
@@ -6,6 +6,7 @@
 mod check;
 mod log;
 mod moves;
+mod parts;
 mod search;
 mod side;
 mod world;
@@ -87,6 +88,33 @@
             ..Budget::NONE
         },
     },
+    Bound {
+        name: "two closings",
+        calls: &[SAME, OTHER],
+        budget: Budget {
+            closes: 2,
+            ..Budget::NONE
+        },
+    },
+    Bound {
+        name: "closing, lost reply",
+        calls: &[SAME, SAME],
+        budget: Budget {
+            cuts: 1,
+            closes: 1,
+            ..Budget::NONE
+        },
+    },
+    Bound {
+        name: "closing, trim within a window",
+        calls: &[SAME, SAME],
+        budget: Budget {
+            closes: 1,
+            ticks: &[LONG, LATE],
+            trims: 1,
+            ..Budget::NONE
+        },
+    },
     Bound {
         name: "three calls",
         calls: &[SAME, SAME, OTHER],
@@ -95,6 +123,16 @@
 ];
 
 const DEEP: &[Bound] = &[
+    Bound {
+        name: "two closings, lost reply, crash",
+        calls: &[SAME, SAME],
+        budget: Budget {
+            cuts: 1,
+            crashes: 1,
+            closes: 2,
+            ..Budget::NONE
+        },
+    },
     Bound {
         name: "two lost replies",
         calls: &[SAME, SAME],
@@ -328,6 +366,52 @@
             ..Budget::NONE
         },
     },
+    Mutant {
+        slip: Slip::ReadFromEnd,
+        breaks: "I1",
+        calls: &[SAME, SAME],
+        budget: Budget {
+            closes: 1,
+            ..Budget::NONE
+        },
+    },
+    Mutant {
+        slip: Slip::CloseBusy,
+        breaks: "I2",
+        calls: &[SAME],
+        budget: Budget {
+            closes: 1,
+            ..Budget::NONE
+        },
+    },
+    Mutant {
+        slip: Slip::ReopenAlike,
+        breaks: "I4",
+        calls: &[SAME, OTHER],
+        budget: Budget {
+            cuts: 1,
+            closes: 1,
+            ..Budget::NONE
+        },
+    },
+    Mutant {
+        slip: Slip::CloseOwing,
+        breaks: "L2",
+        calls: &[SAME],
+        budget: Budget {
+            closes: 1,
+            ..Budget::NONE
+        },
+    },
+    Mutant {
+        slip: Slip::CloseUnread,
+        breaks: "L2",
+        calls: &[SAME],
+        budget: Budget {
+            closes: 1,
+            ..Budget::NONE
+        },
+    },
     Mutant {
         slip: Slip::ForgetOwed,
         breaks: "L2",
--- a/crates/ledger/tests/model/moves.rs
+++ b/crates/ledger/tests/model/moves.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use pumicecleat_ledger::{
-    Abandon, Admission, Answer, Attempt, Body, Call, Event, Outcome, Record, StepError, Verdict,
-    Won,
+    Abandon, Admission, Answer, Attempt, Body, Call, Event, Outcome, Record, Span, StepError,
+    Verdict, Won,
 };
 use pumicecleat_types::{Millis, Reason};
 
@@ -41,6 +41,10 @@
     Void { call: usize },
     /// A side stops; another incarnation starts.
     Crash { side: usize },
+    /// A side stops following the stream.
+    Close { side: usize },
+    /// A side follows the stream again, as another owner.
+    Open { side: usize },
     /// The log goes away.
     Down,
     /// The log comes back.
@@ -70,6 +74,7 @@
             | Move::Read { .. }
             | Move::Send { .. }
             | Move::Answer { .. }
+            | Move::Open { .. }
             | Move::Up => true,
             Move::Void { call } => !self.slips(Slip::NeverGiveUp) && self.is_hopeless(call),
             _ => false,
@@ -95,6 +100,18 @@
 
     fn side_moves(&self, side: usize, moves: &mut Vec<Move>) {
         let s = &self.sides[side];
+        if self.budget.crashes > 0 {
+            moves.push(Move::Crash { side });
+        }
+        if !s.open {
+            if self.log.up {
+                moves.push(Move::Open { side });
+            }
+            return;
+        }
+        if self.may_close(side) {
+            moves.push(Move::Close { side });
+        }
         if self.log.up && s.flight.is_none() && !self.next_batch(side).is_empty() {
             moves.push(Move::Flush { side });
         }
@@ -109,9 +126,6 @@
         if self.log.up && s.ledger.next() < self.log.end() {
             moves.push(Move::Read { side });
         }
-        if self.budget.crashes > 0 {
-            moves.push(Move::Crash { side });
-        }
     }
 
     fn call_moves(&self, call: usize, moves: &mut Vec<Move>) {
@@ -131,7 +145,8 @@
             return;
         }
         let sides = if call == 0 { 1 } else { self.sides.len() };
-        moves.extend((0..sides).map(|side| Move::Submit { call, side }));
+        let open = (0..sides).filter(|s| self.sides[*s].open);
+        moves.extend(open.map(|side| Move::Submit { call, side }));
     }
 
     fn open_moves(&self, call: usize, side: usize, moves: &mut Vec<Move>) {
@@ -197,6 +212,8 @@
             Move::LoseAnswer { call } => self.lose_answer(call),
             Move::Void { call } => self.void(call),
             Move::Crash { side } => self.crash(side),
+            Move::Close { side } => self.close(side),
+            Move::Open { side } => self.open(side),
             Move::Down => {
                 self.budget.outages -= 1;
                 self.log().up = false;
@@ -460,19 +477,24 @@
         self.budget.crashes -= 1;
         let old = &self.sides[side];
         let next = owner(old.owner.vm.as_str(), old.owner.incarnation + 1);
+        let new = Side::new(next, self.fixed.limits, self.start_span());
+        let old = std::mem::replace(self.side(side), new);
+        self.strays.extend(old.flight);
+        self.hang_up(side);
+    }
+
+    // What a side that starts to read finds.
+    pub(crate) fn start_span(&self) -> Span {
         let mut span = self.log.span();
         if self.slips(Slip::ReadFromEnd) {
             span.first = span.end;
         }
-        let new = Side::new(next, self.fixed.limits, span);
-        let old = std::mem::replace(self.side(side), new);
-        self.strays.extend(old.flight);
-        self.hang_up(side);
+        span
     }
 
     // The entry sees its connection to the side break.
-    fn hang_up(&mut self, side: usize) {
-        let denies = self.slips(Slip::DenyOnCrash);
+    pub(crate) fn hang_up(&mut self, side: usize) {
+        let denies = self.slips(Slip::DenyOnCrash) || self.slips(Slip::CloseBusy);
         let told = if denies { Told::NotRun } else { Told::Unknown };
         for call in 0..self.calls.len() {
             if self.attempt(call).is_some_and(|(s, _)| s == side) {
--- a/crates/ledger/tests/model/parts.rs
+++ b/crates/ledger/tests/model/parts.rs
@@ -11,7 +11,9 @@
     /// Whether a side may stop following the stream.
     pub fn may_close(&self, side: usize) -> bool {
         let s = &self.sides[side];
-        let rests = s.outbox.is_empty() && s.ledger.is_settled();
+        let end = self.log.up && s.ledger.next() >= self.log.end();
+        let rests =
+            (end || self.slips(Slip::CloseUnread)) && s.outbox.is_empty() && s.ledger.is_settled();
         let owes = s.outbox.is_empty() && !self.is_asked(side) && self.slips(Slip::CloseOwing);
         self.budget.closes > 0 && (rests || owes || self.slips(Slip::CloseBusy))
     }
--- a/crates/ledger/tests/model/side.rs
+++ b/crates/ledger/tests/model/side.rs
@@ -1,6 +1,6 @@
 //! A side of the small world: the real ledger and the driver's few variables.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use pumicecleat_ledger::{Attempt, Ledger, Limits, Owner, Record, Sent, Span, Won};
@@ -10,6 +10,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Side {
     pub owner: Owner,
+    /// Follows the stream.
+    pub open: bool,
+    /// Attempts of openings before this one of which nothing can follow.
+    pub ended: BTreeSet<Attempt>,
     pub ledger: Ledger,
     /// Intents not yet appended.
     pub outbox: Vec<Record>,
@@ -26,6 +30,8 @@
         Self {
             ledger: Ledger::new(owner.clone(), limits, span),
             owner,
+            open: true,
+            ended: BTreeSet::new(),
             outbox: Vec::new(),
             flight: None,
             landed: 0,
--- a/crates/ledger/tests/model/world.rs
+++ b/crates/ledger/tests/model/world.rs
@@ -66,6 +66,14 @@
     ForgetOwed,
     /// Takes back a send of which bytes had left.
     MissSent,
+    /// Closes the stream while a call is under way, and says "not run".
+    CloseBusy,
+    /// Closes the stream while an abandon or an outcome is owed.
+    CloseOwing,
+    /// Closes the stream while an own intent stands there unread.
+    CloseUnread,
+    /// Opens the stream again under the name of the opening before.
+    ReopenAlike,
 }
 
 /// Calls and the mistake.
@@ -84,6 +92,8 @@
     pub cuts: u8,
     /// Crashes.
     pub crashes: u8,
+    /// Closings of the stream.
+    pub closes: u8,
     /// Answers lost.
     pub losses: u8,
     /// Outages.
@@ -100,6 +110,7 @@
     pub const NONE: Self = Self {
         cuts: 0,
         crashes: 0,
+        closes: 0,
         losses: 0,
         outages: 0,
         ticks: &[],
