Send keyed calls of one part to the same side where it is ready

Cause: with keys in parts, a part is read by each side that calls of it come to. An entry now takes the first side by rendezvous rank for the pool and the part, among those that are ready and whose expected wait is at most half of the time left; a refusal, a stall, suspicion or leaving leads to the next, and with none the choice by load stands as before. Entries rank by VM names and so agree. Soft state: any side may handle any key of any part. Calls without a key, idempotent ones and pools with one part are chosen as before. Ruled out: the adapters' hash ring (its load is uneven for few upstreams; a scan of a service's few sides is as cheap); asking which side has a part open (another message, and old news in a change).

--- a/crates/entry/src/directory/mod.rs
+++ b/crates/entry/src/directory/mod.rs
@@ -102,9 +102,15 @@
         given.lora
     }
 
-    /// Where a request should go.
-    pub(crate) fn choose(&mut self, ask: &Ask<'_>, now: Millis) -> Chosen {
-        match self.router.choose(ask, now) {
+    /// Where a request should go: to the first side by rank for its `home`, if it has one and a
+    /// side is ready for it, else by load.
+    pub(crate) fn choose(&mut self, ask: &Ask<'_>, home: Option<u64>, now: Millis) -> Chosen {
+        let ranked = home.and_then(|home| self.router.ranked(ask, home, now));
+        let choice = match ranked {
+            Some(pick) => Choice::Send(pick),
+            None => self.router.choose(ask, now),
+        };
+        match choice {
             Choice::Refuse { retry } if self.router.usable(ask.pool) == 0 => {
                 Chosen::Nowhere { retry }
             }
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -90,7 +90,8 @@
             tried: &self.course.tried,
         };
         let now = self.timer().now();
-        match self.shared.directory.borrow_mut().choose(&ask, now) {
+        let home = self.job.home();
+        match self.shared.directory.borrow_mut().choose(&ask, home, now) {
             Chosen::Send(destination) => Ok(destination),
             Chosen::Late { retry } => Err(Failure::Late { retry }),
             Chosen::Nowhere { retry } => Err(Failure::Nowhere { retry }),
--- a/crates/entry/src/request/job.rs
+++ b/crates/entry/src/request/job.rs
@@ -1,5 +1,7 @@
 //! What a caller asked.
 
+use pumicecleat_ledger::Key;
+use pumicecleat_policy::part_key;
 use pumicecleat_types::{CallerId, Millis, RequestId};
 use pumicecleat_upstream::ChatBody;
 
@@ -61,6 +63,18 @@
         -i32::from(self.priority)
     }
 
+    /// Key of the part of the pool's keys that the request's is in, if there are several: calls of
+    /// one part go to the same side where they can, so that few sides read it.
+    pub(crate) fn home(&self) -> Option<u64> {
+        let parts = self.resolved.parts;
+        if parts == 1 || self.repeat != Repeat::ByKey {
+            return None;
+        }
+        // A text that is no key is refused by the side, whichever it is.
+        let key = Key::parse(&self.caller, self.key.as_deref()?).ok()?;
+        Some(part_key(&self.resolved.pool, key.part(parts)))
+    }
+
     /// Body for the upstream.
     pub(crate) fn body(&self) -> Vec<u8> {
         match &self.content {
--- a/crates/entry/src/request/resolve.rs
+++ b/crates/entry/src/request/resolve.rs
@@ -1,6 +1,6 @@
 //! What a name means under the configuration in force.
 
-use pumicecleat_config::model::{Adapter, Config, KeyRule, PoolKind};
+use pumicecleat_config::model::{Adapter, Config, KeyRule, Pool, PoolKind};
 use pumicecleat_policy::{LoraIx, PoolIx};
 use pumicecleat_types::{
     AdapterId, BaseId, CallerId, HeaderField, Lora, ModelTarget, PoolId, ServiceTarget, Target,
@@ -19,6 +19,8 @@
     pub(crate) lora_ix: Option<LoraIx>,
     /// Engine name, for a model.
     pub(crate) engine: Option<String>,
+    /// Parts of the keys of the pool's calls.
+    pub(crate) parts: u32,
     pub(crate) revision: u64,
 }
 
@@ -65,6 +67,7 @@
         pool_ix: directory.pool(&pool),
         lora_ix: Some(directory.lora(&lora)),
         engine: Some(lora.engine_name()),
+        parts: 1,
         revision: shared.current.revision(),
         target: Target::Model(target),
         pool,
@@ -153,6 +156,7 @@
         pool: found.pool,
         lora_ix: None,
         engine: None,
+        parts: found.parts,
         revision: shared.current.revision(),
     };
     Ok(ServiceRoute {
@@ -165,6 +169,7 @@
 struct Found {
     service: pumicecleat_types::ServiceId,
     pool: PoolId,
+    parts: u32,
     idempotent: bool,
     key: KeyRule,
     length: usize,
@@ -182,6 +187,7 @@
         Some(Found {
             service: id.clone(),
             pool: service.pool.clone(),
+            parts: config.pools.get(&service.pool).map_or(1, Pool::parts),
             idempotent: route.idempotent,
             key: route.key,
             length: route.prefix.len(),
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod faults;
 mod input;
+mod keys;
 mod listed;
 mod part;
 mod peers;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,7 +42,7 @@
 pub use load_order::{LoadOrder, LoadOrderOptions};
 pub use router::{
     Ask, BudgetOptions, Choice, Outcome, Pick, RetryBudget, Router, RouterOptions, UpstreamFigures,
-    lora_key, upstream_key,
+    lora_key, part_key, upstream_key,
 };
 pub use scheduler::{
     Action, Bid, GiveUp, Job, JobId, LoadEnd, Scheduler, SchedulerOptions, Weights,
--- a/crates/policy/src/router/choose.rs
+++ b/crates/policy/src/router/choose.rs
@@ -22,11 +22,11 @@
 const LATE: u64 = 2;
 
 /// Microseconds in a millisecond.
-const MICROS: u64 = 1_000;
+pub(super) const MICROS: u64 = 1_000;
 
 /// Order in which candidates are taken, before any wait.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Class {
+pub(super) enum Class {
     Ready,
     Stalled,
     Suspect,
@@ -163,7 +163,7 @@
         })
     }
 
-    fn class(&self, ask: &Ask<'_>, up: UpstreamIx, now: Millis) -> Option<Class> {
+    pub(super) fn class(&self, ask: &Ask<'_>, up: UpstreamIx, now: Millis) -> Option<Class> {
         let upstream = self.upstreams.get(up.0 as usize)?;
         if upstream.pool != ask.pool {
             return None;
@@ -176,7 +176,7 @@
         }
     }
 
-    fn wait_us(
+    pub(super) fn wait_us(
         &self,
         up: UpstreamIx,
         lora: Option<LoraIx>,
--- a/crates/policy/src/router/key.rs
+++ b/crates/policy/src/router/key.rs
@@ -1,6 +1,6 @@
 //! Keys: hashes of names, the same at every entry, where indices are each entry's own.
 
-use pumicecleat_types::{Lora, VmId};
+use pumicecleat_types::{Lora, PoolId, VmId};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Separates the parts of a hashed name; no id contains it.
@@ -19,6 +19,12 @@
     xxh3_64(name.as_bytes())
 }
 
+/// Key of one part of the idempotency keys of a pool.
+#[must_use]
+pub fn part_key(pool: &PoolId, part: u32) -> u64 {
+    xxh3_64(format!("{pool}{PART}{part}").as_bytes())
+}
+
 /// Key of an index that was not named.
 pub(super) fn index_key(ix: u32) -> u64 {
     xxh3_64(&ix.to_le_bytes())
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -8,7 +8,7 @@
 //!
 //! `ask` holds the question and the answer, `upstream` what is known of one upstream, `pool`, `ring`
 //! and `holders` where candidates come from, `estimate` the expected wait, `choose` the choice,
-//! `demotion` the order of stalled upstreams, `place` keeps the pools' indices, `outcome` what attempts teach, `hints` cached prefixes, and `budget` the bound on retries.
+//! `demotion` the order of stalled upstreams, `place` keeps the pools' indices, `outcome` what attempts teach, `hints` cached prefixes, `rank` homes of other work, and `budget` the bound on retries.
 
 mod ask;
 mod budget;
@@ -23,12 +23,13 @@
 mod outcome;
 mod place;
 mod pool;
+mod rank;
 mod ring;
 mod upstream;
 
 pub use ask::{Ask, Choice, Outcome, Pick, UpstreamFigures};
 pub use budget::{BudgetOptions, RetryBudget};
-pub use key::{lora_key, upstream_key};
+pub use key::{lora_key, part_key, upstream_key};
 pub use options::RouterOptions;
 
 use pumicecleat_types::Millis;
--- /dev/null
+++ b/crates/policy/tests/router_rank.rs
@@ -0,0 +1,145 @@
+//! Homes of parts of keys: entries agree on them, and go on to the next where one is not ready.
+
+use std::collections::BTreeMap;
+
+use pumicecleat_policy::{
+    Ask, Outcome, PoolIx, Router, RouterOptions, UpstreamFigures, UpstreamIx, part_key,
+    upstream_key,
+};
+use pumicecleat_types::{LoadFigures, Millis, Reason, VmId};
+
+const POOL: PoolIx = PoolIx(0);
+const PARTS: u32 = 256;
+
+fn figures(wait_ms: u32) -> UpstreamFigures {
+    let load = LoadFigures {
+        batch: 8,
+        step_us: 10_000,
+        wait_ms,
+        ..LoadFigures::default()
+    };
+    UpstreamFigures {
+        load,
+        leaving: false,
+        healthy: true,
+    }
+}
+
+/// Entry that knows these VMs, in the order given.
+fn entry(vms: &[u32]) -> Router {
+    let mut router = Router::new_ext(RouterOptions::default());
+    for (ix, vm) in (0..).map(UpstreamIx).zip(vms) {
+        router.name_upstream(ix, upstream_key(&VmId::from(format!("vm-{vm}"))));
+        router.report(ix, POOL, &figures(0), None, None, Millis(0));
+    }
+    router
+}
+
+fn ask(tried: &[UpstreamIx]) -> Ask<'_> {
+    Ask {
+        pool: POOL,
+        lora: None,
+        prefix: None,
+        left: Millis(5_000),
+        tried,
+    }
+}
+
+fn home(router: &Router, part: u32, tried: &[UpstreamIx]) -> Option<UpstreamIx> {
+    let key = part_key(&"booking".into(), part);
+    let pick = router.ranked(&ask(tried), key, Millis(0));
+    pick.map(|p| p.up)
+}
+
+#[test]
+fn entries_agree_and_a_change_moves_few_parts() {
+    let vms: Vec<u32> = (0..8).collect();
+    let mut turned = vms.clone();
+    turned.reverse();
+    let (one, other, fewer) = (entry(&vms), entry(&turned), entry(&vms[..7]));
+    let mut counts = BTreeMap::new();
+    let mut moved = 0;
+    for part in 0..PARTS {
+        let up = home(&one, part, &[]).unwrap();
+        *counts.entry(up).or_insert(0) += 1;
+        assert_eq!(home(&other, part, &[]), Some(UpstreamIx(7 - up.0)));
+        let after = home(&fewer, part, &[]).unwrap();
+        moved += u32::from(after != up);
+        assert!(
+            after == up || up == UpstreamIx(7),
+            "part {part} moved for nothing"
+        );
+    }
+    assert_eq!(moved, counts[&UpstreamIx(7)]);
+    assert!(counts.values().all(|c| (12..=60).contains(c)), "{counts:?}");
+}
+
+struct Case {
+    name: &'static str,
+    /// What the first home of the part meets.
+    edit: fn(&mut Router, UpstreamIx),
+    /// Whether the part goes on to its next home.
+    goes_on: bool,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "nothing",
+        edit: |_, _| {},
+        goes_on: false,
+    },
+    Case {
+        name: "leaving",
+        edit: |r, up| r.leaving(up),
+        goes_on: true,
+    },
+    Case {
+        name: "upstream down",
+        edit: |r, up| {
+            r.ended(
+                up,
+                None,
+                Outcome::Refused(Reason::UpstreamDown, None),
+                Millis(0),
+            );
+        },
+        goes_on: true,
+    },
+    Case {
+        name: "failed",
+        edit: |r, up| r.ended(up, None, Outcome::Failed, Millis(0)),
+        goes_on: true,
+    },
+    Case {
+        name: "a wait of more than half of the time left",
+        edit: |r, up| r.report(up, POOL, &figures(2_600), None, None, Millis(0)),
+        goes_on: true,
+    },
+    Case {
+        name: "a short wait",
+        edit: |r, up| r.report(up, POOL, &figures(2_000), None, None, Millis(0)),
+        goes_on: false,
+    },
+    Case {
+        name: "forgotten",
+        edit: |r, up| r.forget(up),
+        goes_on: true,
+    },
+];
+
+#[test]
+fn a_home_that_is_not_ready_is_passed_over() {
+    for case in CASES {
+        for part in 0..16 {
+            let mut router = entry(&[0, 1, 2]);
+            let first = home(&router, part, &[]).unwrap();
+            let next = home(&router, part, &[first]).unwrap();
+            assert_ne!(first, next);
+            (case.edit)(&mut router, first);
+            let want = if case.goes_on { next } else { first };
+            assert_eq!(home(&router, part, &[]), Some(want), "{}", case.name);
+        }
+    }
+    let router = entry(&[0]);
+    assert_eq!(home(&router, 0, &[UpstreamIx(0)]), None);
+}
