Pace a stream's appenders by the number that share the log

Cause: appenders shared the log's rate by its pushback alone, and a record waited for the Retry-After of a second once more than five were busy. Ruled out: a smoother answer to pushback (the log's own Retry-After is whole seconds); fewer records by longer waits for all, also idle ones. Not covered: sides of other regions aren't in a side's list, and several services share one log: pushback settles what is over. Platform's and side's tests pass.

--- a/crates/platform/examples/shared_log.rs
+++ b/crates/platform/examples/shared_log.rs
@@ -1,5 +1,6 @@
 //! Many appenders at one log with a limit on appends: what stands, what is refused, and how long
-//! a record waits. Prints a JSON line for each number of appenders.
+//! a record waits. Prints a JSON line for each number of appenders: sharing by the log's pushback
+//! alone, then each paced by their number.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -21,14 +22,19 @@
     waits: Vec<Duration>,
 }
 
+/// Appends a second that paced appenders may make together; the log takes 400.
+const RATE: u64 = 360;
+
 fn main() {
-    for appenders in APPENDERS {
-        let tally = run(measure(appenders)).expect("a loop starts");
-        print(appenders, &tally);
+    for paced in [false, true] {
+        for appenders in APPENDERS {
+            let tally = run(measure(appenders, paced)).expect("a loop starts");
+            print(appenders, paced, &tally);
+        }
     }
 }
 
-async fn measure(appenders: u64) -> Tally {
+async fn measure(appenders: u64, paced: bool) -> Tally {
     let timer = Timer::start();
     let log = Log::start(LogOptions::default(), &timer).expect("the log starts");
     let client = Client::new_ext(ClientOptions::default(), &timer);
@@ -42,6 +48,10 @@
             ..AppendOptions::default()
         };
         let appender = Appender::start(Rc::new(log), &timer, "intents.s", options);
+        if paced {
+            let share = Duration::from_micros(appenders * 1_000_000 / RATE);
+            appender.set_interval(share.max(options.interval));
+        }
         for n in 0..RECORDS * SECONDS {
             let at = Duration::from_micros(n * 1_000_000 / RECORDS + seed * 137);
             let task = submit(appender.clone(), timer.clone(), at, Rc::clone(&tally));
@@ -67,12 +77,12 @@
     tally.waits.push(from.elapsed());
 }
 
-fn print(appenders: u64, tally: &Tally) {
+fn print(appenders: u64, paced: bool, tally: &Tally) {
     let mut waits = tally.waits.clone();
     waits.sort();
     let at = |part: usize| waits[waits.len() * part / 100].as_millis();
     println!(
-        "{{\"appenders\":{appenders},\"records_a_second\":{},\"stood\":{},\"refused\":{},\
+        "{{\"appenders\":{appenders},\"paced\":{paced},\"records_a_second\":{},\"stood\":{},\"refused\":{},\
          \"wait_ms_p50\":{},\"wait_ms_p95\":{}}}",
         appenders * RECORDS,
         tally.stood,
--- a/crates/platform/src/appender/mod.rs
+++ b/crates/platform/src/appender/mod.rs
@@ -8,7 +8,7 @@
 mod pace;
 mod queue;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -60,6 +60,7 @@
 pub struct Appender {
     queue: Rc<RefCell<Queue>>,
     wake: Sender<()>,
+    least: Rc<Cell<Duration>>,
 }
 
 impl Appender {
@@ -68,16 +69,22 @@
     pub fn start(log: Rc<dyn Log>, timer: &Timer, stream: &str, options: AppendOptions) -> Self {
         let (wake, woken) = async_channel::bounded(1);
         let queue = Rc::new(RefCell::new(Queue::new(options.queue)));
+        let least = Rc::new(Cell::new(options.interval));
         let driver = Driver {
             log,
             timer: timer.clone(),
             stream: stream.to_owned(),
             queue: Rc::clone(&queue),
-            pace: Pace::new(options),
+            pace: Pace::new(options, Rc::clone(&least)),
             options,
         };
         monoio::spawn(driver.run(woken));
-        Self { queue, wake }
+        Self { queue, wake, least }
+    }
+
+    /// Sets the shortest time from one append's start to the next, in place of the option.
+    pub fn set_interval(&self, interval: Duration) {
+        self.least.set(interval);
     }
 
     /// Appends `record` and tells where it stands.
--- a/crates/platform/src/appender/pace.rs
+++ b/crates/platform/src/appender/pace.rs
@@ -1,5 +1,8 @@
-//! Time between appends: pushback doubles it, success shortens it again.
+//! Time between appends: pushback doubles it, success shortens it again, down to the appender's
+//! share of what the log takes.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use pumicecleat_types::Millis;
@@ -17,6 +20,8 @@
 
 pub(super) struct Pace {
     options: AppendOptions,
+    /// Shortest interval, which the appender's owner sets.
+    least: Rc<Cell<Duration>>,
     interval: Duration,
     /// No append starts before this.
     pub(super) due: Millis,
@@ -24,9 +29,10 @@
 }
 
 impl Pace {
-    pub(super) fn new(options: AppendOptions) -> Self {
+    pub(super) fn new(options: AppendOptions, least: Rc<Cell<Duration>>) -> Self {
         Self {
             options,
+            least,
             interval: options.interval,
             due: Millis(0),
             rng: ChaCha8Rng::seed_from_u64(options.seed),
@@ -35,13 +41,13 @@
 
     /// An append started.
     pub(super) fn start(&mut self, now: Millis) {
-        self.due = now + as_millis(self.interval);
+        self.due = now + as_millis(self.interval.max(self.least.get()));
     }
 
     /// The log took it.
     pub(super) fn speed_up(&mut self) {
         let shorter = self.interval.mul_f64(RECOVERY);
-        self.interval = shorter.max(self.options.interval);
+        self.interval = shorter.max(self.least.get());
     }
 
     /// The log asked for fewer, for `asked` if it told.
--- a/crates/platform/tests/platform/appender.rs
+++ b/crates/platform/tests/platform/appender.rs
@@ -205,3 +205,19 @@
         assert_eq!(log.data(), [vec![0]]);
     });
 }
+
+#[test]
+fn an_appender_keeps_to_its_share() {
+    with_client(|client| async move {
+        let timer = client.timer();
+        let log = FakeLog::new(timer, &[]);
+        let appender = start(&log, timer);
+        appender.set_interval(30 * MS);
+        assert_eq!(submit(&appender, 0).await, Told::Stood(0));
+        let start = timer.now();
+        assert_eq!(submit(&appender, 1).await, Told::Stood(1));
+        assert_eq!(submit(&appender, 2).await, Told::Stood(2));
+        // From the first append's start on, less a clock tick each.
+        assert!(timer.now().since(start).0 >= 28);
+    });
+}
--- a/crates/side/src/entries.rs
+++ b/crates/side/src/entries.rs
@@ -11,7 +11,7 @@
 use pumicecleat_types::{VmRole, VmState};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::state::State;
+use crate::state::{State, Upstream};
 
 /// Shortest time between two reads of the VM list.
 const PAUSE: Duration = Duration::from_secs(1);
@@ -97,6 +97,7 @@
                     listed = list.vms.len();
                     self.entries.take(&list);
                     self.look_for_own(&list);
+                    self.share_log(&list);
                 }
                 Err(e) if up => {
                     up = false;
@@ -114,6 +115,17 @@
         }
     }
 
+    /// The sides of one service share what the log takes of appends.
+    fn share_log(&self, list: &VmList) {
+        if let Some(Upstream::Service(_, keys)) = self.work().map(|w| w.upstream) {
+            let sides = list
+                .vms
+                .iter()
+                .filter(|v| v.pool.as_ref() == Some(self.pool()));
+            keys.set_sides(u32::try_from(sides.count()).unwrap_or(u32::MAX));
+        }
+    }
+
     fn look_for_own(&self, list: &VmList) {
         let own = list.vms.iter().find(|v| v.vm == *self.vm());
         if own.is_some_and(|v| v.state == VmState::Leaving) {
--- a/crates/side/src/keys/mod.rs
+++ b/crates/side/src/keys/mod.rs
@@ -25,7 +25,7 @@
 use pumicecleat_ledger::{Digest, Key, Limits};
 use pumicecleat_net::Timer;
 use pumicecleat_ops::Log as EventLog;
-use pumicecleat_platform::Log;
+use pumicecleat_platform::{AppendOptions, Log};
 use pumicecleat_types::{Millis, Reason, RequestId, ServiceId, VmId};
 
 use crate::state::wall_clock;
@@ -41,6 +41,7 @@
 /// Longest such wait; half of a call's time is left for another side.
 const OPEN_SPAN: Millis = Millis(10_000);
 const OPEN_PAUSE: Duration = Duration::from_millis(5);
+const SECOND: Duration = Duration::from_secs(1);
 /// Time between two looks for parts to close.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -59,6 +60,8 @@
     closed: RefCell<BTreeMap<u32, u64>>,
     /// Calls that wait for a part to open.
     waiting: Cell<usize>,
+    /// Appenders that share the service's rate: a side or so for each part.
+    sharers: Cell<u32>,
 }
 
 /// What keys are kept with.
@@ -70,6 +73,8 @@
     pub(crate) limits: Cell<Limits>,
     /// Time without calls after which a part is closed.
     pub(crate) idle: Millis,
+    /// Appends a second that the service's sides may make together.
+    pub(crate) rate: u32,
     pub(crate) log: Rc<dyn Log>,
     pub(crate) events: EventLog,
     pub(crate) timer: Timer,
@@ -97,6 +102,7 @@
             open: RefCell::default(),
             closed: RefCell::default(),
             waiting: Cell::new(0),
+            sharers: Cell::new(parts),
         };
         let keys = Self {
             state: Rc::new(state),
@@ -123,6 +129,25 @@
         }
     }
 
+    /// Takes the number of the service's sides. They share the rate of appends where all keys are
+    /// in one part; else each part's side has its part of it.
+    pub(crate) fn set_sides(&self, sides: u32) {
+        if self.state.parts > 1 {
+            return;
+        }
+        self.state.sharers.set(sides.max(1));
+        for part in self.state.open.borrow().values() {
+            part.set_interval(self.interval());
+        }
+    }
+
+    /// Shortest time between two appends to one part's stream.
+    fn interval(&self) -> Duration {
+        let rate = self.state.context.rate.max(1);
+        let share = SECOND * self.state.sharers.get() / rate;
+        share.max(AppendOptions::default().interval)
+    }
+
     /// Holds the part of a call's key, once it has caught up with the log.
     ///
     /// # Errors
@@ -172,6 +197,7 @@
         // A clock that was set back must not lead to a name that was used.
         let incarnation = last.map_or(context.incarnation, |l| wall_clock().0.max(l + 1));
         let part = Part::open(context, self.stream(at), incarnation);
+        part.set_interval(self.interval());
         self.state.open.borrow_mut().insert(at, part.clone());
         part
     }
--- a/crates/side/src/keys/part.rs
+++ b/crates/side/src/keys/part.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::ops::Deref;
 use std::rc::Rc;
+use std::time::Duration;
 
 use async_channel::Sender;
 use pumicecleat_ledger::{
@@ -134,6 +135,11 @@
         }
     }
 
+    /// Sets the shortest time between two appends.
+    pub(super) fn set_interval(&self, interval: Duration) {
+        self.state.appender.set_interval(interval);
+    }
+
     /// Notes that a call goes to the service now.
     pub(crate) fn sent(&self, won: Won) -> Result<Sent, StepError> {
         self.state.ledger.borrow_mut().sent(won, wall_clock())
--- a/crates/side/src/settings.rs
+++ b/crates/side/src/settings.rs
@@ -26,6 +26,8 @@
         entries: Vec<SocketAddr> = "", "ip:port,...";
         /// time the log keeps records; must be longer than the window of keys
         retention: Span = "48h", "span";
+        /// appends a second that the sides of one service make together at most
+        log_rate: u32 = "320", "appends";
         /// time without calls after which a part of a service's keys is read no more
         key_idle: Span = "60s", "span";
         /// longest time between two pieces of an engine's answer
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -269,6 +269,7 @@
         incarnation: state.incarnation,
         limits: Cell::new(limits),
         idle: millis(state.settings.key_idle.0),
+        rate: state.settings.log_rate,
         log,
         events: state.log.clone(),
         timer: state.timer.clone(),
