Keep less of each key in a ledger: one due, and one copy of names

Cause: at a window of an hour and 20 calls a second a side held 72,000 keys. Each held two entries in the order of forgetting, the second with its own copy of the key's text as decoded from the outcome's record, and each mark its own copy of its VM's and its caller's name. Now a key is in that order once for each intent; when its time comes and an outcome has prolonged it, it is set anew in its place.

--- a/crates/ledger/src/key.rs
+++ b/crates/ledger/src/key.rs
@@ -105,6 +105,15 @@
         self.minted
     }
 
+    /// The same key with another copy of its caller's name.
+    pub(crate) fn with_caller(&self, caller: CallerId) -> Self {
+        Self {
+            caller,
+            text: Arc::clone(&self.text),
+            minted: self.minted,
+        }
+    }
+
     /// Which of `parts` parts of a service's keys it is in, from 0. The same at every process of
     /// every version: keys would be forgotten else.
     #[must_use]
--- a/crates/ledger/src/ledger/book.rs
+++ b/crates/ledger/src/ledger/book.rs
@@ -8,6 +8,7 @@
 
 use pumicecleat_types::{Millis, Reason};
 
+use super::names::Names;
 use crate::{Abandon, Attempt, Digest, Done, Intent, Key, Outcome, Owner};
 
 /// One attempt as the stream shows it.
@@ -49,8 +50,10 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(super) struct Book {
     marks: BTreeMap<Key, Vec<Mark>>,
+    /// One for each intent, and one for each outcome whose intent was forgotten before it; by time.
     dues: VecDeque<Due>,
     bytes: usize,
+    names: Names,
 }
 
 impl Book {
@@ -89,7 +92,7 @@
     /// Notes an intent that counts until `until`.
     pub(super) fn open(&mut self, intent: &Intent, until: Millis) {
         let mark = Mark {
-            attempt: intent.attempt.clone(),
+            attempt: self.names.attempt(&intent.attempt),
             digest: intent.digest,
             deadline: intent.deadline,
             until,
@@ -124,9 +127,9 @@
             return;
         }
         mark.stage = stage;
+        // Its due comes too early now, and is set anew then.
         mark.until = until;
         self.bytes += done.outcome.size();
-        self.schedule(&done.key, until);
     }
 
     /// Forgets marks that no longer count at `at`.
@@ -134,9 +137,19 @@
         while let Some(due) = self.dues.pop_front_if(|d| d.until <= at) {
             self.bytes -= size_of::<Due>();
             self.prune(&due.key, at);
+            if let Some(until) = self.done_until(&due.key) {
+                self.schedule(due.key, until);
+            }
         }
     }
 
+    /// When the first of the key's outcomes no longer counts, if it has any.
+    fn done_until(&self, key: &Key) -> Option<Millis> {
+        let marks = self.marks.get(key)?;
+        let done = marks.iter().filter(|m| matches!(m.stage, Stage::Done(_)));
+        done.map(|m| m.until).min()
+    }
+
     /// Keys and marks.
     pub(super) fn counts(&self) -> (usize, usize) {
         (self.marks.len(), self.marks.values().map(Vec::len).sum())
@@ -167,17 +180,22 @@
     fn push(&mut self, key: &Key, mark: Mark) {
         let until = mark.until;
         self.bytes += mark.size(key);
+        let known = self
+            .marks
+            .get_key_value(key)
+            .map(|(known, _)| known.clone());
+        let key = known.unwrap_or_else(|| self.names.key(key));
         let marks = self.marks.entry(key.clone());
         // Nearly every key has one attempt.
         marks.or_insert_with(|| Vec::with_capacity(1)).push(mark);
         self.schedule(key, until);
     }
 
-    // Times of records never fall, so that dues stand in order.
-    fn schedule(&mut self, key: &Key, until: Millis) {
-        let key = key.clone();
+    // Times of records never fall, so that a due stands last, or, set anew, near the front.
+    fn schedule(&mut self, key: Key, until: Millis) {
         self.bytes += size_of::<Due>();
-        self.dues.push_back(Due { until, key });
+        let at = self.dues.partition_point(|d| d.until <= until);
+        self.dues.insert(at, Due { until, key });
     }
 
     fn prune(&mut self, key: &Key, at: Millis) {
--- a/crates/ledger/src/ledger/mod.rs
+++ b/crates/ledger/src/ledger/mod.rs
@@ -4,6 +4,7 @@
 mod book;
 mod dump;
 mod error;
+mod names;
 mod own;
 mod read;
 mod step;
