--- a/crates/measure/src/slopes/keys.rs
+++ b/crates/measure/src/slopes/keys.rs
@@ -93,15 +93,19 @@
 }
 
 fn full(keys: u32) -> Ledger {
+    ledger_of(0..keys)
+}
+
+/// Ledger that holds these calls of other sides.
+pub(super) fn ledger_of(calls: impl Iterator<Item = u32>) -> Ledger {
     let limits = Limits::new(HOUR, Millis(60_000), Millis(HOUR.0 * 2)).expect("they fit");
     let owner = Owner {
         vm: "centre-01-service-00001".into(),
         incarnation: NOW.0,
     };
     let mut ledger = Ledger::new(owner, limits, Span { first: 0, end: 0 });
-    for n in 0..keys {
+    for (offset, n) in (0..).zip(calls) {
         let data = Record::encode_batch(&pair(n));
-        let offset = u64::from(n);
         ledger.read(&LogRecord {
             offset,
             at: NOW.0,
@@ -111,6 +115,12 @@
     ledger
 }
 
+/// Bytes of a call's two appends.
+pub(super) fn append_bytes(n: u32) -> usize {
+    let appends = pair(n).map(|r| Record::encode_batch(&[r]).len());
+    appends.iter().sum()
+}
+
 /// Intent and outcome of a call of another side.
 fn pair(n: u32) -> [Record; 2] {
     let owner = Owner {
@@ -148,7 +158,7 @@
     assert!(matches!(admission, Admission::Claim(_)), "{admission:?}");
 }
 
-fn key(n: u32) -> Key {
+pub(super) fn key(n: u32) -> Key {
     let text = format!("hold-7b1e-4a02-9c55-{n:016}");
     Key::parse(&"caller-0001".into(), &text).expect("a key")
 }
--- a/crates/measure/src/slopes/mod.rs
+++ b/crates/measure/src/slopes/mod.rs
@@ -5,7 +5,7 @@
 //! less than it would wall time; a cost is the median of nine batches, printed with the least and
 //! the most. Memory is the growth of the process's resident pages over four copies.
 //!
-//! `report`, `vms`, `config`, `keys` and `order` measure one part each, and `idle` a whole entry
+//! `report`, `vms`, `config`, `keys` (with `split`) and `order` measure one part each, and `idle` a whole entry
 //! that only hears reports; `fleet` makes names and messages of the size to come, `clock` and
 //! `memory` measure, and `line` prints and fits.
 
@@ -19,6 +19,7 @@
 mod memory;
 mod order;
 mod report;
+mod split;
 mod vms;
 
 pub use args::{Part, Parts, SlopesArgs};
@@ -29,7 +30,12 @@
         match part {
             Part::Config => config::run(),
             Part::Idle => idle::run(args),
-            Part::Keys => keys::run(),
+            Part::Keys => {
+                // Kept, as memory that is freed would be reused.
+                let kept = split::run();
+                keys::run();
+                drop(kept);
+            }
             Part::Order => order::run(),
             Part::Report => report::run(),
             Part::Vms => vms::run(),
