Name a part's stream so that no other service's can have the name

Cause: names of pools may hold dots, so that part 3 of the pool booking and a pool booking.3 would have shared the stream intents.booking.3: a key of one caller used at both would have got the other's answer. The number stands before the name now: intents-3.booking. Found on reading, not by a test.

--- a/crates/side/src/keys/mod.rs
+++ b/crates/side/src/keys/mod.rs
@@ -207,7 +207,9 @@
         if self.state.parts == 1 {
             format!("intents.{service}")
         } else {
-            format!("intents.{service}.{at}")
+            // No other service's stream has this name: with the number last, a service could whose
+            // own name ends so.
+            format!("intents-{at}.{service}")
         }
     }
 
