--- a/crates/side/src/tune.rs
+++ b/crates/side/src/tune.rs
@@ -29,7 +29,7 @@
         };
         let (slots, batch, token_us) = match &pool.kind {
             PoolKind::Model { slots, batch, .. } => (*slots, *batch, FIRST_TOKEN),
-            PoolKind::Service { concurrency } => (0, *concurrency, FIRST_CALL),
+            PoolKind::Service { concurrency, .. } => (0, *concurrency, FIRST_CALL),
         };
         SchedulerOptions {
             slots,
@@ -73,6 +73,6 @@
     }
 }
 
-fn millis(span: Duration) -> Millis {
+pub(crate) fn millis(span: Duration) -> Millis {
     Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
 }
