Measure a change's way from the log to the sides of a region

Cause: that a change is in force within 17 s was worked out only. The new part of slopes runs real entries and sides in one process before the log's stand-in.

--- a/crates/measure/src/slopes/args.rs
+++ b/crates/measure/src/slopes/args.rs
@@ -8,20 +8,34 @@
 #[derive(FromArgs, Clone, Debug)]
 #[argh(subcommand, name = "slopes")]
 pub struct SlopesArgs {
-    /// parts to measure: all, or some of config, idle, keys, order, report, vms (default: all)
+    /// parts to measure: all, or some of change, config, idle, keys, order, report, vms (default: all)
     #[argh(option, default = "Parts::all()")]
     pub parts: Parts,
-    /// seconds that each size of `idle` is watched, a minute for the longest pace (default: 60)
+    /// seconds that each size of `change` and `idle` is watched, a minute for the longest pace (default: 60)
     #[argh(option, default = "60")]
     pub watch_s: u64,
     /// sides that report in `idle` (default: 180,325,650,1300,2600,7800)
     #[argh(option, default = "Sizes(vec![180, 325, 650, 1_300, 2_600, 7_800])")]
     pub sides: Sizes,
+    /// sides of the region in `change` (default: 80,160,325,650)
+    #[argh(option, default = "Sizes(vec![80, 160, 325, 650])")]
+    pub region: Sizes,
+    /// entries of the region in `change` (default: 57)
+    #[argh(option, default = "57")]
+    pub entries: u32,
+    /// entries beside them in `change` that take connections and never answer (default: 0)
+    #[argh(option, default = "0")]
+    pub dead: u32,
+    /// adapters declared in `change` (default: 24000)
+    #[argh(option, default = "24_000")]
+    pub adapters: u32,
 }
 
 /// Part of the measurement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Part {
+    /// A change on its way from the log to the sides.
+    Change,
     /// Configuration: the fold, changes, snapshots, the operator's command.
     Config,
     /// A running entry that only hears reports.
@@ -36,13 +50,14 @@
     Vms,
 }
 
-const ALL: [(&str, Part); 6] = [
+const ALL: [(&str, Part); 7] = [
     ("report", Part::Report),
     ("vms", Part::Vms),
     ("config", Part::Config),
     ("keys", Part::Keys),
     ("order", Part::Order),
     ("idle", Part::Idle),
+    ("change", Part::Change),
 ];
 
 /// Parts to measure.
--- /dev/null
+++ b/crates/measure/src/slopes/change/author.rs
@@ -0,0 +1,96 @@
+//! The author of changes: one adapter's new version at a time.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use pumicecleat_config::model::Config;
+use pumicecleat_config::{Change, ChangeId, Fold, Record};
+use pumicecleat_net::{Client, ClientOptions, Timer};
+use pumicecleat_platform::{HttpLog, Log, Peers};
+use pumicecleat_types::LogRecord;
+
+use super::Shared;
+use crate::slopes::fleet::{adapter, adapter_name};
+
+/// Stream of the configuration.
+const STREAM: &str = "config";
+
+/// Time between two changes: 39,000 a day.
+const PACE: Duration = Duration::from_millis(2_215);
+
+/// Longest wait for the log.
+const SPAN: Duration = Duration::from_secs(20);
+
+/// Author with what it knows of the configuration.
+struct Author {
+    records: HttpLog,
+    fold: Fold,
+    config: Config,
+}
+
+/// Appends changes to the log at `log` for a time, on a loop of its own.
+pub(super) fn run_for(log: String, adapters: u32, span: Duration, shared: &Arc<Shared>) {
+    let shared = Arc::clone(shared);
+    let ended = pumicecleat_net::run(async move {
+        let timer = Timer::start();
+        let client = Client::new_ext(ClientOptions::default(), &timer);
+        let records = HttpLog::new(&client, Peers::parse(&log), SPAN);
+        let mut author = Author::start(records).await;
+        let from = Instant::now();
+        let mut version = 0;
+        while from.elapsed() < span {
+            let next = timer.now() + pumicecleat_types::Millis(millis(PACE));
+            version += 1;
+            author.change(version, adapters, &shared).await;
+            timer.sleep_until(next).await;
+        }
+    });
+    ended.expect("a loop starts where others have");
+}
+
+impl Author {
+    /// Reads the first configuration.
+    async fn start(records: HttpLog) -> Self {
+        let read = records.read(STREAM, 0, 1, Duration::ZERO).await;
+        let mut fold = Fold::new();
+        for record in read.expect("the log answers").records {
+            fold.apply(&record).expect("the first record");
+        }
+        let config = fold.config().clone();
+        Self {
+            records,
+            fold,
+            config,
+        }
+    }
+
+    async fn change(&mut self, version: u32, adapters: u32, shared: &Shared) {
+        let n = version * 7 % adapters;
+        let declared = adapter(n, version);
+        self.config
+            .adapters
+            .insert(adapter_name(n).into(), declared);
+        let base = self.fold.revision();
+        let id = ChangeId::try_from(format!("change-{version}")).expect("a short id");
+        let change = Change::new(id, base, self.fold.config(), &self.config, "measure");
+        let data = Record::Change(Box::new(change)).to_bytes();
+        let offset = self.fold.next();
+        if let Ok(mut appended) = shared.appended.lock() {
+            appended.insert(offset + 1, Instant::now());
+        }
+        let appended = self.records.append(STREAM, vec![data.clone()]).await;
+        let first = appended.expect("the log takes a change").first;
+        assert_eq!(first, offset, "one author");
+        let record = LogRecord {
+            offset,
+            at: 0,
+            data,
+        };
+        self.fold.apply(&record).expect("in order");
+        assert_eq!(self.fold.revision(), offset + 1, "its change is accepted");
+    }
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/measure/src/slopes/idle/mod.rs
+++ b/crates/measure/src/slopes/idle/mod.rs
@@ -8,16 +8,15 @@
 
 mod sides;
 mod wire;
-mod world;
 
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use super::SlopesArgs;
 use super::line::{Figure, Sample, Series};
+use super::world::{Counts, World, start_entry, start_world};
 use crate::path::{Thread, resident};
 use sides::Sides;
-use world::{World, start_entry, start_world};
 
 /// Time for sides and entry to settle.
 const SETTLE: Duration = Duration::from_secs(9);
@@ -25,6 +24,9 @@
 /// Time in which sides talk to the stand-in.
 const WARM: Duration = Duration::from_secs(4);
 
+/// Adapters declared.
+const ADAPTERS: u32 = 24_000;
+
 /// Series of this part.
 struct All {
     core: Series,
@@ -62,12 +64,16 @@
 
 #[allow(clippy::cast_precision_loss, reason = "counts far below 2^52")]
 fn watch(all: &mut All, count: u32, span: Duration) {
-    let world: Thread<World> = Thread::start("world", move |told| start_world(count, told));
+    let counts = Counts {
+        adapters: ADAPTERS,
+        sides: count,
+    };
+    let world: Thread<World> = Thread::start("world", move |told| start_world(counts, told));
     let sides = Sides::start(count);
     sleep(WARM);
     let before = resident();
     let platform = world.told.clone();
-    let entry = Thread::start("entry", move |told| start_entry(platform, told));
+    let entry = Thread::start("entry", move |told| start_entry(platform, 1, told));
     sides.aim(&entry.told);
     sleep(SETTLE);
     let (time, sent, from) = (entry.time(), sides.sent(), Instant::now());
--- a/crates/measure/src/slopes/mod.rs
+++ b/crates/measure/src/slopes/mod.rs
@@ -6,10 +6,12 @@
 //! the most. Memory is the growth of the process's resident pages over four copies.
 //!
 //! `report`, `vms`, `config`, `keys` and `order` measure one part each, and `idle` a whole entry
-//! that only hears reports; `fleet` makes names and messages of the size to come, `clock` and
-//! `memory` measure, and `line` prints and fits.
+//! that only hears reports; `change` follows changes from the log to the sides of a region. `fleet`
+//! and `world` make names, messages and processes of the size to come, `clock` and `memory`
+//! measure, and `line` prints and fits.
 
 mod args;
+mod change;
 mod clock;
 mod config;
 mod fleet;
@@ -20,6 +22,7 @@
 mod order;
 mod report;
 mod vms;
+mod world;
 
 pub use args::{Part, Parts, SlopesArgs};
 
@@ -27,6 +30,7 @@
 pub fn run(args: &SlopesArgs) {
     for part in &args.parts.0 {
         match part {
+            Part::Change => change::run(args),
             Part::Config => config::run(),
             Part::Idle => idle::run(args),
             Part::Keys => keys::run(),
--- a/crates/measure/src/slopes/idle/world.rs
+++ b/crates/measure/src/slopes/world.rs
@@ -11,10 +11,7 @@
 use pumicecleat_platform::{HttpLog, Log as Records, Peers};
 use pumicecleat_standin::{VmList, VmListOptions};
 
-use crate::slopes::fleet::{config, listed};
-
-/// Adapters declared.
-const ADAPTERS: u32 = 24_000;
+use super::fleet::{config, listed};
 
 const PAUSE: Duration = Duration::from_millis(20);
 const SPAN: Duration = Duration::from_secs(20);
@@ -22,17 +19,27 @@
 /// Addresses of the platform.
 #[derive(Clone)]
 pub(super) struct World {
-    log: String,
+    /// Address of the log.
+    pub(super) log: String,
     vms: String,
 }
 
+/// Counts of a world.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Counts {
+    /// Adapters declared.
+    pub(super) adapters: u32,
+    /// Sides in the VM list.
+    pub(super) sides: u32,
+}
+
 /// Starts the log, with a configuration in it, and the VM list.
-pub(super) async fn start_world(sides: u32, told: mpsc::Sender<World>) {
+pub(super) async fn start_world(counts: Counts, told: mpsc::Sender<World>) {
     let timer = Timer::start();
     let options = pumicecleat_standin::LogOptions::default();
     let log = pumicecleat_standin::Log::start(options, &timer).expect("the log starts");
     let options = VmListOptions {
-        vms: (0..sides).map(listed).collect(),
+        vms: (0..counts.sides).map(listed).collect(),
         ..VmListOptions::default()
     };
     let vms = VmList::start(options, &timer).expect("the VM list starts");
@@ -40,15 +47,15 @@
         log: log.address.to_string(),
         vms: vms.address.to_string(),
     };
-    declare(&world.log, &timer).await;
+    declare(&world.log, counts.adapters, &timer).await;
     // The starter waits for it.
     let _ = told.send(world);
     std::future::pending::<()>().await;
 }
 
 /// Appends the configuration, and reads it once so that the log's buffers have their size.
-async fn declare(log: &str, timer: &Timer) {
-    let declared = config(ADAPTERS);
+async fn declare(log: &str, adapters: u32, timer: &Timer) {
+    let declared = config(adapters);
     let fold = Fold::new();
     let id = ChangeId::try_from("first".to_owned()).expect("a short id");
     let change = Change::new(id, 0, fold.config(), &declared, "measure");
@@ -62,10 +69,11 @@
 }
 
 /// Starts an entry and tells its peer address once it is ready.
-pub(super) async fn start_entry(world: World, told: mpsc::Sender<String>) {
+pub(super) async fn start_entry(world: World, index: u32, told: mpsc::Sender<String>) {
     let timer = Timer::start();
+    let vm = format!("entry-{index}");
     let args = [
-        ["--vm", "entry-1"],
+        ["--vm", &vm],
         ["--data-centre", "centre-01"],
         ["--region", "region-1"],
         ["--listen", "127.0.0.1:0"],
@@ -87,7 +95,8 @@
     entry.run().await;
 }
 
-fn quiet() -> Log {
+/// A log that says nothing.
+pub(super) fn quiet() -> Log {
     Log::new_ext(&LogOptions {
         level: Level::Off,
         ..LogOptions::default()
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -110,6 +110,12 @@
         self.state.readiness.is_ready()
     }
 
+    /// Revision of the configuration in force, 0 for none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.state.config.revision()
+    }
+
     /// State for people.
     #[must_use]
     pub fn dump(&self) -> crate::SideDump {
