Spread a side's reports to its entries over their pace

Cause: a change took up to the 9 s of the unasked look to be in force. A side starts all its reporters at once and entries give them all the same pace, so that all 57 reports, and the replies that tell of a newer revision, came in one moment of each pace: 7 s at 160 sides, 39 s at 1,300. Ruled out: entries without answer (the same figures with and without three of them), a want of open files (the same with entries as processes of their own).

--- a/crates/measure/src/slopes/args.rs
+++ b/crates/measure/src/slopes/args.rs
@@ -26,6 +26,12 @@
     /// entries beside them in `change` that take connections and never answer (default: 0)
     #[argh(option, default = "0")]
     pub dead: u32,
+    /// address of an empty log that entries of their own processes follow, for `change`
+    #[argh(option)]
+    pub log: Option<String>,
+    /// peer addresses of those entries, by commas
+    #[argh(option, default = "String::new()")]
+    pub peers: String,
     /// adapters declared in `change` (default: 24000)
     #[argh(option, default = "24_000")]
     pub adapters: u32,
--- a/crates/measure/src/slopes/change/author.rs
+++ b/crates/measure/src/slopes/change/author.rs
@@ -7,7 +7,6 @@
 use pumicecleat_config::{Change, ChangeId, Fold, Record};
 use pumicecleat_net::{Client, ClientOptions, Timer};
 use pumicecleat_platform::{HttpLog, Log, Peers};
-use pumicecleat_types::LogRecord;
 
 use super::Shared;
 use crate::slopes::fleet::{adapter, adapter_name};
@@ -18,6 +17,9 @@
 /// Time between two changes: 39,000 a day.
 const PACE: Duration = Duration::from_millis(2_215);
 
+/// Records of one read.
+const RECORDS: u32 = 256;
+
 /// Longest wait for the log.
 const SPAN: Duration = Duration::from_secs(20);
 
@@ -51,16 +53,28 @@
 impl Author {
     /// Reads the first configuration.
     async fn start(records: HttpLog) -> Self {
-        let read = records.read(STREAM, 0, 1, Duration::ZERO).await;
-        let mut fold = Fold::new();
-        for record in read.expect("the log answers").records {
-            fold.apply(&record).expect("the first record");
-        }
-        let config = fold.config().clone();
-        Self {
+        let mut author = Self {
             records,
-            fold,
-            config,
+            fold: Fold::new(),
+            config: Config::default(),
+        };
+        author.read_on().await;
+        author.config = author.fold.config().clone();
+        author
+    }
+
+    /// Reads the log to its end: entries append snapshots to it.
+    async fn read_on(&mut self) {
+        loop {
+            let from = self.fold.next();
+            let read = self.records.read(STREAM, from, RECORDS, Duration::ZERO);
+            let batch = read.await.expect("the log answers");
+            for record in &batch.records {
+                self.fold.apply(record).expect("in order");
+            }
+            if batch.records.is_empty() {
+                return;
+            }
         }
     }
 
@@ -74,20 +88,17 @@
         let id = ChangeId::try_from(format!("change-{version}")).expect("a short id");
         let change = Change::new(id, base, self.fold.config(), &self.config, "measure");
         let data = Record::Change(Box::new(change)).to_bytes();
-        let offset = self.fold.next();
-        if let Ok(mut appended) = shared.appended.lock() {
-            appended.insert(offset + 1, Instant::now());
+        let guess = self.fold.next() + 1;
+        let before = Instant::now();
+        shared.note(guess, before);
+        let appended = self.records.append(STREAM, vec![data]).await;
+        let revision = appended.expect("the log takes a change").first + 1;
+        if revision != guess {
+            shared.forget(guess);
+            shared.note(revision, before);
         }
-        let appended = self.records.append(STREAM, vec![data.clone()]).await;
-        let first = appended.expect("the log takes a change").first;
-        assert_eq!(first, offset, "one author");
-        let record = LogRecord {
-            offset,
-            at: 0,
-            data,
-        };
-        self.fold.apply(&record).expect("in order");
-        assert_eq!(self.fold.revision(), offset + 1, "its change is accepted");
+        self.read_on().await;
+        assert_eq!(self.fold.revision(), revision, "its change is accepted");
     }
 }
 
--- a/crates/measure/src/slopes/change/mod.rs
+++ b/crates/measure/src/slopes/change/mod.rs
@@ -1,7 +1,7 @@
 //! A change's way from the log to being in force at the sides of a region.
 //!
-//! Entries and sides are the real ones, in one process: an entry has a thread of its own, sides
-//! share a few. Sides know the entries from their settings and have no engine. One author appends
+//! Entries and sides are the real ones. An entry has a thread of its own, or is a process that
+//! `region.sh` started; sides share a few threads of this one. Sides know the entries from their settings and have no engine. One author appends
 //! changes at the rate of the size to come; each side's revision is looked at every 20 ms, and the
 //! time told is from just before the append. Entries that are dead take connections and say
 //! nothing, in a row in the order in which sides ask.
@@ -18,7 +18,7 @@
 use serde::Serialize;
 
 use super::SlopesArgs;
-use super::world::{Counts, World, start_entry, start_world};
+use super::world::{Counts, World, declare_in, start_entry, start_world};
 use crate::json::print;
 use crate::path::{Thread, resident};
 
@@ -43,6 +43,20 @@
     arrived: Mutex<Vec<u64>>,
 }
 
+impl Shared {
+    fn note(&self, revision: u64, at: Instant) {
+        if let Ok(mut appended) = self.appended.lock() {
+            appended.insert(revision, at);
+        }
+    }
+
+    fn forget(&self, revision: u64) {
+        if let Ok(mut appended) = self.appended.lock() {
+            appended.remove(&revision);
+        }
+    }
+}
+
 /// What one size showed.
 #[derive(Serialize)]
 struct Line {
@@ -51,7 +65,8 @@
     figure: &'static str,
     unit: &'static str,
     sides: u64,
-    entries: u32,
+    /// Entries, with the dead.
+    entries: usize,
     dead: u32,
     adapters: u32,
     changes: usize,
@@ -71,29 +86,50 @@
     }
 }
 
-fn watch(args: &SlopesArgs, count: u32) {
+/// Where the log and the entries are.
+struct Region {
+    log: String,
+    entries: Vec<String>,
+}
+
+/// Starts log and entries, or takes those of other processes.
+fn region(args: &SlopesArgs, count: u32) -> Region {
+    let adapters = args.adapters;
+    if let Some(log) = args.log.clone() {
+        let declared = Thread::start("declare", move |told| declare_in(log, adapters, told));
+        return Region {
+            log: declared.told,
+            entries: args.peers.split(',').map(str::to_owned).collect(),
+        };
+    }
     let counts = Counts {
-        adapters: args.adapters,
+        adapters,
         sides: count,
     };
     let world: Thread<World> = Thread::start("world", move |told| start_world(counts, told));
-    let dead: Vec<TcpListener> = (0..args.dead).map(|_| listen_only()).collect();
-    let mut entries: Vec<String> = dead.iter().map(address).collect();
-    for index in 0..args.entries {
+    let start = |index| {
         let platform = world.told.clone();
-        let entry = Thread::start("entry", move |told| start_entry(platform, index, told));
-        entries.push(entry.told);
+        Thread::start("entry", move |told| start_entry(platform, index, told)).told
+    };
+    Region {
+        log: world.told.log.clone(),
+        entries: (0..args.entries).map(start).collect(),
     }
+}
+
+fn watch(args: &SlopesArgs, count: u32) {
+    let Region { log, mut entries } = region(args, count);
+    let dead: Vec<TcpListener> = (0..args.dead).map(|_| listen_only()).collect();
+    entries.extend(dead.iter().map(address));
     let shared = Arc::new(Shared::default());
     let threads = sides::start(count, &entries, &shared);
     sleep(SETTLE);
-    let log = world.told.log.clone();
     let held = Arc::clone(&shared);
     let (adapters, span) = (args.adapters, Duration::from_secs(args.watch_s));
     let author = std::thread::spawn(move || author::run_for(log, adapters, span, &held));
     author.join().expect("the author appends to the end");
     sleep(TAIL);
-    report(args, count, &shared);
+    report(args, count, entries.len(), &shared);
     threads.stop();
 }
 
@@ -106,7 +142,7 @@
     local.to_string()
 }
 
-fn report(args: &SlopesArgs, count: u32, shared: &Shared) {
+fn report(args: &SlopesArgs, count: u32, entries: usize, shared: &Shared) {
     let changes = shared.appended.lock().map_or(0, |a| a.len());
     let mut times = shared.arrived.lock().map(|a| a.clone()).unwrap_or_default();
     times.sort_unstable();
@@ -121,7 +157,7 @@
         figure: "from the append until in force at a side",
         unit: "ms",
         sides: u64::from(count),
-        entries: args.entries,
+        entries,
         dead: args.dead,
         adapters: args.adapters,
         changes,
--- a/crates/measure/src/slopes/change/sides.rs
+++ b/crates/measure/src/slopes/change/sides.rs
@@ -16,8 +16,8 @@
 /// Time between two looks at the revisions.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Time between the starts of two sides of a thread.
-const PAUSE: Duration = Duration::from_millis(50);
+/// Time between the starts of two sides of a thread: each opens a connection to every entry.
+const PAUSE: Duration = Duration::from_millis(250);
 
 /// Sides until they are told to stop.
 pub(super) struct Running(Arc<AtomicBool>);
--- a/crates/measure/src/slopes/world.rs
+++ b/crates/measure/src/slopes/world.rs
@@ -53,6 +53,14 @@
     std::future::pending::<()>().await;
 }
 
+/// Declares the configuration in a log of its own process, and tells its address.
+pub(super) async fn declare_in(log: String, adapters: u32, told: mpsc::Sender<String>) {
+    declare(&log, adapters, &Timer::start()).await;
+    // The starter waits for it.
+    let _ = told.send(log);
+    std::future::pending::<()>().await;
+}
+
 /// Appends the configuration, and reads it once so that the log's buffers have their size.
 async fn declare(log: &str, adapters: u32, timer: &Timer) {
     let declared = config(adapters);
--- a/crates/side/src/report.rs
+++ b/crates/side/src/report.rs
@@ -9,6 +9,7 @@
 use futures_util::future::select;
 use pumicecleat_net::post;
 use pumicecleat_types::{LoadFigures, Millis, Report, ReportReply};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::state::State;
 use crate::station::Station;
@@ -110,7 +111,19 @@
         told.resident = (!reply.whole).then_some(resident);
         self.config.hear(reply.revision);
         let ms = if reply.whole { 0 } else { reply.next_ms };
-        Duration::from_millis(ms.clamp(*PACE.start(), *PACE.end()))
+        let pace = ms.clamp(*PACE.start(), *PACE.end());
+        self.spread(entry, pace)
+    }
+
+    /// Time until the next report at a pace: half to three halves of it, so that reports to different
+    /// entries come at different times. Their replies tell of a new configuration, and sent all
+    /// at once they would tell of it once in the whole pace.
+    fn spread(&self, entry: &str, pace: u64) -> Duration {
+        let seed = xxh3_64(self.vm().as_str().as_bytes());
+        let phase = xxh3_64_with_seed(entry.as_bytes(), seed) % pace;
+        let earliest = self.timer.now().0 + pace / 2;
+        let rest = (phase + pace - earliest % pace) % pace;
+        Duration::from_millis(pace / 2 + rest)
     }
 
     fn build_report(&self, resident: Option<Vec<String>>) -> Report {
