--- a/crates/side/src/config.rs
+++ b/crates/side/src/config.rs
@@ -163,6 +163,7 @@
         };
         let before = self.config.revision();
         let reply = post::<_, ConfigReply>(&self.client, entry, PATH, &ask, SPAN).await;
+        self.entries.note(entry, reply.is_ok());
         let Ok(reply) = reply else {
             return false;
         };
--- a/crates/side/src/entries.rs
+++ b/crates/side/src/entries.rs
@@ -30,13 +30,17 @@
     /// Lists in a row that lacked it.
     listed: RefCell<BTreeMap<String, u32>>,
     turn: Cell<usize>,
+    /// Those that did not answer last.
+    silent: RefCell<BTreeSet<String>>,
 }
 
 impl Entries {
-    /// Entries known from the start.
-    pub(crate) fn new(fixed: &[SocketAddr]) -> Self {
+    /// Entries known from the start; sides ask them from different ones on, by `seed`.
+    pub(crate) fn new(fixed: &[SocketAddr], seed: &str) -> Self {
+        let turn = usize::try_from(xxh3_64(seed.as_bytes())).unwrap_or(0);
         Self {
             fixed: fixed.iter().map(SocketAddr::to_string).collect(),
+            turn: Cell::new(turn),
             ..Self::default()
         }
     }
@@ -47,7 +51,17 @@
         self.fixed.iter().chain(listed.keys()).cloned().collect()
     }
 
-    /// Addresses, from another one on each time.
+    /// Notes whether an entry answered.
+    pub(crate) fn note(&self, entry: &str, answered: bool) {
+        let mut silent = self.silent.borrow_mut();
+        if answered {
+            silent.remove(entry);
+        } else if !silent.contains(entry) {
+            silent.insert(entry.to_owned());
+        }
+    }
+
+    /// Addresses, from another one on each time; those that did not answer last come last.
     pub(crate) fn shuffled(&self) -> Vec<String> {
         let mut all: Vec<String> = self.all().into_iter().collect();
         if !all.is_empty() {
@@ -56,6 +70,9 @@
             let middle = turn % all.len();
             all.rotate_left(middle);
         }
+        let silent = self.silent.borrow();
+        // Stable: the others keep their order.
+        all.sort_by_key(|e| silent.contains(e));
         all
     }
 
@@ -76,6 +93,8 @@
             listed.insert(vm.address.clone(), 0);
         }
         listed.retain(|_, absences| *absences < ABSENCES);
+        let mut silent = self.silent.borrow_mut();
+        silent.retain(|e| self.fixed.contains(e) || listed.contains_key(e));
     }
 }
 
--- a/crates/side/src/report.rs
+++ b/crates/side/src/report.rs
@@ -104,6 +104,7 @@
         let changed = told.resident.as_ref() != Some(&resident);
         let report = self.build_report(changed.then(|| resident.clone()));
         let reply = post::<_, ReportReply>(&self.client, entry, PATH, &report, SPAN).await;
+        self.entries.note(entry, reply.is_ok());
         let Ok(reply) = reply else {
             told.resident = None;
             return RETRY;
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -187,7 +187,7 @@
         readiness,
         drain: Drain::new(),
         config: Configuration::default(),
-        entries: Entries::new(&settings.entries),
+        entries: Entries::new(&settings.entries, settings.common.vm.as_str()),
         reporters: Reporters::default(),
         lengths: Lengths::default(),
         leaving: Cell::new(false),
