--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -120,6 +120,12 @@
         self.state.readiness.is_ready()
     }
 
+    /// Revision of the configuration in force, 0 for none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.state.config.revision()
+    }
+
     /// State for people.
     #[must_use]
     pub fn dump(&self) -> crate::SideDump {
@@ -198,7 +204,7 @@
         readiness,
         drain: Drain::new(),
         config: Configuration::default(),
-        entries: Entries::new(&settings.entries),
+        entries: Entries::new(&settings.entries, settings.common.vm.as_str()),
         reporters: Reporters::default(),
         lengths: Lengths::default(),
         leaving: Cell::new(false),
