--- a/crates/cli/tests/faults.rs
+++ b/crates/cli/tests/faults.rs
@@ -36,23 +36,15 @@
     strike: fn(&mut Fleet, usize),
 }
 
+const fn blow(name: &'static str, strike: fn(&mut Fleet, usize)) -> Blow {
+    Blow { name, strike }
+}
+
 const BLOWS: [Blow; 4] = [
-    Blow {
-        name: "engine killed",
-        strike: |f, n| f.engines[n].kill(),
-    },
-    Blow {
-        name: "engine frozen",
-        strike: |f, n| f.engines[n].signal("STOP"),
-    },
-    Blow {
-        name: "side killed",
-        strike: |f, n| f.engine_side(n).kill(),
-    },
-    Blow {
-        name: "side frozen",
-        strike: |f, n| f.engine_side(n).signal("STOP"),
-    },
+    blow("engine killed", |f, n| f.engines[n].kill()),
+    blow("engine frozen", |f, n| f.engines[n].signal("STOP")),
+    blow("side killed", |f, n| f.engine_side(n).kill()),
+    blow("side frozen", |f, n| f.engine_side(n).signal("STOP")),
 ];
 
 #[test]
--- a/crates/cli/tests/fleet/mod.rs
+++ b/crates/cli/tests/fleet/mod.rs
@@ -19,6 +19,13 @@
 /// Bearer key of the configuration.
 pub const KEY: &str = "demo-key";
 
+/// Any free port of loopback.
+const ANY: &str = "127.0.0.1:0";
+
+/// Flags that entries and sides share.
+const PLACE: &str =
+    "--data-centre bp-a --region hu-central --listen 127.0.0.1:0 --admin 127.0.0.1:0";
+
 /// A deployment of real processes.
 pub struct Fleet {
     pub log: Process,
@@ -106,28 +113,13 @@
         let vm = format!("entry-{n}");
         let peers: Vec<String> = self.entries.iter().map(|e| e.peer.clone()).collect();
         let peers = peers.join(",");
-        let args = [
-            "--vm",
-            &vm,
-            "--data-centre",
-            "bp-a",
-            "--region",
-            "hu-central",
-            "--listen",
-            "127.0.0.1:0",
-            "--peer-listen",
-            "127.0.0.1:0",
-            "--admin",
-            "127.0.0.1:0",
-            "--log",
-            &self.log.address,
-            "--vms",
-            &self.vms.address,
-            "--peers",
-            &peers,
-            "--retention",
-            self.retention,
-        ];
+        let (log, vms) = (&self.log.address, &self.vms.address);
+        let args = format!(
+            "--vm {vm} {PLACE} --peer-listen {ANY} --log {log} --vms {vms} --retention {}",
+            self.retention
+        );
+        let mut args: Vec<&str> = args.split(' ').collect();
+        args.extend(["--peers", &peers]);
         let entry = Process::entry(&args, self.trace_of(&vm).as_deref());
         self.list_vm(&vm, "entry", "live", &entry.peer, None);
         self.entries.push(entry);
@@ -147,30 +139,12 @@
     }
 
     fn start_side(&mut self, vm: &str, pool: &str, upstream: &str) {
-        let args = [
-            "--vm",
-            vm,
-            "--data-centre",
-            "bp-a",
-            "--region",
-            "hu-central",
-            "--listen",
-            "127.0.0.1:0",
-            "--admin",
-            "127.0.0.1:0",
-            "--slot",
-            "127.0.0.1:0",
-            "--pool",
-            pool,
-            "--upstream",
-            upstream,
-            "--log",
-            &self.log.address,
-            "--vms",
-            &self.vms.address,
-            "--stall",
-            "1s",
-        ];
+        let (log, vms) = (&self.log.address, &self.vms.address);
+        let args = format!(
+            "--vm {vm} {PLACE} --slot {ANY} --pool {pool} --upstream {upstream} --log {log} \
+             --vms {vms} --stall 1s"
+        );
+        let args: Vec<&str> = args.split(' ').collect();
         let side = Process::side(&args, self.trace_of(vm).as_deref());
         self.list_vm(vm, "upstream", "live", &side.address, Some(pool));
         self.sides.insert(vm.to_owned(), side);
--- a/crates/cli/tests/path.rs
+++ b/crates/cli/tests/path.rs
@@ -11,26 +11,18 @@
     lora: &'static str,
 }
 
+const fn asked(model: &'static str, lora: &'static str) -> Asked {
+    Asked { model, lora }
+}
+
 #[test]
 fn requests_are_answered_from_one_end_to_the_other() {
     let fleet = Fleet::start(&FleetOptions::default());
     let cases = [
-        Asked {
-            model: "sky-brief",
-            lora: "sky-brief@v2",
-        },
-        Asked {
-            model: "sky-brief@v1",
-            lora: "sky-brief@v1",
-        },
-        Asked {
-            model: "school-mail",
-            lora: "school-mail@v1",
-        },
-        Asked {
-            model: "itinerary@v1",
-            lora: "itinerary@v1",
-        },
+        asked("sky-brief", "sky-brief@v2"),
+        asked("sky-brief@v1", "sky-brief@v1"),
+        asked("school-mail", "school-mail@v1"),
+        asked("itinerary@v1", "itinerary@v1"),
     ];
     for case in &cases {
         let answer = fleet.chat(0, case.model, 6);
@@ -135,57 +127,46 @@
     status: u16,
 }
 
+const fn bad(
+    path: &'static str,
+    headers: &'static [(&'static str, &'static str)],
+    body: &'static str,
+    status: u16,
+) -> Bad {
+    Bad {
+        path,
+        headers,
+        body,
+        status,
+    }
+}
+
 const OK: &str = r#"{"model":"sky-brief","messages":[{"role":"user","content":"x"}]}"#;
 
 const BAD: [Bad; 8] = [
-    Bad {
-        path: "/v1/chat/completions",
-        headers: &[],
-        body: "{",
-        status: 400,
-    },
-    Bad {
-        path: "/v1/chat/completions",
-        headers: &[],
-        body: "{}",
-        status: 400,
-    },
-    Bad {
-        path: "/v1/chat/completions",
-        headers: &[],
-        body: r#"{"model":"none","messages":[{"role":"user","content":"x"}]}"#,
-        status: 404,
-    },
-    Bad {
-        path: "/v1/chat/completions",
-        headers: &[],
-        body: r#"{"model":"sky-brief@v9","messages":[{"role":"user","content":"x"}]}"#,
-        status: 404,
-    },
-    Bad {
-        path: "/v1/chat/completions",
-        headers: &[("x-deadline-ms", "soon")],
-        body: OK,
-        status: 400,
-    },
-    Bad {
-        path: "/nowhere",
-        headers: &[],
-        body: "{}",
-        status: 404,
-    },
-    Bad {
-        path: "/seats/hold",
-        headers: &[],
-        body: "{}",
-        status: 400,
-    },
-    Bad {
-        path: "/seats/hold",
-        headers: &[("idempotency-key", "")],
-        body: "{}",
-        status: 400,
-    },
+    bad("/v1/chat/completions", &[], "{", 400),
+    bad("/v1/chat/completions", &[], "{}", 400),
+    bad(
+        "/v1/chat/completions",
+        &[],
+        r#"{"model":"none","messages":[{"role":"user","content":"x"}]}"#,
+        404,
+    ),
+    bad(
+        "/v1/chat/completions",
+        &[],
+        r#"{"model":"sky-brief@v9","messages":[{"role":"user","content":"x"}]}"#,
+        404,
+    ),
+    bad(
+        "/v1/chat/completions",
+        &[("x-deadline-ms", "soon")],
+        OK,
+        400,
+    ),
+    bad("/nowhere", &[], "{}", 404),
+    bad("/seats/hold", &[], "{}", 400),
+    bad("/seats/hold", &[("idempotency-key", "")], "{}", 400),
 ];
 
 #[test]
--- a/crates/config/tests/fold/main.rs
+++ b/crates/config/tests/fold/main.rs
@@ -87,39 +87,19 @@
     kind: Kind,
 }
 
+const fn mutant(rule: Rule, kind: Kind) -> Mutant {
+    Mutant { rule, kind }
+}
+
 const MUTANTS: &[Mutant] = &[
-    Mutant {
-        rule: Rule::AnyBase,
-        kind: Kind::Sound,
-    },
-    Mutant {
-        rule: Rule::AnyResult,
-        kind: Kind::Sound,
-    },
-    Mutant {
-        rule: Rule::AnyDigest,
-        kind: Kind::Sound,
-    },
-    Mutant {
-        rule: Rule::LastVerdict,
-        kind: Kind::Sound,
-    },
-    Mutant {
-        rule: Rule::CountRevision,
-        kind: Kind::Sound,
-    },
-    Mutant {
-        rule: Rule::Sound,
-        kind: Kind::TakeSnapshots,
-    },
-    Mutant {
-        rule: Rule::Sound,
-        kind: Kind::SkipGaps,
-    },
-    Mutant {
-        rule: Rule::Sound,
-        kind: Kind::Reread,
-    },
+    mutant(Rule::AnyBase, Kind::Sound),
+    mutant(Rule::AnyResult, Kind::Sound),
+    mutant(Rule::AnyDigest, Kind::Sound),
+    mutant(Rule::LastVerdict, Kind::Sound),
+    mutant(Rule::CountRevision, Kind::Sound),
+    mutant(Rule::Sound, Kind::TakeSnapshots),
+    mutant(Rule::Sound, Kind::SkipGaps),
+    mutant(Rule::Sound, Kind::Reread),
 ];
 
 /// Whether a log shows the mutant: read in order, with each record twice, or from the middle on.
@@ -153,10 +133,7 @@
 #[test]
 fn mutants_are_found() {
     let logs = logs();
-    let sound = Mutant {
-        rule: Rule::Sound,
-        kind: Kind::Sound,
-    };
+    let sound = mutant(Rule::Sound, Kind::Sound);
     assert!(!logs.iter().any(|log| shows(log, &sound)));
     for mutant in MUTANTS {
         let found = logs.iter().any(|log| shows(log, mutant));
--- a/crates/entry/tests/entry/config.rs
+++ b/crates/entry/tests/entry/config.rs
@@ -109,7 +109,7 @@
             "without log and peers it must not guess"
         );
 
-        world.log.set_faults(LogFaults::default());
+        world.log.inject(|_| {});
         let newer = world.apply(&config_with(MORE)).await;
         let all = [&first, &alone, &second];
         world
--- a/crates/entry/tests/entry/part.rs
+++ b/crates/entry/tests/entry/part.rs
@@ -5,7 +5,6 @@
 
 use pumicecleat_entry::Parts;
 use pumicecleat_platform::{AppendError, Appended, Batch, Local, Log, ReadError};
-use pumicecleat_standin::LogFaults;
 
 use crate::world::{World, case, config_with};
 
@@ -51,10 +50,7 @@
         };
         let behind = world.start_with(&[], &parts);
         world.until(|| behind.entry.revision() == 1).await;
-        world.log.set_faults(LogFaults {
-            down: true,
-            ..LogFaults::default()
-        });
+        world.log.inject(|f| f.down = true);
         let peer = behind.entry.addresses().peers.to_string();
         let starter = world.start(&["--peers", &peer]);
         world.timer.sleep(Duration::from_secs(2)).await;
--- a/crates/entry/tests/entry/world.rs
+++ b/crates/entry/tests/entry/world.rs
@@ -20,6 +20,9 @@
 use crate::script::Act;
 use crate::side::FakeSide;
 
+/// Any free port of loopback.
+const ANY: &str = "127.0.0.1:0";
+
 /// Pool of the model of most cases.
 pub(crate) const POOL: &str = "engines";
 
@@ -160,22 +163,11 @@
 
     fn settings(&self, args: &[&str]) -> EntrySettings {
         let log = self.log.address.to_string();
-        let mut all = vec![
-            "--vm",
-            "entry-1",
-            "--data-centre",
-            "bp-a",
-            "--region",
-            "hu-central",
-            "--listen",
-            "127.0.0.1:0",
-            "--peer-listen",
-            "127.0.0.1:0",
-            "--admin",
-            "127.0.0.1:0",
-            "--log",
-            &log,
-        ];
+        let flags = format!(
+            "--vm entry-1 --data-centre bp-a --region hu-central --listen {ANY} --peer-listen {ANY} \
+             --admin {ANY} --log {log}"
+        );
+        let mut all: Vec<&str> = flags.split(' ').collect();
         all.extend(args);
         EntrySettings::read("entry", &all, &std::collections::BTreeMap::new()).unwrap()
     }
--- a/crates/ledger/tests/decisions.rs
+++ b/crates/ledger/tests/decisions.rs
@@ -208,23 +208,15 @@
     decision: Decision,
 }
 
+const fn age(minted: u64, decision: Decision) -> AgeCase {
+    AgeCase { minted, decision }
+}
+
 const AGES: &[AgeCase] = &[
-    AgeCase {
-        minted: START - WINDOW,
-        decision: Decision::Refuse(Reason::KeyExpired),
-    },
-    AgeCase {
-        minted: START - WINDOW + 1,
-        decision: Decision::Claim,
-    },
-    AgeCase {
-        minted: START + AHEAD,
-        decision: Decision::Claim,
-    },
-    AgeCase {
-        minted: START + AHEAD + 1,
-        decision: Decision::Refuse(Reason::KeyInvalid),
-    },
+    age(START - WINDOW, Decision::Refuse(Reason::KeyExpired)),
+    age(START - WINDOW + 1, Decision::Claim),
+    age(START + AHEAD, Decision::Claim),
+    age(START + AHEAD + 1, Decision::Refuse(Reason::KeyInvalid)),
 ];
 
 #[test]
--- a/crates/ledger/tests/keys.rs
+++ b/crates/ledger/tests/keys.rs
@@ -13,6 +13,14 @@
     minted: Option<u64>,
 }
 
+const fn key_case(
+    text: &'static str,
+    key: Result<&'static str, KeyError>,
+    minted: Option<u64>,
+) -> KeyCase {
+    KeyCase { text, key, minted }
+}
+
 fn key_cases() -> Vec<KeyCase> {
     let strange = |found| KeyError::Character {
         caller: caller(),
@@ -20,56 +28,24 @@
     };
     let empty = KeyError::Empty { caller: caller() };
     vec![
-        KeyCase {
-            text: "seat-41",
-            key: Ok("seat-41"),
-            minted: None,
-        },
-        KeyCase {
-            text: "\"seat-41\"",
-            key: Ok("seat-41"),
-            minted: None,
-        },
-        KeyCase {
-            text: "",
-            key: Err(empty.clone()),
-            minted: None,
-        },
-        KeyCase {
-            text: "\"\"",
-            key: Err(empty),
-            minted: None,
-        },
-        KeyCase {
-            text: "\"",
-            key: Err(strange('"')),
-            minted: None,
-        },
-        KeyCase {
-            text: "seat 41",
-            key: Err(strange(' ')),
-            minted: None,
-        },
-        KeyCase {
-            text: "seat\n41",
-            key: Err(strange('\n')),
-            minted: None,
-        },
-        KeyCase {
-            text: "szék",
-            key: Err(strange('é')),
-            minted: None,
-        },
-        KeyCase {
-            text: "017f22e2-79b0-7cc3-98c4-dc0c0c07398f",
-            key: Ok("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"),
-            minted: Some(1_645_557_742_000),
-        },
-        KeyCase {
-            text: "919108f7-52d1-4320-9bac-f847db4148a8",
-            key: Ok("919108f7-52d1-4320-9bac-f847db4148a8"),
-            minted: None,
-        },
+        key_case("seat-41", Ok("seat-41"), None),
+        key_case("\"seat-41\"", Ok("seat-41"), None),
+        key_case("", Err(empty.clone()), None),
+        key_case("\"\"", Err(empty), None),
+        key_case("\"", Err(strange('"')), None),
+        key_case("seat 41", Err(strange(' ')), None),
+        key_case("seat\n41", Err(strange('\n')), None),
+        key_case("szék", Err(strange('é')), None),
+        key_case(
+            "017f22e2-79b0-7cc3-98c4-dc0c0c07398f",
+            Ok("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"),
+            Some(1_645_557_742_000),
+        ),
+        key_case(
+            "919108f7-52d1-4320-9bac-f847db4148a8",
+            Ok("919108f7-52d1-4320-9bac-f847db4148a8"),
+            None,
+        ),
     ]
 }
 
@@ -170,32 +146,16 @@
     body: &'static [u8],
 }
 
+const fn call_case(method: &'static str, path: &'static str, body: &'static [u8]) -> CallCase {
+    CallCase { method, path, body }
+}
+
 const CALLS: &[CallCase] = &[
-    CallCase {
-        method: "POST",
-        path: "/holds",
-        body: b"1",
-    },
-    CallCase {
-        method: "PUT",
-        path: "/holds",
-        body: b"1",
-    },
-    CallCase {
-        method: "POST",
-        path: "/holds1",
-        body: b"",
-    },
-    CallCase {
-        method: "POST",
-        path: "/hold",
-        body: b"s1",
-    },
-    CallCase {
-        method: "POST/",
-        path: "holds",
-        body: b"1",
-    },
+    call_case("POST", "/holds", b"1"),
+    call_case("PUT", "/holds", b"1"),
+    call_case("POST", "/holds1", b""),
+    call_case("POST", "/hold", b"s1"),
+    call_case("POST/", "holds", b"1"),
 ];
 
 #[test]
--- a/crates/ledger/tests/model/main.rs
+++ b/crates/ledger/tests/model/main.rs
@@ -17,6 +17,10 @@
 
 const SAME: Spec = Spec { body: 0 };
 const OTHER: Spec = Spec { body: 1 };
+const ONE: &[Spec] = &[SAME];
+const PAIR: &[Spec] = &[SAME, SAME];
+const RIVALS: &[Spec] = &[SAME, OTHER];
+const MIXED: &[Spec] = &[SAME, SAME, OTHER];
 
 struct Bound {
     name: &'static str,
@@ -24,140 +28,74 @@
     budget: Budget,
 }
 
-const BOUNDS: &[Bound] = &[
+const fn bound(name: &'static str, calls: &'static [Spec], budget: Budget) -> Bound {
     Bound {
-        name: "other body",
-        calls: &[SAME, OTHER],
-        budget: Budget {
+        name,
+        calls,
+        budget,
+    }
+}
+
+const BOUNDS: &[Bound] = &[
+    bound(
+        "other body",
+        RIVALS,
+        Budget {
             outages: 1,
             ..Budget::NONE
         },
-    },
-    Bound {
-        name: "lost answer, crash",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            crashes: 1,
-            losses: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "lost reply, crash",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            cuts: 1,
-            crashes: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "deadline",
-        calls: &[SAME, OTHER],
-        budget: Budget {
-            ticks: &[LATE],
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "late start after a trim",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            crashes: 1,
-            ticks: &[GONE],
-            trims: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "trim within a window",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            ticks: &[LONG, LATE],
-            trims: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "missed send, lost answer",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            losses: 1,
+    ),
+    bound("lost answer, crash", PAIR, Budget::CRASH.losses(1)),
+    bound("lost reply, crash", PAIR, Budget::CUT.crashes(1)),
+    bound("deadline", RIVALS, Budget::NONE.ticks(&[LATE])),
+    bound(
+        "late start after a trim",
+        PAIR,
+        Budget::CRASH.ticks(&[GONE]).trims(1),
+    ),
+    bound(
+        "trim within a window",
+        PAIR,
+        Budget::NONE.ticks(&[LONG, LATE]).trims(1),
+    ),
+    bound(
+        "missed send, lost answer",
+        PAIR,
+        Budget {
             misses: 1,
-            ..Budget::NONE
+            ..Budget::LOSS
         },
-    },
-    Bound {
-        name: "three calls",
-        calls: &[SAME, SAME, OTHER],
-        budget: Budget::NONE,
-    },
+    ),
+    bound("three calls", MIXED, Budget::NONE),
 ];
 
 const DEEP: &[Bound] = &[
-    Bound {
-        name: "two lost replies",
-        calls: &[SAME, SAME],
-        budget: Budget {
+    bound(
+        "two lost replies",
+        PAIR,
+        Budget {
             cuts: 2,
             ..Budget::NONE
         },
-    },
-    Bound {
-        name: "lost reply and answer, crash",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            cuts: 1,
-            crashes: 1,
-            losses: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "two crashes",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            cuts: 1,
-            crashes: 2,
-            losses: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "crash, trim within a window",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            crashes: 1,
-            ticks: &[LONG, LATE],
-            trims: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "three calls, crash",
-        calls: &[SAME, SAME, OTHER],
-        budget: Budget {
-            crashes: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "three calls, lost reply",
-        calls: &[SAME, SAME, SAME],
-        budget: Budget {
-            cuts: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "three calls, trim within a window",
-        calls: &[SAME, SAME, SAME],
-        budget: Budget {
-            ticks: &[LONG, LATE],
-            trims: 1,
-            ..Budget::NONE
-        },
-    },
+    ),
+    bound(
+        "lost reply and answer, crash",
+        PAIR,
+        Budget::CUT.crashes(1).losses(1),
+    ),
+    bound("two crashes", PAIR, Budget::CUT.crashes(2).losses(1)),
+    bound(
+        "crash, trim within a window",
+        PAIR,
+        Budget::CRASH.ticks(&[LONG, LATE]).trims(1),
+    ),
+    bound("three calls, crash", MIXED, Budget::CRASH),
+    bound("three calls, lost reply", &[SAME, SAME, SAME], Budget::CUT),
+    bound(
+        "three calls, trim within a window",
+        &[SAME, SAME, SAME],
+        Budget::NONE.ticks(&[LONG, LATE]).trims(1),
+    ),
 ];
 
 fn run(bound: &Bound) -> Report {
@@ -199,141 +137,50 @@
     budget: Budget,
 }
 
-const MUTANTS: &[Mutant] = &[
-    Mutant {
-        slip: Slip::SendUnread,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget::NONE,
-    },
-    Mutant {
-        slip: Slip::ResendOpen,
-        breaks: "I1",
-        calls: &[SAME],
-        budget: Budget {
-            crashes: 1,
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::ReadFromEnd,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            crashes: 1,
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::ShortWindow,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            ticks: &[LATE],
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::ShortLog,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            crashes: 1,
-            ticks: &[LATE],
-            trims: 1,
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::TakeOver,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            ticks: &[LATE],
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::TakeOver,
-        breaks: "I5",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            ticks: &[LATE],
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::SendLate,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            ticks: &[GONE],
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::DenyOnCut,
-        breaks: "I2",
-        calls: &[SAME],
-        budget: Budget {
-            cuts: 1,
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::DenyOnCrash,
-        breaks: "I2",
-        calls: &[SAME],
-        budget: Budget {
-            crashes: 1,
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::DenySent,
-        breaks: "I2",
-        calls: &[SAME],
-        budget: Budget::NONE,
-    },
+const fn mutant(
+    slip: Slip,
+    breaks: &'static str,
+    calls: &'static [Spec],
+    budget: Budget,
+) -> Mutant {
     Mutant {
-        slip: Slip::MissSent,
-        breaks: "I2",
-        calls: &[SAME],
-        budget: Budget {
+        slip,
+        breaks,
+        calls,
+        budget,
+    }
+}
+
+const MUTANTS: &[Mutant] = &[
+    mutant(Slip::SendUnread, "I1", PAIR, Budget::NONE),
+    mutant(Slip::ResendOpen, "I1", ONE, Budget::CRASH),
+    mutant(Slip::ReadFromEnd, "I1", PAIR, Budget::CRASH),
+    mutant(Slip::ShortWindow, "I1", PAIR, Budget::NONE.ticks(&[LATE])),
+    mutant(
+        Slip::ShortLog,
+        "I1",
+        PAIR,
+        Budget::CRASH.ticks(&[LATE]).trims(1),
+    ),
+    mutant(Slip::TakeOver, "I1", PAIR, Budget::NONE.ticks(&[LATE])),
+    mutant(Slip::TakeOver, "I5", PAIR, Budget::NONE.ticks(&[LATE])),
+    mutant(Slip::SendLate, "I1", PAIR, Budget::NONE.ticks(&[GONE])),
+    mutant(Slip::DenyOnCut, "I2", ONE, Budget::CUT),
+    mutant(Slip::DenyOnCrash, "I2", ONE, Budget::CRASH),
+    mutant(Slip::DenySent, "I2", ONE, Budget::NONE),
+    mutant(
+        Slip::MissSent,
+        "I2",
+        ONE,
+        Budget {
             misses: 1,
             ..Budget::NONE
         },
-    },
-    Mutant {
-        slip: Slip::InventAnswer,
-        breaks: "I3",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            losses: 1,
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::BlankDigest,
-        breaks: "I4",
-        calls: &[SAME, OTHER],
-        budget: Budget::NONE,
-    },
-    Mutant {
-        slip: Slip::NeverGiveUp,
-        breaks: "L1",
-        calls: &[SAME],
-        budget: Budget {
-            cuts: 1,
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::ForgetOwed,
-        breaks: "L2",
-        calls: &[SAME, SAME],
-        budget: Budget::NONE,
-    },
+    ),
+    mutant(Slip::InventAnswer, "I3", PAIR, Budget::LOSS),
+    mutant(Slip::BlankDigest, "I4", RIVALS, Budget::NONE),
+    mutant(Slip::NeverGiveUp, "L1", ONE, Budget::CUT),
+    mutant(Slip::ForgetOwed, "L2", PAIR, Budget::NONE),
 ];
 
 #[test]
--- a/crates/ledger/tests/model/world.rs
+++ b/crates/ledger/tests/model/world.rs
@@ -106,6 +106,34 @@
         trims: 0,
         misses: 0,
     };
+    pub const CUT: Self = Self {
+        cuts: 1,
+        ..Self::NONE
+    };
+    pub const CRASH: Self = Self {
+        crashes: 1,
+        ..Self::NONE
+    };
+    pub const LOSS: Self = Self {
+        losses: 1,
+        ..Self::NONE
+    };
+
+    pub const fn crashes(self, crashes: u8) -> Self {
+        Self { crashes, ..self }
+    }
+
+    pub const fn losses(self, losses: u8) -> Self {
+        Self { losses, ..self }
+    }
+
+    pub const fn ticks(self, ticks: &'static [u64]) -> Self {
+        Self { ticks, ..self }
+    }
+
+    pub const fn trims(self, trims: u8) -> Self {
+        Self { trims, ..self }
+    }
 }
 
 /// What a caller was told.
--- a/crates/measure/tests/policy_rig.rs
+++ b/crates/measure/tests/policy_rig.rs
@@ -8,51 +8,22 @@
     flags: &'static [&'static str],
 }
 
+const fn case(name: &'static str, flags: &'static [&'static str]) -> Case {
+    Case { name, flags }
+}
+
 const CASES: &[Case] = &[
-    Case {
-        name: "no fault",
-        flags: &[],
-    },
-    Case {
-        name: "shift",
-        flags: &["--shift"],
-    },
-    Case {
-        name: "flood",
-        flags: &["--flood"],
-    },
-    Case {
-        name: "cold restart",
-        flags: &["--fault", "cold-restart"],
-    },
-    Case {
-        name: "failed loads",
-        flags: &["--fault", "failed-loads"],
-    },
-    Case {
-        name: "slow store",
-        flags: &["--fault", "store-slow"],
-    },
-    Case {
-        name: "store down",
-        flags: &["--fault", "store-down"],
-    },
-    Case {
-        name: "late reports",
-        flags: &["--fault", "late-reports"],
-    },
-    Case {
-        name: "leaving",
-        flags: &["--fault", "leaving"],
-    },
-    Case {
-        name: "centre lost",
-        flags: &["--fault", "centre-lost"],
-    },
-    Case {
-        name: "no load order",
-        flags: &["--fault", "order-down"],
-    },
+    case("no fault", &[]),
+    case("shift", &["--shift"]),
+    case("flood", &["--flood"]),
+    case("cold restart", &["--fault", "cold-restart"]),
+    case("failed loads", &["--fault", "failed-loads"]),
+    case("slow store", &["--fault", "store-slow"]),
+    case("store down", &["--fault", "store-down"]),
+    case("late reports", &["--fault", "late-reports"]),
+    case("leaving", &["--fault", "leaving"]),
+    case("centre lost", &["--fault", "centre-lost"]),
+    case("no load order", &["--fault", "order-down"]),
 ];
 
 /// Lines of one short seed: five policies, their summaries and the ratios.
--- a/crates/net/tests/scan.rs
+++ b/crates/net/tests/scan.rs
@@ -125,47 +125,21 @@
     data: &'static [&'static str],
 }
 
+const fn case(text: &'static str, data: &'static [&'static str]) -> Case {
+    Case { text, data }
+}
+
 const CASES: &[Case] = &[
-    Case {
-        text: "data: a\n\n",
-        data: &["a"],
-    },
-    Case {
-        text: "data:a\r\n\r\ndata: b\n\n",
-        data: &["a", "b"],
-    },
-    Case {
-        text: "data: a\ndata: b\n\n",
-        data: &["a\nb"],
-    },
-    Case {
-        text: "data:  a\n\n",
-        data: &[" a"],
-    },
-    Case {
-        text: "data:\n\n",
-        data: &[""],
-    },
-    Case {
-        text: "event: x\nid: 7\ndata: a\n\n",
-        data: &["a"],
-    },
-    Case {
-        text: ": comment\n\n",
-        data: &[""],
-    },
-    Case {
-        text: "data: a\n",
-        data: &[],
-    },
-    Case {
-        text: "data: a\r\n\r",
-        data: &[],
-    },
-    Case {
-        text: "\n\n",
-        data: &["", ""],
-    },
+    case("data: a\n\n", &["a"]),
+    case("data:a\r\n\r\ndata: b\n\n", &["a", "b"]),
+    case("data: a\ndata: b\n\n", &["a\nb"]),
+    case("data:  a\n\n", &[" a"]),
+    case("data:\n\n", &[""]),
+    case("event: x\nid: 7\ndata: a\n\n", &["a"]),
+    case(": comment\n\n", &[""]),
+    case("data: a\n", &[]),
+    case("data: a\r\n\r", &[]),
+    case("\n\n", &["", ""]),
 ];
 
 #[test]
--- a/crates/ops/tests/admin.rs
+++ b/crates/ops/tests/admin.rs
@@ -26,30 +26,34 @@
     parts: &'static [&'static str],
 }
 
-const CASES: &[Case] = &[
-    Case {
-        method: "GET",
-        path: "/healthz",
-        status: 200,
-        parts: &["ok"],
-    },
-    Case {
-        method: "GET",
-        path: "/readyz",
-        status: 503,
-        parts: &[r#"{"ready":false,"unmet":[{"condition":"config","reason":"log is down"}]}"#],
-    },
-    Case {
-        method: "GET",
-        path: "/dump",
-        status: 200,
-        parts: &[r#"{"revision":7}"#],
-    },
+const fn case(
+    method: &'static str,
+    path: &'static str,
+    status: u16,
+    parts: &'static [&'static str],
+) -> Case {
     Case {
-        method: "GET",
-        path: "/metrics",
-        status: 200,
-        parts: &[
+        method,
+        path,
+        status,
+        parts,
+    }
+}
+
+const CASES: &[Case] = &[
+    case("GET", "/healthz", 200, &["ok"]),
+    case(
+        "GET",
+        "/readyz",
+        503,
+        &[r#"{"ready":false,"unmet":[{"condition":"config","reason":"log is down"}]}"#],
+    ),
+    case("GET", "/dump", 200, &[r#"{"revision":7}"#]),
+    case(
+        "GET",
+        "/metrics",
+        200,
+        &[
             "pumicecleat_loads_total 3\n",
             "pumicecleat_open{kind=\"stream\"} 2\n",
             "pumicecleat_wait_seconds_bucket{le=\"0.1\",kind=\"stream\"} 1\n",
@@ -59,31 +63,11 @@
             "pumicecleat_process_uptime_seconds ",
             "# EOF\n",
         ],
-    },
-    Case {
-        method: "GET",
-        path: "/other",
-        status: 404,
-        parts: &["/metrics"],
-    },
-    Case {
-        method: "GET",
-        path: "/",
-        status: 404,
-        parts: &["/dump"],
-    },
-    Case {
-        method: "POST",
-        path: "/dump",
-        status: 405,
-        parts: &["only GET"],
-    },
-    Case {
-        method: "DELETE",
-        path: "/healthz",
-        status: 405,
-        parts: &["only GET"],
-    },
+    ),
+    case("GET", "/other", 404, &["/metrics"]),
+    case("GET", "/", 404, &["/dump"]),
+    case("POST", "/dump", 405, &["only GET"]),
+    case("DELETE", "/healthz", 405, &["only GET"]),
 ];
 
 fn metrics() -> Metrics {
--- a/crates/ops/tests/stop.rs
+++ b/crates/ops/tests/stop.rs
@@ -31,16 +31,8 @@
             .with_file_name("examples")
             .join("daemon");
         let mut child = Command::new(example)
-            .args([
-                "--vm",
-                "v1",
-                "--data-centre",
-                "bp-a",
-                "--region",
-                "hu",
-                "--admin",
-            ])
-            .args(["127.0.0.1:0", "--log-format", "json", "--ticks", ticks])
+            .args("--vm v1 --data-centre bp-a --region hu --admin 127.0.0.1:0".split(' '))
+            .args(["--log-format", "json", "--ticks", ticks])
             .args(["--drain-limit", limit])
             .stderr(Stdio::piped())
             .spawn()
@@ -143,47 +135,30 @@
     whole: bool,
 }
 
-const CASES: &[Case] = &[
-    Case {
-        ticks: "50",
-        limit: "60s",
-        signals: &["TERM"],
-        status: 0,
-        end: "E1032",
-        whole: true,
-    },
-    Case {
-        ticks: "50",
-        limit: "60s",
-        signals: &["INT"],
-        status: 0,
-        end: "E1032",
-        whole: true,
-    },
-    Case {
-        ticks: "5000",
-        limit: "300ms",
-        signals: &["TERM"],
-        status: 1,
-        end: "E1033",
-        whole: false,
-    },
-    Case {
-        ticks: "5000",
-        limit: "60s",
-        signals: &["TERM", "TERM"],
-        status: 1,
-        end: "E1034",
-        whole: false,
-    },
+const fn case(
+    ticks: &'static str,
+    limit: &'static str,
+    signals: &'static [&'static str],
+    status: i32,
+    end: &'static str,
+    whole: bool,
+) -> Case {
     Case {
-        ticks: "5000",
-        limit: "60s",
-        signals: &["TERM", "INT"],
-        status: 1,
-        end: "E1034",
-        whole: false,
-    },
+        ticks,
+        limit,
+        signals,
+        status,
+        end,
+        whole,
+    }
+}
+
+const CASES: &[Case] = &[
+    case("50", "60s", &["TERM"], 0, "E1032", true),
+    case("50", "60s", &["INT"], 0, "E1032", true),
+    case("5000", "300ms", &["TERM"], 1, "E1033", false),
+    case("5000", "60s", &["TERM", "TERM"], 1, "E1034", false),
+    case("5000", "60s", &["TERM", "INT"], 1, "E1034", false),
 ];
 
 #[test]
--- a/crates/platform/tests/platform/http.rs
+++ b/crates/platform/tests/platform/http.rs
@@ -16,7 +16,7 @@
     AppendError, Fault, HttpLog, HttpStore, HttpVms, Log, Peers, ReadError, Store, StoreError, Vms,
 };
 use pumicecleat_standin::{
-    Log as LogStandin, LogFaults, LogOptions, Store as StoreStandin, StoreFaults, StoreOptions,
+    Log as LogStandin, LogFaults, LogOptions, Store as StoreStandin, StoreOptions,
     VmList as VmsStandin, VmListOptions,
 };
 use pumicecleat_types::{VmEntry, VmRole, VmState};
@@ -148,16 +148,10 @@
         assert_eq!((batch.first, batch.next), (0, 2));
         let read: Vec<_> = batch.records.into_iter().map(|r| r.data).collect();
         assert_eq!(read, data);
-        standin.set_faults(LogFaults {
-            lose_replies: 1,
-            ..LogFaults::default()
-        });
+        standin.inject(|f| f.lose_replies = 1);
         let lost = log.append("config", vec![vec![1]]).await.unwrap_err();
         assert!(matches!(lost, AppendError::Lost { .. }), "{lost}");
-        standin.set_faults(LogFaults {
-            reject: 1,
-            ..LogFaults::default()
-        });
+        standin.inject(|f| f.reject = 1);
         let refused = log.append("config", vec![vec![2]]).await.unwrap_err();
         assert!(matches!(refused, AppendError::Refused { .. }), "{refused}");
         assert!(refused.retry().is_some());
@@ -187,10 +181,7 @@
     with_client(|client| async move {
         let (standin, log) = start_log(&client);
         log.append("config", vec![vec![1]; 4]).await.unwrap();
-        standin.set_faults(LogFaults {
-            trim_before: [("config".to_owned(), 3)].into(),
-            ..LogFaults::default()
-        });
+        standin.inject(|f| f.trim_before = [("config".to_owned(), 3)].into());
         let error = log.read("config", 2, 1, Duration::ZERO).await.unwrap_err();
         assert!(
             matches!(
@@ -218,10 +209,7 @@
         let peers = format!("{}, {}", closed_address(), standin.address);
         let log = log_at(&client, &peers);
         log.append("config", vec![vec![1]]).await.unwrap();
-        standin.set_faults(LogFaults {
-            lose_replies: 1,
-            ..LogFaults::default()
-        });
+        standin.inject(|f| f.lose_replies = 1);
         let lost = log.append("config", vec![vec![2]]).await.unwrap_err();
         assert!(matches!(lost, AppendError::Lost { .. }), "{lost}");
         let batch = log.read("config", 0, 10, Duration::ZERO).await.unwrap();
@@ -233,10 +221,7 @@
 fn a_silent_log_is_lost() {
     with_client(|client| async move {
         let (standin, _) = start_log(&client);
-        standin.set_faults(LogFaults {
-            stall: true,
-            ..LogFaults::default()
-        });
+        standin.inject(|f| f.stall = true);
         let peers = Peers::parse(&standin.address.to_string());
         let log = HttpLog::new(&client, peers, 50 * MS);
         let error = log.append("config", vec![vec![1]]).await.unwrap_err();
@@ -312,20 +297,14 @@
         let standin = StoreStandin::start(StoreOptions::default(), client.timer()).unwrap();
         let peers = Peers::parse(&standin.address.to_string());
         let store = HttpStore::new(&client, peers, SPAN);
-        standin.set_faults(StoreFaults {
-            missing: ["sowing/v4".to_owned()].into(),
-            ..StoreFaults::default()
-        });
+        standin.inject(|f| f.missing = ["sowing/v4".to_owned()].into());
         assert!(store.exists("sowing/v3").await.unwrap());
         assert!(!store.exists("sowing/v4").await.unwrap());
         for path in ["../secret", "a//b", "a?b", ""] {
             let error = store.exists(path).await.unwrap_err();
             assert!(matches!(error, StoreError::Failed { .. }), "{error}");
         }
-        standin.set_faults(StoreFaults {
-            down: true,
-            ..StoreFaults::default()
-        });
+        standin.inject(|f| f.down = true);
         let busy = store.exists("sowing/v3").await.unwrap_err();
         assert!(
             matches!(busy, StoreError::Busy { retry: Some(_), .. }),
--- a/crates/side/tests/behind.rs
+++ b/crates/side/tests/behind.rs
@@ -2,9 +2,7 @@
 
 mod bench;
 
-use bench::Bench;
-use pumicecleat_net::run;
-use pumicecleat_types::Frame;
+use bench::{is_whole, with_bench};
 
 const MORE: &str = "
 [adapter.d]
@@ -14,16 +12,12 @@
 
 #[test]
 fn an_attempt_of_a_newer_revision_is_decided_by_it() {
-    run(async {
-        let bench = Bench::start();
-        let side = bench.model_side("vm-1");
-        bench.until_healthy("vm-1").await;
+    with_bench(|bench| async move {
+        let side = bench.ready_model_side("vm-1").await;
         bench.declare_more(MORE);
         let attempt = bench.chat("r", "d", 2, false);
         assert_eq!(attempt.head.revision, 2);
         let frames = bench.frames(&side, &attempt).await;
-        let whole = matches!(frames.last(), Some(Frame::End { .. }));
-        assert!(whole, "{frames:?}");
-    })
-    .unwrap();
+        assert!(is_whole(&frames), "{frames:?}");
+    });
 }
--- a/crates/side/tests/bench/mod.rs
+++ b/crates/side/tests/bench/mod.rs
@@ -13,7 +13,7 @@
 use pumicecleat_config::{Change, ChangeId, Fold, Record, Source, parse};
 use pumicecleat_net::{
     Client, ClientOptions, FrameReader, Handler, Incoming, Protocol, Reply, Server, ServerOptions,
-    Timer, bind, peer_reply, plain_reply, read_all,
+    Timer, bind, peer_reply, plain_reply, read_all, run,
 };
 use pumicecleat_ops::{Log as EventLog, LogOptions, Settings};
 use pumicecleat_side::{Side, SideSettings};
@@ -29,6 +29,9 @@
 /// Longest wait of any step of a test.
 pub const SPAN: Duration = Duration::from_secs(20);
 
+/// Any free port of loopback.
+const ANY: &str = "127.0.0.1:0";
+
 const CONFIG: &str = "
 [base.m]
 context = 4096
@@ -190,6 +193,13 @@
         self.side(vm, "lm", &upstream)
     }
 
+    /// The same, once the entry heard that its engine is healthy.
+    pub async fn ready_model_side(&self, vm: &str) -> Side {
+        let side = self.model_side(vm);
+        self.until_healthy(vm).await;
+        side
+    }
+
     /// A side of the pool of services.
     pub fn service_side(&self, vm: &str) -> Side {
         let upstream = self.service.address.to_string();
@@ -198,32 +208,13 @@
 
     fn side(&self, vm: &str, pool: &str, upstream: &str) -> Side {
         let log = self.log.address.to_string();
-        let args = [
-            "--vm",
-            vm,
-            "--data-centre",
-            "bp-a",
-            "--region",
-            "hu-central",
-            "--listen",
-            "127.0.0.1:0",
-            "--admin",
-            "127.0.0.1:0",
-            "--slot",
-            "127.0.0.1:0",
-            "--pool",
-            pool,
-            "--upstream",
-            upstream,
-            "--log",
-            &log,
-            "--entries",
-            &self.entry,
-            "--stall",
-            "500ms",
-            "--log-level",
-            "off",
-        ];
+        let entry = &self.entry;
+        let args = format!(
+            "--vm {vm} --data-centre bp-a --region hu-central --listen {ANY} --admin {ANY} --slot {ANY} \
+             --pool {pool} --upstream {upstream} --log {log} --entries {entry} --stall 500ms \
+             --log-level off"
+        );
+        let args: Vec<&str> = args.split(' ').collect();
         let settings = SideSettings::read("side", &args, &BTreeMap::new()).unwrap();
         let log = EventLog::new_ext(&LogOptions::default());
         Side::start(settings, &self.timer, &log).unwrap()
@@ -375,13 +366,23 @@
         seen: Rc::clone(seen),
         timer: timer.clone(),
     };
-    let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = bind(ANY.parse().unwrap()).unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let server = Server::new_ext(ServerOptions::default(), Rc::new(handler), timer);
     monoio::spawn(async move { server.serve(listener).await });
     address
 }
 
+/// Runs a case on a loop of its own, with stand-ins of its own.
+pub fn with_bench<F: Future<Output = ()>>(work: impl FnOnce(Bench) -> F) {
+    run(async { work(Bench::start()).await }).unwrap();
+}
+
+/// Whether an answer came to its proper end.
+pub fn is_whole(frames: &[Frame]) -> bool {
+    matches!(frames.last(), Some(Frame::End { .. }))
+}
+
 /// Bytes of the data frames.
 pub fn body_of(frames: &[Frame]) -> Vec<u8> {
     let pieces = frames.iter().filter_map(|f| match f {
--- a/crates/side/tests/callers.rs
+++ b/crates/side/tests/callers.rs
@@ -4,8 +4,7 @@
 
 use std::time::Duration;
 
-use bench::{Bench, SPAN, body_of};
-use pumicecleat_net::run;
+use bench::{Bench, SPAN, body_of, with_bench};
 use pumicecleat_side::Side;
 use pumicecleat_types::Frame;
 
@@ -59,9 +58,8 @@
 #[test]
 fn no_caller_gets_anothers_answer_by_its_key() {
     for case in CASES {
-        run(async {
+        with_bench(|bench| async move {
             let name = case.name;
-            let bench = Bench::start();
             let side = bench.service_side("vm-1");
             bench.until_healthy("vm-1").await;
             let warm = until_keys_work(&bench, &side);
@@ -73,7 +71,6 @@
             assert_ne!(body_of(&first), body_of(&other), "{name}");
             let again = call(&bench, &side, "school", KEY, case.bodies[0]).await;
             assert_eq!(body_of(&again), body_of(&first), "{name}");
-        })
-        .unwrap();
+        });
     }
 }
--- a/crates/side/tests/evict.rs
+++ b/crates/side/tests/evict.rs
@@ -2,9 +2,7 @@
 
 mod bench;
 
-use bench::Bench;
-use pumicecleat_net::run;
-use pumicecleat_types::Frame;
+use bench::{is_whole, with_bench};
 
 /// More than the engine gives within the test.
 const TOKENS: u32 = 4_000;
@@ -12,15 +10,12 @@
 /// An earlier side that lives on, or an operator's own call, runs what this side believes idle.
 #[test]
 fn what_another_runs_at_the_engine_is_not_evicted() {
-    run(async {
-        let bench = Bench::start();
-        let earlier = bench.model_side("vm-1");
-        bench.until_healthy("vm-1").await;
+    with_bench(|bench| async move {
+        let earlier = bench.ready_model_side("vm-1").await;
         bench
             .frames(&earlier, &bench.chat("warm", "a", 1, false))
             .await;
-        let side = bench.model_side("vm-2");
-        bench.until_healthy("vm-2").await;
+        let side = bench.ready_model_side("vm-2").await;
         let mut reader = bench
             .send(&earlier, &bench.chat("long", "a", TOKENS, true))
             .await;
@@ -29,13 +24,11 @@
             let frames = bench
                 .frames(&side, &bench.chat(adapter, adapter, 2, false))
                 .await;
-            let whole = matches!(frames.last(), Some(Frame::End { .. }));
-            assert!(whole, "{adapter}: {frames:?}");
+            assert!(is_whole(&frames), "{adapter}: {frames:?}");
         }
         let effects = bench.effects(bench.engine.address).await;
         let runs = effects["runs"].as_array().unwrap();
         assert!(runs.iter().any(|r| r["state"] == "running"), "{effects}");
         assert_eq!(effects["counters"]["evicted_in_use"], 0, "{effects}");
-    })
-    .unwrap();
+    });
 }
--- a/crates/side/tests/keys.rs
+++ b/crates/side/tests/keys.rs
@@ -123,70 +123,57 @@
 
 struct Fault {
     name: &'static str,
-    log: fn(&mut LogFaults),
-    service: fn(&mut ServiceFaults),
+    faults: fn(&mut LogFaults, &mut ServiceFaults),
     allowed: fn(&Told) -> bool,
     /// Effects that may have been seen.
     effects: std::ops::RangeInclusive<u64>,
 }
 
-const FAULTS: [Fault; 8] = [
-    Fault {
-        name: "append reply lost",
-        log: |f| f.lose_replies = 1,
-        service: |_| {},
-        allowed: |t| *t == Told::Whole(false),
-        effects: 1..=1,
-    },
-    Fault {
-        name: "appends refused",
-        log: |f| f.reject = 3,
-        service: |_| {},
-        allowed: |t| *t == Told::NotRun(Reason::LogDown),
-        effects: 0..=0,
-    },
-    Fault {
-        name: "log down",
-        log: |f| f.down = true,
-        service: |_| {},
-        allowed: |t| *t == Told::NotRun(Reason::LogDown),
-        effects: 0..=0,
-    },
-    Fault {
-        name: "log stalls",
-        log: |f| f.stall = true,
-        service: |_| {},
-        allowed: |t| *t == Told::NotRun(Reason::LogDown),
-        effects: 0..=0,
-    },
-    Fault {
-        name: "answer lost",
-        log: |_| {},
-        service: |f| f.lose_answers = 1,
-        allowed: |t| *t == Told::Unknown,
-        effects: 1..=1,
-    },
-    Fault {
-        name: "answer cut",
-        log: |_| {},
-        service: |f| f.truncate = 1,
-        allowed: |t| *t == Told::Unknown,
-        effects: 1..=1,
-    },
-    Fault {
-        name: "fails after the effect",
-        log: |_| {},
-        service: |f| f.fail_after = 1,
-        allowed: |t| *t == Told::Whole(false),
-        effects: 1..=1,
-    },
+const fn fault(
+    name: &'static str,
+    faults: fn(&mut LogFaults, &mut ServiceFaults),
+    allowed: fn(&Told) -> bool,
+    effects: std::ops::RangeInclusive<u64>,
+) -> Fault {
     Fault {
-        name: "service freezes",
-        log: |_| {},
-        service: |f| f.freeze = true,
-        allowed: |t| *t == Told::Unknown,
-        effects: 0..=1,
-    },
+        name,
+        faults,
+        allowed,
+        effects,
+    }
+}
+
+fn is_fresh(told: &Told) -> bool {
+    *told == Told::Whole(false)
+}
+
+fn is_log_down(told: &Told) -> bool {
+    *told == Told::NotRun(Reason::LogDown)
+}
+
+fn is_unknown(told: &Told) -> bool {
+    *told == Told::Unknown
+}
+
+const FAULTS: [Fault; 8] = [
+    fault(
+        "append reply lost",
+        |f, _| f.lose_replies = 1,
+        is_fresh,
+        1..=1,
+    ),
+    fault("appends refused", |f, _| f.reject = 3, is_log_down, 0..=0),
+    fault("log down", |f, _| f.down = true, is_log_down, 0..=0),
+    fault("log stalls", |f, _| f.stall = true, is_log_down, 0..=0),
+    fault("answer lost", |_, f| f.lose_answers = 1, is_unknown, 1..=1),
+    fault("answer cut", |_, f| f.truncate = 1, is_unknown, 1..=1),
+    fault(
+        "fails after the effect",
+        |_, f| f.fail_after = 1,
+        is_fresh,
+        1..=1,
+    ),
+    fault("service freezes", |_, f| f.freeze = true, is_unknown, 0..=1),
 ];
 
 #[test]
@@ -194,18 +181,16 @@
     for fault in FAULTS {
         run(async {
             let pair = pair().await;
-            let mut log = LogFaults::default();
-            (fault.log)(&mut log);
+            let (mut log, mut service) = Default::default();
+            (fault.faults)(&mut log, &mut service);
             pair.bench.log.set_faults(log);
-            let mut service = ServiceFaults::default();
-            (fault.service)(&mut service);
             pair.bench.service.set_faults(service);
             let mut run = pair.bench.call("r", "/holds", Some("k"), "x");
             run.head.left_ms = 1_500;
             let first = told(&pair.bench.frames(&pair.sides[0], &run).await);
             assert!((fault.allowed)(&first), "{}: {first:?}", fault.name);
-            pair.bench.log.set_faults(LogFaults::default());
-            pair.bench.service.set_faults(ServiceFaults::default());
+            pair.bench.log.inject(|_| {});
+            pair.bench.service.inject(|_| {});
             let effects = pair.effects("k").await;
             assert!(
                 fault.effects.contains(&effects),
--- a/crates/side/tests/large.rs
+++ b/crates/side/tests/large.rs
@@ -7,8 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use bench::{Bench, SPAN, body_of};
-use pumicecleat_net::run;
+use bench::{Bench, SPAN, body_of, with_bench};
 use pumicecleat_side::Side;
 use pumicecleat_types::{Frame, Ran};
 
@@ -62,8 +61,7 @@
 
 #[test]
 fn a_repeat_whose_answer_was_not_kept_is_told_so() {
-    run(async {
-        let bench = Bench::start();
+    with_bench(|bench| async move {
         let side = bench.service_side_at("vm-1", start_service());
         bench.until_healthy("vm-1").await;
         let warm = until_keys_work(&bench, &side);
@@ -77,6 +75,5 @@
         let [Frame::Broken { ran: Ran::Yes, .. }] = &again[..] else {
             panic!("{again:?}");
         };
-    })
-    .unwrap();
+    });
 }
--- a/crates/side/tests/leave.rs
+++ b/crates/side/tests/leave.rs
@@ -5,12 +5,10 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use bench::{Bench, SPAN, body_of};
+use bench::{Bench, SPAN, body_of, is_whole, with_bench};
 use futures_util::future::join;
-use pumicecleat_net::run;
 use pumicecleat_ops::{DrainEnd, Stop};
 use pumicecleat_side::Side;
-use pumicecleat_standin::ServiceFaults;
 use pumicecleat_types::{Frame, Reason, RunRequest};
 
 /// More than the engine gives within `PAUSE` and `OPEN`.
@@ -60,17 +58,13 @@
 #[test]
 fn a_leaving_side_refuses_new_work_and_ends_what_it_runs() {
     for case in CASES {
-        run(async {
-            let bench = Bench::start();
+        with_bench(|bench| async move {
             let side = match case.vm {
                 "vm-1" => bench.model_side(case.vm),
                 _ => bench.service_side(case.vm),
             };
             bench.until_healthy(case.vm).await;
-            bench.service.set_faults(ServiceFaults {
-                freeze: true,
-                ..ServiceFaults::default()
-            });
+            bench.service.inject(|f| f.freeze = true);
             let mut reader = bench.send(&side, &(case.running)(&bench)).await;
             let waiting = until_running(&bench, &side);
             bench.timer.within(SPAN, waiting).await.unwrap();
@@ -86,7 +80,7 @@
                 let late = bench.frames(&side, &(case.late)(&bench)).await;
                 bench.timer.sleep(OPEN).await;
                 goes_on.set(true);
-                bench.service.set_faults(ServiceFaults::default());
+                bench.service.inject(|_| {});
                 let mut frames = Vec::new();
                 while let Some(frame) = bench.next(&mut reader).await {
                     frames.push(frame);
@@ -100,13 +94,11 @@
                 panic!("{name}: {late:?}");
             };
             assert_eq!(refusal.reason, Reason::Leaving, "{name}");
-            let whole = matches!(frames.last(), Some(Frame::End { .. }));
-            assert!(whole, "{name}: {frames:?}");
+            assert!(is_whole(&frames), "{name}: {frames:?}");
             if name == "model" {
                 let text = body_of(&frames);
                 assert!(text.ends_with(b"data: [DONE]\n\n"), "{name}");
             }
-        })
-        .unwrap();
+        });
     }
 }
--- a/crates/side/tests/model.rs
+++ b/crates/side/tests/model.rs
@@ -4,8 +4,7 @@
 
 use std::time::Duration;
 
-use bench::{Bench, body_of};
-use pumicecleat_net::run;
+use bench::{body_of, is_whole, with_bench};
 use pumicecleat_standin::{ChatMessage, EngineFaults, expected_tokens};
 use pumicecleat_types::{Frame, Ran, Reason};
 
@@ -24,10 +23,8 @@
 
 #[test]
 fn an_absent_adapter_is_loaded_and_answers_whole() {
-    run(async {
-        let bench = Bench::start();
-        let side = bench.model_side("vm-1");
-        bench.until_healthy("vm-1").await;
+    with_bench(|bench| async move {
+        let side = bench.ready_model_side("vm-1").await;
         for adapter in ["a", "b", "c", "a"] {
             let frames = bench
                 .frames(&side, &bench.chat(adapter, adapter, 5, false))
@@ -36,25 +33,19 @@
                 matches!(frames.first(), Some(Frame::Head { status: 200, .. })),
                 "{frames:?}"
             );
-            assert!(
-                matches!(frames.last(), Some(Frame::End { .. })),
-                "{frames:?}"
-            );
+            assert!(is_whole(&frames), "{frames:?}");
             assert_eq!(whole_text(&frames), expected(adapter, 5));
         }
         let effects = bench.effects(bench.engine.address).await;
         assert_eq!(effects["counters"]["evicted_in_use"], 0);
         assert_eq!(effects["counters"]["loads"], 4);
-    })
-    .unwrap();
+    });
 }
 
 #[test]
 fn a_stream_gives_each_token_and_its_end() {
-    run(async {
-        let bench = Bench::start();
-        let side = bench.model_side("vm-1");
-        bench.until_healthy("vm-1").await;
+    with_bench(|bench| async move {
+        let side = bench.ready_model_side("vm-1").await;
         let frames = bench.frames(&side, &bench.chat("r", "a", 20, true)).await;
         let text = String::from_utf8(body_of(&frames)).unwrap();
         assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
@@ -63,9 +54,8 @@
             "tokens come one by one: {}",
             frames.len()
         );
-        assert!(matches!(frames.last(), Some(Frame::End { .. })));
-    })
-    .unwrap();
+        assert!(is_whole(&frames));
+    });
 }
 
 struct Fault {
@@ -76,6 +66,20 @@
     ends: fn(&Frame) -> bool,
 }
 
+const fn fault(
+    name: &'static str,
+    faults: fn(&mut EngineFaults),
+    stream: bool,
+    ends: fn(&Frame) -> bool,
+) -> Fault {
+    Fault {
+        name,
+        faults,
+        stream,
+        ends,
+    }
+}
+
 fn is_broken(frame: &Frame) -> bool {
     matches!(frame, Frame::Broken { ran, .. } if *ran != Ran::No)
 }
@@ -85,63 +89,34 @@
 }
 
 const FAULTS: [Fault; 7] = [
-    Fault {
-        name: "other model, whole",
-        faults: |f| f.wrong_model = 1,
-        stream: false,
-        ends: is_broken,
-    },
-    Fault {
-        name: "other model, stream",
-        faults: |f| f.wrong_model = 1,
-        stream: true,
-        ends: is_broken,
-    },
-    Fault {
-        name: "cut, whole",
-        faults: |f| f.truncate = 1,
-        stream: false,
-        ends: is_broken,
-    },
-    Fault {
-        name: "cut, stream",
-        faults: |f| f.truncate = 1,
-        stream: true,
-        ends: is_broken,
-    },
-    Fault {
-        name: "dies",
-        faults: |f| f.die_after_tokens = Some(2),
-        stream: true,
-        ends: is_broken,
-    },
-    Fault {
-        name: "freezes",
-        faults: |f| f.freeze = true,
-        stream: true,
-        ends: is_broken,
-    },
-    Fault {
-        name: "refuses",
-        faults: |f| f.refuse = 1,
-        stream: false,
-        ends: is_refused,
-    },
+    fault(
+        "other model, whole",
+        |f| f.wrong_model = 1,
+        false,
+        is_broken,
+    ),
+    fault(
+        "other model, stream",
+        |f| f.wrong_model = 1,
+        true,
+        is_broken,
+    ),
+    fault("cut, whole", |f| f.truncate = 1, false, is_broken),
+    fault("cut, stream", |f| f.truncate = 1, true, is_broken),
+    fault("dies", |f| f.die_after_tokens = Some(2), true, is_broken),
+    fault("freezes", |f| f.freeze = true, true, is_broken),
+    fault("refuses", |f| f.refuse = 1, false, is_refused),
 ];
 
 #[test]
 fn a_wrong_or_broken_answer_is_never_whole() {
     for fault in FAULTS {
-        run(async {
-            let bench = Bench::start();
-            let side = bench.model_side("vm-1");
-            bench.until_healthy("vm-1").await;
+        with_bench(|bench| async move {
+            let side = bench.ready_model_side("vm-1").await;
             bench
                 .frames(&side, &bench.chat("warm", "a", 1, false))
                 .await;
-            let mut faults = EngineFaults::default();
-            (fault.faults)(&mut faults);
-            bench.engine.set_faults(faults);
+            bench.engine.inject(fault.faults);
             let mut run = bench.chat("r", "a", 8, fault.stream);
             run.head.left_ms = 2_000;
             let frames = bench.frames(&side, &run).await;
@@ -150,8 +125,7 @@
                 "{}: {frames:?}",
                 fault.name
             );
-        })
-        .unwrap();
+        });
     }
 }
 
@@ -192,10 +166,8 @@
             reason: Reason::Deadline,
         },
     ];
-    run(async {
-        let bench = Bench::start();
-        let side = bench.model_side("vm-1");
-        bench.until_healthy("vm-1").await;
+    with_bench(|bench| async move {
+        let side = bench.ready_model_side("vm-1").await;
         for case in cases {
             let mut run = bench.chat("r", "a", 1, false);
             (case.change)(&mut run);
@@ -209,16 +181,13 @@
             bench.effects(bench.engine.address).await["runs"],
             serde_json::json!([])
         );
-    })
-    .unwrap();
+    });
 }
 
 #[test]
 fn an_entry_that_leaves_ends_its_work_at_the_engine() {
-    run(async {
-        let bench = Bench::start();
-        let side = bench.model_side("vm-1");
-        bench.until_healthy("vm-1").await;
+    with_bench(|bench| async move {
+        let side = bench.ready_model_side("vm-1").await;
         let mut reader = bench.send(&side, &bench.chat("r", "a", 10_000, true)).await;
         for _ in 0..3 {
             bench.next(&mut reader).await.unwrap();
@@ -234,16 +203,13 @@
             .within(bench::SPAN, aborted)
             .await
             .expect("the engine goes on");
-    })
-    .unwrap();
+    });
 }
 
 #[test]
 fn a_restarted_side_evicts_nothing_that_still_runs() {
-    run(async {
-        let bench = Bench::start();
-        let first = bench.model_side("vm-1");
-        bench.until_healthy("vm-1").await;
+    with_bench(|bench| async move {
+        let first = bench.ready_model_side("vm-1").await;
         let mut reader = bench
             .send(&first, &bench.chat("long", "a", 400, true))
             .await;
@@ -251,36 +217,28 @@
             bench.next(&mut reader).await.unwrap();
         }
         // The first side's request goes on while a second one takes the engine over.
-        let second = bench.model_side("vm-2");
-        bench.until_healthy("vm-2").await;
+        let second = bench.ready_model_side("vm-2").await;
         for adapter in ["b", "c", "b", "c"] {
             let frames = bench
                 .frames(&second, &bench.chat(adapter, adapter, 2, false))
                 .await;
-            assert!(
-                matches!(frames.last(), Some(Frame::End { .. })),
-                "{frames:?}"
-            );
+            assert!(is_whole(&frames), "{frames:?}");
         }
         let effects = bench.effects(bench.engine.address).await;
         assert_eq!(effects["counters"]["evicted_in_use"], 0, "{effects}");
-    })
-    .unwrap();
+    });
 }
 
 #[test]
 fn an_engine_that_restarts_cold_is_noticed() {
-    run(async {
-        let bench = Bench::start();
-        let side = bench.model_side("vm-1");
-        bench.until_healthy("vm-1").await;
+    with_bench(|bench| async move {
+        let side = bench.ready_model_side("vm-1").await;
         bench
             .frames(&side, &bench.chat("warm", "a", 1, false))
             .await;
-        bench.engine.set_faults(EngineFaults {
-            restart: true,
-            cold_ms: 300,
-            ..EngineFaults::default()
+        bench.engine.inject(|f| {
+            f.restart = true;
+            f.cold_ms = 300;
         });
         bench
             .until(|seen| {
@@ -295,8 +253,7 @@
             .frames(&side, &bench.chat("again", "a", 4, false))
             .await;
         assert_eq!(whole_text(&frames), expected("a", 4));
-    })
-    .unwrap();
+    });
 }
 
 #[test]
@@ -311,10 +268,8 @@
             ..EngineFaults::default()
         },
     ] {
-        run(async {
-            let bench = Bench::start();
-            let side = bench.model_side("vm-1");
-            bench.until_healthy("vm-1").await;
+        with_bench(|bench| async move {
+            let side = bench.ready_model_side("vm-1").await;
             bench.engine.set_faults(faults);
             let frames = bench.frames(&side, &bench.chat("r", "a", 1, false)).await;
             assert!(matches!(&frames[..], [Frame::Refused(_)]), "{frames:?}");
@@ -322,7 +277,6 @@
                 bench.effects(bench.engine.address).await["runs"],
                 serde_json::json!([])
             );
-        })
-        .unwrap();
+        });
     }
 }
--- a/crates/standin/src/serve/running.rs
+++ b/crates/standin/src/serve/running.rs
@@ -42,6 +42,16 @@
         (self.write)(faults);
     }
 
+    /// Sets the faults that `change` makes, and no others.
+    pub fn inject(&self, change: impl FnOnce(&mut F))
+    where
+        F: Default,
+    {
+        let mut faults = F::default();
+        change(&mut faults);
+        self.set_faults(faults);
+    }
+
     /// Takes no further connection or request; answers under way go on.
     pub fn stop(&self) {
         self.server.stop();
--- a/crates/standin/tests/standins/engine.rs
+++ b/crates/standin/tests/standins/engine.rs
@@ -212,10 +212,7 @@
                 ..EngineOptions::default()
             };
             let (engine, peer) = start_engine(options, &timer).await;
-            engine.set_faults(EngineFaults {
-                freeze: true,
-                ..EngineFaults::default()
-            });
+            engine.inject(|f| f.freeze = true);
             let requests = (0..case.requests).map(|n| {
                 let request = ask(LORA, "hi", case.tokens);
                 let peer = peer.clone();
@@ -223,7 +220,7 @@
             });
             let lift = async {
                 timer.sleep(ARRIVAL_SPAN).await;
-                engine.set_faults(EngineFaults::default());
+                engine.inject(|_| {});
                 Instant::now()
             };
             let (_, from) = join(join_all(requests), lift).await;
--- a/crates/standin/tests/standins/engine_faults.rs
+++ b/crates/standin/tests/standins/engine_faults.rs
@@ -130,7 +130,7 @@
             if let Some((503, _)) = view {
                 assert!(answer.unwrap().headers.contains_key("retry-after"));
             }
-            engine.set_faults(EngineFaults::default());
+            engine.inject(|_| {});
             let next = peer.chat(&ask(LORA, "hi", 2), "r").await.unwrap();
             assert_eq!(next.status, 200, "{}: next", case.name);
         }
@@ -162,10 +162,7 @@
     test(|timer| async move {
         let (engine, peer) = start(&timer).await;
         let mut reader = peer.open_stream(&ask(LORA, "hi", 8), "r").await;
-        engine.set_faults(EngineFaults {
-            freeze: true,
-            ..EngineFaults::default()
-        });
+        engine.inject(|f| f.freeze = true);
         let short = Duration::from_millis(60);
         let health = peer.open(Method::GET, "/health", &[], &Value::Null, short);
         assert!(health.await.is_err());
@@ -173,7 +170,7 @@
         timer.sleep(short).await;
         let after: EngineEffects = peer.effects().await;
         assert_eq!(after.counters.steps, before.counters.steps);
-        engine.set_faults(EngineFaults::default());
+        engine.inject(|_| {});
         while reader.read().await {}
         assert_eq!(reader.streamed, whole(LORA, 8));
         assert_eq!(peer.get("/health").await.status, 200);
--- a/crates/standin/tests/standins/engine_orders.rs
+++ b/crates/standin/tests/standins/engine_orders.rs
@@ -5,7 +5,7 @@
 use futures_util::future::join;
 use http::Method;
 use pumicecleat_standin::{
-    Engine, EngineEffects, EngineFaults, EngineOptions, RunState, Store, StoreFaults, StoreOptions,
+    Engine, EngineEffects, EngineFaults, EngineOptions, RunState, Store, StoreOptions,
 };
 use serde_json::{Value, json};
 
@@ -128,10 +128,9 @@
             ..StoreOptions::default()
         };
         let store = Store::start(options, &timer).unwrap();
-        store.set_faults(StoreFaults {
-            missing: ["missing".into()].into(),
-            corrupt: ["corrupt".into()].into(),
-            ..StoreFaults::default()
+        store.inject(|f| {
+            f.missing = ["missing".into()].into();
+            f.corrupt = ["corrupt".into()].into();
         });
         for check in [true, false] {
             let options = EngineOptions {
@@ -236,10 +235,9 @@
         let body = json!({"lora_name": "a", "lora_path": "ok/a"});
         let again = async {
             timer.sleep(Duration::from_millis(50)).await;
-            engine.set_faults(EngineFaults {
-                restart: true,
-                cold_ms: 0,
-                ..EngineFaults::default()
+            engine.inject(|f| {
+                f.restart = true;
+                f.cold_ms = 0;
             });
             peer.load("a").await;
         };
--- a/crates/standin/tests/standins/log.rs
+++ b/crates/standin/tests/standins/log.rs
@@ -173,10 +173,7 @@
                 let faults = log.faults();
                 assert_eq!((faults.reject, faults.lose_replies), (0, 0));
             }
-            log.set_faults(LogFaults {
-                trim_before: log.faults().trim_before,
-                ..LogFaults::default()
-            });
+            log.inject(|f| f.trim_before = log.faults().trim_before);
             let from = format!("from={}", case.first);
             let (_, _, first, next) = read(&peer, &from).await;
             assert_eq!((first, next), (case.first, case.stored), "{}", case.name);
--- a/crates/standin/tests/standins/service.rs
+++ b/crates/standin/tests/standins/service.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use http::Method;
-use pumicecleat_standin::{Service, ServiceEffect, ServiceFaults, ServiceOptions};
+use pumicecleat_standin::{Service, ServiceEffect, ServiceOptions};
 use serde_json::{Value, json};
 
 use crate::bench::{Peer, test};
@@ -64,7 +64,7 @@
             let effects: Vec<ServiceEffect> = peer.effects().await;
             let count = effects.iter().map(|e| e.count).sum::<u64>();
             assert_eq!(count, case.effects, "{}", case.name);
-            service.set_faults(ServiceFaults::default());
+            service.inject(|_| {});
             let again = asked("/seats/hold").await.unwrap();
             assert_eq!(again.json()["effect"], case.effects + 1, "{}", case.name);
         }
@@ -99,15 +99,12 @@
     test(|timer| async move {
         let service = Service::start(ServiceOptions::default(), &timer).unwrap();
         let peer = Peer::new(service.address, &timer);
-        service.set_faults(ServiceFaults {
-            freeze: true,
-            ..ServiceFaults::default()
-        });
+        service.inject(|f| f.freeze = true);
         let asking = peer.clone();
         let call = monoio::spawn(async move { asking.post("/a", &Value::Null).await });
         timer.sleep(Duration::from_millis(50)).await;
         assert_eq!(peer.effects::<Vec<ServiceEffect>>().await, []);
-        service.set_faults(ServiceFaults::default());
+        service.inject(|_| {});
         assert_eq!(call.await.unwrap().json()["effect"], 1);
     });
 }
--- a/crates/upstream/tests/engine.rs
+++ b/crates/upstream/tests/engine.rs
@@ -8,7 +8,7 @@
 use common::{SPAN, answer_once, closed_address, with_client};
 use pumicecleat_net::Client;
 use pumicecleat_standin::{
-    ChatMessage, Engine as Standin, EngineFaults, EngineOptions, Store, StoreFaults, StoreOptions,
+    ChatMessage, Engine as Standin, EngineFaults, EngineOptions, Store, StoreOptions,
     expected_tokens,
 };
 use pumicecleat_upstream::{
@@ -103,16 +103,10 @@
         assert!(!load(&engine, "a@1", 5).await.unwrap());
         assert!(load(&engine, "a@1", 5).await.unwrap());
         assert_eq!(engine.resident().await.unwrap(), ["a@1"]);
-        standin.set_faults(EngineFaults {
-            lie_loads: 1,
-            ..EngineFaults::default()
-        });
+        standin.inject(|f| f.lie_loads = 1);
         let lie = load(&engine, "b@1", 5).await.unwrap_err();
         assert!(matches!(lie, OrderError::Unconfirmed { .. }), "{lie}");
-        standin.set_faults(EngineFaults {
-            fail_loads: 1,
-            ..EngineFaults::default()
-        });
+        standin.inject(|f| f.fail_loads = 1);
         let failed = load(&engine, "b@1", 5).await.unwrap_err();
         assert!(
             matches!(failed, OrderError::Failed { status: 500, .. }),
@@ -141,10 +135,7 @@
 fn missing_weights_are_told() {
     with_client(|client| async move {
         let store = Store::start(StoreOptions::default(), client.timer()).unwrap();
-        store.set_faults(StoreFaults {
-            missing: ["weights".to_owned()].into(),
-            ..StoreFaults::default()
-        });
+        store.inject(|f| f.missing = ["weights".to_owned()].into());
         let options = EngineOptions {
             store: Some(store.address.to_string()),
             ..EngineOptions::default()
@@ -208,10 +199,7 @@
         let (_second, two) = start(&client, EngineOptions::default());
         load(&one, LORA, 1).await.unwrap();
         load(&two, LORA, 1).await.unwrap();
-        first.set_faults(EngineFaults {
-            die_after_tokens: Some(5),
-            ..EngineFaults::default()
-        });
+        first.inject(|f| f.die_after_tokens = Some(5));
         let body = body(true);
         let mut progress = Progress::default();
         let broken = follow(&one, chat("r-1", body.render(LORA, 0)), &mut progress).await;
@@ -271,10 +259,7 @@
         assert!(matches!(crossed.source, AnswerFault::Crossed { .. }));
         let mut answer = engine.chat(call("r-1"), SPAN).await.unwrap();
         assert!(read_answer(answer.as_mut(), 10).await.is_err());
-        standin.set_faults(EngineFaults {
-            truncate: 1,
-            ..EngineFaults::default()
-        });
+        standin.inject(|f| f.truncate = 1);
         let mut answer = engine.chat(call("r-1"), SPAN).await.unwrap();
         assert!(read_answer(answer.as_mut(), 1 << 20).await.is_err());
     });
--- a/crates/upstream/tests/service.rs
+++ b/crates/upstream/tests/service.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use common::{SPAN, answer_once, closed_address, with_client};
 use pumicecleat_net::{Client, NetError, Sent};
-use pumicecleat_standin::{Service as Standin, ServiceFaults, ServiceOptions};
+use pumicecleat_standin::{Service as Standin, ServiceOptions};
 use pumicecleat_types::HeaderField;
 use pumicecleat_upstream::{CallError, HttpService, Service, ServiceCall};
 
@@ -170,10 +170,9 @@
         let standin = Standin::start(ServiceOptions::default(), client.timer()).unwrap();
         let service = service(&client, &standin.address.to_string());
         service.health().await.unwrap();
-        standin.set_faults(ServiceFaults {
-            lose_answers: 1,
-            truncate: 1,
-            ..ServiceFaults::default()
+        standin.inject(|f| {
+            f.lose_answers = 1;
+            f.truncate = 1;
         });
         for _ in 0..2 {
             let error = service.call(&call(&[]), SPAN).await.unwrap_err();
@@ -182,10 +181,7 @@
         let answer = service.call(&call(&[]), SPAN).await.unwrap();
         let body = String::from_utf8(answer.body.to_vec()).unwrap();
         assert!(body.contains(r#""effect":3"#), "{body}");
-        standin.set_faults(ServiceFaults {
-            down: true,
-            ..ServiceFaults::default()
-        });
+        standin.inject(|f| f.down = true);
         let answer = service.call(&call(&[]), SPAN).await.unwrap();
         assert_eq!(answer.status, 503);
         let error = service.health().await.unwrap_err();
