--- a/crates/cli/tests/fleet/http.rs
+++ b/crates/cli/tests/fleet/http.rs
@@ -59,6 +59,13 @@
             .to_owned()
     }
 
+    /// Value of a header, its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|l| l.split_once(": "));
+        let mut values = lines.filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        values.next().map(|(_, value)| value)
+    }
+
     /// Whether the head has a header.
     pub fn has(&self, header: &str) -> bool {
         self.head.to_lowercase().contains(&format!("\r\n{header}:"))
@@ -84,16 +91,18 @@
 impl Live {
     /// Sends a POST and reads nothing yet.
     pub fn post(peer: &str, path: &str, body: &str) -> Self {
-        let mut stream = TcpStream::connect(peer).unwrap();
-        stream.set_read_timeout(Some(SPAN)).unwrap();
+        Self::try_post(peer, path, body).unwrap()
+    }
+
+    /// The same, if the peer takes it.
+    pub fn try_post(peer: &str, path: &str, body: &str) -> Option<Self> {
+        let mut stream = TcpStream::connect(peer).ok()?;
+        stream.set_read_timeout(Some(SPAN)).ok()?;
         let head = head_of(peer, "POST", path, &[], body);
-        stream
-            .write_all(format!("{head}\r\n{body}").as_bytes())
-            .unwrap();
-        Self {
-            stream,
-            bytes: Vec::new(),
-        }
+        let request = format!("{head}\r\n{body}");
+        stream.write_all(request.as_bytes()).ok()?;
+        let bytes = Vec::new();
+        Some(Self { stream, bytes })
     }
 
     /// Reads until `count` events are here.
