--- a/crates/side/tests/bench/mod.rs
+++ b/crates/side/tests/bench/mod.rs
@@ -29,6 +29,9 @@
 /// Longest wait of any step of a test.
 pub const SPAN: Duration = Duration::from_secs(20);
 
+/// Any free port of loopback.
+const ANY: &str = "127.0.0.1:0";
+
 const CONFIG: &str = "
 [base.m]
 context = 4096
@@ -136,11 +139,20 @@
 impl Bench {
     /// Stand-ins and the fake entry.
     pub fn start() -> Self {
-        Self::start_with(1)
+        Self::start_with(1, 0)
+    }
+
+    /// The same, with an engine whose load figures lag, milliseconds.
+    pub fn start_lagging(lag: u64) -> Self {
+        Self::start_with(1, lag)
     }
 
-    /// As many parts of the service's keys.
-    pub fn start_with(parts: u32) -> Self {
+    /// The same, with as many parts of the service's keys.
+    pub fn start_parted(parts: u32) -> Self {
+        Self::start_with(parts, 0)
+    }
+
+    fn start_with(parts: u32, lag: u64) -> Self {
         let timer = Timer::start();
         let store = Store::start(
             StoreOptions {
@@ -158,6 +170,7 @@
             slow_ms: 5,
             store: Some(store.address.to_string()),
             check_fencing: true,
+            metrics_lag_ms: lag,
             ..EngineOptions::default()
         };
         let engine = Engine::start(options, &timer).unwrap();
@@ -207,6 +220,13 @@
         self.side(vm, "lm", &upstream)
     }
 
+    /// The same, once the entry heard that its engine is healthy.
+    pub async fn ready_model_side(&self, vm: &str) -> Side {
+        let side = self.model_side(vm);
+        self.until_healthy(vm).await;
+        side
+    }
+
     /// A side of the pool of services.
     pub fn service_side(&self, vm: &str) -> Side {
         let upstream = self.service.address.to_string();
@@ -242,34 +262,13 @@
 
     fn settings(&self, vm: &str, pool: &str, upstream: &str) -> SideSettings {
         let log = self.log.address.to_string();
-        let args = [
-            "--vm",
-            vm,
-            "--data-centre",
-            "bp-a",
-            "--region",
-            "hu-central",
-            "--listen",
-            "127.0.0.1:0",
-            "--admin",
-            "127.0.0.1:0",
-            "--slot",
-            "127.0.0.1:0",
-            "--pool",
-            pool,
-            "--upstream",
-            upstream,
-            "--log",
-            &log,
-            "--entries",
-            &self.entry,
-            "--stall",
-            "500ms",
-            "--key-idle",
-            "300ms",
-            "--log-level",
-            "off",
-        ];
+        let entry = &self.entry;
+        let args = format!(
+            "--vm {vm} --data-centre bp-a --region hu-central --listen {ANY} --admin {ANY} --slot {ANY} \
+             --pool {pool} --upstream {upstream} --log {log} --entries {entry} --stall 500ms \
+             --key-idle 300ms --log-level off"
+        );
+        let args: Vec<&str> = args.split(' ').collect();
         SideSettings::read("side", &args, &BTreeMap::new()).unwrap()
     }
 
@@ -439,13 +438,23 @@
         seen: Rc::clone(seen),
         timer: timer.clone(),
     };
-    let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = bind(ANY.parse().unwrap()).unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let server = Server::new_ext(ServerOptions::default(), Rc::new(handler), timer);
     monoio::spawn(async move { server.serve(listener).await });
     address
 }
 
+/// Runs a case on a loop of its own, with stand-ins of its own.
+pub fn with_bench<F: Future<Output = ()>>(work: impl FnOnce(Bench) -> F) {
+    run(async { work(Bench::start()).await }).unwrap();
+}
+
+/// Whether an answer came to its proper end.
+pub fn is_whole(frames: &[Frame]) -> bool {
+    matches!(frames.last(), Some(Frame::End { .. }))
+}
+
 /// Bytes of the data frames.
 pub fn body_of(frames: &[Frame]) -> Vec<u8> {
     let pieces = frames.iter().filter_map(|f| match f {
--- a/crates/side/tests/keys.rs
+++ b/crates/side/tests/keys.rs
@@ -2,7 +2,10 @@
 
 mod bench;
 
-use std::time::Duration;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::task::Poll;
+use std::time::{Duration, Instant};
 
 use bench::{Bench, body_of};
 use pumicecleat_net::run;
@@ -123,70 +126,57 @@
 
 struct Fault {
     name: &'static str,
-    log: fn(&mut LogFaults),
-    service: fn(&mut ServiceFaults),
+    faults: fn(&mut LogFaults, &mut ServiceFaults),
     allowed: fn(&Told) -> bool,
     /// Effects that may have been seen.
     effects: std::ops::RangeInclusive<u64>,
 }
 
-const FAULTS: [Fault; 8] = [
-    Fault {
-        name: "append reply lost",
-        log: |f| f.lose_replies = 1,
-        service: |_| {},
-        allowed: |t| *t == Told::Whole(false),
-        effects: 1..=1,
-    },
-    Fault {
-        name: "appends refused",
-        log: |f| f.reject = 3,
-        service: |_| {},
-        allowed: |t| *t == Told::NotRun(Reason::LogDown),
-        effects: 0..=0,
-    },
-    Fault {
-        name: "log down",
-        log: |f| f.down = true,
-        service: |_| {},
-        allowed: |t| *t == Told::NotRun(Reason::LogDown),
-        effects: 0..=0,
-    },
-    Fault {
-        name: "log stalls",
-        log: |f| f.stall = true,
-        service: |_| {},
-        allowed: |t| *t == Told::NotRun(Reason::LogDown),
-        effects: 0..=0,
-    },
-    Fault {
-        name: "answer lost",
-        log: |_| {},
-        service: |f| f.lose_answers = 1,
-        allowed: |t| *t == Told::Unknown,
-        effects: 1..=1,
-    },
-    Fault {
-        name: "answer cut",
-        log: |_| {},
-        service: |f| f.truncate = 1,
-        allowed: |t| *t == Told::Unknown,
-        effects: 1..=1,
-    },
-    Fault {
-        name: "fails after the effect",
-        log: |_| {},
-        service: |f| f.fail_after = 1,
-        allowed: |t| *t == Told::Whole(false),
-        effects: 1..=1,
-    },
+const fn fault(
+    name: &'static str,
+    faults: fn(&mut LogFaults, &mut ServiceFaults),
+    allowed: fn(&Told) -> bool,
+    effects: std::ops::RangeInclusive<u64>,
+) -> Fault {
     Fault {
-        name: "service freezes",
-        log: |_| {},
-        service: |f| f.freeze = true,
-        allowed: |t| *t == Told::Unknown,
-        effects: 0..=1,
-    },
+        name,
+        faults,
+        allowed,
+        effects,
+    }
+}
+
+fn is_fresh(told: &Told) -> bool {
+    *told == Told::Whole(false)
+}
+
+fn is_log_down(told: &Told) -> bool {
+    *told == Told::NotRun(Reason::LogDown)
+}
+
+fn is_unknown(told: &Told) -> bool {
+    *told == Told::Unknown
+}
+
+const FAULTS: [Fault; 8] = [
+    fault(
+        "append reply lost",
+        |f, _| f.lose_replies = 1,
+        is_fresh,
+        1..=1,
+    ),
+    fault("appends refused", |f, _| f.reject = 3, is_log_down, 0..=0),
+    fault("log down", |f, _| f.down = true, is_log_down, 0..=0),
+    fault("log stalls", |f, _| f.stall = true, is_log_down, 0..=0),
+    fault("answer lost", |_, f| f.lose_answers = 1, is_unknown, 1..=1),
+    fault("answer cut", |_, f| f.truncate = 1, is_unknown, 1..=1),
+    fault(
+        "fails after the effect",
+        |_, f| f.fail_after = 1,
+        is_fresh,
+        1..=1,
+    ),
+    fault("service freezes", |_, f| f.freeze = true, is_unknown, 0..=1),
 ];
 
 #[test]
@@ -194,18 +184,16 @@
     for fault in FAULTS {
         run(async {
             let pair = pair().await;
-            let mut log = LogFaults::default();
-            (fault.log)(&mut log);
+            let (mut log, mut service) = Default::default();
+            (fault.faults)(&mut log, &mut service);
             pair.bench.log.set_faults(log);
-            let mut service = ServiceFaults::default();
-            (fault.service)(&mut service);
             pair.bench.service.set_faults(service);
             let mut run = pair.bench.call("r", "/holds", Some("k"), "x");
             run.head.left_ms = 1_500;
             let first = told(&pair.bench.frames(&pair.sides[0], &run).await);
             assert!((fault.allowed)(&first), "{}: {first:?}", fault.name);
-            pair.bench.log.set_faults(LogFaults::default());
-            pair.bench.service.set_faults(ServiceFaults::default());
+            pair.bench.log.inject(|_| {});
+            pair.bench.service.inject(|_| {});
             let effects = pair.effects("k").await;
             assert!(
                 fault.effects.contains(&effects),
@@ -289,3 +277,65 @@
     })
     .unwrap();
 }
+
+/// Time left for a call, and a longer pause of its side.
+const LEFT: Duration = Duration::from_millis(500);
+const FREEZE: Duration = Duration::from_millis(700);
+
+/// Longest time for which a watcher keeps the loop from its timers.
+const BURST: Duration = Duration::from_millis(5);
+
+/// Stops this loop for a while, as a pause of the process does, at the moment at which the side
+/// knows that an attempt has won and has not sent it yet. The watcher looks between any two tasks
+/// of the loop, but in bursts, and may miss it; gives whether it did not.
+async fn freeze_once_won(pair: Rc<Pair>, ended: Rc<Cell<bool>>) -> bool {
+    while !ended.get() {
+        let from = Instant::now();
+        let won = std::future::poll_fn(|cx| {
+            let dump = serde_json::to_value(pair.sides[0].dump()).unwrap();
+            let won = dump["keys"]["open"]["0"]["own"][0]["phase"] == "won";
+            if won || from.elapsed() > BURST {
+                return Poll::Ready(won);
+            }
+            cx.waker().wake_by_ref();
+            Poll::Pending
+        });
+        if won.await {
+            std::thread::sleep(FREEZE);
+            return true;
+        }
+        pair.bench.timer.sleep(Duration::from_millis(1)).await;
+    }
+    false
+}
+
+#[test]
+fn a_won_call_is_not_sent_after_its_deadline() {
+    run(async {
+        let pair = Rc::new(pair().await);
+        let keys = (0..200).map(|n| format!("k{n}"));
+        for key in keys {
+            let ended = Rc::new(Cell::new(false));
+            let freeze = monoio::spawn(freeze_once_won(Rc::clone(&pair), Rc::clone(&ended)));
+            let mut run = pair.bench.call("r", "/holds", Some(&key), "x");
+            run.head.left_ms = u64::try_from(LEFT.as_millis()).unwrap();
+            let first = told(&pair.bench.frames(&pair.sides[0], &run).await);
+            ended.set(true);
+            if !freeze.await {
+                continue;
+            }
+            assert_eq!(pair.effects(&key).await, 0, "{first:?}");
+            assert_eq!(first, Told::NotRun(Reason::Deadline));
+            let again = async {
+                while pair.call(&pair.sides[1], &key, "x").await != Told::Whole(false) {
+                    pair.bench.timer.sleep(Duration::from_millis(20)).await;
+                }
+            };
+            let settled = pair.bench.timer.within(bench::SPAN, again).await;
+            settled.expect("the key is free again");
+            return assert_eq!(pair.effects(&key).await, 1);
+        }
+        panic!("the watcher missed every win");
+    })
+    .unwrap();
+}
--- a/crates/side/tests/parts.rs
+++ b/crates/side/tests/parts.rs
@@ -25,7 +25,7 @@
 }
 
 async fn world() -> World {
-    let bench = Bench::start_with(PARTS);
+    let bench = Bench::start_parted(PARTS);
     let sides = [bench.service_side("vm-1"), bench.service_side("vm-2")];
     bench.until_healthy("vm-1").await;
     bench.until_healthy("vm-2").await;
