Write the rows of long tables of tests on a line or two

No case, value or check is dropped or changed: rows of the ledger's model, keys tests, the side's faults and the router's rank, and two lists of arguments, as other tables of this workspace are written. 40 rows of the model: 19 bounds and 21 mutants, before and after.

--- a/crates/entry/tests/entry/world.rs
+++ b/crates/entry/tests/entry/world.rs
@@ -160,21 +160,11 @@
 
     fn settings(&self, args: &[&str]) -> EntrySettings {
         let log = self.log.address.to_string();
+        #[rustfmt::skip]
         let mut all = vec![
-            "--vm",
-            "entry-1",
-            "--data-centre",
-            "bp-a",
-            "--region",
-            "hu-central",
-            "--listen",
-            "127.0.0.1:0",
-            "--peer-listen",
-            "127.0.0.1:0",
-            "--admin",
-            "127.0.0.1:0",
-            "--log",
-            &log,
+            "--vm", "entry-1", "--data-centre", "bp-a", "--region", "hu-central",
+            "--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--admin", "127.0.0.1:0",
+            "--log", &log,
         ];
         all.extend(args);
         EntrySettings::read("entry", &all, &std::collections::BTreeMap::new()).unwrap()
--- a/crates/ledger/tests/keys.rs
+++ b/crates/ledger/tests/keys.rs
@@ -13,6 +13,7 @@
     minted: Option<u64>,
 }
 
+#[rustfmt::skip]
 fn key_cases() -> Vec<KeyCase> {
     let strange = |found| KeyError::Character {
         caller: caller(),
@@ -20,54 +21,20 @@
     };
     let empty = KeyError::Empty { caller: caller() };
     vec![
+        KeyCase { text: "seat-41", key: Ok("seat-41"), minted: None },
+        KeyCase { text: "\"seat-41\"", key: Ok("seat-41"), minted: None },
+        KeyCase { text: "", key: Err(empty.clone()), minted: None },
+        KeyCase { text: "\"\"", key: Err(empty), minted: None },
+        KeyCase { text: "\"", key: Err(strange('"')), minted: None },
+        KeyCase { text: "seat 41", key: Err(strange(' ')), minted: None },
+        KeyCase { text: "seat\n41", key: Err(strange('\n')), minted: None },
+        KeyCase { text: "szék", key: Err(strange('é')), minted: None },
         KeyCase {
-            text: "seat-41",
-            key: Ok("seat-41"),
-            minted: None,
-        },
-        KeyCase {
-            text: "\"seat-41\"",
-            key: Ok("seat-41"),
-            minted: None,
-        },
-        KeyCase {
-            text: "",
-            key: Err(empty.clone()),
-            minted: None,
-        },
-        KeyCase {
-            text: "\"\"",
-            key: Err(empty),
-            minted: None,
-        },
-        KeyCase {
-            text: "\"",
-            key: Err(strange('"')),
-            minted: None,
-        },
-        KeyCase {
-            text: "seat 41",
-            key: Err(strange(' ')),
-            minted: None,
-        },
-        KeyCase {
-            text: "seat\n41",
-            key: Err(strange('\n')),
-            minted: None,
-        },
-        KeyCase {
-            text: "szék",
-            key: Err(strange('é')),
-            minted: None,
-        },
-        KeyCase {
-            text: "017f22e2-79b0-7cc3-98c4-dc0c0c07398f",
-            key: Ok("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"),
+            text: "017f22e2-79b0-7cc3-98c4-dc0c0c07398f", key: Ok("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"),
             minted: Some(1_645_557_742_000),
         },
         KeyCase {
-            text: "919108f7-52d1-4320-9bac-f847db4148a8",
-            key: Ok("919108f7-52d1-4320-9bac-f847db4148a8"),
+            text: "919108f7-52d1-4320-9bac-f847db4148a8", key: Ok("919108f7-52d1-4320-9bac-f847db4148a8"),
             minted: None,
         },
     ]
@@ -114,38 +81,17 @@
     error: Option<LimitError>,
 }
 
+#[rustfmt::skip]
 const LIMITS: &[LimitCase] = &[
+    LimitCase { window: 100, ahead: 10, kept: 111, error: None },
+    LimitCase { window: 0, ahead: 10, kept: 111, error: Some(LimitError::Zero) },
     LimitCase {
-        window: 100,
-        ahead: 10,
-        kept: 111,
-        error: None,
-    },
-    LimitCase {
-        window: 0,
-        ahead: 10,
-        kept: 111,
-        error: Some(LimitError::Zero),
-    },
-    LimitCase {
-        window: 100,
-        ahead: 10,
-        kept: 110,
-        error: Some(LimitError::Kept {
-            window: Millis(100),
-            ahead: Millis(10),
-            kept: Millis(110),
-        }),
+        window: 100, ahead: 10, kept: 110,
+        error: Some(LimitError::Kept { window: Millis(100), ahead: Millis(10), kept: Millis(110) }),
     },
     LimitCase {
-        window: u64::MAX,
-        ahead: 1,
-        kept: u64::MAX,
-        error: Some(LimitError::Kept {
-            window: Millis(u64::MAX),
-            ahead: Millis(1),
-            kept: Millis(u64::MAX),
-        }),
+        window: u64::MAX, ahead: 1, kept: u64::MAX,
+        error: Some(LimitError::Kept { window: Millis(u64::MAX), ahead: Millis(1), kept: Millis(u64::MAX) }),
     },
 ];
 
@@ -170,32 +116,13 @@
     body: &'static [u8],
 }
 
+#[rustfmt::skip]
 const CALLS: &[CallCase] = &[
-    CallCase {
-        method: "POST",
-        path: "/holds",
-        body: b"1",
-    },
-    CallCase {
-        method: "PUT",
-        path: "/holds",
-        body: b"1",
-    },
-    CallCase {
-        method: "POST",
-        path: "/holds1",
-        body: b"",
-    },
-    CallCase {
-        method: "POST",
-        path: "/hold",
-        body: b"s1",
-    },
-    CallCase {
-        method: "POST/",
-        path: "holds",
-        body: b"1",
-    },
+    CallCase { method: "POST", path: "/holds", body: b"1" },
+    CallCase { method: "PUT", path: "/holds", body: b"1" },
+    CallCase { method: "POST", path: "/holds1", body: b"" },
+    CallCase { method: "POST", path: "/hold", body: b"s1" },
+    CallCase { method: "POST/", path: "holds", body: b"1" },
 ];
 
 #[test]
@@ -211,22 +138,11 @@
     whole: bool,
 }
 
+#[rustfmt::skip]
 const BODIES: &[BodyCase] = &[
-    BodyCase {
-        body: b"",
-        limit: 0,
-        whole: true,
-    },
-    BodyCase {
-        body: b"held",
-        limit: 4,
-        whole: true,
-    },
-    BodyCase {
-        body: b"held!",
-        limit: 4,
-        whole: false,
-    },
+    BodyCase { body: b"", limit: 0, whole: true },
+    BodyCase { body: b"held", limit: 4, whole: true },
+    BodyCase { body: b"held!", limit: 4, whole: false },
 ];
 
 #[test]
--- a/crates/ledger/tests/model/main.rs
+++ b/crates/ledger/tests/model/main.rs
@@ -25,176 +25,72 @@
     budget: Budget,
 }
 
+#[rustfmt::skip]
 const BOUNDS: &[Bound] = &[
+    Bound { name: "other body", calls: &[SAME, OTHER], budget: Budget { outages: 1, ..Budget::NONE } },
     Bound {
-        name: "other body",
-        calls: &[SAME, OTHER],
-        budget: Budget {
-            outages: 1,
-            ..Budget::NONE
-        },
+        name: "lost answer, crash", calls: &[SAME, SAME],
+        budget: Budget { crashes: 1, losses: 1, ..Budget::NONE },
     },
     Bound {
-        name: "lost answer, crash",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            crashes: 1,
-            losses: 1,
-            ..Budget::NONE
-        },
+        name: "lost reply, crash", calls: &[SAME, SAME],
+        budget: Budget { cuts: 1, crashes: 1, ..Budget::NONE },
     },
+    Bound { name: "deadline", calls: &[SAME, OTHER], budget: Budget { ticks: &[LATE], ..Budget::NONE } },
     Bound {
-        name: "lost reply, crash",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            cuts: 1,
-            crashes: 1,
-            ..Budget::NONE
-        },
+        name: "late start after a trim", calls: &[SAME, SAME],
+        budget: Budget { crashes: 1, ticks: &[GONE], trims: 1, ..Budget::NONE },
     },
     Bound {
-        name: "deadline",
-        calls: &[SAME, OTHER],
-        budget: Budget {
-            ticks: &[LATE],
-            ..Budget::NONE
-        },
+        name: "trim within a window", calls: &[SAME, SAME],
+        budget: Budget { ticks: &[LONG, LATE], trims: 1, ..Budget::NONE },
     },
     Bound {
-        name: "late start after a trim",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            crashes: 1,
-            ticks: &[GONE],
-            trims: 1,
-            ..Budget::NONE
-        },
+        name: "missed send, lost answer", calls: &[SAME, SAME],
+        budget: Budget { losses: 1, misses: 1, ..Budget::NONE },
     },
+    Bound { name: "two closings", calls: &[SAME, OTHER], budget: Budget { closes: 2, ..Budget::NONE } },
     Bound {
-        name: "trim within a window",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            ticks: &[LONG, LATE],
-            trims: 1,
-            ..Budget::NONE
-        },
+        name: "closing, lost reply", calls: &[SAME, SAME],
+        budget: Budget { cuts: 1, closes: 1, ..Budget::NONE },
     },
     Bound {
-        name: "missed send, lost answer",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            losses: 1,
-            misses: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "two closings",
-        calls: &[SAME, OTHER],
-        budget: Budget {
-            closes: 2,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "closing, lost reply",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            cuts: 1,
-            closes: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "closing, trim within a window",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            closes: 1,
-            ticks: &[LONG, LATE],
-            trims: 1,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "three calls",
-        calls: &[SAME, SAME, OTHER],
-        budget: Budget::NONE,
+        name: "closing, trim within a window", calls: &[SAME, SAME],
+        budget: Budget { closes: 1, ticks: &[LONG, LATE], trims: 1, ..Budget::NONE },
     },
+    Bound { name: "three calls", calls: &[SAME, SAME, OTHER], budget: Budget::NONE },
 ];
 
+#[rustfmt::skip]
 const DEEP: &[Bound] = &[
     Bound {
-        name: "two closings, lost reply, crash",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            cuts: 1,
-            crashes: 1,
-            closes: 2,
-            ..Budget::NONE
-        },
-    },
-    Bound {
-        name: "two lost replies",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            cuts: 2,
-            ..Budget::NONE
-        },
+        name: "two closings, lost reply, crash", calls: &[SAME, SAME],
+        budget: Budget { cuts: 1, crashes: 1, closes: 2, ..Budget::NONE },
     },
+    Bound { name: "two lost replies", calls: &[SAME, SAME], budget: Budget { cuts: 2, ..Budget::NONE } },
     Bound {
-        name: "lost reply and answer, crash",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            cuts: 1,
-            crashes: 1,
-            losses: 1,
-            ..Budget::NONE
-        },
+        name: "lost reply and answer, crash", calls: &[SAME, SAME],
+        budget: Budget { cuts: 1, crashes: 1, losses: 1, ..Budget::NONE },
     },
     Bound {
-        name: "two crashes",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            cuts: 1,
-            crashes: 2,
-            losses: 1,
-            ..Budget::NONE
-        },
+        name: "two crashes", calls: &[SAME, SAME],
+        budget: Budget { cuts: 1, crashes: 2, losses: 1, ..Budget::NONE },
     },
     Bound {
-        name: "crash, trim within a window",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            crashes: 1,
-            ticks: &[LONG, LATE],
-            trims: 1,
-            ..Budget::NONE
-        },
+        name: "crash, trim within a window", calls: &[SAME, SAME],
+        budget: Budget { crashes: 1, ticks: &[LONG, LATE], trims: 1, ..Budget::NONE },
     },
     Bound {
-        name: "three calls, crash",
-        calls: &[SAME, SAME, OTHER],
-        budget: Budget {
-            crashes: 1,
-            ..Budget::NONE
-        },
+        name: "three calls, crash", calls: &[SAME, SAME, OTHER],
+        budget: Budget { crashes: 1, ..Budget::NONE },
     },
     Bound {
-        name: "three calls, lost reply",
-        calls: &[SAME, SAME, SAME],
-        budget: Budget {
-            cuts: 1,
-            ..Budget::NONE
-        },
+        name: "three calls, lost reply", calls: &[SAME, SAME, SAME],
+        budget: Budget { cuts: 1, ..Budget::NONE },
     },
     Bound {
-        name: "three calls, trim within a window",
-        calls: &[SAME, SAME, SAME],
-        budget: Budget {
-            ticks: &[LONG, LATE],
-            trims: 1,
-            ..Budget::NONE
-        },
+        name: "three calls, trim within a window", calls: &[SAME, SAME, SAME],
+        budget: Budget { ticks: &[LONG, LATE], trims: 1, ..Budget::NONE },
     },
 ];
 
@@ -237,187 +133,80 @@
     budget: Budget,
 }
 
+#[rustfmt::skip]
 const MUTANTS: &[Mutant] = &[
+    Mutant { slip: Slip::SendUnread, breaks: "I1", calls: &[SAME, SAME], budget: Budget::NONE },
     Mutant {
-        slip: Slip::SendUnread,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget::NONE,
-    },
-    Mutant {
-        slip: Slip::ResendOpen,
-        breaks: "I1",
-        calls: &[SAME],
-        budget: Budget {
-            crashes: 1,
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::ReadFromEnd,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            crashes: 1,
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::ShortWindow,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            ticks: &[LATE],
-            ..Budget::NONE
-        },
-    },
-    Mutant {
-        slip: Slip::ShortLog,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            crashes: 1,
-            ticks: &[LATE],
-            trims: 1,
-            ..Budget::NONE
-        },
+        slip: Slip::ResendOpen, breaks: "I1", calls: &[SAME],
+        budget: Budget { crashes: 1, ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::TakeOver,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            ticks: &[LATE],
-            ..Budget::NONE
-        },
+        slip: Slip::ReadFromEnd, breaks: "I1", calls: &[SAME, SAME],
+        budget: Budget { crashes: 1, ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::TakeOver,
-        breaks: "I5",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            ticks: &[LATE],
-            ..Budget::NONE
-        },
+        slip: Slip::ShortWindow, breaks: "I1", calls: &[SAME, SAME],
+        budget: Budget { ticks: &[LATE], ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::SendLate,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            ticks: &[GONE],
-            ..Budget::NONE
-        },
+        slip: Slip::ShortLog, breaks: "I1", calls: &[SAME, SAME],
+        budget: Budget { crashes: 1, ticks: &[LATE], trims: 1, ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::DenyOnCut,
-        breaks: "I2",
-        calls: &[SAME],
-        budget: Budget {
-            cuts: 1,
-            ..Budget::NONE
-        },
+        slip: Slip::TakeOver, breaks: "I1", calls: &[SAME, SAME],
+        budget: Budget { ticks: &[LATE], ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::DenyOnCrash,
-        breaks: "I2",
-        calls: &[SAME],
-        budget: Budget {
-            crashes: 1,
-            ..Budget::NONE
-        },
+        slip: Slip::TakeOver, breaks: "I5", calls: &[SAME, SAME],
+        budget: Budget { ticks: &[LATE], ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::DenySent,
-        breaks: "I2",
-        calls: &[SAME],
-        budget: Budget::NONE,
+        slip: Slip::SendLate, breaks: "I1", calls: &[SAME, SAME],
+        budget: Budget { ticks: &[GONE], ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::MissSent,
-        breaks: "I2",
-        calls: &[SAME],
-        budget: Budget {
-            misses: 1,
-            ..Budget::NONE
-        },
+        slip: Slip::DenyOnCut, breaks: "I2", calls: &[SAME],
+        budget: Budget { cuts: 1, ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::InventAnswer,
-        breaks: "I3",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            losses: 1,
-            ..Budget::NONE
-        },
+        slip: Slip::DenyOnCrash, breaks: "I2", calls: &[SAME],
+        budget: Budget { crashes: 1, ..Budget::NONE },
     },
+    Mutant { slip: Slip::DenySent, breaks: "I2", calls: &[SAME], budget: Budget::NONE },
     Mutant {
-        slip: Slip::BlankDigest,
-        breaks: "I4",
-        calls: &[SAME, OTHER],
-        budget: Budget::NONE,
+        slip: Slip::MissSent, breaks: "I2", calls: &[SAME],
+        budget: Budget { misses: 1, ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::NeverGiveUp,
-        breaks: "L1",
-        calls: &[SAME],
-        budget: Budget {
-            cuts: 1,
-            ..Budget::NONE
-        },
+        slip: Slip::InventAnswer, breaks: "I3", calls: &[SAME, SAME],
+        budget: Budget { losses: 1, ..Budget::NONE },
     },
+    Mutant { slip: Slip::BlankDigest, breaks: "I4", calls: &[SAME, OTHER], budget: Budget::NONE },
     Mutant {
-        slip: Slip::ReadFromEnd,
-        breaks: "I1",
-        calls: &[SAME, SAME],
-        budget: Budget {
-            closes: 1,
-            ..Budget::NONE
-        },
+        slip: Slip::NeverGiveUp, breaks: "L1", calls: &[SAME],
+        budget: Budget { cuts: 1, ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::CloseBusy,
-        breaks: "I2",
-        calls: &[SAME],
-        budget: Budget {
-            closes: 1,
-            ..Budget::NONE
-        },
+        slip: Slip::ReadFromEnd, breaks: "I1", calls: &[SAME, SAME],
+        budget: Budget { closes: 1, ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::ReopenAlike,
-        breaks: "I4",
-        calls: &[SAME, OTHER],
-        budget: Budget {
-            cuts: 1,
-            closes: 1,
-            ..Budget::NONE
-        },
+        slip: Slip::CloseBusy, breaks: "I2", calls: &[SAME],
+        budget: Budget { closes: 1, ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::CloseOwing,
-        breaks: "L2",
-        calls: &[SAME],
-        budget: Budget {
-            closes: 1,
-            ..Budget::NONE
-        },
+        slip: Slip::ReopenAlike, breaks: "I4", calls: &[SAME, OTHER],
+        budget: Budget { cuts: 1, closes: 1, ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::CloseUnread,
-        breaks: "L2",
-        calls: &[SAME],
-        budget: Budget {
-            closes: 1,
-            ..Budget::NONE
-        },
+        slip: Slip::CloseOwing, breaks: "L2", calls: &[SAME],
+        budget: Budget { closes: 1, ..Budget::NONE },
     },
     Mutant {
-        slip: Slip::ForgetOwed,
-        breaks: "L2",
-        calls: &[SAME, SAME],
-        budget: Budget::NONE,
+        slip: Slip::CloseUnread, breaks: "L2", calls: &[SAME],
+        budget: Budget { closes: 1, ..Budget::NONE },
     },
+    Mutant { slip: Slip::ForgetOwed, breaks: "L2", calls: &[SAME, SAME], budget: Budget::NONE },
 ];
 
 #[test]
--- a/crates/policy/tests/router_rank.rs
+++ b/crates/policy/tests/router_rank.rs
@@ -82,49 +82,25 @@
     goes_on: bool,
 }
 
+#[rustfmt::skip]
 const CASES: &[Case] = &[
-    Case {
-        name: "nothing",
-        edit: |_, _| {},
-        goes_on: false,
-    },
-    Case {
-        name: "leaving",
-        edit: |r, up| r.leaving(up),
-        goes_on: true,
-    },
+    Case { name: "nothing", edit: |_, _| {}, goes_on: false },
+    Case { name: "leaving", edit: |r, up| r.leaving(up), goes_on: true },
     Case {
         name: "upstream down",
-        edit: |r, up| {
-            r.ended(
-                up,
-                None,
-                Outcome::Refused(Reason::UpstreamDown, None),
-                Millis(0),
-            );
-        },
-        goes_on: true,
-    },
-    Case {
-        name: "failed",
-        edit: |r, up| r.ended(up, None, Outcome::Failed, Millis(0)),
+        edit: |r, up| r.ended(up, None, Outcome::Refused(Reason::UpstreamDown, None), Millis(0)),
         goes_on: true,
     },
+    Case { name: "failed", edit: |r, up| r.ended(up, None, Outcome::Failed, Millis(0)), goes_on: true },
     Case {
         name: "a wait of more than half of the time left",
-        edit: |r, up| r.report(up, POOL, &figures(2_600), None, None, Millis(0)),
-        goes_on: true,
+        edit: |r, up| r.report(up, POOL, &figures(2_600), None, None, Millis(0)), goes_on: true,
     },
     Case {
         name: "a short wait",
-        edit: |r, up| r.report(up, POOL, &figures(2_000), None, None, Millis(0)),
-        goes_on: false,
-    },
-    Case {
-        name: "forgotten",
-        edit: |r, up| r.forget(up),
-        goes_on: true,
+        edit: |r, up| r.report(up, POOL, &figures(2_000), None, None, Millis(0)), goes_on: false,
     },
+    Case { name: "forgotten", edit: |r, up| r.forget(up), goes_on: true },
 ];
 
 #[test]
--- a/crates/side/tests/bench/mod.rs
+++ b/crates/side/tests/bench/mod.rs
@@ -242,33 +242,13 @@
 
     fn settings(&self, vm: &str, pool: &str, upstream: &str) -> SideSettings {
         let log = self.log.address.to_string();
+        #[rustfmt::skip]
         let args = [
-            "--vm",
-            vm,
-            "--data-centre",
-            "bp-a",
-            "--region",
-            "hu-central",
-            "--listen",
-            "127.0.0.1:0",
-            "--admin",
-            "127.0.0.1:0",
-            "--slot",
-            "127.0.0.1:0",
-            "--pool",
-            pool,
-            "--upstream",
-            upstream,
-            "--log",
-            &log,
-            "--entries",
-            &self.entry,
-            "--stall",
-            "500ms",
-            "--key-idle",
-            "300ms",
-            "--log-level",
-            "off",
+            "--vm", vm, "--data-centre", "bp-a", "--region", "hu-central",
+            "--listen", "127.0.0.1:0", "--admin", "127.0.0.1:0", "--slot", "127.0.0.1:0",
+            "--pool", pool, "--upstream", upstream, "--log", &log,
+            "--entries", &self.entry, "--stall", "500ms", "--key-idle", "300ms",
+            "--log-level", "off",
         ];
         SideSettings::read("side", &args, &BTreeMap::new()).unwrap()
     }
--- a/crates/side/tests/parts.rs
+++ b/crates/side/tests/parts.rs
@@ -140,19 +140,11 @@
     fault: fn(&mut LogFaults),
 }
 
+#[rustfmt::skip]
 const OUTAGES: [Outage; 3] = [
-    Outage {
-        name: "down",
-        fault: |f| f.down = true,
-    },
-    Outage {
-        name: "stalled",
-        fault: |f| f.stall = true,
-    },
-    Outage {
-        name: "slow beyond the deadline",
-        fault: |f| f.delay_ms = 1_800,
-    },
+    Outage { name: "down", fault: |f| f.down = true },
+    Outage { name: "stalled", fault: |f| f.stall = true },
+    Outage { name: "slow beyond the deadline", fault: |f| f.delay_ms = 1_800 },
 ];
 
 #[test]
