--- a/crates/policy/tests/router_rank.rs
+++ b/crates/policy/tests/router_rank.rs
@@ -101,7 +101,7 @@
                 None,
                 Outcome::Refused(Reason::UpstreamDown, None),
                 Millis(0),
-            );
+            )
         },
         goes_on: true,
     },
