--- a/crates/config/src/fold/adopt.rs
+++ b/crates/config/src/fold/adopt.rs
@@ -10,7 +10,7 @@
 use super::event::{FoldEvent, GapError, short};
 use super::objection::Objection;
 use super::record::{Settled, Snapshot};
-use super::view::SnapshotView;
+use super::view::{Checked, SnapshotView};
 use super::window::{WINDOW, Window};
 use crate::state::State;
 
@@ -82,6 +82,20 @@
         FoldEvent::Confirmed
     }
 
+    /// Says whether the teller of a checked snapshot holds the same state. What the log holds is not
+    /// known from it, so that a snapshot remains due.
+    pub(super) fn confirm(&self, record: &LogRecord, checked: &Checked) -> FoldEvent {
+        let next = checked.next;
+        if next > record.offset {
+            return FoldEvent::Ignored(Objection::Numbers);
+        }
+        match self.window.at(next) {
+            None => FoldEvent::Ignored(Objection::Forgotten { next }),
+            Some(known) if known == (checked.revision, checked.digest) => FoldEvent::Confirmed,
+            Some(_) => FoldEvent::Ignored(Objection::Mismatch { next }),
+        }
+    }
+
     fn object(&self, offset: u64, snapshot: &SnapshotView) -> Option<Objection> {
         let next = snapshot.next;
         let numbers = Numbers::new(snapshot.revision, next, &snapshot.mark);
--- a/crates/config/src/fold/mod.rs
+++ b/crates/config/src/fold/mod.rs
@@ -24,6 +24,7 @@
 mod items;
 mod objection;
 mod record;
+mod scan;
 mod view;
 mod window;
 
@@ -42,6 +43,7 @@
 pub use event::{Cause, FoldEvent, GapError, Verdict};
 pub use objection::Objection;
 pub use record::{Change, ChangeId, ChangeIdError, Record, RecordError, Settled, Snapshot};
+pub use scan::Scan;
 pub use window::WINDOW;
 
 use event::GapSnafu;
@@ -139,6 +141,7 @@
         Ok(match decoded {
             Ok(RecordView::Change(change)) => self.judge(record.offset, *change),
             Ok(RecordView::Snapshot(view)) => self.compare(record, &view),
+            Ok(RecordView::Checked(checked)) => self.confirm(record, &checked),
             Err(error) => FoldEvent::Garbage {
                 offset: record.offset,
                 detail: error.to_string(),
@@ -146,6 +149,24 @@
         })
     }
 
+    /// Takes the next record in, a snapshot that a scan has come to the end of; the same as
+    /// [`Fold::apply`].
+    ///
+    /// # Errors
+    /// [`GapError`] as there.
+    pub fn apply_scanned(
+        &mut self,
+        record: &LogRecord,
+        scan: Scan<'_>,
+    ) -> Result<FoldEvent, GapError> {
+        let Some(view) = scan.finish().filter(|_| record.offset == self.next) else {
+            return self.apply(record);
+        };
+        self.next = record.offset.saturating_add(1);
+        self.mark.count(record);
+        Ok(self.compare(record, &view))
+    }
+
     fn gap<T>(&self, record: &LogRecord) -> Result<T, GapError> {
         let wanted = self.next;
         let found = record.offset;
--- a/crates/config/src/fold/record.rs
+++ b/crates/config/src/fold/record.rs
@@ -3,6 +3,7 @@
 //! A record names its format. Readers of different versions must not come to different verdicts,
 //! so that one who meets a later format judges nothing from there on.
 
+use std::borrow::Cow;
 use std::fmt;
 
 use pumicecleat_types::{CodecError, decode, encode};
@@ -131,11 +132,12 @@
 /// Record as it stands in the log.
 #[serde_as]
 #[derive(Serialize, Deserialize)]
-struct Envelope {
+struct Envelope<'r> {
     magic: String,
     format: u32,
     #[serde_as(as = "Bytes")]
-    body: Vec<u8>,
+    #[serde(borrow)]
+    body: Cow<'r, [u8]>,
 }
 
 /// Bytes that are not a record known here.
@@ -179,13 +181,18 @@
     encode(&Envelope {
         magic: MAGIC.to_owned(),
         format: FORMAT,
-        body: encode(record),
+        body: encode(record).into(),
     })
 }
 
 /// Record from its envelope.
 pub(super) fn open<R: DeserializeOwned>(bytes: &[u8]) -> Result<R, RecordError> {
-    let envelope: Envelope = decode(bytes).context(MalformedSnafu)?;
+    decode(&unseal(bytes)?).context(MalformedSnafu)
+}
+
+/// Encoded record in an envelope of a format known here.
+pub(super) fn unseal(bytes: &[u8]) -> Result<Cow<'_, [u8]>, RecordError> {
+    let envelope: Envelope<'_> = decode(bytes).context(MalformedSnafu)?;
     let Envelope {
         magic,
         format,
@@ -193,5 +200,5 @@
     } = envelope;
     ensure!(magic == MAGIC, ForeignSnafu);
     ensure!(format <= FORMAT, NewerSnafu { format });
-    decode(&body).context(MalformedSnafu)
+    Ok(body)
 }
--- a/crates/config/src/fold/view.rs
+++ b/crates/config/src/fold/view.rs
@@ -14,6 +14,16 @@
 pub(super) enum RecordView {
     Change(Box<Change>),
     Snapshot(Box<SnapshotView>),
+    Checked(Checked),
+}
+
+/// What stands for a snapshot record that its teller has checked, for readers that hold the state:
+/// it never stands in the log.
+#[derive(Serialize, Deserialize)]
+pub(super) struct Checked {
+    pub(super) revision: u64,
+    pub(super) next: u64,
+    pub(super) digest: Digest,
 }
 
 impl RecordView {
@@ -50,6 +60,7 @@
 #[derive(Serialize)]
 enum RecordRef<'f> {
     Snapshot(SnapshotRef<'f>),
+    Checked(Checked),
 }
 
 impl Fold {
@@ -65,6 +76,16 @@
         seal(&RecordRef::Snapshot(self.view()))
     }
 
+    /// Record that stands, at offset `at` in what peers are told, for a snapshot checked here.
+    #[must_use]
+    pub fn checked_record(&self, at: u64) -> Vec<u8> {
+        seal(&RecordRef::Checked(Checked {
+            revision: self.revision,
+            next: at,
+            digest: self.digest(),
+        }))
+    }
+
     fn view(&self) -> SnapshotRef<'_> {
         SnapshotRef {
             revision: self.revision,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -45,7 +45,7 @@
 pub use fault::{Fault, Faults, Place, Problem};
 pub use fold::{
     Cause, Change, ChangeId, ChangeIdError, Due, DueReason, Fold, FoldEvent, GapError, Mark,
-    Objection, Record, RecordError, Settled, Snapshot, SnapshotError, Verdict, WINDOW,
+    Objection, Record, RecordError, Scan, Settled, Snapshot, SnapshotError, Verdict, WINDOW,
 };
 pub use key::{KeyIndex, hash_key};
 pub use parse::{Source, parse};
--- a/crates/config/tests/fold/main.rs
+++ b/crates/config/tests/fold/main.rs
@@ -8,7 +8,7 @@
 use proptest::sample::Index;
 use proptest::strategy::ValueTree;
 use proptest::test_runner::TestRunner;
-use pumicecleat_config::{Fold, Record};
+use pumicecleat_config::{Fold, FoldEvent, Record};
 use pumicecleat_types::LogRecord;
 
 use naive::{Naive, Rule};
@@ -29,9 +29,19 @@
     fn in_order(ops in ops()) {
         let world = build(&ops);
         let mut reader = Reader::new(Kind::Sound);
+        let mut sliced = Reader::new(Kind::Sliced);
+        let mut told = Reader::new(Kind::Sound);
         for (record, naive) in world.log.iter().zip(&world.states[1..]) {
-            reader.apply(record).unwrap();
+            let event = reader.apply(record).unwrap();
             prop_assert_eq!(reader.differs(naive), None);
+            prop_assert_eq!(sliced.apply(record).unwrap(), event.clone());
+            prop_assert_eq!(sliced.differs(naive), None);
+            let mut record = record.clone();
+            if event == FoldEvent::Confirmed {
+                record.data = reader.fold.checked_record(record.offset);
+            }
+            prop_assert_eq!(told.apply(&record).unwrap(), event);
+            prop_assert_eq!(told.differs(naive), None);
         }
     }
 
--- a/crates/config/tests/fold/reader.rs
+++ b/crates/config/tests/fold/reader.rs
@@ -1,6 +1,6 @@
 //! Readers of a log: in order or with repeats, from its start, a trimmed log or a peer.
 
-use pumicecleat_config::{Fold, FoldEvent, GapError, Record};
+use pumicecleat_config::{Fold, FoldEvent, GapError, Record, Scan};
 use pumicecleat_types::{LogRecord, encode};
 
 use crate::naive::Naive;
@@ -10,6 +10,8 @@
 pub enum Kind {
     /// As the fold says.
     Sound,
+    /// As the fold says, with snapshots read item by item.
+    Sliced,
     /// Takes every snapshot at its word.
     TakeSnapshots,
     /// Passes over gaps.
@@ -34,7 +36,7 @@
     pub fn apply(&mut self, record: &LogRecord) -> Result<FoldEvent, GapError> {
         let before = (self.fold.revision(), self.fold.next());
         let event = self.apply_as(record);
-        if self.kind == Kind::Sound {
+        if matches!(self.kind, Kind::Sound | Kind::Sliced) {
             assert!(before <= (self.fold.revision(), self.fold.next()));
         }
         event
@@ -46,6 +48,12 @@
             offset: next,
             ..record.clone()
         };
+        if self.kind == Kind::Sliced
+            && let Some(mut scan) = Scan::open(&record.data)
+        {
+            while scan.step(1) {}
+            return self.fold.apply_scanned(record, scan);
+        }
         match (self.kind, Record::from_bytes(&record.data)) {
             (Kind::TakeSnapshots, Ok(Record::Snapshot(s))) => {
                 if let Ok(fold) = Fold::from_snapshot(&encode(&s)) {
--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_config::FoldEvent;
+use pumicecleat_config::{FoldEvent, Scan};
 use pumicecleat_ops::{events, field};
 use pumicecleat_platform::{Batch, ReadError};
 use pumicecleat_types::{LogRecord, Millis};
@@ -28,6 +28,12 @@
 /// Pause after a read that gave nothing.
 const SHORT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Items of a snapshot checked in a row, about two milliseconds of work.
+const SLICE_ITEMS: u32 = 256;
+
+/// Pause between two slices.
+const SLICE_PAUSE: Duration = Duration::from_millis(1);
+
 /// Age of the last read up to which a request is decided without another.
 const FRESH: Millis = Millis(5_000);
 
@@ -78,7 +84,7 @@
     let from = shared.current.next();
     let read = shared.records.read(STREAM, from, READ_RECORDS, wait).await;
     match read {
-        Ok(batch) => take(shared, &batch),
+        Ok(batch) => take(shared, &batch).await,
         Err(ReadError::Trimmed { first, .. }) => {
             return skip_to_snapshot(shared, from, first).await;
         }
@@ -90,10 +96,11 @@
     true
 }
 
-fn take(shared: &Shared, batch: &Batch) {
+async fn take(shared: &Shared, batch: &Batch) {
     note_up(shared);
     for record in &batch.records {
-        if !apply(shared, record) {
+        let scan = scan(shared, record).await;
+        if !apply(shared, record, scan) {
             return;
         }
     }
@@ -102,6 +109,18 @@
     }
 }
 
+/// Goes through a snapshot record in slices: in one step it would hold up every stream.
+async fn scan<'r>(shared: &Shared, record: &'r LogRecord) -> Option<Scan<'r>> {
+    if record.offset != shared.current.next() {
+        return None;
+    }
+    let mut scan = Scan::open(&record.data)?;
+    while scan.step(SLICE_ITEMS) {
+        shared.timer.sleep(SLICE_PAUSE).await;
+    }
+    Some(scan)
+}
+
 /// Reads from the oldest record kept up to a snapshot that starts the fold anew.
 async fn skip_to_snapshot(shared: &Shared, wanted: u64, first: u64) -> bool {
     let fields = [
@@ -123,7 +142,10 @@
                 return false;
             }
         };
-        let started = batch.records.iter().any(|record| apply(shared, record));
+        let started = batch
+            .records
+            .iter()
+            .any(|record| apply(shared, record, None));
         if started {
             return true;
         }
@@ -135,8 +157,8 @@
 }
 
 /// Takes a record in; false if it lies behind a gap that it can't close.
-fn apply(shared: &Shared, record: &LogRecord) -> bool {
-    let Ok(event) = shared.current.apply(record) else {
+fn apply(shared: &Shared, record: &LogRecord, scan: Option<Scan<'_>>) -> bool {
+    let Ok(event) = shared.current.apply(record, scan) else {
         return false;
     };
     let offset = field("offset", record.offset);
--- a/crates/entry/src/config/mod.rs
+++ b/crates/entry/src/config/mod.rs
@@ -12,7 +12,7 @@
 use std::cell::{Cell, RefCell};
 
 use pumicecleat_config::model::{Config, Key};
-use pumicecleat_config::{Due, Fold, FoldEvent, GapError, KeyIndex, SnapshotError};
+use pumicecleat_config::{Due, Fold, FoldEvent, GapError, KeyIndex, Scan, SnapshotError};
 use pumicecleat_types::{CallerId, ConfigAsk, ConfigReply, LogRecord, Millis};
 use serde::{Deserialize, Serialize};
 
@@ -121,10 +121,13 @@
         self.state.borrow().fold.snapshot_due(now, retention)
     }
 
-    /// Takes a record in.
-    fn apply(&self, record: &LogRecord) -> Result<FoldEvent, GapError> {
+    /// Takes a record in, with the scan of it if there was one.
+    fn apply(&self, record: &LogRecord, scan: Option<Scan<'_>>) -> Result<FoldEvent, GapError> {
         let mut state = self.state.borrow_mut();
-        let event = state.fold.apply(record)?;
+        let event = match scan {
+            Some(scan) => state.fold.apply_scanned(record, scan)?,
+            None => state.fold.apply(record)?,
+        };
         match &event {
             FoldEvent::Old | FoldEvent::Newer { .. } => {}
             FoldEvent::Started { .. } => state.restart(),
@@ -134,6 +137,12 @@
                     state.index();
                 }
             }
+            // Sides hold the state; what they need is that it is the one checked here.
+            FoldEvent::Confirmed => {
+                let data = state.fold.checked_record(record.offset);
+                let (offset, at) = (record.offset, record.at);
+                state.recent.push(&LogRecord { offset, at, data });
+            }
             // A snapshot from behind a gap that was refused moves nothing.
             FoldEvent::Ignored(_) if state.fold.next() <= record.offset => {}
             _ => state.recent.push(record),
--- a/crates/entry/src/config/peers.rs
+++ b/crates/entry/src/config/peers.rs
@@ -65,7 +65,7 @@
         ConfigReply::Records(records) => {
             // A gap ends the batch; the next ask starts from what is wanted then.
             let _ = records.iter().try_for_each(|r| {
-                let applied = shared.current.apply(r);
+                let applied = shared.current.apply(r, None);
                 applied.map(drop)
             });
         }
--- a/crates/entry/tests/entry/config.rs
+++ b/crates/entry/tests/entry/config.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_config::Record;
+use pumicecleat_config::{Fold, FoldEvent, Record};
 use pumicecleat_entry::{Entry, Parts};
 use pumicecleat_platform::{AppendError, Appended, Batch, Local, Log, ReadError};
 use pumicecleat_standin::LogFaults;
@@ -237,7 +237,22 @@
             }
         }
         let snapshot = ask(&world, &started.entry, None).await;
-        assert!(matches!(snapshot, ConfigReply::Snapshot(_)));
+        // Of a snapshot record they get the digest only, which their fold confirms.
+        world.append_snapshot().await;
+        let told = loop {
+            match ask(&world, &started.entry, Some(next)).await {
+                ConfigReply::Records(records) if records.is_empty() => {}
+                ConfigReply::Records(records) => break records,
+                other => panic!("{other:?}"),
+            }
+            world.timer.sleep(Duration::from_millis(20)).await;
+        };
+        let ConfigReply::Snapshot(bytes) = snapshot else {
+            panic!("{snapshot:?}");
+        };
+        assert!(told[0].data.len() < bytes.len(), "{}", told[0].data.len());
+        let mut fold = Fold::from_snapshot(&bytes).unwrap();
+        assert_eq!(fold.apply(&told[0]), Ok(FoldEvent::Confirmed));
         assert_eq!(
             world
                 .caller(&started)
--- a/crates/measure/src/slopes/config.rs
+++ b/crates/measure/src/slopes/config.rs
@@ -1,10 +1,10 @@
 //! The configuration: memory of a fold, changes, snapshots, and the operator's command.
 
 use pumicecleat_config::model::Config;
-use pumicecleat_config::{Change, ChangeId, Delta, Fold, Record};
+use pumicecleat_config::{Change, ChangeId, Delta, Fold, FoldEvent, Record, Scan};
 use pumicecleat_types::LogRecord;
 
-use super::clock::cost;
+use super::clock::{cost, thread_time};
 use super::fleet::{adapter, adapter_name, config};
 use super::line::{Figure, Sample, Series};
 use super::memory::size;
@@ -15,6 +15,12 @@
 /// Changes in a batch.
 const CHANGES: u32 = 100;
 
+/// Checks that a figure is the median of.
+const SCANS: u32 = 9;
+
+/// Items in a slice, as in entries.
+const SLICE: u32 = 256;
+
 /// Series of this part.
 struct All {
     memory: Series,
@@ -23,6 +29,9 @@
     snapshot_bytes: Series,
     write: Series,
     read: Series,
+    step: Series,
+    slice: Series,
+    slices: Series,
     author: Series,
 }
 
@@ -35,6 +44,12 @@
             snapshot_bytes: series("snapshot, encoded", "bytes"),
             write: series("snapshot written", "us"),
             read: series("snapshot read and checked", "us"),
+            step: series("snapshot record compared in one step", "us"),
+            slice: series(
+                "snapshot record compared in slices of 256, the longest",
+                "us",
+            ),
+            slices: series("snapshot record compared in slices of 256, all", "us"),
             author: series("a change made from two whole configurations", "us"),
         }
     }
@@ -47,6 +62,9 @@
             &self.snapshot_bytes,
             &self.write,
             &self.read,
+            &self.step,
+            &self.slice,
+            &self.slices,
             &self.author,
         ];
         all.into_iter().for_each(Series::fit);
@@ -77,6 +95,10 @@
                 std::hint::black_box(copy());
             }),
         );
+        all.step.add(adapters, compare(&mut fold));
+        let (most, whole) = scan(&mut fold);
+        all.slice.add(adapters, most);
+        all.slices.add(adapters, whole);
         all.author.add(adapters, author(&declared));
         let mut records = (1..).map(|n| small_change(n % adapters, n));
         let mut last = 0;
@@ -101,6 +123,50 @@
     })
 }
 
+/// Record of a snapshot as the log would give it next.
+fn appended(fold: &Fold) -> LogRecord {
+    LogRecord {
+        offset: fold.next(),
+        at: 1_790_000_000_000,
+        data: fold.snapshot_record(),
+    }
+}
+
+/// Time of a check in one step.
+fn compare(fold: &mut Fold) -> Sample {
+    let mut times = Vec::new();
+    for _ in 0..SCANS {
+        let record = appended(fold);
+        let start = thread_time();
+        let event = fold.apply(&record);
+        times.push(thread_time().saturating_sub(start).as_secs_f64() * 1e6);
+        assert_eq!(event, Ok(FoldEvent::Confirmed), "its own snapshot");
+    }
+    Sample::of(times)
+}
+
+/// Time of the longest slice, and of all slices of one check.
+fn scan(fold: &mut Fold) -> (Sample, Sample) {
+    let (mut most, mut whole) = (Vec::new(), Vec::new());
+    for _ in 0..SCANS {
+        let record = appended(fold);
+        let mut slices = vec![thread_time()];
+        let mut scan = Scan::open(&record.data).expect("a snapshot as written");
+        while scan.step(SLICE) {
+            slices.push(thread_time());
+        }
+        let event = fold.apply_scanned(&record, scan);
+        assert_eq!(event, Ok(FoldEvent::Confirmed), "its own snapshot");
+        slices.push(thread_time());
+        let spans = slices
+            .windows(2)
+            .map(|pair| pair[1].saturating_sub(pair[0]).as_secs_f64() * 1e6);
+        most.push(spans.clone().fold(0.0, f64::max));
+        whole.push(spans.sum());
+    }
+    (Sample::of(most), Sample::of(whole))
+}
+
 /// Fold in which a whole configuration is in force.
 fn first(declared: &Config) -> Fold {
     let mut fold = Fold::new();
--- a/crates/types/src/codec.rs
+++ b/crates/types/src/codec.rs
@@ -1,7 +1,7 @@
 //! `MessagePack` by `rmp-serde`, with field names, so that a field can be added without a flag day.
 
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu};
 
 /// Bytes that are not the message expected.
@@ -22,11 +22,11 @@
     rmp_serde::to_vec_named(value).expect("messages of this crate always encode")
 }
 
-/// Message from all of `bytes`.
+/// Message from all of `bytes`, from which it may borrow.
 ///
 /// # Errors
 /// [`CodecError`] if the bytes are not such a message.
-pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
+pub fn decode<'b, T: Deserialize<'b>>(bytes: &'b [u8]) -> Result<T, CodecError> {
     rmp_serde::from_slice(bytes).context(CodecSnafu { bytes: bytes.len() })
 }
 
