Let sides far behind in the load order come back late, and call them if the store stands idle

Cause: every side that waited bid each 10 s at least, so that 975 of them cost the keeper 113 bids a second. A longer bound alone would leave the store idle: if those in front go, the next may be told to come back up to 50 s later (up to 10 s before). The keeper now looks each 100 ms; if the store has stood idle for 200 ms it calls the most urgent side, and the next at once if that one wants nothing or does not answer (250 ms at most). A side that waits long tells of requests that came since at its next bid only, as before, but that may be 50 s later. An older side answers a call with 404: its bid is dropped, and it bids again at its own time.

--- a/crates/entry/src/directory/mod.rs
+++ b/crates/entry/src/directory/mod.rs
@@ -148,6 +148,11 @@
         vm.map_or("", VmId::as_str)
     }
 
+    /// Address of an upstream's side.
+    pub(crate) fn address(&self, up: UpstreamIx) -> Option<String> {
+        self.destination(up).map(|d| d.address)
+    }
+
     /// Engine name of an adapter's version, for logs.
     pub(crate) fn engine(&self, lora: LoraIx) -> &str {
         self.names.engine(lora)
--- a/crates/entry/src/peer/load.rs
+++ b/crates/entry/src/peer/load.rs
@@ -1,11 +1,53 @@
-//! Bids for a turn at the weight store.
+//! Bids for a turn at the weight store, and calls for one while it stands idle.
 
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_net::post;
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::{Bid, LoraIx, UpstreamIx};
-use pumicecleat_types::{LoadBid, LoadTurn, Lora, Millis};
+use pumicecleat_types::{LoadBid, LoadCall, LoadCalled, LoadTurn, Lora, Millis};
 
 use crate::shared::Shared;
 
+/// Path of a call.
+const CALL_PATH: &str = "/peer/v1/call";
+
+/// Time for a side to answer a call.
+const CALL_SPAN: Duration = Duration::from_millis(250);
+
+/// Time between two looks at an idle store.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Calls sides while the store stands idle, until the process ends.
+pub(crate) async fn call_idle(shared: Rc<Shared>) {
+    loop {
+        shared.timer.sleep(LOOK).await;
+        while call_next(&shared).await {}
+    }
+}
+
+/// Calls the side that should bid now; true if it does not, so that another should be called.
+async fn call_next(shared: &Shared) -> bool {
+    let now = shared.timer.now();
+    let Some(up) = shared.order.borrow_mut().call(now) else {
+        return false;
+    };
+    let address = shared.directory.borrow().address(up);
+    let call = LoadCall { at_ms: now.0 };
+    let reply = match address {
+        Some(side) => post(&shared.runs, &side, CALL_PATH, &call, CALL_SPAN)
+            .await
+            .ok(),
+        None => None,
+    };
+    let bids = reply.is_some_and(|called: LoadCalled| called.bids);
+    if !bids {
+        shared.order.borrow_mut().uncalled(up);
+    }
+    !bids
+}
+
 pub(super) fn answer(shared: &Shared, bid: &LoadBid) -> LoadTurn {
     let now = shared.timer.now();
     let up = shared.directory.borrow_mut().upstream(&bid.vm);
--- a/crates/entry/src/peer/mod.rs
+++ b/crates/entry/src/peer/mod.rs
@@ -4,6 +4,8 @@
 mod load;
 mod report;
 
+pub(crate) use load::call_idle;
+
 use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
--- a/crates/entry/src/start/mod.rs
+++ b/crates/entry/src/start/mod.rs
@@ -22,7 +22,7 @@
 use crate::config::{self, Current};
 use crate::directory::{Directory, follow_vms, watch_silence};
 use crate::meters::Meters;
-use crate::peer::PeerHandler;
+use crate::peer::{PeerHandler, call_idle};
 use crate::shared::{Options, Shared};
 
 pub use dump::{EntryDump, OrderDump};
@@ -235,6 +235,7 @@
     monoio::spawn(config::follow(Rc::clone(shared)));
     monoio::spawn(config::append_snapshots(Rc::clone(shared)));
     monoio::spawn(watch_silence(Rc::clone(shared)));
+    monoio::spawn(call_idle(Rc::clone(shared)));
     if let Some(vms) = &parts.vms {
         monoio::spawn(follow_vms(Rc::clone(shared), Rc::clone(vms)));
     }
--- a/crates/fuzz/src/targets/message.rs
+++ b/crates/fuzz/src/targets/message.rs
@@ -1,9 +1,9 @@
 //! Messages between the system's processes.
 
 use pumicecleat_types::{
-    ConfigAsk, ConfigReply, Frame, HeaderField, LoadBid, LoadFigures, LoadTurn, LogRecord,
-    ModelTarget, Reason, Refusal, Report, ReportReply, RunHead, RunRequest, ServiceTarget, Target,
-    decode, encode,
+    ConfigAsk, ConfigReply, Frame, HeaderField, LoadBid, LoadCall, LoadCalled, LoadFigures,
+    LoadTurn, LogRecord, ModelTarget, Reason, Refusal, Report, ReportReply, RunHead, RunRequest,
+    ServiceTarget, Target, decode, encode,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -40,6 +40,8 @@
             encode(&ConfigReply::Snapshot(b"snapshot".to_vec())),
             encode(&bid()),
             encode(&LoadTurn::Go { ttl_ms: 900 }),
+            encode(&LoadCall { at_ms: 900 }),
+            encode(&LoadCalled { bids: true }),
             encode(&Frame::Refused(refusal())),
         ]
     }
@@ -53,6 +55,8 @@
             check_as::<ConfigReply>(input)?,
             check_as::<LoadBid>(input)?,
             check_as::<LoadTurn>(input)?,
+            check_as::<LoadCall>(input)?,
+            check_as::<LoadCalled>(input)?,
             check_as::<Frame>(input)?,
         ];
         Ok(taken.contains(&true))
--- a/crates/measure/src/slopes/order.rs
+++ b/crates/measure/src/slopes/order.rs
@@ -19,7 +19,7 @@
 const LOAD: Millis = Millis(500);
 
 /// Virtual time watched, seconds and the same as a span.
-const SECONDS: u32 = 20;
+const SECONDS: u32 = 120;
 const SPAN: Millis = Millis(SECONDS as u64 * 1_000);
 
 /// Time for a bid and its reply.
--- a/crates/policy/src/load_order/bids.rs
+++ b/crates/policy/src/load_order/bids.rs
@@ -55,6 +55,13 @@
         ranked.max().map(|(_, side)| side)
     }
 
+    /// Side with the most urgent bid, whenever it is due.
+    pub(super) fn most_urgent(&self, now: Millis) -> Option<UpstreamIx> {
+        let ranked = self.sides.iter();
+        let ranked = ranked.map(|(side, e)| (rank(*side, e, now), *side));
+        ranked.max().map(|(_, side)| side)
+    }
+
     /// Number of bids that are more urgent than the side's.
     pub(super) fn before(&self, side: UpstreamIx, now: Millis) -> u64 {
         let Some(own) = self.sides.get(&side).map(|e| rank(side, e, now)) else {
--- a/crates/policy/src/load_order/mod.rs
+++ b/crates/policy/src/load_order/mod.rs
@@ -33,6 +33,8 @@
     options: LoadOrderOptions,
     bids: Bids,
     holder: Option<Holder>,
+    /// When the last turn ended.
+    free: Millis,
     pace: Pace,
 }
 
@@ -44,6 +46,7 @@
             options,
             bids: Bids::default(),
             holder: None,
+            free: Millis(0),
             pace: Pace::new(options.load),
         }
     }
@@ -72,6 +75,21 @@
         self.wait(side, now)
     }
 
+    /// Side to call, as the store stands idle: those that were to come back first have not, and the
+    /// most urgent of the others may have been told to come back much later.
+    pub fn call(&mut self, now: Millis) -> Option<UpstreamIx> {
+        self.drop_stale(now);
+        let idle = self.holder.is_none() && now.since(self.free) > self.options.longest;
+        let side = idle.then(|| self.bids.most_urgent(now)).flatten()?;
+        self.bids.expect(side, now);
+        Some(side)
+    }
+
+    /// A side that was called wants no turn, or does not answer: its bid ends.
+    pub fn uncalled(&mut self, side: UpstreamIx) {
+        self.bids.remove(side);
+    }
+
     /// A side is gone: its turn and its bid end.
     pub fn forget(&mut self, side: UpstreamIx) {
         self.bids.remove(side);
@@ -112,6 +130,7 @@
         if let Some(holder) = self.holder.filter(|h| h.side == side) {
             self.pace.took(now.since(holder.since));
             self.holder = None;
+            self.free = now;
         }
     }
 
@@ -120,12 +139,13 @@
         if let Some(holder) = self.holder.filter(|h| h.until <= now) {
             self.pace.took(now.since(holder.since));
             self.holder = None;
+            self.free = now;
         }
     }
 
     /// When to bid again: at the end of the turn that holds, and later by half the loads that go
     /// before. So a side comes back a few times until its turn, and all together bid at a rate
-    /// that grows little with their number.
+    /// that grows little with their number. One that is needed earlier is called.
     fn wait(&mut self, side: UpstreamIx, now: Millis) -> LoadTurn {
         let end = self.holder.map(|h| h.since + self.pace.load());
         let left = end.map_or(Millis(0), |at| at.since(now));
--- a/crates/policy/src/load_order/options.rs
+++ b/crates/policy/src/load_order/options.rs
@@ -24,7 +24,7 @@
             fresh: Millis(1_000),
             shortest: Millis(5),
             longest: Millis(200),
-            queue: Millis(10_000),
+            queue: Millis(50_000),
         }
     }
 }
--- a/crates/policy/src/scheduler/loading.rs
+++ b/crates/policy/src/scheduler/loading.rs
@@ -119,6 +119,13 @@
         }
     }
 
+    /// An entry calls for the bid before its time.
+    pub(super) fn called(&mut self, now: Millis) {
+        if let Stage::Idle { next } = &mut self.stage {
+            *next = now.min(*next);
+        }
+    }
+
     /// No entry answered: goes alone after a random span, longer where loads have collided.
     pub(super) fn no_turn(&mut self, load: Millis, roll: u64, now: Millis) {
         self.held = false;
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -171,6 +171,17 @@
         self.loading.turn(turn, now);
     }
 
+    /// An entry calls for a bid before its time.
+    pub fn called(&mut self, now: Millis) {
+        self.loading.called(now);
+    }
+
+    /// Whether a bid is out.
+    #[must_use]
+    pub fn is_asking(&self) -> bool {
+        self.loading.asking
+    }
+
     /// No entry answered the bid; `roll` is a random number.
     pub fn no_turn(&mut self, roll: u64, now: Millis) {
         self.loading.no_turn(self.options.load, roll, now);
--- a/crates/policy/tests/load_order_cases.rs
+++ b/crates/policy/tests/load_order_cases.rs
@@ -166,3 +166,33 @@
     order.forget(side);
     assert_eq!(order.holder(), None);
 }
+
+/// Of many that wait, those in front vanish; one that was told to come back much later is called
+/// once the store has stood idle for a moment, and again until it bids or is given up.
+#[test]
+fn calls_while_the_store_stands_idle() {
+    let mut order = LoadOrder::new_ext(LoadOrderOptions::default());
+    let ask = |order: &mut LoadOrder, side: u32, at: u64| {
+        let wanted = bid((side, 100 - side, 0));
+        order.bid(UpstreamIx(side), Some(&wanted), Millis(at))
+    };
+    assert!(matches!(ask(&mut order, 0, 0), LoadTurn::Go { .. }));
+    for side in 1..=80 {
+        assert!(matches!(ask(&mut order, side, 10), LoadTurn::Wait { .. }));
+    }
+    let LoadTurn::Wait { again_ms } = ask(&mut order, 80, 20) else {
+        panic!("the turn is held");
+    };
+    assert!(again_ms > 10_000, "{again_ms}");
+    assert_eq!(order.call(Millis(400)), None, "the turn is held");
+    order.bid(UpstreamIx(0), None, Millis(500));
+    assert_eq!(order.call(Millis(700)), None, "those in front may come yet");
+    for side in 1..80 {
+        assert_eq!(order.call(Millis(701)), Some(UpstreamIx(side)));
+        order.uncalled(UpstreamIx(side));
+    }
+    assert_eq!(order.call(Millis(702)), Some(UpstreamIx(80)));
+    assert_eq!(order.call(Millis(802)), Some(UpstreamIx(80)));
+    assert!(matches!(ask(&mut order, 80, 810), LoadTurn::Go { .. }));
+    assert_eq!(order.call(Millis(1_000)), None, "the turn is held");
+}
--- a/crates/side/src/peer.rs
+++ b/crates/side/src/peer.rs
@@ -7,14 +7,15 @@
 use std::time::Duration;
 
 use http::header::{CONTENT_TYPE, HeaderValue};
-use pumicecleat_net::{Body, Handler, Incoming, Reply, plain_reply, read_all};
+use pumicecleat_net::{Body, Handler, Incoming, Reply, peer_reply, plain_reply, read_all};
 use pumicecleat_ops::{events, field};
-use pumicecleat_types::{RunRequest, decode};
+use pumicecleat_types::{LoadCall, LoadCalled, RunRequest, decode};
 
 use crate::run::answer;
 use crate::state::State;
 
 const RUN_PATH: &str = "/peer/v1/run";
+const CALL_PATH: &str = "/peer/v1/call";
 /// Longest attempt, bytes: callers' bodies are limited by entries.
 const RUN_LIMIT: u64 = 64 << 20;
 const RUN_SPAN: Duration = Duration::from_secs(10);
@@ -30,20 +31,33 @@
 }
 
 async fn reply(state: Rc<State>, request: Incoming, peer: SocketAddr) -> Reply {
-    if request.method() != http::Method::POST || request.uri().path() != RUN_PATH {
-        return plain_reply(404, "only POST /peer/v1/run\n");
+    let is_call = request.uri().path() == CALL_PATH;
+    let is_known = is_call || request.uri().path() == RUN_PATH;
+    if request.method() != http::Method::POST || !is_known {
+        return plain_reply(404, "only POST /peer/v1/run and /peer/v1/call\n");
     }
     let mut body = request.into_body();
     let bytes = match read_all(&mut body, RUN_LIMIT, RUN_SPAN, &state.timer).await {
         Ok(bytes) => bytes,
         Err(e) => return refuse(&state, peer, &e.to_string()),
     };
+    if is_call {
+        return match decode::<LoadCall>(&bytes) {
+            Ok(_) => peer_reply(&called(&state)),
+            Err(e) => refuse(&state, peer, &e.to_string()),
+        };
+    }
     match decode::<RunRequest>(&bytes) {
         Ok(run) => frames_reply(Body::Stream(answer(&state, run))),
         Err(e) => refuse(&state, peer, &e.to_string()),
     }
 }
 
+fn called(state: &State) -> LoadCalled {
+    let bids = state.work().is_some_and(|w| w.station.called());
+    LoadCalled { bids }
+}
+
 fn frames_reply(body: Body) -> Reply {
     let mut reply = Reply::new(body);
     let kind = HeaderValue::from_static("application/msgpack");
--- a/crates/side/src/station/tell.rs
+++ b/crates/side/src/station/tell.rs
@@ -19,6 +19,14 @@
         self.pump();
     }
 
+    /// An entry calls for a bid before its time; tells whether one goes out.
+    pub(crate) fn called(&self) -> bool {
+        let now = self.now();
+        self.state.scheduler.borrow_mut().called(now);
+        self.pump();
+        self.state.scheduler.borrow().is_asking()
+    }
+
     /// Outcome of a load.
     pub(crate) fn loaded(&self, lora: &Lora, end: LoadEnd) {
         let ix = self.index(lora);
--- a/crates/side/tests/bench/mod.rs
+++ b/crates/side/tests/bench/mod.rs
@@ -13,7 +13,7 @@
 use pumicecleat_config::{Change, ChangeId, Fold, Record, Source, parse};
 use pumicecleat_net::{
     Client, ClientOptions, FrameReader, Handler, Incoming, Protocol, Reply, Server, ServerOptions,
-    Timer, bind, peer_reply, plain_reply, read_all,
+    Timer, bind, peer_reply, plain_reply, post, read_all,
 };
 use pumicecleat_ops::{Log as EventLog, LogOptions, Settings};
 use pumicecleat_side::{Side, SideSettings};
@@ -22,8 +22,8 @@
     Service, ServiceFaults, ServiceOptions, Store, StoreFaults, StoreOptions,
 };
 use pumicecleat_types::{
-    ConfigReply, Frame, LoadBid, LoadTurn, LogRecord, Lora, ModelTarget, Report, ReportReply,
-    RunHead, RunRequest, ServiceTarget, Target, decode, encode,
+    ConfigReply, Frame, LoadBid, LoadCall, LoadCalled, LoadTurn, LogRecord, Lora, ModelTarget,
+    Report, ReportReply, RunHead, RunRequest, ServiceTarget, Target, decode, encode,
 };
 
 /// Longest wait of any step of a test.
@@ -74,6 +74,8 @@
     pub reports: BTreeMap<String, Report>,
     /// Bids, in order.
     pub bids: Vec<LoadBid>,
+    /// Time that bids are told to wait, if they get no turn.
+    pub wait_ms: Option<u64>,
 }
 
 struct FakeEntry {
@@ -107,7 +109,9 @@
                 }
                 "/peer/v1/load" => {
                     seen.borrow_mut().bids.push(decode(&bytes).unwrap());
-                    peer_reply(&LoadTurn::Go { ttl_ms: 2_000 })
+                    let go = LoadTurn::Go { ttl_ms: 2_000 };
+                    let wait = seen.borrow().wait_ms;
+                    peer_reply(&wait.map_or(go, |again_ms| LoadTurn::Wait { again_ms }))
                 }
                 _ => plain_reply(404, ""),
             }
@@ -310,6 +314,14 @@
         FrameReader::new(response)
     }
 
+    /// Calls a side for its bid; tells whether one goes out.
+    pub async fn call_for_bid(&self, side: &Side) -> bool {
+        let peer = side.address().to_string();
+        let call = LoadCall { at_ms: 1 };
+        let reply = post(&self.runs, &peer, "/peer/v1/call", &call, SPAN).await;
+        reply.map(|called: LoadCalled| called.bids).unwrap()
+    }
+
     /// All frames of an attempt.
     pub async fn frames(&self, side: &Side, run: &RunRequest) -> Vec<Frame> {
         let mut reader = self.send(side, run).await;
--- a/crates/types/src/message/load.rs
+++ b/crates/types/src/message/load.rs
@@ -34,6 +34,20 @@
     },
 }
 
+/// Entry to side: the store is free, and the side is to bid before the time it was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadCall {
+    /// Entry's time since its start, milliseconds.
+    pub at_ms: u64,
+}
+
+/// Side to entry, on a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadCalled {
+    /// A bid is on its way.
+    pub bids: bool,
+}
+
 impl Serialize for LoadBid {
     /// Writes the fields in their order.
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -7,7 +7,7 @@
 mod vm;
 
 pub use config::{ConfigAsk, ConfigReply, LogRecord};
-pub use load::{LoadBid, LoadTurn};
+pub use load::{LoadBid, LoadCall, LoadCalled, LoadTurn};
 pub use report::{LoadFigures, Report, ReportReply};
 pub use run::{
     Frame, HeaderField, ModelTarget, Ran, Reason, Refusal, RunHead, RunRequest, ServiceTarget,
