--- a/crates/measure/region.sh
+++ b/crates/measure/region.sh
@@ -4,8 +4,8 @@
 # FOLDER holds the programs of one build (default: target/release). A stand-in log and ENTRIES
 # (default: 57) entries are started; `slopes --parts change` gets their addresses and the further
 # arguments, and declares, starts the sides and appends. Memory, its peak and processor time of each
-# entry come from the system's accounts at the end. With RETENTION set, entries append snapshots
-# four times in that span. All that was started is ended by its id.
+# entry come from the system's accounts at the end. With RETENTION set, the
+# first entry appends snapshots four times in that span. All that was started is ended by its id.
 set -eu
 
 bin=${1:-target/release}
@@ -57,12 +57,14 @@
 list=
 ids=
 n=0
+retention=${RETENTION:-48h}
 while [ "$n" -lt "$entries" ]; do
     start "entry$n" "$bin/pumicecleat-entry" --vm "entry$n" --data-centre d --region r \
         --log-level off --listen 127.0.0.1:0 --peer-listen 127.0.0.1:0 --admin 127.0.0.1:0 \
-        --retention "${RETENTION:-48h}" --log "$log"
+        --retention "$retention" --log "$log"
     list="$list${list:+,}$(told peers)"
     ids="$ids $id"
+    retention=48h
     n=$((n + 1))
 done
 "$bin/pumicecleat-measure" slopes --parts change --log "$log" --peers "$list" "$@"
