--- a/crates/entry/src/start/mod.rs
+++ b/crates/entry/src/start/mod.rs
@@ -111,7 +111,6 @@
         stop: &Stop,
     ) -> Result<Self, StartError> {
         let metrics = Metrics::new();
-        let turns = Turns::start(TURN).context(TurnsSnafu)?;
         let callers = listen("callers", settings.listen, log)?;
         let peers = listen("peers", settings.peer_listen, log)?;
         let admin = listen("admin", settings.common.admin, log)?;
@@ -121,9 +120,7 @@
             admin: admin.address,
         };
         let options = options(settings, addresses.peers);
-        let shared = Rc::new(share(
-            settings, options, parts, timer, turns, log, stop, &metrics,
-        ));
+        let shared = share(settings, options, parts, timer, log, stop, &metrics)?;
         let state = Rc::new(dump::State::new(&shared));
         let handler = Admin::new(&metrics, &shared.readiness, state);
         let admin = serve(admin, Rc::new(handler), ServerOptions::default(), timer);
@@ -177,20 +174,19 @@
     options: Options,
     parts: &Parts,
     timer: &Timer,
-    turns: Turns,
     log: &Log,
     stop: &Stop,
     metrics: &Metrics,
-) -> Shared {
+) -> Result<Rc<Shared>, StartError> {
     let budget = BudgetOptions {
         percent: settings.retries,
         burst: RETRY_BURST,
     };
     let seed = pumicecleat_policy::upstream_key(&options.vm);
-    Shared {
+    let shared = Shared {
         options,
         timer: timer.clone(),
-        turns,
+        turns: Turns::start(TURN).context(TurnsSnafu)?,
         client: Client::new_ext(ClientOptions::default(), timer),
         runs: Client::new_ext(run_options(), timer),
         log: log.clone(),
@@ -207,7 +203,8 @@
         leaving: Cell::new(false),
         silent: RefCell::default(),
         turn: Cell::new(0),
-    }
+    };
+    Ok(Rc::new(shared))
 }
 
 fn run_options() -> ClientOptions {
--- a/crates/net/tests/turns.rs
+++ b/crates/net/tests/turns.rs
@@ -133,7 +133,10 @@
         let timer = Timer::start();
         let turns = Turns::start(2).unwrap();
         let mut places: Vec<_> = (0..100).map(|_| turns.place()).collect();
-        let at_once = places.iter_mut().filter_map(|p| p.now_or_never()).count();
+        let at_once = places
+            .iter_mut()
+            .filter_map(FutureExt::now_or_never)
+            .count();
         assert_eq!(at_once, 2);
         // Every other one goes away, some of them in the turn that begins next.
         let kept = places.into_iter().skip(2).step_by(2);
