Fuzz HTTP requests through the real server, and the platform's JSON

Two targets more: `heads` sends raw bytes, one connection an input, to the server over loopback, and requires whole answers in a row and an end in 10 s; `platform` has the log's and the VM list's clients read the bytes, and compares what they made of them with the JSON as `serde_json` reads it. The page over loopback that `metrics` used is now shared.

--- a/crates/fuzz/src/targets/log.rs
+++ b/crates/fuzz/src/targets/log.rs
@@ -60,6 +60,13 @@
     )
 }
 
+/// A record of a later format stops the fold where it stands.
+fn check_stop(before: &Fold, after: &Fold, format: u32) -> Result<bool, Broken> {
+    require(format > 1, "stopped by a format that is known")?;
+    let stays = after.next() == before.next() && after.digest() == before.digest();
+    require(stays, "moved by a record of a later format").map(|()| false)
+}
+
 /// Applied in its turn: no gap, no step back, and the same twice.
 fn check_apply(fold: &Fold, input: &[u8], offset: u64) -> Result<bool, Broken> {
     let mut after = fold.clone();
@@ -72,6 +79,9 @@
     let Ok(event) = after.apply(&record) else {
         return require(false, "a gap where there is none").map(|()| false);
     };
+    if let FoldEvent::Newer { format, .. } = event {
+        return check_stop(fold, &after, format);
+    }
     require(after.next() == offset + 1, "the record was not passed")?;
     require(
         after.revision() >= fold.revision(),
--- a/crates/fuzz/src/targets/mod.rs
+++ b/crates/fuzz/src/targets/mod.rs
@@ -3,11 +3,14 @@
 mod chat;
 mod config;
 mod frames;
+mod heads;
 mod key;
 mod ledger;
 mod log;
 mod message;
 mod metrics;
+mod page;
+mod platform;
 mod stream;
 
 use snafu::Snafu;
@@ -55,6 +58,8 @@
         Box::new(frames::AnswerFrames),
         Box::new(key::KeyText),
         Box::new(metrics::MetricsPage::start()),
+        Box::new(platform::PlatformAnswer::start()),
+        Box::new(heads::RequestBytes::start()),
     ]
 }
 
