--- a/crates/fuzz/src/targets/platform.rs
+++ b/crates/fuzz/src/targets/platform.rs
@@ -47,7 +47,7 @@
         let vms = concat!(
             r#"{"vms":[{"vm":"a","role":"entry","state":"live","address":"10.0.0.1:7","centre":"#,
             r#""bp-a","region":"hu","pool":null},{"vm":"b","role":"upstream","state":"leaving","#,
-            r#""address":"10.0.0.2:7","centre":"kecs","region":"hu","pool":"lm"}]}"#
+            r#""address":"10.0.0.2:7","centre":"kecs","region":"hu","pool":"lm"}],"version":7}"#
         );
         let appended = r#"{"first":1,"at":2}"#;
         vec![appended.into(), batch.into(), vms.into()]
@@ -76,6 +76,7 @@
         if let Some(vms) = &said.vms {
             let told = value["vms"].as_array().map_or(0, Vec::len);
             require(told == vms.vms.len(), "another count of VMs")?;
+            require(value["version"] == vms.version, "another version")?;
         }
         Ok(true)
     }
