Follow the linter in the new tests and targets

Clippy's pedantic group named a field called as its struct and a missing semicolon; no behaviour changes. Clippy over all targets and fmt are clean.

--- a/crates/cli/tests/pairs.rs
+++ b/crates/cli/tests/pairs.rs
@@ -71,7 +71,7 @@
         set_faults(
             &g.fleet.engines[0].address,
             &json!({"restart": true, "cold_ms": 600}),
-        )
+        );
     },
     |_| {},
 );
--- a/crates/fuzz/src/targets/page.rs
+++ b/crates/fuzz/src/targets/page.rs
@@ -20,7 +20,7 @@
 
 /// A page, its peer and its reader.
 pub(super) struct Page<T> {
-    page: Arc<Mutex<Vec<u8>>>,
+    served: Arc<Mutex<Vec<u8>>>,
     asks: Sender<()>,
     said: Receiver<T>,
 }
@@ -38,7 +38,11 @@
             thread::spawn(move || serve(&listener, &served));
             thread::spawn(move || ask(address, &asked, &sender));
         }
-        Self { page, asks, said }
+        Self {
+            served: page,
+            asks,
+            said,
+        }
     }
 
     /// What the client says of `page`.
@@ -46,7 +50,7 @@
     /// # Errors
     /// [`Broken`] if it says nothing.
     pub(super) fn read(&self, page: &[u8]) -> Result<T, Broken> {
-        *self.page.lock().unwrap_or_else(PoisonError::into_inner) = page.to_vec();
+        *self.served.lock().unwrap_or_else(PoisonError::into_inner) = page.to_vec();
         // A client that ended shows by its missing answer.
         let _ = self.asks.send(());
         self.said.recv_timeout(SPAN).map_err(|e| {
