--- a/crates/platform/src/follower/mod.rs
+++ b/crates/platform/src/follower/mod.rs
@@ -99,13 +99,7 @@
                 self.resume = None;
             }
             let start = self.timer.now();
-            // The end of an outage shows at once.
-            let wait = if self.outage {
-                Duration::ZERO
-            } else {
-                self.options.wait
-            };
-            let batch = self.options.batch;
+            let (batch, wait) = (self.options.batch, self.wait());
             let read = self.log.read(&self.stream, self.next, batch, wait);
             let event = match read.await {
                 Ok(batch) => self.take(batch, start)?,
@@ -118,6 +112,16 @@
         }
     }
 
+    /// Time that the log may wait for a record: none before the end is known, so that a caller with
+    /// less patience than that hears of it even if no record comes.
+    fn wait(&self) -> Duration {
+        if self.caught {
+            self.options.wait
+        } else {
+            Duration::ZERO
+        }
+    }
+
     fn take(&mut self, batch: Batch, start: Millis) -> Result<Option<FollowEvent>, FollowError> {
         let checked = check_batch(&self.stream, self.next, &batch);
         if checked.is_err() {
