Refuse at once what the load order's backlog makes too late

Cause: admission counts one load for an absent adapter; under a slow or dead store requests waited until their time ran out, were refused, came back and waited again.

--- a/crates/measure/src/slopes/order.rs
+++ b/crates/measure/src/slopes/order.rs
@@ -95,7 +95,7 @@
                 turns += 1;
                 due.insert((now + LOAD, side, Step::GiveBack));
             }
-            LoadTurn::Wait { again_ms } => {
+            LoadTurn::Wait { again_ms, .. } => {
                 due.insert((now + Millis(again_ms) + LAG, side, Step::Bid));
             }
         }
@@ -133,7 +133,11 @@
     });
     let bytes = u32::try_from(encode(&message).len()).unwrap_or(u32::MAX);
     series.add(1, Sample::once(f64::from(bytes)));
-    let reply = encode(&LoadTurn::Wait { again_ms: 200 });
+    let reply = encode(&LoadTurn::Wait {
+        again_ms: 200,
+        turn_ms: 2_000,
+        round_ms: 4_000,
+    });
     let bytes = u32::try_from(reply.len()).unwrap_or(u32::MAX);
     series.add(1, Sample::once(f64::from(bytes)));
 }
--- a/crates/policy/src/load_order/mod.rs
+++ b/crates/policy/src/load_order/mod.rs
@@ -123,6 +123,16 @@
         }
     }
 
+    /// Rest of the load that holds the turn: one that takes longer than expected may take as long again.
+    fn rest(&self, now: Millis) -> Millis {
+        let Some(holder) = self.holder else {
+            return Millis(0);
+        };
+        let held = now.since(holder.since);
+        let load = self.pace.load();
+        if held > load { held } else { load.since(held) }
+    }
+
     /// When to bid again: at the end of the turn that holds, and later by half the loads that go
     /// before. So a side comes back a few times until its turn, and all together bid at a rate
     /// that grows little with their number.
@@ -131,9 +141,14 @@
         let left = end.map_or(Millis(0), |at| at.since(now));
         let next = left.clamp(self.options.shortest, self.options.longest);
         let before = self.bids.before(side, now);
-        let queue = Millis(self.pace.load().0 * before / 2).min(self.options.queue);
+        let load = self.pace.load().0;
+        let queue = Millis(load * before / 2).min(self.options.queue);
         let again = next + queue;
         self.bids.expect(side, now + again);
-        LoadTurn::Wait { again_ms: again.0 }
+        LoadTurn::Wait {
+            again_ms: again.0,
+            turn_ms: self.rest(now).0 + load * before,
+            round_ms: load * self.bids.len() as u64,
+        }
     }
 }
--- a/crates/policy/src/scheduler/loading.rs
+++ b/crates/policy/src/scheduler/loading.rs
@@ -100,7 +100,7 @@
             (LoadTurn::Go { ttl_ms }, Stage::Loading { renew, .. }) => {
                 *renew = now + Millis(ttl_ms / 2);
             }
-            (LoadTurn::Wait { again_ms }, Stage::Loading { renew, .. }) => {
+            (LoadTurn::Wait { again_ms, .. }, Stage::Loading { renew, .. }) => {
                 *renew = now + Millis(again_ms);
             }
             (LoadTurn::Go { ttl_ms }, stage @ Stage::Asked) => {
@@ -108,7 +108,7 @@
                 *stage = Stage::Granted { until };
                 self.held = true;
             }
-            (LoadTurn::Wait { again_ms }, stage @ Stage::Asked) => {
+            (LoadTurn::Wait { again_ms, .. }, stage @ Stage::Asked) => {
                 let next = now + Millis(again_ms);
                 *stage = Stage::Idle { next };
                 self.held = false;
--- a/crates/policy/src/scheduler/mod.rs
+++ b/crates/policy/src/scheduler/mod.rs
@@ -23,6 +23,7 @@
 mod residency;
 mod send;
 mod share;
+mod shed;
 mod view;
 mod wait;
 
@@ -169,6 +170,12 @@
     /// An entry answered the bid.
     pub fn turn(&mut self, turn: LoadTurn, now: Millis) {
         self.loading.turn(turn, now);
+        if let LoadTurn::Wait {
+            turn_ms, round_ms, ..
+        } = turn
+        {
+            self.shed(Millis(turn_ms), Millis(round_ms), now);
+        }
     }
 
     /// No entry answered the bid; `roll` is a random number.
--- a/crates/policy/src/scheduler/queue/lane.rs
+++ b/crates/policy/src/scheduler/queue/lane.rs
@@ -94,6 +94,12 @@
         self.starts.first().map(|(at, _)| *at)
     }
 
+    /// Requests that must start before then.
+    pub(in crate::scheduler) fn late(&self, at: Millis) -> impl Iterator<Item = JobId> {
+        let starts = self.starts.iter().take_while(move |(start, _)| *start < at);
+        starts.map(|(_, id)| *id)
+    }
+
     /// First request of each caller.
     pub(in crate::scheduler) fn heads(&self) -> impl Iterator<Item = Head> {
         self.ranks.iter().filter_map(|(caller, ranks)| {
--- a/crates/policy/tests/load_order_cases.rs
+++ b/crates/policy/tests/load_order_cases.rs
@@ -136,19 +136,25 @@
 #[test]
 fn waits_by_rank() {
     let mut order = LoadOrder::new_ext(LoadOrderOptions::default());
-    let mut again = |side, waiting, at| match order.bid(
+    let mut waits = |side, waiting, at| match order.bid(
         UpstreamIx(side),
         Some(&bid((side, waiting, 0))),
         Millis(at),
     ) {
-        LoadTurn::Go { .. } => 0,
-        LoadTurn::Wait { again_ms } => again_ms,
+        LoadTurn::Go { .. } => [0, 0, 0],
+        LoadTurn::Wait {
+            again_ms,
+            turn_ms,
+            round_ms,
+        } => [again_ms, turn_ms, round_ms],
     };
-    assert_eq!(again(1, 1, 0), 0);
-    assert_eq!(again(2, 5, 450), 50);
+    assert_eq!(waits(1, 1, 0), [0, 0, 0]);
+    assert_eq!(waits(2, 5, 450), [50, 50, 500]);
     // The turn that holds has 50 ms left, and half of the one load before counts.
-    assert_eq!(again(3, 1, 450), 300);
-    assert_eq!(again(2, 5, 499), 5);
+    assert_eq!(waits(3, 1, 450), [300, 550, 1_000]);
+    assert_eq!(waits(2, 5, 499), [5, 1, 1_000]);
+    // A load that takes longer than expected may take as long again.
+    assert_eq!(waits(2, 5, 1_400), [5, 1_400, 1_000]);
 }
 
 /// A slow store shows in the turns, and they lapse the later for it.
--- a/crates/policy/tests/scheduler/engine.rs
+++ b/crates/policy/tests/scheduler/engine.rs
@@ -103,7 +103,12 @@
 
     pub fn wait(&mut self, again_ms: u64) {
         self.asked = false;
-        self.side.turn(LoadTurn::Wait { again_ms }, self.now);
+        let turn = LoadTurn::Wait {
+            again_ms,
+            turn_ms: again_ms * 20,
+            round_ms: again_ms * 10,
+        };
+        self.side.turn(turn, self.now);
     }
 
     pub fn silence(&mut self, roll: u64) {
--- a/crates/policy/tests/scheduler_cases.rs
+++ b/crates/policy/tests/scheduler_cases.rs
@@ -36,13 +36,31 @@
 #[serde(rename_all = "lowercase")]
 enum Event {
     Submit(Submit),
-    Go { ttl_ms: u64 },
-    Wait { again_ms: u64 },
-    Silence { roll: u64 },
-    Loaded { lora: u32 },
-    Failed { lora: u32 },
-    Unloaded { lora: u32 },
-    Finished { id: u64 },
+    Go {
+        ttl_ms: u64,
+    },
+    Wait {
+        again_ms: u64,
+        #[serde(default)]
+        turn_ms: u64,
+        #[serde(default)]
+        round_ms: u64,
+    },
+    Silence {
+        roll: u64,
+    },
+    Loaded {
+        lora: u32,
+    },
+    Failed {
+        lora: u32,
+    },
+    Unloaded {
+        lora: u32,
+    },
+    Finished {
+        id: u64,
+    },
     Close,
     Poll,
 }
@@ -67,9 +85,17 @@
             assert_eq!(refused, submit.refused, "{:?}", job.id);
         }
         Event::Go { ttl_ms } => side.turn(LoadTurn::Go { ttl_ms: *ttl_ms }, now),
-        Event::Wait { again_ms } => {
-            let again_ms = *again_ms;
-            side.turn(LoadTurn::Wait { again_ms }, now);
+        &Event::Wait {
+            again_ms,
+            turn_ms,
+            round_ms,
+        } => {
+            let turn = LoadTurn::Wait {
+                again_ms,
+                turn_ms,
+                round_ms,
+            };
+            side.turn(turn, now);
         }
         Event::Silence { roll } => side.no_turn(*roll, now),
         Event::Loaded { lora } => side.loaded(LoraIx(*lora), LoadEnd::Done, now),
--- a/crates/types/src/message/load.rs
+++ b/crates/types/src/message/load.rs
@@ -31,5 +31,9 @@
     Wait {
         /// Milliseconds.
         again_ms: u64,
+        /// Milliseconds until its turn is expected.
+        turn_ms: u64,
+        /// Milliseconds in which every side that bids now has had a turn.
+        round_ms: u64,
     },
 }
