Count no load for more than four expected ones

Cause: a load that stood still for 30 s taught the load order a time of 8 s and its side one of 9 s; since requests are refused by the order's backlog, those waiting when the store came back were refused by that.

Ruled out: a bound of 10 s on the rest told of a load that overruns (docs/DECISIONS.md, 21).

--- a/crates/policy/src/load_order/pace.rs
+++ b/crates/policy/src/load_order/pace.rs
@@ -25,9 +25,10 @@
         Self { load }
     }
 
-    /// A turn took `took`.
+    /// A turn took `took`. One that stood still in an outage tells little of the next: none counts for
+    /// more than the time in which a turn lapses.
     pub(super) fn took(&mut self, took: Millis) {
-        let took = took.clamp(SHORTEST, LONGEST);
+        let took = took.min(self.ttl()).clamp(SHORTEST, LONGEST);
         let kept = self.load.0 * (NEW - 1);
         self.load = Millis((kept + took.0) / NEW);
     }
--- a/crates/policy/src/scheduler/estimate.rs
+++ b/crates/policy/src/scheduler/estimate.rs
@@ -13,6 +13,9 @@
 /// Weight of the newest load: loads are few.
 const NEW_LOAD: f64 = 0.3;
 
+/// Longest load that is believed, in expected ones.
+const SLOW_LOAD: f64 = 4.0;
+
 /// Learned times, milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Estimate {
@@ -41,9 +44,10 @@
         self.unit += NEW * (sample - self.unit);
     }
 
-    /// A load took `took`.
+    /// A load took `took`; one that stood still in an outage counts for a slow one.
     pub(super) fn loaded(&mut self, took: Millis) {
-        self.load += NEW_LOAD * (span(took) - self.load);
+        let took = span(took).min(self.load * SLOW_LOAD);
+        self.load += NEW_LOAD * (took - self.load);
     }
 
     /// The engine tells its step time.
