--- a/crates/side/tests/bench/mod.rs
+++ b/crates/side/tests/bench/mod.rs
@@ -115,7 +115,7 @@
                     seen.borrow_mut().bids.push(decode(&bytes).unwrap());
                     let go = LoadTurn::Go { ttl_ms: 2_000 };
                     let wait = seen.borrow().wait_ms;
-                    peer_reply(&wait.map_or(go, |again_ms| LoadTurn::Wait { again_ms }))
+                    peer_reply(&wait.map_or(go, wait_turn))
                 }
                 _ => plain_reply(404, ""),
             }
@@ -475,3 +475,12 @@
     });
     pieces.collect::<Vec<_>>().concat()
 }
+
+/// A turn that comes when the side may bid again.
+fn wait_turn(again_ms: u64) -> LoadTurn {
+    LoadTurn::Wait {
+        again_ms,
+        turn_ms: again_ms,
+        round_ms: again_ms,
+    }
+}
