Limit the engine stand-in's prefix cache, and let prompts take time

Cause: the cache held 4,096 messages whatever their length, evicted a prompt's beginning before its end, found a prefix whose beginning was gone, and reading a prompt took no time. So nothing could be shown of what a cached prompt is worth, or of answers that tell it wrongly.

Faults: hide_cached, false_cached. A restart empties it, as before, and is now tested.

Measured: crates/standin's tests, all pass (load average 27); with the defaults no other test's timing changes.

--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -61,6 +61,12 @@
     /// age of the load figures shown, milliseconds (default: 0)
     #[argh(option, default = "0")]
     metrics_lag_ms: u64,
+    /// words of prompts that the prefix cache holds (default: 1000000)
+    #[argh(option, default = "1_000_000")]
+    cache: u64,
+    /// time to read a word of a prompt that is not cached, microseconds (default: 0)
+    #[argh(option, default = "0")]
+    prefill_us: u64,
 }
 
 /// Plain service.
@@ -134,6 +140,8 @@
             store: args.store,
             check_fencing: !args.ignore_fencing,
             metrics_lag_ms: args.metrics_lag_ms,
+            cache: args.cache,
+            prefill_us: args.prefill_us,
         }
     }
 }
--- a/crates/standin/src/engine/answer.rs
+++ b/crates/standin/src/engine/answer.rs
@@ -53,12 +53,12 @@
     prompt_tokens: u64,
     completion_tokens: u64,
     total_tokens: u64,
-    prompt_tokens_details: PromptDetails,
+    prompt_tokens_details: Option<PromptDetails>,
 }
 
 #[derive(Serialize)]
 struct PromptDetails {
-    cached_tokens: u64,
+    cached_tokens: i64,
 }
 
 /// Body of a whole answer.
@@ -156,13 +156,15 @@
     }
 }
 
+fn told(cached_tokens: i64) -> PromptDetails {
+    PromptDetails { cached_tokens }
+}
+
 fn usage(count: Count) -> Usage {
     Usage {
         prompt_tokens: count.prompt,
         completion_tokens: count.answer,
         total_tokens: count.prompt + count.answer,
-        prompt_tokens_details: PromptDetails {
-            cached_tokens: count.cached,
-        },
+        prompt_tokens_details: count.told.map(told),
     }
 }
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -146,13 +146,16 @@
         self.waiting.values()
     }
 
-    /// Fills free places by priority, then arrival.
-    pub(crate) fn admit(&mut self) {
+    /// Fills free places by priority, then arrival; gives the words of the prompts to be read.
+    pub(crate) fn admit(&mut self) -> u64 {
+        let mut words = 0;
         while self.running.len() < self.size
             && let Some((_, run)) = self.waiting.pop_first()
         {
+            words += run.count.prompt - run.count.cached;
             self.running.push(run);
         }
+        words
     }
 
     /// One token for each that runs.
--- a/crates/standin/src/engine/faults.rs
+++ b/crates/standin/src/engine/faults.rs
@@ -30,6 +30,10 @@
     pub refuse: u64,
     /// Delay of each chat answer's start, milliseconds.
     pub late_ms: u64,
+    /// Answers tell nothing of cached tokens.
+    pub hide_cached: bool,
+    /// Answers tell of so many cached tokens, whatever is true.
+    pub false_cached: Option<i64>,
 }
 
 impl Default for EngineFaults {
@@ -47,6 +51,8 @@
             slow_factor: 1.0,
             refuse: 0,
             late_ms: 0,
+            hide_cached: false,
+            false_cached: None,
         }
     }
 }
--- a/crates/standin/src/engine/handler.rs
+++ b/crates/standin/src/engine/handler.rs
@@ -82,6 +82,7 @@
         let (out, rest) = async_channel::unbounded();
         let model = self.answering_model(&request.model);
         let span = request.span();
+        let cached = state.prefixes.visit(&request.model, &request.messages);
         let cut_at = (truncate && request.stream).then_some((span.end - span.from) / 2);
         let run = Run {
             lora: request.model.clone(),
@@ -91,7 +92,8 @@
             span,
             count: Count {
                 prompt: request.messages.iter().map(super::ChatMessage::words).sum(),
-                cached: state.prefixes.visit(&request.model, &request.messages),
+                cached,
+                told: self.told_cached(cached),
                 answer: 0,
             },
             cut_at,
@@ -108,6 +110,13 @@
         Ok(rest)
     }
 
+    /// What an answer tells of its cached tokens.
+    fn told_cached(&self, cached: u64) -> Option<i64> {
+        let faults = self.faults.get();
+        let told = faults.false_cached.or_else(|| i64::try_from(cached).ok());
+        told.filter(|_| !faults.hide_cached)
+    }
+
     /// Model that answers: the one asked for, but for a fault.
     fn answering_model(&self, asked: &str) -> String {
         if self.faults.take(|f| &mut f.wrong_model) {
--- a/crates/standin/src/engine/options.rs
+++ b/crates/standin/src/engine/options.rs
@@ -27,6 +27,10 @@
     pub check_fencing: bool,
     /// Age of the load figures shown, milliseconds.
     pub metrics_lag_ms: u64,
+    /// Words of prompts that the prefix cache holds.
+    pub cache: u64,
+    /// Time to read a word of a prompt that is not cached, microseconds.
+    pub prefill_us: u64,
 }
 
 impl Default for EngineOptions {
@@ -43,6 +47,8 @@
             store: None,
             check_fencing: true,
             metrics_lag_ms: 0,
+            cache: 1_000_000,
+            prefill_us: 0,
         }
     }
 }
--- a/crates/standin/src/engine/piece.rs
+++ b/crates/standin/src/engine/piece.rs
@@ -21,6 +21,8 @@
     pub(crate) prompt: u64,
     /// Of the prompt, found in the prefix cache.
     pub(crate) cached: u64,
+    /// The same as the answer tells it, if it does.
+    pub(crate) told: Option<i64>,
     /// Of the answer.
     pub(crate) answer: u64,
 }
--- a/crates/standin/src/engine/start.rs
+++ b/crates/standin/src/engine/start.rs
@@ -76,8 +76,7 @@
     fn begin_step(&self) -> Millis {
         let faults = self.faults.get();
         let mut state = self.state.borrow_mut();
-        state.batch.admit();
-        state.step_span(&self.options, &faults)
+        state.begin_step(&self.options, &faults)
     }
 
     async fn take_samples(self: Rc<Self>) {
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -12,6 +12,9 @@
 use super::prefix::Prefixes;
 use super::{EngineFaults, EngineOptions};
 
+/// Microseconds in a millisecond.
+const MICROS: u64 = 1_000;
+
 /// State of the engine.
 pub(crate) struct State {
     /// Requests.
@@ -41,7 +44,7 @@
             adapters: Adapters::new(options.slots),
             fencing: Fencing::new(options.check_fencing),
             effects: Effects::default(),
-            prefixes: Prefixes::default(),
+            prefixes: Prefixes::new(options.cache),
             lagging: Lagging::default(),
             parked: None,
             cold_until: Millis(0),
@@ -70,8 +73,14 @@
         }
     }
 
-    /// Time of the next step.
-    pub(crate) fn step_span(&mut self, options: &EngineOptions, faults: &EngineFaults) -> Millis {
+    /// Admits what waits and gives the time of the next step, in which its prompts are read.
+    pub(crate) fn begin_step(&mut self, options: &EngineOptions, faults: &EngineFaults) -> Millis {
+        let words = self.batch.admit();
+        let reading = Millis(words * options.prefill_us / MICROS);
+        self.step_span(options, faults) + reading
+    }
+
+    fn step_span(&mut self, options: &EngineOptions, faults: &EngineFaults) -> Millis {
         let slow = self.rng.random_bool(options.slow_chance.clamp(0.0, 1.0));
         let span = if slow {
             options.slow_ms
--- a/crates/standin/tests/standins/engine.rs
+++ b/crates/standin/tests/standins/engine.rs
@@ -139,6 +139,98 @@
     });
 }
 
+/// One request after the other to an engine whose cache holds ten words.
+struct Cached {
+    name: &'static str,
+    lora: &'static str,
+    messages: &'static [&'static str],
+    faults: EngineFaults,
+    told: Value,
+}
+
+fn cached(name: &'static str, messages: &'static [&'static str], told: i64) -> Cached {
+    Cached {
+        name,
+        lora: LORA,
+        messages,
+        faults: EngineFaults::default(),
+        told: json!({ "cached_tokens": told }),
+    }
+}
+
+fn cached_cases() -> Vec<Cached> {
+    const FIRST: &[&str] = &["a b c", "d", "e f"];
+    const SECOND: &[&str] = &["b b c", "d"];
+    let mut cases = vec![
+        cached("new", &["a b c", "d"], 0),
+        cached("goes on", FIRST, 4),
+        cached("another beginning", SECOND, 0),
+        cached("too much by two words", &["x y"], 0),
+        cached("the end went that was not used for longest", FIRST, 4),
+        cached("so did the other conversation", SECOND, 0),
+        cached("too much by three words", &["p q r"], 0),
+        cached("of a prompt the beginning goes last", FIRST, 3),
+    ];
+    let mut other = cached("another LoRA", FIRST, 0);
+    other.lora = "b@v1";
+    let mut hidden = cached("tells nothing", FIRST, 0);
+    (hidden.faults.hide_cached, hidden.told) = (true, Value::Null);
+    let mut wrong = cached("tells wrong", FIRST, -7);
+    wrong.faults.false_cached = Some(-7);
+    let mut restarted = cached("restarted", FIRST, 0);
+    (restarted.faults.restart, restarted.faults.cold_ms) = (true, 0);
+    cases.extend([other, hidden, wrong, restarted]);
+    cases
+}
+
+#[test]
+fn the_prefix_cache_is_limited_by_lora_and_cleared_by_a_restart() {
+    test(|timer| async move {
+        let options = EngineOptions {
+            cache: 10,
+            ..quick()
+        };
+        let (engine, peer) = start_engine(options, &timer).await;
+        peer.load("b@v1").await;
+        for case in cached_cases() {
+            let restart = case.faults.restart;
+            engine.set_faults(case.faults);
+            if restart {
+                peer.load(LORA).await;
+            }
+            let said = |text: &&str| json!({"role": "user", "content": text});
+            let messages: Vec<Value> = case.messages.iter().map(said).collect();
+            let request = json!({"model": case.lora, "messages": messages, "max_tokens": 1});
+            let answer = peer.chat(&request, "r").await.unwrap();
+            let told = &answer.json()["usage"]["prompt_tokens_details"];
+            assert_eq!(*told, case.told, "{}", case.name);
+        }
+    });
+}
+
+/// A prompt of 100 words at 20 ms each, and again until it shows that it was cached.
+#[test]
+fn prompts_take_their_time_unless_cached() {
+    test(|timer| async move {
+        let options = EngineOptions {
+            prefill_us: 20_000,
+            ..quick()
+        };
+        let peer = start(options, &timer).await;
+        let request = ask(LORA, &"a ".repeat(100), 1);
+        let from = Instant::now();
+        peer.chat(&request, "r").await.unwrap();
+        assert!(ms(from) >= 2_000);
+        loop {
+            let from = Instant::now();
+            peer.chat(&request, "r").await.unwrap();
+            if ms(from) < 2_000 {
+                return;
+            }
+        }
+    });
+}
+
 #[test]
 fn a_resumed_stream_equals_the_whole() {
     test(|timer| async move {
