Let a conversation's turns meet at one holder; drop the prefix hints

No message, no memory.

Tests: the hints are gone, and with them hints_are_bounded and the case of a gap. In their place: prompts_leave_nothing_behind (a router asked with any prompts ends as one asked without), a case of a restarted holder, of a full batch, of one filled by own sends; the naive comparison allows the saving only at the meeting place with the adapter resident. The fuzz target compares messages as written with the input's, and the hash besides. prefix_hash_is_of_the_first_messages became a table of eleven conversations. New: entries' meeting places agree, spread and move only with their holder; turns meet at one side whatever entry they come to; nothing that an answer tells of its cache spoils it. Tables of truth.rs and policy_rig.rs were set in rows, no case changed.

--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -11,13 +11,10 @@
 use super::headers::{put_course, read_deadline, read_priority};
 use super::{Call, read_body};
 use crate::fault::Fault;
-use crate::request::{Answer, Content, Exchange, Job, Repeat, resolve_model};
+use crate::request::{Answer, Content, Exchange, Job, Repeat, read_prompt, resolve_model};
 use crate::shared::Shared;
 use crate::stream::{Opened, open};
 
-/// Messages that the prefix hash covers: the system's words and the first of the caller's.
-const PREFIX_MESSAGES: usize = 2;
-
 /// Tokens expected where a body sets no limit.
 const TOKENS: u32 = 512;
 
@@ -66,8 +63,10 @@
 
 fn make_job(shared: &Shared, call: &Call, chat: ChatBody) -> Result<Job, Fault> {
     let headers = call.incoming.headers();
+    let resolved = resolve_model(shared, &call.caller, chat.model())?;
+    let prompt = read_prompt(&chat, resolved.prefix_seed);
     Ok(Job {
-        resolved: resolve_model(shared, &call.caller, chat.model())?,
+        resolved,
         request: call.request.clone(),
         caller: call.caller.clone(),
         arrived: call.arrived,
@@ -77,7 +76,7 @@
         tokens: TOKENS,
         key: None,
         repeat: Repeat::Freely,
-        prefix: Some(chat.prefix_hash(PREFIX_MESSAGES)),
+        prompt: Some(prompt),
         content: Content::Chat(Box::new(chat)),
     })
 }
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -50,7 +50,7 @@
         tokens: 1,
         key,
         repeat,
-        prefix: None,
+        prompt: None,
         content: Content::Plain(Vec::new()),
     };
     if repeat == Repeat::Freely {
--- a/crates/entry/src/meters.rs
+++ b/crates/entry/src/meters.rs
@@ -5,6 +5,7 @@
 use prometheus_client::encoding::EncodeLabelSet;
 use pumicecleat_ops::{Counter, Family, Gauge, Histogram, Metrics};
 use pumicecleat_types::Millis;
+use pumicecleat_upstream::Usage;
 
 /// Buckets of latencies, seconds.
 const LATENCY: [f64; 14] = [
@@ -49,6 +50,8 @@
     sides: Gauge,
     reports: Counter,
     revision: Gauge,
+    prompt: Counter,
+    cached: Counter,
 }
 
 impl fmt::Debug for Meters {
@@ -84,6 +87,14 @@
             sides: metrics.gauge("entry_sides", "Sides known"),
             reports: metrics.counter("entry_reports", "Reports of sides taken in"),
             revision: metrics.gauge("entry_revision", "Revision of the configuration in force"),
+            prompt: metrics.counter(
+                "entry_prompt_tokens",
+                "Prompt tokens, of whole answers that tell",
+            ),
+            cached: metrics.counter(
+                "entry_prompt_cached_tokens",
+                "Those of them that engines had cached",
+            ),
         }
     }
 
@@ -141,6 +152,13 @@
         self.sides.set(i64::try_from(sides).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn prompt(&self, usage: &Usage) {
+        self.prompt.inc_by(usage.prompt);
+        // No engine can have found more than there was.
+        let cached = usage.details.cached.unwrap_or(0).min(usage.prompt);
+        self.cached.inc_by(cached);
+    }
+
     pub(crate) fn revision(&self, revision: u64) {
         self.revision
             .set(i64::try_from(revision).unwrap_or(i64::MAX));
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -7,6 +7,7 @@
 use pumicecleat_ops::{DrainGuard, events, field};
 use pumicecleat_policy::Ask;
 use pumicecleat_types::{Millis, Ran};
+use pumicecleat_upstream::Usage;
 
 use super::outgoing::Outgoing;
 use super::{AnswerHead, Attempt, Course, Failure, Job};
@@ -85,7 +86,7 @@
         let ask = Ask {
             pool: self.job.resolved.pool_ix,
             lora: self.job.resolved.lora_ix,
-            prefix: self.job.prefix,
+            prompt: self.job.prompt,
             left,
             tried: &self.course.tried,
         };
@@ -97,6 +98,13 @@
         }
     }
 
+    /// Counts the tokens of a whole answer, if its engine tells.
+    pub(crate) fn note_usage(&self, usage: Option<Usage>) {
+        if let Some(usage) = usage {
+            self.shared.meters.prompt(&usage);
+        }
+    }
+
     /// Fault at the entry's own time limit.
     pub(crate) fn late(&self) -> Fault {
         let ran = self.course.ran();
--- a/crates/entry/src/request/job.rs
+++ b/crates/entry/src/request/job.rs
@@ -1,5 +1,6 @@
 //! What a caller asked.
 
+use pumicecleat_policy::Prompt;
 use pumicecleat_types::{CallerId, Millis, RequestId};
 use pumicecleat_upstream::ChatBody;
 
@@ -22,8 +23,8 @@
     pub(crate) key: Option<String>,
     pub(crate) repeat: Repeat,
     pub(crate) content: Content,
-    /// Hash of the prompt's prefix.
-    pub(crate) prefix: Option<u64>,
+    /// Prompt, of a chat.
+    pub(crate) prompt: Option<Prompt>,
 }
 
 /// Body of a request.
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! `job` is what the caller asked, `course` what became of it so far, `resolve` finds its target in
 //! the configuration. `attempt` makes one attempt and reads its frames: `outgoing` is what it sends,
-//! `sent` counts it with the router. `failure` tells how one failed, `settle` decides what follows,
+//! `sent` counts it with the router, `prompt` reads what the choice heeds of its prompt. `failure`
+//! tells how one failed, `settle` decides what follows,
 //! `whole` collects an answer that is not streamed.
 
 mod attempt;
@@ -11,6 +12,7 @@
 mod failure;
 mod job;
 mod outgoing;
+mod prompt;
 mod resolve;
 mod sent;
 mod settle;
@@ -21,5 +23,6 @@
 pub(crate) use exchange::Exchange;
 pub(crate) use failure::Failure;
 pub(crate) use job::{Content, Job, Repeat};
+pub(crate) use prompt::read_prompt;
 pub(crate) use resolve::{Resolved, ServiceRoute, resolve_model, resolve_service};
 pub(crate) use whole::{Answer, answer_failure};
--- a/crates/entry/src/request/resolve.rs
+++ b/crates/entry/src/request/resolve.rs
@@ -1,7 +1,7 @@
 //! What a name means under the configuration in force.
 
 use pumicecleat_config::model::{Adapter, Config, KeyRule, PoolKind};
-use pumicecleat_policy::{LoraIx, PoolIx};
+use pumicecleat_policy::{LoraIx, PoolIx, lora_key};
 use pumicecleat_types::{
     AdapterId, BaseId, CallerId, HeaderField, Lora, ModelTarget, PoolId, ServiceTarget, Target,
     VersionId,
@@ -20,6 +20,8 @@
     /// Engine name, for a model.
     pub(crate) engine: Option<String>,
     pub(crate) revision: u64,
+    /// Seed of prefix hashes: an engine's cache differs by base model, adapter and version.
+    pub(crate) prefix_seed: u64,
 }
 
 impl Resolved {
@@ -65,6 +67,7 @@
         pool_ix: directory.pool(&pool),
         lora_ix: Some(directory.lora(&lora)),
         engine: Some(lora.engine_name()),
+        prefix_seed: lora_key(&lora),
         revision: shared.current.revision(),
         target: Target::Model(target),
         pool,
@@ -153,6 +156,7 @@
         pool: found.pool,
         lora_ix: None,
         engine: None,
+        prefix_seed: 0,
         revision: shared.current.revision(),
     };
     Ok(ServiceRoute {
--- a/crates/entry/src/stream/feed.rs
+++ b/crates/entry/src/stream/feed.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use pumicecleat_types::Ran;
-use pumicecleat_upstream::{AnswerError, Chunk, StreamCheck, StreamEvent};
+use pumicecleat_upstream::{AnswerError, Chunk, StreamCheck, StreamEvent, Usage};
 
 use crate::request::{Attempt, Failure, Job, Part, answer_failure, lost};
 use crate::shared::Shared;
@@ -14,6 +14,8 @@
 /// Checked events of one attempt.
 pub(super) struct Feed {
     attempt: Attempt,
+    /// Tokens as the engine told last.
+    pub(super) usage: Option<Usage>,
     check: StreamCheck,
     /// Bytes of the event that ends the stream, held back until the side says that it is whole.
     done: Option<Vec<u8>>,
@@ -34,6 +36,7 @@
         Self {
             check: StreamCheck::new(expect, EVENT_LIMIT),
             attempt,
+            usage: None,
             done: None,
         }
     }
@@ -71,7 +74,10 @@
         let mut chunks = Vec::with_capacity(1);
         while let Some(event) = self.check.scan_event()? {
             match event {
-                StreamEvent::Chunk(chunk) => chunks.push(chunk),
+                StreamEvent::Chunk(chunk) => {
+                    self.usage = chunk.usage.or(self.usage);
+                    chunks.push(chunk);
+                }
                 StreamEvent::Done { raw } => self.done = Some(raw),
             }
         }
--- a/crates/entry/src/stream/relay.rs
+++ b/crates/entry/src/stream/relay.rs
@@ -111,6 +111,7 @@
 
     async fn end(&mut self, done: Vec<u8>) {
         if let Some(feed) = self.feed.take() {
+            self.note_usage(&feed);
             feed.finish(&self.exchange.shared).await;
         }
         self.exchange.course.end(Ran::Yes);
@@ -119,6 +120,13 @@
         self.stage = Stage::Whole;
     }
 
+    /// Counts of an answer that was gone on with are of its last part only.
+    fn note_usage(&self, feed: &Feed) {
+        if self.resumes == 0 {
+            self.exchange.note_usage(feed.usage);
+        }
+    }
+
     async fn recover(&mut self, failure: Failure) {
         let failure = match self.feed.take() {
             Some(feed) => feed.fail(failure),
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -5,6 +5,7 @@
 mod faults;
 mod input;
 mod listed;
+mod meeting;
 mod part;
 mod peers;
 mod resume;
--- a/crates/entry/tests/entry/script.rs
+++ b/crates/entry/tests/entry/script.rs
@@ -31,6 +31,8 @@
     Done,
     /// Whole body of a chat answer.
     Whole(&'static str),
+    /// The same, with what it tells of its prompt's cached tokens.
+    Cached(&'static str, &'static str),
     /// Bytes as they are.
     Bytes(&'static str),
     /// Proper end.
--- a/crates/measure/src/policy/args.rs
+++ b/crates/measure/src/policy/args.rs
@@ -5,7 +5,7 @@
 
 use super::shape::Shape;
 use super::trace::Load;
-use super::{Fault, Preset};
+use super::{Fault, PrefixMode, Preset};
 
 /// Least and greatest Zipf exponent over the seeds of a run.
 const ZIPF: (f64, f64) = (0.9, 1.3);
@@ -45,6 +45,15 @@
     /// one caller floods in the middle third
     #[argh(switch)]
     pub flood: bool,
+    /// model prompts, which ours heeds or not: blind or meeting
+    #[argh(option)]
+    pub prefix: Option<PrefixMode>,
+    /// tokens that an engine's prefix cache holds (default 40000)
+    #[argh(option)]
+    pub cache: Option<u32>,
+    /// worth of the holder where a conversation meets, in place of the router's, tokens
+    #[argh(option)]
+    pub first_worth: Option<u32>,
     /// print only the summary
     #[argh(switch)]
     pub brief: bool,
@@ -54,6 +63,9 @@
     pub(super) fn shape(&self) -> Shape {
         let mut shape = self.preset.shape();
         shape.rate = self.rate.unwrap_or(shape.rate);
+        shape.prefix = self.prefix;
+        shape.first = self.first_worth;
+        shape.cache = self.cache.unwrap_or(shape.cache);
         shape.hold = self.hold.map_or(shape.hold, Millis);
         shape
     }
--- a/crates/measure/src/policy/mod.rs
+++ b/crates/measure/src/policy/mod.rs
@@ -9,6 +9,7 @@
 mod bound;
 mod fault;
 mod model;
+mod prefix;
 mod preset;
 mod replay;
 mod report;
@@ -16,10 +17,12 @@
 mod shape;
 mod shares;
 mod summary;
+mod talk;
 mod trace;
 
 pub use args::PolicyArgs;
 pub use fault::Fault;
+pub use prefix::PrefixMode;
 pub use preset::Preset;
 
 use bound::Knows;
--- a/crates/measure/src/policy/preset.rs
+++ b/crates/measure/src/policy/preset.rs
@@ -44,6 +44,9 @@
             batch: 10,
         },
         hold: Millis(200),
+        prefix: None,
+        cache: 40_000,
+        first: None,
     }
 }
 
--- a/crates/measure/src/policy/replay/entry.rs
+++ b/crates/measure/src/policy/replay/entry.rs
@@ -33,6 +33,7 @@
             lora,
             left: state.deadline - now,
             tried: &state.tried,
+            prompt: self.prompt(call),
         };
         match self.entries[entry].choose(&question, now) {
             Ok(up) => self.start(call, up),
--- a/crates/measure/src/policy/replay/fault.rs
+++ b/crates/measure/src/policy/replay/fault.rs
@@ -90,6 +90,7 @@
         machine.up = false;
         machine.at.life += 1;
         machine.loading = None;
+        machine.cache.clear();
         let running = machine.engine.crash();
         for id in &running {
             machine.side.finished(*id, false, now);
--- a/crates/measure/src/policy/replay/machine.rs
+++ b/crates/measure/src/policy/replay/machine.rs
@@ -6,13 +6,14 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::event::At;
-use crate::policy::model::Engine;
+use crate::policy::model::{Engine, PrefixCache};
 use crate::policy::rules::{Rules, Side};
 use crate::policy::shape::{SLOW_STEPS, STEP, Shape};
 
 /// Engine with its side.
 pub(super) struct Machine {
     pub(super) engine: Engine,
+    pub(super) cache: PrefixCache,
     pub(super) side: Box<dyn Side>,
     pub(super) at: At,
     pub(super) up: bool,
@@ -28,6 +29,7 @@
     pub(super) fn new(shape: &Shape, rules: Rules, up: UpstreamIx, seed: u64) -> Self {
         Self {
             engine: Engine::new(shape),
+            cache: PrefixCache::new(shape.cache),
             side: rules.side(shape),
             at: At { up, life: 0 },
             up: true,
@@ -41,7 +43,8 @@
     /// Time of the next step.
     pub(super) fn step(&mut self) -> Millis {
         let slow = self.rng.random::<f64>() < SLOW_STEPS;
-        if slow { STEP.1 } else { STEP.0 }
+        let step = if slow { STEP.1 } else { STEP.0 };
+        step + self.engine.read_prompts()
     }
 
     /// State as reported.
--- a/crates/measure/src/policy/replay/mod.rs
+++ b/crates/measure/src/policy/replay/mod.rs
@@ -1,13 +1,14 @@
 //! Replay of a trace under one policy, in virtual time.
 //!
 //! `entry` is what happens at entries and callers, `side` at sides, `engine` at engines and the
-//! store, `fault` the faults' timetable. A refused caller comes back once, when it was told to.
+//! store, `prompt` what prompts take, `fault` the faults' timetable. A refused caller comes back once, when it was told to.
 
 mod engine;
 mod entry;
 mod event;
 mod fault;
 mod machine;
+mod prompt;
 mod side;
 mod tally;
 
--- a/crates/measure/src/policy/replay/tally.rs
+++ b/crates/measure/src/policy/replay/tally.rs
@@ -25,6 +25,13 @@
     pub(in crate::policy) useful: u64,
     /// Steps of all engines with at least one request.
     pub(in crate::policy) steps: u64,
+    /// Time to the first token, of those that got one.
+    pub(in crate::policy) firsts: Vec<Millis>,
+    /// Time that engines spent on reading prompts.
+    pub(in crate::policy) prefill: Millis,
+    /// Tokens of the prompts that engines began, and those of them found cached.
+    pub(in crate::policy) prompted: u64,
+    pub(in crate::policy) cached: u64,
 }
 
 impl Tally {
--- a/crates/measure/src/policy/report.rs
+++ b/crates/measure/src/policy/report.rs
@@ -46,6 +46,37 @@
     pub(super) steady_s: f64,
     /// Part of the tokens in time that callers under their claim lose to a flood.
     pub(super) share: Option<ShareError>,
+    /// Measures of prompts, where they are modelled.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) prefix: Option<PrefixLine>,
+}
+
+/// Measures of prompts.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(super) struct PrefixLine {
+    /// What is known of caches.
+    pub(super) mode: &'static str,
+    /// Time that engines read prompts, seconds.
+    pub(super) prefill_s: f64,
+    /// Part of the prompts' tokens found cached.
+    pub(super) cached: f64,
+    /// Quantiles of the time to the first token, seconds.
+    pub(super) first_p50: f64,
+    pub(super) first_p95: f64,
+}
+
+impl PrefixLine {
+    fn new(shape: &Shape, tally: &Tally) -> Option<Self> {
+        let mode = shape.prefix?.name();
+        let firsts = sorted(&tally.firsts);
+        Some(Self {
+            mode,
+            prefill_s: tally.prefill.as_secs(),
+            cached: ratio(tally.cached, tally.prompted),
+            first_p50: quantile(&firsts, 50),
+            first_p95: quantile(&firsts, 95),
+        })
+    }
 }
 
 impl Line {
@@ -85,6 +116,7 @@
             settled_s: settled,
             steady_s: settled,
             share: None,
+            prefix: PrefixLine::new(shape, tally),
         }
     }
 
--- a/crates/measure/src/policy/rules/mod.rs
+++ b/crates/measure/src/policy/rules/mod.rs
@@ -5,7 +5,7 @@
 mod ours;
 
 use pumicecleat_policy::{
-    Action, GiveUp, Job, JobId, LoadEnd, LoraIx, Outcome, Scheduler, SchedulerOptions,
+    Action, GiveUp, Job, JobId, LoadEnd, LoraIx, Outcome, Prompt, Scheduler, SchedulerOptions,
     UpstreamFigures, UpstreamIx,
 };
 use pumicecleat_types::{LoadFigures, LoadTurn, Millis, Reason};
@@ -46,6 +46,8 @@
     pub(super) lora: LoraIx,
     pub(super) left: Millis,
     pub(super) tried: &'a [UpstreamIx],
+    /// Where prompts are modelled.
+    pub(super) prompt: Option<Prompt>,
 }
 
 /// Choice of upstream at an entry.
--- a/crates/measure/src/policy/rules/ours.rs
+++ b/crates/measure/src/policy/rules/ours.rs
@@ -7,6 +7,7 @@
 use pumicecleat_types::{LoadTurn, Millis, Reason};
 
 use super::{Choose, Question, Side, View};
+use crate::policy::prefix::PrefixMode;
 use crate::policy::shape::{LOAD, Shape};
 
 const POOL: PoolIx = PoolIx(0);
@@ -70,11 +71,14 @@
 pub(super) struct Routed(Router);
 
 impl Routed {
-    pub(super) fn new(_shape: &Shape, entry: u32) -> Self {
+    pub(super) fn new(shape: &Shape, entry: u32) -> Self {
+        let meets = shape.prefix == Some(PrefixMode::Meeting);
+        let usual = RouterOptions::default();
         let options = RouterOptions {
             seed: u64::from(entry),
             load: LOAD,
-            ..RouterOptions::default()
+            first: shape.first.or(usual.first).filter(|_| meets),
+            ..usual
         };
         Self(Router::new_ext(options))
     }
@@ -90,7 +94,7 @@
         let ask = Ask {
             pool: POOL,
             lora: Some(question.lora),
-            prefix: None,
+            prompt: question.prompt,
             left: question.left,
             tried: question.tried,
         };
--- a/crates/measure/src/policy/shape.rs
+++ b/crates/measure/src/policy/shape.rs
@@ -3,6 +3,8 @@
 use pumicecleat_policy::Weights;
 use pumicecleat_types::Millis;
 
+use super::prefix::PrefixMode;
+
 /// Latency between a caller's entry and any side, one way; the brief's 1.5 ms, rounded up.
 pub(super) const LATENCY: Millis = Millis(2);
 
@@ -15,6 +17,9 @@
 /// Time of an engine step, and of a slow one.
 pub(super) const STEP: (Millis, Millis) = (Millis(10), Millis(20));
 
+/// Prompt tokens that an engine reads in a millisecond.
+pub(super) const PREFILL: u32 = 20;
+
 /// Part of steps that are slow.
 pub(super) const SLOW_STEPS: f64 = 0.1;
 
@@ -48,4 +53,10 @@
     pub(super) weights: Weights,
     /// Longest hold for a fuller batch, at full weight of batches.
     pub(super) hold: Millis,
+    /// How prompts are treated; `None` if they are not modelled.
+    pub(super) prefix: Option<PrefixMode>,
+    /// Tokens that an engine's prefix cache holds.
+    pub(super) cache: u32,
+    /// Worth of the holder where a conversation meets, in place of the router's, tokens.
+    pub(super) first: Option<u32>,
 }
--- a/crates/measure/src/policy/summary.rs
+++ b/crates/measure/src/policy/summary.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use super::report::Line;
+use super::report::{Line, PrefixLine};
 
 /// Mean and extremes over the seeds.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
@@ -37,6 +37,19 @@
     settled: f64,
     share_worst: Spread,
     share_all: Spread,
+    /// Measures of prompts, where they are modelled.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    prefix: Option<PrefixSummary>,
+}
+
+/// Summary of the measures of prompts.
+#[derive(Debug, Serialize)]
+struct PrefixSummary {
+    mode: &'static str,
+    prefill_s: Spread,
+    cached: Spread,
+    first_p50: Spread,
+    first_p95: Spread,
 }
 
 /// Ours over another policy, seed by seed.
@@ -100,9 +113,22 @@
         settled: quotient(sum(&|l| l.settled_s), sum(&|l| l.steady_s)),
         share_worst: over(&|l| l.share.map_or(0.0, |s| s.worst)),
         share_all: over(&|l| l.share.map_or(0.0, |s| s.all)),
+        prefix: summarise_prefix(lines),
     }
 }
 
+fn summarise_prefix(lines: &[Line]) -> Option<PrefixSummary> {
+    let prefixes: Vec<PrefixLine> = lines.iter().filter_map(|l| l.prefix).collect();
+    let over = |f: &dyn Fn(&PrefixLine) -> f64| spread(prefixes.iter().map(f));
+    Some(PrefixSummary {
+        mode: prefixes.first()?.mode,
+        prefill_s: over(&|p| p.prefill_s),
+        cached: over(&|p| p.cached),
+        first_p50: over(&|p| p.first_p50),
+        first_p95: over(&|p| p.first_p95),
+    })
+}
+
 fn compare(name: &'static str, ours: &[Line], others: &[Line]) -> Ratios {
     let over = |f: &dyn Fn(&Line) -> f64| {
         let pairs = ours.iter().zip(others);
--- a/crates/measure/src/policy/trace.rs
+++ b/crates/measure/src/policy/trace.rs
@@ -6,6 +6,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::shape::Shape;
+use super::talk::{self, Talk};
 
 /// Part of adapters that wake up or fall idle within an hour.
 const DRIFT: f64 = 0.36;
@@ -47,6 +48,8 @@
     pub(super) tokens: u32,
     /// Tokens it may have, as the request says.
     pub(super) limit: u32,
+    /// Its prompt, where prompts are modelled.
+    pub(super) talk: Talk,
 }
 
 /// Requests in order of time.
@@ -76,6 +79,9 @@
             trace.draw_flood(shape);
         }
         trace.asks.sort_by_key(|a| a.at);
+        if shape.prefix.is_some() {
+            talk::draw(&mut trace.asks, load.seed);
+        }
         trace
     }
 
@@ -122,6 +128,7 @@
         caller: CallerIx(lora.0 % shape.callers),
         tokens: rng.random_range(limit / 10..=limit * 9 / 10),
         limit,
+        talk: Talk::default(),
     }
 }
 
--- a/crates/policy/benches/router_trial/trial.rs
+++ b/crates/policy/benches/router_trial/trial.rs
@@ -181,7 +181,7 @@
         let ask = Ask {
             pool: POOL,
             lora: Some(lora),
-            prefix: None,
+            prompt: None,
             left: Millis((r.at + DEADLINE).saturating_sub(now)),
             tried: &r.tried,
         };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,8 +41,8 @@
 pub use index::{CallerIx, LoraIx, PoolIx, UpstreamIx};
 pub use load_order::{LoadOrder, LoadOrderOptions};
 pub use router::{
-    Ask, BudgetOptions, Choice, Outcome, Pick, RetryBudget, Router, RouterOptions, UpstreamFigures,
-    lora_key, upstream_key,
+    Ask, BudgetOptions, Choice, Outcome, Pick, Prompt, RetryBudget, Router, RouterOptions,
+    UpstreamFigures, lora_key, upstream_key,
 };
 pub use scheduler::{
     Action, Bid, GiveUp, Job, JobId, LoadEnd, Scheduler, SchedulerOptions, Weights,
--- a/crates/policy/src/router/ask.rs
+++ b/crates/policy/src/router/ask.rs
@@ -2,6 +2,7 @@
 
 use pumicecleat_types::{LoadFigures, Millis, Reason};
 
+use super::prefix::Prompt;
 use crate::{LoraIx, PoolIx, UpstreamIx};
 
 /// State of an upstream, by its side's report.
@@ -22,8 +23,8 @@
     pub pool: PoolIx,
     /// Adapter and version, or `None` for a plain service.
     pub lora: Option<LoraIx>,
-    /// Hash of the prompt's prefix, in the engines' terms.
-    pub prefix: Option<u64>,
+    /// Prompt, of a chat.
+    pub prompt: Option<Prompt>,
     /// Time left until the caller's deadline.
     pub left: Millis,
     /// Upstreams that this request was sent to before; never chosen again.
--- a/crates/policy/src/router/choose.rs
+++ b/crates/policy/src/router/choose.rs
@@ -5,6 +5,7 @@
 use super::ask::{Ask, Choice, Pick};
 use super::estimate::{load_us, queue_us};
 use super::pool::Standing;
+use super::prefix::Aim;
 use super::upstream::Hold;
 use super::{Router, draw::Draw};
 use crate::{LoraIx, UpstreamIx};
@@ -12,9 +13,6 @@
 /// Upstreams compared for a plain service, and those drawn where no other candidate is ready.
 const DRAWN: usize = 2;
 
-/// Prefix holders that one choice looks at.
-const PREFIXED: usize = 2;
-
 /// Upstreams that are not ready and that a draw steps over at most.
 const STEPS: usize = 16;
 
@@ -36,8 +34,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Scored {
     class: Class,
-    /// Wait with the margin that a new copy must win, microseconds.
-    cost: u64,
+    /// Wait with the margin that a new copy must win, less what a cached prefix saves, microseconds.
+    cost: i64,
     /// Expected wait, microseconds.
     wait: u64,
     hold: Hold,
@@ -66,29 +64,21 @@
 
     /// Expected wait at one upstream, whether or not it may get work; `None` if it is not known.
     #[must_use]
-    pub fn expected(
-        &self,
-        up: UpstreamIx,
-        lora: Option<LoraIx>,
-        prefix: Option<u64>,
-        now: Millis,
-    ) -> Option<Millis> {
-        let (wait, _) = self.wait_us(up, lora, prefix, now)?;
+    pub fn expected(&self, up: UpstreamIx, lora: Option<LoraIx>, now: Millis) -> Option<Millis> {
+        let (wait, _) = self.wait_us(up, lora, now)?;
         Some(Millis(wait.div_ceil(MICROS)))
     }
 
     fn candidates(&mut self, ask: &Ask<'_>, now: Millis) -> Vec<Scored> {
         let mut ups = self.near(ask, now);
-        if let Some(prefix) = ask.prefix {
-            let hinted = self.hints.of(prefix, PREFIXED);
-            ups.extend(hinted);
-        }
-        let scored = self.score(ask, &ups, now);
+        let aim = self.aim(ask.pool, ask.lora, ask.prompt);
+        ups.extend(aim.meeting());
+        let scored = self.score(ask, &aim, &ups, now);
         if scored.iter().any(|s| s.class == Class::Ready) {
             return scored;
         }
         ups.extend(self.drawn(ask, now));
-        self.score(ask, &ups, now)
+        self.score(ask, &aim, &ups, now)
     }
 
     /// Some holders, then the homes.
@@ -142,21 +132,23 @@
         taken
     }
 
-    fn score(&self, ask: &Ask<'_>, ups: &[UpstreamIx], now: Millis) -> Vec<Scored> {
+    fn score(&self, ask: &Ask<'_>, aim: &Aim, ups: &[UpstreamIx], now: Millis) -> Vec<Scored> {
         let open = ups.iter().filter(|u| !ask.tried.contains(u));
-        open.filter_map(|&up| self.scored(ask, up, now)).collect()
+        let scored = open.filter_map(|&up| self.scored(ask, aim, up, now));
+        scored.collect()
     }
 
-    fn scored(&self, ask: &Ask<'_>, up: UpstreamIx, now: Millis) -> Option<Scored> {
+    fn scored(&self, ask: &Ask<'_>, aim: &Aim, up: UpstreamIx, now: Millis) -> Option<Scored> {
         let class = self.class(ask, up, now)?;
-        let (wait, hold) = self.wait_us(up, ask.lora, ask.prefix, now)?;
+        let (wait, hold) = self.wait_us(up, ask.lora, now)?;
         let margin = match hold {
             Hold::Absent => self.options.spread.0 * MICROS,
             Hold::Resident | Hold::Coming(_) => 0,
         };
+        let saved = self.saved_us(up, hold, aim);
         Some(Scored {
             class,
-            cost: wait + margin,
+            cost: signed(wait + margin) - signed(saved),
             wait,
             hold,
             up,
@@ -176,24 +168,12 @@
         }
     }
 
-    fn wait_us(
-        &self,
-        up: UpstreamIx,
-        lora: Option<LoraIx>,
-        prefix: Option<u64>,
-        now: Millis,
-    ) -> Option<(u64, Hold)> {
+    fn wait_us(&self, up: UpstreamIx, lora: Option<LoraIx>, now: Millis) -> Option<(u64, Hold)> {
         let upstream = self.upstreams.get(up.0 as usize)?;
         let hold = lora.map_or(Hold::Resident, |l| upstream.hold(l));
         let queue = queue_us(upstream, &self.options);
         let load = load_us(upstream, hold, self.load, &self.options, now);
-        let hinted = prefix.is_some_and(|p| self.hints.contains(p, up));
-        let gain = if hinted {
-            self.options.gain.0 * MICROS
-        } else {
-            0
-        };
-        Some(((queue + load).saturating_sub(gain), hold))
+        Some((queue + load, hold))
     }
 
     /// Least cost in the best class; among loads of like cost, the earliest home, so that entries agree.
@@ -202,8 +182,12 @@
         if best.hold != Hold::Absent {
             return Some(*best);
         }
-        let most = best.cost + self.options.slack.0 * MICROS;
+        let most = best.cost + signed(self.options.slack.0 * MICROS);
         let alike = |s: &&Scored| s.class == best.class && s.hold == Hold::Absent && s.cost <= most;
         scored.iter().find(alike).copied()
     }
 }
+
+fn signed(micros: u64) -> i64 {
+    i64::try_from(micros).unwrap_or(i64::MAX / 4)
+}
--- a/crates/policy/src/router/key.rs
+++ b/crates/policy/src/router/key.rs
@@ -28,3 +28,8 @@
 pub(super) fn point(key: u64, n: u64) -> u64 {
     xxh3_64_with_seed(&key.to_le_bytes(), n)
 }
+
+/// Weight of an upstream's key for another key.
+pub(super) fn pair(upstream: u64, key: u64) -> u64 {
+    xxh3_64_with_seed(&upstream.to_le_bytes(), key)
+}
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -1,14 +1,15 @@
 //! The entry's choice of upstream.
 //!
-//! [`Router`] keeps what an entry hears of upstreams as soft state: reports, ends of its own attempts
-//! and cache events. It may be wrong for seconds; the side beside an upstream has the last word by
+//! [`Router`] keeps what an entry hears of upstreams as soft state: reports and ends of its own
+//! attempts. It may be wrong for seconds; the side beside an upstream has the last word by
 //! its refusal. A choice looks at a few candidates only: a sample of an adapter's holders, and its
 //! homes on a hash ring. So its cost grows with neither the upstreams nor the adapters, but for the
 //! depth of ordered sets.
 //!
 //! `ask` holds the question and the answer, `upstream` what is known of one upstream, `pool`, `ring`
 //! and `holders` where candidates come from, `estimate` the expected wait, `choose` the choice,
-//! `demotion` the order of stalled upstreams, `place` keeps the pools' indices, `outcome` what attempts teach, `hints` cached prefixes, and `budget` the bound on retries.
+//! `demotion` the order of stalled upstreams, `place` keeps the pools' indices, `outcome` what
+//! attempts teach, `prefix` affinity to cached prompts, and `budget` the bound on retries.
 
 mod ask;
 mod budget;
@@ -16,13 +17,13 @@
 mod demotion;
 mod draw;
 mod estimate;
-mod hints;
 mod holders;
 mod key;
 mod options;
 mod outcome;
 mod place;
 mod pool;
+mod prefix;
 mod ring;
 mod upstream;
 
@@ -30,12 +31,12 @@
 pub use budget::{BudgetOptions, RetryBudget};
 pub use key::{lora_key, upstream_key};
 pub use options::RouterOptions;
+pub use prefix::Prompt;
 
 use pumicecleat_types::Millis;
 
 use crate::{LoraIx, PoolIx, UpstreamIx};
 use draw::Draw;
-use hints::Hints;
 use key::index_key;
 use pool::Pool;
 use upstream::Upstream;
@@ -50,7 +51,6 @@
     pools: Vec<Pool>,
     /// Keys of adapters by index; 0 where not named.
     loras: Vec<u64>,
-    hints: Hints,
 }
 
 impl Router {
@@ -64,7 +64,6 @@
             upstreams: Vec::new(),
             pools: Vec::new(),
             loras: Vec::new(),
-            hints: Hints::new(options.hints),
         }
     }
 
@@ -127,7 +126,6 @@
     pub fn forget(&mut self, up: UpstreamIx) {
         if self.upstreams.get(up.0 as usize).is_some() {
             self.change(up, |u| *u = Upstream::new(up));
-            self.hints.clear(up);
         }
     }
 
@@ -153,28 +151,6 @@
         forgotten
     }
 
-    /// Takes in cache events of an upstream: prefixes that it `added`, or else removed.
-    pub fn cached(&mut self, up: UpstreamIx, prefixes: &[u64], added: bool) {
-        for &prefix in prefixes {
-            if added {
-                self.hints.add(prefix, up);
-            } else {
-                self.hints.remove(prefix, up);
-            }
-        }
-    }
-
-    /// Drops the hints of an upstream whose cache events have a gap.
-    pub fn cache_gap(&mut self, up: UpstreamIx) {
-        self.hints.clear(up);
-    }
-
-    /// Prefix hints kept now.
-    #[must_use]
-    pub fn hint_count(&self) -> usize {
-        self.hints.len()
-    }
-
     /// Upstreams of a pool that may get work, suspect ones included.
     #[must_use]
     pub fn usable(&self, pool: PoolIx) -> usize {
--- a/crates/policy/src/router/options.rs
+++ b/crates/policy/src/router/options.rs
@@ -19,8 +19,11 @@
     pub spread: Millis,
     /// Time by which a later home must beat an earlier one.
     pub slack: Millis,
-    /// Prefill time that a cached prefix saves.
-    pub gain: Millis,
+    /// Prefill time that each cached token saves, microseconds.
+    pub prefill_us: u64,
+    /// Worth of the holder at which a conversation's turns meet, beside what earlier turns left
+    /// there, tokens; `None` if they don't meet.
+    pub first: Option<u32>,
     /// Typical run time of a request, where a report says nothing of it.
     pub service: Millis,
     /// Age up to which own sends may be missing from a report.
@@ -38,8 +41,6 @@
     pub probe: bool,
     /// When to come back where no upstream is usable.
     pub retry: Millis,
-    /// Prefix hints kept, over all upstreams.
-    pub hints: usize,
 }
 
 impl Default for RouterOptions {
@@ -52,7 +53,8 @@
             load: Millis(500),
             spread: Millis(250),
             slack: Millis(100),
-            gain: Millis(50),
+            prefill_us: 50,
+            first: Some(200),
             service: Millis(2_000),
             lag: Millis(100),
             suspect: Millis(15_000),
@@ -61,7 +63,6 @@
             demote_most: Millis(16_000),
             probe: true,
             retry: Millis(1_000),
-            hints: 16_384,
         }
     }
 }
--- a/crates/policy/src/router/ring.rs
+++ b/crates/policy/src/router/ring.rs
@@ -15,6 +15,9 @@
 /// Probes for each home at most, where they find holders or the same upstreams again.
 const REACH: usize = 4;
 
+/// Points that a search for a holder passes at most.
+const WALK: usize = 512;
+
 /// Upstreams on a ring.
 #[derive(Clone, Debug)]
 pub(super) struct Ring {
@@ -72,6 +75,14 @@
         found.iter().map(|f| f.up).collect()
     }
 
+    /// First of `held` after a place, among the points near it. `held` is ascending.
+    pub(super) fn first_of(&self, place: u64, held: &[UpstreamIx]) -> Option<UpstreamIx> {
+        let after = self.points.range((place, UpstreamIx(0))..);
+        let round = after.chain(&self.points).take(WALK);
+        let mut ups = round.map(|(_, up)| *up);
+        ups.find(|up| held.binary_search(up).is_ok())
+    }
+
     fn successor(&self, probe: u64) -> Option<Found> {
         let mut after = self.points.range((probe, UpstreamIx(0))..);
         let &(at, up) = after.next().or_else(|| self.points.first())?;
--- a/crates/policy/src/router/upstream.rs
+++ b/crates/policy/src/router/upstream.rs
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Places left in the batch, own sends that no report shows yet taken off.
+    pub(super) fn room(&self) -> u64 {
+        let own = u64::try_from(self.sends.len()).unwrap_or(u64::MAX);
+        let busy = u64::from(self.load.running) + u64::from(self.load.waiting);
+        u64::from(self.load.batch).saturating_sub(busy.saturating_add(own))
+    }
+
     pub(super) fn hold(&self, lora: LoraIx) -> Hold {
         if self.resident.binary_search(&lora).is_ok() {
             return Hold::Resident;
--- a/crates/upstream/src/chat/body.rs
+++ b/crates/upstream/src/chat/body.rs
@@ -1,7 +1,6 @@
 //! A caller's chat body, checked.
 
 use serde_json::value::RawValue;
-use xxhash_rust::xxh3::Xxh3;
 
 use super::depth::nesting;
 use super::fields::{Fields, read_raw};
@@ -60,16 +59,6 @@
     pub fn stops(&self) -> &[String] {
         &self.stops
     }
-
-    /// Hash of the first `count` messages as written, for affinity to a prompt's cached prefix.
-    #[must_use]
-    pub fn prefix_hash(&self, count: usize) -> u64 {
-        let mut hash = Xxh3::new();
-        for message in self.messages.iter().take(count) {
-            hash.update(message.get().as_bytes());
-        }
-        hash.digest()
-    }
 }
 
 fn check_text<'a>(bytes: &'a [u8], limits: &ChatLimits) -> Result<&'a str, BodyFault> {
--- a/crates/upstream/src/chat/mod.rs
+++ b/crates/upstream/src/chat/mod.rs
@@ -8,8 +8,10 @@
 mod message;
 mod render;
 mod resume;
+mod thread;
 
 pub use body::ChatBody;
 pub use fault::{BodyFault, FieldIssue};
 pub use limits::ChatLimits;
 pub use resume::ResumeBarrier;
+pub use thread::ChatThread;
--- a/crates/upstream/src/check/chunk.rs
+++ b/crates/upstream/src/check/chunk.rs
@@ -1,8 +1,10 @@
 //! What a stream's events hold.
 
 use serde::Deserialize;
+use serde_with::{DefaultOnError, serde_as};
 
 /// Tokens counted by the engine.
+#[serde_as]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
 pub struct Usage {
     /// Tokens of the prompt.
@@ -11,6 +13,18 @@
     /// Tokens of the answer.
     #[serde(default, rename = "completion_tokens")]
     pub completion: u64,
+    /// More on the prompt's tokens. Only a hint, so that nothing in it can spoil an answer.
+    #[serde_as(as = "DefaultOnError")]
+    #[serde(default, rename = "prompt_tokens_details")]
+    pub details: PromptDetails,
+}
+
+/// More on a prompt's tokens, as far as the engine tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+pub struct PromptDetails {
+    /// Those found in the prefix cache.
+    #[serde(rename = "cached_tokens")]
+    pub cached: Option<u64>,
 }
 
 /// An event of a stream.
--- a/crates/upstream/src/check/mod.rs
+++ b/crates/upstream/src/check/mod.rs
@@ -8,7 +8,7 @@
 mod stream;
 mod whole;
 
-pub use chunk::{Chunk, StreamEvent, Usage};
+pub use chunk::{Chunk, PromptDetails, StreamEvent, Usage};
 pub use expect::Expect;
 pub use fault::{AnswerError, AnswerFault};
 pub use progress::Progress;
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -26,10 +26,10 @@
 mod service;
 
 pub use call::{CallError, Retry};
-pub use chat::{BodyFault, ChatBody, ChatLimits, FieldIssue, ResumeBarrier};
+pub use chat::{BodyFault, ChatBody, ChatLimits, ChatThread, FieldIssue, ResumeBarrier};
 pub use check::{
-    AnswerError, AnswerFault, Chunk, Expect, Progress, StreamCheck, StreamEvent, Usage, Whole,
-    check_whole,
+    AnswerError, AnswerFault, Chunk, Expect, Progress, PromptDetails, StreamCheck, StreamEvent,
+    Usage, Whole, check_whole,
 };
 pub use engine::{
     Answer, ChatCall, Engine, Loaded, Order, OrderError, Running, VllmEngine, load_confirmed,
--- a/crates/upstream/tests/stream.rs
+++ b/crates/upstream/tests/stream.rs
@@ -143,6 +143,7 @@
         usage: Some(Usage {
             prompt: 5,
             completion: 3,
+            ..Usage::default()
         }),
         ..Chunk::default()
     });
@@ -244,3 +245,27 @@
         prop_assert!(read(bytes[..length].chunks(13)).is_err());
     }
 }
+
+/// What the cached tokens are told as, and what is read.
+#[test]
+fn nothing_told_of_a_cache_spoils_an_answer() {
+    let cases = [
+        ("", None),
+        (r#","prompt_tokens_details":null"#, None),
+        (r#","prompt_tokens_details":{}"#, None),
+        (r#","prompt_tokens_details":{"cached_tokens":2}"#, Some(2)),
+        (r#","prompt_tokens_details":{"cached_tokens":-7}"#, None),
+        (r#","prompt_tokens_details":{"cached_tokens":"2"}"#, None),
+        (r#","prompt_tokens_details":[1,{"a":"]"}]"#, None),
+        (r#","prompt_tokens_details":7"#, None),
+    ];
+    for (details, cached) in cases {
+        let usage = format!(r#""usage":{{"prompt_tokens":3{details},"completion_tokens":2}}"#);
+        let choice = r#"[{"index":0,"message":{"content":"a"},"finish_reason":"stop"}]"#;
+        let body = format!("{HEAD}{choice},{usage}}}");
+        let whole = check_whole(EXPECT, body.as_bytes()).expect(details);
+        let told = whole.usage.expect(details);
+        assert_eq!((told.prompt, told.completion), (3, 2), "{details}");
+        assert_eq!(told.details.cached, cached, "{details}");
+    }
+}
