--- a/crates/entry/src/stream/feed.rs
+++ b/crates/entry/src/stream/feed.rs
@@ -1,7 +1,5 @@
 //! Checked events of one attempt.
 
-use std::time::Duration;
-
 use pumicecleat_types::Ran;
 use pumicecleat_upstream::{AnswerError, Chunk, StreamCheck, StreamEvent, Usage};
 
@@ -17,6 +15,8 @@
     /// Tokens as the engine told last.
     pub(super) usage: Option<Usage>,
     check: StreamCheck,
+    /// Events were given: what follows waits for its turn.
+    begun: bool,
     /// Bytes of the event that ends the stream, held back until the side says that it is whole.
     done: Option<Vec<u8>>,
 }
@@ -37,18 +37,23 @@
             check: StreamCheck::new(expect, EVENT_LIMIT),
             attempt,
             usage: None,
+            begun: false,
             done: None,
         }
     }
 
     /// Next checked events; nothing of a frame with a wrong one is given.
-    pub(super) async fn next(&mut self, shared: &Shared, span: Duration) -> Result<Fed, Failure> {
+    pub(super) async fn next(&mut self, shared: &Shared) -> Result<Fed, Failure> {
         loop {
-            match self.attempt.next_part(shared, span).await? {
+            match self.attempt.next_part().await? {
                 Part::Data(bytes) => {
+                    if self.begun {
+                        shared.turns.place().await;
+                    }
                     self.check.push(&bytes);
                     let chunks = self.scan().map_err(|e| answer_failure(&e))?;
                     if !chunks.is_empty() {
+                        self.begun = true;
                         return Ok(Fed::Chunks(chunks));
                     }
                 }
--- a/crates/ledger/tests/keys.rs
+++ b/crates/ledger/tests/keys.rs
@@ -13,6 +13,14 @@
     minted: Option<u64>,
 }
 
+const fn key_case(
+    text: &'static str,
+    key: Result<&'static str, KeyError>,
+    minted: Option<u64>,
+) -> KeyCase {
+    KeyCase { text, key, minted }
+}
+
 fn key_cases() -> Vec<KeyCase> {
     let strange = |found| KeyError::Character {
         caller: caller(),
@@ -20,56 +28,24 @@
     };
     let empty = KeyError::Empty { caller: caller() };
     vec![
-        KeyCase {
-            text: "seat-41",
-            key: Ok("seat-41"),
-            minted: None,
-        },
-        KeyCase {
-            text: "\"seat-41\"",
-            key: Ok("seat-41"),
-            minted: None,
-        },
-        KeyCase {
-            text: "",
-            key: Err(empty.clone()),
-            minted: None,
-        },
-        KeyCase {
-            text: "\"\"",
-            key: Err(empty),
-            minted: None,
-        },
-        KeyCase {
-            text: "\"",
-            key: Err(strange('"')),
-            minted: None,
-        },
-        KeyCase {
-            text: "seat 41",
-            key: Err(strange(' ')),
-            minted: None,
-        },
-        KeyCase {
-            text: "seat\n41",
-            key: Err(strange('\n')),
-            minted: None,
-        },
-        KeyCase {
-            text: "szék",
-            key: Err(strange('é')),
-            minted: None,
-        },
-        KeyCase {
-            text: "017f22e2-79b0-7cc3-98c4-dc0c0c07398f",
-            key: Ok("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"),
-            minted: Some(1_645_557_742_000),
-        },
-        KeyCase {
-            text: "919108f7-52d1-4320-9bac-f847db4148a8",
-            key: Ok("919108f7-52d1-4320-9bac-f847db4148a8"),
-            minted: None,
-        },
+        key_case("seat-41", Ok("seat-41"), None),
+        key_case("\"seat-41\"", Ok("seat-41"), None),
+        key_case("", Err(empty.clone()), None),
+        key_case("\"\"", Err(empty), None),
+        key_case("\"", Err(strange('"')), None),
+        key_case("seat 41", Err(strange(' ')), None),
+        key_case("seat\n41", Err(strange('\n')), None),
+        key_case("szék", Err(strange('é')), None),
+        key_case(
+            "017f22e2-79b0-7cc3-98c4-dc0c0c07398f",
+            Ok("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"),
+            Some(1_645_557_742_000),
+        ),
+        key_case(
+            "919108f7-52d1-4320-9bac-f847db4148a8",
+            Ok("919108f7-52d1-4320-9bac-f847db4148a8"),
+            None,
+        ),
     ]
 }
 
@@ -170,32 +146,16 @@
     body: &'static [u8],
 }
 
+const fn call_case(method: &'static str, path: &'static str, body: &'static [u8]) -> CallCase {
+    CallCase { method, path, body }
+}
+
 const CALLS: &[CallCase] = &[
-    CallCase {
-        method: "POST",
-        path: "/holds",
-        body: b"1",
-    },
-    CallCase {
-        method: "PUT",
-        path: "/holds",
-        body: b"1",
-    },
-    CallCase {
-        method: "POST",
-        path: "/holds1",
-        body: b"",
-    },
-    CallCase {
-        method: "POST",
-        path: "/hold",
-        body: b"s1",
-    },
-    CallCase {
-        method: "POST/",
-        path: "holds",
-        body: b"1",
-    },
+    call_case("POST", "/holds", b"1"),
+    call_case("PUT", "/holds", b"1"),
+    call_case("POST", "/holds1", b""),
+    call_case("POST", "/hold", b"s1"),
+    call_case("POST/", "holds", b"1"),
 ];
 
 #[test]
@@ -245,3 +205,38 @@
         assert_eq!(answer.body, expected, "{:?}", case.body);
     }
 }
+
+struct PartCase {
+    caller: &'static str,
+    text: &'static str,
+    parts: u32,
+    part: u32,
+}
+
+#[rustfmt::skip]
+const PARTS: &[PartCase] = &[
+    PartCase { caller: "csillagkapu", text: "seat-41", parts: 1, part: 0 },
+    PartCase { caller: "csillagkapu", text: "seat-41", parts: 8, part: 2 },
+    PartCase { caller: "csillagkapu", text: "\"seat-41\"", parts: 8, part: 2 },
+    PartCase { caller: "vithu-koottam", text: "seat-41", parts: 8, part: 0 },
+    PartCase { caller: "csillagkapu", text: "seat-42", parts: 8, part: 6 },
+    PartCase { caller: "csillagkapu", text: "seat-41", parts: 1_024, part: 1_018 },
+];
+
+/// A part is for ever: another hash would forget the keys in use.
+#[test]
+fn parts_of_keys() {
+    let part = |c: &PartCase| Key::parse(&c.caller.into(), c.text).unwrap().part(c.parts);
+    let found: Vec<u32> = PARTS.iter().map(part).collect();
+    let want: Vec<u32> = PARTS.iter().map(|c| c.part).collect();
+    assert_eq!(found, want);
+    let mut counts = [0_u32; 16];
+    for n in 0..16_000 {
+        let key = Key::parse(&caller(), &format!("seat-{n}")).unwrap();
+        counts[key.part(16) as usize] += 1;
+    }
+    assert!(
+        counts.iter().all(|c| (800..1_200).contains(c)),
+        "{counts:?}"
+    );
+}
--- a/crates/ledger/tests/model/world.rs
+++ b/crates/ledger/tests/model/world.rs
@@ -66,6 +66,14 @@
     ForgetOwed,
     /// Takes back a send of which bytes had left.
     MissSent,
+    /// Closes the stream while a call is under way, and says "not run".
+    CloseBusy,
+    /// Closes the stream while an abandon or an outcome is owed.
+    CloseOwing,
+    /// Closes the stream while an own intent stands there unread.
+    CloseUnread,
+    /// Opens the stream again under the name of the opening before.
+    ReopenAlike,
 }
 
 /// Calls and the mistake.
@@ -84,6 +92,8 @@
     pub cuts: u8,
     /// Crashes.
     pub crashes: u8,
+    /// Closings of the stream.
+    pub closes: u8,
     /// Answers lost.
     pub losses: u8,
     /// Outages.
@@ -100,12 +110,49 @@
     pub const NONE: Self = Self {
         cuts: 0,
         crashes: 0,
+        closes: 0,
         losses: 0,
         outages: 0,
         ticks: &[],
         trims: 0,
         misses: 0,
     };
+    pub const CUT: Self = Self {
+        cuts: 1,
+        ..Self::NONE
+    };
+    pub const CRASH: Self = Self {
+        crashes: 1,
+        ..Self::NONE
+    };
+    pub const CLOSE: Self = Self {
+        closes: 1,
+        ..Self::NONE
+    };
+    pub const LOSS: Self = Self {
+        losses: 1,
+        ..Self::NONE
+    };
+
+    pub const fn crashes(self, crashes: u8) -> Self {
+        Self { crashes, ..self }
+    }
+
+    pub const fn closes(self, closes: u8) -> Self {
+        Self { closes, ..self }
+    }
+
+    pub const fn losses(self, losses: u8) -> Self {
+        Self { losses, ..self }
+    }
+
+    pub const fn ticks(self, ticks: &'static [u64]) -> Self {
+        Self { ticks, ..self }
+    }
+
+    pub const fn trims(self, trims: u8) -> Self {
+        Self { trims, ..self }
+    }
 }
 
 /// What a caller was told.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -31,8 +31,10 @@
 mod runtime;
 mod server;
 mod sse;
+mod stall;
 mod tally;
 mod timer;
+mod turns;
 
 pub use body::{Body, BodyError, ByteStream, read_all};
 pub use client::{Client, ClientOptions, Response};
@@ -45,5 +47,7 @@
 pub use runtime::{RuntimeError, run};
 pub use server::{Handler, Incoming, Reply, Server, ServerOptions, bind, bind_exclusive};
 pub use sse::{SseEvent, SseScanner, TooLong};
+pub use stall::Stall;
 pub use tally::{Tally, TallyGuard};
 pub use timer::{Elapsed, Sleep, Timer};
+pub use turns::{Place, Turns};
--- a/crates/policy/src/router/key.rs
+++ b/crates/policy/src/router/key.rs
@@ -1,6 +1,6 @@
 //! Keys: hashes of names, the same at every entry, where indices are each entry's own.
 
-use pumicecleat_types::{Lora, VmId};
+use pumicecleat_types::{Lora, PoolId, VmId};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Separates the parts of a hashed name; no id contains it.
@@ -19,6 +19,12 @@
     xxh3_64(name.as_bytes())
 }
 
+/// Key of one part of the idempotency keys of a pool.
+#[must_use]
+pub fn part_key(pool: &PoolId, part: u32) -> u64 {
+    xxh3_64(format!("{pool}{PART}{part}").as_bytes())
+}
+
 /// Key of an index that was not named.
 pub(super) fn index_key(ix: u32) -> u64 {
     xxh3_64(&ix.to_le_bytes())
@@ -28,8 +34,3 @@
 pub(super) fn point(key: u64, n: u64) -> u64 {
     xxh3_64_with_seed(&key.to_le_bytes(), n)
 }
-
-/// Weight of an upstream's key for another key.
-pub(super) fn pair(upstream: u64, key: u64) -> u64 {
-    xxh3_64_with_seed(&upstream.to_le_bytes(), key)
-}
--- a/crates/policy/src/router/prefix.rs
+++ b/crates/policy/src/router/prefix.rs
@@ -4,7 +4,6 @@
 //! nothing is kept or told. It only costs time where it is wrong.
 
 use super::Router;
-use super::key::pair;
 use super::upstream::Hold;
 use crate::{LoraIx, PoolIx, UpstreamIx};
 
@@ -44,8 +43,8 @@
         if holders.len() > COMPARED {
             return pool.ring.first_of(root, holders);
         }
-        let weight = |up: &&UpstreamIx| pair(self.upstreams[up.0 as usize].key, root);
-        holders.iter().max_by_key(weight).copied()
+        let holders = holders.iter().copied();
+        holders.max_by_key(|up| self.rank(*up, root))
     }
 
     pub(super) fn aim(&self, pool: PoolIx, lora: Option<LoraIx>, prompt: Option<Prompt>) -> Aim {
--- a/crates/side/src/keys/reader.rs
+++ b/crates/side/src/keys/reader.rs
@@ -1,5 +1,6 @@
 //! Reading the service's stream, from its earliest kept record on.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use pumicecleat_ledger::{Attempt, Event, Ledger, Span};
@@ -9,7 +10,7 @@
 };
 use pumicecleat_types::{LogRecord, Millis};
 
-use super::Keys;
+use super::part::Part;
 use crate::state::wall_clock;
 
 const BATCH: u32 = 1_000;
@@ -17,7 +18,7 @@
 const WAIT: Duration = Duration::from_secs(2);
 /// Longest pause after failures: calls with keys are refused meanwhile.
 const LONGEST: Duration = Duration::from_millis(500);
-/// Time between two looks at what is due by the clock.
+/// Longest time between two looks at what is due by the clock.
 const TICK: Duration = Duration::from_secs(1);
 /// Time until the next try to find the stream's span.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -35,72 +36,93 @@
     }
 }
 
-impl Keys {
-    /// Follows the stream; never ends.
+impl Part {
+    /// Follows the stream until the part is closed.
     pub(super) async fn follow(&self) {
-        loop {
-            let span = self.find_span().await;
+        while let Some(span) = self.find_span().await {
             self.start_over(span);
             self.follow_from(span.first).await;
         }
     }
 
-    /// Follows from `first` until the ledger must be made anew.
+    /// Follows from `first` until the ledger must be made anew, or the part is closed.
     async fn follow_from(&self, first: u64) {
         let log = std::rc::Rc::clone(&self.state.log);
         let timer = &self.state.timer;
         let mut follower = Follower::new_ext(log, timer, &self.state.stream, first, options());
-        while !self.is_due_anew() {
-            match timer.within(TICK, follower.next()).await {
-                Ok(Ok(FollowEvent::Records(records))) => self.take(&records),
-                Ok(Ok(FollowEvent::CaughtUp { .. })) => self.note_up(),
-                Ok(Ok(FollowEvent::Outage { detail })) => self.note_down(&detail),
-                Ok(Ok(FollowEvent::Trimmed { first, .. })) => {
+        while let Some(event) = self.next_event(&mut follower).await {
+            match event {
+                Ok(FollowEvent::Records(records)) => self.take(&records),
+                Ok(FollowEvent::CaughtUp { .. }) => self.note_end(),
+                Ok(FollowEvent::Outage { detail }) => self.note_down(&detail),
+                Ok(FollowEvent::Trimmed { first, .. }) => {
                     self.skip_trimmed(first);
                     follower.seek(first);
                 }
-                Ok(Err(e)) => return self.note_gap(&e),
-                Err(_) => {}
+                Err(e) => return self.note_gap(&e),
             }
-            let due = self.state.ledger.borrow_mut().expire(wall_clock());
-            self.tell(due);
+            self.expire();
         }
         self.state.outdated.set(None);
     }
 
+    /// Next event of the stream, or `None` once it is not to be followed any more.
+    ///
+    /// The wait for it is never given up for a look at what is due: a read that is cut short each
+    /// time would not show that the log is back.
+    async fn next_event(
+        &self,
+        follower: &mut Follower,
+    ) -> Option<Result<FollowEvent, FollowError>> {
+        let mut next = pin!(follower.next());
+        while !self.state.closed.get() && !self.is_due_anew() {
+            match self.state.timer.within(TICK, next.as_mut()).await {
+                Ok(event) => return Some(event),
+                Err(_) => self.expire(),
+            }
+        }
+        None
+    }
+
+    fn expire(&self) {
+        let due = self.state.ledger.borrow_mut().expire(wall_clock());
+        self.tell(due);
+    }
+
     /// Whether to start over for other limits: once no own attempt is under way, whose outcome
     /// would be lost, or after a while all the same.
     fn is_due_anew(&self) -> bool {
         let Some(since) = self.state.outdated.get() else {
             return false;
         };
-        let dump = self.state.ledger.borrow().dump();
-        let idle = dump.own.is_empty() && dump.owed == 0;
-        idle || self.state.timer.now().since(since) > PATIENCE
+        self.is_settled() || self.state.timer.now().since(since) > PATIENCE
     }
 
-    /// What the stream holds now.
-    async fn find_span(&self) -> Span {
+    /// What the stream holds now; `None` once the part is closed.
+    async fn find_span(&self) -> Option<Span> {
         let (log, stream) = (&self.state.log, &self.state.stream);
-        loop {
+        while !self.state.closed.get() {
             match log.read(stream, 0, 1, Duration::ZERO).await {
                 Ok(batch) => {
-                    return Span {
+                    return Some(Span {
                         first: batch.first,
                         end: batch.next,
-                    };
+                    });
+                }
+                Err(ReadError::Trimmed { first, next, .. }) => {
+                    return Some(Span { first, end: next });
                 }
-                Err(ReadError::Trimmed { first, next, .. }) => return Span { first, end: next },
                 Err(e) => self.note_down(&e.to_string()),
             }
             self.state.timer.sleep(PAUSE).await;
         }
+        None
     }
 
     /// A fresh ledger decides from now on; attempts that wait are told what is certain of them.
     fn start_over(&self, span: Span) {
         let mut ledger = self.state.ledger.borrow_mut();
-        let mut owner = ledger.dump().owner;
+        let mut owner = ledger.owner().clone();
         // Numbers of attempts start over, so that they need a name of their own in the log.
         owner.incarnation += 1;
         *ledger = Ledger::new(owner, self.state.limits.get(), span);
@@ -127,6 +149,7 @@
     }
 
     fn note_down(&self, error: &str) {
+        self.state.at_end.set(false);
         if self.state.up.replace(false) {
             let fields = [
                 field("address", &self.state.stream),
@@ -144,8 +167,15 @@
         }
     }
 
+    /// All of the stream is read.
+    fn note_end(&self) {
+        self.note_up();
+        self.state.at_end.set(true);
+    }
+
     fn take(&self, records: &[LogRecord]) {
         self.note_up();
+        self.state.at_end.set(false);
         for record in records {
             let events = self.state.ledger.borrow_mut().read(record);
             self.tell(events);
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -9,7 +9,7 @@
 use pumicecleat_config::model::PoolKind;
 use pumicecleat_ledger::LimitError;
 use pumicecleat_net::{
-    Client, ClientOptions, Protocol, Server, ServerOptions, Timer, bind, bind_exclusive,
+    Client, ClientOptions, Protocol, Server, ServerOptions, Timer, Turns, bind, bind_exclusive,
 };
 use pumicecleat_ops::{Admin, Drain, DrainEnd, Log, Metrics, Readiness, Stop, events, field};
 use pumicecleat_platform::{HttpLog, HttpVms, Log as PlatformLog, Peers};
@@ -21,7 +21,7 @@
 use crate::config::Configuration;
 use crate::dump::Dumper;
 use crate::entries::Entries;
-use crate::keys::{KeyParts, Keys};
+use crate::keys::{KeyContext, Keys};
 use crate::lengths::Lengths;
 use crate::metrics::SideMetrics;
 use crate::orders::OrderDesk;
@@ -29,12 +29,15 @@
 use crate::report::Reporters;
 use crate::state::{CONFIG, STAYING, State, UPSTREAM, Upstream, Work, wall_clock};
 use crate::station::Station;
+use crate::tune::millis;
 use crate::watch::watch;
 
 /// Time that the platform's services and the upstream have for a short answer.
 const ANSWER_SPAN: Duration = Duration::from_secs(2);
 /// Longest answer of a plain service, bytes.
 const ANSWER_LIMIT: u64 = 16 << 20;
+/// Pieces of streams under way that pass before the poller is asked again.
+const TURN: usize = 16;
 /// Time between two looks for the pool's declaration.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -51,6 +54,12 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// No turns for streams.
+    #[snafu(display("step start turns: {source}"))]
+    Turns {
+        /// Cause.
+        source: std::io::Error,
+    },
 }
 
 /// A running side.
@@ -67,12 +76,13 @@
     /// Starts a side on this thread's loop.
     ///
     /// # Errors
-    /// [`StartError`] if an address is held by another process.
+    /// [`StartError`] if an address is held by another process, or descriptors are lacking.
     pub fn start(settings: SideSettings, timer: &Timer, log: &Log) -> Result<Self, StartError> {
         let slot = hold_slot(settings.slot)?;
         let (listener, address) = listen(settings.listen, "entries")?;
         let (admin_listener, admin) = listen(settings.common.admin, "admin")?;
-        let state = Rc::new(build_state(settings, address, timer, log));
+        let turns = Turns::start(TURN).context(TurnsSnafu)?;
+        let state = Rc::new(build_state(settings, address, timer, turns, log));
         log_start(&state, address, admin);
         let handler = Rc::new(PeerHandler(Rc::clone(&state)));
         let options = ServerOptions {
@@ -110,6 +120,12 @@
         self.state.readiness.is_ready()
     }
 
+    /// Revision of the configuration in force, 0 for none.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.state.config.revision()
+    }
+
     /// State for people.
     #[must_use]
     pub fn dump(&self) -> crate::SideDump {
@@ -167,7 +183,13 @@
     Server::new_ext(ServerOptions::default(), Rc::new(admin), &state.timer)
 }
 
-fn build_state(settings: SideSettings, bound: SocketAddr, timer: &Timer, log: &Log) -> State {
+fn build_state(
+    settings: SideSettings,
+    bound: SocketAddr,
+    timer: &Timer,
+    turns: Turns,
+    log: &Log,
+) -> State {
     let address = settings.advertise.unwrap_or(bound).to_string();
     let readiness = Readiness::new(&[CONFIG, UPSTREAM, STAYING], log);
     readiness.hold(STAYING);
@@ -175,13 +197,14 @@
         address,
         incarnation: wall_clock().0,
         timer: timer.clone(),
+        turns,
         client: Client::new_ext(ClientOptions::default(), timer),
         log: log.clone(),
         metrics: SideMetrics::new(&Metrics::new()),
         readiness,
         drain: Drain::new(),
         config: Configuration::default(),
-        entries: Entries::new(&settings.entries),
+        entries: Entries::new(&settings.entries, settings.common.vm.as_str()),
         reporters: Reporters::default(),
         lengths: Lengths::default(),
         leaving: Cell::new(false),
@@ -241,7 +264,7 @@
             monoio::spawn(desk.run(outlets.orders));
             Upstream::Model(engine)
         }
-        PoolKind::Service { .. } => match service(&state) {
+        PoolKind::Service { parts, .. } => match service(&state, parts) {
             Ok(upstream) => upstream,
             Err(e) => return state.readiness.fail(CONFIG, &e.to_string()),
         },
@@ -251,7 +274,7 @@
     watch(state, work).await;
 }
 
-fn service(state: &State) -> Result<Upstream, LimitError> {
+fn service(state: &State, parts: u32) -> Result<Upstream, LimitError> {
     let limits = state.key_limits()?;
     let peer = state.settings.upstream.to_string();
     let service = Rc::new(HttpService::new(
@@ -262,12 +285,17 @@
     ));
     let peers = Peers::new(&state.settings.log);
     let log: Rc<dyn PlatformLog> = Rc::new(HttpLog::new(&state.client, peers, ANSWER_SPAN));
-    let parts = KeyParts {
-        log: &log,
-        events: &state.log,
-        timer: &state.timer,
+    let context = KeyContext {
+        service: ServiceId::from(state.pool().as_str()),
+        vm: state.vm().clone(),
+        incarnation: state.incarnation,
+        limits: Cell::new(limits),
+        idle: millis(state.settings.key_idle.0),
+        rate: state.settings.log_rate,
+        log,
+        events: state.log.clone(),
+        timer: state.timer.clone(),
     };
-    let name = ServiceId::from(state.pool().as_str());
-    let keys = Keys::start(&name, state.vm(), state.incarnation, limits, &parts);
+    let keys = Keys::start(context, parts);
     Ok(Upstream::Service(service, keys))
 }
--- a/crates/side/tests/bench/mod.rs
+++ b/crates/side/tests/bench/mod.rs
@@ -13,7 +13,7 @@
 use pumicecleat_config::{Change, ChangeId, Fold, Record, Source, parse};
 use pumicecleat_net::{
     Client, ClientOptions, FrameReader, Handler, Incoming, Protocol, Reply, Server, ServerOptions,
-    Timer, bind, peer_reply, plain_reply, read_all,
+    Timer, bind, peer_reply, plain_reply, read_all, run,
 };
 use pumicecleat_ops::{Log as EventLog, LogOptions, Settings};
 use pumicecleat_side::{Side, SideSettings};
@@ -29,6 +29,9 @@
 /// Longest wait of any step of a test.
 pub const SPAN: Duration = Duration::from_secs(20);
 
+/// Any free port of loopback.
+const ANY: &str = "127.0.0.1:0";
+
 const CONFIG: &str = "
 [base.m]
 context = 4096
@@ -56,6 +59,7 @@
 [pool.booking]
 kind = 'service'
 concurrency = 4
+parts = PARTS
 queue = 64
 [service.booking]
 pool = 'booking'
@@ -129,11 +133,26 @@
     pub service: Running<ServiceFaults>,
     fold: Rc<RefCell<Fold>>,
     entry: String,
+    config: String,
 }
 
 impl Bench {
     /// Stand-ins and the fake entry.
     pub fn start() -> Self {
+        Self::start_with(1, 0)
+    }
+
+    /// The same, with an engine whose load figures lag, milliseconds.
+    pub fn start_lagging(lag: u64) -> Self {
+        Self::start_with(1, lag)
+    }
+
+    /// The same, with as many parts of the service's keys.
+    pub fn start_parted(parts: u32) -> Self {
+        Self::start_with(parts, 0)
+    }
+
+    fn start_with(parts: u32, lag: u64) -> Self {
         let timer = Timer::start();
         let store = Store::start(
             StoreOptions {
@@ -151,6 +170,7 @@
             slow_ms: 5,
             store: Some(store.address.to_string()),
             check_fencing: true,
+            metrics_lag_ms: lag,
             ..EngineOptions::default()
         };
         let engine = Engine::start(options, &timer).unwrap();
@@ -158,7 +178,8 @@
         let log = Log::start(StandinLogOptions::default(), &timer).unwrap();
         let seen = Rc::default();
         let fold = Rc::new(RefCell::new(Fold::new()));
-        declare(&fold, CONFIG);
+        let config = CONFIG.replace("PARTS", &parts.to_string());
+        declare(&fold, &config);
         let entry = start_entry(&fold, &seen, &timer);
         Self {
             client: Client::new_ext(ClientOptions::default(), &timer),
@@ -171,12 +192,21 @@
             service,
             fold,
             entry,
+            config,
         }
     }
 
     /// Declares further items at the fake entry; the side hears of it by and by.
     pub fn declare_more(&self, text: &str) {
-        declare(&self.fold, &format!("{CONFIG}{text}"));
+        declare(&self.fold, &format!("{}{text}", self.config));
+    }
+
+    /// Takes the pool of services out, and puts it back with another number of parts.
+    pub fn deal_anew(&self, parts: u32) {
+        let start = self.config.find("[pool.booking]").unwrap();
+        let without = self.config[..start].replace("services = ['booking']", "");
+        declare(&self.fold, &without);
+        declare(&self.fold, &CONFIG.replace("PARTS", &parts.to_string()));
     }
 
     /// A side of the pool of services, before another service.
@@ -190,6 +220,13 @@
         self.side(vm, "lm", &upstream)
     }
 
+    /// The same, once the entry heard that its engine is healthy.
+    pub async fn ready_model_side(&self, vm: &str) -> Side {
+        let side = self.model_side(vm);
+        self.until_healthy(vm).await;
+        side
+    }
+
     /// A side of the pool of services.
     pub fn service_side(&self, vm: &str) -> Side {
         let upstream = self.service.address.to_string();
@@ -197,38 +234,44 @@
     }
 
     fn side(&self, vm: &str, pool: &str, upstream: &str) -> Side {
-        let log = self.log.address.to_string();
-        let args = [
-            "--vm",
-            vm,
-            "--data-centre",
-            "bp-a",
-            "--region",
-            "hu-central",
-            "--listen",
-            "127.0.0.1:0",
-            "--admin",
-            "127.0.0.1:0",
-            "--slot",
-            "127.0.0.1:0",
-            "--pool",
-            pool,
-            "--upstream",
-            upstream,
-            "--log",
-            &log,
-            "--entries",
-            &self.entry,
-            "--stall",
-            "500ms",
-            "--log-level",
-            "off",
-        ];
-        let settings = SideSettings::read("side", &args, &BTreeMap::new()).unwrap();
+        let settings = self.settings(vm, pool, upstream);
         let log = EventLog::new_ext(&LogOptions::default());
         Side::start(settings, &self.timer, &log).unwrap()
     }
 
+    /// A side of the pool of services in a thread of its own, which can be killed.
+    pub fn mortal_side(&self, vm: &str) -> Mortal {
+        let settings = self.settings(vm, "booking", &self.service.address.to_string());
+        let (kill, killed) = async_channel::bounded::<()>(1);
+        let (started, start) = std::sync::mpsc::channel();
+        let thread = std::thread::spawn(move || {
+            let live = async move {
+                let log = EventLog::new_ext(&LogOptions::default());
+                let side = Side::start(settings, &Timer::start(), &log).unwrap();
+                started.send(side.address()).unwrap();
+                let _ = killed.recv().await;
+            };
+            run(live).unwrap();
+        });
+        Mortal {
+            address: start.recv().unwrap(),
+            kill,
+            thread,
+        }
+    }
+
+    fn settings(&self, vm: &str, pool: &str, upstream: &str) -> SideSettings {
+        let log = self.log.address.to_string();
+        let entry = &self.entry;
+        let args = format!(
+            "--vm {vm} --data-centre bp-a --region hu-central --listen {ANY} --admin {ANY} --slot {ANY} \
+             --pool {pool} --upstream {upstream} --log {log} --entries {entry} --stall 500ms \
+             --key-idle 300ms --log-level off"
+        );
+        let args: Vec<&str> = args.split(' ').collect();
+        SideSettings::read("side", &args, &BTreeMap::new()).unwrap()
+    }
+
     /// Waits until the entry heard that the side's upstream is healthy.
     pub async fn until_healthy(&self, vm: &str) {
         self.until(|seen| seen.reports.get(vm).is_some_and(|r| r.healthy))
@@ -302,10 +345,15 @@
 
     /// Sends an attempt and gives the reader of its frames.
     pub async fn send(&self, side: &Side, run: &RunRequest) -> FrameReader {
+        self.send_to(side.address(), run).await
+    }
+
+    /// Sends an attempt to the side at `address`.
+    pub async fn send_to(&self, address: SocketAddr, run: &RunRequest) -> FrameReader {
         let request = http::Request::post("/peer/v1/run")
             .body(Bytes::from(encode(run)))
             .unwrap();
-        let peer = side.address().to_string();
+        let peer = address.to_string();
         let response = self.runs.send(&peer, request, SPAN).await.unwrap();
         FrameReader::new(response)
     }
@@ -342,6 +390,21 @@
     }
 }
 
+/// A side that can be killed.
+pub struct Mortal {
+    pub address: SocketAddr,
+    kill: async_channel::Sender<()>,
+    thread: std::thread::JoinHandle<()>,
+}
+
+impl Mortal {
+    /// Ends its loop with all that runs on it.
+    pub fn kill(self) {
+        self.kill.send_blocking(()).unwrap();
+        self.thread.join().unwrap();
+    }
+}
+
 /// Puts a configuration in force at the fake entry.
 fn declare(fold: &RefCell<Fold>, text: &str) {
     let config = parse(&[Source {
@@ -375,13 +438,23 @@
         seen: Rc::clone(seen),
         timer: timer.clone(),
     };
-    let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = bind(ANY.parse().unwrap()).unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let server = Server::new_ext(ServerOptions::default(), Rc::new(handler), timer);
     monoio::spawn(async move { server.serve(listener).await });
     address
 }
 
+/// Runs a case on a loop of its own, with stand-ins of its own.
+pub fn with_bench<F: Future<Output = ()>>(work: impl FnOnce(Bench) -> F) {
+    run(async { work(Bench::start()).await }).unwrap();
+}
+
+/// Whether an answer came to its proper end.
+pub fn is_whole(frames: &[Frame]) -> bool {
+    matches!(frames.last(), Some(Frame::End { .. }))
+}
+
 /// Bytes of the data frames.
 pub fn body_of(frames: &[Frame]) -> Vec<u8> {
     let pieces = frames.iter().filter_map(|f| match f {
--- a/crates/side/tests/evict.rs
+++ b/crates/side/tests/evict.rs
@@ -2,25 +2,24 @@
 
 mod bench;
 
-use bench::Bench;
+use bench::{Bench, is_whole, with_bench};
 use pumicecleat_net::run;
-use pumicecleat_types::Frame;
 
 /// More than the engine gives within the test.
 const TOKENS: u32 = 4_000;
 
+/// Age of the engine's load figures, milliseconds.
+const LAG: u64 = 1_500;
+
 /// An earlier side that lives on, or an operator's own call, runs what this side believes idle.
 #[test]
 fn what_another_runs_at_the_engine_is_not_evicted() {
-    run(async {
-        let bench = Bench::start();
-        let earlier = bench.model_side("vm-1");
-        bench.until_healthy("vm-1").await;
+    with_bench(|bench| async move {
+        let earlier = bench.ready_model_side("vm-1").await;
         bench
             .frames(&earlier, &bench.chat("warm", "a", 1, false))
             .await;
-        let side = bench.model_side("vm-2");
-        bench.until_healthy("vm-2").await;
+        let side = bench.ready_model_side("vm-2").await;
         let mut reader = bench
             .send(&earlier, &bench.chat("long", "a", TOKENS, true))
             .await;
@@ -29,13 +28,34 @@
             let frames = bench
                 .frames(&side, &bench.chat(adapter, adapter, 2, false))
                 .await;
-            let whole = matches!(frames.last(), Some(Frame::End { .. }));
-            assert!(whole, "{adapter}: {frames:?}");
+            assert!(is_whole(&frames), "{adapter}: {frames:?}");
         }
         let effects = bench.effects(bench.engine.address).await;
         let runs = effects["runs"].as_array().unwrap();
         assert!(runs.iter().any(|r| r["state"] == "running"), "{effects}");
         assert_eq!(effects["counters"]["evicted_in_use"], 0, "{effects}");
+    });
+}
+
+/// The figures by which a new side would know what runs are of a time before it began.
+#[test]
+fn a_restarted_side_waits_for_figures_that_lag() {
+    run(async {
+        let bench = Bench::start_lagging(LAG);
+        let earlier = bench.ready_model_side("vm-1").await;
+        let warm = bench.chat("warm", "a", 1, false);
+        bench.frames(&earlier, &warm).await;
+        let long = bench.chat("long", "a", TOKENS, true);
+        let mut reader = bench.send(&earlier, &long).await;
+        bench.next(&mut reader).await.unwrap();
+        let side = bench.ready_model_side("vm-2").await;
+        for adapter in ["b", "c", "b", "c"] {
+            let attempt = bench.chat(adapter, adapter, 2, false);
+            let frames = bench.frames(&side, &attempt).await;
+            assert!(is_whole(&frames), "{adapter}: {frames:?}");
+        }
+        let effects = bench.effects(bench.engine.address).await;
+        assert_eq!(effects["counters"]["evicted_in_use"], 0, "{effects}");
     })
     .unwrap();
 }
