--- a/crates/entry/src/request/job.rs
+++ b/crates/entry/src/request/job.rs
@@ -1,7 +1,7 @@
 //! What a caller asked.
 
 use pumicecleat_ledger::Key;
-use pumicecleat_policy::part_key;
+use pumicecleat_policy::{Prompt, part_key};
 use pumicecleat_types::{CallerId, Millis, RequestId};
 use pumicecleat_upstream::ChatBody;
 
@@ -24,8 +24,8 @@
     pub(crate) key: Option<String>,
     pub(crate) repeat: Repeat,
     pub(crate) content: Content,
-    /// Hash of the prompt's prefix.
-    pub(crate) prefix: Option<u64>,
+    /// Prompt, of a chat.
+    pub(crate) prompt: Option<Prompt>,
 }
 
 /// Body of a request.
--- a/crates/entry/src/stream/feed.rs
+++ b/crates/entry/src/stream/feed.rs
@@ -1,7 +1,7 @@
 //! Checked events of one attempt.
 
 use pumicecleat_types::Ran;
-use pumicecleat_upstream::{AnswerError, Chunk, StreamCheck, StreamEvent};
+use pumicecleat_upstream::{AnswerError, Chunk, StreamCheck, StreamEvent, Usage};
 
 use crate::request::{Attempt, Failure, Job, Part, answer_failure, lost};
 use crate::shared::Shared;
@@ -12,6 +12,8 @@
 /// Checked events of one attempt.
 pub(super) struct Feed {
     attempt: Attempt,
+    /// Tokens as the engine told last.
+    pub(super) usage: Option<Usage>,
     check: StreamCheck,
     /// Events were given: what follows waits for its turn.
     begun: bool,
@@ -34,6 +36,7 @@
         Self {
             check: StreamCheck::new(expect, EVENT_LIMIT),
             attempt,
+            usage: None,
             begun: false,
             done: None,
         }
@@ -76,7 +79,10 @@
         let mut chunks = Vec::with_capacity(1);
         while let Some(event) = self.check.scan_event()? {
             match event {
-                StreamEvent::Chunk(chunk) => chunks.push(chunk),
+                StreamEvent::Chunk(chunk) => {
+                    self.usage = chunk.usage.or(self.usage);
+                    chunks.push(chunk);
+                }
                 StreamEvent::Done { raw } => self.done = Some(raw),
             }
         }
--- a/crates/entry/tests/entry/main.rs
+++ b/crates/entry/tests/entry/main.rs
@@ -6,6 +6,7 @@
 mod input;
 mod keys;
 mod listed;
+mod meeting;
 mod part;
 mod peers;
 mod resume;
--- a/crates/measure/src/slopes/split.rs
+++ b/crates/measure/src/slopes/split.rs
@@ -121,7 +121,7 @@
     let ask = Ask {
         pool: POOL,
         lora: None,
-        prefix: None,
+        prompt: None,
         left: Millis(5_000),
         tried: &[],
     };
--- a/crates/policy/src/router/rank.rs
+++ b/crates/policy/src/router/rank.rs
@@ -25,13 +25,13 @@
     }
 
     fn timely(&self, ask: &Ask<'_>, up: UpstreamIx, now: Millis) -> Option<Pick> {
-        let (wait, _) = self.wait_us(up, ask.lora, ask.prefix, now)?;
+        let (wait, _) = self.wait_us(up, ask.lora, now)?;
         let wait = Millis(wait.div_ceil(MICROS));
         let resident = true;
         (wait.0 <= ask.left.0 / SHARE).then_some(Pick { up, wait, resident })
     }
 
-    fn rank(&self, up: UpstreamIx, home: u64) -> Option<u64> {
+    pub(super) fn rank(&self, up: UpstreamIx, home: u64) -> Option<u64> {
         let upstream = self.upstreams.get(up.0 as usize)?;
         Some(point(upstream.key, home))
     }
