Name the queue, the load orders and a request's attempts by the field's terms

They are Dispatcher, OrderRunner, WatchState, Decision, History and ConfigReader now, with their files and variables; no behaviour changed. cargo test of side, entry and the commands: rc 0.

--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -11,7 +11,7 @@
 use crate::args::ApplyArgs;
 use crate::error::{CliError, NoVerdictSnafu};
 use crate::files;
-use crate::journal::{Journal, STREAM};
+use crate::reader::{ConfigReader, STREAM};
 
 /// Longest wait of one read for a verdict.
 const READ: Duration = Duration::from_millis(500);
@@ -22,10 +22,10 @@
 pub(crate) async fn apply(args: ApplyArgs) -> Result<(), CliError> {
     let config = files::read(&args.files)?;
     let timer = Timer::start();
-    let mut journal = Journal::new(&args.log, &timer);
-    journal.catch_up().await?;
-    let base = args.base.unwrap_or(journal.fold.revision());
-    if base == journal.fold.revision() && *journal.fold.config() == config {
+    let mut reader = ConfigReader::new(&args.log, &timer);
+    reader.catch_up().await?;
+    let base = args.base.unwrap_or(reader.fold.revision());
+    if base == reader.fold.revision() && *reader.fold.config() == config {
         println!("nothing to change: revision {base} is in force");
         return Ok(());
     }
@@ -35,7 +35,7 @@
         wait: args.wait,
         timer: &timer,
     };
-    let revision = outcome.apply(&mut journal, &config).await?;
+    let revision = outcome.apply(&mut reader, &config).await?;
     println!("accepted: revision {revision} is in force");
     Ok(())
 }
@@ -53,7 +53,7 @@
     /// Appends the change and gives the revision that it made.
     pub(crate) async fn apply(
         &self,
-        journal: &mut Journal,
+        reader: &mut ConfigReader,
         config: &Config,
     ) -> Result<u64, CliError> {
         let text = Uuid::now_v7().to_string();
@@ -65,11 +65,11 @@
             }
             .fail();
         };
-        let from = journal.fold.config();
+        let from = reader.fold.config();
         let change = Change::new(id.clone(), self.base, from, config, self.author);
         let record = Record::Change(Box::new(change)).to_bytes();
         let span = Duration::from_secs(self.wait);
-        let settled = self.settle(journal, &id, &record);
+        let settled = self.settle(reader, &id, &record);
         match self.timer.within(span, settled).await {
             Ok(Ok(Verdict::Accepted { revision })) => Ok(revision),
             Ok(Ok(Verdict::Refused(cause))) => Err(CliError::Refused { id: text, cause }),
@@ -85,14 +85,14 @@
     /// Verdict in the log. A lost reply is settled by reading back, and by appending again.
     async fn settle(
         &self,
-        journal: &mut Journal,
+        reader: &mut ConfigReader,
         id: &ChangeId,
         record: &[u8],
     ) -> Result<Verdict, CliError> {
         let mut lost = false;
         loop {
-            match journal.log.append(STREAM, vec![record.to_vec()]).await {
-                Ok(_) => return self.read_verdict(journal, id).await,
+            match reader.log.append(STREAM, vec![record.to_vec()]).await {
+                Ok(_) => return self.read_verdict(reader, id).await,
                 Err(source @ AppendError::Refused { .. }) if !lost => {
                     return Err(CliError::Append { source });
                 }
@@ -100,8 +100,8 @@
             }
             self.timer.sleep(PAUSE).await;
             // The log may be down; the verdict may be there all the same.
-            if journal.step(Duration::ZERO).await.is_ok()
-                && let Some(verdict) = journal.fold.verdict(id)
+            if reader.step(Duration::ZERO).await.is_ok()
+                && let Some(verdict) = reader.fold.verdict(id)
             {
                 return Ok(verdict.clone());
             }
@@ -110,14 +110,14 @@
 
     async fn read_verdict(
         &self,
-        journal: &mut Journal,
+        reader: &mut ConfigReader,
         id: &ChangeId,
     ) -> Result<Verdict, CliError> {
         loop {
-            if journal.step(READ).await.is_err() {
+            if reader.step(READ).await.is_err() {
                 self.timer.sleep(PAUSE).await;
             }
-            if let Some(verdict) = journal.fold.verdict(id) {
+            if let Some(verdict) = reader.fold.verdict(id) {
                 return Ok(verdict.clone());
             }
         }
--- a/crates/cli/src/demo/world.rs
+++ b/crates/cli/src/demo/world.rs
@@ -17,7 +17,7 @@
 use super::fault;
 use crate::apply::Applying;
 use crate::error::CliError;
-use crate::journal::Journal;
+use crate::reader::ConfigReader;
 
 const SAMPLE: &str = include_str!("../../../../examples/demo.toml");
 const ENGINES: usize = 2;
@@ -220,13 +220,13 @@
         bytes: SAMPLE.as_bytes(),
     };
     let config = parse(&[source]).map_err(|faults| CliError::Faulty { faults })?;
-    let mut journal = Journal::new(log, timer);
-    journal.catch_up().await?;
+    let mut reader = ConfigReader::new(log, timer);
+    reader.catch_up().await?;
     let applying = Applying {
         author: "demo",
-        base: journal.fold.revision(),
+        base: reader.fold.revision(),
         wait: VERDICT,
         timer,
     };
-    applying.apply(&mut journal, &config).await.map(|_| ())
+    applying.apply(&mut reader, &config).await.map(|_| ())
 }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -17,7 +17,7 @@
 mod error;
 mod exchange;
 mod files;
-mod journal;
+mod reader;
 mod show;
 
 pub use args::Args;
--- a/crates/cli/src/journal.rs
+++ b/crates/cli/src/reader.rs
@@ -17,14 +17,14 @@
 const SPAN: Duration = Duration::from_secs(3);
 
 /// Reader of the stream, with the state that it comes to.
-pub(crate) struct Journal {
+pub(crate) struct ConfigReader {
     pub(crate) log: Rc<dyn Log>,
     pub(crate) fold: Fold,
     /// Offset to read from; the fold's own stands still while it needs a snapshot.
     next: u64,
 }
 
-impl Journal {
+impl ConfigReader {
     /// Reader at the start of the stream.
     pub(crate) fn new(peers: &str, timer: &Timer) -> Self {
         let client = Client::new_ext(ClientOptions::default(), timer);
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -7,18 +7,18 @@
 use crate::error::CliError;
 use crate::exchange::ask_dump;
 use crate::files;
-use crate::journal::Journal;
+use crate::reader::ConfigReader;
 
 /// Prints how files differ from what is in force.
 pub(crate) async fn diff(args: DiffArgs) -> Result<(), CliError> {
     let config = files::read(&args.files)?;
     let timer = Timer::start();
-    let mut journal = Journal::new(&args.log, &timer);
-    journal.catch_up().await?;
-    let changes = pumicecleat_config::diff(journal.fold.config(), &config);
+    let mut reader = ConfigReader::new(&args.log, &timer);
+    reader.catch_up().await?;
+    let changes = pumicecleat_config::diff(reader.fold.config(), &config);
     println!(
         "revision {}: {} changes",
-        journal.fold.revision(),
+        reader.fold.revision(),
         changes.len()
     );
     for change in &changes {
--- a/crates/entry/src/caller/chat.rs
+++ b/crates/entry/src/caller/chat.rs
@@ -8,7 +8,7 @@
 use pumicecleat_upstream::{BodyFault, ChatBody, ChatLimits};
 use serde::Deserialize;
 
-use super::headers::{put_course, read_deadline, read_priority};
+use super::headers::{put_attempts, read_deadline, read_priority};
 use super::{Call, read_body};
 use crate::fault::Fault;
 use crate::request::{Answer, Content, Exchange, Job, Repeat, read_prompt, resolve_model};
@@ -98,7 +98,7 @@
     let kind = HeaderValue::from_static("text/event-stream; charset=utf-8");
     headers.insert(CONTENT_TYPE, kind);
     headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
-    put_course(&mut headers, relay.exchange());
+    put_attempts(&mut headers, relay.exchange());
     let mut reply = Reply::new(relay.into_body());
     *reply.headers_mut() = headers;
     reply
@@ -120,6 +120,6 @@
             fault.reply()
         }
     };
-    put_course(reply.headers_mut(), &exchange);
+    put_attempts(reply.headers_mut(), &exchange);
     reply
 }
--- a/crates/entry/src/caller/headers.rs
+++ b/crates/entry/src/caller/headers.rs
@@ -119,8 +119,8 @@
 }
 
 /// Names what ran, and how many attempts it took.
-pub(super) fn put_course(headers: &mut HeaderMap, exchange: &Exchange) {
-    headers.insert(ATTEMPTS, HeaderValue::from(exchange.course.attempts));
+pub(super) fn put_attempts(headers: &mut HeaderMap, exchange: &Exchange) {
+    headers.insert(ATTEMPTS, HeaderValue::from(exchange.history.attempts));
     let Some((adapter, version)) = exchange.job.engine().and_then(|e| e.rsplit_once('@')) else {
         return;
     };
--- a/crates/entry/src/caller/service.rs
+++ b/crates/entry/src/caller/service.rs
@@ -8,7 +8,7 @@
 use pumicecleat_types::HeaderField;
 
 use super::headers::{
-    KEY, passed_on, put_course, put_passed, read_deadline, read_key, read_priority,
+    KEY, passed_on, put_attempts, put_passed, read_deadline, read_key, read_priority,
 };
 use super::{Call, read_body};
 use crate::fault::Fault;
@@ -98,6 +98,6 @@
             fault.reply()
         }
     };
-    put_course(reply.headers_mut(), &exchange);
+    put_attempts(reply.headers_mut(), &exchange);
     reply
 }
--- a/crates/entry/src/request/exchange.rs
+++ b/crates/entry/src/request/exchange.rs
@@ -1,4 +1,4 @@
-//! A request with its course, and the next attempt of it.
+//! A request with its history, and the next attempt of it.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use pumicecleat_upstream::Usage;
 
 use super::outgoing::Outgoing;
-use super::{AnswerHead, Attempt, Course, Failure, Job};
+use super::{AnswerHead, Attempt, Failure, History, Job};
 use crate::directory::{Chosen, Destination};
 use crate::fault::{Fault, RETRY};
 use crate::meters::End;
@@ -23,7 +23,7 @@
 pub(crate) struct Exchange {
     pub(crate) shared: Rc<Shared>,
     pub(crate) job: Job,
-    pub(crate) course: Course,
+    pub(crate) history: History,
     /// How it ended, once it has.
     ended: bool,
     /// Keeps the process from stopping.
@@ -43,7 +43,7 @@
         Self {
             shared: Rc::clone(shared),
             job,
-            course: Course::new(),
+            history: History::new(),
             ended: false,
             _guard: guard,
         }
@@ -70,7 +70,7 @@
         left: Millis,
     ) -> Result<(Attempt, AnswerHead), Failure> {
         let destination = self.choose(left)?;
-        let number = self.course.start(destination.up, &destination.vm);
+        let number = self.history.start(destination.up, &destination.vm);
         let outgoing = Outgoing {
             job: &self.job,
             destination,
@@ -88,7 +88,7 @@
             lora: self.job.resolved.lora_ix,
             prompt: self.job.prompt,
             left,
-            tried: &self.course.tried,
+            tried: &self.history.tried,
         };
         let now = self.timer().now();
         let home = self.job.home();
@@ -108,7 +108,7 @@
 
     /// Fault at the entry's own time limit.
     pub(crate) fn late(&self) -> Fault {
-        let ran = self.course.ran();
+        let ran = self.history.ran();
         let message = "no whole answer before the deadline";
         Fault {
             status: 504,
@@ -131,7 +131,7 @@
             field("caller", &self.job.caller),
             field("target", self.job.resolved.name()),
             field("upstream", self.upstream()),
-            field("attempts", self.course.attempts),
+            field("attempts", self.history.attempts),
             field("took_ms", took.0),
         ];
         self.shared.log.emit(&events::REQUEST_DONE, &fields);
@@ -182,7 +182,7 @@
 
     /// Upstream of the last attempt, for logs.
     pub(crate) fn upstream(&self) -> &str {
-        let upstream = self.course.upstream.as_ref();
+        let upstream = self.history.upstream.as_ref();
         upstream.map_or("", |vm| vm.as_str())
     }
 }
--- a/crates/entry/src/request/course.rs
+++ b/crates/entry/src/request/history.rs
@@ -6,7 +6,7 @@
 use crate::fault::Fault;
 
 /// What became of a request so far, over all its attempts.
-pub(crate) struct Course {
+pub(crate) struct History {
     /// Attempts sent.
     pub(crate) attempts: u32,
     /// Upstreams not to be chosen again.
@@ -25,7 +25,7 @@
     pub(crate) last: Option<Fault>,
 }
 
-impl Course {
+impl History {
     pub(crate) fn new() -> Self {
         Self {
             attempts: 0,
--- a/crates/entry/src/request/mod.rs
+++ b/crates/entry/src/request/mod.rs
@@ -1,15 +1,15 @@
 //! One request: attempts at sides until one is answered whole, or a truthful fault.
 //!
-//! `job` is what the caller asked, `course` what became of it so far, `resolve` finds its target in
+//! `job` is what the caller asked, `history` what became of it so far, `resolve` finds its target in
 //! the configuration. `attempt` makes one attempt and reads its frames: `outgoing` is what it sends,
 //! `sent` counts it with the router, `prompt` reads what the choice heeds of its prompt. `failure`
 //! tells how one failed, `settle` decides what follows,
 //! `whole` collects an answer that is not streamed.
 
 mod attempt;
-mod course;
 mod exchange;
 mod failure;
+mod history;
 mod job;
 mod outgoing;
 mod prompt;
@@ -19,9 +19,9 @@
 mod whole;
 
 pub(crate) use attempt::{AnswerHead, Attempt, Part, lost};
-pub(crate) use course::Course;
 pub(crate) use exchange::Exchange;
 pub(crate) use failure::Failure;
+pub(crate) use history::History;
 pub(crate) use job::{Content, Job, Repeat};
 pub(crate) use prompt::read_prompt;
 pub(crate) use resolve::{Resolved, ServiceRoute, resolve_model, resolve_service};
--- a/crates/entry/src/request/settle.rs
+++ b/crates/entry/src/request/settle.rs
@@ -25,15 +25,15 @@
         self.note_failure(&failure);
         let fault = failure.fault();
         if !self.may_follow(&failure) {
-            let earlier = self.course.last.take();
+            let earlier = self.history.last.take();
             let told = match failure {
                 Failure::Nowhere { .. } | Failure::Late { .. } => earlier.unwrap_or(fault),
                 _ => fault,
             };
             self.note_unknown();
-            return Err(self.course.truthful(told));
+            return Err(self.history.truthful(told));
         }
-        self.course.last = Some(fault);
+        self.history.last = Some(fault);
         self.note_retry(&failure);
         if is_stale(&failure) {
             self.resolve_anew().await?;
@@ -43,7 +43,7 @@
 
     /// Counts and logs a failed attempt, whatever follows.
     pub(crate) fn note_failure(&mut self, failure: &Failure) {
-        self.course.end(failure.ran());
+        self.history.end(failure.ran());
         if let Failure::Refused(_) = failure {
             self.shared.meters.refused(failure.cause());
         }
@@ -61,7 +61,7 @@
         self.shared.meters.mismatch();
         let fields = [
             field("request", &self.job.request),
-            field("attempt", self.course.attempts),
+            field("attempt", self.history.attempts),
             field("upstream", self.upstream()),
             field("asked", asked),
             field("answered", answered),
@@ -72,7 +72,7 @@
     fn may_follow(&mut self, failure: &Failure) -> bool {
         let open = !failure.is_final()
             && self.left() > Millis(0)
-            && self.course.attempts < ATTEMPTS
+            && self.history.attempts < ATTEMPTS
             && self.is_repeatable(failure);
         open && self.is_within_budget(failure)
     }
@@ -91,7 +91,7 @@
         }
         match self.job.repeat {
             Repeat::Freely => true,
-            Repeat::ByKey => !mem::replace(&mut self.course.keyed, true),
+            Repeat::ByKey => !mem::replace(&mut self.history.keyed, true),
             Repeat::Never => false,
         }
     }
@@ -100,7 +100,7 @@
         self.shared.meters.retried(failure.cause());
         let fields = [
             field("request", &self.job.request),
-            field("attempt", self.course.attempts),
+            field("attempt", self.history.attempts),
             field("upstream", self.upstream()),
             field("reason", failure.cause()),
         ];
@@ -108,7 +108,7 @@
     }
 
     fn note_unknown(&self) {
-        if self.job.repeat == Repeat::Freely || self.course.ran() == Ran::No {
+        if self.job.repeat == Repeat::Freely || self.history.ran() == Ran::No {
             return;
         }
         let fields = [
@@ -124,12 +124,12 @@
     /// it may have been the one behind.
     async fn resolve_anew(&mut self) -> Result<(), Fault> {
         refresh(&self.shared).await;
-        if !mem::replace(&mut self.course.stale, true) {
-            self.course.tried.pop();
+        if !mem::replace(&mut self.history.stale, true) {
+            self.history.tried.pop();
         }
         match self.resolved_anew() {
             Ok(resolved) => self.job.resolved = resolved,
-            Err(fault) => return Err(self.course.truthful(fault)),
+            Err(fault) => return Err(self.history.truthful(fault)),
         }
         Ok(())
     }
--- a/crates/entry/src/request/whole.rs
+++ b/crates/entry/src/request/whole.rs
@@ -83,7 +83,7 @@
         attempt.finish(&self.shared).await;
         // An engine that can't take a body ran nothing.
         let refused = head.is_error() && self.job.engine().is_some();
-        self.course.end(if refused { Ran::No } else { Ran::Yes });
+        self.history.end(if refused { Ran::No } else { Ran::Yes });
         Ok(Answer {
             status: head.status,
             headers: head.headers,
@@ -137,7 +137,7 @@
         let message = engine_words(&answer.body);
         let message = message.unwrap_or_else(|| "the engine can't take this body".to_owned());
         let fault = Fault::bad(answer.status, "engine_refused", message);
-        Err(self.course.truthful(fault))
+        Err(self.history.truthful(fault))
     }
 }
 
--- a/crates/entry/src/stream/open.rs
+++ b/crates/entry/src/stream/open.rs
@@ -29,7 +29,7 @@
     let work = timer.within(exchange.patience(), Box::pin(try_open(&mut exchange)));
     match work.await {
         Ok(Ok(Begun::Fed(feed, first))) => {
-            exchange.course.end(Ran::Yes);
+            exchange.history.end(Ran::Yes);
             Opened::Stream(Box::new(Relay::new(exchange, *feed, first)))
         }
         Ok(Ok(Begun::Whole(answer))) => match exchange.accept(answer) {
--- a/crates/entry/src/stream/relay.rs
+++ b/crates/entry/src/stream/relay.rs
@@ -113,7 +113,7 @@
             self.note_usage(&feed);
             feed.finish(&self.exchange.shared).await;
         }
-        self.exchange.course.end(Ran::Yes);
+        self.exchange.history.end(Ran::Yes);
         self.exchange.note_whole();
         self.ready = Some(done.into());
         self.stage = Stage::Whole;
--- a/crates/entry/src/stream/resume.rs
+++ b/crates/entry/src/stream/resume.rs
@@ -42,12 +42,12 @@
                 Ok((attempt, head)) if !head.is_error() => {
                     self.feed = Some(Feed::new(attempt, &self.exchange.job));
                     self.splice = Some(Splice::new(&self.first, &self.progress));
-                    self.exchange.course.end(Ran::Yes);
+                    self.exchange.history.end(Ran::Yes);
                     self.note_resumed(&from);
                     return Ok(());
                 }
                 Ok((_, head)) => {
-                    self.exchange.course.end(Ran::Yes);
+                    self.exchange.history.end(Ran::Yes);
                     return Err(format!("{cause}; engine status {}", head.status));
                 }
                 Err(failure) => {
@@ -76,7 +76,7 @@
         exchange.shared.meters.resumed();
         let fields = [
             field("request", &exchange.job.request),
-            field("attempt", exchange.course.attempts),
+            field("attempt", exchange.history.attempts),
             field("from", from),
             field("upstream", exchange.upstream()),
             field("tokens", self.progress.tokens),
--- a/crates/side/src/station/mod.rs
+++ b/crates/side/src/dispatch/mod.rs
@@ -1,4 +1,4 @@
-//! The queue before the upstream: the scheduler, and who waits for its word.
+//! The queue before the upstream: the scheduler, and who waits for its decision.
 //!
 //! A request holds a [`Ticket`] from the moment it is taken in until its answer has ended. Dropping
 //! the ticket withdraws the request if it still waits, or ends it if it was sent.
@@ -19,8 +19,8 @@
 use pumicecleat_types::{Lora, Millis};
 
 use names::Names;
-pub(crate) use ticket::{Ticket, Word};
-pub(crate) use view::StationDump;
+pub(crate) use ticket::{Decision, Ticket};
+pub(crate) use view::DispatchDump;
 
 /// How long an adapter stays pinned after a cut answer: the engine ends it at its next step.
 const ABORT_SPAN: Duration = Duration::from_millis(500);
@@ -57,28 +57,28 @@
 
 /// The queue of one side.
 #[derive(Clone)]
-pub(crate) struct Station {
+pub(crate) struct Dispatcher {
     state: Rc<State>,
 }
 
 struct State {
     scheduler: RefCell<Scheduler>,
     names: RefCell<Names>,
-    waiting: RefCell<BTreeMap<JobId, Sender<Word>>>,
+    waiting: RefCell<BTreeMap<JobId, Sender<Decision>>>,
     next_job: RefCell<u64>,
     orders: Sender<Order>,
     changed: Sender<()>,
     timer: Timer,
 }
 
-/// Ends of the station's channels that its tasks read.
+/// Ends of the dispatcher's channels that its tasks read.
 pub(crate) struct Outlets {
     pub(crate) orders: Receiver<Order>,
     pub(crate) changed: Receiver<()>,
 }
 
-impl Station {
-    /// Station with nothing resident.
+impl Dispatcher {
+    /// Dispatcher with nothing resident.
     pub(crate) fn new_ext(options: SchedulerOptions, timer: &Timer) -> (Self, Outlets) {
         let (orders, orders_out) = async_channel::unbounded();
         let (changed, changed_out) = async_channel::bounded(1);
@@ -91,14 +91,14 @@
             changed,
             timer: timer.clone(),
         };
-        let station = Self {
+        let dispatcher = Self {
             state: Rc::new(state),
         };
         let outlets = Outlets {
             orders: orders_out,
             changed: changed_out,
         };
-        (station, outlets)
+        (dispatcher, outlets)
     }
 
     /// Takes a request in.
@@ -161,21 +161,21 @@
 
     fn carry_out(&self, action: Action) {
         let order = match action {
-            Action::Send(id) => return self.tell(id, Word::Go),
-            Action::Refuse(id, give_up) => return self.tell(id, Word::Refused(give_up)),
+            Action::Send(id) => return self.tell(id, Decision::Go),
+            Action::Refuse(id, give_up) => return self.tell(id, Decision::Refused(give_up)),
             Action::Bid(bid) => Order::Bid(bid),
             Action::GiveBack => Order::GiveBack,
             Action::Load(lora) => Order::Load(self.lora(lora)),
             Action::Unload(lora) => Order::Unload(self.lora(lora)),
         };
-        // The reader lives as long as the station; at the process's end nothing is lost by it.
+        // The reader lives as long as the dispatcher; at the process's end nothing is lost by it.
         let _ = self.state.orders.try_send(order);
     }
 
-    fn tell(&self, id: JobId, word: Word) {
+    fn tell(&self, id: JobId, word: Decision) {
         let waiting = self.state.waiting.borrow_mut().remove(&id);
         let told = waiting.is_some_and(|w| w.try_send(word).is_ok());
-        if !told && word == Word::Go {
+        if !told && word == Decision::Go {
             let now = self.now();
             self.state.scheduler.borrow_mut().finished(id, false, now);
         }
@@ -197,10 +197,10 @@
 
     /// The answer of a sent request was cut: its adapter stays pinned until the engine has ended it.
     fn finish_later(&self, id: JobId) {
-        let station = self.clone();
+        let dispatcher = self.clone();
         monoio::spawn(async move {
-            station.state.timer.sleep(ABORT_SPAN).await;
-            station.finish(id, false);
+            dispatcher.state.timer.sleep(ABORT_SPAN).await;
+            dispatcher.finish(id, false);
         });
     }
 
--- a/crates/side/src/station/tell.rs
+++ b/crates/side/src/dispatch/tell.rs
@@ -3,9 +3,9 @@
 use pumicecleat_policy::{LoadEnd, LoraIx, SchedulerOptions};
 use pumicecleat_types::{LoadTurn, Lora, Reason};
 
-use super::Station;
+use super::Dispatcher;
 
-impl Station {
+impl Dispatcher {
     /// Outcome of a bid; `None` if no entry answered.
     pub(crate) fn turn(&self, turn: Option<LoadTurn>, roll: u64) {
         let now = self.now();
--- a/crates/side/src/station/ticket.rs
+++ b/crates/side/src/dispatch/ticket.rs
@@ -4,11 +4,11 @@
 use pumicecleat_policy::{GiveUp, JobId};
 use pumicecleat_types::{Millis, Reason};
 
-use super::Station;
+use super::Dispatcher;
 
-/// The scheduler's word on a request.
+/// The scheduler's decision on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Word {
+pub(crate) enum Decision {
     /// Send it now.
     Go,
     /// Not run.
@@ -24,17 +24,17 @@
 
 /// A request's place, given back when dropped.
 pub(crate) struct Ticket {
-    station: Station,
+    dispatcher: Dispatcher,
     id: JobId,
-    word: Receiver<Word>,
+    word: Receiver<Decision>,
     stage: Stage,
 }
 
 impl Ticket {
-    pub(super) fn new(station: &Station, id: JobId) -> (Sender<Word>, Self) {
+    pub(super) fn new(dispatcher: &Dispatcher, id: JobId) -> (Sender<Decision>, Self) {
         let (sender, word) = async_channel::bounded(1);
         let ticket = Self {
-            station: station.clone(),
+            dispatcher: dispatcher.clone(),
             id,
             word,
             stage: Stage::Waiting,
@@ -43,14 +43,14 @@
     }
 
     /// The scheduler's word, once it is given.
-    pub(crate) async fn wait(&mut self) -> Word {
-        let word = self.word.recv().await.unwrap_or(Word::Refused(GiveUp {
+    pub(crate) async fn wait(&mut self) -> Decision {
+        let word = self.word.recv().await.unwrap_or(Decision::Refused(GiveUp {
             reason: Reason::UpstreamDown,
             retry: Millis(1_000),
         }));
         self.stage = match word {
-            Word::Go => Stage::Sent,
-            Word::Refused(_) => Stage::Ended,
+            Decision::Go => Stage::Sent,
+            Decision::Refused(_) => Stage::Ended,
         };
         word
     }
@@ -59,7 +59,7 @@
     pub(crate) fn finish(&mut self, whole: bool) {
         if self.stage == Stage::Sent {
             self.stage = Stage::Ended;
-            self.station.finish(self.id, whole);
+            self.dispatcher.finish(self.id, whole);
         }
     }
 }
@@ -68,7 +68,7 @@
     fn drop(&mut self) {
         match self.stage {
             Stage::Waiting => self.leave_queue(),
-            Stage::Sent => self.station.finish_later(self.id),
+            Stage::Sent => self.dispatcher.finish_later(self.id),
             Stage::Ended => {}
         }
     }
@@ -78,9 +78,9 @@
     fn leave_queue(&self) {
         match self.word.try_recv() {
             // Sent between the word and this drop: nothing has gone to the upstream yet.
-            Ok(Word::Go) => self.station.finish(self.id, false),
-            Ok(Word::Refused(_)) => {}
-            Err(_) => self.station.withdraw(self.id),
+            Ok(Decision::Go) => self.dispatcher.finish(self.id, false),
+            Ok(Decision::Refused(_)) => {}
+            Err(_) => self.dispatcher.withdraw(self.id),
         }
     }
 }
--- a/crates/side/src/station/view.rs
+++ b/crates/side/src/dispatch/view.rs
@@ -4,18 +4,18 @@
 use pumicecleat_types::LoadFigures;
 use serde::Serialize;
 
-use super::Station;
+use super::Dispatcher;
 
 /// State for people.
 #[derive(Debug, Serialize)]
-pub(crate) struct StationDump {
+pub(crate) struct DispatchDump {
     load: LoadFigures,
     resident: Vec<String>,
     loading: Option<String>,
     waiting: usize,
 }
 
-impl Station {
+impl Dispatcher {
     /// Load.
     pub(crate) fn figures(&self) -> LoadFigures {
         self.state.scheduler.borrow().figures()
@@ -42,8 +42,8 @@
     }
 
     /// State for people.
-    pub(crate) fn dump(&self) -> StationDump {
-        StationDump {
+    pub(crate) fn dump(&self) -> DispatchDump {
+        DispatchDump {
             load: self.figures(),
             resident: self.resident(),
             loading: self.loading(),
--- a/crates/side/src/dump.rs
+++ b/crates/side/src/dump.rs
@@ -6,9 +6,9 @@
 use pumicecleat_types::{DataCentre, PoolId, RegionId, RequestId, VmId};
 use serde::Serialize;
 
+use crate::dispatch::DispatchDump;
 use crate::keys::KeysDump;
 use crate::state::{State, Upstream};
-use crate::station::StationDump;
 
 /// State of a side.
 #[derive(Debug, Serialize)]
@@ -27,7 +27,7 @@
     leaving: bool,
     entries: Vec<String>,
     open: Vec<RequestId>,
-    queue: Option<StationDump>,
+    queue: Option<DispatchDump>,
     keys: Option<KeysDump>,
 }
 
@@ -64,7 +64,7 @@
             leaving: self.leaving.get(),
             entries: self.entries.all().into_iter().collect(),
             open: self.drain.open(),
-            queue: work.map(|w| w.station.dump()),
+            queue: work.map(|w| w.dispatcher.dump()),
             keys,
         }
     }
--- a/crates/side/src/lib.rs
+++ b/crates/side/src/lib.rs
@@ -22,6 +22,7 @@
 //! ```
 
 mod config;
+mod dispatch;
 mod dump;
 mod entries;
 mod keys;
@@ -34,7 +35,6 @@
 mod settings;
 mod start;
 mod state;
-mod station;
 mod tune;
 mod watch;
 
--- a/crates/side/src/orders.rs
+++ b/crates/side/src/orders.rs
@@ -11,8 +11,8 @@
 use pumicecleat_upstream::{Engine, Order as EngineOrder, OrderError, load_confirmed};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::dispatch::{Dispatcher, Order};
 use crate::state::{State, UPSTREAM};
-use crate::station::{Order, Station};
 
 const BID_PATH: &str = "/peer/v1/load";
 const BID_SPAN: Duration = Duration::from_millis(500);
@@ -24,18 +24,18 @@
 
 /// What orders go to, and where their ends are told.
 #[derive(Clone)]
-pub(crate) struct OrderDesk {
+pub(crate) struct OrderRunner {
     pub(crate) state: Rc<State>,
-    pub(crate) station: Station,
+    pub(crate) dispatcher: Dispatcher,
     pub(crate) engine: Rc<dyn Engine>,
 }
 
-impl OrderDesk {
-    /// Carries out orders, each on its own; ends with the station.
+impl OrderRunner {
+    /// Carries out orders, each on its own; ends with the dispatcher.
     pub(crate) async fn run(self, orders: Receiver<Order>) {
         while let Ok(order) = orders.recv().await {
-            let desk = self.clone();
-            monoio::spawn(async move { desk.carry_out(order).await });
+            let runner = self.clone();
+            monoio::spawn(async move { runner.carry_out(order).await });
         }
     }
 
@@ -51,14 +51,14 @@
     async fn bid(&self, bid: &Bid) {
         let message = LoadBid {
             vm: self.state.vm().clone(),
-            lora: Some(self.station.name_of(bid.lora)),
+            lora: Some(self.dispatcher.name_of(bid.lora)),
             waiting: bid.waiting,
             left_ms: bid.left.0,
             waited_ms: bid.waited.0,
         };
         let turn = self.ask_turn(&message).await;
         let seed = format!("{} {}", self.state.vm(), self.state.timer.now().0);
-        self.station.turn(turn, xxh3_64(seed.as_bytes()));
+        self.dispatcher.turn(turn, xxh3_64(seed.as_bytes()));
     }
 
     async fn give_back(&self) {
@@ -93,14 +93,14 @@
         };
         let took = self.state.timer.now().since(from);
         self.note_load(&name, end, took);
-        self.station.loaded(lora, end);
+        self.dispatcher.loaded(lora, end);
         self.state.reports_due();
     }
 
     async fn order_load(&self, name: &str, path: &str) -> LoadEnd {
         let fields = [
             field("lora", name),
-            field("waiting", self.station.figures().waiting),
+            field("waiting", self.dispatcher.figures().waiting),
         ];
         self.state.log.emit(&events::LOAD_STARTED, &fields);
         let order = self.order(name, path);
@@ -123,7 +123,7 @@
                 .emit(&events::UNLOADED, &[field("lora", &name)]);
             self.state.metrics.unloads.inc();
         }
-        self.station.unloaded(lora, gone);
+        self.dispatcher.unloaded(lora, gone);
         self.state.reports_due();
     }
 
--- a/crates/side/src/report.rs
+++ b/crates/side/src/report.rs
@@ -11,8 +11,8 @@
 use pumicecleat_types::{LoadFigures, Millis, Report, ReportReply};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::dispatch::Dispatcher;
 use crate::state::State;
-use crate::station::Station;
 
 const PATH: &str = "/peer/v1/report";
 const SPAN: Duration = Duration::from_secs(1);
@@ -99,7 +99,7 @@
     async fn report_once(&self, entry: &str, told: &mut Told) -> Duration {
         let resident = self
             .work()
-            .map(|w| w.station.resident())
+            .map(|w| w.dispatcher.resident())
             .unwrap_or_default();
         let changed = told.resident.as_ref() != Some(&resident);
         let report = self.build_report(changed.then(|| resident.clone()));
@@ -130,7 +130,7 @@
     fn build_report(&self, resident: Option<Vec<String>>) -> Report {
         let common = &self.settings.common;
         let work = self.work();
-        let station = work.as_ref().map(|w| &w.station);
+        let dispatcher = work.as_ref().map(|w| &w.dispatcher);
         Report {
             vm: self.vm().clone(),
             incarnation: self.incarnation,
@@ -141,9 +141,9 @@
             region: common.region.clone(),
             leaving: self.leaving.get(),
             healthy: self.healthy.get(),
-            load: station.map_or_else(LoadFigures::default, Station::figures),
+            load: dispatcher.map_or_else(LoadFigures::default, Dispatcher::figures),
             resident,
-            loading: station.and_then(Station::loading),
+            loading: dispatcher.and_then(Dispatcher::loading),
             revision: self.config.revision(),
         }
     }
--- a/crates/side/src/run/model/mod.rs
+++ b/crates/side/src/run/model/mod.rs
@@ -19,8 +19,8 @@
 use relay::Relay;
 
 use super::{Frames, RETRY_MS, refusal};
+use crate::dispatch::{Decision, Demand, Ticket};
 use crate::state::{State, Work};
-use crate::station::{Demand, Ticket, Word};
 
 /// Frames of one attempt.
 pub(super) fn run(
@@ -122,14 +122,14 @@
             tokens: self.state.lengths.expect(head.tokens),
         };
         let from = self.state.timer.now();
-        let submitted = self.work.station.submit(&demand);
+        let submitted = self.work.dispatcher.submit(&demand);
         let mut ticket = submitted.map_err(|g| self.give_up(g.reason, g.retry))?;
         let word = ticket.wait().await;
         let waited = self.state.timer.now().since(from);
         self.state.metrics.wait_seconds.observe(waited.as_secs());
         match word {
-            Word::Go => Ok(ticket),
-            Word::Refused(g) => Err(self.give_up(g.reason, g.retry)),
+            Decision::Go => Ok(ticket),
+            Decision::Refused(g) => Err(self.give_up(g.reason, g.retry)),
         }
     }
 
--- a/crates/side/src/run/model/relay.rs
+++ b/crates/side/src/run/model/relay.rs
@@ -9,7 +9,7 @@
 use pumicecleat_upstream::{Answer, AnswerError, AnswerFault, StreamCheck, StreamEvent};
 
 use super::{ModelRun, Step};
-use crate::station::Ticket;
+use crate::dispatch::Ticket;
 
 /// Longest event of a stream, bytes.
 pub(super) const EVENT_LIMIT: usize = 1 << 20;
@@ -71,7 +71,7 @@
         self.state.lengths.note(relay.events);
         self.state.metrics.whole.inc();
         let end = Frame::End {
-            load: Some(self.work.station.figures()),
+            load: Some(self.work.dispatcher.figures()),
         };
         self.step = Step::Rest(VecDeque::from([end]));
     }
--- a/crates/side/src/run/model/whole.rs
+++ b/crates/side/src/run/model/whole.rs
@@ -6,8 +6,8 @@
 
 use super::relay::{EVENT_LIMIT, Relay};
 use super::{ModelRun, Step};
+use crate::dispatch::Ticket;
 use crate::run::{ANSWER_LIMIT, RETRY_MS, refusal, whole_frames};
-use crate::station::Ticket;
 
 impl ModelRun {
     pub(super) async fn open(&mut self, ticket: Ticket, answer: Box<dyn Answer>) -> Frame {
--- a/crates/side/src/run/service.rs
+++ b/crates/side/src/run/service.rs
@@ -17,9 +17,9 @@
 use pumicecleat_upstream::{CallError, Service, ServiceAnswer, ServiceCall};
 
 use super::{Frames, RETRY_MS, refusal, whole_frames};
+use crate::dispatch::{Decision, Demand, Ticket};
 use crate::keys::{Claim, Hold, KeyCall, Keys};
 use crate::state::{State, Work};
-use crate::station::{Demand, Ticket, Word};
 
 /// Longest body that is recorded whole with an outcome, bytes.
 const RECORDED: usize = 16 << 10;
@@ -142,11 +142,11 @@
             tokens: 1,
         };
         let detail = "the queue can't meet it";
-        let submitted = self.work.station.submit(&demand);
+        let submitted = self.work.dispatcher.submit(&demand);
         let mut ticket = submitted.map_err(|g| refusal(g.reason, g.retry.0, detail))?;
         match ticket.wait().await {
-            Word::Go => Ok(ticket),
-            Word::Refused(g) => Err(refusal(g.reason, g.retry.0, detail)),
+            Decision::Go => Ok(ticket),
+            Decision::Refused(g) => Err(refusal(g.reason, g.retry.0, detail)),
         }
     }
 
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -19,16 +19,16 @@
 
 use crate::SideSettings;
 use crate::config::Configuration;
+use crate::dispatch::Dispatcher;
 use crate::dump::Dumper;
 use crate::entries::Entries;
 use crate::keys::{KeyContext, Keys};
 use crate::lengths::Lengths;
 use crate::metrics::SideMetrics;
-use crate::orders::OrderDesk;
+use crate::orders::OrderRunner;
 use crate::peer::PeerHandler;
 use crate::report::Reporters;
 use crate::state::{CONFIG, STAYING, State, UPSTREAM, Upstream, Work, wall_clock};
-use crate::station::Station;
 use crate::tune::millis;
 use crate::watch::watch;
 
@@ -249,19 +249,19 @@
         }
         state.timer.sleep(PAUSE).await;
     };
-    let (station, outlets) = Station::new_ext(state.scheduler_options(&pool), &state.timer);
-    let driven = station.clone();
+    let (dispatcher, outlets) = Dispatcher::new_ext(state.scheduler_options(&pool), &state.timer);
+    let driven = dispatcher.clone();
     monoio::spawn(async move { driven.drive(outlets.changed).await });
     let upstream = match pool.kind {
         PoolKind::Model { .. } => {
             let peer = state.settings.upstream.to_string();
             let engine = Rc::new(VllmEngine::new(&state.client, &peer, ANSWER_SPAN));
-            let desk = OrderDesk {
+            let runner = OrderRunner {
                 state: Rc::clone(&state),
-                station: station.clone(),
+                dispatcher: dispatcher.clone(),
                 engine: engine.clone(),
             };
-            monoio::spawn(desk.run(outlets.orders));
+            monoio::spawn(runner.run(outlets.orders));
             Upstream::Model(engine)
         }
         PoolKind::Service { parts, .. } => match service(&state, parts) {
@@ -269,7 +269,10 @@
             Err(e) => return state.readiness.fail(CONFIG, &e.to_string()),
         },
     };
-    let work = Work { station, upstream };
+    let work = Work {
+        dispatcher,
+        upstream,
+    };
     *state.work.borrow_mut() = Some(work.clone());
     watch(state, work).await;
 }
--- a/crates/side/src/state.rs
+++ b/crates/side/src/state.rs
@@ -11,12 +11,12 @@
 
 use crate::SideSettings;
 use crate::config::Configuration;
+use crate::dispatch::Dispatcher;
 use crate::entries::Entries;
 use crate::keys::Keys;
 use crate::lengths::Lengths;
 use crate::metrics::SideMetrics;
 use crate::report::Reporters;
-use crate::station::Station;
 
 /// Condition: a configuration is in force that declares the pool.
 pub(crate) const CONFIG: &str = "configuration";
@@ -51,7 +51,7 @@
 /// What a side works with once it knows its pool.
 #[derive(Clone)]
 pub(crate) struct Work {
-    pub(crate) station: Station,
+    pub(crate) dispatcher: Dispatcher,
     pub(crate) upstream: Upstream,
 }
 
@@ -99,7 +99,7 @@
         self.log.emit(&events::VM_LEAVING, &fields);
         self.readiness.fail(STAYING, source);
         if let Some(work) = self.work() {
-            work.station.close(Reason::Leaving);
+            work.dispatcher.close(Reason::Leaving);
         }
         self.reports_due();
     }
--- a/crates/side/src/watch.rs
+++ b/crates/side/src/watch.rs
@@ -22,7 +22,7 @@
 
 /// What the looks have shown.
 #[derive(Debug, Default)]
-struct Sight {
+struct WatchState {
     up: bool,
     seen: bool,
     failures: u32,
@@ -36,41 +36,41 @@
 
 /// Watches the upstream; never ends.
 pub(crate) async fn watch(state: Rc<State>, work: Work) {
-    let mut sight = Sight::default();
+    let mut watched = WatchState::default();
     loop {
         let health = match &work.upstream {
             Upstream::Model(engine) => engine.health().await,
             Upstream::Service(service, _) => service.health().await,
         };
         match health {
-            Ok(()) => state.look(&work, &mut sight).await,
-            Err(e) => state.miss(&work, &mut sight, &e),
+            Ok(()) => state.look(&work, &mut watched).await,
+            Err(e) => state.miss(&work, &mut watched, &e),
         }
         state.timer.sleep(PAUSE).await;
     }
 }
 
 impl State {
-    async fn look(&self, work: &Work, sight: &mut Sight) {
-        sight.failures = 0;
-        sight.looks += 1;
+    async fn look(&self, work: &Work, watched: &mut WatchState) {
+        watched.failures = 0;
+        watched.looks += 1;
         if let Upstream::Model(engine) = &work.upstream {
-            let compared = self.compare(work, engine.as_ref(), sight).await;
+            let compared = self.compare(work, engine.as_ref(), watched).await;
             if compared.is_err() {
                 return;
             }
         }
-        if !sight.up {
-            sight.up = true;
-            sight.seen = true;
+        if !watched.up {
+            watched.up = true;
+            watched.seen = true;
             self.set_healthy(work, true);
         }
     }
 
-    fn miss(&self, work: &Work, sight: &mut Sight, error: &CallError) {
-        sight.failures += 1;
-        if sight.up && sight.failures >= FAILURES {
-            sight.up = false;
+    fn miss(&self, work: &Work, watched: &mut WatchState, error: &CallError) {
+        watched.failures += 1;
+        if watched.up && watched.failures >= FAILURES {
+            watched.up = false;
             let upstream = &self.settings.upstream;
             let fields = [
                 field("upstream", upstream),
@@ -87,17 +87,17 @@
         if healthy {
             let fields = [
                 field("upstream", &self.settings.upstream),
-                field("resident", work.station.resident().len()),
-                field("running", work.station.figures().running),
+                field("resident", work.dispatcher.resident().len()),
+                field("running", work.dispatcher.figures().running),
             ];
             self.log.emit(&events::UPSTREAM_UP, &fields);
             self.readiness.hold(UPSTREAM);
             if !self.leaving.get() {
-                work.station.reopen();
+                work.dispatcher.reopen();
             }
         } else {
             self.readiness.fail(UPSTREAM, "it does not answer");
-            work.station.close(Reason::UpstreamDown);
+            work.dispatcher.close(Reason::UpstreamDown);
         }
         self.reports_due();
     }
@@ -107,26 +107,26 @@
         &self,
         work: &Work,
         engine: &dyn Engine,
-        sight: &mut Sight,
+        watched: &mut WatchState,
     ) -> Result<(), CallError> {
-        if sight.up && !sight.looks.is_multiple_of(COMPARE) {
+        if watched.up && !watched.looks.is_multiple_of(COMPARE) {
             return Ok(());
         }
-        let believed = work.station.resident();
+        let believed = work.dispatcher.resident();
         let shown = engine.resident().await?;
-        if !sight.seen {
-            return self.take_over(work, engine, &shown, sight).await;
+        if !watched.seen {
+            return self.take_over(work, engine, &shown, watched).await;
         }
-        self.release_ended(work, engine, sight).await?;
+        self.release_ended(work, engine, watched).await?;
         let shown: BTreeSet<&str> = shown.iter().map(String::as_str).collect();
-        let after = work.station.resident();
+        let after = work.dispatcher.resident();
         // Only what was believed before and after the question can have been lost meanwhile.
         let lost = believed
             .iter()
             .any(|l| after.contains(l) && !shown.contains(l.as_str()));
-        sight.losses = if lost { sight.losses + 1 } else { 0 };
-        if sight.losses >= LOSSES {
-            sight.losses = 0;
+        watched.losses = if lost { watched.losses + 1 } else { 0 };
+        if watched.losses >= LOSSES {
+            watched.losses = 0;
             self.restart(work, &shown);
         }
         Ok(())
@@ -139,7 +139,7 @@
         work: &Work,
         engine: &dyn Engine,
         shown: &[String],
-        sight: &mut Sight,
+        watched: &mut WatchState,
     ) -> Result<(), CallError> {
         let running = engine.running().await?;
         for name in &running.loras {
@@ -147,11 +147,11 @@
                 .emit(&events::LORA_UNACCOUNTED, &[field("lora", name)]);
         }
         let resident = self.loras(shown.iter().map(String::as_str));
-        work.station.reset(&resident, &resident);
-        sight.unaccounted = resident;
+        work.dispatcher.reset(&resident, &resident);
+        watched.unaccounted = resident;
         let lag = self.settings.metrics_lag.0;
         let lag = u64::try_from(lag.as_millis()).unwrap_or(u64::MAX);
-        sight.settled = self.timer.now() + Millis(lag);
+        watched.settled = self.timer.now() + Millis(lag);
         Ok(())
     }
 
@@ -159,17 +159,17 @@
         &self,
         work: &Work,
         engine: &dyn Engine,
-        sight: &mut Sight,
+        watched: &mut WatchState,
     ) -> Result<(), CallError> {
-        if sight.unaccounted.is_empty() || self.timer.now() < sight.settled {
+        if watched.unaccounted.is_empty() || self.timer.now() < watched.settled {
             return Ok(());
         }
         let running = engine.running().await?;
         let is_running = |l: &Lora| running.loras.contains(&l.engine_name());
-        let (held, ended): (Vec<_>, Vec<_>) = sight.unaccounted.drain(..).partition(is_running);
-        sight.unaccounted = held;
+        let (held, ended): (Vec<_>, Vec<_>) = watched.unaccounted.drain(..).partition(is_running);
+        watched.unaccounted = held;
         for lora in &ended {
-            work.station.release(lora);
+            work.dispatcher.release(lora);
         }
         Ok(())
     }
@@ -179,7 +179,7 @@
         self.log
             .emit(&events::UPSTREAM_RESTARTED, &[field("upstream", upstream)]);
         let resident = self.loras(shown.iter().copied());
-        work.station.reset(&resident, &[]);
+        work.dispatcher.reset(&resident, &[]);
         self.reports_due();
     }
 
