Keep what an entry was told last of residency in the sides' tests

The fake entry kept the last report only; one that tells no residency, as nothing changed, came within the 5 ms between two looks and hid the one that told of the loss. Ruled out: a restart not noticed (the side told of it). The fake entry now keeps the last residency told, as an entry does, and the test first waits until the adapter is shown as resident, so that an earlier empty report can't stand for the loss. Stricter by that.

--- a/crates/side/tests/bench/mod.rs
+++ b/crates/side/tests/bench/mod.rs
@@ -82,6 +82,17 @@
     pub wait_ms: Option<u64>,
 }
 
+impl Seen {
+    /// Keeps a report; one that tells no residency leaves what was told before, as at an entry.
+    fn take(&mut self, mut report: Report) {
+        let earlier = self.reports.get(report.vm.as_str());
+        if report.resident.is_none() {
+            report.resident = earlier.and_then(|r| r.resident.clone());
+        }
+        self.reports.insert(report.vm.to_string(), report);
+    }
+}
+
 struct FakeEntry {
     fold: Rc<RefCell<Fold>>,
     seen: Rc<RefCell<Seen>>,
@@ -102,9 +113,7 @@
                 "/peer/v1/config" => peer_reply(&ConfigReply::Snapshot(snapshot)),
                 "/peer/v1/report" => {
                     let report: Report = decode(&bytes).unwrap();
-                    seen.borrow_mut()
-                        .reports
-                        .insert(report.vm.to_string(), report);
+                    seen.borrow_mut().take(report);
                     peer_reply(&ReportReply {
                         next_ms: 200,
                         revision,
--- a/crates/side/tests/model.rs
+++ b/crates/side/tests/model.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bench::{body_of, is_whole, with_bench};
+use bench::{Seen, body_of, is_whole, with_bench};
 use pumicecleat_standin::{ChatMessage, EngineFaults, expected_tokens};
 use pumicecleat_types::{Frame, Ran, Reason};
 
@@ -236,18 +236,16 @@
         bench
             .frames(&side, &bench.chat("warm", "a", 1, false))
             .await;
+        let holds = |seen: &Seen, count| {
+            let resident = seen.reports["vm-1"].resident.as_ref();
+            resident.is_some_and(|r| r.len() == count)
+        };
+        bench.until(|seen| holds(seen, 1)).await;
         bench.engine.inject(|f| {
             f.restart = true;
             f.cold_ms = 300;
         });
-        bench
-            .until(|seen| {
-                seen.reports["vm-1"]
-                    .resident
-                    .as_ref()
-                    .is_some_and(Vec::is_empty)
-            })
-            .await;
+        bench.until(|seen| holds(seen, 0)).await;
         bench.until_healthy("vm-1").await;
         let frames = bench
             .frames(&side, &bench.chat("again", "a", 4, false))
