--- a/crates/measure/region.sh
+++ b/crates/measure/region.sh
@@ -12,40 +12,7 @@
 entries=${2:-57}
 [ $# -lt 2 ] || shift
 [ $# -lt 1 ] || shift
-work=$(mktemp -d)
-started=
-
-finish() {
-    for id in $started; do
-        kill "$id" 2>/dev/null || true
-    done
-    for id in $started; do
-        wait "$id" 2>/dev/null || true
-    done
-}
-trap 'finish; rm -rf "$work"' EXIT
-trap 'exit 1' INT TERM HUP
-
-# start NAME PROGRAM ARGUMENT...: leaves its id in $id and its first line in $line.
-start() {
-    name=$1
-    shift
-    : >"$work/$name"
-    "$@" >"$work/$name" 2>"$work/$name.log" &
-    id=$!
-    started="$id $started"
-    tries=100
-    while [ "$tries" -gt 0 ] && ! [ -s "$work/$name" ]; do
-        tries=$((tries - 1))
-        sleep 0.1
-    done
-    line=$(head -n 1 "$work/$name")
-}
-
-# Word after WORD in $line.
-told() {
-    echo "$line" | tr ' ' '\n' | sed -n "/^$1\$/{n;p;q;}"
-}
+. "$(dirname "$0")/processes.sh"
 
 # field NAME ID: a line of the process's status, kB.
 field() {
