Start the path's processes by the shared script; let a side be measured under any configuration

Cause: path.sh held start, told and finish again, in a form of its own that told of a process without an address; that check stands in the shared start now, for all three scripts. side.sh takes a configuration file as its third argument, so that a side's memory can be taken at several numbers of adapters.

--- a/crates/measure/path.sh
+++ b/crates/measure/path.sh
@@ -12,53 +12,10 @@
 step=${4:-50}
 engines=${5:-1}
 
-# Tries, 0.1 s apart, for a process to say where it listens.
-tries=100
 # Longest run of the measurement, seconds.
 limit=180
 
-work=$(mktemp -d)
-started=
-
-finish() {
-    for id in $started; do
-        kill "$id" 2>/dev/null || true
-    done
-    for id in $started; do
-        wait "$id" 2>/dev/null || true
-    done
-    rm -rf "$work"
-}
-trap finish EXIT
-trap 'exit 1' INT TERM HUP
-
-# start NAME PROGRAM ARGUMENT...: leaves its id in $id.
-start() {
-    name=$1
-    shift
-    # Its reader may come before the process does.
-    : >"$work/$name"
-    "$@" >"$work/$name" 2>"$work/$name.log" &
-    id=$!
-    started="$id $started"
-}
-
-# Word after WORD in what NAME printed first.
-told() {
-    left=$tries
-    while [ "$left" -gt 0 ]; do
-        line=$(head -n 1 "$work/$1")
-        if [ -n "$line" ]; then
-            echo "$line" | tr ' ' '\n' | sed -n "/^$2\$/{n;p;q;}"
-            return
-        fi
-        left=$((left - 1))
-        sleep 0.1
-    done
-    echo "step start, process $1: no address" >&2
-    cat "$work/$1.log" >&2
-    exit 1
-}
+. "$(dirname "$0")/processes.sh"
 
 # Waits until the admin listener at ADDRESS says that its process takes work.
 ready() {
@@ -75,13 +32,13 @@
 }
 
 start log "$bin/pumicecleat-standin" log --listen 127.0.0.1:0
-log=$(told log listening)
+log=$(told listening)
 list=
 n=0
 while [ "$n" -lt "$engines" ]; do
     start "engine$n" "$bin/pumicecleat-standin" engine --listen 127.0.0.1:0 --base m \
         --batch "$streams" --slots 64 --step-ms "$step" --slow-ms "$step" --ignore-fencing
-    list="$list${list:+,}$(told "engine$n" listening)"
+    list="$list${list:+,}$(told listening)"
     n=$((n + 1))
 done
 
@@ -112,9 +69,9 @@
 start entry "$bin/pumicecleat-entry" --vm entry $place --listen 127.0.0.1:0 \
     --peer-listen 127.0.0.1:0 --log "$log"
 entry_id=$id
-entry=$(told entry listening)
-peers=$(told entry peers)
-entry_admin=$(told entry admin)
+entry=$(told listening)
+peers=$(told peers)
+entry_admin=$(told admin)
 "$bin/pumicecleat" apply --log "$log" "$work/measure.toml" >&2
 ready "$entry_admin"
 
@@ -124,7 +81,7 @@
     start "side$n" "$bin/pumicecleat-side" --vm "side$n" $place --listen 127.0.0.1:0 \
         --slot 127.0.0.1:0 --pool lm --upstream "$engine" --entries "$peers"
     side_id=$id
-    ready "$(told "side$n" admin)"
+    ready "$(told admin)"
     n=$((n + 1))
 done
 # The entry hears of the side by its next report.
--- a/crates/measure/processes.sh
+++ b/crates/measure/processes.sh
@@ -1,5 +1,9 @@
 # Processes of a measurement, for scripts to source: start, told, finish. All that was started is ended
 # by its id when the script ends.
+
+# Tries, 0.1 s apart, for a process to say where it listens.
+tries=100
+
 work=$(mktemp -d)
 started=
 
@@ -19,16 +23,22 @@
 start() {
     name=$1
     shift
+    # Its reader may come before the process does.
     : >"$work/$name"
     "$@" >"$work/$name" 2>"$work/$name.log" &
     id=$!
     started="$id $started"
-    tries=100
-    while [ "$tries" -gt 0 ] && ! [ -s "$work/$name" ]; do
-        tries=$((tries - 1))
+    left=$tries
+    while [ "$left" -gt 0 ] && ! [ -s "$work/$name" ]; do
+        left=$((left - 1))
         sleep 0.1
     done
     line=$(head -n 1 "$work/$name")
+    if [ -z "$line" ]; then
+        echo "step start, process $name: no address" >&2
+        cat "$work/$name.log" >&2
+        exit 1
+    fi
 }
 
 # Word after WORD in $line.
--- a/crates/measure/side.sh
+++ b/crates/measure/side.sh
@@ -1,13 +1,15 @@
 #!/bin/sh
-# Measures what control costs a side: side.sh [FOLDER [SECONDS]].
+# Measures what control costs a side: side.sh [FOLDER [SECONDS [CONFIG]]].
 #
 # FOLDER holds the programs of one build (default: target/release). A side of an idle engine reports
 # to 1, 2, 4 and 8 entries, twice a second to each; its processor time and memory over SECONDS
-# (default: 20) come from the system's accounts. All that was started is ended by its id.
+# (default: 20) come from the system's accounts, with CONFIG (default: examples/demo.toml) in force. All
+# that was started is ended by its id.
 set -eu
 
 bin=${1:-target/release}
 seconds=${2:-20}
+config=${3:-examples/demo.toml}
 . "$(dirname "$0")/processes.sh"
 
 # Processor time of process ID so far, in ticks of 10 ms.
@@ -23,7 +25,7 @@
     log=$(told listening)
     start engine "$bin/pumicecleat-standin" engine --listen 127.0.0.1:0 --base hu-base
     engine=$(told listening)
-    "$bin/pumicecleat" apply --log "$log" examples/demo.toml >/dev/null
+    "$bin/pumicecleat" apply --log "$log" "$config" >/dev/null
     list=
     n=0
     while [ "$n" -lt "$1" ]; do
