--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -5,7 +5,7 @@
 use pumicecleat_config::model::Config;
 use pumicecleat_config::{Change, ChangeId, Record, Verdict};
 use pumicecleat_net::Timer;
-use pumicecleat_platform::AppendError;
+use pumicecleat_infra::AppendError;
 use uuid::Uuid;
 
 use crate::args::ApplyArgs;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -2,7 +2,7 @@
 
 use pumicecleat_config::{Cause, Faults};
 use pumicecleat_net::{NetError, RuntimeError};
-use pumicecleat_platform::{AppendError, ReadError};
+use pumicecleat_infra::{AppendError, ReadError};
 use snafu::Snafu;
 
 /// A command that was not carried out.
--- a/crates/cli/src/reader.rs
+++ b/crates/cli/src/reader.rs
@@ -5,7 +5,7 @@
 
 use pumicecleat_config::Fold;
 use pumicecleat_net::{Client, ClientOptions, Timer};
-use pumicecleat_platform::{HttpLog, Log, Peers, ReadError};
+use pumicecleat_infra::{HttpLog, Log, Peers, ReadError};
 use snafu::ResultExt;
 
 use crate::error::{CliError, ReadSnafu, TrimmedSnafu};
--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -10,7 +10,7 @@
 
 use pumicecleat_config::{FoldEvent, Scan};
 use pumicecleat_ops::{events, field};
-use pumicecleat_platform::{Batch, ReadError};
+use pumicecleat_infra::{Batch, ReadError};
 use pumicecleat_types::{LogRecord, Millis};
 
 use super::{Current, STREAM, peers};
--- a/crates/entry/src/directory/vms.rs
+++ b/crates/entry/src/directory/vms.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use pumicecleat_ops::{events, field};
-use pumicecleat_platform::{VmList, Vms};
+use pumicecleat_infra::{VmList, Vms};
 use pumicecleat_types::{Millis, VmId};
 
 use super::Directory;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -8,7 +8,7 @@
 
 use pumicecleat_net::{Client, Timer, Turns};
 use pumicecleat_ops::{Drain, Log, Readiness, Stop};
-use pumicecleat_platform::Log as Records;
+use pumicecleat_infra::Log as Records;
 use pumicecleat_policy::{LoadOrder, RetryBudget};
 use pumicecleat_types::{RegionId, VmId};
 
--- a/crates/entry/src/start/mod.rs
+++ b/crates/entry/src/start/mod.rs
@@ -13,7 +13,7 @@
     Client, ClientOptions, Handler, Protocol, Server, ServerOptions, Timer, Turns, bind,
 };
 use pumicecleat_ops::{Admin, Drain, Log, Metrics, Readiness, Stop, events, field};
-use pumicecleat_platform::{HttpLog, HttpVms, Log as Records, Peers, Vms};
+use pumicecleat_infra::{HttpLog, HttpVms, Log as Records, Peers, Vms};
 use pumicecleat_policy::{BudgetOptions, LoadOrder, LoadOrderOptions, RetryBudget};
 use snafu::{ResultExt, Snafu};
 
--- a/crates/entry/tests/entry/config.rs
+++ b/crates/entry/tests/entry/config.rs
@@ -6,7 +6,7 @@
 
 use pumicecleat_config::{Fold, FoldEvent, Record};
 use pumicecleat_entry::{Entry, Parts};
-use pumicecleat_platform::{AppendError, Appended, Batch, Local, Log, ReadError};
+use pumicecleat_infra::{AppendError, Appended, Batch, Local, Log, ReadError};
 use pumicecleat_standin::LogFaults;
 use pumicecleat_types::{ConfigAsk, ConfigReply};
 
--- a/crates/entry/tests/entry/listed.rs
+++ b/crates/entry/tests/entry/listed.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use pumicecleat_entry::Parts;
-use pumicecleat_platform::{HttpVms, Peers};
+use pumicecleat_infra::{HttpVms, Peers};
 use pumicecleat_standin::{VmList, VmListOptions};
 use pumicecleat_types::{VmEntry, VmRole, VmState};
 
--- a/crates/entry/tests/entry/part.rs
+++ b/crates/entry/tests/entry/part.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use pumicecleat_entry::Parts;
-use pumicecleat_platform::{AppendError, Appended, Batch, Local, Log, ReadError};
+use pumicecleat_infra::{AppendError, Appended, Batch, Local, Log, ReadError};
 
 use crate::world::{World, case, config_with};
 
--- a/crates/entry/tests/entry/peers.rs
+++ b/crates/entry/tests/entry/peers.rs
@@ -6,7 +6,7 @@
 
 use pumicecleat_entry::{EntryDump, Parts};
 use pumicecleat_net::post;
-use pumicecleat_platform::{Local, VmList, Vms, VmsError};
+use pumicecleat_infra::{Local, VmList, Vms, VmsError};
 use pumicecleat_types::{
     LoadBid, LoadFigures, LoadTurn, Report, ReportReply, VmEntry, VmRole, VmState,
 };
--- a/crates/fuzz/src/targets/platform.rs
+++ b/crates/fuzz/src/targets/platform.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use pumicecleat_net::{Client, ClientOptions, Timer, run};
-use pumicecleat_platform::{Appended, Batch, HttpLog, HttpVms, Log, Peers, VmList, Vms};
+use pumicecleat_infra::{Appended, Batch, HttpLog, HttpVms, Log, Peers, VmList, Vms};
 use serde_json::Value;
 
 use super::page::{Page, SPAN};
--- a/crates/platform/src/lib.rs
+++ b/crates/infra/src/lib.rs
@@ -9,7 +9,7 @@
 //! ```
 //! use std::time::Duration;
 //! use pumicecleat_net::{Client, ClientOptions, Timer, run};
-//! use pumicecleat_platform::{AppendError, HttpLog, Log, Peers};
+//! use pumicecleat_infra::{AppendError, HttpLog, Log, Peers};
 //!
 //! let result = run(async {
 //!     let client = Client::new_ext(ClientOptions::default(), &Timer::start());
--- a/crates/platform/tests/platform/appender.rs
+++ b/crates/infra/tests/infra/appender.rs
@@ -7,7 +7,7 @@
 use futures_util::future::join_all;
 use proptest::prelude::*;
 use pumicecleat_net::{Client, Timer};
-use pumicecleat_platform::{AppendError, AppendOptions, Appender, Log, SubmitError};
+use pumicecleat_infra::{AppendError, AppendOptions, Appender, Log, SubmitError};
 
 const MS: Duration = Duration::from_millis(1);
 
--- a/crates/platform/tests/platform/follower.rs
+++ b/crates/infra/tests/infra/follower.rs
@@ -6,7 +6,7 @@
 use crate::common::{FakeLog, Move, with_client};
 use proptest::prelude::*;
 use pumicecleat_net::Timer;
-use pumicecleat_platform::{BackoffOptions, FollowError, FollowEvent, FollowOptions, Follower};
+use pumicecleat_infra::{BackoffOptions, FollowError, FollowEvent, FollowOptions, Follower};
 
 const MS: Duration = Duration::from_millis(1);
 
--- a/crates/platform/tests/platform/http.rs
+++ b/crates/infra/tests/infra/http.rs
@@ -12,7 +12,7 @@
     Body, BodyError, Client, ClientOptions, Handler, Incoming, Reply, Server, ServerOptions, Timer,
     bind, run,
 };
-use pumicecleat_platform::{
+use pumicecleat_infra::{
     AppendError, Fault, HttpLog, HttpStore, HttpVms, Log, Peers, ReadError, Store, StoreError, Vms,
 };
 use pumicecleat_standin::{
--- a/crates/measure/src/slopes/vms.rs
+++ b/crates/measure/src/slopes/vms.rs
@@ -1,6 +1,6 @@
 //! The VM list: its bytes and what a reader spends on it.
 
-use pumicecleat_platform::VmList;
+use pumicecleat_infra::VmList;
 use serde_json::json;
 
 use super::clock::cost;
--- a/crates/side/src/entries.rs
+++ b/crates/side/src/entries.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use pumicecleat_ops::{events, field};
-use pumicecleat_platform::{Peers, VmList, Vms};
+use pumicecleat_infra::{Peers, VmList, Vms};
 use pumicecleat_types::{VmRole, VmState};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
--- a/crates/side/src/keys/mod.rs
+++ b/crates/side/src/keys/mod.rs
@@ -25,7 +25,7 @@
 use pumicecleat_ledger::{Digest, Key, Limits};
 use pumicecleat_net::Timer;
 use pumicecleat_ops::Log as EventLog;
-use pumicecleat_platform::{AppendOptions, Log};
+use pumicecleat_infra::{AppendOptions, Log};
 use pumicecleat_types::{Millis, Reason, RequestId, ServiceId, VmId};
 
 use crate::state::wall_clock;
--- a/crates/side/src/keys/part.rs
+++ b/crates/side/src/keys/part.rs
@@ -14,7 +14,7 @@
 };
 use pumicecleat_net::Timer;
 use pumicecleat_ops::{Log as EventLog, events, field};
-use pumicecleat_platform::{AppendOptions, Appender, Log};
+use pumicecleat_infra::{AppendOptions, Appender, Log};
 use pumicecleat_types::{Millis, Reason, RequestId};
 
 use super::KeyContext;
--- a/crates/side/src/keys/reader.rs
+++ b/crates/side/src/keys/reader.rs
@@ -5,7 +5,7 @@
 
 use pumicecleat_ledger::{Attempt, Event, Ledger, Span};
 use pumicecleat_ops::{events, field};
-use pumicecleat_platform::{
+use pumicecleat_infra::{
     BackoffOptions, FollowError, FollowEvent, FollowOptions, Follower, ReadError,
 };
 use pumicecleat_types::{LogRecord, Millis};
--- a/crates/side/src/keys/writer.rs
+++ b/crates/side/src/keys/writer.rs
@@ -6,7 +6,7 @@
 use async_channel::Receiver;
 use pumicecleat_ledger::{Attempt, Record};
 use pumicecleat_ops::{events, field};
-use pumicecleat_platform::SubmitError;
+use pumicecleat_infra::SubmitError;
 use pumicecleat_types::Millis;
 
 use super::part::Part;
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -12,7 +12,7 @@
     Client, ClientOptions, Protocol, Server, ServerOptions, Timer, Turns, bind, bind_exclusive,
 };
 use pumicecleat_ops::{Admin, Drain, DrainEnd, Log, Metrics, Readiness, Stop, events, field};
-use pumicecleat_platform::{HttpLog, HttpVms, Log as PlatformLog, Peers};
+use pumicecleat_infra::{HttpLog, HttpVms, Log as PlatformLog, Peers};
 use pumicecleat_types::ServiceId;
 use pumicecleat_upstream::{HttpService, VllmEngine};
 use snafu::{ResultExt, Snafu};
