--- /dev/null
+++ b/crates/agent/src/drive.rs
@@ -0,0 +1,228 @@
+//! The loop that drives the decisions: report, decide, carry out.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::select;
+use pumicecleat_catalog::{Base, Engine};
+use pumicecleat_ops::{events, field};
+use pumicecleat_policy::{EngineOrder, EngineState, OrderEnd, TurnAction, TurnOptions};
+use pumicecleat_types::{BaseId, Millis, Turn};
+
+use crate::meters::{OrderLabels, TurnLabels};
+use crate::shared::{ENGINE, Shared};
+use crate::PortError;
+
+/// Time for the engine's report. On the same VM it takes a few milliseconds; an engine that
+/// doesn't give it for this long is not to be sent to.
+const REPORT_SPAN: Duration = Duration::from_millis(600);
+
+/// Time for an order's answer; the order may still be carried out after it.
+const ORDER_SPAN: Duration = Duration::from_millis(800);
+
+/// Drives the decisions for good, with a report each `pause` at least.
+pub(crate) async fn drive(shared: Rc<Shared>, pause: Duration) {
+    let mut driver = Driver {
+        shared,
+        lost: None,
+        due: Millis(0),
+        sequence: 0,
+    };
+    loop {
+        driver.step(pause).await;
+        let rest = driver.due.since(driver.shared.timer.now());
+        let sleep = driver
+            .shared
+            .timer
+            .sleep(Duration::from_millis(rest.0.max(1)));
+        let rung = Box::pin(driver.shared.wake.rung());
+        select(Box::pin(sleep), rung).await;
+    }
+}
+
+struct Driver {
+    shared: Rc<Shared>,
+    /// Start of the present silence of the engine.
+    lost: Option<Millis>,
+    /// Next report.
+    due: Millis,
+    /// Sequence of the last report.
+    sequence: u64,
+}
+
+impl Driver {
+    async fn step(&mut self, pause: Duration) {
+        let Some((base, engine)) = self.engine() else {
+            self.due = self.shared.timer.now() + millis(pause);
+            return;
+        };
+        let now = self.shared.timer.now();
+        if now >= self.due {
+            self.due = now + millis(pause);
+            self.shared.turns.borrow_mut().retune(TurnOptions {
+                places: places(&engine, &base),
+                batch: engine.batch,
+                rate: self.shared.rate,
+            });
+            let report = self.shared.port.report(&base.name, REPORT_SPAN).await;
+            self.take(report);
+        }
+        self.act(&base.name);
+    }
+
+    /// The engine's base model and figures, if the configuration tells them.
+    fn engine(&self) -> Option<(Base, Engine)> {
+        let catalog = self.shared.catalog.borrow();
+        let engine = catalog.layout()?.engine(&self.shared.service)?;
+        Some((engine.bases.first()?.clone(), engine.clone()))
+    }
+
+    fn take(&mut self, report: Result<EngineState, PortError>) {
+        let now = self.shared.timer.now();
+        match report {
+            Ok(report) => {
+                self.meet(&report);
+                let mut turns = self.shared.turns.borrow_mut();
+                turns.observe(&report, now);
+                if report.loaded {
+                    self.shared.readiness.hold(ENGINE);
+                }
+            }
+            Err(e) => {
+                if self.lost.is_none() {
+                    self.lost = Some(now);
+                    let fields = [field("address", "own engine"), field("error", &e)];
+                    self.shared.log.emit(&events::OWN_ENGINE_LOST, &fields);
+                    self.shared.readiness.fail(ENGINE, "engine does not answer");
+                }
+                self.shared.turns.borrow_mut().lost();
+            }
+        }
+    }
+
+    /// Notes that the engine answers, and whether it started anew: its sequence then fell.
+    fn meet(&mut self, state: &EngineState) {
+        let restarted = state.sequence < self.sequence;
+        self.sequence = state.sequence;
+        if restarted {
+            self.shared.engine_restarted();
+        }
+        if self.lost.take().is_some() || restarted {
+            let instance = self.shared.instance.borrow();
+            let fields = [
+                field("instance", instance.as_str()),
+                field("sequence", state.sequence),
+                field("held", state.held.len()),
+            ];
+            self.shared.log.emit(&events::OWN_ENGINE_SEEN, &fields);
+        }
+    }
+
+    fn act(&self, base: &BaseId) {
+        let now = self.shared.timer.now();
+        let actions = self.shared.turns.borrow_mut().poll(now);
+        for action in actions {
+            match action {
+                TurnAction::Go { turn, version } => self.tell(turn, Turn::Go { version }),
+                TurnAction::Refuse {
+                    turn,
+                    reason,
+                    retry,
+                } => {
+                    let retry_ms = retry.0;
+                    self.tell(turn, Turn::No { reason, retry_ms });
+                }
+                TurnAction::Order { order, sequence } => self.order(base, order, sequence),
+            }
+        }
+    }
+
+    fn tell(&self, id: pumicecleat_policy::TurnId, turn: Turn) {
+        let outcome = match turn {
+            Turn::Go { .. } => "go",
+            Turn::No { reason, .. } => reason.as_str(),
+        };
+        let labels = TurnLabels { outcome };
+        self.shared.meters.turns.get_or_create(&labels).inc();
+        if let Some(waiter) = self.shared.waiters.borrow_mut().remove(&id) {
+            // Its entry may have left meanwhile; the handler then takes the run back.
+            let _ = waiter.try_send(turn);
+        }
+    }
+
+    fn order(&self, base: &BaseId, order: EngineOrder, sequence: u64) {
+        let shared = Rc::clone(&self.shared);
+        let base = base.clone();
+        monoio::spawn(async move { give(&shared, &base, order, sequence).await });
+    }
+}
+
+async fn give(shared: &Shared, base: &BaseId, order: EngineOrder, sequence: u64) {
+    let (name, adapter, version) = describe(&order);
+    let fields = [
+        field("order", name),
+        field("adapter", adapter),
+        field("version", version),
+        field("sequence", sequence),
+    ];
+    shared.log.emit(&events::ORDER_SENT, &fields);
+    let from = shared.timer.now();
+    let instance = shared.instance.borrow().clone();
+    let named = (!instance.is_empty()).then_some(instance.as_str());
+    let answer = shared
+        .port
+        .order(base, &order, named, sequence, ORDER_SPAN)
+        .await;
+    let now = shared.timer.now();
+    let end = end_name(answer.end);
+    let fields = [
+        field("order", name),
+        field("adapter", adapter),
+        field("end", end),
+        field("took_ms", now.since(from).0),
+        field("error", answer.detail.as_deref().unwrap_or_default()),
+    ];
+    shared.log.emit(&events::ORDER_ENDED, &fields);
+    let labels = OrderLabels { order: name, end };
+    shared.meters.orders.get_or_create(&labels).inc();
+    if *shared.instance.borrow() == instance {
+        shared.turns.borrow_mut().order_ended(answer.end, now);
+    }
+    shared.wake.ring();
+}
+
+fn describe(order: &EngineOrder) -> (&'static str, &str, u64) {
+    match order {
+        EngineOrder::LoadBase => ("load_base", "", 0),
+        EngineOrder::Load { adapter, version } => ("load", adapter, version.unwrap_or_default()),
+        EngineOrder::Unload { adapter } => ("unload", adapter, 0),
+    }
+}
+
+fn end_name(end: OrderEnd) -> &'static str {
+    match end {
+        OrderEnd::Accepted => "accepted",
+        OrderEnd::Done => "done",
+        OrderEnd::Conflict => "conflict",
+        OrderEnd::Refused => "refused",
+        OrderEnd::Unknown => "unknown",
+    }
+}
+
+/// Places for adapters: by their number, and by the space that the base model leaves.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float's cast saturates"
+)]
+fn places(engine: &Engine, base: &Base) -> u32 {
+    if base.adapter_mb <= 0.0 {
+        return engine.places;
+    }
+    let fitting = ((engine.space_mb - base.size_mb) / base.adapter_mb).floor();
+    engine.places.min(fitting.max(0.0) as u32)
+}
+
+fn millis(span: Duration) -> Millis {
+    Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/agent/src/handler.rs
@@ -0,0 +1,178 @@
+//! What entries ask of the agent.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_net::{Handler, Incoming, Reply, peer_reply, plain_reply, read_all};
+use pumicecleat_ops::{events, field};
+use pumicecleat_policy::{TurnId, TurnRequest};
+use pumicecleat_types::{Millis, Turn, TurnAsk, TurnCall, TurnRefusal, TurnReply, decode};
+
+use crate::shared::Shared;
+
+/// Path of the one exchange.
+const TURN_PATH: &str = "/peer/v1/turn";
+
+/// Longest message of an entry, bytes: a few hundred ids.
+const MESSAGE_LIMIT: u64 = 64 * 1024;
+
+/// Time for a message to arrive.
+const MESSAGE_SPAN: Duration = Duration::from_secs(1);
+
+/// When to come back to an engine that the agent does not know, ms.
+const UNKNOWN_RETRY: u64 = 300;
+
+/// Handler of the peer listener.
+#[derive(Clone)]
+pub(crate) struct PeerHandler {
+    shared: Rc<Shared>,
+}
+
+impl PeerHandler {
+    pub(crate) fn new(shared: &Rc<Shared>) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+        }
+    }
+
+    async fn reply(self, mut request: Incoming) -> Reply {
+        if request.uri().path() != TURN_PATH {
+            return plain_reply(404, "unknown exchange\n");
+        }
+        let timer = &self.shared.timer;
+        let body = request.body_mut();
+        let bytes = match read_all(body, MESSAGE_LIMIT, MESSAGE_SPAN, timer).await {
+            Ok(bytes) => bytes,
+            Err(e) => return plain_reply(e.status(), "message not whole\n"),
+        };
+        let call: TurnCall = match decode(&bytes) {
+            Ok(call) => call,
+            Err(e) => return plain_reply(400, &format!("{e}\n")),
+        };
+        self.note(&call);
+        let turn = match call.ask {
+            Some(ask) => Some(self.turn(ask).await),
+            None => None,
+        };
+        let figures = self.shared.figures();
+        peer_reply(&TurnReply { turn, figures })
+    }
+
+    fn note(&self, call: &TurnCall) {
+        if call.news.is_empty() {
+            return;
+        }
+        let mut turns = self.shared.turns.borrow_mut();
+        for news in &call.news {
+            if news.ended {
+                turns.ended(&news.request);
+            } else {
+                turns.started(&news.request);
+            }
+        }
+        drop(turns);
+        self.shared.wake.ring();
+    }
+
+    async fn turn(&self, ask: TurnAsk) -> Turn {
+        let known = self.shared.instance.borrow().clone();
+        if known.is_empty() || known != ask.instance {
+            return Turn::No {
+                reason: TurnRefusal::NoEngine,
+                retry_ms: UNKNOWN_RETRY,
+            };
+        }
+        let from = self.shared.timer.now();
+        let (sender, receiver) = async_channel::bounded(1);
+        let request = ask.request.clone();
+        let id = self.shared.turns.borrow_mut().ask(
+            TurnRequest {
+                request: ask.request,
+                adapter: ask.adapter.clone(),
+                version: ask.version,
+                tokens: ask.tokens,
+                priority: ask.priority,
+                patience: Millis(ask.patience_ms),
+            },
+            from,
+        );
+        self.shared.waiters.borrow_mut().insert(id, sender);
+        let guard = Withdraw {
+            shared: Rc::clone(&self.shared),
+            request,
+            id,
+            done: false,
+        };
+        self.shared.wake.ring();
+        let turn = receiver.recv().await;
+        // The sender is dropped without a word only when the agent ends.
+        let turn = turn.unwrap_or(Turn::No {
+            reason: TurnRefusal::NoEngine,
+            retry_ms: UNKNOWN_RETRY,
+        });
+        self.log_turn(&guard.request, ask.adapter.as_deref(), turn, from);
+        guard.finish();
+        turn
+    }
+
+    fn log_turn(&self, request: &str, adapter: Option<&str>, turn: Turn, from: Millis) {
+        let waited = self.shared.timer.now().since(from);
+        self.shared.meters.wait.observe(waited.as_secs());
+        let unread = self.shared.figures().unread;
+        let unread_gauge = i64::try_from(unread).unwrap_or(i64::MAX);
+        self.shared.meters.unread.set(unread_gauge);
+        let adapter = adapter.unwrap_or_default();
+        let request = field("request", request);
+        let adapter = field("adapter", adapter);
+        let waited = field("waited_ms", waited.0);
+        let unread = field("unread", unread);
+        match turn {
+            Turn::Go { .. } => self
+                .shared
+                .log
+                .emit(&events::ENGINE_TURN, &[request, adapter, waited, unread]),
+            Turn::No { reason, retry_ms } => {
+                let reason = field("reason", reason.as_str());
+                let retry = field("retry_ms", retry_ms);
+                let fields = [request, adapter, reason, waited, unread, retry];
+                self.shared.log.emit(&events::ENGINE_TURN_REFUSED, &fields);
+            }
+        }
+    }
+}
+
+/// Takes an ask back if its entry leaves before the outcome reached it.
+struct Withdraw {
+    shared: Rc<Shared>,
+    request: String,
+    id: TurnId,
+    done: bool,
+}
+
+impl Withdraw {
+    fn finish(mut self) {
+        self.done = true;
+    }
+}
+
+impl Drop for Withdraw {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        self.shared.waiters.borrow_mut().remove(&self.id);
+        let mut turns = self.shared.turns.borrow_mut();
+        if !turns.withdraw(self.id) {
+            turns.ended(&self.request);
+        }
+    }
+}
+
+impl Handler for PeerHandler {
+    fn handle(&self, request: Incoming, _: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
+        Box::pin(self.clone().reply(request))
+    }
+}
--- /dev/null
+++ b/crates/agent/src/meters.rs
@@ -0,0 +1,39 @@
+//! Metrics of the agent.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use pumicecleat_ops::{Counter, Family, Gauge, Histogram, Metrics};
+
+/// Upper bounds of the times of turns, s.
+const TURN_BUCKETS: &[f64] = &[0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0];
+
+/// Kind and end of an order.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OrderLabels {
+    pub(crate) order: &'static str,
+    pub(crate) end: &'static str,
+}
+
+/// Outcome of an ask for a turn.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TurnLabels {
+    pub(crate) outcome: &'static str,
+}
+
+/// Metrics of the agent.
+pub(crate) struct Meters {
+    pub(crate) turns: Family<TurnLabels, Counter>,
+    pub(crate) orders: Family<OrderLabels, Counter>,
+    pub(crate) wait: Histogram,
+    pub(crate) unread: Gauge,
+}
+
+impl Meters {
+    pub(crate) fn new(metrics: &Metrics) -> Self {
+        Self {
+            turns: metrics.counters("turns", "Asks for a turn, by outcome"),
+            orders: metrics.counters("orders", "Orders to the engine, by kind and end"),
+            wait: metrics.histogram("turn_wait_seconds", "Wait for a turn", TURN_BUCKETS),
+            unread: metrics.gauge("unread_tokens", "Prompt tokens that wait to be read"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agent/src/settings.rs
@@ -0,0 +1,26 @@
+//! Settings of the agent.
+
+use std::net::SocketAddr;
+
+use pumicecleat_ops::{Span, settings};
+use pumicecleat_types::ServiceId;
+
+settings! {
+    /// Gives orders to the engine on its VM and turns to its requests.
+    pub struct AgentSettings {
+        /// address for entries
+        peer_listen: SocketAddr = "0.0.0.0:8082", "ip:port";
+        /// address of the engine
+        engine: SocketAddr = "", "ip:port";
+        /// service of the engine
+        service: ServiceId = "", "name";
+        /// address of the deployment's log
+        store: SocketAddr = "", "ip:port";
+        /// prompt tokens that the engine reads in a second, from its maker's sheet
+        read_rate: u64 = "19200", "tokens/s";
+        /// time between two reports of the engine
+        report_pause: Span = "100ms", "span";
+        /// longest wait of a read of the log for a record
+        store_wait: Span = "2s", "span";
+    }
+}
--- /dev/null
+++ b/crates/agent/src/start.rs
@@ -0,0 +1,189 @@
+//! Putting an agent together, and its stop.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_catalog::{Dialect, Follow, FollowSettings, Shared as Catalog, Topic, follow};
+use pumicecleat_infra::KeyedLog;
+use pumicecleat_net::{Handler, Server, ServerOptions, Timer, bind};
+use pumicecleat_ops::{Admin, Dump, Log, Metrics, Readiness, Stop, events, field};
+use pumicecleat_policy::{TurnOptions, Turns};
+use snafu::{ResultExt, Snafu};
+
+use crate::drive::drive;
+use crate::handler::PeerHandler;
+use crate::meters::Meters;
+use crate::shared::{Bell, ENGINE, Shared};
+use crate::{AgentSettings, EnginePort};
+
+/// Time for answers under way after a stop was asked for. Turns are short, and entries do without.
+const STOP_SPAN: Duration = Duration::from_millis(500);
+
+/// The deployment, as an agent needs it.
+#[derive(Clone)]
+pub struct AgentParts {
+    /// Log of the deployment.
+    pub store: Rc<dyn KeyedLog>,
+    /// Form of its records.
+    pub dialect: Rc<dyn Dialect>,
+    /// Engine.
+    pub port: Rc<dyn EnginePort>,
+}
+
+/// An agent that can't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// A listener can't be bound.
+    #[snafu(display("step bind, listener {purpose}, address {address}: {source}"))]
+    Bind {
+        /// Use of the listener.
+        purpose: &'static str,
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// A running agent.
+pub struct Agent {
+    peers: Server,
+    log: Log,
+    timer: Timer,
+}
+
+struct State {
+    shared: Rc<Shared>,
+}
+
+impl Dump for State {
+    fn dump(&self) -> serde_json::Value {
+        let catalog = self.shared.catalog.borrow();
+        serde_json::json!({
+            "layout": catalog.layout().map(|l| l.number),
+            "engine": self.shared.figures(),
+            "runs": self.shared.turns.borrow().running(),
+        })
+    }
+}
+
+impl Agent {
+    /// Starts an agent on this loop.
+    ///
+    /// # Errors
+    /// [`StartError`] if a listener can't be bound.
+    pub fn start(
+        settings: &AgentSettings,
+        parts: &AgentParts,
+        timer: &Timer,
+        log: &Log,
+    ) -> Result<Self, StartError> {
+        let metrics = Metrics::new();
+        let shared = share(settings, parts, timer, log, &metrics);
+        let state = Rc::new(State {
+            shared: Rc::clone(&shared),
+        });
+        let admin = Admin::new(&metrics, &shared.readiness, state);
+        listen("admin", settings.common.admin, Rc::new(admin), timer, log)?;
+        let handler = Rc::new(PeerHandler::new(&shared));
+        let peers = listen("peers", settings.peer_listen, handler, timer, log)?;
+        spawn_followers(&shared, settings, parts);
+        monoio::spawn(drive(shared, settings.report_pause.0));
+        Ok(Self {
+            peers,
+            log: log.clone(),
+            timer: timer.clone(),
+        })
+    }
+
+    /// Runs until a stop is asked for.
+    pub async fn run(self, stop: &Stop) {
+        stop.first().await;
+        self.peers.stop();
+        // Entries that still hold a connection find it closed and do without a turn.
+        let _ = self.timer.within(STOP_SPAN, self.peers.closed()).await;
+        self.log.emit_last(&events::STOPPED, &[]);
+    }
+}
+
+fn share(
+    settings: &AgentSettings,
+    parts: &AgentParts,
+    timer: &Timer,
+    log: &Log,
+    metrics: &Metrics,
+) -> Rc<Shared> {
+    let unknown = TurnOptions {
+        places: 0,
+        batch: 0,
+        rate: settings.read_rate,
+    };
+    Rc::new(Shared {
+        timer: timer.clone(),
+        log: log.clone(),
+        service: settings.service.clone(),
+        engine: settings.engine,
+        rate: settings.read_rate,
+        port: Rc::clone(&parts.port),
+        catalog: Catalog::default(),
+        turns: RefCell::new(Turns::new_ext(unknown)),
+        waiters: RefCell::new(BTreeMap::new()),
+        instance: RefCell::default(),
+        readiness: Readiness::new(&[ENGINE], log),
+        meters: Meters::new(metrics),
+        wake: Bell::new(),
+    })
+}
+
+fn spawn_followers(shared: &Rc<Shared>, settings: &AgentSettings, parts: &AgentParts) {
+    for topic in [Topic::Operators, Topic::Upstreams] {
+        let listener: Rc<dyn Follow> = shared.clone();
+        let options = FollowSettings {
+            wait: settings.store_wait.0,
+            seed: pumicecleat_policy::upstream_key(&settings.common.vm),
+        };
+        monoio::spawn(follow(
+            Rc::clone(&shared.catalog),
+            topic,
+            Rc::clone(&parts.store),
+            Rc::clone(&parts.dialect),
+            listener,
+            options,
+            shared.timer.clone(),
+            shared.log.clone(),
+        ));
+    }
+}
+
+fn listen(
+    purpose: &'static str,
+    address: SocketAddr,
+    handler: Rc<dyn Handler>,
+    timer: &Timer,
+    log: &Log,
+) -> Result<Server, StartError> {
+    let bound = bind(address);
+    match &bound {
+        Ok(_) => {
+            let fields = [field("purpose", purpose), field("address", &address)];
+            log.emit(&events::LISTENING, &fields);
+        }
+        Err(e) => {
+            let fields = [
+                field("purpose", purpose),
+                field("address", &address),
+                field("error", e),
+            ];
+            log.emit_last(&events::BIND_FAILED, &fields);
+        }
+    }
+    let listener = bound.context(BindSnafu { purpose, address })?;
+    let server = Server::new_ext(ServerOptions::default(), handler, timer);
+    let accepting = server.clone();
+    monoio::spawn(async move { accepting.serve(listener).await });
+    Ok(server)
+}
--- /dev/null
+++ b/crates/catalog/src/layout.rs
@@ -0,0 +1,175 @@
+//! A whole configuration: routes, services and limits.
+
+use std::collections::BTreeMap;
+
+use pumicecleat_types::{BaseId, ServiceId};
+
+/// A whole configuration under its number.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Layout {
+    /// Number; a later configuration has a higher one, not always the next.
+    pub number: u64,
+    /// Routes, in no order.
+    pub routes: Vec<Route>,
+    /// Services by name.
+    pub services: BTreeMap<ServiceId, Service>,
+    /// Limits on what a caller may send.
+    pub limits: Limits,
+}
+
+/// Where requests of one host and path prefix go.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name, for logs.
+    pub name: String,
+    /// Host that the request names.
+    pub host: String,
+    /// Start of the path, with a slash at both ends.
+    pub prefix: String,
+    /// Services by weight.
+    pub shares: Vec<Share>,
+    /// What may be sent again.
+    pub repeat: Repeat,
+    /// Answer is a stream of numbered events.
+    pub stream: bool,
+    /// Longest wait for an answer, ms.
+    pub timeout_ms: u64,
+    /// Time within which an answer is wanted, ms; of a stream its first event.
+    pub objective_ms: u64,
+    /// Rank, 0 before all others.
+    pub priority: u8,
+    /// Upstreams that one request may be sent to.
+    pub attempts: u32,
+}
+
+/// Part of a route's requests that a service gets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Service.
+    pub service: ServiceId,
+    /// Weight against the other parts.
+    pub weight: u32,
+}
+
+/// What may be sent again after it may have run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Repeat {
+    /// Nothing.
+    #[default]
+    Never,
+    /// A stream, from its last event on.
+    Resume,
+    /// The whole request.
+    Whole,
+}
+
+/// A service.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Service {
+    /// Connections that one upstream takes from all callers together.
+    pub connections: u32,
+    /// Model engine's figures; `None` for a plain service.
+    pub engine: Option<Engine>,
+}
+
+/// Figures of a service's model engines.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Engine {
+    /// Requests in one batch.
+    pub batch: u32,
+    /// Tokens that fit into memory.
+    pub tokens: u64,
+    /// Adapters that fit.
+    pub places: u32,
+    /// Space for weights, base models and adapters together, MB.
+    pub space_mb: f64,
+    /// Base models.
+    pub bases: Vec<Base>,
+}
+
+/// A base model.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Base {
+    /// Name.
+    pub name: BaseId,
+    /// Size of its weights, MB.
+    pub size_mb: f64,
+    /// Size of one of its adapters, MB.
+    pub adapter_mb: f64,
+    /// Time of a load from the weight store, s.
+    pub load_s: f64,
+}
+
+/// Limits on what a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Longest head, bytes.
+    pub head: usize,
+    /// Longest body, bytes.
+    pub body: u64,
+    /// Time for a head to arrive, ms.
+    pub head_ms: u64,
+    /// Time that a connection may stay idle, ms.
+    pub idle_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head: 16 * 1024,
+            body: 4 << 20,
+            head_ms: 3_000,
+            idle_ms: 15_000,
+        }
+    }
+}
+
+impl Route {
+    /// Route without shares that repeats nothing.
+    #[must_use]
+    pub fn new(name: &str, host: &str, prefix: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            host: host.to_owned(),
+            prefix: prefix.to_owned(),
+            shares: Vec::new(),
+            repeat: Repeat::Never,
+            stream: false,
+            timeout_ms: 30_000,
+            objective_ms: 1_000,
+            priority: 0,
+            attempts: 1,
+        }
+    }
+
+    /// Service for a request; `roll` is a random number.
+    #[must_use]
+    pub fn pick(&self, roll: u64) -> Option<&ServiceId> {
+        let sum: u64 = self.shares.iter().map(|s| u64::from(s.weight)).sum();
+        let mut at = roll.checked_rem(sum)?;
+        for share in &self.shares {
+            let weight = u64::from(share.weight);
+            if at < weight {
+                return Some(&share.service);
+            }
+            at -= weight;
+        }
+        None
+    }
+}
+
+impl Layout {
+    /// Route of a request: of those of its host, the one with the longest prefix of the path.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+        let fits = |r: &&Route| r.host.eq_ignore_ascii_case(host) && path.starts_with(&r.prefix);
+        let fitting = self.routes.iter().filter(fits);
+        fitting.max_by_key(|r| r.prefix.len())
+    }
+
+    /// Engine figures of a service.
+    #[must_use]
+    pub fn engine(&self, service: &ServiceId) -> Option<&Engine> {
+        self.services.get(service)?.engine.as_ref()
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/lib.rs
@@ -0,0 +1,31 @@
+//! What a deployment serves, as it stands in a log with keys: one configuration that comes whole
+//! and numbered, versions of adapters, and the list of upstreams.
+//!
+//! [`Catalog`] is the state, [`follow`] keeps it up to date. A configuration with a lower number
+//! than the one in force is never taken, so a process can't step back; before the first one
+//! the catalog is empty, and the process knows that it knows nothing.
+//!
+//! ```
+//! use pumicecleat_catalog::{Catalog, Change, Layout, Route};
+//! use pumicecleat_types::Millis;
+//!
+//! let mut catalog = Catalog::default();
+//! let route = Route::new("chat", "api.example", "/chat/");
+//! let layout = Layout { number: 3, routes: vec![route], ..Layout::default() };
+//! catalog.apply(Change::Layout(layout), Millis(0));
+//! let route = catalog.layout().unwrap().find("api.example", "/chat/7").unwrap();
+//! assert_eq!(route.name, "chat");
+//! assert!(catalog.layout().unwrap().find("api.example", "/other/7").is_none());
+//! ```
+
+mod change;
+mod follow;
+mod layout;
+mod state;
+mod upstream;
+
+pub use change::{Change, Dialect, Topic, Unreadable};
+pub use follow::{Follow, FollowSettings, Shared, follow};
+pub use layout::{Base, Engine, Layout, Limits, Repeat, Route, Service, Share};
+pub use state::{Applied, Catalog};
+pub use upstream::{Standing, Upstream};
--- /dev/null
+++ b/crates/catalog/src/state.rs
@@ -0,0 +1,201 @@
+//! The state of a catalog: what is in force, as far as this process knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use pumicecleat_types::{Millis, ServiceId};
+
+use crate::{Change, Layout, Standing, Upstream};
+
+/// Time after an outage of the list within which an entry that lapsed may come back. The list
+/// promises about two seconds; a little is added for the way.
+const RETURN_SPAN: Millis = Millis(2_300);
+
+/// What a process believes of the deployment.
+#[derive(Clone, Debug, Default)]
+pub struct Catalog {
+    layout: Option<Rc<Layout>>,
+    versions: BTreeMap<String, u64>,
+    upstreams: BTreeMap<String, Upstream>,
+    /// Instances whose entry lapsed around an outage, and when they count as gone.
+    lapsed: BTreeMap<String, Millis>,
+    /// End of the last outage of the list, or now while it lasts.
+    outage: Option<Outage>,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Outage {
+    Lasting,
+    Ended(Millis),
+}
+
+/// What applying a change did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// A configuration is in force.
+    Layout {
+        /// Its number.
+        number: u64,
+    },
+    /// A configuration is older than the one in force and was not taken.
+    Stale {
+        /// Number of the one not taken.
+        number: u64,
+    },
+    /// A newer version of an adapter is known.
+    Version {
+        /// Adapter.
+        adapter: String,
+        /// Version.
+        version: u64,
+    },
+    /// An upstream is new, or stands otherwise.
+    Upstream {
+        /// Instance.
+        instance: String,
+        /// How it stands now.
+        standing: Standing,
+    },
+    /// An upstream is gone.
+    Gone {
+        /// Instance.
+        instance: String,
+    },
+    /// An upstream's entry lapsed in an outage; it stays until the time for its return is over.
+    Lapsed {
+        /// Instance.
+        instance: String,
+    },
+    /// Nothing changed.
+    Same,
+}
+
+impl Catalog {
+    /// Configuration in force, if one is known.
+    #[must_use]
+    pub fn layout(&self) -> Option<&Rc<Layout>> {
+        self.layout.as_ref()
+    }
+
+    /// Newest version of an adapter, if one was declared.
+    #[must_use]
+    pub fn version(&self, adapter: &str) -> Option<u64> {
+        self.versions.get(adapter).copied()
+    }
+
+    /// Upstream by instance.
+    #[must_use]
+    pub fn upstream(&self, instance: &str) -> Option<&Upstream> {
+        self.upstreams.get(instance)
+    }
+
+    /// All upstreams listed.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// Upstreams of a service that take requests.
+    pub fn ready<'a>(&'a self, service: &'a ServiceId) -> impl Iterator<Item = &'a Upstream> {
+        let ready = |u: &&Upstream| u.service == *service && u.standing == Standing::Ready;
+        self.upstreams.values().filter(ready)
+    }
+
+    /// Takes a change in.
+    pub fn apply(&mut self, change: Change, now: Millis) -> Applied {
+        match change {
+            Change::Layout(layout) => self.apply_layout(layout),
+            Change::Version { adapter, version } => self.apply_version(adapter, version),
+            Change::Upstream(upstream) => self.apply_upstream(upstream),
+            Change::Gone { instance } => self.remove(instance, now),
+            Change::Other => Applied::Same,
+        }
+    }
+
+    /// Takes the whole list of upstreams in; what is not in it is gone.
+    pub fn replace(&mut self, list: Vec<Upstream>, now: Millis) -> Vec<Applied> {
+        let present: BTreeSet<String> = list.iter().map(|u| u.instance.clone()).collect();
+        let known = self.upstreams.keys();
+        let missing: Vec<String> = known.filter(|i| !present.contains(*i)).cloned().collect();
+        let mut applied: Vec<Applied> = missing
+            .into_iter()
+            .map(|instance| self.remove(instance, now))
+            .collect();
+        applied.extend(list.into_iter().map(|u| self.apply_upstream(u)));
+        applied
+    }
+
+    /// The list does not answer: entries may lapse meanwhile though their upstreams live.
+    pub fn outage(&mut self) {
+        self.outage = Some(Outage::Lasting);
+    }
+
+    /// The list answers again.
+    pub fn back(&mut self, now: Millis) {
+        if matches!(self.outage, Some(Outage::Lasting)) {
+            self.outage = Some(Outage::Ended(now));
+        }
+    }
+
+    /// Removes what lapsed and did not come back in time.
+    pub fn expire(&mut self, now: Millis) -> Vec<Applied> {
+        let due = |(instance, at): (&String, &Millis)| (*at <= now).then(|| instance.clone());
+        let due: Vec<String> = self.lapsed.iter().filter_map(due).collect();
+        due.into_iter().map(|i| self.forget(i)).collect()
+    }
+
+    fn apply_layout(&mut self, layout: Layout) -> Applied {
+        let number = layout.number;
+        match &self.layout {
+            Some(held) if held.number > number => Applied::Stale { number },
+            Some(held) if held.number == number => Applied::Same,
+            _ => {
+                self.layout = Some(Rc::new(layout));
+                Applied::Layout { number }
+            }
+        }
+    }
+
+    fn apply_version(&mut self, adapter: String, version: u64) -> Applied {
+        let known = self.versions.entry(adapter.clone()).or_default();
+        if *known >= version {
+            return Applied::Same;
+        }
+        *known = version;
+        Applied::Version { adapter, version }
+    }
+
+    fn apply_upstream(&mut self, upstream: Upstream) -> Applied {
+        let instance = upstream.instance.clone();
+        let standing = upstream.standing;
+        self.lapsed.remove(&instance);
+        let before = self.upstreams.insert(instance.clone(), upstream);
+        if before.is_some_and(|b| b.standing == standing) {
+            return Applied::Same;
+        }
+        Applied::Upstream { instance, standing }
+    }
+
+    fn remove(&mut self, instance: String, now: Millis) -> Applied {
+        if !self.upstreams.contains_key(&instance) {
+            return Applied::Same;
+        }
+        match self.outage {
+            Some(Outage::Lasting) => self.lapse(instance, now + RETURN_SPAN),
+            Some(Outage::Ended(at)) if now.since(at) < RETURN_SPAN => {
+                self.lapse(instance, at + RETURN_SPAN)
+            }
+            _ => self.forget(instance),
+        }
+    }
+
+    fn lapse(&mut self, instance: String, at: Millis) -> Applied {
+        self.lapsed.insert(instance.clone(), at);
+        Applied::Lapsed { instance }
+    }
+
+    fn forget(&mut self, instance: String) -> Applied {
+        self.lapsed.remove(&instance);
+        self.upstreams.remove(&instance);
+        Applied::Gone { instance }
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/upstream.rs
@@ -0,0 +1,32 @@
+//! An upstream, as the list tells of it.
+
+use std::net::SocketAddr;
+
+use pumicecleat_types::{DataCentre, ServiceId};
+
+/// An upstream, as the list tells of it; the list lags.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Upstream {
+    /// Instance: one start of one upstream.
+    pub instance: String,
+    /// Service.
+    pub service: ServiceId,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub centre: DataCentre,
+    /// Requests at once.
+    pub slots: u32,
+    /// Whether it takes requests.
+    pub standing: Standing,
+}
+
+/// Whether an upstream takes new requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    /// Takes them.
+    #[default]
+    Ready,
+    /// Is leaving and must get no more.
+    Leaving,
+}
--- /dev/null
+++ b/crates/gateway/src/gate.rs
@@ -0,0 +1,40 @@
+//! The listener at which a balancer asks for readiness.
+
+use std::future::{Future, ready};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use pumicecleat_net::{Handler, Incoming, Reply, plain_reply};
+
+use crate::shared::Shared;
+
+/// Handler of the readiness listener.
+pub(crate) struct Gate {
+    shared: Rc<Shared>,
+}
+
+impl Gate {
+    pub(crate) fn new(shared: &Rc<Shared>) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+        }
+    }
+
+    fn reply(&self, request: &Incoming) -> Reply {
+        if request.uri().path() != self.shared.wire.ready_path() {
+            return plain_reply(404, "no such page\n");
+        }
+        if self.shared.readiness.is_ready() {
+            plain_reply(200, "ready\n")
+        } else {
+            plain_reply(503, "not ready\n")
+        }
+    }
+}
+
+impl Handler for Gate {
+    fn handle(&self, request: Incoming, _: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
+        Box::pin(ready(self.reply(&request)))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/meters.rs
@@ -0,0 +1,45 @@
+//! Metrics of the gateway.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use pumicecleat_ops::{Counter, Family, Histogram, Histograms, Metrics};
+
+/// Upper bounds of the times to the first and to the last byte of answers, s.
+const TIME_BUCKETS: &[f64] = &[
+    0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.8, 1.0, 1.5, 2.5, 5.0, 15.0,
+];
+
+/// Service and outcome of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OutcomeLabels {
+    pub(crate) service: String,
+    pub(crate) outcome: &'static str,
+}
+
+/// Service of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServiceLabels {
+    pub(crate) service: String,
+}
+
+/// Metrics of the gateway.
+pub(crate) struct Meters {
+    pub(crate) requests: Family<OutcomeLabels, Counter>,
+    pub(crate) repeats: Family<ServiceLabels, Counter>,
+    pub(crate) first: Histograms<ServiceLabels>,
+    pub(crate) turn: Histogram,
+}
+
+impl Meters {
+    pub(crate) fn new(metrics: &Metrics) -> Self {
+        Self {
+            requests: metrics.counters("requests", "Requests, by service and outcome"),
+            repeats: metrics.counters("repeats", "Sends beyond the first, by service"),
+            first: metrics.histograms(
+                "first_byte_seconds",
+                "Time to the first byte of an answer",
+                TIME_BUCKETS,
+            ),
+            turn: metrics.histogram("turn_seconds", "Wait for a turn at an engine", TIME_BUCKETS),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/job.rs
@@ -0,0 +1,101 @@
+//! A request that has its route and its service.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use pumicecleat_catalog::{Route, Standing, Upstream};
+use pumicecleat_types::{Millis, ServiceId};
+
+use super::head::strip;
+use super::trail::Trail;
+use crate::shared::Shared;
+use crate::{Attributes, Outgoing};
+
+/// A request that has its route and its service.
+pub(super) struct Job {
+    pub(super) shared: Rc<Shared>,
+    head: Parts,
+    body: Bytes,
+    pub(super) attributes: Attributes,
+    pub(super) route: Route,
+    pub(super) service: ServiceId,
+    pub(super) trail: Trail,
+    /// Instances that are not to be tried again.
+    pub(super) tried: Vec<String>,
+    /// Time by which there has to be a final answer.
+    pub(super) end: Millis,
+}
+
+impl Job {
+    pub(super) fn new(
+        shared: &Rc<Shared>,
+        mut head: Parts,
+        body: Vec<u8>,
+        attributes: Attributes,
+        route: Route,
+        service: ServiceId,
+        trail: Trail,
+    ) -> Self {
+        strip(&mut head.headers);
+        let limit = attributes.deadline_ms.unwrap_or(u64::MAX);
+        let span = limit.min(route.timeout_ms);
+        trail.set_service(&service);
+        Self {
+            shared: Rc::clone(shared),
+            head,
+            body: Bytes::from(body),
+            attributes,
+            end: trail.arrived + Millis(span),
+            route,
+            service,
+            trail,
+            tried: Vec::new(),
+        }
+    }
+
+    /// Time left until there has to be a final answer.
+    pub(super) fn left(&self) -> Millis {
+        self.end.since(self.shared.timer.now())
+    }
+
+    pub(super) fn left_span(&self) -> Duration {
+        Duration::from_millis(self.left().0)
+    }
+
+    pub(super) fn id(&self) -> &str {
+        self.attributes.request.as_deref().unwrap_or_default()
+    }
+
+    /// Upstreams that take requests and were not tried.
+    pub(super) fn candidates(&self) -> Vec<Upstream> {
+        let catalog = self.shared.catalog.borrow();
+        let ready = catalog.ready(&self.service);
+        let fresh = ready.filter(|u| !self.tried.contains(&u.instance));
+        let staying = fresh.filter(|u| !self.shared.table.with(&u.instance, |r| r.leaving));
+        staying.cloned().collect()
+    }
+
+    /// Whether `instance` still takes requests.
+    pub(super) fn is_ready(&self, instance: &str) -> bool {
+        let catalog = self.shared.catalog.borrow();
+        let listed = catalog.upstream(instance);
+        let ready = listed.is_some_and(|u| u.standing == Standing::Ready);
+        ready && !self.shared.table.with(instance, |r| r.leaving)
+    }
+
+    /// Head and body for one attempt.
+    pub(super) fn request(&self, outgoing: &Outgoing<'_>) -> http::Request<Bytes> {
+        let mut request = http::Request::new(self.body.clone());
+        *request.method_mut() = self.head.method.clone();
+        // Upstreams get the path and the query as the caller sent them.
+        let path = self.head.uri.path_and_query();
+        let uri = path.map(|p| http::Uri::from(p.clone()));
+        *request.uri_mut() = uri.unwrap_or_default();
+        let mut headers = self.head.headers.clone();
+        self.shared.wire.outgoing(&mut headers, outgoing);
+        *request.headers_mut() = headers;
+        request
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/mod.rs
@@ -0,0 +1,90 @@
+//! One request, from its route to its answer.
+
+mod head;
+mod job;
+mod model;
+mod plain;
+mod refuse;
+mod relay;
+mod send;
+mod trail;
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::header::CONNECTION;
+use pumicecleat_net::{Handler, Incoming, Reply, read_all};
+use rand::Rng;
+
+use crate::shared::Shared;
+use job::Job;
+use refuse::{Refusal, own_failure};
+use trail::Trail;
+
+/// Time for a caller's body to arrive. Callers press on a link for some seconds at most.
+const BODY_SPAN: Duration = Duration::from_secs(10);
+
+/// Handler of the callers' listener.
+#[derive(Clone)]
+pub(crate) struct CallerHandler {
+    shared: Rc<Shared>,
+}
+
+impl CallerHandler {
+    pub(crate) fn new(shared: &Rc<Shared>) -> Self {
+        Self {
+            shared: Rc::clone(shared),
+        }
+    }
+
+    async fn reply(self, request: Incoming) -> Reply {
+        let shared = self.shared;
+        let mut reply = answer(&shared, request).await;
+        if shared.stopping.get() {
+            let close = HeaderValue::from_static("close");
+            reply.headers_mut().insert(CONNECTION, close);
+        }
+        reply
+    }
+}
+
+impl Handler for CallerHandler {
+    fn handle(&self, request: Incoming, _: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
+        Box::pin(self.clone().reply(request))
+    }
+}
+
+async fn answer(shared: &Rc<Shared>, request: Incoming) -> Reply {
+    let arrived = shared.timer.now();
+    let (head, mut body) = request.into_parts();
+    let attributes = shared.wire.attributes(&head.headers);
+    let Some(layout) = shared.catalog.borrow().layout().cloned() else {
+        let trail = Trail::new(shared, &attributes, "", 0, arrived);
+        return Refusal::unknown().reply(&trail);
+    };
+    let found = layout.find(head::host(&head), head.uri.path()).cloned();
+    let Some(route) = found else {
+        let trail = Trail::new(shared, &attributes, "", layout.number, arrived);
+        return own_failure(&trail, 404, "no_route");
+    };
+    let trail = Trail::new(shared, &attributes, &route.name, layout.number, arrived);
+    let body = match read_all(&mut body, layout.limits.body, BODY_SPAN, &shared.timer).await {
+        Ok(body) => body,
+        Err(e) => return own_failure(&trail, e.status(), "body"),
+    };
+    let roll = shared.rng.borrow_mut().next_u64();
+    let Some(service) = route.pick(roll).cloned() else {
+        return Refusal::no_upstream().reply(&trail);
+    };
+    let engine = layout.engine(&service).is_some();
+    let job = Job::new(shared, head, body, attributes, route, service, trail);
+    if engine {
+        model::serve(job).await
+    } else {
+        plain::serve(job).await
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/model.rs
@@ -0,0 +1,240 @@
+//! Requests for model engines: a turn first, then straight to the engine.
+
+use pumicecleat_catalog::{Repeat, Upstream};
+use pumicecleat_net::Reply;
+use pumicecleat_policy::{EngineChoice, EngineView};
+use pumicecleat_types::{Millis, Turn, TurnAsk};
+
+use super::job::Job;
+use super::refuse::{Refusal, unsettled};
+use super::relay::pass;
+use super::send::{Attempt, LEAST_LEFT};
+use crate::side::{self, AgentLost};
+
+/// Engines asked for a turn by one request.
+const ASKS: u32 = 3;
+
+/// Wait for a first event after which callers leave, in objectives; they leave no sooner than
+/// [`LEAST_PATIENCE`].
+const PATIENCE: u64 = 4;
+
+/// Least such wait.
+const LEAST_PATIENCE: Millis = Millis(2_000);
+
+/// When to come back if no engine told it.
+const RETRY: Millis = Millis(500);
+
+/// Serves a request for a model engine.
+pub(super) async fn serve(mut job: Job) -> Reply {
+    job.shared.count_request(&job.service);
+    let mut progress = Progress::default();
+    loop {
+        if job.left().0 < LEAST_LEFT {
+            return give_up(&job, &progress, "deadline");
+        }
+        let Some((upstream, held)) = choose(&job) else {
+            return give_up(&job, &progress, "no_engine");
+        };
+        if progress.asks >= ASKS {
+            return give_up(&job, &progress, "no_turn");
+        }
+        progress.asks += 1;
+        match ask(&job, &upstream).await {
+            Ok(Turn::Go { version }) => match run(job, &upstream, version, &mut progress).await {
+                Ran::Reply(reply) => return reply,
+                Ran::Again(back) => job = *back,
+            },
+            Ok(Turn::No { reason, retry_ms }) => {
+                progress.refused(reason.as_str(), Millis(retry_ms));
+                job.tried.push(upstream.instance);
+            }
+            Err(AgentLost) if held => match run(job, &upstream, None, &mut progress).await {
+                Ran::Reply(reply) => return reply,
+                Ran::Again(back) => job = *back,
+            },
+            Err(AgentLost) => {
+                progress.refused("agent_lost", RETRY);
+                job.tried.push(upstream.instance);
+            }
+        }
+    }
+}
+
+/// How far a request has come.
+#[derive(Default)]
+struct Progress {
+    asks: u32,
+    sent: u32,
+    ran: bool,
+    reason: Option<&'static str>,
+    retry: Option<Millis>,
+}
+
+impl Progress {
+    fn refused(&mut self, reason: &'static str, retry: Millis) {
+        self.reason = Some(reason);
+        self.retry = Some(self.retry.map_or(retry, |r| r.min(retry)));
+    }
+}
+
+enum Ran {
+    Reply(Reply),
+    Again(Box<Job>),
+}
+
+async fn ask(job: &Job, upstream: &Upstream) -> Result<Turn, AgentLost> {
+    let from = job.shared.timer.now();
+    let model = job.attributes.model.clone();
+    let adapter = model.as_ref().and_then(|m| m.adapter.clone());
+    let turn = side::ask(
+        &job.shared,
+        upstream,
+        TurnAsk {
+            request: job.id().to_owned(),
+            instance: upstream.instance.clone(),
+            base: model.map(|m| m.base).unwrap_or_default(),
+            version: version(job).unwrap_or_default(),
+            adapter,
+            tokens: job.attributes.prompt,
+            priority: job.route.priority,
+            objective_ms: job.route.objective_ms,
+            patience_ms: patience(job).0,
+        },
+    )
+    .await;
+    let waited = job.shared.timer.now().since(from);
+    job.shared.meters.turn.observe(waited.as_secs());
+    turn
+}
+
+/// Newest version of the adapter wanted, if one was declared.
+fn version(job: &Job) -> Option<u64> {
+    let model = job.attributes.model.as_ref()?;
+    let adapter = model.adapter.as_ref()?;
+    let name = format!("{}/{adapter}", model.base);
+    job.shared.catalog.borrow().version(&name)
+}
+
+/// Time for which the caller still waits for the first event.
+fn patience(job: &Job) -> Millis {
+    let most = Millis(job.route.objective_ms * PATIENCE);
+    let most = most.max(LEAST_PATIENCE);
+    most.since(job.trail.age()).min(job.left())
+}
+
+fn choose(job: &Job) -> Option<(Upstream, bool)> {
+    let now = job.shared.timer.now();
+    let candidates = job.candidates();
+    let model = job.attributes.model.as_ref();
+    let adapter = model.and_then(|m| m.adapter.as_deref());
+    let views: Vec<EngineView> = candidates
+        .iter()
+        .map(|u| view(job, u, adapter, now))
+        .collect();
+    let choice = EngineChoice::new(pumicecleat_policy::name_key(adapter.unwrap_or_default()));
+    let at = choice.pick(&views)?;
+    Some((candidates[at].clone(), views[at].held))
+}
+
+fn view(job: &Job, upstream: &Upstream, adapter: Option<&str>, now: Millis) -> EngineView {
+    let oldest = version(job).unwrap_or_default();
+    job.shared.table.with(&upstream.instance, |r| {
+        let stale = r.fresh(now).is_none_or(|f| !f.ready);
+        let asked: u64 = r.asking.iter().map(|a| u64::from(a.tokens)).sum();
+        let figures = r.figures.as_ref().map(|f| &f.0);
+        let holds = |name: &str| {
+            figures.is_some_and(|f| f.held.iter().any(|h| h.0 == name && h.1 >= oldest))
+        };
+        let loads = |name: &str| figures.is_some_and(|f| f.loading.iter().any(|l| l == name));
+        EngineView {
+            key: pumicecleat_policy::name_key(&upstream.instance),
+            held: adapter.is_none_or(holds),
+            coming: adapter.is_some_and(loads),
+            spare: figures.map_or(0, |f| f.spare),
+            unread: figures.map_or(0, |f| f.unread) + asked,
+            rate: figures.map_or(1, |f| f.rate),
+            running: figures.map_or(0, |f| f.running),
+            stale,
+            remote: upstream.centre != job.shared.centre,
+            behind: if r.slots.is_behind(now) { 2_000 } else { 0 },
+        }
+    })
+}
+
+async fn run(
+    mut job: Job,
+    upstream: &Upstream,
+    held: Option<u64>,
+    progress: &mut Progress,
+) -> Ran {
+    let under_way = job
+        .shared
+        .table
+        .enter(&upstream.instance, Some(job.id()));
+    if !job.is_ready(&upstream.instance) {
+        job.tried.push(upstream.instance.clone());
+        return Ran::Again(Box::new(job));
+    }
+    if progress.sent > 0 && !job.shared.may_repeat(&job.service) {
+        return Ran::Reply(give_up(&job, progress, "repeat_bound"));
+    }
+    progress.sent += 1;
+    let version = version(&job).max(held);
+    let span = job.left_span();
+    let attempt = job.send(upstream, version, span).await;
+    let again = job.route.repeat != Repeat::Never && progress.sent < job.route.attempts;
+    match attempt {
+        Attempt::Answer(response) => {
+            let ok = response.status() < 500;
+            if !ok {
+                fail(&job, upstream);
+            }
+            return Ran::Reply(pass(response, Vec::new(), job.trail, under_way));
+        }
+        Attempt::NotRun(heard) => {
+            job.trail.lost("refused by engine", false, true, "");
+            let retry = heard.retry_ms.map_or(RETRY, Millis);
+            progress.refused("engine_refused", retry);
+        }
+        Attempt::NotSent(e) => {
+            progress.sent -= 1;
+            fail(&job, upstream);
+            job.trail.lost("send", false, true, &e);
+            progress.refused("not_sent", RETRY);
+        }
+        Attempt::Lost(e) => {
+            progress.ran = true;
+            fail(&job, upstream);
+            job.trail.lost("await answer", true, again, &e);
+            if !again {
+                return Ran::Reply(give_up(&job, progress, "no_answer"));
+            }
+        }
+        Attempt::Late => {
+            progress.ran = true;
+            fail(&job, upstream);
+            job.trail.lost("await answer", true, false, "deadline");
+            return Ran::Reply(give_up(&job, progress, "deadline"));
+        }
+    }
+    job.tried.push(upstream.instance.clone());
+    Ran::Again(Box::new(job))
+}
+
+fn fail(job: &Job, upstream: &Upstream) {
+    let now = job.shared.timer.now();
+    job.shared
+        .table
+        .with(&upstream.instance, |r| r.slots.failed(now));
+}
+
+/// Final answer without an engine's.
+fn give_up(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
+    if progress.ran {
+        let status = if job.left().0 < LEAST_LEFT { 504 } else { 502 };
+        return unsettled(&job.trail, status, reason);
+    }
+    let reason = progress.reason.unwrap_or(reason);
+    let retry = progress.retry.unwrap_or(RETRY);
+    Refusal::new(reason, retry).reply(&job.trail)
+}
--- /dev/null
+++ b/crates/gateway/src/request/refuse.rs
@@ -0,0 +1,63 @@
+//! Answers of the gateway's own.
+
+use http::HeaderValue;
+use http::header::RETRY_AFTER;
+use pumicecleat_net::{Reply, plain_reply};
+use pumicecleat_types::Millis;
+
+use super::trail::Trail;
+
+/// When to come back if no upstream or no configuration is known: lists are read within a second.
+const UNKNOWN_RETRY: Millis = Millis(500);
+
+/// A refusal of a request that has not run and won't.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Refusal {
+    pub(super) reason: &'static str,
+    pub(super) retry: Millis,
+}
+
+impl Refusal {
+    /// No configuration is known yet.
+    pub(super) fn unknown() -> Self {
+        Self {
+            reason: "no_layout",
+            retry: UNKNOWN_RETRY,
+        }
+    }
+
+    /// No upstream takes requests.
+    pub(super) fn no_upstream() -> Self {
+        Self {
+            reason: "no_upstream",
+            retry: UNKNOWN_RETRY,
+        }
+    }
+
+    pub(super) fn new(reason: &'static str, retry: Millis) -> Self {
+        Self { reason, retry }
+    }
+
+    /// Answer 503 with the time to come back.
+    pub(super) fn reply(self, trail: &Trail) -> Reply {
+        trail.turned_down(503, self.reason, self.retry);
+        let mut reply = plain_reply(503, "not run; come back later\n");
+        let seconds = format!("{:.2}", self.retry.as_secs());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            reply.headers_mut().insert(RETRY_AFTER, value);
+        }
+        reply
+    }
+}
+
+/// Answer to a request that is wrong by itself, or for which there is no route.
+pub(super) fn own_failure(trail: &Trail, status: u16, reason: &str) -> Reply {
+    trail.turned_down(status, reason, Millis(0));
+    plain_reply(status, "request not passed on\n")
+}
+
+/// Answer to a request that was sent and may have run.
+pub(super) fn unsettled(trail: &Trail, status: u16, reason: &str) -> Reply {
+    trail.unsettled(status, reason);
+    plain_reply(status, "sent, and without a whole answer\n")
+}
--- /dev/null
+++ b/crates/gateway/src/request/send.rs
@@ -0,0 +1,78 @@
+//! One attempt: a request at one instance, up to the head of its answer.
+
+use std::time::Duration;
+
+use pumicecleat_catalog::Upstream;
+use pumicecleat_net::{Response, Sent};
+
+use super::job::Job;
+use crate::{Heard, Outgoing};
+
+/// Least time that is worth a send.
+pub(super) const LEAST_LEFT: u64 = 20;
+
+/// How one attempt ended.
+pub(super) enum Attempt {
+    /// An answer to pass on, its body still to come.
+    Answer(Response),
+    /// Did not run there, by the upstream's own word.
+    NotRun(Heard),
+    /// Not a byte left.
+    NotSent(String),
+    /// No answer; it may have run.
+    Lost(String),
+    /// No answer in the time given; it may have run.
+    Late,
+}
+
+impl Job {
+    /// Sends the request to `upstream` and gives the head of the answer, if it comes in `span`.
+    pub(super) async fn send(
+        &self,
+        upstream: &Upstream,
+        version: Option<u64>,
+        span: Duration,
+    ) -> Attempt {
+        self.trail.attempt(&upstream.instance);
+        let priority = version.map(|_| self.route.priority);
+        let outgoing = Outgoing {
+            instance: &upstream.instance,
+            deadline_ms: self.left().0,
+            version,
+            priority: priority.or(Some(self.route.priority)),
+            after: None,
+        };
+        let request = self.request(&outgoing);
+        let peer = upstream.address.to_string();
+        let response = match self.shared.client.send(&peer, request, span).await {
+            Ok(response) => response,
+            Err(e) if e.sent() == Sent::No => return Attempt::NotSent(e.to_string()),
+            Err(pumicecleat_net::NetError::AnswerTimeout { .. }) => return Attempt::Late,
+            Err(e) => return Attempt::Lost(e.to_string()),
+        };
+        self.judge(upstream, response)
+    }
+
+    fn judge(&self, upstream: &Upstream, response: Response) -> Attempt {
+        let heard = self
+            .shared
+            .wire
+            .heard(response.status(), response.headers());
+        if heard.request.is_some() && heard.request.as_deref() != Some(self.id()) {
+            // A connection that carries another request's answer is dropped with it.
+            return Attempt::Lost("answer to another request".to_owned());
+        }
+        if heard.other_instance {
+            self.shared.seen_leaving(&upstream.instance, "other instance");
+            return Attempt::NotRun(heard);
+        }
+        if let Some(load) = heard.load {
+            let now = self.shared.timer.now();
+            self.shared.table.told(&upstream.instance, load, now);
+        }
+        if heard.not_run {
+            return Attempt::NotRun(heard);
+        }
+        Attempt::Answer(response)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/trail.rs
@@ -0,0 +1,174 @@
+//! What one request has been through, and the line about its end.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use pumicecleat_ops::{DrainGuard, events, field};
+use pumicecleat_types::{Millis, RequestId, ServiceId};
+
+use crate::Attributes;
+use crate::meters::{OutcomeLabels, ServiceLabels};
+use crate::shared::Shared;
+
+/// Tells a request's end once; a trail that is dropped before tells that the caller left.
+pub(super) struct Trail {
+    pub(super) shared: Rc<Shared>,
+    pub(super) request: String,
+    route: String,
+    layout: u64,
+    pub(super) arrived: Millis,
+    service: RefCell<String>,
+    instance: RefCell<String>,
+    attempts: Cell<u32>,
+    first: Cell<Option<Millis>>,
+    told: Cell<bool>,
+    _open: DrainGuard,
+}
+
+impl Trail {
+    pub(super) fn new(
+        shared: &Rc<Shared>,
+        attributes: &Attributes,
+        route: &str,
+        layout: u64,
+        arrived: Millis,
+    ) -> Self {
+        let request = attributes.request.clone().unwrap_or_default();
+        let id = RequestId::from(request.as_str());
+        Self {
+            shared: Rc::clone(shared),
+            request,
+            route: route.to_owned(),
+            layout,
+            arrived,
+            service: RefCell::default(),
+            instance: RefCell::default(),
+            attempts: Cell::new(0),
+            first: Cell::new(None),
+            told: Cell::new(false),
+            _open: shared.drain.enter(&id),
+        }
+    }
+
+    pub(super) fn set_service(&self, service: &ServiceId) {
+        self.service.replace(service.to_string());
+    }
+
+    /// An attempt goes to `instance`.
+    pub(super) fn attempt(&self, instance: &str) {
+        self.attempts.set(self.attempts.get() + 1);
+        self.instance.replace(instance.to_owned());
+    }
+
+    pub(super) fn attempts(&self) -> u32 {
+        self.attempts.get()
+    }
+
+    /// The answer's first byte was passed on.
+    pub(super) fn first(&self) {
+        if self.first.get().is_some() {
+            return;
+        }
+        let age = self.age();
+        self.first.set(Some(age));
+        let service = self.service.borrow().clone();
+        let labels = ServiceLabels { service };
+        let meter = self.shared.meters.first.get_or_create(&labels);
+        meter.observe(age.as_secs());
+    }
+
+    pub(super) fn age(&self) -> Millis {
+        self.shared.timer.now().since(self.arrived)
+    }
+
+    /// An upstream's answer was passed on.
+    pub(super) fn passed_on(&self, status: u16, whole: bool) {
+        self.count(if whole { "passed_on" } else { "broken" });
+        let first = self.first.get().unwrap_or_else(|| self.age());
+        let instance = self.instance.borrow();
+        let fields = [
+            field("request", self.request.as_str()),
+            field("route", self.route.as_str()),
+            field("instance", instance.as_str()),
+            field("status", status),
+            field("attempts", self.attempts.get()),
+            field("first_ms", first.0),
+            field("total_ms", self.age().0),
+            field("layout", self.layout),
+            field("whole", whole),
+        ];
+        self.shared.log.emit(&events::PASSED_ON, &fields);
+    }
+
+    /// The request was refused as not run.
+    pub(super) fn turned_down(&self, status: u16, reason: &str, retry: Millis) {
+        self.count("turned_down");
+        let fields = [
+            field("request", self.request.as_str()),
+            field("route", self.route.as_str()),
+            field("reason", reason),
+            field("status", status),
+            field("retry_ms", retry.0),
+            field("attempts", self.attempts.get()),
+            field("age_ms", self.age().0),
+            field("layout", self.layout),
+        ];
+        self.shared.log.emit(&events::TURNED_DOWN, &fields);
+    }
+
+    /// The request failed and may have run.
+    pub(super) fn unsettled(&self, status: u16, reason: &str) {
+        self.count("unsettled");
+        let instance = self.instance.borrow();
+        let fields = [
+            field("request", self.request.as_str()),
+            field("route", self.route.as_str()),
+            field("instance", instance.as_str()),
+            field("reason", reason),
+            field("status", status),
+            field("attempts", self.attempts.get()),
+            field("age_ms", self.age().0),
+            field("layout", self.layout),
+        ];
+        self.shared.log.emit(&events::UNSETTLED, &fields);
+    }
+
+    /// One attempt gave nothing to pass on.
+    pub(super) fn lost(&self, step: &str, ran: bool, again: bool, error: &str) {
+        let instance = self.instance.borrow();
+        let fields = [
+            field("request", self.request.as_str()),
+            field("instance", instance.as_str()),
+            field("step", step),
+            field("ran", ran),
+            field("age_ms", self.age().0),
+            field("again", again),
+            field("error", error),
+        ];
+        self.shared.log.emit(&events::ATTEMPT_LOST, &fields);
+    }
+
+    fn count(&self, outcome: &'static str) {
+        self.told.set(true);
+        let service = self.service.borrow().clone();
+        let labels = OutcomeLabels { service, outcome };
+        self.shared.meters.requests.get_or_create(&labels).inc();
+    }
+}
+
+impl Drop for Trail {
+    fn drop(&mut self) {
+        if self.told.get() {
+            return;
+        }
+        self.count("caller_left");
+        let instance = self.instance.borrow();
+        let fields = [
+            field("request", self.request.as_str()),
+            field("route", self.route.as_str()),
+            field("instance", instance.as_str()),
+            field("age_ms", self.age().0),
+        ];
+        self.shared.log.emit(&events::CALLER_LEFT, &fields);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,97 @@
+//! State that the gateway's parts share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use pumicecleat_catalog::{Applied, Follow, Shared as Catalog, Topic};
+use pumicecleat_net::{Client, Timer};
+use pumicecleat_ops::{Drain, Log, Readiness, events, field};
+use pumicecleat_policy::{RepeatOptions, RepeatWindow};
+use pumicecleat_types::{DataCentre, ServiceId};
+use rand_chacha::ChaCha8Rng;
+
+use crate::Wire;
+use crate::meters::{Meters, ServiceLabels};
+use crate::table::Table;
+
+/// Readiness condition of the configuration.
+pub(crate) const LAYOUT: &str = "layout";
+
+/// Readiness condition that ends with a stop.
+pub(crate) const RUNNING: &str = "running";
+
+/// What the gateway's parts share.
+pub(crate) struct Shared {
+    pub(crate) timer: Timer,
+    pub(crate) log: Log,
+    pub(crate) centre: DataCentre,
+    pub(crate) agent_port: u16,
+    pub(crate) wire: Rc<dyn Wire>,
+    pub(crate) catalog: Catalog,
+    pub(crate) table: Rc<Table>,
+    /// Client for upstreams.
+    pub(crate) client: Client,
+    /// Client for agents.
+    pub(crate) agents: Client,
+    pub(crate) repeat: RepeatOptions,
+    pub(crate) windows: RefCell<BTreeMap<ServiceId, RepeatWindow>>,
+    pub(crate) rng: RefCell<ChaCha8Rng>,
+    pub(crate) readiness: Readiness,
+    pub(crate) drain: Drain,
+    pub(crate) meters: Meters,
+    /// A stop was asked for.
+    pub(crate) stopping: Cell<bool>,
+}
+
+impl Shared {
+    /// Counts the first send of a request to `service`.
+    pub(crate) fn count_request(&self, service: &ServiceId) {
+        let now = self.timer.now();
+        self.window(service, |w| w.request(now));
+    }
+
+    /// Takes one more send of a request to `service` from the bound, if it allows one.
+    pub(crate) fn may_repeat(&self, service: &ServiceId) -> bool {
+        let now = self.timer.now();
+        let allowed = self.window(service, |w| w.repeat(now));
+        if allowed {
+            let service = service.to_string();
+            let labels = ServiceLabels { service };
+            self.meters.repeats.get_or_create(&labels).inc();
+        }
+        allowed
+    }
+
+    fn window<T>(&self, service: &ServiceId, look: impl FnOnce(&mut RepeatWindow) -> T) -> T {
+        let mut windows = self.windows.borrow_mut();
+        let window = windows
+            .entry(service.clone())
+            .or_insert_with(|| RepeatWindow::new_ext(self.repeat));
+        look(window)
+    }
+
+    /// Notes that an upstream said itself that it leaves.
+    pub(crate) fn seen_leaving(&self, instance: &str, sign: &'static str) {
+        let known = self
+            .table
+            .with(instance, |r| std::mem::replace(&mut r.leaving, true));
+        if !known {
+            let fields = [field("instance", instance), field("sign", sign)];
+            self.log.emit(&events::SEEN_LEAVING, &fields);
+        }
+    }
+}
+
+impl Follow for Shared {
+    fn applied(&self, applied: &Applied) {
+        match applied {
+            Applied::Layout { .. } => self.readiness.hold(LAYOUT),
+            Applied::Gone { instance } => self.table.forget(instance),
+            _ => {}
+        }
+    }
+}
+
+/// Topics that a gateway follows.
+pub(crate) const TOPICS: [Topic; 2] = [Topic::Operators, Topic::Upstreams];
--- /dev/null
+++ b/crates/gateway/src/side.rs
@@ -0,0 +1,188 @@
+//! Exchanges with the agents beside engines: turns, news and figures.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_catalog::Upstream;
+use pumicecleat_net::{NetError, post};
+use pumicecleat_ops::{events, field};
+use pumicecleat_types::{Millis, RunNews, Turn, TurnAsk, TurnCall, TurnReply};
+
+use crate::shared::Shared;
+use crate::table::Asking;
+
+/// Path of the one exchange.
+const TURN_PATH: &str = "/peer/v1/turn";
+
+/// Pause between two looks at who has to be told something.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// Time after which news go out; an agent counts prompts as unread until then.
+const NEWS_SPAN: Millis = Millis(50);
+
+/// Time between two exchanges without news. Figures older than a few prompts' time place badly.
+const SYNC_SPAN: Millis = Millis(200);
+
+/// Time for an exchange without an ask. A sound agent answers in a few milliseconds.
+const CALL_SPAN: Duration = Duration::from_millis(500);
+
+/// Silence after which an agent counts as lost, and asks under way there are given up.
+const SILENCE: Millis = Millis(700);
+
+/// Step in which a waiting ask looks whether its agent is still there.
+const ASK_STEP: Duration = Duration::from_millis(100);
+
+/// Time that an ask may take beyond its caller's patience.
+const ASK_MARGIN: Millis = Millis(200);
+
+/// An ask without an outcome.
+pub(crate) struct AgentLost;
+
+/// Keeps figures fresh and delivers news, for good.
+pub(crate) async fn sync(shared: Rc<Shared>) {
+    loop {
+        let now = shared.timer.now();
+        for upstream in engines(&shared) {
+            if is_due(&shared, &upstream.instance, now) {
+                let shared = Rc::clone(&shared);
+                monoio::spawn(async move { sync_one(&shared, &upstream).await });
+            }
+        }
+        shared.timer.sleep(LOOK).await;
+    }
+}
+
+/// Listed upstreams that are model engines.
+fn engines(shared: &Shared) -> Vec<Upstream> {
+    let catalog = shared.catalog.borrow();
+    let Some(layout) = catalog.layout() else {
+        return Vec::new();
+    };
+    let is_engine = |u: &&Upstream| layout.engine(&u.service).is_some();
+    catalog.upstreams().filter(is_engine).cloned().collect()
+}
+
+fn is_due(shared: &Shared, instance: &str, now: Millis) -> bool {
+    shared.table.with(instance, |r| {
+        let age = now.since(r.synced);
+        let due = r.heard.is_none() || age >= SYNC_SPAN || (r.has_news() && age >= NEWS_SPAN);
+        let due = due && !r.syncing && (age >= NEWS_SPAN || r.synced == Millis(0));
+        if due {
+            r.syncing = true;
+            r.synced = now;
+        }
+        due
+    })
+}
+
+async fn sync_one(shared: &Shared, upstream: &Upstream) {
+    let news = shared.table.with(&upstream.instance, |r| r.take_news());
+    let call = TurnCall {
+        news: news.clone(),
+        ask: None,
+    };
+    let result = exchange(shared, upstream, &call, CALL_SPAN).await;
+    if result.is_err() {
+        shared.table.with(&upstream.instance, |r| {
+            for news in news {
+                r.tell(news);
+            }
+        });
+    }
+    shared
+        .table
+        .with(&upstream.instance, |r| r.syncing = false);
+}
+
+/// Asks for a turn at `upstream`; waits until it has an outcome or the agent is lost.
+pub(crate) async fn ask(
+    shared: &Shared,
+    upstream: &Upstream,
+    ask: TurnAsk,
+) -> Result<Turn, AgentLost> {
+    let now = shared.timer.now();
+    let asking = Asking {
+        at: now,
+        tokens: ask.tokens,
+    };
+    let news: Vec<RunNews> = shared.table.with(&upstream.instance, |r| {
+        r.asking.push(asking);
+        r.take_news()
+    });
+    let span = Duration::from_millis((Millis(ask.patience_ms) + ASK_MARGIN).0);
+    let call = TurnCall {
+        news,
+        ask: Some(ask),
+    };
+    let mut exchange = Box::pin(exchange(shared, upstream, &call, span));
+    loop {
+        match shared.timer.within(ASK_STEP, &mut exchange).await {
+            Ok(Ok(reply)) => return reply.turn.ok_or(AgentLost),
+            Ok(Err(_)) => return Err(AgentLost),
+            Err(_) if is_silent(shared, &upstream.instance) => return Err(AgentLost),
+            Err(_) => {}
+        }
+    }
+}
+
+fn is_silent(shared: &Shared, instance: &str) -> bool {
+    let now = shared.timer.now();
+    let heard = shared.table.with(instance, |r| r.heard);
+    heard.is_none_or(|at| now.since(at) > SILENCE)
+}
+
+async fn exchange(
+    shared: &Shared,
+    upstream: &Upstream,
+    call: &TurnCall,
+    span: Duration,
+) -> Result<TurnReply, NetError> {
+    let address = SocketAddr::new(upstream.address.ip(), shared.agent_port);
+    let sent = shared.timer.now();
+    let peer = address.to_string();
+    let result: Result<TurnReply, NetError> =
+        post(&shared.agents, &peer, TURN_PATH, call, span).await;
+    match &result {
+        Ok(reply) => note_heard(shared, upstream, reply, sent),
+        Err(e) => note_lost(shared, upstream, e),
+    }
+    result
+}
+
+fn note_heard(shared: &Shared, upstream: &Upstream, reply: &TurnReply, sent: Millis) {
+    let now = shared.timer.now();
+    let silent = shared.table.with(&upstream.instance, |r| {
+        r.heard = Some(now);
+        r.silent.take()
+    });
+    if let Some(since) = silent {
+        let silent_ms = now.since(since).0;
+        let fields = [
+            field("side", upstream.instance.as_str()),
+            field("silent_ms", silent_ms),
+        ];
+        shared.log.emit(&events::SIDE_BACK, &fields);
+    }
+    if reply.figures.instance == upstream.instance {
+        shared.table.with(&upstream.instance, |r| {
+            r.asking.retain(|a| a.at > sent);
+            r.figures = Some((reply.figures.clone(), now));
+        });
+    }
+}
+
+fn note_lost(shared: &Shared, upstream: &Upstream, error: &NetError) {
+    let now = shared.timer.now();
+    let known = shared.table.with(&upstream.instance, |r| {
+        let silent = r.heard.is_none_or(|at| now.since(at) > SILENCE);
+        !silent || r.silent.replace(r.silent.unwrap_or(now)).is_some()
+    });
+    if !known {
+        let fields = [
+            field("side", upstream.instance.as_str()),
+            field("error", error),
+        ];
+        shared.log.emit(&events::SIDE_LOST, &fields);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/start.rs
@@ -0,0 +1,280 @@
+//! Putting a gateway together, and its stop.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_catalog::{Catalog, Dialect, Follow, FollowSettings, follow};
+use pumicecleat_infra::KeyedLog;
+use pumicecleat_net::{Client, ClientOptions, Handler, Server, ServerOptions, Timer, bind};
+use pumicecleat_ops::{Admin, Drain, Dump, Log, Metrics, Readiness, Stop, events, field};
+use pumicecleat_policy::RepeatOptions;
+use pumicecleat_types::Millis;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use snafu::{ResultExt, Snafu};
+
+use crate::gate::Gate;
+use crate::meters::Meters;
+use crate::request::CallerHandler;
+use crate::shared::{LAYOUT, RUNNING, Shared, TOPICS};
+use crate::table::Table;
+use crate::{GatewaySettings, Wire, side};
+
+/// Time for a connection to an upstream or an agent: over a hundred ways between data centres, and
+/// short enough to try another within any objective.
+const CONNECT_SPAN: Duration = Duration::from_millis(250);
+
+/// Idle connections kept for one upstream. Half of an upstream's limit, shared by eight gateways.
+const IDLE: usize = 6;
+
+/// Part of the grace after which idle connections are closed: callers have been told with each
+/// answer until then, and know other gateways.
+const CLOSE_PART: f64 = 0.4;
+
+/// Part of the grace after which the process ends in any case.
+const END_PART: f64 = 0.93;
+
+/// Pause between two looks for upstreams that did not come back.
+const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Part of the ratio of repeats that is used: windows of several gateways don't begin together.
+const RATIO_PART: f64 = 0.9;
+
+/// The deployment, as a gateway needs it.
+#[derive(Clone)]
+pub struct GatewayParts {
+    /// Log of the deployment.
+    pub store: Rc<dyn KeyedLog>,
+    /// Form of its records.
+    pub dialect: Rc<dyn Dialect>,
+    /// Form of heads.
+    pub wire: Rc<dyn Wire>,
+}
+
+/// A gateway that can't start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// A listener can't be bound.
+    #[snafu(display("step bind, listener {purpose}, address {address}: {source}"))]
+    Bind {
+        /// Use of the listener.
+        purpose: &'static str,
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+}
+
+/// A running gateway.
+pub struct Gateway {
+    shared: Rc<Shared>,
+    callers: Server,
+    grace: Duration,
+}
+
+struct State {
+    shared: Rc<Shared>,
+}
+
+impl Dump for State {
+    fn dump(&self) -> serde_json::Value {
+        let catalog = self.shared.catalog.borrow();
+        let now = self.shared.timer.now();
+        let upstreams: Vec<serde_json::Value> = catalog
+            .upstreams()
+            .map(|u| {
+                self.shared.table.with(&u.instance, |r| {
+                    serde_json::json!({
+                        "instance": u.instance,
+                        "service": u.service.as_str(),
+                        "own": r.own,
+                        "leaving": r.leaving,
+                        "figures": r.figures.as_ref().map(|f| &f.0),
+                        "figures_age_ms": r.figures.as_ref().map(|f| now.since(f.1).0),
+                    })
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "layout": catalog.layout().map(|l| l.number),
+            "upstreams": upstreams,
+            "open": self.shared.drain.count(),
+        })
+    }
+}
+
+impl Gateway {
+    /// Starts a gateway on this loop.
+    ///
+    /// # Errors
+    /// [`StartError`] if a listener can't be bound.
+    pub fn start(
+        settings: &GatewaySettings,
+        parts: &GatewayParts,
+        timer: &Timer,
+        log: &Log,
+    ) -> Result<Self, StartError> {
+        let metrics = Metrics::new();
+        let shared = share(settings, parts, timer, log, &metrics);
+        let state = Rc::new(State {
+            shared: Rc::clone(&shared),
+        });
+        let admin = Rc::new(Admin::new(&metrics, &shared.readiness, state));
+        let few = ServerOptions::default();
+        listen("admin", settings.common.admin, admin, few, &shared)?;
+        let gate = Rc::new(Gate::new(&shared));
+        listen("readiness", settings.ready_listen, gate, few, &shared)?;
+        let many = ServerOptions {
+            connections: settings.connections,
+            fields: 100,
+            ..ServerOptions::default()
+        };
+        let handler = Rc::new(CallerHandler::new(&shared));
+        let callers = listen("callers", settings.listen, handler, many, &shared)?;
+        spawn_loops(&shared, settings, parts);
+        shared.readiness.hold(RUNNING);
+        Ok(Self {
+            shared,
+            callers,
+            grace: settings.grace.0,
+        })
+    }
+
+    /// Runs until a stop is asked for and the answers under way have ended, or the grace is over.
+    pub async fn run(self, stop: &Stop) {
+        stop.first().await;
+        let shared = &self.shared;
+        let from = shared.timer.now();
+        shared.readiness.fail(RUNNING, "stop asked for");
+        shared.stopping.set(true);
+        let open = shared.drain.count();
+        shared
+            .log
+            .emit(&events::DRAIN_STARTED, &[field("open", open)]);
+        shared.timer.sleep(self.grace.mul_f64(CLOSE_PART)).await;
+        self.callers.stop();
+        let left = self.grace.mul_f64(END_PART - CLOSE_PART);
+        // Requests that still run then are cut by the process's end, which the grace demands.
+        let _ = shared.timer.within(left, self.callers.closed()).await;
+        let took = shared.timer.now().since(from).0;
+        let cut = shared.drain.count();
+        shared
+            .log
+            .emit(&events::DRAIN_FINISHED, &[field("took_ms", took)]);
+        shared
+            .log
+            .emit_last(&events::STOPPED, &[field("cut", cut)]);
+    }
+}
+
+fn share(
+    settings: &GatewaySettings,
+    parts: &GatewayParts,
+    timer: &Timer,
+    log: &Log,
+    metrics: &Metrics,
+) -> Rc<Shared> {
+    let client = ClientOptions {
+        connect_span: CONNECT_SPAN,
+        idle: IDLE,
+        ..ClientOptions::default()
+    };
+    let seed = pumicecleat_policy::upstream_key(&settings.common.vm);
+    Rc::new(Shared {
+        timer: timer.clone(),
+        log: log.clone(),
+        centre: settings.common.centre.clone(),
+        agent_port: settings.agent_port,
+        wire: Rc::clone(&parts.wire),
+        catalog: Rc::default(),
+        table: Rc::new(Table::default()),
+        client: Client::new_ext(client, timer),
+        agents: Client::new_ext(client, timer),
+        repeat: repeat(settings),
+        windows: RefCell::new(BTreeMap::new()),
+        rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+        readiness: Readiness::new(&[LAYOUT, RUNNING], log),
+        drain: Drain::new(),
+        meters: Meters::new(metrics),
+        stopping: Cell::new(false),
+    })
+}
+
+/// This gateway's part of the bound that all keep together.
+fn repeat(settings: &GatewaySettings) -> RepeatOptions {
+    let window = u64::try_from(settings.repeat_window.0.as_millis()).unwrap_or(u64::MAX);
+    RepeatOptions {
+        window: Millis(window),
+        ratio: f64::from(settings.repeat_percent) / 100.0 * RATIO_PART,
+        slack: f64::from(settings.repeat_slack) / f64::from(settings.gateways.max(1)),
+    }
+}
+
+fn spawn_loops(shared: &Rc<Shared>, settings: &GatewaySettings, parts: &GatewayParts) {
+    for topic in TOPICS {
+        let listener: Rc<dyn Follow> = shared.clone();
+        let options = FollowSettings {
+            wait: settings.store_wait.0,
+            seed: pumicecleat_policy::upstream_key(&settings.common.vm),
+        };
+        monoio::spawn(follow(
+            Rc::clone(&shared.catalog),
+            topic,
+            Rc::clone(&parts.store),
+            Rc::clone(&parts.dialect),
+            listener,
+            options,
+            shared.timer.clone(),
+            shared.log.clone(),
+        ));
+    }
+    monoio::spawn(side::sync(Rc::clone(shared)));
+    monoio::spawn(expire(Rc::clone(shared)));
+}
+
+/// Forgets upstreams whose entries did not come back after an outage of the list.
+async fn expire(shared: Rc<Shared>) {
+    loop {
+        shared.timer.sleep(EXPIRE_PAUSE).await;
+        let now = shared.timer.now();
+        let gone = Catalog::expire(&mut shared.catalog.borrow_mut(), now);
+        for applied in &gone {
+            shared.applied(applied);
+        }
+    }
+}
+
+fn listen(
+    purpose: &'static str,
+    address: SocketAddr,
+    handler: Rc<dyn Handler>,
+    options: ServerOptions,
+    shared: &Shared,
+) -> Result<Server, StartError> {
+    let log = &shared.log;
+    let bound = bind(address);
+    match &bound {
+        Ok(_) => {
+            let fields = [field("purpose", purpose), field("address", &address)];
+            log.emit(&events::LISTENING, &fields);
+        }
+        Err(e) => {
+            let fields = [
+                field("purpose", purpose),
+                field("address", &address),
+                field("error", e),
+            ];
+            log.emit_last(&events::BIND_FAILED, &fields);
+        }
+    }
+    let listener = bound.context(BindSnafu { purpose, address })?;
+    let server = Server::new_ext(options, handler, &shared.timer);
+    let accepting = server.clone();
+    monoio::spawn(async move { accepting.serve(listener).await });
+    Ok(server)
+}
--- /dev/null
+++ b/crates/gateway/src/table/mod.rs
@@ -0,0 +1,81 @@
+//! What is believed of each upstream, beside what the list tells.
+//!
+//! All of it is soft state: own requests under way, answers' times, failures, and what agents told of
+//! their engines. It begins empty and is forgotten with the instance.
+
+mod record;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use pumicecleat_types::{Millis, RunNews};
+
+use crate::Load;
+pub(crate) use record::{Asking, Record};
+
+/// Upstreams by instance.
+#[derive(Default)]
+pub(crate) struct Table {
+    records: RefCell<BTreeMap<String, Record>>,
+}
+
+/// A request under way at an upstream, until dropped.
+pub(crate) struct UnderWay {
+    table: Rc<Table>,
+    instance: String,
+    request: Option<String>,
+}
+
+impl Table {
+    /// Looks at, or changes, what is believed of `instance`.
+    pub(crate) fn with<T>(&self, instance: &str, look: impl FnOnce(&mut Record) -> T) -> T {
+        let mut records = self.records.borrow_mut();
+        if let Some(record) = records.get_mut(instance) {
+            return look(record);
+        }
+        look(records.entry(instance.to_owned()).or_default())
+    }
+
+    pub(crate) fn forget(&self, instance: &str) {
+        self.records.borrow_mut().remove(instance);
+    }
+
+    /// Counts a request as under way. With its id, an agent is told of its end.
+    pub(crate) fn enter(self: &Rc<Self>, instance: &str, request: Option<&str>) -> UnderWay {
+        self.with(instance, |r| r.own += 1);
+        UnderWay {
+            table: Rc::clone(self),
+            instance: instance.to_owned(),
+            request: request.map(ToOwned::to_owned),
+        }
+    }
+
+    /// Notes an upstream's own word on its load.
+    pub(crate) fn told(&self, instance: &str, load: Load, now: Millis) {
+        self.with(instance, |r| r.load = Some((load, now)));
+    }
+}
+
+impl UnderWay {
+    /// Its answer has begun.
+    pub(crate) fn begun(&self) {
+        self.tell(false);
+    }
+
+    fn tell(&self, ended: bool) {
+        let Some(request) = self.request.clone() else {
+            return;
+        };
+        let news = RunNews { request, ended };
+        self.table.with(&self.instance, |r| r.tell(news));
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.tell(true);
+        self.table
+            .with(&self.instance, |r| r.own = r.own.saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/table/record.rs
@@ -0,0 +1,81 @@
+//! What is believed of one upstream.
+
+use pumicecleat_policy::{SlotChoice, SlotView};
+use pumicecleat_types::{EngineFigures, Millis, RunNews};
+
+use crate::Load;
+
+/// News kept for an agent that does not answer; it learns the rest from the engine's report.
+const NEWS: usize = 512;
+
+/// Age up to which an agent's figures are relied on. Agents are asked every 200 ms.
+const FIGURES_SPAN: Millis = Millis(700);
+
+/// What is believed of one upstream.
+#[derive(Default)]
+pub(crate) struct Record {
+    /// Own requests under way.
+    pub(crate) own: u32,
+    /// Times and failures of its answers.
+    pub(crate) slots: SlotChoice,
+    /// Load by its own word, and when that came.
+    pub(crate) load: Option<(Load, Millis)>,
+    /// Engine's figures by its agent, and when they came.
+    pub(crate) figures: Option<(EngineFigures, Millis)>,
+    /// Own asks that the figures don't show yet.
+    pub(crate) asking: Vec<Asking>,
+    /// Said itself that it leaves.
+    pub(crate) leaving: bool,
+    /// News for its agent.
+    news: Vec<RunNews>,
+    /// An exchange with its agent is under way.
+    pub(crate) syncing: bool,
+    /// Last exchange with its agent began.
+    pub(crate) synced: Millis,
+    /// Agent last answered.
+    pub(crate) heard: Option<Millis>,
+    /// Agent is known to be silent since then.
+    pub(crate) silent: Option<Millis>,
+}
+
+/// An ask for a turn under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Asking {
+    pub(crate) at: Millis,
+    pub(crate) tokens: u32,
+}
+
+impl Record {
+    pub(crate) fn tell(&mut self, news: RunNews) {
+        if self.news.len() < NEWS {
+            self.news.push(news);
+        }
+    }
+
+    pub(crate) fn has_news(&self) -> bool {
+        !self.news.is_empty()
+    }
+
+    pub(crate) fn take_news(&mut self) -> Vec<RunNews> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Figures that are fresh enough to rely on.
+    pub(crate) fn fresh(&self, now: Millis) -> Option<&EngineFigures> {
+        let (figures, at) = self.figures.as_ref()?;
+        (now.since(*at) <= FIGURES_SPAN).then_some(figures)
+    }
+
+    /// View for the choice among plain upstreams.
+    pub(crate) fn slot_view(&self, slots: u32, remote: bool, now: Millis) -> SlotView {
+        SlotView {
+            own: self.own,
+            told: self.load.map(|(load, at)| {
+                let busy = load.running + load.waiting;
+                (busy, now.since(at))
+            }),
+            slots,
+            remote,
+        }
+    }
+}
--- /dev/null
+++ b/crates/infra/src/follower/keyed.rs
@@ -0,0 +1,147 @@
+//! Follows a stream with keys: the whole state first, then each change, and the state again after
+//! a gap.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use pumicecleat_net::Timer;
+
+use super::{FollowEvent, FollowOptions, Follower};
+use crate::backoff::Backoff;
+use crate::{KeyedLog, KeyedRecord, Log, ReadError};
+
+/// What happened to a stream with keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyedEvent {
+    /// Every key that there is; what is not listed is gone.
+    State(Vec<KeyedRecord>),
+    /// Records that are newer than what was told, in order.
+    Changes(Vec<KeyedRecord>),
+    /// Log answers, and no record is left.
+    CaughtUp,
+    /// Log does not answer; told once, and tried on until it does.
+    Outage {
+        /// First failure, for people.
+        detail: String,
+    },
+}
+
+/// Follower of one stream with keys.
+pub struct KeyedFollower {
+    log: Rc<dyn KeyedLog>,
+    timer: Timer,
+    stream: String,
+    options: FollowOptions,
+    backoff: Backoff,
+    follower: Option<Follower>,
+    /// Offset of the newest record told, by key; guards against a page or a repeat that is older.
+    told: BTreeMap<String, u64>,
+    outage: bool,
+}
+
+impl KeyedFollower {
+    /// Follower of `stream` from its newest records.
+    #[must_use]
+    pub fn new_ext(
+        log: Rc<dyn KeyedLog>,
+        timer: &Timer,
+        stream: &str,
+        options: FollowOptions,
+    ) -> Self {
+        Self {
+            log,
+            timer: timer.clone(),
+            stream: stream.to_owned(),
+            options,
+            backoff: Backoff::new(options.backoff),
+            follower: None,
+            told: BTreeMap::new(),
+            outage: false,
+        }
+    }
+
+    /// Next event.
+    pub async fn next(&mut self) -> KeyedEvent {
+        loop {
+            let event = match self.follower.take() {
+                None => self.state().await,
+                Some(follower) => self.changes(follower).await,
+            };
+            if let Some(event) = event {
+                return event;
+            }
+        }
+    }
+
+    async fn state(&mut self) -> Option<KeyedEvent> {
+        let newest = match self.log.newest(&self.stream).await {
+            Ok(newest) => newest,
+            Err(e) => return self.fail(&e).await,
+        };
+        self.backoff.reset();
+        self.outage = false;
+        let log: Rc<dyn Log> = self.log.clone();
+        let follower = Follower::new_ext(
+            log,
+            &self.timer,
+            &self.stream,
+            newest.next,
+            self.options,
+        );
+        self.follower = Some(follower);
+        let offset = |r: &KeyedRecord| (r.key.clone(), r.offset);
+        self.told = newest.records.iter().map(offset).collect();
+        Some(KeyedEvent::State(newest.records))
+    }
+
+    async fn changes(&mut self, mut follower: Follower) -> Option<KeyedEvent> {
+        match follower.next().await {
+            Ok(FollowEvent::Records(records)) => {
+                self.follower = Some(follower);
+                let keyed = records.iter().filter_map(|r| self.log.keyed(r)).collect();
+                let fresh = self.fresh(keyed);
+                (!fresh.is_empty()).then_some(KeyedEvent::Changes(fresh))
+            }
+            Ok(FollowEvent::CaughtUp { .. }) => {
+                self.follower = Some(follower);
+                Some(KeyedEvent::CaughtUp)
+            }
+            Ok(FollowEvent::Outage { detail }) => {
+                self.follower = Some(follower);
+                Some(KeyedEvent::Outage { detail })
+            }
+            // Records are missing, or the log contradicts itself: the newest ones tell the rest.
+            Ok(FollowEvent::Trimmed { .. }) => None,
+            Err(e) => {
+                let pause = self.backoff.next_pause(None);
+                self.timer.sleep(pause).await;
+                let detail = e.to_string();
+                Some(KeyedEvent::Outage { detail })
+            }
+        }
+    }
+
+    fn fresh(&mut self, records: Vec<KeyedRecord>) -> Vec<KeyedRecord> {
+        let mut fresh = Vec::new();
+        for record in records {
+            let known = self.told.get(&record.key);
+            if known.is_some_and(|known| *known >= record.offset) {
+                continue;
+            }
+            self.told.insert(record.key.clone(), record.offset);
+            fresh.push(record);
+        }
+        fresh
+    }
+
+    async fn fail(&mut self, error: &ReadError) -> Option<KeyedEvent> {
+        let known = std::mem::replace(&mut self.outage, true);
+        if !known {
+            let detail = error.to_string();
+            return Some(KeyedEvent::Outage { detail });
+        }
+        let pause = self.backoff.next_pause(error.retry());
+        self.timer.sleep(pause).await;
+        None
+    }
+}
--- a/crates/infra/src/follower/mod.rs
+++ b/crates/infra/src/follower/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod event;
+mod keyed;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use crate::{BackoffOptions, Batch, Log, ReadError};
 use check::check_batch;
 pub use event::{FollowError, FollowEvent};
+pub use keyed::{KeyedEvent, KeyedFollower};
 
 /// How a stream is followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/infra/src/lib.rs
+++ b/crates/infra/src/lib.rs
@@ -23,14 +23,16 @@
 mod backoff;
 mod follower;
 mod http;
+mod keyed;
 mod log;
 mod store;
 mod vms;
 
 pub use appender::{AppendOptions, Appender, Stood, SubmitError};
 pub use backoff::BackoffOptions;
-pub use follower::{FollowError, FollowEvent, FollowOptions, Follower};
+pub use follower::{FollowError, FollowEvent, FollowOptions, Follower, KeyedEvent, KeyedFollower};
 pub use http::{Fault, Peers};
+pub use keyed::{KeyedLog, KeyedRecord, Newest};
 pub use log::{AppendError, Appended, Batch, HttpLog, Log, ReadError};
 pub use pumicecleat_net::Local;
 pub use store::{HttpStore, Store, StoreError};
--- a/crates/net/src/client/mod.rs
+++ b/crates/net/src/client/mod.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use monoio::io::IntoPollIo;
 use monoio::net::TcpStream;
+use pumicecleat_types::Millis;
 use snafu::{IntoError, ResultExt};
 
 use crate::error::{
@@ -29,6 +30,20 @@
 
 type Request = http::Request<Full<Bytes>>;
 
+/// Silence after which a connection is probed, and time between two probes: the shortest that the
+/// system takes, as a kept connection that is dead costs the next request its outcome.
+const PROBE_SPAN: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection is closed.
+const PROBES: u32 = 2;
+
+/// Header by which a peer tells how long it keeps an idle connection.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// Time by which a kept connection is left before its peer closes it: the way of a request between
+/// data centres, many times over.
+const KEEP_MARGIN: Millis = Millis(500);
+
 /// Limits of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientOptions {
@@ -139,6 +154,7 @@
         match sender.try_send(request).await {
             Ok(response) => {
                 let (head, body) = response.into_parts();
+                let limit = keep_alive(&head.headers).map(|span| self.state.timer.now() + span);
                 Ok(Attempt::Answered(Box::new(Response {
                     head,
                     peer: peer.into(),
@@ -148,6 +164,7 @@
                             client: self.clone(),
                             address,
                             sender,
+                            limit,
                         }),
                     },
                 })))
@@ -168,12 +185,14 @@
         };
         // Without it small requests wait for an acknowledgement; the exchange works all the same.
         let _ = stream.set_nodelay(true);
+        // Without it a peer that fell silent without a reset is noticed by time limits alone.
+        let _ = stream.set_tcp_keepalive(Some(PROBE_SPAN), Some(PROBE_SPAN), Some(PROBES));
         let io = stream.into_poll_io().context(ConnectSnafu { peer })?;
         let sender = handshake(io, &self.state.options)
             .await
             .context(NotSentSnafu { peer })?;
         if let Some(shared) = sender.share() {
-            self.keep(address, shared);
+            self.keep(address, shared, None);
         }
         Ok(sender)
     }
@@ -183,9 +202,10 @@
         self.state.pool.borrow_mut().take(address, now)
     }
 
-    fn keep(&self, address: SocketAddr, sender: Sender) {
+    fn keep(&self, address: SocketAddr, sender: Sender, limit: Option<Millis>) {
         let now = self.state.timer.now();
-        self.state.pool.borrow_mut().keep(address, sender, now);
+        let mut pool = self.state.pool.borrow_mut();
+        pool.keep(address, sender, limit, now);
     }
 }
 
@@ -201,13 +221,23 @@
         .ok_or_else(|| AddressSnafu { peer }.build())
 }
 
+/// Time for which the peer says that it keeps an idle connection, less what a request may take on
+/// its way, so that none meets the peer's close.
+fn keep_alive(headers: &http::HeaderMap) -> Option<Millis> {
+    let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let timeout = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="));
+    let secs: u64 = timeout?.trim().parse().ok()?;
+    Some(Millis(secs.saturating_mul(1_000)) - KEEP_MARGIN)
+}
+
 /// Request that names `peer` where the protocol wants it.
 fn with_host(request: http::Request<Bytes>, peer: &str, protocol: Protocol) -> Request {
     let (mut head, body) = request.into_parts();
     match protocol {
         Protocol::Http1 => {
+            // A request passed on names the host that its caller named.
             if let Ok(host) = http::HeaderValue::from_str(peer) {
-                head.headers.insert(http::header::HOST, host);
+                head.headers.entry(http::header::HOST).or_insert(host);
             }
         }
         Protocol::Http2 => {
--- a/crates/net/src/client/pool.rs
+++ b/crates/net/src/client/pool.rs
@@ -21,6 +21,8 @@
 struct Idle {
     sender: Sender,
     since: Millis,
+    /// Not to be used from then on.
+    limit: Option<Millis>,
 }
 
 impl Pool {
@@ -41,11 +43,15 @@
         let mut found = None;
         while found.is_none() {
             let Some(idle) = list.pop() else { break };
-            if !idle.sender.is_ready() {
+            if !idle.sender.is_ready() || idle.limit.is_some_and(|at| at <= now) {
                 continue;
             }
             if let Some(sender) = idle.sender.share() {
-                list.push(Idle { sender, since: now });
+                list.push(Idle {
+                    sender,
+                    since: now,
+                    limit: idle.limit,
+                });
             }
             found = Some(idle.sender);
         }
@@ -56,14 +62,24 @@
     }
 
     /// Keeps a connection to `address`, unless it is closed or enough are kept.
-    pub(super) fn keep(&mut self, address: SocketAddr, sender: Sender, now: Millis) {
+    pub(super) fn keep(
+        &mut self,
+        address: SocketAddr,
+        sender: Sender,
+        limit: Option<Millis>,
+        now: Millis,
+    ) {
         if sender.is_closed() {
             return;
         }
         let most = if sender.is_shared() { 1 } else { self.most };
         let list = self.kept.entry(address).or_default();
         if list.len() < most {
-            list.push(Idle { sender, since: now });
+            list.push(Idle {
+                sender,
+                since: now,
+                limit,
+            });
         }
     }
 
--- a/crates/net/src/client/response.rs
+++ b/crates/net/src/client/response.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use pumicecleat_types::Millis;
 use snafu::ResultExt;
 
 use super::Client;
@@ -17,6 +18,8 @@
     pub(super) client: Client,
     pub(super) address: SocketAddr,
     pub(super) sender: Sender,
+    /// When the peer may close it, if it says so.
+    pub(super) limit: Option<Millis>,
 }
 
 /// Answer whose body is still to be read. Dropping it before the body's end closes its connection,
@@ -93,7 +96,7 @@
 
     fn release(&mut self) {
         if let Some(kept) = self.kept.take() {
-            kept.client.keep(kept.address, kept.sender);
+            kept.client.keep(kept.address, kept.sender, kept.limit);
         }
     }
 }
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -41,7 +41,7 @@
     ByteSize, Common, Exit, Fault, FaultKind, Origin, Resolver, Row, SettingValue, Settings, Span,
     process_environment,
 };
-pub use stop::{Drain, DrainEnd, DrainGuard, Stop, StopError};
+pub use stop::{Drain, DrainEnd, DrainGuard, Reload, Stop, StopError};
 
 #[doc(hidden)]
 pub use argh;
--- /dev/null
+++ b/crates/ops/src/log/events/deployment.rs
@@ -0,0 +1,61 @@
+//! E7000 on: serving a deployment whose configuration comes whole from a log with keys.
+
+use super::super::event::{Event, rows};
+use crate::Level;
+
+rows! {
+    /// A stream of the deployment's log does not answer.
+    STORE_LOST = "E7001" "store_lost" Warn ["stream", "error"];
+    /// A stream of the deployment's log was read whole.
+    STORE_READ = "E7002" "store_read" Info ["stream", "records"];
+    /// A record of the deployment's log can't be read.
+    RECORD_UNREADABLE = "E7003" "record_unreadable" Error ["error"];
+    /// A configuration is in force.
+    LAYOUT_TAKEN = "E7004" "layout_taken" Info ["number"];
+    /// A configuration is older than the one in force.
+    LAYOUT_STALE = "E7005" "layout_stale" Warn ["number"];
+    /// A newer version of an adapter is known.
+    VERSION_TAKEN = "E7006" "version_taken" Info ["adapter", "version"];
+    /// An upstream is listed, or stands otherwise.
+    UPSTREAM_LISTED = "E7007" "upstream_listed" Info ["instance", "standing"];
+    /// An upstream is gone.
+    UPSTREAM_GONE = "E7008" "upstream_gone" Info ["instance"];
+    /// An upstream's entry lapsed around an outage of the list.
+    UPSTREAM_LAPSED = "E7009" "upstream_lapsed" Warn ["instance"];
+    /// A stream of the deployment's log answers again.
+    STORE_BACK = "E7010" "store_back" Info ["stream", "down_ms"];
+
+    /// A request ended with an upstream's answer.
+    PASSED_ON = "E7101" "passed_on" Info ["request", "route", "instance", "status", "attempts", "first_ms", "total_ms", "layout", "whole"];
+    /// A request was refused as not run.
+    TURNED_DOWN = "E7102" "turned_down" Warn ["request", "route", "reason", "status", "retry_ms", "attempts", "age_ms", "layout"];
+    /// A request failed, and may have run.
+    UNSETTLED = "E7103" "unsettled" Warn ["request", "route", "instance", "reason", "status", "attempts", "age_ms", "layout"];
+    /// One attempt of a request failed.
+    ATTEMPT_LOST = "E7104" "attempt_lost" Info ["request", "instance", "step", "ran", "age_ms", "again", "error"];
+    /// The caller left before its answer was whole.
+    CALLER_LEFT = "E7105" "caller_left" Info ["request", "route", "instance", "age_ms"];
+    /// A side does not answer.
+    SIDE_LOST = "E7106" "side_lost" Warn ["side", "error"];
+    /// A side answers again.
+    SIDE_BACK = "E7107" "side_back" Info ["side", "silent_ms"];
+    /// An upstream said itself that it is leaving.
+    SEEN_LEAVING = "E7108" "seen_leaving" Info ["instance", "sign"];
+    /// Lines of the log were left out.
+    LINES_LEFT_OUT = "E7109" "lines_left_out" Warn ["lines"];
+    /// The settings were read again.
+    SETTINGS_SIGNAL = "E7110" "settings_signal" Info ["effect"];
+
+    /// The engine does not answer its side.
+    OWN_ENGINE_LOST = "E7201" "own_engine_lost" Warn ["address", "error"];
+    /// The engine answers its side, or is another instance.
+    OWN_ENGINE_SEEN = "E7202" "own_engine_seen" Info ["instance", "sequence", "held"];
+    /// An order goes to the engine.
+    ORDER_SENT = "E7203" "order_sent" Info ["order", "adapter", "version", "sequence"];
+    /// The exchange of an order ended.
+    ORDER_ENDED = "E7204" "order_ended" Info ["order", "adapter", "end", "took_ms", "error"];
+    /// A request has its turn.
+    ENGINE_TURN = "E7205" "engine_turn" Debug ["request", "adapter", "waited_ms", "unread"];
+    /// A request gets no turn here.
+    ENGINE_TURN_REFUSED = "E7206" "engine_turn_refused" Info ["request", "adapter", "reason", "waited_ms", "unread", "retry_ms"];
+}
--- a/crates/ops/src/log/events/mod.rs
+++ b/crates/ops/src/log/events/mod.rs
@@ -4,6 +4,7 @@
 
 mod command;
 mod common;
+mod deployment;
 mod entry;
 mod platform;
 mod side;
@@ -11,6 +12,7 @@
 
 pub use command::*;
 pub use common::*;
+pub use deployment::*;
 pub use entry::*;
 pub use platform::*;
 pub use side::*;
@@ -27,6 +29,7 @@
         standin::ROWS,
         command::ROWS,
         platform::ROWS,
+        deployment::ROWS,
     ];
     ranges.into_iter().flatten().copied()
 }
--- a/crates/ops/src/stop/mod.rs
+++ b/crates/ops/src/stop/mod.rs
@@ -4,7 +4,9 @@
 //! listeners, and waits by [`Drain::finish`] until the requests under way have ended.
 
 mod drain;
+mod reload;
 mod signal;
 
 pub use drain::{Drain, DrainEnd, DrainGuard};
+pub use reload::Reload;
 pub use signal::{Stop, StopError};
--- a/crates/ops/src/stop/signal.rs
+++ b/crates/ops/src/stop/signal.rs
@@ -16,7 +16,7 @@
 
 /// Signals can't be listened for.
 #[derive(Debug, Snafu)]
-#[snafu(display("step listen for signals: {source}"))]
+#[snafu(visibility(pub(super)), display("step listen for signals: {source}"))]
 pub struct StopError {
     source: io::Error,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,14 +35,19 @@
 
 mod index;
 mod load_order;
+mod prompt;
 mod router;
 mod scheduler;
 
 pub use index::{CallerIx, LoraIx, PoolIx, UpstreamIx};
 pub use load_order::{LoadOrder, LoadOrderOptions};
+pub use prompt::{
+    EngineChoice, EngineOrder, EngineState, EngineView, OrderEnd, RepeatOptions, RepeatWindow, RunSeen,
+    SlotChoice, SlotView, TurnAction, TurnId, TurnOptions, TurnRequest, Turns,
+};
 pub use router::{
     Ask, BudgetOptions, Choice, Outcome, Pick, Prompt, RetryBudget, Router, RouterOptions,
-    UpstreamFigures, lora_key, part_key, upstream_key,
+    UpstreamFigures, lora_key, name_key, part_key, upstream_key,
 };
 pub use scheduler::{
     Action, Bid, GiveUp, Job, JobId, LoadEnd, Scheduler, SchedulerOptions, Weights,
--- /dev/null
+++ b/crates/policy/src/prompt/places.rs
@@ -0,0 +1,318 @@
+//! The places for adapters of one engine, and the orders that fill and free them.
+//!
+//! One order is out at a time and names the sequence that the engine must be at. An order without an
+//! answer may still be carried out: until the engine's sequence has moved on, its adapter counts as
+//! taking a place and as not to be used.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pumicecleat_types::Millis;
+
+/// Adapters that may be on their way to an engine at once.
+const LOADS: usize = 4;
+
+/// Time after which an order without effect is tried again: two reports and the way.
+const RETRY: Millis = Millis(150);
+
+/// Half-life of the count of an adapter's requests. Long against a burst, short against a shift of
+/// demand, which takes some seconds.
+const HALF_LIFE_S: f64 = 8.0;
+
+/// Count below which an adapter is forgotten.
+const FORGOTTEN: f64 = 0.02;
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EngineOrder {
+    /// Load a base model.
+    LoadBase,
+    /// Load an adapter, or replace it by this version.
+    Load {
+        /// Adapter.
+        adapter: String,
+        /// Version; `None` for the newest.
+        version: Option<u64>,
+    },
+    /// Unload an adapter.
+    Unload {
+        /// Adapter.
+        adapter: String,
+    },
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderEnd {
+    /// It is being carried out.
+    Accepted,
+    /// What it asks for holds already, or is done.
+    Done,
+    /// The engine is at another sequence, or busy; nothing was done.
+    Conflict,
+    /// The engine did not take it; nothing was done.
+    Refused,
+    /// No answer: it may be carried out, now or later.
+    Unknown,
+}
+
+/// An adapter in its place.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    version: u64,
+    used: Millis,
+}
+
+/// An order that is out, or of which nobody knows what became.
+#[derive(Clone, Debug)]
+struct Out {
+    order: EngineOrder,
+    sequence: u64,
+    /// Its exchange has ended without an answer.
+    unknown: bool,
+}
+
+/// Places of one engine.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Places {
+    most: usize,
+    held: BTreeMap<String, Held>,
+    loading: BTreeMap<String, u64>,
+    out: Option<Out>,
+    sequence: u64,
+    /// Nothing is ordered before then.
+    pause: Millis,
+    demand: BTreeMap<String, Demand>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Demand {
+    count: f64,
+    at: Millis,
+}
+
+impl Demand {
+    fn now(&self, now: Millis) -> f64 {
+        self.count * (-now.since(self.at).as_secs() / HALF_LIFE_S).exp2()
+    }
+}
+
+impl Places {
+    pub(super) fn new(most: u32) -> Self {
+        Self {
+            most: most as usize,
+            ..Self::default()
+        }
+    }
+
+    pub(super) fn set_most(&mut self, most: u32) {
+        self.most = most as usize;
+    }
+
+    /// Takes in what the engine reports.
+    pub(super) fn observe(
+        &mut self,
+        sequence: u64,
+        held: &[(String, u64)],
+        loading: &[(String, u64)],
+        now: Millis,
+    ) {
+        if self.out.as_ref().is_some_and(|o| !o.unknown) {
+            // The report may be from before the order or after it; the next one tells.
+            return;
+        }
+        if sequence < self.sequence {
+            return;
+        }
+        if self.out.as_ref().is_some_and(|o| sequence > o.sequence) {
+            self.out = None;
+        }
+        self.sequence = sequence;
+        let used = |name: &str| self.held.get(name).map_or(now, |h| h.used);
+        let held = held.iter().map(|(name, version)| {
+            let slot = Held {
+                version: *version,
+                used: used(name),
+            };
+            (name.clone(), slot)
+        });
+        self.held = held.collect();
+        self.loading = loading.iter().cloned().collect();
+    }
+
+    /// Sequence that the next order must name.
+    pub(super) fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
+    /// Version of an adapter that requests may use now.
+    pub(super) fn usable(&self, adapter: &str) -> Option<u64> {
+        let leaving = self.out.as_ref().is_some_and(|o| match &o.order {
+            EngineOrder::Unload { adapter: a } | EngineOrder::Load { adapter: a, .. } => {
+                a == adapter
+            }
+            EngineOrder::LoadBase => true,
+        });
+        if leaving || self.loading.contains_key(adapter) {
+            return None;
+        }
+        self.held.get(adapter).map(|h| h.version)
+    }
+
+    pub(super) fn is_coming(&self, adapter: &str) -> bool {
+        self.loading.contains_key(adapter)
+            || self.out.as_ref().is_some_and(
+                |o| matches!(&o.order, EngineOrder::Load { adapter: a, .. } if a == adapter),
+            )
+    }
+
+    pub(super) fn held(&self) -> impl Iterator<Item = (&String, u64)> {
+        self.held.iter().map(|(name, h)| (name, h.version))
+    }
+
+    pub(super) fn coming(&self) -> impl Iterator<Item = &String> {
+        self.loading.keys()
+    }
+
+    pub(super) fn hit(&mut self, adapter: &str, now: Millis) {
+        if let Some(held) = self.held.get_mut(adapter) {
+            held.used = now;
+        }
+        let known = self.demand.get(adapter).map_or(0.0, |d| d.now(now));
+        let demand = Demand {
+            count: known + 1.0,
+            at: now,
+        };
+        self.demand.insert(adapter.to_owned(), demand);
+        self.demand.retain(|_, d| d.now(now) > FORGOTTEN);
+    }
+
+    /// Places that a further adapter could take, now or after an eviction.
+    pub(super) fn spare(&self, in_use: &BTreeSet<&str>) -> u32 {
+        let idle = |name: &&String| !in_use.contains(name.as_str());
+        let idle = self.held.keys().filter(idle).count();
+        let free = self.most.saturating_sub(self.taken());
+        u32::try_from(free + idle).unwrap_or(u32::MAX)
+    }
+
+    /// Places taken, every order without an answer counted as carried out.
+    fn taken(&self) -> usize {
+        let mut names: BTreeSet<&str> = self.held.keys().map(String::as_str).collect();
+        // A replacement may need a place beside the old version's.
+        let beside = self.loading.keys().filter(|n| names.contains(n.as_str()));
+        let beside = beside.count();
+        names.extend(self.loading.keys().map(String::as_str));
+        let lost = match self.out.as_ref().map(|o| &o.order) {
+            Some(EngineOrder::Load { .. }) => 1,
+            _ => 0,
+        };
+        names.len() + beside + lost
+    }
+
+    /// Next order towards holding `adapter` at `version`, if one may be given now.
+    pub(super) fn order_for(
+        &self,
+        adapter: &str,
+        version: u64,
+        in_use: &BTreeSet<&str>,
+        wanted: &BTreeSet<&str>,
+        now: Millis,
+    ) -> Option<EngineOrder> {
+        if !self.may_order(now) || self.is_coming(adapter) {
+            return None;
+        }
+        let held = self.held.contains_key(adapter);
+        if held && in_use.contains(adapter) {
+            // Its runs end on the version that they began on.
+            return None;
+        }
+        if self.taken() < self.most {
+            if self.loading.len() >= LOADS {
+                return None;
+            }
+            return Some(EngineOrder::Load {
+                adapter: adapter.to_owned(),
+                version: (version > 0).then_some(version),
+            });
+        }
+        let victim = if held {
+            Some(adapter.to_owned())
+        } else {
+            self.victim(in_use, wanted, now)
+        };
+        victim.map(|adapter| EngineOrder::Unload { adapter })
+    }
+
+    pub(super) fn may_order(&self, now: Millis) -> bool {
+        self.out.as_ref().is_none_or(|o| o.unknown) && now >= self.pause
+    }
+
+    /// Adapter that is in no use and is asked for least.
+    fn victim(
+        &self,
+        in_use: &BTreeSet<&str>,
+        wanted: &BTreeSet<&str>,
+        now: Millis,
+    ) -> Option<String> {
+        let free = |name: &str| !in_use.contains(name) && !wanted.contains(name);
+        let idle = self.held.iter().filter(|(name, _)| free(name));
+        let asked = |name: &str| self.demand.get(name).map_or(0.0, |d| d.now(now));
+        let least = idle.min_by(|a, b| {
+            let counts = asked(a.0).total_cmp(&asked(b.0));
+            counts.then(a.1.used.cmp(&b.1.used))
+        });
+        least.map(|(name, _)| name.clone())
+    }
+
+    /// An order goes out.
+    pub(super) fn ordered(&mut self, order: EngineOrder) {
+        self.out = Some(Out {
+            order,
+            sequence: self.sequence,
+            unknown: false,
+        });
+    }
+
+    /// The exchange of the order that is out has ended.
+    pub(super) fn ended(&mut self, end: OrderEnd, now: Millis) {
+        let Some(mut out) = self.out.take() else {
+            return;
+        };
+        match end {
+            OrderEnd::Accepted | OrderEnd::Done => self.carry_out(out.order, end, now),
+            OrderEnd::Conflict | OrderEnd::Refused => self.pause = now + RETRY,
+            OrderEnd::Unknown => {
+                out.unknown = true;
+                self.out = Some(out);
+                self.pause = now + RETRY;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, order: EngineOrder, end: OrderEnd, now: Millis) {
+        self.sequence += 1;
+        match order {
+            EngineOrder::LoadBase => self.pause = now + RETRY,
+            EngineOrder::Load { adapter, version } if end == OrderEnd::Accepted => {
+                self.loading.insert(adapter, version.unwrap_or_default());
+            }
+            // The next report names the version that is held.
+            EngineOrder::Load { .. } => self.pause = now + RETRY,
+            EngineOrder::Unload { adapter } => {
+                self.held.remove(&adapter);
+                if end == OrderEnd::Accepted {
+                    self.pause = now + RETRY;
+                }
+            }
+        }
+    }
+
+    /// Another instance stands in the engine's place.
+    pub(super) fn reset(&mut self) {
+        let (most, demand) = (self.most, std::mem::take(&mut self.demand));
+        *self = Self {
+            most,
+            demand,
+            ..Self::default()
+        };
+    }
+}
--- /dev/null
+++ b/crates/policy/src/prompt/turns.rs
@@ -0,0 +1,470 @@
+//! Turns at one engine: who goes, who waits, who is refused.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pumicecleat_types::{EngineFigures, Millis, TurnRefusal};
+
+use super::places::{EngineOrder, OrderEnd, Places};
+
+/// Time for which prompts are handed to the engine ahead of their reading. More would take the
+/// order out of our hands, less would leave the engine idle for the way of a turn.
+const AHEAD: Millis = Millis(600);
+
+/// Share of a caller's patience up to which a first event is still promised.
+const PROMISE: f64 = 0.75;
+
+/// Shortest and longest time after which a refused caller is told to come back.
+const RETRY_LEAST: Millis = Millis(200);
+const RETRY_MOST: Millis = Millis(3_000);
+
+/// Expected time of a load, half as much again as the store's own pace of 250 ms.
+const LOAD: Millis = Millis(380);
+
+/// Time after which a request that nobody speaks of any more counts as ended: longer than any
+/// stream of the deployments lasts.
+const FORGET: Millis = Millis(20_000);
+
+/// Time that a request may take to show up in the engine's report.
+const SHOWN: Millis = Millis(1_500);
+
+/// Number of a request that waits for its turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TurnId(pub u64);
+
+/// A request that wants its turn.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TurnRequest {
+    /// Request's id.
+    pub request: String,
+    /// Adapter, if it wants one.
+    pub adapter: Option<String>,
+    /// Oldest version that will do.
+    pub version: u64,
+    /// Prompt tokens that are likely to be read.
+    pub tokens: u32,
+    /// Rank, 0 before all others.
+    pub priority: u8,
+    /// Time after which its caller is gone.
+    pub patience: Millis,
+}
+
+/// Options of [`Turns`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TurnOptions {
+    /// Places for adapters.
+    pub places: u32,
+    /// Requests in one batch.
+    pub batch: u32,
+    /// Prompt tokens read in a second.
+    pub rate: u64,
+}
+
+/// What the engine reports.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineState {
+    /// Orders accepted.
+    pub sequence: u64,
+    /// Base model is loaded.
+    pub loaded: bool,
+    /// Takes no requests any more.
+    pub leaving: bool,
+    /// An order is being carried out that allows no other.
+    pub busy: bool,
+    /// Adapters held, with versions.
+    pub held: Vec<(String, u64)>,
+    /// Adapters on their way, with versions.
+    pub loading: Vec<(String, u64)>,
+    /// Requests under way.
+    pub runs: Vec<RunSeen>,
+    /// Requests that wait in the engine.
+    pub waiting: u32,
+    /// Requests in the batch.
+    pub active: u32,
+}
+
+/// A request that the engine reports.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunSeen {
+    /// Request's id.
+    pub request: String,
+    /// Events made.
+    pub events: u64,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TurnAction {
+    /// The request may be sent.
+    Go {
+        /// Whose turn it is.
+        turn: TurnId,
+        /// Version of the adapter that is held.
+        version: Option<u64>,
+    },
+    /// The request gets no turn here.
+    Refuse {
+        /// Whose.
+        turn: TurnId,
+        /// Why.
+        reason: TurnRefusal,
+        /// When to come back.
+        retry: Millis,
+    },
+    /// The engine is to be given an order, at this sequence.
+    Order {
+        /// Order.
+        order: EngineOrder,
+        /// Sequence that the engine must be at.
+        sequence: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    request: TurnRequest,
+    since: Millis,
+}
+
+#[derive(Clone, Debug)]
+struct Run {
+    adapter: Option<String>,
+    tokens: u32,
+    at: Millis,
+    started: bool,
+    shown: bool,
+}
+
+/// Turns at one engine; see the module.
+#[derive(Clone, Debug)]
+pub struct Turns {
+    options: TurnOptions,
+    places: Places,
+    waiting: BTreeMap<TurnId, Waiting>,
+    runs: BTreeMap<String, Run>,
+    next: u64,
+    loaded: bool,
+    leaving: bool,
+    /// The engine answers its side.
+    known: bool,
+    busy: bool,
+    newest: BTreeMap<String, u64>,
+}
+
+impl Turns {
+    /// Turns at an engine of which nothing is known.
+    #[must_use]
+    pub fn new_ext(options: TurnOptions) -> Self {
+        Self {
+            options,
+            places: Places::new(options.places),
+            waiting: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            next: 0,
+            loaded: false,
+            leaving: false,
+            known: false,
+            busy: false,
+            newest: BTreeMap::new(),
+        }
+    }
+
+    /// Takes new options; what is held stays.
+    pub fn retune(&mut self, options: TurnOptions) {
+        self.options = options;
+        self.places.set_most(options.places);
+    }
+
+    /// Another instance stands in the engine's place: all that was known of it is void.
+    pub fn reset(&mut self) {
+        self.places.reset();
+        self.runs.clear();
+        self.loaded = false;
+        self.leaving = false;
+        self.known = false;
+    }
+
+    /// The engine does not answer.
+    pub fn lost(&mut self) {
+        self.known = false;
+    }
+
+    /// The engine must get no more requests, by another sign than its report.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Newest version of an adapter.
+    pub fn newest(&mut self, adapter: &str, version: u64) {
+        let known = self.newest.entry(adapter.to_owned()).or_default();
+        *known = (*known).max(version);
+    }
+
+    /// Takes in what the engine reports.
+    pub fn observe(&mut self, state: &EngineState, now: Millis) {
+        self.known = true;
+        self.loaded = state.loaded;
+        self.leaving |= state.leaving;
+        self.busy = state.busy;
+        self.places
+            .observe(state.sequence, &state.held, &state.loading, now);
+        self.match_runs(state, now);
+    }
+
+    fn match_runs(&mut self, state: &EngineState, now: Millis) {
+        let seen: BTreeMap<&str, u64> = state
+            .runs
+            .iter()
+            .map(|r| (r.request.as_str(), r.events))
+            .collect();
+        let idle = state.active == 0 && state.waiting == 0;
+        self.runs.retain(|id, run| {
+            let age = now.since(run.at);
+            match seen.get(id.as_str()) {
+                Some(events) => {
+                    run.shown = true;
+                    run.started |= *events > 0;
+                    true
+                }
+                None if run.shown => false,
+                None => !(idle && age > SHOWN) && age < FORGET,
+            }
+        });
+    }
+
+    /// Takes a request in, to be answered by a later [`poll`](Self::poll).
+    pub fn ask(&mut self, request: TurnRequest, now: Millis) -> TurnId {
+        let turn = TurnId(self.next);
+        self.next += 1;
+        if let Some(adapter) = &request.adapter {
+            self.places.hit(adapter, now);
+        }
+        let waiting = Waiting {
+            request,
+            since: now,
+        };
+        self.waiting.insert(turn, waiting);
+        turn
+    }
+
+    /// The request does not wait any more; `false` if its turn was given or refused.
+    pub fn withdraw(&mut self, turn: TurnId) -> bool {
+        self.waiting.remove(&turn).is_some()
+    }
+
+    /// Its answer has begun.
+    pub fn started(&mut self, request: &str) {
+        if let Some(run) = self.runs.get_mut(request) {
+            run.started = true;
+        }
+    }
+
+    /// It has ended at the engine, or never reached it.
+    pub fn ended(&mut self, request: &str) {
+        self.runs.remove(request);
+    }
+
+    /// The exchange of the order that is out has ended.
+    pub fn order_ended(&mut self, end: OrderEnd, now: Millis) {
+        self.places.ended(end, now);
+    }
+
+    /// What is to be done now.
+    pub fn poll(&mut self, now: Millis) -> Vec<TurnAction> {
+        let mut actions = Vec::new();
+        self.refuse(now, &mut actions);
+        self.go(now, &mut actions);
+        actions.extend(self.order(now));
+        actions
+    }
+
+    /// Requests that wait, most urgent first.
+    fn in_order(&self) -> Vec<TurnId> {
+        let mut order: Vec<(u8, TurnId)> = self
+            .waiting
+            .iter()
+            .map(|(turn, w)| (w.request.priority, *turn))
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, turn)| turn).collect()
+    }
+
+    fn refuse(&mut self, now: Millis, actions: &mut Vec<TurnAction>) {
+        let mut ahead = self.unread();
+        for turn in self.in_order() {
+            let waiting = &self.waiting[&turn];
+            let after = ahead + u64::from(waiting.request.tokens);
+            match self.verdict(waiting, after, now) {
+                None => ahead = after,
+                Some((reason, retry)) => {
+                    self.waiting.remove(&turn);
+                    let retry = retry.clamp(RETRY_LEAST, RETRY_MOST);
+                    actions.push(TurnAction::Refuse {
+                        turn,
+                        reason,
+                        retry,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Whether the request has to be refused, `ahead` tokens being read up to its last.
+    fn verdict(
+        &self,
+        waiting: &Waiting,
+        ahead: u64,
+        now: Millis,
+    ) -> Option<(TurnRefusal, Millis)> {
+        if self.leaving {
+            return Some((TurnRefusal::Leaving, RETRY_LEAST));
+        }
+        if !self.known || !self.loaded {
+            return Some((TurnRefusal::NoEngine, RETRY_LEAST));
+        }
+        let waited = now.since(waiting.since);
+        let promise = scaled(waiting.request.patience, PROMISE);
+        let read = self.read_time(ahead);
+        if waited + read > promise {
+            return Some((TurnRefusal::Late, waited + read - promise));
+        }
+        let load = match &waiting.request.adapter {
+            Some(a) if self.usable(a, waiting.request.version).is_none() => LOAD,
+            _ => Millis(0),
+        };
+        let own = self.read_time(u64::from(waiting.request.tokens));
+        (waited + load + own > promise).then_some((TurnRefusal::NoPlace, LOAD))
+    }
+
+    fn go(&mut self, now: Millis, actions: &mut Vec<TurnAction>) {
+        if self.leaving || !self.known || !self.loaded {
+            return;
+        }
+        let ahead = self.options.rate * AHEAD.0 / 1_000;
+        let mut unread = self.unread();
+        for turn in self.in_order() {
+            if unread > ahead || self.runs.len() >= self.options.batch as usize {
+                return;
+            }
+            let request = &self.waiting[&turn].request;
+            let version = match &request.adapter {
+                None => None,
+                Some(adapter) => match self.usable(adapter, request.version) {
+                    None => continue,
+                    version => version,
+                },
+            };
+            unread += u64::from(request.tokens);
+            if let Some(waiting) = self.waiting.remove(&turn) {
+                let request = waiting.request;
+                let run = Run {
+                    adapter: request.adapter,
+                    tokens: request.tokens,
+                    at: now,
+                    started: false,
+                    shown: false,
+                };
+                self.runs.insert(request.request, run);
+            }
+            actions.push(TurnAction::Go { turn, version });
+        }
+    }
+
+    fn order(&mut self, now: Millis) -> Option<TurnAction> {
+        if !self.known || self.leaving || !self.places.may_order(now) {
+            return None;
+        }
+        let order = if self.loaded {
+            self.adapter_order(now)?
+        } else if self.busy {
+            return None;
+        } else {
+            EngineOrder::LoadBase
+        };
+        let sequence = self.places.sequence();
+        self.places.ordered(order.clone());
+        Some(TurnAction::Order { order, sequence })
+    }
+
+    fn adapter_order(&self, now: Millis) -> Option<EngineOrder> {
+        let in_use: BTreeSet<&str> = self.in_use();
+        let wanted: BTreeSet<&str> = self
+            .waiting
+            .values()
+            .filter_map(|w| w.request.adapter.as_deref())
+            .collect();
+        self.in_order().into_iter().find_map(|turn| {
+            let request = &self.waiting[&turn].request;
+            let adapter = request.adapter.as_deref()?;
+            if self.usable(adapter, request.version).is_some() {
+                return None;
+            }
+            let version = self.oldest(adapter, request.version);
+            self.places
+                .order_for(adapter, version, &in_use, &wanted, now)
+        })
+    }
+
+    /// Version held that will do, if requests may use it now.
+    fn usable(&self, adapter: &str, version: u64) -> Option<u64> {
+        let held = self.places.usable(adapter)?;
+        (held >= self.oldest(adapter, version)).then_some(held)
+    }
+
+    /// Oldest version of an adapter that will do.
+    fn oldest(&self, adapter: &str, version: u64) -> u64 {
+        let known = self.newest.get(adapter).copied().unwrap_or_default();
+        known.max(version)
+    }
+
+    fn in_use(&self) -> BTreeSet<&str> {
+        self.runs
+            .values()
+            .filter_map(|r| r.adapter.as_deref())
+            .collect()
+    }
+
+    /// Prompt tokens handed to the engine and not read yet.
+    fn unread(&self) -> u64 {
+        let unread = self.runs.values().filter(|r| !r.started);
+        unread.map(|r| u64::from(r.tokens)).sum()
+    }
+
+    fn read_time(&self, tokens: u64) -> Millis {
+        Millis(tokens * 1_000 / self.options.rate.max(1))
+    }
+
+    /// The engine as the entries are told of it.
+    #[must_use]
+    pub fn figures(&self, instance: &str) -> EngineFigures {
+        let waiting = self.waiting.values();
+        let waiting: u64 = waiting.map(|w| u64::from(w.request.tokens)).sum();
+        let running = self.runs.len() + self.waiting.len();
+        EngineFigures {
+            instance: instance.to_owned(),
+            ready: self.known && self.loaded && !self.leaving,
+            bases: Vec::new(),
+            held: self.places.held().map(|(n, v)| (n.clone(), v)).collect(),
+            loading: self.places.coming().cloned().collect(),
+            spare: self.places.spare(&self.in_use()),
+            unread: self.unread() + waiting,
+            running: u32::try_from(running).unwrap_or(u32::MAX),
+            rate: self.options.rate,
+        }
+    }
+
+    /// Requests that have had their turn and have not ended.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+}
+
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "a part of a span far below 2^52 ms"
+)]
+fn scaled(span: Millis, part: f64) -> Millis {
+    Millis((span.0 as f64 * part) as u64)
+}
--- a/crates/policy/src/router/key.rs
+++ b/crates/policy/src/router/key.rs
@@ -34,3 +34,9 @@
 pub(super) fn point(key: u64, n: u64) -> u64 {
     xxh3_64_with_seed(&key.to_le_bytes(), n)
 }
+
+/// Key of a name, the same at every process.
+#[must_use]
+pub fn name_key(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -32,7 +32,7 @@
 
 pub use ask::{Ask, Choice, Outcome, Pick, UpstreamFigures};
 pub use budget::{BudgetOptions, RetryBudget};
-pub use key::{lora_key, part_key, upstream_key};
+pub use key::{lora_key, name_key, part_key, upstream_key};
 pub use options::RouterOptions;
 pub use prefix::Prompt;
 
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -4,6 +4,7 @@
 mod load;
 mod report;
 mod run;
+mod turn;
 mod vm;
 
 pub use config::{ConfigAsk, ConfigReply, LogRecord};
@@ -13,4 +14,5 @@
     Frame, HeaderField, ModelTarget, Ran, Reason, Refusal, RunHead, RunRequest, ServiceTarget,
     Target,
 };
+pub use turn::{EngineFigures, RunNews, Turn, TurnAsk, TurnCall, TurnRefusal, TurnReply};
 pub use vm::{VmEntry, VmRole, VmState};
--- /dev/null
+++ b/crates/types/src/message/turn.rs
@@ -0,0 +1,120 @@
+//! Turns at an engine: what an entry asks of the side beside it, and what the side tells.
+
+use serde::{Deserialize, Serialize};
+
+/// Exchange of an entry with a side: what became of requests, and perhaps one more that asks for its
+/// turn.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnCall {
+    /// Progress of requests that had their turn.
+    pub news: Vec<RunNews>,
+    /// Request that wants its turn; without one the answer comes at once.
+    pub ask: Option<TurnAsk>,
+}
+
+/// A request that wants its turn at the engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnAsk {
+    /// Request's id.
+    pub request: String,
+    /// Instance that it is to run on.
+    pub instance: String,
+    /// Base model.
+    pub base: String,
+    /// Adapter, if it wants one.
+    pub adapter: Option<String>,
+    /// Oldest version of the adapter that will do.
+    pub version: u64,
+    /// Prompt tokens that are likely to be read.
+    pub tokens: u32,
+    /// Rank, 0 before all others.
+    pub priority: u8,
+    /// Time within which its first event is wanted, ms.
+    pub objective_ms: u64,
+    /// Time after which its caller is gone, ms.
+    pub patience_ms: u64,
+}
+
+/// What became of a request that had its turn.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunNews {
+    /// Request's id.
+    pub request: String,
+    /// Whether it has ended; otherwise its answer has begun.
+    pub ended: bool,
+}
+
+/// What a side answers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnReply {
+    /// Outcome of the ask, if there was one.
+    pub turn: Option<Turn>,
+    /// The engine, as the side knows it.
+    pub figures: EngineFigures,
+}
+
+/// Outcome of an ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Turn {
+    /// It may be sent now.
+    Go {
+        /// Version of the adapter that the engine holds.
+        version: Option<u64>,
+    },
+    /// It won't have a turn here.
+    No {
+        /// Why.
+        reason: TurnRefusal,
+        /// When to come back, ms.
+        retry_ms: u64,
+    },
+}
+
+/// Why a request has no turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum TurnRefusal {
+    /// The engine is another instance, has no base model, or does not answer.
+    NoEngine,
+    /// The engine is leaving.
+    Leaving,
+    /// Its first event would come too late.
+    Late,
+    /// The adapter could not be loaded in time.
+    NoPlace,
+}
+
+/// An engine, as its side knows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineFigures {
+    /// Instance; empty while the engine is not known.
+    pub instance: String,
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Base models held.
+    pub bases: Vec<String>,
+    /// Adapters held, with their versions.
+    pub held: Vec<(String, u64)>,
+    /// Adapters on their way.
+    pub loading: Vec<String>,
+    /// Places that a further adapter could take now.
+    pub spare: u32,
+    /// Prompt tokens that wait to be read.
+    pub unread: u64,
+    /// Requests under way.
+    pub running: u32,
+    /// Prompt tokens read in a second.
+    pub rate: u64,
+}
+
+impl TurnRefusal {
+    /// Its name in logs and metrics.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoEngine => "no_engine",
+            Self::Leaving => "leaving",
+            Self::Late => "late",
+            Self::NoPlace => "no_place",
+        }
+    }
+}
