Read the list of upstreams at a pace, and only where it is needed

Agents now read the list only while they don't know their engine's instance; a gateway reads at most every 450 ms (bound for a leaving upstream: 2 s).

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -80,6 +80,7 @@
     async fn turn(&self, ask: TurnAsk) -> Turn {
         let known = self.shared.instance.borrow().clone();
         if known.is_empty() || known != ask.instance {
+            self.shared.named(&ask.instance);
             return Turn::No {
                 reason: TurnRefusal::NoEngine,
                 retry_ms: UNKNOWN_RETRY,
--- /dev/null
+++ b/crates/agent/src/instance.rs
@@ -0,0 +1,53 @@
+//! Which instance the engine is.
+//!
+//! The engine's report does not say it, the list of upstreams does. The list never rests, so it is
+//! not followed here: it is read when the instance is not known, or when a gateway names another.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_catalog::{Change, Dialect, Standing, Topic, Upstream};
+use pumicecleat_infra::KeyedLog;
+use pumicecleat_ops::{events, field};
+
+use crate::shared::Shared;
+
+/// Pause between two looks whether the list has to be read. An engine shows up there a second or so
+/// after its start.
+const LOOK: Duration = Duration::from_millis(400);
+
+/// Reads the list whenever the instance is in doubt, for good.
+pub(crate) async fn find_instance(
+    shared: Rc<Shared>,
+    store: Rc<dyn KeyedLog>,
+    dialect: Rc<dyn Dialect>,
+) {
+    loop {
+        if shared.in_doubt() {
+            match store.newest(dialect.stream(Topic::Upstreams)).await {
+                Ok(newest) => {
+                    let read = |r| match dialect.read(Topic::Upstreams, r) {
+                        Ok(Change::Upstream(upstream)) => Some(upstream),
+                        _ => None,
+                    };
+                    let mut listed: Vec<(u64, Upstream)> = newest
+                        .records
+                        .iter()
+                        .filter_map(|r| Some((r.offset, read(r)?)))
+                        .collect();
+                    listed.retain(|(_, u)| shared.is_own(u) && u.standing == Standing::Ready);
+                    let latest = listed.into_iter().max_by_key(|(offset, _)| *offset);
+                    if let Some((_, upstream)) = latest {
+                        shared.found(&upstream.instance);
+                    }
+                }
+                Err(e) => {
+                    let stream = dialect.stream(Topic::Upstreams);
+                    let fields = [field("stream", stream), field("error", &e)];
+                    shared.log.emit(&events::STORE_LOST, &fields);
+                }
+            }
+        }
+        shared.timer.sleep(LOOK).await;
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -22,6 +22,7 @@
 
 mod drive;
 mod handler;
+mod instance;
 mod meters;
 mod port;
 mod settings;
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -21,6 +21,6 @@
         /// time between two reports of the engine
         report_pause: Span = "100ms", "span";
         /// longest wait of a read of the log for a record
-        store_wait: Span = "2s", "span";
+        store_wait: Span = "8s", "span";
     }
 }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -1,14 +1,14 @@
 //! State that the agent's parts share.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
-use pumicecleat_catalog::{Applied, Follow, Shared as Catalog, Standing};
+use pumicecleat_catalog::{Applied, Follow, Shared as Catalog, Upstream};
 use pumicecleat_net::Timer;
-use pumicecleat_ops::{Log, Readiness};
+use pumicecleat_ops::{Log, Readiness, events, field};
 use pumicecleat_policy::{TurnId, Turns};
 use pumicecleat_types::{EngineFigures, ServiceId, Turn};
 
@@ -37,6 +37,8 @@
     pub(crate) meters: Meters,
     /// A token here has the decisions asked again.
     pub(crate) wake: Bell,
+    /// A gateway named another instance than the one known.
+    pub(crate) doubt: Cell<bool>,
 }
 
 /// Wakes one loop; rings while it is awake are kept as one.
@@ -74,38 +76,43 @@
         self.instance.borrow_mut().clear();
     }
 
-    /// The list names `instance`.
-    fn listed(&self, instance: &str, standing: Standing) {
-        let catalog = self.catalog.borrow();
-        let Some(upstream) = catalog.upstream(instance) else {
-            return;
-        };
-        if upstream.address != self.engine || upstream.service != self.service {
-            return;
-        }
+    /// Whether it has to be found out which instance the engine is.
+    pub(crate) fn in_doubt(&self) -> bool {
+        self.instance.borrow().is_empty() || self.doubt.get()
+    }
+
+    /// A gateway believes that the engine is `instance`.
+    pub(crate) fn named(&self, instance: &str) {
         let known = *self.instance.borrow() == instance;
-        if standing == Standing::Leaving {
-            if known {
-                self.turns.borrow_mut().leave();
-            }
-        } else if !known {
-            // The engine's report tells what the new instance holds.
-            self.turns.borrow_mut().reset();
-            self.instance.replace(instance.to_owned());
+        self.doubt.set(self.doubt.get() || !known);
+    }
+
+    /// Whether an entry of the list is the engine's.
+    pub(crate) fn is_own(&self, upstream: &Upstream) -> bool {
+        upstream.address == self.engine && upstream.service == self.service
+    }
+
+    /// The list names `instance` as the engine's newest.
+    pub(crate) fn found(&self, instance: &str) {
+        self.doubt.set(false);
+        if *self.instance.borrow() == instance {
+            return;
         }
+        // The engine's report tells what the new instance holds.
+        self.turns.borrow_mut().reset();
+        self.instance.replace(instance.to_owned());
+        let fields = [field("instance", instance)];
+        self.log.emit(&events::OWN_ENGINE_SEEN, &fields);
+        self.wake.ring();
     }
 }
 
 impl Follow for Shared {
     fn applied(&self, applied: &Applied) {
-        match applied {
-            Applied::Version { adapter, version } => {
-                // Requests name an adapter behind its base model and a slash.
-                let name = adapter.split_once('/').map_or(adapter.as_str(), |p| p.1);
-                self.turns.borrow_mut().newest(name, *version);
-            }
-            Applied::Upstream { instance, standing } => self.listed(instance, *standing),
-            _ => {}
+        if let Applied::Version { adapter, version } = applied {
+            // Requests name an adapter behind its base model and a slash.
+            let name = adapter.split_once('/').map_or(adapter.as_str(), |p| p.1);
+            self.turns.borrow_mut().newest(name, *version);
         }
         self.wake.ring();
     }
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -1,6 +1,6 @@
 //! Putting an agent together, and its stop.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -16,6 +16,7 @@
 
 use crate::drive::drive;
 use crate::handler::PeerHandler;
+use crate::instance::find_instance;
 use crate::meters::Meters;
 use crate::shared::{Bell, ENGINE, Shared};
 use crate::{AgentSettings, EnginePort};
@@ -91,8 +92,7 @@
         listen("admin", settings.common.admin, Rc::new(admin), timer, log)?;
         let handler = Rc::new(PeerHandler::new(&shared));
         let peers = listen("peers", settings.peer_listen, handler, timer, log)?;
-        spawn_followers(&shared, settings, parts);
-        monoio::spawn(drive(shared, settings.report_pause.0));
+        spawn_loops(&shared, settings, parts);
         Ok(Self {
             peers,
             log: log.clone(),
@@ -136,27 +136,33 @@
         readiness: Readiness::new(&[ENGINE], log),
         meters: Meters::new(metrics),
         wake: Bell::new(),
+        doubt: Cell::new(false),
     })
 }
 
-fn spawn_followers(shared: &Rc<Shared>, settings: &AgentSettings, parts: &AgentParts) {
-    for topic in [Topic::Operators, Topic::Upstreams] {
-        let listener: Rc<dyn Follow> = shared.clone();
-        let options = FollowSettings {
-            wait: settings.store_wait.0,
-            seed: pumicecleat_policy::upstream_key(&settings.common.vm),
-        };
-        monoio::spawn(follow(
-            Rc::clone(&shared.catalog),
-            topic,
-            Rc::clone(&parts.store),
-            Rc::clone(&parts.dialect),
-            listener,
-            options,
-            shared.timer.clone(),
-            shared.log.clone(),
-        ));
-    }
+fn spawn_loops(shared: &Rc<Shared>, settings: &AgentSettings, parts: &AgentParts) {
+    let listener: Rc<dyn Follow> = shared.clone();
+    let options = FollowSettings {
+        wait: settings.store_wait.0,
+        pace: Duration::ZERO,
+        seed: pumicecleat_policy::upstream_key(&settings.common.vm),
+    };
+    monoio::spawn(follow(
+        Rc::clone(&shared.catalog),
+        Topic::Operators,
+        Rc::clone(&parts.store),
+        Rc::clone(&parts.dialect),
+        listener,
+        options,
+        shared.timer.clone(),
+        shared.log.clone(),
+    ));
+    monoio::spawn(find_instance(
+        Rc::clone(shared),
+        Rc::clone(&parts.store),
+        Rc::clone(&parts.dialect),
+    ));
+    monoio::spawn(drive(Rc::clone(shared), settings.report_pause.0));
 }
 
 fn listen(
--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -32,6 +32,8 @@
     /// Time that the log may wait for a record. Half of the time in which a silent connection
     /// has to be noticed.
     pub wait: Duration,
+    /// Least time between two reads that give records.
+    pub pace: Duration,
     /// Seed of the pauses; processes should differ in it.
     pub seed: u64,
 }
@@ -61,6 +63,7 @@
 ) {
     let options = FollowOptions {
         wait: settings.wait,
+        pace: settings.pace,
         backoff: BackoffOptions {
             max: LONGEST_PAUSE,
             seed: settings.seed,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_catalog::{Catalog, Dialect, Follow, FollowSettings, follow};
+use pumicecleat_catalog::{Catalog, Dialect, Follow, FollowSettings, Topic, follow};
 use pumicecleat_infra::KeyedLog;
 use pumicecleat_net::{Client, ClientOptions, Handler, Server, ServerOptions, Timer, bind};
 use pumicecleat_ops::{Admin, Drain, Dump, Log, Metrics, Readiness, Stop, events, field};
@@ -41,6 +41,11 @@
 /// Pause between two looks for upstreams that did not come back.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
 
+/// Least time between two reads of the list that give records. Every upstream writes there each
+/// second or so; at this pace a gateway makes two reads a second, not ten, and hears of a leaving
+/// upstream in a quarter of the two seconds in which it has to stop sending there.
+const LIST_PACE: Duration = Duration::from_millis(450);
+
 /// Part of the ratio of repeats that is used: windows of several gateways don't begin together.
 const RATIO_PART: f64 = 0.9;
 
@@ -220,6 +225,10 @@
         let listener: Rc<dyn Follow> = shared.clone();
         let options = FollowSettings {
             wait: settings.store_wait.0,
+            pace: match topic {
+                Topic::Operators => Duration::ZERO,
+                Topic::Upstreams => LIST_PACE,
+            },
             seed: pumicecleat_policy::upstream_key(&settings.common.vm),
         };
         monoio::spawn(follow(
--- a/crates/infra/src/follower/mod.rs
+++ b/crates/infra/src/follower/mod.rs
@@ -23,6 +23,9 @@
     pub batch: u32,
     /// Time that the log may wait for a record.
     pub wait: Duration,
+    /// Least time between the starts of two reads that give records: a stream that never rests is
+    /// read in batches.
+    pub pace: Duration,
     /// Pauses after failures.
     pub backoff: BackoffOptions,
 }
@@ -32,6 +35,7 @@
         Self {
             batch: 256,
             wait: Duration::from_secs(10),
+            pace: Duration::ZERO,
             backoff: BackoffOptions::default(),
         }
     }
@@ -135,6 +139,7 @@
             self.backoff.reset();
             self.caught = false;
             self.next += batch.records.len() as u64;
+            self.resume = Some(start + as_millis(self.options.pace));
             return Ok(Some(FollowEvent::Records(batch.records)));
         }
         if batch.next > self.next {
--- a/crates/policy/src/prompt/engine.rs
+++ b/crates/policy/src/prompt/engine.rs
@@ -18,11 +18,11 @@
 const CROWDED: f64 = 900.0;
 
 /// Cost of each rank behind an adapter's home, ms. Copies of rare adapters stay at one engine, whose
-/// host then still has their weights, unless it is behind by half a prompt or more.
-const RANK: f64 = 60.0;
+/// host then still has their weights, unless it is behind by two prompts or more.
+const RANK: f64 = 250.0;
 
 /// Ranks that are told apart.
-const RANKS: u8 = 4;
+const RANKS: u8 = 3;
 
 /// Cost of figures that are old, ms: the engine or its side may be gone.
 const STALE: f64 = 400.0;
