Take no more streams when a stop has come far

Cause: a stream taken 3.1 s after SIGTERM was cut by the process's end at 7.4 of 8 s. Ruled out: a longer end (the platform kills at 8 s) and shorter streams (their length is the caller's). From a third of the grace on, requests for streams are refused as not run, to be asked elsewhere at once.

--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -20,7 +20,7 @@
 use pumicecleat_net::{Handler, Incoming, Reply, read_all};
 use rand::Rng;
 
-use crate::shared::Shared;
+use crate::shared::{Shared, Stopping};
 use job::Job;
 use refuse::{Refusal, own_failure};
 use trail::Trail;
@@ -44,7 +44,7 @@
     async fn reply(self, request: Incoming) -> Reply {
         let shared = self.shared;
         let mut reply = answer(&shared, request).await;
-        if shared.stopping.get() {
+        if shared.stopping.get() != Stopping::No {
             let close = HeaderValue::from_static("close");
             reply.headers_mut().insert(CONNECTION, close);
         }
@@ -81,6 +81,9 @@
         return Refusal::no_upstream().reply(&trail);
     };
     let engine = layout.engine(&service).is_some();
+    if engine && shared.stopping.get() == Stopping::Closing {
+        return Refusal::stopping().reply(&trail);
+    }
     let job = Job::new(shared, head, body, attributes, route, service, trail);
     if engine {
         model::serve(job).await
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -10,6 +10,9 @@
 /// When to come back if no upstream or no configuration is known: lists are read within a second.
 const UNKNOWN_RETRY: Millis = Millis(500);
 
+/// When to come back to another gateway: at once.
+const ELSEWHERE_RETRY: Millis = Millis(20);
+
 /// A refusal of a request that has not run and won't.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Refusal {
@@ -34,6 +37,14 @@
         }
     }
 
+    /// The process is about to end.
+    pub(super) fn stopping() -> Self {
+        Self {
+            reason: "stopping",
+            retry: ELSEWHERE_RETRY,
+        }
+    }
+
     pub(super) fn new(reason: &'static str, retry: Millis) -> Self {
         Self { reason, retry }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -21,6 +21,18 @@
 /// Readiness condition that ends with a stop.
 pub(crate) const RUNNING: &str = "running";
 
+/// How far a stop has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Stopping {
+    /// None was asked for.
+    #[default]
+    No,
+    /// Asked for: requests are taken, and each answer tells its caller to go elsewhere.
+    Asked,
+    /// Answers that may last would be cut by the end: their requests are refused.
+    Closing,
+}
+
 /// What the gateway's parts share.
 pub(crate) struct Shared {
     pub(crate) timer: Timer,
@@ -40,8 +52,8 @@
     pub(crate) readiness: Readiness,
     pub(crate) drain: Drain,
     pub(crate) meters: Meters,
-    /// A stop was asked for.
-    pub(crate) stopping: Cell<bool>,
+    /// How far a stop has come.
+    pub(crate) stopping: Cell<Stopping>,
 }
 
 impl Shared {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -20,7 +20,7 @@
 use crate::gate::Gate;
 use crate::meters::Meters;
 use crate::request::CallerHandler;
-use crate::shared::{LAYOUT, RUNNING, Shared, TOPICS};
+use crate::shared::{LAYOUT, RUNNING, Shared, Stopping, TOPICS};
 use crate::table::Table;
 use crate::{GatewaySettings, Wire, side};
 
@@ -31,9 +31,10 @@
 /// Idle connections kept for one upstream. Half of an upstream's limit, shared by eight gateways.
 const IDLE: usize = 6;
 
-/// Part of the grace after which idle connections are closed: callers have been told with each
-/// answer until then, and know other gateways.
-const CLOSE_PART: f64 = 0.4;
+/// Part of the grace after which idle connections are closed and no more streams are taken. Callers
+/// have been told with each answer until then, and know other gateways; what was taken before has
+/// five seconds of eight left, and a stream lasts four or more in one case of twenty.
+const CLOSE_PART: f64 = 0.34;
 
 /// Part of the grace after which the process ends in any case.
 const END_PART: f64 = 0.93;
@@ -156,12 +157,13 @@
         let shared = &self.shared;
         let from = shared.timer.now();
         shared.readiness.fail(RUNNING, "stop asked for");
-        shared.stopping.set(true);
+        shared.stopping.set(Stopping::Asked);
         let open = shared.drain.count();
         shared
             .log
             .emit(&events::DRAIN_STARTED, &[field("open", open)]);
         shared.timer.sleep(self.grace.mul_f64(CLOSE_PART)).await;
+        shared.stopping.set(Stopping::Closing);
         self.callers.stop();
         let left = self.grace.mul_f64(END_PART - CLOSE_PART);
         // Requests that still run then are cut by the process's end, which the grace demands.
@@ -206,7 +208,7 @@
         readiness: Readiness::new(&[LAYOUT, RUNNING], log),
         drain: Drain::new(),
         meters: Meters::new(metrics),
-        stopping: Cell::new(false),
+        stopping: Cell::default(),
     })
 }
 
