--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -9,9 +9,9 @@
 use pumicecleat_policy::{EngineOrder, EngineState, OrderEnd, TurnAction, TurnOptions};
 use pumicecleat_types::{BaseId, Millis, Turn};
 
+use crate::PortError;
 use crate::meters::{OrderLabels, TurnLabels};
 use crate::shared::{ENGINE, Shared};
-use crate::PortError;
 
 /// Time for the engine's report. On the same VM it takes a few milliseconds; an engine that
 /// doesn't give it for this long is not to be sent to.
--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -50,7 +50,10 @@
 }
 
 /// Follows `topic` into `catalog` for good.
-#[allow(clippy::too_many_arguments, reason = "the parts of one loop, borrowed once")]
+#[allow(
+    clippy::too_many_arguments,
+    reason = "the parts of one loop, borrowed once"
+)]
 pub async fn follow(
     catalog: Shared,
     topic: Topic,
--- a/crates/cli/src/apply.rs
+++ b/crates/cli/src/apply.rs
@@ -4,8 +4,8 @@
 
 use pumicecleat_config::model::Config;
 use pumicecleat_config::{Change, ChangeId, Record, Verdict};
-use pumicecleat_net::Timer;
 use pumicecleat_infra::AppendError;
+use pumicecleat_net::Timer;
 use uuid::Uuid;
 
 use crate::args::ApplyArgs;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -1,8 +1,8 @@
 //! Errors of commands, each with its step and exit status.
 
 use pumicecleat_config::{Cause, Faults};
-use pumicecleat_net::{NetError, RuntimeError};
 use pumicecleat_infra::{AppendError, ReadError};
+use pumicecleat_net::{NetError, RuntimeError};
 use snafu::Snafu;
 
 /// A command that was not carried out.
--- a/crates/cli/src/reader.rs
+++ b/crates/cli/src/reader.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use pumicecleat_config::Fold;
-use pumicecleat_net::{Client, ClientOptions, Timer};
 use pumicecleat_infra::{HttpLog, Log, Peers, ReadError};
+use pumicecleat_net::{Client, ClientOptions, Timer};
 use snafu::ResultExt;
 
 use crate::error::{CliError, ReadSnafu, TrimmedSnafu};
--- a/crates/entry/src/config/follow.rs
+++ b/crates/entry/src/config/follow.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use pumicecleat_config::{FoldEvent, Scan};
-use pumicecleat_ops::{events, field};
 use pumicecleat_infra::{Batch, ReadError};
+use pumicecleat_ops::{events, field};
 use pumicecleat_types::{LogRecord, Millis};
 
 use super::{Current, STREAM, peers};
--- a/crates/entry/src/directory/vms.rs
+++ b/crates/entry/src/directory/vms.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_ops::{events, field};
 use pumicecleat_infra::{VmList, Vms};
+use pumicecleat_ops::{events, field};
 use pumicecleat_types::{Millis, VmId};
 
 use super::Directory;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -6,9 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use pumicecleat_infra::Log as Records;
 use pumicecleat_net::{Client, Timer, Turns};
 use pumicecleat_ops::{Drain, Log, Readiness, Stop};
-use pumicecleat_infra::Log as Records;
 use pumicecleat_policy::{LoadOrder, RetryBudget};
 use pumicecleat_types::{RegionId, VmId};
 
--- a/crates/entry/src/start/mod.rs
+++ b/crates/entry/src/start/mod.rs
@@ -9,11 +9,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use pumicecleat_infra::{HttpLog, HttpVms, Log as Records, Peers, Vms};
 use pumicecleat_net::{
     Client, ClientOptions, Handler, Protocol, Server, ServerOptions, Timer, Turns, bind,
 };
 use pumicecleat_ops::{Admin, Drain, Log, Metrics, Readiness, Stop, events, field};
-use pumicecleat_infra::{HttpLog, HttpVms, Log as Records, Peers, Vms};
 use pumicecleat_policy::{BudgetOptions, LoadOrder, LoadOrderOptions, RetryBudget};
 use snafu::{ResultExt, Snafu};
 
--- a/crates/entry/tests/entry/peers.rs
+++ b/crates/entry/tests/entry/peers.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use pumicecleat_entry::{EntryDump, Parts};
-use pumicecleat_net::post;
 use pumicecleat_infra::{Local, VmList, Vms, VmsError};
+use pumicecleat_net::post;
 use pumicecleat_types::{
     LoadBid, LoadFigures, LoadTurn, Report, ReportReply, VmEntry, VmRole, VmState,
 };
--- a/crates/entry/tests/entry/stop.rs
+++ b/crates/entry/tests/entry/stop.rs
@@ -4,8 +4,8 @@
 
 use futures_util::future::join;
 use pumicecleat_entry::Parts;
-use pumicecleat_ops::DrainEnd;
 use pumicecleat_infra::{HttpVms, Peers};
+use pumicecleat_ops::DrainEnd;
 use pumicecleat_standin::{VmList, VmListOptions};
 use pumicecleat_types::{VmEntry, VmRole, VmState};
 
--- a/crates/entry/tests/entry/world.rs
+++ b/crates/entry/tests/entry/world.rs
@@ -10,9 +10,9 @@
 use pumicecleat_config::model::Config;
 use pumicecleat_config::{Change, ChangeId, Fold, Record, Source, hash_key, parse};
 use pumicecleat_entry::{Entry, EntrySettings, Parts};
+use pumicecleat_infra::{HttpLog, Log as Records, Peers};
 use pumicecleat_net::{Client, ClientOptions, Timer, run};
 use pumicecleat_ops::{Level, Log, LogOptions, Settings, Stop};
-use pumicecleat_infra::{HttpLog, Log as Records, Peers};
 use pumicecleat_standin::{Log as StandinLog, LogFaults, Running};
 use pumicecleat_types::LogRecord;
 
--- a/crates/fuzz/src/targets/platform.rs
+++ b/crates/fuzz/src/targets/platform.rs
@@ -6,8 +6,8 @@
 use std::sync::mpsc::{Receiver, Sender};
 use std::time::Duration;
 
-use pumicecleat_net::{Client, ClientOptions, Timer, run};
 use pumicecleat_infra::{Appended, Batch, HttpLog, HttpVms, Log, Peers, VmList, Vms};
+use pumicecleat_net::{Client, ClientOptions, Timer, run};
 use serde_json::Value;
 
 use super::page::{Page, SPAN};
--- a/crates/gateway/src/request/head.rs
+++ b/crates/gateway/src/request/head.rs
@@ -1,6 +1,8 @@
 //! Heads on their way: what concerns one connection only is taken out.
 
-use http::header::{CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
 use http::{HeaderMap, request};
 
 /// Headers of one connection that have no constant.
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -2,7 +2,7 @@
 
 use pumicecleat_catalog::{Repeat, Upstream};
 use pumicecleat_net::Reply;
-use pumicecleat_policy::{EngineChoice, EngineView};
+use pumicecleat_policy::{AdapterHold, EngineChoice, EngineView};
 use pumicecleat_types::{Millis, Turn, TurnAsk};
 
 use super::job::Job;
@@ -133,7 +133,8 @@
         .collect();
     let choice = EngineChoice::new(pumicecleat_policy::name_key(adapter.unwrap_or_default()));
     let at = choice.pick(&views)?;
-    Some((candidates[at].clone(), views[at].held))
+    let held = views[at].hold == AdapterHold::Held;
+    Some((candidates[at].clone(), held))
 }
 
 fn view(job: &Job, upstream: &Upstream, adapter: Option<&str>, now: Millis) -> EngineView {
@@ -148,8 +149,12 @@
         let loads = |name: &str| figures.is_some_and(|f| f.loading.iter().any(|l| l == name));
         EngineView {
             key: pumicecleat_policy::name_key(&upstream.instance),
-            held: adapter.is_none_or(holds),
-            coming: adapter.is_some_and(loads),
+            hold: match adapter {
+                Some(name) if holds(name) => AdapterHold::Held,
+                Some(name) if loads(name) => AdapterHold::Coming,
+                Some(_) => AdapterHold::Absent,
+                None => AdapterHold::Held,
+            },
             spare: figures.map_or(0, |f| f.spare),
             unread: figures.map_or(0, |f| f.unread) + asked,
             rate: figures.map_or(1, |f| f.rate),
@@ -161,16 +166,8 @@
     })
 }
 
-async fn run(
-    mut job: Job,
-    upstream: &Upstream,
-    held: Option<u64>,
-    progress: &mut Progress,
-) -> Ran {
-    let under_way = job
-        .shared
-        .table
-        .enter(&upstream.instance, Some(job.id()));
+async fn run(mut job: Job, upstream: &Upstream, held: Option<u64>, progress: &mut Progress) -> Ran {
+    let under_way = job.shared.table.enter(&upstream.instance, Some(job.id()));
     if !job.is_ready(&upstream.instance) {
         job.tried.push(upstream.instance.clone());
         return Ran::Again(Box::new(job));
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -54,12 +54,7 @@
 }
 
 /// Passes an answer on piece by piece, `start` first.
-pub(super) fn pass(
-    response: Response,
-    start: Vec<u8>,
-    trail: Trail,
-    under_way: UnderWay,
-) -> Reply {
+pub(super) fn pass(response: Response, start: Vec<u8>, trail: Trail, under_way: UnderWay) -> Reply {
     let mut reply = head(&response);
     let relay = Relay {
         status: response.status(),
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -63,7 +63,8 @@
             return Attempt::Lost("answer to another request".to_owned());
         }
         if heard.other_instance {
-            self.shared.seen_leaving(&upstream.instance, "other instance");
+            self.shared
+                .seen_leaving(&upstream.instance, "other instance");
             return Attempt::NotRun(heard);
         }
         if let Some(load) = heard.load {
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -10,7 +10,7 @@
 use pumicecleat_types::{Millis, RunNews, Turn, TurnAsk, TurnCall, TurnReply};
 
 use crate::shared::Shared;
-use crate::table::Asking;
+use crate::table::{Asking, Record};
 
 /// Path of the one exchange.
 const TURN_PATH: &str = "/peer/v1/turn";
@@ -77,7 +77,7 @@
 }
 
 async fn sync_one(shared: &Shared, upstream: &Upstream) {
-    let news = shared.table.with(&upstream.instance, |r| r.take_news());
+    let news = shared.table.with(&upstream.instance, Record::take_news);
     let call = TurnCall {
         news: news.clone(),
         ask: None,
@@ -90,9 +90,7 @@
             }
         });
     }
-    shared
-        .table
-        .with(&upstream.instance, |r| r.syncing = false);
+    shared.table.with(&upstream.instance, |r| r.syncing = false);
 }
 
 /// Asks for a turn at `upstream`; waits until it has an outcome or the agent is lost.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -173,9 +173,7 @@
         shared
             .log
             .emit(&events::DRAIN_FINISHED, &[field("took_ms", took)]);
-        shared
-            .log
-            .emit_last(&events::STOPPED, &[field("cut", cut)]);
+        shared.log.emit_last(&events::STOPPED, &[field("cut", cut)]);
     }
 }
 
--- a/crates/infra/examples/shared_log.rs
+++ b/crates/infra/examples/shared_log.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use pumicecleat_net::{Client, ClientOptions, Timer, run};
 use pumicecleat_infra::{AppendOptions, Appender, HttpLog, Peers};
+use pumicecleat_net::{Client, ClientOptions, Timer, run};
 use pumicecleat_standin::{Log, LogOptions};
 
 /// Records that each appender's callers give in a second.
--- a/crates/infra/src/follower/keyed.rs
+++ b/crates/infra/src/follower/keyed.rs
@@ -81,13 +81,7 @@
         self.backoff.reset();
         self.outage = false;
         let log: Rc<dyn Log> = self.log.clone();
-        let follower = Follower::new_ext(
-            log,
-            &self.timer,
-            &self.stream,
-            newest.next,
-            self.options,
-        );
+        let follower = Follower::new_ext(log, &self.timer, &self.stream, newest.next, self.options);
         self.follower = Some(follower);
         let offset = |r: &KeyedRecord| (r.key.clone(), r.offset);
         self.told = newest.records.iter().map(offset).collect();
--- a/crates/infra/tests/infra/appender.rs
+++ b/crates/infra/tests/infra/appender.rs
@@ -6,8 +6,8 @@
 use crate::common::{FakeLog, Move, with_client};
 use futures_util::future::join_all;
 use proptest::prelude::*;
-use pumicecleat_net::{Client, Timer};
 use pumicecleat_infra::{AppendError, AppendOptions, Appender, Log, SubmitError};
+use pumicecleat_net::{Client, Timer};
 
 const MS: Duration = Duration::from_millis(1);
 
--- a/crates/infra/tests/infra/common/mod.rs
+++ b/crates/infra/tests/infra/common/mod.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_net::{Client, ClientOptions, Timer, run};
 use pumicecleat_infra::{AppendError, Appended, Batch, Fault, Local, Log, ReadError};
+use pumicecleat_net::{Client, ClientOptions, Timer, run};
 use pumicecleat_types::LogRecord;
 
 /// What the log does with one call; without one it does as it should.
--- a/crates/infra/tests/infra/follower.rs
+++ b/crates/infra/tests/infra/follower.rs
@@ -5,8 +5,8 @@
 
 use crate::common::{FakeLog, Move, with_client};
 use proptest::prelude::*;
-use pumicecleat_net::Timer;
 use pumicecleat_infra::{BackoffOptions, FollowError, FollowEvent, FollowOptions, Follower};
+use pumicecleat_net::Timer;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -18,6 +18,7 @@
     let options = FollowOptions {
         batch: 3,
         wait,
+        pace: Duration::ZERO,
         backoff: BackoffOptions {
             first: MS,
             max: 4 * MS,
--- a/crates/infra/tests/infra/http.rs
+++ b/crates/infra/tests/infra/http.rs
@@ -8,13 +8,13 @@
 
 use crate::common::with_client;
 use bytes::Bytes;
+use pumicecleat_infra::{
+    AppendError, Fault, HttpLog, HttpStore, HttpVms, Log, Peers, ReadError, Store, StoreError, Vms,
+};
 use pumicecleat_net::{
     Body, BodyError, Client, ClientOptions, Handler, Incoming, Reply, Server, ServerOptions, Timer,
     bind, run,
 };
-use pumicecleat_infra::{
-    AppendError, Fault, HttpLog, HttpStore, HttpVms, Log, Peers, ReadError, Store, StoreError, Vms,
-};
 use pumicecleat_standin::{
     Log as LogStandin, LogFaults, LogOptions, Store as StoreStandin, StoreOptions,
     VmList as VmsStandin, VmListOptions,
--- a/crates/measure/src/path/parts.rs
+++ b/crates/measure/src/path/parts.rs
@@ -5,9 +5,9 @@
 
 use pumicecleat_config::{Change, ChangeId, Fold, Record, Source, parse};
 use pumicecleat_entry::{Entry, EntrySettings, Parts as EntryParts};
+use pumicecleat_infra::{HttpLog, Log as Records, Peers};
 use pumicecleat_net::{Client, ClientOptions, Timer};
 use pumicecleat_ops::{Level, Log, LogOptions, Settings, Stop};
-use pumicecleat_infra::{HttpLog, Log as Records, Peers};
 use pumicecleat_side::{Side, SideSettings};
 use pumicecleat_standin::{Engine, EngineOptions};
 
--- a/crates/measure/src/slopes/change/author.rs
+++ b/crates/measure/src/slopes/change/author.rs
@@ -5,8 +5,8 @@
 
 use pumicecleat_config::model::Config;
 use pumicecleat_config::{Change, ChangeId, Fold, Record};
-use pumicecleat_net::{Client, ClientOptions, Timer};
 use pumicecleat_infra::{HttpLog, Log, Peers};
+use pumicecleat_net::{Client, ClientOptions, Timer};
 
 use super::Shared;
 use crate::slopes::fleet::{adapter, adapter_name};
--- a/crates/measure/src/slopes/world.rs
+++ b/crates/measure/src/slopes/world.rs
@@ -6,9 +6,9 @@
 
 use pumicecleat_config::{Change, ChangeId, Fold, Record};
 use pumicecleat_entry::{Entry, EntrySettings, Parts};
+use pumicecleat_infra::{HttpLog, Log as Records, Peers};
 use pumicecleat_net::{Client, ClientOptions, Timer};
 use pumicecleat_ops::{Level, Log, LogOptions, Settings, Stop};
-use pumicecleat_infra::{HttpLog, Log as Records, Peers};
 use pumicecleat_standin::{VmList, VmListOptions};
 
 use super::fleet::{config, listed};
--- a/crates/net/src/client/mod.rs
+++ b/crates/net/src/client/mod.rs
@@ -225,7 +225,9 @@
 /// its way, so that none meets the peer's close.
 fn keep_alive(headers: &http::HeaderMap) -> Option<Millis> {
     let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
-    let timeout = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="));
+    let timeout = text
+        .split(',')
+        .find_map(|p| p.trim().strip_prefix("timeout="));
     let secs: u64 = timeout?.trim().parse().ok()?;
     Some(Millis(secs.saturating_mul(1_000)) - KEEP_MARGIN)
 }
--- a/crates/policy/src/prompt/engine.rs
+++ b/crates/policy/src/prompt/engine.rs
@@ -33,15 +33,25 @@
 /// Cost of each request under way, ms: it lengthens the engine's steps.
 const RUNNING: f64 = 1.5;
 
+/// How an engine stands to an adapter.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AdapterHold {
+    /// Holds it, at a version that will do; or none is needed.
+    Held,
+    /// Loads it.
+    Coming,
+    /// Would have to load it.
+    #[default]
+    Absent,
+}
+
 /// What an entry knows of an engine, for one request.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EngineView {
     /// Key, the same at every entry.
     pub key: u64,
-    /// Holds the adapter, at a version that will do, or none is needed.
-    pub held: bool,
-    /// Loads the adapter.
-    pub coming: bool,
+    /// How it stands to the adapter.
+    pub hold: AdapterHold,
     /// Places that a further adapter could take.
     pub spare: u32,
     /// Prompt tokens that wait to be read, own sends counted in.
@@ -73,7 +83,7 @@
 
     /// Index of the engine where the first event is expected first.
     #[must_use]
-    pub fn pick(&self, engines: &[EngineView]) -> Option<usize> {
+    pub fn pick(self, engines: &[EngineView]) -> Option<usize> {
         let costs = engines.iter().map(|e| self.cost(e, engines));
         let indexed = costs.enumerate();
         indexed.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(i, _)| i)
@@ -81,7 +91,7 @@
 
     /// Expected time to the first event, ms, with what the choice costs others.
     #[must_use]
-    pub fn cost(&self, engine: &EngineView, all: &[EngineView]) -> f64 {
+    pub fn cost(self, engine: &EngineView, all: &[EngineView]) -> f64 {
         let mut cost = approximate(engine.unread) * 1_000.0 / approximate(engine.rate.max(1));
         cost += f64::from(engine.running) * RUNNING + approximate(engine.behind);
         if engine.stale {
@@ -90,24 +100,24 @@
         if engine.remote {
             cost += REMOTE;
         }
-        if engine.held {
-            return cost;
-        }
-        if engine.coming {
-            return cost + COMING;
+        match engine.hold {
+            AdapterHold::Held => cost,
+            AdapterHold::Coming => cost + COMING,
+            AdapterHold::Absent => {
+                let place = if engine.spare == 0 { CROWDED } else { EVICT };
+                cost + LOAD + f64::from(self.rank(engine, all)) * RANK + place
+            }
         }
-        cost += LOAD + f64::from(self.rank(engine, all)) * RANK;
-        if engine.spare == 0 { cost + CROWDED } else { cost + EVICT }
     }
 
     /// Engines that come before `engine` as the adapter's home.
-    fn rank(&self, engine: &EngineView, all: &[EngineView]) -> u8 {
+    fn rank(self, engine: &EngineView, all: &[EngineView]) -> u8 {
         let own = self.weight(engine.key);
         let before = all.iter().filter(|e| self.weight(e.key) > own).count();
         u8::try_from(before).unwrap_or(u8::MAX).min(RANKS)
     }
 
-    fn weight(&self, key: u64) -> u64 {
+    fn weight(self, key: u64) -> u64 {
         xxh3_64_with_seed(&key.to_le_bytes(), self.adapter)
     }
 }
--- a/crates/policy/src/prompt/mod.rs
+++ b/crates/policy/src/prompt/mod.rs
@@ -14,10 +14,8 @@
 mod slots;
 mod turns;
 
-pub use engine::{EngineChoice, EngineView};
+pub use engine::{AdapterHold, EngineChoice, EngineView};
 pub use places::{EngineOrder, OrderEnd};
 pub use repeat::{RepeatOptions, RepeatWindow};
 pub use slots::{SlotChoice, SlotView};
-pub use turns::{
-    EngineState, RunSeen, TurnAction, TurnId, TurnOptions, TurnRequest, Turns,
-};
+pub use turns::{EngineState, RunSeen, TurnAction, TurnId, TurnOptions, TurnRequest, Turns};
--- a/crates/policy/src/prompt/places.rs
+++ b/crates/policy/src/prompt/places.rs
@@ -291,12 +291,11 @@
     fn carry_out(&mut self, order: EngineOrder, end: OrderEnd, now: Millis) {
         self.sequence += 1;
         match order {
-            EngineOrder::LoadBase => self.pause = now + RETRY,
             EngineOrder::Load { adapter, version } if end == OrderEnd::Accepted => {
                 self.loading.insert(adapter, version.unwrap_or_default());
             }
-            // The next report names the version that is held.
-            EngineOrder::Load { .. } => self.pause = now + RETRY,
+            // The next report tells what is held.
+            EngineOrder::LoadBase | EngineOrder::Load { .. } => self.pause = now + RETRY,
             EngineOrder::Unload { adapter } => {
                 self.held.remove(&adapter);
                 if end == OrderEnd::Accepted {
--- a/crates/policy/src/prompt/repeat.rs
+++ b/crates/policy/src/prompt/repeat.rs
@@ -77,7 +77,10 @@
     }
 }
 
-#[allow(clippy::cast_precision_loss, reason = "a window holds far fewer than 2^52")]
+#[allow(
+    clippy::cast_precision_loss,
+    reason = "a window holds far fewer than 2^52"
+)]
 fn approximate(n: usize) -> f64 {
     n as f64
 }
--- a/crates/policy/src/prompt/slots.rs
+++ b/crates/policy/src/prompt/slots.rs
@@ -74,7 +74,11 @@
             _ => view.own,
         };
         let slots = f64::from(view.slots.max(1));
-        let mean = if self.mean > 0.0 { self.mean } else { FIRST_MEAN };
+        let mean = if self.mean > 0.0 {
+            self.mean
+        } else {
+            FIRST_MEAN
+        };
         let over = (f64::from(told) + 1.0 - slots).max(0.0);
         let mut cost = mean * (1.0 + over / slots) + f64::from(told) * CROWD;
         if view.remote {
--- a/crates/policy/src/prompt/turns.rs
+++ b/crates/policy/src/prompt/turns.rs
@@ -134,6 +134,19 @@
     shown: bool,
 }
 
+/// How far an engine is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Condition {
+    /// Does not answer.
+    Unknown,
+    /// Holds no base model.
+    Empty,
+    /// Loads its base model.
+    Loading,
+    /// Holds its base model.
+    Ready,
+}
+
 /// Turns at one engine; see the module.
 #[derive(Clone, Debug)]
 pub struct Turns {
@@ -142,11 +155,8 @@
     waiting: BTreeMap<TurnId, Waiting>,
     runs: BTreeMap<String, Run>,
     next: u64,
-    loaded: bool,
+    engine: Condition,
     leaving: bool,
-    /// The engine answers its side.
-    known: bool,
-    busy: bool,
     newest: BTreeMap<String, u64>,
 }
 
@@ -160,10 +170,8 @@
             waiting: BTreeMap::new(),
             runs: BTreeMap::new(),
             next: 0,
-            loaded: false,
+            engine: Condition::Unknown,
             leaving: false,
-            known: false,
-            busy: false,
             newest: BTreeMap::new(),
         }
     }
@@ -178,14 +186,13 @@
     pub fn reset(&mut self) {
         self.places.reset();
         self.runs.clear();
-        self.loaded = false;
+        self.engine = Condition::Unknown;
         self.leaving = false;
-        self.known = false;
     }
 
     /// The engine does not answer.
     pub fn lost(&mut self) {
-        self.known = false;
+        self.engine = Condition::Unknown;
     }
 
     /// The engine must get no more requests, by another sign than its report.
@@ -201,10 +208,12 @@
 
     /// Takes in what the engine reports.
     pub fn observe(&mut self, state: &EngineState, now: Millis) {
-        self.known = true;
-        self.loaded = state.loaded;
+        self.engine = match (state.loaded, state.busy) {
+            (true, _) => Condition::Ready,
+            (false, true) => Condition::Loading,
+            (false, false) => Condition::Empty,
+        };
         self.leaving |= state.leaving;
-        self.busy = state.busy;
         self.places
             .observe(state.sequence, &state.held, &state.loading, now);
         self.match_runs(state, now);
@@ -309,16 +318,11 @@
     }
 
     /// Whether the request has to be refused, `ahead` tokens being read up to its last.
-    fn verdict(
-        &self,
-        waiting: &Waiting,
-        ahead: u64,
-        now: Millis,
-    ) -> Option<(TurnRefusal, Millis)> {
+    fn verdict(&self, waiting: &Waiting, ahead: u64, now: Millis) -> Option<(TurnRefusal, Millis)> {
         if self.leaving {
             return Some((TurnRefusal::Leaving, RETRY_LEAST));
         }
-        if !self.known || !self.loaded {
+        if self.engine != Condition::Ready {
             return Some((TurnRefusal::NoEngine, RETRY_LEAST));
         }
         let waited = now.since(waiting.since);
@@ -336,7 +340,7 @@
     }
 
     fn go(&mut self, now: Millis, actions: &mut Vec<TurnAction>) {
-        if self.leaving || !self.known || !self.loaded {
+        if self.leaving || self.engine != Condition::Ready {
             return;
         }
         let ahead = self.options.rate * AHEAD.0 / 1_000;
@@ -370,15 +374,13 @@
     }
 
     fn order(&mut self, now: Millis) -> Option<TurnAction> {
-        if !self.known || self.leaving || !self.places.may_order(now) {
+        if self.leaving || !self.places.may_order(now) {
             return None;
         }
-        let order = if self.loaded {
-            self.adapter_order(now)?
-        } else if self.busy {
-            return None;
-        } else {
-            EngineOrder::LoadBase
+        let order = match self.engine {
+            Condition::Unknown | Condition::Loading => return None,
+            Condition::Empty => EngineOrder::LoadBase,
+            Condition::Ready => self.adapter_order(now)?,
         };
         let sequence = self.places.sequence();
         self.places.ordered(order.clone());
@@ -441,7 +443,7 @@
         let running = self.runs.len() + self.waiting.len();
         EngineFigures {
             instance: instance.to_owned(),
-            ready: self.known && self.loaded && !self.leaving,
+            ready: self.engine == Condition::Ready && !self.leaving,
             bases: Vec::new(),
             held: self.places.held().map(|(n, v)| (n.clone(), v)).collect(),
             loading: self.places.coming().cloned().collect(),
--- a/crates/side/src/entries.rs
+++ b/crates/side/src/entries.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_ops::{events, field};
 use pumicecleat_infra::{Peers, VmList, Vms};
+use pumicecleat_ops::{events, field};
 use pumicecleat_types::{VmRole, VmState};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
--- a/crates/side/src/keys/mod.rs
+++ b/crates/side/src/keys/mod.rs
@@ -22,10 +22,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use pumicecleat_infra::{AppendOptions, Log};
 use pumicecleat_ledger::{Digest, Key, Limits};
 use pumicecleat_net::Timer;
 use pumicecleat_ops::Log as EventLog;
-use pumicecleat_infra::{AppendOptions, Log};
 use pumicecleat_types::{Millis, Reason, RequestId, ServiceId, VmId};
 
 use crate::state::wall_clock;
--- a/crates/side/src/keys/part.rs
+++ b/crates/side/src/keys/part.rs
@@ -9,12 +9,12 @@
 use std::time::Duration;
 
 use async_channel::Sender;
+use pumicecleat_infra::{AppendOptions, Appender, Log};
 use pumicecleat_ledger::{
     Attempt, Dump, Event, Key, Ledger, Limits, Outcome, Owner, Sent, Span, StepError, Won,
 };
 use pumicecleat_net::Timer;
 use pumicecleat_ops::{Log as EventLog, events, field};
-use pumicecleat_infra::{AppendOptions, Appender, Log};
 use pumicecleat_types::{Millis, Reason, RequestId};
 
 use super::KeyContext;
--- a/crates/side/src/keys/reader.rs
+++ b/crates/side/src/keys/reader.rs
@@ -3,11 +3,11 @@
 use std::pin::pin;
 use std::time::Duration;
 
-use pumicecleat_ledger::{Attempt, Event, Ledger, Span};
-use pumicecleat_ops::{events, field};
 use pumicecleat_infra::{
     BackoffOptions, FollowError, FollowEvent, FollowOptions, Follower, ReadError,
 };
+use pumicecleat_ledger::{Attempt, Event, Ledger, Span};
+use pumicecleat_ops::{events, field};
 use pumicecleat_types::{LogRecord, Millis};
 
 use super::part::Part;
@@ -27,6 +27,7 @@
 
 fn options() -> FollowOptions {
     FollowOptions {
+        pace: Duration::ZERO,
         batch: BATCH,
         wait: WAIT,
         backoff: BackoffOptions {
--- a/crates/side/src/keys/writer.rs
+++ b/crates/side/src/keys/writer.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use pumicecleat_infra::SubmitError;
 use pumicecleat_ledger::{Attempt, Record};
 use pumicecleat_ops::{events, field};
-use pumicecleat_infra::SubmitError;
 use pumicecleat_types::Millis;
 
 use super::part::Part;
--- a/crates/side/src/start.rs
+++ b/crates/side/src/start.rs
@@ -7,12 +7,12 @@
 
 use monoio::net::TcpListener;
 use pumicecleat_config::model::PoolKind;
+use pumicecleat_infra::{HttpLog, HttpVms, Log as PlatformLog, Peers};
 use pumicecleat_ledger::LimitError;
 use pumicecleat_net::{
     Client, ClientOptions, Protocol, Server, ServerOptions, Timer, Turns, bind, bind_exclusive,
 };
 use pumicecleat_ops::{Admin, Drain, DrainEnd, Log, Metrics, Readiness, Stop, events, field};
-use pumicecleat_infra::{HttpLog, HttpVms, Log as PlatformLog, Peers};
 use pumicecleat_types::ServiceId;
 use pumicecleat_upstream::{HttpService, VllmEngine};
 use snafu::{ResultExt, Snafu};
