Take given-up requests back by a reset; leave out engines that can't be reached

Ruled out: a missed close of the caller (the log tells it at once). A close of a connection to an upstream now resets it, which takes back what has not arrived; bytes without acknowledgement for 1.2 s end a connection. Engines whose agent says that they take nothing, and VMs that don't answer, get no requests.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -96,6 +96,7 @@
                 version: ask.version,
                 tokens: ask.tokens,
                 priority: ask.priority,
+                objective: Millis(ask.objective_ms),
                 patience: Millis(ask.patience_ms),
             },
             from,
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -124,7 +124,8 @@
 
 fn choose(job: &Job) -> Option<(Upstream, bool)> {
     let now = job.shared.timer.now();
-    let candidates = job.candidates();
+    let mut candidates = job.candidates();
+    candidates.retain(|u| job.shared.table.with(&u.instance, |r| !r.is_out(now)));
     let model = job.attributes.model.as_ref();
     let adapter = model.and_then(|m| m.adapter.as_deref());
     let views: Vec<EngineView> = candidates
@@ -140,7 +141,7 @@
 fn view(job: &Job, upstream: &Upstream, adapter: Option<&str>, now: Millis) -> EngineView {
     let oldest = version(job).unwrap_or_default();
     job.shared.table.with(&upstream.instance, |r| {
-        let stale = r.fresh(now).is_none_or(|f| !f.ready);
+        let stale = r.fresh(now).is_none();
         let asked: u64 = r.asking.iter().map(|a| u64::from(a.tokens)).sum();
         let figures = r.figures.as_ref().map(|f| &f.0);
         let holds = |name: &str| {
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -152,6 +152,7 @@
     let now = shared.timer.now();
     let silent = shared.table.with(&upstream.instance, |r| {
         r.heard = Some(now);
+        r.cut_off = false;
         r.silent.take()
     });
     if let Some(since) = silent {
@@ -174,6 +175,7 @@
     let now = shared.timer.now();
     let known = shared.table.with(&upstream.instance, |r| {
         let silent = r.heard.is_none_or(|at| now.since(at) > SILENCE);
+        r.cut_off = silent && !is_refused(error);
         !silent || r.silent.replace(r.silent.unwrap_or(now)).is_some()
     });
     if !known {
@@ -184,3 +186,9 @@
         shared.log.emit(&events::SIDE_LOST, &fields);
     }
 }
+
+/// Whether the VM itself said that no agent listens.
+fn is_refused(error: &NetError) -> bool {
+    matches!(error, NetError::Connect { source, .. }
+        if source.kind() == std::io::ErrorKind::ConnectionRefused)
+}
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -28,6 +28,10 @@
 /// short enough to try another within any objective.
 const CONNECT_SPAN: Duration = Duration::from_millis(250);
 
+/// Time for which an upstream or an agent may leave bytes without acknowledgement: many ways there
+/// and back, with a loss or two, and well below the time that callers wait.
+const ACK_SPAN: Duration = Duration::from_millis(1_200);
+
 /// Idle connections kept for one upstream. Half of an upstream's limit, shared by eight gateways.
 const IDLE: usize = 6;
 
@@ -187,6 +191,8 @@
     let client = ClientOptions {
         connect_span: CONNECT_SPAN,
         idle: IDLE,
+        ack_span: Some(ACK_SPAN),
+        abort: true,
         ..ClientOptions::default()
     };
     let seed = pumicecleat_policy::upstream_key(&settings.common.vm);
--- a/crates/gateway/src/table/record.rs
+++ b/crates/gateway/src/table/record.rs
@@ -36,6 +36,8 @@
     pub(crate) heard: Option<Millis>,
     /// Agent is known to be silent since then.
     pub(crate) silent: Option<Millis>,
+    /// Its VM does not answer either: a process that is down is refused by its VM.
+    pub(crate) cut_off: bool,
 }
 
 /// An ask for a turn under way.
@@ -66,6 +68,12 @@
         (now.since(*at) <= FIGURES_SPAN).then_some(figures)
     }
 
+    /// Whether requests for the engine would be in vain: its agent says that it crashed, loads its
+    /// base model or leaves, or their VM can't be reached. An agent that is down says nothing.
+    pub(crate) fn is_out(&self, now: Millis) -> bool {
+        self.cut_off || self.fresh(now).is_some_and(|f| !f.ready)
+    }
+
     /// View for the choice among plain upstreams.
     pub(crate) fn slot_view(&self, slots: u32, remote: bool, now: Millis) -> SlotView {
         SlotView {
--- a/crates/net/src/client/mod.rs
+++ b/crates/net/src/client/mod.rs
@@ -1,5 +1,6 @@
 //! The client: kept connections by peer, time limits, and the truth on whether a request left.
 
+mod connect;
 mod pool;
 mod response;
 mod sender;
@@ -12,7 +13,6 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use monoio::io::IntoPollIo;
-use monoio::net::TcpStream;
 use pumicecleat_types::Millis;
 use snafu::{IntoError, ResultExt};
 
@@ -24,19 +24,13 @@
 pub use response::Response;
 pub(crate) use response::ResponseBody;
 
+use connect::connect;
 use pool::Pool;
 use response::Kept;
 use sender::{Sender, handshake};
 
 type Request = http::Request<Full<Bytes>>;
 
-/// Silence after which a connection is probed, and time between two probes: the shortest that the
-/// system takes, as a kept connection that is dead costs the next request its outcome.
-const PROBE_SPAN: Duration = Duration::from_secs(1);
-
-/// Probes without an answer after which a connection is closed.
-const PROBES: u32 = 2;
-
 /// Header by which a peer tells how long it keeps an idle connection.
 const KEEP_ALIVE: &str = "keep-alive";
 
@@ -57,6 +51,11 @@
     pub head: usize,
     /// Protocol spoken with every peer.
     pub protocol: Protocol,
+    /// Time for which sent bytes may stay without acknowledgement before the connection is given up.
+    pub ack_span: Option<Duration>,
+    /// Whether closing a connection takes back what has not reached the peer. Without it, a request
+    /// that was given up behind a partition arrives once the partition heals.
+    pub abort: bool,
 }
 
 impl Default for ClientOptions {
@@ -67,6 +66,8 @@
             idle_span: Duration::from_secs(20),
             head: 16 * 1024,
             protocol: Protocol::Http1,
+            ack_span: None,
+            abort: false,
         }
     }
 }
@@ -178,15 +179,11 @@
 
     async fn connect(&self, peer: &str, address: SocketAddr) -> Result<Sender, NetError> {
         let span = self.state.options.connect_span;
-        let connect = TcpStream::connect_addr(address);
+        let connect = connect(address, &self.state.options);
         let stream = match self.state.timer.within(span, connect).await {
             Ok(result) => result.context(ConnectSnafu { peer })?,
             Err(_) => return ConnectTimeoutSnafu { peer, span }.fail(),
         };
-        // Without it small requests wait for an acknowledgement; the exchange works all the same.
-        let _ = stream.set_nodelay(true);
-        // Without it a peer that fell silent without a reset is noticed by time limits alone.
-        let _ = stream.set_tcp_keepalive(Some(PROBE_SPAN), Some(PROBE_SPAN), Some(PROBES));
         let io = stream.into_poll_io().context(ConnectSnafu { peer })?;
         let sender = handshake(io, &self.state.options)
             .await
--- a/crates/policy/src/prompt/turns.rs
+++ b/crates/policy/src/prompt/turns.rs
@@ -13,6 +13,11 @@
 /// Share of a caller's patience up to which a first event is still promised.
 const PROMISE: f64 = 0.75;
 
+/// Objectives up to which a first event is promised. A request that would be later is better asked
+/// at another engine, or refused while its caller can still come back: a longer queue makes all
+/// behind it late as well.
+const OBJECTIVES: f64 = 3.0;
+
 /// Shortest and longest time after which a refused caller is told to come back.
 const RETRY_LEAST: Millis = Millis(200);
 const RETRY_MOST: Millis = Millis(3_000);
@@ -44,6 +49,8 @@
     pub tokens: u32,
     /// Rank, 0 before all others.
     pub priority: u8,
+    /// Time within which its first event is wanted.
+    pub objective: Millis,
     /// Time after which its caller is gone.
     pub patience: Millis,
 }
@@ -326,7 +333,8 @@
             return Some((TurnRefusal::NoEngine, RETRY_LEAST));
         }
         let waited = now.since(waiting.since);
-        let promise = scaled(waiting.request.patience, PROMISE);
+        let promise = scaled(waiting.request.patience, PROMISE)
+            .min(scaled(waiting.request.objective, OBJECTIVES));
         let read = self.read_time(ahead);
         if waited + read > promise {
             return Some((TurnRefusal::Late, waited + read - promise));
