Keep the place of an unload that waits, and order nothing before a report that settles doubts

A place is now free when a report says so; after a conflict, a refusal or a lost answer nothing is ordered before the next report.

--- a/crates/policy/src/prompt/places.rs
+++ b/crates/policy/src/prompt/places.rs
@@ -11,8 +11,13 @@
 /// Adapters that may be on their way to an engine at once.
 const LOADS: usize = 4;
 
-/// Time after which an order without effect is tried again: two reports and the way.
-const RETRY: Millis = Millis(150);
+/// Time for which reports at a lower sequence are taken for older than our last order; one that comes
+/// later is right, and we counted an order that was not.
+const SEQUENCE_SPAN: Millis = Millis(1_000);
+
+/// Time that an unload which waits for runs is waited for before another adapter makes way: most
+/// streams end within it.
+const LEAVE_SPAN: Millis = Millis(400);
 
 /// Half-life of the count of an adapter's requests. Long against a burst, short against a shift of
 /// demand, which takes some seconds.
@@ -77,10 +82,15 @@
     most: usize,
     held: BTreeMap<String, Held>,
     loading: BTreeMap<String, u64>,
+    /// Ordered out of the engine, which still runs requests for them: places taken, and not to be
+    /// used.
+    leaving: BTreeSet<String>,
     out: Option<Out>,
     sequence: u64,
-    /// Nothing is ordered before then.
-    pause: Millis,
+    /// Last order that was counted as carried out.
+    counted: Millis,
+    /// What the engine holds is in doubt until its next report.
+    doubt: bool,
     demand: BTreeMap<String, Demand>,
 }
 
@@ -120,9 +130,10 @@
             // The report may be from before the order or after it; the next one tells.
             return;
         }
-        if sequence < self.sequence {
+        if sequence < self.sequence && now.since(self.counted) < SEQUENCE_SPAN {
             return;
         }
+        self.doubt = false;
         if self.out.as_ref().is_some_and(|o| sequence > o.sequence) {
             self.out = None;
         }
@@ -137,6 +148,7 @@
         });
         self.held = held.collect();
         self.loading = loading.iter().cloned().collect();
+        self.leaving.retain(|name| self.held.contains_key(name));
     }
 
     /// Sequence that the next order must name.
@@ -152,6 +164,7 @@
             }
             EngineOrder::LoadBase => true,
         });
+        let leaving = leaving || self.leaving.contains(adapter);
         if leaving || self.loading.contains_key(adapter) {
             return None;
         }
@@ -188,7 +201,9 @@
 
     /// Places that a further adapter could take, now or after an eviction.
     pub(super) fn spare(&self, in_use: &BTreeSet<&str>) -> u32 {
-        let idle = |name: &&String| !in_use.contains(name.as_str());
+        let idle = |name: &&String| {
+            !in_use.contains(name.as_str()) && !self.leaving.contains(name.as_str())
+        };
         let idle = self.held.keys().filter(idle).count();
         let free = self.most.saturating_sub(self.taken());
         u32::try_from(free + idle).unwrap_or(u32::MAX)
@@ -217,7 +232,7 @@
         wanted: &BTreeSet<&str>,
         now: Millis,
     ) -> Option<EngineOrder> {
-        if !self.may_order(now) || self.is_coming(adapter) {
+        if !self.may_order() || self.is_coming(adapter) || self.leaving.contains(adapter) {
             return None;
         }
         let held = self.held.contains_key(adapter);
@@ -234,6 +249,9 @@
                 version: (version > 0).then_some(version),
             });
         }
+        if !self.leaving.is_empty() && now.since(self.counted) < LEAVE_SPAN {
+            return None;
+        }
         let victim = if held {
             Some(adapter.to_owned())
         } else {
@@ -242,8 +260,8 @@
         victim.map(|adapter| EngineOrder::Unload { adapter })
     }
 
-    pub(super) fn may_order(&self, now: Millis) -> bool {
-        self.out.as_ref().is_none_or(|o| o.unknown) && now >= self.pause
+    pub(super) fn may_order(&self) -> bool {
+        self.out.as_ref().is_none_or(|o| o.unknown) && !self.doubt
     }
 
     /// Adapter that is in no use and is asked for least.
@@ -253,7 +271,9 @@
         wanted: &BTreeSet<&str>,
         now: Millis,
     ) -> Option<String> {
-        let free = |name: &str| !in_use.contains(name) && !wanted.contains(name);
+        let free = |name: &str| {
+            !in_use.contains(name) && !wanted.contains(name) && !self.leaving.contains(name)
+        };
         let idle = self.held.iter().filter(|(name, _)| free(name));
         let asked = |name: &str| self.demand.get(name).map_or(0.0, |d| d.now(now));
         let least = idle.min_by(|a, b| {
@@ -279,30 +299,35 @@
         };
         match end {
             OrderEnd::Accepted | OrderEnd::Done => self.carry_out(out.order, end, now),
-            OrderEnd::Conflict | OrderEnd::Refused => self.pause = now + RETRY,
+            OrderEnd::Conflict | OrderEnd::Refused => self.doubt = true,
             OrderEnd::Unknown => {
                 out.unknown = true;
                 self.out = Some(out);
-                self.pause = now + RETRY;
+                self.doubt = true;
             }
         }
     }
 
     fn carry_out(&mut self, order: EngineOrder, end: OrderEnd, now: Millis) {
-        self.sequence += 1;
-        match order {
-            EngineOrder::Load { adapter, version } if end == OrderEnd::Accepted => {
+        match (order, end) {
+            (EngineOrder::Load { adapter, version }, OrderEnd::Accepted) => {
                 self.loading.insert(adapter, version.unwrap_or_default());
             }
-            // The next report tells what is held.
-            EngineOrder::LoadBase | EngineOrder::Load { .. } => self.pause = now + RETRY,
-            EngineOrder::Unload { adapter } => {
+            (EngineOrder::Unload { adapter }, OrderEnd::Accepted) => {
+                self.leaving.insert(adapter);
+            }
+            (EngineOrder::Unload { adapter }, _) => {
                 self.held.remove(&adapter);
-                if end == OrderEnd::Accepted {
-                    self.pause = now + RETRY;
-                }
             }
+            // It held already, and whether that counts as an order only the next report tells.
+            (EngineOrder::Load { .. }, _) => {
+                self.doubt = true;
+                return;
+            }
+            (EngineOrder::LoadBase, _) => self.doubt = true,
         }
+        self.sequence += 1;
+        self.counted = now;
     }
 
     /// Another instance stands in the engine's place.
--- a/crates/policy/src/prompt/turns.rs
+++ b/crates/policy/src/prompt/turns.rs
@@ -382,7 +382,7 @@
     }
 
     fn order(&mut self, now: Millis) -> Option<TurnAction> {
-        if self.leaving || !self.places.may_order(now) {
+        if self.leaving || !self.places.may_order() {
             return None;
         }
         let order = match self.engine {
--- /dev/null
+++ b/crates/policy/tests/prompt_turns.rs
@@ -0,0 +1,271 @@
+//! Turns at one engine: places, orders, order of turns and refusals.
+
+use pumicecleat_policy::{
+    EngineOrder, EngineState, OrderEnd, RunSeen, TurnAction, TurnId, TurnOptions, TurnRequest,
+    Turns,
+};
+use pumicecleat_types::{Millis, TurnRefusal};
+
+const OPTIONS: TurnOptions = TurnOptions {
+    places: 2,
+    batch: 8,
+    rate: 20_000,
+};
+
+fn request(id: &str, adapter: &str) -> TurnRequest {
+    TurnRequest {
+        request: id.to_owned(),
+        adapter: Some(adapter.to_owned()),
+        version: 0,
+        tokens: 2_000,
+        priority: 1,
+        objective: Millis(1_000),
+        patience: Millis(4_000),
+    }
+}
+
+fn state(sequence: u64, held: &[&str], loading: &[&str]) -> EngineState {
+    let versioned = |names: &[&str]| names.iter().map(|n| ((*n).to_owned(), 1)).collect();
+    EngineState {
+        sequence,
+        loaded: true,
+        held: versioned(held),
+        loading: versioned(loading),
+        ..EngineState::default()
+    }
+}
+
+/// Turns at an engine that holds `held`.
+fn turns(held: &[&str]) -> Turns {
+    let mut turns = Turns::new_ext(OPTIONS);
+    turns.observe(&state(0, held, &[]), Millis(0));
+    turns
+}
+
+fn load(adapter: &str, sequence: u64) -> TurnAction {
+    let adapter = adapter.to_owned();
+    TurnAction::Order {
+        order: EngineOrder::Load {
+            adapter,
+            version: None,
+        },
+        sequence,
+    }
+}
+
+fn unload(adapter: &str, sequence: u64) -> TurnAction {
+    let adapter = adapter.to_owned();
+    TurnAction::Order {
+        order: EngineOrder::Unload { adapter },
+        sequence,
+    }
+}
+
+fn go(turn: TurnId) -> TurnAction {
+    TurnAction::Go {
+        turn,
+        version: Some(1),
+    }
+}
+
+#[test]
+fn a_held_adapter_goes_at_once_and_an_absent_one_after_its_load() {
+    let mut turns = turns(&["a1"]);
+    let held = turns.ask(request("r1", "a1"), Millis(1));
+    assert_eq!(turns.poll(Millis(1)), [go(held)]);
+    let absent = turns.ask(request("r2", "a2"), Millis(2));
+    assert_eq!(turns.poll(Millis(2)), [load("a2", 0)]);
+    turns.order_ended(OrderEnd::Accepted, Millis(3));
+    turns.observe(&state(1, &["a1"], &["a2"]), Millis(100));
+    assert_eq!(turns.poll(Millis(100)), []);
+    turns.observe(&state(1, &["a1", "a2"], &[]), Millis(300));
+    assert_eq!(turns.poll(Millis(300)), [go(absent)]);
+}
+
+#[test]
+fn the_idle_adapter_asked_for_least_makes_way() {
+    let mut turns = turns(&["a1", "a2"]);
+    for n in 0..3 {
+        let id = format!("r{n}");
+        turns.ask(request(&id, "a1"), Millis(1));
+        turns.poll(Millis(1));
+        turns.ended(&id);
+    }
+    turns.ask(request("r3", "a2"), Millis(1));
+    turns.poll(Millis(1));
+    turns.ended("r3");
+    turns.ask(request("r4", "a3"), Millis(2));
+    assert_eq!(turns.poll(Millis(2)), [unload("a2", 0)]);
+    turns.order_ended(OrderEnd::Done, Millis(3));
+    assert_eq!(turns.poll(Millis(3)), [load("a3", 1)]);
+}
+
+#[test]
+fn an_adapter_in_use_never_makes_way() {
+    let mut turns = turns(&["a1", "a2"]);
+    turns.ask(request("r1", "a1"), Millis(1));
+    turns.ask(request("r2", "a2"), Millis(1));
+    turns.poll(Millis(1));
+    turns.ask(request("r3", "a3"), Millis(2));
+    assert_eq!(turns.poll(Millis(2)), []);
+    turns.ended("r1");
+    assert_eq!(turns.poll(Millis(3)), [unload("a1", 0)]);
+}
+
+/// Regression: the engine still ran requests that the agent had not given their turn; a load was
+/// ordered into the place that was not free yet.
+#[test]
+fn an_unload_that_waits_for_runs_keeps_its_place() {
+    let mut turns = turns(&["a1", "a2"]);
+    turns.ask(request("r1", "a3"), Millis(1));
+    assert_eq!(turns.poll(Millis(1)), [unload("a1", 0)]);
+    turns.order_ended(OrderEnd::Accepted, Millis(2));
+    assert_eq!(turns.poll(Millis(300)), [], "a1 is not out");
+    turns.observe(&state(1, &["a1", "a2"], &[]), Millis(901));
+    assert_eq!(turns.poll(Millis(901)), [unload("a2", 1)]);
+    turns.order_ended(OrderEnd::Done, Millis(902));
+    assert_eq!(turns.poll(Millis(902)), [load("a3", 2)]);
+}
+
+#[test]
+fn an_order_without_an_answer_counts_as_done_and_as_not_done() {
+    let mut turns = turns(&["a1"]);
+    turns.ask(request("r1", "a2"), Millis(1));
+    assert_eq!(turns.poll(Millis(1)), [load("a2", 0)]);
+    turns.order_ended(OrderEnd::Unknown, Millis(800));
+    assert_eq!(turns.poll(Millis(801)), [], "nothing before a report");
+    turns.observe(&state(0, &["a1"], &[]), Millis(900));
+    // The lost load may still take the second place: one has to be freed, by an order that is void
+    // if it did.
+    turns.ask(request("r2", "a3"), Millis(901));
+    assert_eq!(turns.poll(Millis(901)), [unload("a1", 0)]);
+    turns.order_ended(OrderEnd::Conflict, Millis(902));
+    assert_eq!(turns.poll(Millis(903)), [], "nothing before a report");
+    turns.observe(&state(1, &["a1"], &["a2"]), Millis(1_000));
+    assert_eq!(turns.poll(Millis(1_000)), [unload("a1", 1)]);
+}
+
+#[test]
+fn an_order_that_held_already_does_not_lose_the_sequence() {
+    let mut turns = turns(&["a1"]);
+    turns.ask(request("r1", "a2"), Millis(1));
+    assert_eq!(turns.poll(Millis(1)), [load("a2", 0)]);
+    turns.order_ended(OrderEnd::Done, Millis(2));
+    turns.observe(&state(0, &["a1", "a2"], &[]), Millis(100));
+    let actions = turns.poll(Millis(100));
+    assert_eq!(actions, [go(TurnId(0))]);
+}
+
+#[test]
+fn a_version_that_is_too_old_is_replaced_and_not_used() {
+    let mut turns = turns(&["a1"]);
+    turns.newest("a1", 4);
+    turns.ask(request("r1", "a1"), Millis(1));
+    let wanted = TurnAction::Order {
+        order: EngineOrder::Load {
+            adapter: "a1".to_owned(),
+            version: Some(4),
+        },
+        sequence: 0,
+    };
+    assert_eq!(turns.poll(Millis(1)), [wanted]);
+}
+
+#[test]
+fn the_more_urgent_go_first_and_prompts_are_handed_over_a_little_ahead() {
+    let mut turns = turns(&["a1"]);
+    // 600 ms of reading are handed over: 12,000 tokens.
+    let mut ids = Vec::new();
+    for n in 0..10 {
+        let mut request = request(&format!("r{n}"), "a1");
+        request.priority = u8::from(n < 9);
+        ids.push(turns.ask(request, Millis(1)));
+    }
+    let actions = turns.poll(Millis(1));
+    assert_eq!(actions[0], go(ids[9]));
+    assert_eq!(actions.len(), 7, "{actions:?}");
+    turns.started("r9");
+    assert_eq!(turns.poll(Millis(2)), [go(ids[6])]);
+}
+
+#[test]
+fn what_would_be_too_late_is_refused_at_once_with_a_time_to_come_back() {
+    let mut turns = turns(&["a1"]);
+    let mut last = TurnId(0);
+    for n in 0..40 {
+        last = turns.ask(request(&format!("r{n}"), "a1"), Millis(1));
+    }
+    let actions = turns.poll(Millis(1));
+    let refused = actions.iter().find_map(|a| match a {
+        TurnAction::Refuse {
+            turn,
+            reason,
+            retry,
+        } if *turn == last => Some((*reason, *retry)),
+        _ => None,
+    });
+    let (reason, retry) = refused.expect("4 s of reading before it, 3 s are promised");
+    assert_eq!(reason, TurnRefusal::Late);
+    assert!(retry >= Millis(200), "{retry:?}");
+}
+
+#[test]
+fn an_engine_that_takes_nothing_refuses_all() {
+    let cases = [
+        (EngineState::default(), TurnRefusal::NoEngine),
+        (
+            EngineState {
+                leaving: true,
+                ..state(0, &["a1"], &[])
+            },
+            TurnRefusal::Leaving,
+        ),
+    ];
+    for (state, wanted) in cases {
+        let mut turns = Turns::new_ext(OPTIONS);
+        turns.observe(&state, Millis(0));
+        turns.ask(request("r1", "a1"), Millis(1));
+        let actions = turns.poll(Millis(1));
+        let refused = actions.iter().any(
+            |a| matches!(a, TurnAction::Refuse { reason, .. } if *reason == wanted),
+        );
+        assert!(refused, "{wanted:?}: {actions:?}");
+    }
+}
+
+#[test]
+fn an_engine_without_its_base_model_is_ordered_to_load_it_once() {
+    let mut turns = Turns::new_ext(OPTIONS);
+    turns.observe(&EngineState::default(), Millis(0));
+    let wanted = TurnAction::Order {
+        order: EngineOrder::LoadBase,
+        sequence: 0,
+    };
+    assert_eq!(turns.poll(Millis(0)), [wanted]);
+    turns.order_ended(OrderEnd::Accepted, Millis(1));
+    let loading = EngineState {
+        sequence: 1,
+        busy: true,
+        ..EngineState::default()
+    };
+    turns.observe(&loading, Millis(100));
+    assert_eq!(turns.poll(Millis(100)), []);
+}
+
+#[test]
+fn a_run_that_the_report_drops_has_ended() {
+    let mut turns = turns(&["a1"]);
+    turns.ask(request("r1", "a1"), Millis(1));
+    turns.poll(Millis(1));
+    let mut seen = state(0, &["a1"], &[]);
+    seen.runs.push(RunSeen {
+        request: "r1".to_owned(),
+        events: 2,
+    });
+    seen.active = 1;
+    turns.observe(&seen, Millis(100));
+    assert_eq!(turns.running(), 1);
+    assert_eq!(turns.figures("i-1").unread, 0, "its answer has begun");
+    turns.observe(&state(0, &["a1"], &[]), Millis(200));
+    assert_eq!(turns.running(), 0);
+}
