Let requests wait for an engine that loads its base model; count reading time, not only prompts

The agent now tells how long a start still takes, and requests queue for it as for any load. An instance that its agent says is replaced is left out. Also in: an engine that reads all the time costs more in the choice (250 ms at most), and prompts take 0.85 of an engine's time, so that streams under way get on.

--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -63,6 +63,7 @@
                 places: places(&engine, &base),
                 batch: engine.batch,
                 rate: self.shared.rate,
+                base: base_load(&base),
             });
             let report = self.shared.port.report(&base.name, REPORT_SPAN).await;
             self.take(report);
@@ -223,6 +224,17 @@
     engine.places.min(fitting.max(0.0) as u32)
 }
 
+/// Time of a load of the base model: an engine that starts again finds it on its disk.
+fn base_load(base: &Base) -> Millis {
+    let seconds = if base.disk_s > 0.0 {
+        base.disk_s
+    } else {
+        base.load_s
+    };
+    // A configuration's figure may be anything; none that makes sense is refused here.
+    millis(Duration::try_from_secs_f64(seconds).unwrap_or_default())
+}
+
 fn millis(span: Duration) -> Millis {
     Millis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -67,7 +67,8 @@
 
 impl Shared {
     pub(crate) fn figures(&self) -> EngineFigures {
-        self.turns.borrow().figures(&self.instance.borrow())
+        let now = self.timer.now();
+        self.turns.borrow().figures(&self.instance.borrow(), now)
     }
 
     /// The engine started anew: what it held is void, and the list will name another instance.
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -12,6 +12,7 @@
 use pumicecleat_net::{Handler, Server, ServerOptions, Timer, bind};
 use pumicecleat_ops::{Admin, Dump, Log, Metrics, Readiness, Stop, events, field};
 use pumicecleat_policy::{TurnOptions, Turns};
+use pumicecleat_types::Millis;
 use snafu::{ResultExt, Snafu};
 
 use crate::drive::drive;
@@ -121,6 +122,7 @@
         places: 0,
         batch: 0,
         rate: settings.read_rate,
+        base: Millis(0),
     };
     Rc::new(Shared {
         timer: timer.clone(),
--- a/crates/catalog/src/layout.rs
+++ b/crates/catalog/src/layout.rs
@@ -98,6 +98,8 @@
     pub adapter_mb: f64,
     /// Time of a load from the weight store, s.
     pub load_s: f64,
+    /// Time of a load from the engine's disk, s; as from the store, if 0.
+    pub disk_s: f64,
 }
 
 /// Limits on what a caller may send.
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -27,6 +27,7 @@
 /// Serves a request for a model engine.
 pub(super) async fn serve(mut job: Job) -> Reply {
     job.shared.count_request(&job.service);
+    count_demand(&job);
     let mut progress = Progress::default();
     loop {
         if job.left().0 < LEAST_LEFT {
@@ -60,6 +61,14 @@
     }
 }
 
+fn count_demand(job: &Job) {
+    let model = job.attributes.model.as_ref();
+    if let Some(adapter) = model.and_then(|m| m.adapter.as_deref()) {
+        let now = job.shared.timer.now();
+        job.shared.demand.borrow_mut().hit(adapter, now);
+    }
+}
+
 /// How far a request has come.
 #[derive(Default)]
 struct Progress {
@@ -104,6 +113,7 @@
     .await;
     let waited = job.shared.timer.now().since(from);
     job.shared.meters.turn.observe(waited.as_secs());
+    job.trail.waited(waited);
     turn
 }
 
@@ -132,7 +142,9 @@
         .iter()
         .map(|u| view(job, u, adapter, now))
         .collect();
-    let choice = EngineChoice::new(pumicecleat_policy::name_key(adapter.unwrap_or_default()));
+    let name = adapter.unwrap_or_default();
+    let demand = job.shared.demand.borrow().of(name, now);
+    let choice = EngineChoice::new(pumicecleat_policy::name_key(name), demand);
     let at = choice.pick(&views)?;
     let held = views[at].hold == AdapterHold::Held;
     Some((candidates[at].clone(), held))
@@ -159,7 +171,9 @@
             spare: figures.map_or(0, |f| f.spare),
             unread: figures.map_or(0, |f| f.unread) + asked,
             rate: figures.map_or(1, |f| f.rate),
+            duty: figures.map_or(0.0, |f| f64::from(f.duty) / 100.0),
             running: figures.map_or(0, |f| f.running),
+            start: figures.and_then(|f| f.ready_ms).unwrap_or_default(),
             stale,
             remote: upstream.centre != job.shared.centre,
             behind: if r.slots.is_behind(now) { 2_000 } else { 0 },
--- a/crates/gateway/src/request/trail.rs
+++ b/crates/gateway/src/request/trail.rs
@@ -20,6 +20,8 @@
     service: RefCell<String>,
     instance: RefCell<String>,
     attempts: Cell<u32>,
+    /// Time spent waiting for turns.
+    turn: Cell<Millis>,
     first: Cell<Option<Millis>>,
     told: Cell<bool>,
     _open: DrainGuard,
@@ -44,6 +46,7 @@
             service: RefCell::default(),
             instance: RefCell::default(),
             attempts: Cell::new(0),
+            turn: Cell::default(),
             first: Cell::new(None),
             told: Cell::new(false),
             _open: shared.drain.enter(&id),
@@ -64,6 +67,11 @@
         self.attempts.get()
     }
 
+    /// A wait for a turn took `waited`.
+    pub(super) fn waited(&self, waited: Millis) {
+        self.turn.set(self.turn.get() + waited);
+    }
+
     /// The answer's first byte was passed on.
     pub(super) fn first(&self) {
         if self.first.get().is_some() {
@@ -92,6 +100,7 @@
             field("instance", instance.as_str()),
             field("status", status),
             field("attempts", self.attempts.get()),
+            field("turn_ms", self.turn.get().0),
             field("first_ms", first.0),
             field("total_ms", self.age().0),
             field("layout", self.layout),
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -163,7 +163,12 @@
         ];
         shared.log.emit(&events::SIDE_BACK, &fields);
     }
-    if reply.figures.instance == upstream.instance {
+    let named = &reply.figures.instance;
+    let own = *named == upstream.instance;
+    shared.table.with(&upstream.instance, |r| {
+        r.replaced = !own && !named.is_empty();
+    });
+    if own {
         shared.table.with(&upstream.instance, |r| {
             r.asking.retain(|a| a.at > sent);
             r.figures = Some((reply.figures.clone(), now));
--- a/crates/gateway/src/table/record.rs
+++ b/crates/gateway/src/table/record.rs
@@ -38,6 +38,8 @@
     pub(crate) silent: Option<Millis>,
     /// Its VM does not answer either: a process that is down is refused by its VM.
     pub(crate) cut_off: bool,
+    /// Its agent names another instance in its place.
+    pub(crate) replaced: bool,
 }
 
 /// An ask for a turn under way.
@@ -68,10 +70,10 @@
         (now.since(*at) <= FIGURES_SPAN).then_some(figures)
     }
 
-    /// Whether requests for the engine would be in vain: its agent says that it crashed, loads its
-    /// base model or leaves, or their VM can't be reached. An agent that is down says nothing.
+    /// Whether requests for the engine would be in vain: its agent says that it crashed, was
+    /// replaced or leaves, or their VM can't be reached. An agent that is down says nothing.
     pub(crate) fn is_out(&self, now: Millis) -> bool {
-        self.cut_off || self.fresh(now).is_some_and(|f| !f.ready)
+        self.cut_off || self.replaced || self.fresh(now).is_some_and(|f| f.ready_ms.is_none())
     }
 
     /// View for the choice among plain upstreams.
--- a/crates/net/src/client/connect.rs
+++ b/crates/net/src/client/connect.rs
@@ -18,7 +18,11 @@
 
 /// Opens a connection to `address`.
 pub(super) async fn connect(address: SocketAddr, options: &ClientOptions) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM.nonblocking(), None)?;
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM.nonblocking(),
+        None,
+    )?;
     // Without it small requests wait for an acknowledgement.
     socket.set_tcp_nodelay(true)?;
     let probes = TcpKeepalive::new().with_time(PROBE_SPAN);
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -26,7 +26,7 @@
     STORE_BACK = "E7010" "store_back" Info ["stream", "down_ms"];
 
     /// A request ended with an upstream's answer.
-    PASSED_ON = "E7101" "passed_on" Info ["request", "route", "instance", "status", "attempts", "first_ms", "total_ms", "layout", "whole"];
+    PASSED_ON = "E7101" "passed_on" Info ["request", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "layout", "whole"];
     /// A request was refused as not run.
     TURNED_DOWN = "E7102" "turned_down" Warn ["request", "route", "reason", "status", "retry_ms", "attempts", "age_ms", "layout"];
     /// A request failed, and may have run.
--- a/crates/policy/src/prompt/engine.rs
+++ b/crates/policy/src/prompt/engine.rs
@@ -45,6 +45,15 @@
     Absent,
 }
 
+/// Requests of late by which the costs of a further copy are halved for each: an adapter that is
+/// asked for again soon makes use of it.
+const SHARED: f64 = 100000.0;
+
+/// Cost of an engine that reads all the time, ms; it falls with the square of the part. Each step of
+/// such an engine takes a piece of a prompt as well, so that its streams give a token in 117 ms
+/// where they could in 11, and long ones run into their callers' deadlines.
+const DUTY: f64 = 250.0;
+
 /// What an entry knows of an engine, for one request.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EngineView {
@@ -58,8 +67,12 @@
     pub unread: u64,
     /// Prompt tokens read in a second.
     pub rate: u64,
+    /// Part of the last seconds that it spent reading prompts.
+    pub duty: f64,
     /// Requests under way.
     pub running: u32,
+    /// Time until it takes requests, ms.
+    pub start: u64,
     /// Figures are too old to rely on.
     pub stale: bool,
     /// In another data centre.
@@ -72,13 +85,19 @@
 #[derive(Clone, Copy, Debug)]
 pub struct EngineChoice {
     adapter: u64,
+    /// Part of the costs of a further copy that one request has to bear.
+    part: f64,
 }
 
 impl EngineChoice {
-    /// Choice for an adapter by its key, the same at every entry.
+    /// Choice for an adapter by its key, the same at every entry; `demand` is how often this entry
+    /// was asked for it of late.
     #[must_use]
-    pub fn new(adapter: u64) -> Self {
-        Self { adapter }
+    pub fn new(adapter: u64, demand: f64) -> Self {
+        Self {
+            adapter,
+            part: 1.0 / (1.0 + demand / SHARED),
+        }
     }
 
     /// Index of the engine where the first event is expected first.
@@ -93,7 +112,9 @@
     #[must_use]
     pub fn cost(self, engine: &EngineView, all: &[EngineView]) -> f64 {
         let mut cost = approximate(engine.unread) * 1_000.0 / approximate(engine.rate.max(1));
-        cost += f64::from(engine.running) * RUNNING + approximate(engine.behind);
+        cost += engine.duty * engine.duty * DUTY;
+        cost += f64::from(engine.running) * RUNNING;
+        cost += approximate(engine.behind + engine.start);
         if engine.stale {
             cost += STALE;
         }
@@ -105,7 +126,8 @@
             AdapterHold::Coming => cost + COMING,
             AdapterHold::Absent => {
                 let place = if engine.spare == 0 { CROWDED } else { EVICT };
-                cost + LOAD + f64::from(self.rank(engine, all)) * RANK + place
+                let home = f64::from(self.rank(engine, all)) * RANK;
+                cost + LOAD + (home + place) * self.part
             }
         }
     }
--- a/crates/policy/src/prompt/mod.rs
+++ b/crates/policy/src/prompt/mod.rs
@@ -8,12 +8,14 @@
 //! [`EngineChoice`] is the entry's: which engine to ask. [`SlotChoice`] places plain requests, and
 //! [`RepeatWindow`] bounds what is sent more than once.
 
+mod demand;
 mod engine;
 mod places;
 mod repeat;
 mod slots;
 mod turns;
 
+pub use demand::Demand;
 pub use engine::{AdapterHold, EngineChoice, EngineView};
 pub use places::{EngineOrder, OrderEnd};
 pub use repeat::{RepeatOptions, RepeatWindow};
--- a/crates/policy/src/prompt/places.rs
+++ b/crates/policy/src/prompt/places.rs
@@ -8,6 +8,8 @@
 
 use pumicecleat_types::Millis;
 
+use super::demand::Demand;
+
 /// Adapters that may be on their way to an engine at once.
 const LOADS: usize = 4;
 
@@ -19,13 +21,6 @@
 /// streams end within it.
 const LEAVE_SPAN: Millis = Millis(400);
 
-/// Half-life of the count of an adapter's requests. Long against a burst, short against a shift of
-/// demand, which takes some seconds.
-const HALF_LIFE_S: f64 = 8.0;
-
-/// Count below which an adapter is forgotten.
-const FORGOTTEN: f64 = 0.02;
-
 /// An order to an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EngineOrder {
@@ -91,19 +86,7 @@
     counted: Millis,
     /// What the engine holds is in doubt until its next report.
     doubt: bool,
-    demand: BTreeMap<String, Demand>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Demand {
-    count: f64,
-    at: Millis,
-}
-
-impl Demand {
-    fn now(&self, now: Millis) -> f64 {
-        self.count * (-now.since(self.at).as_secs() / HALF_LIFE_S).exp2()
-    }
+    demand: Demand,
 }
 
 impl Places {
@@ -190,13 +173,7 @@
         if let Some(held) = self.held.get_mut(adapter) {
             held.used = now;
         }
-        let known = self.demand.get(adapter).map_or(0.0, |d| d.now(now));
-        let demand = Demand {
-            count: known + 1.0,
-            at: now,
-        };
-        self.demand.insert(adapter.to_owned(), demand);
-        self.demand.retain(|_, d| d.now(now) > FORGOTTEN);
+        self.demand.hit(adapter, now);
     }
 
     /// Places that a further adapter could take, now or after an eviction.
@@ -275,7 +252,7 @@
             !in_use.contains(name) && !wanted.contains(name) && !self.leaving.contains(name)
         };
         let idle = self.held.iter().filter(|(name, _)| free(name));
-        let asked = |name: &str| self.demand.get(name).map_or(0.0, |d| d.now(now));
+        let asked = |name: &str| self.demand.of(name, now);
         let least = idle.min_by(|a, b| {
             let counts = asked(a.0).total_cmp(&asked(b.0));
             counts.then(a.1.used.cmp(&b.1.used))
--- a/crates/policy/src/prompt/turns.rs
+++ b/crates/policy/src/prompt/turns.rs
@@ -10,6 +10,11 @@
 /// order out of our hands, less would leave the engine idle for the way of a turn.
 const AHEAD: Millis = Millis(600);
 
+/// Part of an engine's time that prompts may take. Each step of an engine that reads takes a piece
+/// of a prompt as well: a stream gets a token in 117 ms, and in 11 ms where none is read. Without a
+/// rest streams run into their callers' deadlines, and hold their adapters' places all the while.
+const READING: f64 = 0.85;
+
 /// Share of a caller's patience up to which a first event is still promised.
 const PROMISE: f64 = 0.75;
 
@@ -22,6 +27,9 @@
 const RETRY_LEAST: Millis = Millis(200);
 const RETRY_MOST: Millis = Millis(3_000);
 
+/// Expected rest of a load of the base model that takes longer than expected.
+const BASE_LEAST: Millis = Millis(200);
+
 /// Expected time of a load, half as much again as the store's own pace of 250 ms.
 const LOAD: Millis = Millis(380);
 
@@ -32,6 +40,9 @@
 /// Time that a request may take to show up in the engine's report.
 const SHOWN: Millis = Millis(1_500);
 
+/// Span over which an engine's reading is averaged, s: some prompts, and less than a burst.
+const DUTY_SPAN_S: f64 = 1.5;
+
 /// Number of a request that waits for its turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct TurnId(pub u64);
@@ -64,6 +75,8 @@
     pub batch: u32,
     /// Prompt tokens read in a second.
     pub rate: u64,
+    /// Time of a load of the base model, from where its weights are.
+    pub base: Millis,
 }
 
 /// What the engine reports.
@@ -149,7 +162,10 @@
     /// Holds no base model.
     Empty,
     /// Loads its base model.
-    Loading,
+    Loading {
+        /// Since then.
+        since: Millis,
+    },
     /// Holds its base model.
     Ready,
 }
@@ -165,6 +181,11 @@
     engine: Condition,
     leaving: bool,
     newest: BTreeMap<String, u64>,
+    /// Tokens handed over of late, halved by time.
+    handed: f64,
+    handed_at: Millis,
+    /// When the engine will have read what was handed over, with the rest that is due after it.
+    read: Millis,
 }
 
 impl Turns {
@@ -180,6 +201,9 @@
             engine: Condition::Unknown,
             leaving: false,
             newest: BTreeMap::new(),
+            handed: 0.0,
+            handed_at: Millis(0),
+            read: Millis(0),
         }
     }
 
@@ -215,10 +239,11 @@
 
     /// Takes in what the engine reports.
     pub fn observe(&mut self, state: &EngineState, now: Millis) {
-        self.engine = match (state.loaded, state.busy) {
-            (true, _) => Condition::Ready,
-            (false, true) => Condition::Loading,
-            (false, false) => Condition::Empty,
+        self.engine = match (state.loaded, state.busy, self.engine) {
+            (true, _, _) => Condition::Ready,
+            (false, true, Condition::Loading { since }) => Condition::Loading { since },
+            (false, true, _) => Condition::Loading { since: now },
+            (false, false, _) => Condition::Empty,
         };
         self.leaving |= state.leaving;
         self.places
@@ -329,13 +354,13 @@
         if self.leaving {
             return Some((TurnRefusal::Leaving, RETRY_LEAST));
         }
-        if self.engine != Condition::Ready {
+        let Some(ready) = self.ready_in(now) else {
             return Some((TurnRefusal::NoEngine, RETRY_LEAST));
-        }
+        };
         let waited = now.since(waiting.since);
         let promise = scaled(waiting.request.patience, PROMISE)
             .min(scaled(waiting.request.objective, OBJECTIVES));
-        let read = self.read_time(ahead);
+        let read = ready + self.read_time(ahead);
         if waited + read > promise {
             return Some((TurnRefusal::Late, waited + read - promise));
         }
@@ -344,20 +369,33 @@
             _ => Millis(0),
         };
         let own = self.read_time(u64::from(waiting.request.tokens));
-        (waited + load + own > promise).then_some((TurnRefusal::NoPlace, LOAD))
+        (waited + ready + load + own > promise).then_some((TurnRefusal::NoPlace, LOAD))
+    }
+
+    /// Time until the engine takes requests, if it will.
+    fn ready_in(&self, now: Millis) -> Option<Millis> {
+        if self.leaving {
+            return None;
+        }
+        match self.engine {
+            Condition::Unknown => None,
+            Condition::Empty => Some(self.options.base),
+            Condition::Loading { since } => {
+                Some((since + self.options.base).since(now).max(BASE_LEAST))
+            }
+            Condition::Ready => Some(Millis(0)),
+        }
     }
 
     fn go(&mut self, now: Millis, actions: &mut Vec<TurnAction>) {
         if self.leaving || self.engine != Condition::Ready {
             return;
         }
-        let ahead = self.options.rate * AHEAD.0 / 1_000;
-        let mut unread = self.unread();
         for turn in self.in_order() {
-            if unread > ahead || self.runs.len() >= self.options.batch as usize {
+            if self.read > now + AHEAD || self.runs.len() >= self.options.batch as usize {
                 return;
             }
-            let request = &self.waiting[&turn].request;
+            let request = self.waiting[&turn].request.clone();
             let version = match &request.adapter {
                 None => None,
                 Some(adapter) => match self.usable(adapter, request.version) {
@@ -365,7 +403,7 @@
                     version => version,
                 },
             };
-            unread += u64::from(request.tokens);
+            self.hand(request.tokens, now);
             if let Some(waiting) = self.waiting.remove(&turn) {
                 let request = waiting.request;
                 let run = Run {
@@ -386,7 +424,7 @@
             return None;
         }
         let order = match self.engine {
-            Condition::Unknown | Condition::Loading => return None,
+            Condition::Unknown | Condition::Loading { .. } => return None,
             Condition::Empty => EngineOrder::LoadBase,
             Condition::Ready => self.adapter_order(now)?,
         };
@@ -440,25 +478,59 @@
     }
 
     fn read_time(&self, tokens: u64) -> Millis {
-        Millis(tokens * 1_000 / self.options.rate.max(1))
+        Millis(tokens * 1_000 / self.pace().max(1))
+    }
+
+    /// Prompt tokens that the engine is given in a second at most.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "a rate far below 2^52"
+    )]
+    fn pace(&self) -> u64 {
+        (self.options.rate as f64 * READING) as u64
+    }
+
+    fn hand(&mut self, tokens: u32, now: Millis) {
+        self.handed = self.handed_now(now) + f64::from(tokens);
+        self.handed_at = now;
+        self.read = self.read.max(now) + self.read_time(u64::from(tokens));
+    }
+
+    fn handed_now(&self, now: Millis) -> f64 {
+        let span = now.since(self.handed_at).as_secs();
+        self.handed * (-span / DUTY_SPAN_S).exp()
+    }
+
+    /// Part of the last seconds that the engine spent reading prompts, percent.
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "a percentage"
+    )]
+    fn duty(&self, now: Millis) -> u32 {
+        let whole = self.options.rate.max(1) as f64 * DUTY_SPAN_S;
+        (self.handed_now(now) / whole * 100.0) as u32
     }
 
     /// The engine as the entries are told of it.
     #[must_use]
-    pub fn figures(&self, instance: &str) -> EngineFigures {
+    pub fn figures(&self, instance: &str, now: Millis) -> EngineFigures {
         let waiting = self.waiting.values();
         let waiting: u64 = waiting.map(|w| u64::from(w.request.tokens)).sum();
         let running = self.runs.len() + self.waiting.len();
         EngineFigures {
             instance: instance.to_owned(),
-            ready: self.engine == Condition::Ready && !self.leaving,
-            bases: Vec::new(),
+            ready_ms: self.ready_in(now).map(|t| t.0),
             held: self.places.held().map(|(n, v)| (n.clone(), v)).collect(),
             loading: self.places.coming().cloned().collect(),
             spare: self.places.spare(&self.in_use()),
             unread: self.unread() + waiting,
             running: u32::try_from(running).unwrap_or(u32::MAX),
-            rate: self.options.rate,
+            rate: self.pace(),
+            duty: self.duty(now),
         }
     }
 
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -88,10 +88,8 @@
 pub struct EngineFigures {
     /// Instance; empty while the engine is not known.
     pub instance: String,
-    /// Whether it takes requests.
-    pub ready: bool,
-    /// Base models held.
-    pub bases: Vec<String>,
+    /// Time until it takes requests, ms: 0 if it does; `None` if it won't, or nobody knows.
+    pub ready_ms: Option<u64>,
     /// Adapters held, with their versions.
     pub held: Vec<(String, u64)>,
     /// Adapters on their way.
@@ -104,6 +102,8 @@
     pub running: u32,
     /// Prompt tokens read in a second.
     pub rate: u64,
+    /// Part of the last seconds spent reading prompts, percent.
+    pub duty: u32,
 }
 
 impl TurnRefusal {
