Find engines that read much slower than their sheet says

Cause: srv_slow and hanging engines kept their share of the requests, as the agent counted on the sheet's rate.

--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -170,6 +170,7 @@
             },
             spare: figures.map_or(0, |f| f.spare),
             unread: figures.map_or(0, |f| f.unread) + asked,
+            tokens: job.attributes.prompt,
             rate: figures.map_or(1, |f| f.rate),
             duty: figures.map_or(0.0, |f| f64::from(f.duty) / 100.0),
             running: figures.map_or(0, |f| f.running),
--- a/crates/policy/src/prompt/engine.rs
+++ b/crates/policy/src/prompt/engine.rs
@@ -65,6 +65,8 @@
     pub spare: u32,
     /// Prompt tokens that wait to be read, own sends counted in.
     pub unread: u64,
+    /// Prompt tokens of the request itself.
+    pub tokens: u32,
     /// Prompt tokens read in a second.
     pub rate: u64,
     /// Part of the last seconds that it spent reading prompts.
@@ -111,7 +113,8 @@
     /// Expected time to the first event, ms, with what the choice costs others.
     #[must_use]
     pub fn cost(self, engine: &EngineView, all: &[EngineView]) -> f64 {
-        let mut cost = approximate(engine.unread) * 1_000.0 / approximate(engine.rate.max(1));
+        let tokens = engine.unread + u64::from(engine.tokens);
+        let mut cost = approximate(tokens) * 1_000.0 / approximate(engine.rate.max(1));
         cost += engine.duty * engine.duty * DUTY;
         cost += f64::from(engine.running) * RUNNING;
         cost += approximate(engine.behind + engine.start);
--- a/crates/policy/src/prompt/mod.rs
+++ b/crates/policy/src/prompt/mod.rs
@@ -10,6 +10,7 @@
 
 mod demand;
 mod engine;
+mod pace;
 mod places;
 mod repeat;
 mod slots;
--- a/crates/policy/src/prompt/turns.rs
+++ b/crates/policy/src/prompt/turns.rs
@@ -4,6 +4,7 @@
 
 use pumicecleat_types::{EngineFigures, Millis, TurnRefusal};
 
+use super::pace::Pace;
 use super::places::{EngineOrder, OrderEnd, Places};
 
 /// Time for which prompts are handed to the engine ahead of their reading. More would take the
@@ -186,6 +187,7 @@
     handed_at: Millis,
     /// When the engine will have read what was handed over, with the rest that is due after it.
     read: Millis,
+    pace: Pace,
 }
 
 impl Turns {
@@ -204,6 +206,7 @@
             handed: 0.0,
             handed_at: Millis(0),
             read: Millis(0),
+            pace: Pace::new(),
         }
     }
 
@@ -219,6 +222,8 @@
         self.runs.clear();
         self.engine = Condition::Unknown;
         self.leaving = false;
+        self.pace = Pace::new();
+        self.read = Millis(0);
     }
 
     /// The engine does not answer.
@@ -258,12 +263,16 @@
             .map(|r| (r.request.as_str(), r.events))
             .collect();
         let idle = state.active == 0 && state.waiting == 0;
+        let pace = &mut self.pace;
         self.runs.retain(|id, run| {
             let age = now.since(run.at);
             match seen.get(id.as_str()) {
                 Some(events) => {
                     run.shown = true;
-                    run.started |= *events > 0;
+                    if *events > 0 && !run.started {
+                        run.started = true;
+                        pace.read(run.tokens);
+                    }
                     true
                 }
                 None if run.shown => false,
@@ -294,8 +303,11 @@
 
     /// Its answer has begun.
     pub fn started(&mut self, request: &str) {
-        if let Some(run) = self.runs.get_mut(request) {
+        if let Some(run) = self.runs.get_mut(request)
+            && !run.started
+        {
             run.started = true;
+            self.pace.read(run.tokens);
         }
     }
 
@@ -311,6 +323,8 @@
 
     /// What is to be done now.
     pub fn poll(&mut self, now: Millis) -> Vec<TurnAction> {
+        let reading = self.unread() > 0;
+        self.pace.look(reading, self.options.rate, now);
         let mut actions = Vec::new();
         self.refuse(now, &mut actions);
         self.go(now, &mut actions);
@@ -478,7 +492,7 @@
     }
 
     fn read_time(&self, tokens: u64) -> Millis {
-        Millis(tokens * 1_000 / self.pace().max(1))
+        Millis(tokens * 1_000 / self.rate().max(1))
     }
 
     /// Prompt tokens that the engine is given in a second at most.
@@ -488,8 +502,8 @@
         clippy::cast_sign_loss,
         reason = "a rate far below 2^52"
     )]
-    fn pace(&self) -> u64 {
-        (self.options.rate as f64 * READING) as u64
+    fn rate(&self) -> u64 {
+        (self.options.rate as f64 * READING * self.pace.part()) as u64
     }
 
     fn hand(&mut self, tokens: u32, now: Millis) {
@@ -529,7 +543,7 @@
             spare: self.places.spare(&self.in_use()),
             unread: self.unread() + waiting,
             running: u32::try_from(running).unwrap_or(u32::MAX),
-            rate: self.pace(),
+            rate: self.rate(),
             duty: self.duty(now),
         }
     }
--- a/crates/policy/tests/prompt_turns.rs
+++ b/crates/policy/tests/prompt_turns.rs
@@ -291,3 +291,30 @@
     turns.observe(&state(0, &["a1"], &[]), Millis(200));
     assert_eq!(turns.running(), 0);
 }
+
+/// Time of reading for one prompt, as told to the entries, after prompts that took `each` to read.
+fn read_after(each: u64) -> u64 {
+    let mut turns = turns(&["a1"]);
+    let mut now = 1;
+    for n in 0..10 {
+        turns.ask(request(&format!("r{n}"), "a1"), Millis(now));
+        turns.ask(request(&format!("s{n}"), "a1"), Millis(now));
+        turns.poll(Millis(now));
+        for id in ["r", "s"] {
+            now += each;
+            turns.poll(Millis(now));
+            turns.started(&format!("{id}{n}"));
+            turns.ended(&format!("{id}{n}"));
+        }
+    }
+    2_000_000 / turns.figures("i-1", Millis(now)).rate
+}
+
+#[test]
+fn an_engine_that_reads_five_times_slower_is_found_and_a_sound_one_is_not_doubted() {
+    let sound = read_after(100);
+    assert_eq!(sound, 117, "100 ms of reading and 17 of rest");
+    assert_eq!(read_after(140), sound, "news are late by some 50 ms");
+    let slow = read_after(500);
+    assert!(slow > 2 * sound, "{slow} ms for {sound}");
+}
