Resume numbered event streams at another engine within one answer

A stream of a route that may be resumed goes on after the last event passed on, on whole events only, at most at as many engines as its route allows.

--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -24,6 +24,8 @@
     pub(super) trail: Trail,
     /// Instances that are not to be tried again.
     pub(super) tried: Vec<String>,
+    /// Last event that was passed on, after which another upstream goes on.
+    pub(super) after: Option<u64>,
     /// Time by which there has to be a final answer.
     pub(super) end: Millis,
 }
@@ -52,6 +54,7 @@
             service,
             trail,
             tried: Vec::new(),
+            after: None,
         }
     }
 
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod plain;
 mod refuse;
 mod relay;
+mod resume;
 mod send;
 mod trail;
 
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -1,15 +1,17 @@
 //! Requests for model engines: a turn first, then straight to the engine.
 
 use pumicecleat_catalog::{Repeat, Upstream};
-use pumicecleat_net::Reply;
+use pumicecleat_net::{Reply, Response};
 use pumicecleat_policy::{AdapterHold, EngineChoice, EngineView};
 use pumicecleat_types::{Millis, Turn, TurnAsk};
 
 use super::job::Job;
 use super::refuse::{Refusal, unsettled};
 use super::relay::pass;
+use super::resume;
 use super::send::{Attempt, LEAST_LEFT};
 use crate::side::{self, AgentLost};
+use crate::table::UnderWay;
 
 /// Engines asked for a turn by one request.
 const ASKS: u32 = 3;
@@ -29,35 +31,73 @@
     job.shared.count_request(&job.service);
     count_demand(&job);
     let mut progress = Progress::default();
+    loop {
+        let turn = match find_turn(&mut job, &mut progress).await {
+            Ok(turn) => turn,
+            Err(reason) => return give_up(&job, &progress, reason),
+        };
+        match run(&mut job, &turn, &mut progress).await {
+            Ran::Answer(response, under_way) => {
+                let stream = response.status() == 200 && job.route.repeat == Repeat::Resume;
+                if stream {
+                    return resume::pass(response, job, progress, under_way);
+                }
+                return pass(response, Vec::new(), job.trail, under_way);
+            }
+            Ran::Again => {}
+            Ran::Over(reason) => return give_up(&job, &progress, reason),
+        }
+    }
+}
+
+/// Goes on with a stream that broke off, at another engine; `None` if there is none.
+pub(super) async fn go_on(job: &mut Job, progress: &mut Progress) -> Option<(Response, UnderWay)> {
+    progress.asks = 0;
+    while progress.sent < job.route.attempts {
+        let turn = find_turn(job, progress).await.ok()?;
+        match run(job, &turn, progress).await {
+            Ran::Answer(response, under_way) if response.status() == 200 => {
+                return Some((response, under_way));
+            }
+            Ran::Again => {}
+            Ran::Answer(..) | Ran::Over(_) => return None,
+        }
+    }
+    None
+}
+
+/// A turn at an engine.
+struct HadTurn {
+    upstream: Upstream,
+    /// Version of the adapter held there, if it is known.
+    version: Option<u64>,
+}
+
+/// Asks engines for a turn, the best first; gives why there is none.
+async fn find_turn(job: &mut Job, progress: &mut Progress) -> Result<HadTurn, &'static str> {
     loop {
         if job.left().0 < LEAST_LEFT {
-            return give_up(&job, &progress, "deadline");
+            return Err("deadline");
         }
-        let Some((upstream, held)) = choose(&job) else {
-            return give_up(&job, &progress, "no_engine");
+        let Some((upstream, held)) = choose(job) else {
+            return Err("no_engine");
         };
         if progress.asks >= ASKS {
-            return give_up(&job, &progress, "no_turn");
+            return Err("no_turn");
         }
         progress.asks += 1;
-        match ask(&job, &upstream).await {
-            Ok(Turn::Go { version }) => match run(job, &upstream, version, &mut progress).await {
-                Ran::Reply(reply) => return reply,
-                Ran::Again(back) => job = *back,
-            },
+        match ask(job, &upstream).await {
+            Ok(Turn::Go { version }) => return Ok(HadTurn { upstream, version }),
+            Err(AgentLost) if held => {
+                let version = None;
+                return Ok(HadTurn { upstream, version });
+            }
             Ok(Turn::No { reason, retry_ms }) => {
                 progress.refused(reason.as_str(), Millis(retry_ms));
-                job.tried.push(upstream.instance);
-            }
-            Err(AgentLost) if held => match run(job, &upstream, None, &mut progress).await {
-                Ran::Reply(reply) => return reply,
-                Ran::Again(back) => job = *back,
-            },
-            Err(AgentLost) => {
-                progress.refused("agent_lost", RETRY);
-                job.tried.push(upstream.instance);
             }
+            Err(AgentLost) => progress.refused("agent_lost", RETRY),
         }
+        job.tried.push(upstream.instance);
     }
 }
 
@@ -71,7 +111,7 @@
 
 /// How far a request has come.
 #[derive(Default)]
-struct Progress {
+pub(super) struct Progress {
     asks: u32,
     sent: u32,
     ran: bool,
@@ -86,9 +126,14 @@
     }
 }
 
+/// What followed a turn.
 enum Ran {
-    Reply(Reply),
-    Again(Box<Job>),
+    /// An answer to pass on.
+    Answer(Response, UnderWay),
+    /// Nothing that ends the request: another engine may be asked.
+    Again,
+    /// No further attempt may follow.
+    Over(&'static str),
 }
 
 async fn ask(job: &Job, upstream: &Upstream) -> Result<Turn, AgentLost> {
@@ -182,56 +227,63 @@
     })
 }
 
-async fn run(mut job: Job, upstream: &Upstream, held: Option<u64>, progress: &mut Progress) -> Ran {
-    let under_way = job.shared.table.enter(&upstream.instance, Some(job.id()));
-    if !job.is_ready(&upstream.instance) {
-        job.tried.push(upstream.instance.clone());
-        return Ran::Again(Box::new(job));
+async fn run(job: &mut Job, turn: &HadTurn, progress: &mut Progress) -> Ran {
+    let instance = turn.upstream.instance.clone();
+    let under_way = job.shared.table.enter(&instance, Some(job.id()));
+    if !job.is_ready(&instance) {
+        job.tried.push(instance);
+        return Ran::Again;
     }
     if progress.sent > 0 && !job.shared.may_repeat(&job.service) {
-        return Ran::Reply(give_up(&job, progress, "repeat_bound"));
+        return Ran::Over("repeat_bound");
     }
     progress.sent += 1;
-    let version = version(&job).max(held);
-    let span = job.left_span();
-    let attempt = job.send(upstream, version, span).await;
+    let version = version(job).max(turn.version);
+    let attempt = job.send(&turn.upstream, version, job.left_span()).await;
+    job.tried.push(instance);
     let again = job.route.repeat != Repeat::Never && progress.sent < job.route.attempts;
     match attempt {
         Attempt::Answer(response) => {
-            let ok = response.status() < 500;
-            if !ok {
-                fail(&job, upstream);
+            if response.status() >= 500 {
+                fail(job, &turn.upstream);
+                if again {
+                    job.trail.lost("read answer", true, true, "engine failed");
+                    progress.ran = true;
+                    return Ran::Again;
+                }
             }
-            return Ran::Reply(pass(response, Vec::new(), job.trail, under_way));
+            Ran::Answer(response, under_way)
         }
         Attempt::NotRun(heard) => {
             job.trail.lost("refused by engine", false, true, "");
             let retry = heard.retry_ms.map_or(RETRY, Millis);
             progress.refused("engine_refused", retry);
+            Ran::Again
         }
         Attempt::NotSent(e) => {
             progress.sent -= 1;
-            fail(&job, upstream);
+            fail(job, &turn.upstream);
             job.trail.lost("send", false, true, &e);
             progress.refused("not_sent", RETRY);
+            Ran::Again
         }
         Attempt::Lost(e) => {
             progress.ran = true;
-            fail(&job, upstream);
+            fail(job, &turn.upstream);
             job.trail.lost("await answer", true, again, &e);
-            if !again {
-                return Ran::Reply(give_up(&job, progress, "no_answer"));
+            if again {
+                Ran::Again
+            } else {
+                Ran::Over("no_answer")
             }
         }
         Attempt::Late => {
             progress.ran = true;
-            fail(&job, upstream);
+            fail(job, &turn.upstream);
             job.trail.lost("await answer", true, false, "deadline");
-            return Ran::Reply(give_up(&job, progress, "deadline"));
+            Ran::Over("deadline")
         }
     }
-    job.tried.push(upstream.instance.clone());
-    Ran::Again(Box::new(job))
 }
 
 fn fail(job: &Job, upstream: &Upstream) {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -12,7 +12,7 @@
 const HELD: usize = 256 * 1024;
 
 /// Head of an answer, as the upstream sent it.
-fn head(response: &Response) -> Reply {
+pub(super) fn head(response: &Response) -> Reply {
     let mut reply = Reply::new(Body::whole(Bytes::new()));
     *reply.status_mut() =
         http::StatusCode::from_u16(response.status()).unwrap_or(http::StatusCode::BAD_GATEWAY);
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -40,7 +40,7 @@
             deadline_ms: self.left().0,
             version,
             priority: priority.or(Some(self.route.priority)),
-            after: None,
+            after: self.after,
         };
         let request = self.request(&outgoing);
         let peer = upstream.address.to_string();
--- a/crates/gateway/src/table/mod.rs
+++ b/crates/gateway/src/table/mod.rs
@@ -5,7 +5,7 @@
 
 mod record;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -25,6 +25,7 @@
     table: Rc<Table>,
     instance: String,
     request: Option<String>,
+    begun: Cell<bool>,
 }
 
 impl Table {
@@ -48,6 +49,7 @@
             table: Rc::clone(self),
             instance: instance.to_owned(),
             request: request.map(ToOwned::to_owned),
+            begun: Cell::new(false),
         }
     }
 
@@ -60,7 +62,9 @@
 impl UnderWay {
     /// Its answer has begun.
     pub(crate) fn begun(&self) {
-        self.tell(false);
+        if !self.begun.replace(true) {
+            self.tell(false);
+        }
     }
 
     fn tell(&self, ended: bool) {
--- a/crates/net/src/sse.rs
+++ b/crates/net/src/sse.rs
@@ -25,6 +25,14 @@
 }
 
 impl SseEvent {
+    /// Its id, if it has one that is a number.
+    #[must_use]
+    pub fn number(&self) -> Option<u64> {
+        let mut lines = self.raw.split(|b| *b == b'\n');
+        let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    }
+
     /// Its data: the value of its `data` fields, by line.
     #[must_use]
     pub fn data(&self) -> &[u8] {
