--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -22,5 +22,7 @@
         report_pause: Span = "100ms", "span";
         /// longest wait of a read of the log for a record
         store_wait: Span = "8s", "span";
+        /// lines logged in a second at most; warnings and errors may take as many again
+        log_lines: u32 = "400", "lines/s";
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,7 +27,11 @@
         gateways: u32 = "8", "gateways";
         /// longest wait of a read of the log for a record
         store_wait: Span = "2s", "span";
+        /// time within which a leaving upstream must get its last request
+        leave_span: Span = "2s", "span";
         /// time that a stop may take in all
         grace: Span = "8s", "span";
+        /// lines logged in a second at most; warnings and errors may take as many again
+        log_lines: u32 = "400", "lines/s";
     }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -46,10 +46,10 @@
 /// Pause between two looks for upstreams that did not come back.
 const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
 
-/// Least time between two reads of the list that give records. Every upstream writes there each
-/// second or so; at this pace a gateway makes two reads a second, not ten, and hears of a leaving
-/// upstream in a quarter of the two seconds in which it has to stop sending there.
-const LIST_PACE: Duration = Duration::from_millis(450);
+/// Part of the time for a leaving upstream that may pass between two reads of the list. Every upstream
+/// writes there each second or so, so that a gateway would be woken ten times a second; the rest of
+/// the time is for a read that has to be made again.
+const LIST_PART: f64 = 0.4;
 
 /// Part of the ratio of repeats that is used: windows of several gateways don't begin together.
 const RATIO_PART: f64 = 0.9;
@@ -234,7 +234,7 @@
             wait: settings.store_wait.0,
             pace: match topic {
                 Topic::Operators => Duration::ZERO,
-                Topic::Upstreams => LIST_PACE,
+                Topic::Upstreams => settings.leave_span.0.mul_f64(LIST_PART),
             },
             seed: pumicecleat_policy::upstream_key(&settings.common.vm),
         };
--- a/crates/ops/src/log/logger.rs
+++ b/crates/ops/src/log/logger.rs
@@ -28,6 +28,9 @@
     pub format: LogFormat,
     /// Program and VM, on every line.
     pub origin: String,
+    /// Lines a second at most, 0 for no bound. Warnings and errors may take as many again, so that
+    /// failures are kept where successes are left out.
+    pub rate: u32,
 }
 
 /// Logger of numbered events. Clones share one writer.
@@ -40,6 +43,15 @@
 struct Writer {
     logger: Option<Logger>,
     counts: Arc<Counts>,
+    bound: Bound,
+}
+
+/// Lines of the present second.
+struct Bound {
+    start: Instant,
+    second: AtomicU64,
+    lines: AtomicU64,
+    left_out: AtomicU64,
 }
 
 #[derive(Default)]
@@ -63,7 +75,11 @@
         let logger = build_logger(options.format, target, &counts).ok();
         Self {
             options: options.clone(),
-            writer: Arc::new(Writer { logger, counts }),
+            writer: Arc::new(Writer {
+                logger,
+                counts,
+                bound: Bound::default(),
+            }),
         }
     }
 
@@ -88,9 +104,32 @@
             "a field of {} is not in the catalogue",
             event.code
         );
-        if !self.is_on(event) {
+        if !self.is_on(event) || !self.is_within(event) {
             return;
         }
+        self.write(event, fields);
+    }
+
+    /// Whether the bound leaves room for a line; tells what was left out once a second is over.
+    fn is_within(&self, event: &Event) -> bool {
+        if self.options.rate == 0 {
+            return true;
+        }
+        let left_out = self.writer.bound.turn();
+        if left_out > 0 {
+            let lines = super::field("lines", left_out);
+            self.write(&super::events::LINES_LEFT_OUT, &[lines]);
+        }
+        let rate = u64::from(self.options.rate);
+        let most = if event.level <= Level::Warn {
+            2 * rate
+        } else {
+            rate
+        };
+        self.writer.bound.take(most)
+    }
+
+    fn write(&self, event: &Event, fields: &[Field<'_>]) {
         let Some(logger) = &self.writer.logger else {
             return;
         };
@@ -129,6 +168,39 @@
     }
 }
 
+impl Bound {
+    /// Begins a new second if one is over; gives the lines left out in the last one.
+    fn turn(&self) -> u64 {
+        let now = self.start.elapsed().as_secs();
+        if self.second.swap(now, Ordering::Relaxed) == now {
+            return 0;
+        }
+        self.lines.store(0, Ordering::Relaxed);
+        self.left_out.swap(0, Ordering::Relaxed)
+    }
+
+    /// Takes a line from the present second, if fewer than `most` were taken.
+    fn take(&self, most: u64) -> bool {
+        if self.lines.fetch_add(1, Ordering::Relaxed) < most {
+            return true;
+        }
+        self.lines.fetch_sub(1, Ordering::Relaxed);
+        self.left_out.fetch_add(1, Ordering::Relaxed);
+        false
+    }
+}
+
+impl Default for Bound {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+            second: AtomicU64::new(0),
+            lines: AtomicU64::new(0),
+            left_out: AtomicU64::new(0),
+        }
+    }
+}
+
 impl Writer {
     fn flush(&self, span: Duration) -> bool {
         let end = Instant::now() + span;
--- a/crates/ops/src/settings/common.rs
+++ b/crates/ops/src/settings/common.rs
@@ -35,6 +35,7 @@
             level: self.log_level,
             format: self.log_format,
             origin: format!("{program}/{}", self.vm),
+            ..LogOptions::default()
         }
     }
 
--- a/crates/ops/tests/log.rs
+++ b/crates/ops/tests/log.rs
@@ -44,6 +44,7 @@
         level,
         format,
         origin: "side/vm-1".into(),
+        ..LogOptions::default()
     };
     let log = Log::to_writer(&options, target.clone());
     emit(&log);
@@ -155,3 +156,28 @@
     assert!(from.elapsed() < SPAN, "the drop waits for the writer");
     drop(release);
 }
+
+#[test]
+fn a_bound_leaves_successes_out_first_and_tells_how_many() {
+    let target = Shared::default();
+    let options = LogOptions {
+        rate: 5,
+        ..LogOptions::default()
+    };
+    let log = Log::to_writer(&options, target.clone());
+    for _ in 0..20 {
+        log.emit(&events::LISTENING, &[field("purpose", "admin")]);
+    }
+    for _ in 0..20 {
+        log.emit(&events::LOAD_FAILED, &[field("lora", "a")]);
+    }
+    std::thread::sleep(Duration::from_millis(1_100));
+    log.emit(&events::LISTENING, &[field("purpose", "peers")]);
+    assert!(log.flush(SPAN));
+    let text = String::from_utf8(target.0.lock().unwrap().clone()).unwrap();
+    let count = |name: &str| text.matches(name).count();
+    assert_eq!(count("purpose=admin"), 5, "{text}");
+    assert_eq!(count("load_failed"), 5, "{text}");
+    assert!(text.contains("lines_left_out lines=30"), "{text}");
+    assert_eq!(count("purpose=peers"), 1, "{text}");
+}
