--- a/crates/policy/src/prompt/turns/admit.rs
+++ b/crates/policy/src/prompt/turns/admit.rs
@@ -19,6 +19,10 @@
 /// Expected time of a load, half as much again as the store's own pace of 250 ms.
 const LOAD: Millis = Millis(380);
 
+/// Wait for a place after which another engine is the better hope: places free when streams end,
+/// and where six streams of other adapters last for seconds, one more wait is no worse elsewhere.
+const PLACE_WAIT: Millis = Millis(600);
+
 /// Expected rest of a load of the base model that takes longer than expected.
 const BASE_LEAST: Millis = Millis(200);
 
@@ -60,7 +64,12 @@
             return Some((TurnRefusal::Late, waited + read - promise));
         }
         let load = match &waiting.request.adapter {
-            Some(a) if self.usable(a, waiting.request.version).is_none() => LOAD,
+            Some(a) if self.usable(a, waiting.request.version).is_none() => {
+                if waited > PLACE_WAIT + ready && !self.places.is_coming(a) {
+                    return Some((TurnRefusal::NoPlace, LOAD));
+                }
+                LOAD
+            }
             _ => Millis(0),
         };
         let own = self.read_time(u64::from(waiting.request.tokens));
--- a/crates/policy/tests/prompt_turns.rs
+++ b/crates/policy/tests/prompt_turns.rs
@@ -122,10 +122,10 @@
     assert_eq!(turns.poll(Millis(1)), [unload("a1", 0)]);
     turns.order_ended(OrderEnd::Accepted, Millis(2));
     assert_eq!(turns.poll(Millis(300)), [], "a1 is not out");
-    turns.observe(&state(1, &["a1", "a2"], &[]), Millis(901));
-    assert_eq!(turns.poll(Millis(901)), [unload("a2", 1)]);
-    turns.order_ended(OrderEnd::Done, Millis(902));
-    assert_eq!(turns.poll(Millis(902)), [load("a3", 2)]);
+    turns.observe(&state(1, &["a1", "a2"], &[]), Millis(501));
+    assert_eq!(turns.poll(Millis(501)), [unload("a2", 1)]);
+    turns.order_ended(OrderEnd::Done, Millis(502));
+    assert_eq!(turns.poll(Millis(502)), [load("a3", 2)]);
 }
 
 #[test]
@@ -133,17 +133,17 @@
     let mut turns = turns(&["a1"]);
     turns.ask(request("r1", "a2"), Millis(1));
     assert_eq!(turns.poll(Millis(1)), [load("a2", 0)]);
-    turns.order_ended(OrderEnd::Unknown, Millis(800));
-    assert_eq!(turns.poll(Millis(801)), [], "nothing before a report");
-    turns.observe(&state(0, &["a1"], &[]), Millis(900));
+    turns.order_ended(OrderEnd::Unknown, Millis(300));
+    assert_eq!(turns.poll(Millis(301)), [], "nothing before a report");
+    turns.observe(&state(0, &["a1"], &[]), Millis(400));
     // The lost load may still take the second place: one has to be freed, by an order that is void
     // if it did.
-    turns.ask(request("r2", "a3"), Millis(901));
-    assert_eq!(turns.poll(Millis(901)), [unload("a1", 0)]);
-    turns.order_ended(OrderEnd::Conflict, Millis(902));
-    assert_eq!(turns.poll(Millis(903)), [], "nothing before a report");
-    turns.observe(&state(1, &["a1"], &["a2"]), Millis(1_000));
-    assert_eq!(turns.poll(Millis(1_000)), [unload("a1", 1)]);
+    turns.ask(request("r2", "a3"), Millis(401));
+    assert_eq!(turns.poll(Millis(401)), [unload("a1", 0)]);
+    turns.order_ended(OrderEnd::Conflict, Millis(402));
+    assert_eq!(turns.poll(Millis(403)), [], "nothing before a report");
+    turns.observe(&state(1, &["a1"], &["a2"]), Millis(500));
+    assert_eq!(turns.poll(Millis(500)), [unload("a1", 1)]);
 }
 
 #[test]
@@ -318,3 +318,18 @@
     let slow = read_after(500);
     assert!(slow > 2 * sound, "{slow} ms for {sound}");
 }
+
+/// Regression: requests waited for 2.5 s at an engine whose places streams held, while another had
+/// one to give.
+#[test]
+fn a_wait_for_a_place_ends_while_another_engine_may_still_serve_in_time() {
+    let mut turns = turns(&["a1", "a2"]);
+    turns.ask(request("r1", "a1"), Millis(1));
+    turns.ask(request("r2", "a2"), Millis(1));
+    turns.poll(Millis(1));
+    let waiting = turns.ask(request("r3", "a3"), Millis(2));
+    assert_eq!(turns.poll(Millis(500)), []);
+    let actions = turns.poll(Millis(700));
+    let refused = |a: &TurnAction| matches!(a, TurnAction::Refuse { turn, reason: TurnRefusal::NoPlace, .. } if *turn == waiting);
+    assert!(actions.iter().any(refused), "{actions:?}");
+}
