--- a/crates/net/tests/exchange.rs
+++ b/crates/net/tests/exchange.rs
@@ -287,3 +287,41 @@
         .unwrap();
     }
 }
+
+/// Whether the peer of a request that was given up sees a reset, not only the end of the bytes.
+fn is_reset(abort: bool) -> bool {
+    use std::io::Read;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = listener.local_addr().unwrap().to_string();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.set_read_timeout(Some(SPAN)).unwrap();
+        std::thread::sleep(Duration::from_millis(300));
+        let mut bytes = Vec::new();
+        // How the bytes end does not matter here, only what stands behind them.
+        let _ = stream.read_to_end(&mut bytes);
+        stream.take_error().unwrap().is_some()
+    });
+    run(async {
+        let timer = Timer::start();
+        let options = ClientOptions {
+            abort,
+            ..ClientOptions::default()
+        };
+        let client = Client::new_ext(options, &timer);
+        let request = http::Request::new(Bytes::from_static(b"work"));
+        let span = Duration::from_millis(100);
+        assert!(client.send(&peer, request, span).await.is_err());
+        timer.sleep(Duration::from_millis(600)).await;
+    })
+    .unwrap();
+    server.join().unwrap()
+}
+
+/// Regression: a request that was given up behind a partition arrived when it healed. A reset takes
+/// back what has not arrived; an ordinary close delivers it.
+#[test]
+fn a_request_that_is_given_up_is_taken_back() {
+    assert!(is_reset(true));
+    assert!(!is_reset(false));
+}
