--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -31,4 +31,4 @@
 
 pub use port::{EnginePort, OrderAnswer, PortError};
 pub use settings::AgentSettings;
-pub use start::{Agent, AgentParts, StartError};
+pub use start::{Agent, AgentParts};
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -2,18 +2,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_catalog::{Dialect, Follow, FollowSettings, Shared as Catalog, Topic, follow};
+use pumicecleat_catalog::{Dialect, FollowParts, FollowSettings, Shared as Catalog, Topic, follow};
 use pumicecleat_infra::KeyedLog;
-use pumicecleat_net::{Handler, Server, ServerOptions, Timer, bind};
-use pumicecleat_ops::{Admin, Dump, Log, Metrics, Readiness, Stop, events, field};
+use pumicecleat_net::{Server, ServerOptions, Timer};
+use pumicecleat_ops::{Admin, Dump, ListenError, Log, Metrics, Readiness, Stop, events, listen};
 use pumicecleat_policy::{TurnOptions, Turns};
 use pumicecleat_types::Millis;
-use snafu::{ResultExt, Snafu};
 
 use crate::drive::drive;
 use crate::handler::PeerHandler;
@@ -36,21 +33,6 @@
     pub port: Rc<dyn EnginePort>,
 }
 
-/// An agent that can't start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// A listener can't be bound.
-    #[snafu(display("step bind, listener {purpose}, address {address}: {source}"))]
-    Bind {
-        /// Use of the listener.
-        purpose: &'static str,
-        /// Address.
-        address: SocketAddr,
-        /// Cause.
-        source: io::Error,
-    },
-}
-
 /// A running agent.
 pub struct Agent {
     peers: Server,
@@ -77,22 +59,24 @@
     /// Starts an agent on this loop.
     ///
     /// # Errors
-    /// [`StartError`] if a listener can't be bound.
+    /// [`ListenError`] if a listener can't be bound.
     pub fn start(
         settings: &AgentSettings,
         parts: &AgentParts,
         timer: &Timer,
         log: &Log,
-    ) -> Result<Self, StartError> {
+    ) -> Result<Self, ListenError> {
         let metrics = Metrics::new();
         let shared = share(settings, parts, timer, log, &metrics);
         let state = Rc::new(State {
             shared: Rc::clone(&shared),
         });
         let admin = Admin::new(&metrics, &shared.readiness, state);
-        listen("admin", settings.common.admin, Rc::new(admin), timer, log)?;
+        let few = ServerOptions::default();
+        let address = settings.common.admin;
+        listen("admin", address, Rc::new(admin), few, timer, log)?;
         let handler = Rc::new(PeerHandler::new(&shared));
-        let peers = listen("peers", settings.peer_listen, handler, timer, log)?;
+        let peers = listen("peers", settings.peer_listen, handler, few, timer, log)?;
         spawn_loops(&shared, settings, parts);
         Ok(Self {
             peers,
@@ -143,22 +127,20 @@
 }
 
 fn spawn_loops(shared: &Rc<Shared>, settings: &AgentSettings, parts: &AgentParts) {
-    let listener: Rc<dyn Follow> = shared.clone();
     let options = FollowSettings {
         wait: settings.store_wait.0,
         pace: Duration::ZERO,
         seed: pumicecleat_policy::upstream_key(&settings.common.vm),
     };
-    monoio::spawn(follow(
-        Rc::clone(&shared.catalog),
-        Topic::Operators,
-        Rc::clone(&parts.store),
-        Rc::clone(&parts.dialect),
-        listener,
-        options,
-        shared.timer.clone(),
-        shared.log.clone(),
-    ));
+    let sources = FollowParts {
+        catalog: Rc::clone(&shared.catalog),
+        store: Rc::clone(&parts.store),
+        dialect: Rc::clone(&parts.dialect),
+        listener: shared.clone(),
+        timer: shared.timer.clone(),
+        log: shared.log.clone(),
+    };
+    monoio::spawn(follow(Topic::Operators, sources, options));
     monoio::spawn(find_instance(
         Rc::clone(shared),
         Rc::clone(&parts.store),
@@ -166,32 +148,3 @@
     ));
     monoio::spawn(drive(Rc::clone(shared), settings.report_pause.0));
 }
-
-fn listen(
-    purpose: &'static str,
-    address: SocketAddr,
-    handler: Rc<dyn Handler>,
-    timer: &Timer,
-    log: &Log,
-) -> Result<Server, StartError> {
-    let bound = bind(address);
-    match &bound {
-        Ok(_) => {
-            let fields = [field("purpose", purpose), field("address", &address)];
-            log.emit(&events::LISTENING, &fields);
-        }
-        Err(e) => {
-            let fields = [
-                field("purpose", purpose),
-                field("address", &address),
-                field("error", e),
-            ];
-            log.emit_last(&events::BIND_FAILED, &fields);
-        }
-    }
-    let listener = bound.context(BindSnafu { purpose, address })?;
-    let server = Server::new_ext(ServerOptions::default(), handler, timer);
-    let accepting = server.clone();
-    monoio::spawn(async move { accepting.serve(listener).await });
-    Ok(server)
-}
--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -49,21 +49,33 @@
     down: Cell<Option<Millis>>,
 }
 
-/// Follows `topic` into `catalog` for good.
-#[allow(
-    clippy::too_many_arguments,
-    reason = "the parts of one loop, borrowed once"
-)]
-pub async fn follow(
-    catalog: Shared,
-    topic: Topic,
-    store: Rc<dyn KeyedLog>,
-    dialect: Rc<dyn Dialect>,
-    listener: Rc<dyn Follow>,
-    settings: FollowSettings,
-    timer: Timer,
-    log: Log,
-) {
+/// What a follower works with.
+#[derive(Clone)]
+pub struct FollowParts {
+    /// Where changes go.
+    pub catalog: Shared,
+    /// Log of the deployment.
+    pub store: Rc<dyn KeyedLog>,
+    /// Form of its records.
+    pub dialect: Rc<dyn Dialect>,
+    /// Who is told of each change.
+    pub listener: Rc<dyn Follow>,
+    /// Timer service.
+    pub timer: Timer,
+    /// Log of this process.
+    pub log: Log,
+}
+
+/// Follows `topic` for good.
+pub async fn follow(topic: Topic, parts: FollowParts, settings: FollowSettings) {
+    let FollowParts {
+        catalog,
+        store,
+        dialect,
+        listener,
+        timer,
+        log,
+    } = parts;
     let options = FollowOptions {
         wait: settings.wait,
         pace: settings.pace,
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -25,7 +25,7 @@
 mod upstream;
 
 pub use change::{Change, Dialect, Topic, Unreadable};
-pub use follow::{Follow, FollowSettings, Shared, follow};
+pub use follow::{Follow, FollowParts, FollowSettings, Shared, follow};
 pub use layout::{Base, Engine, Layout, Limits, Repeat, Route, Service, Share};
 pub use state::{Applied, Catalog};
 pub use upstream::{Standing, Upstream};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,5 +34,5 @@
 mod wire;
 
 pub use settings::GatewaySettings;
-pub use start::{Gateway, GatewayParts, StartError};
+pub use start::{Gateway, GatewayParts};
 pub use wire::{Attributes, Heard, Load, ModelName, Outgoing, PromptPart, Wire};
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -2,20 +2,19 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_catalog::{Catalog, Dialect, Follow, FollowSettings, Topic, follow};
+use pumicecleat_catalog::{Catalog, Dialect, Follow, FollowParts, FollowSettings, Topic, follow};
 use pumicecleat_infra::KeyedLog;
-use pumicecleat_net::{Client, ClientOptions, Handler, Server, ServerOptions, Timer, bind};
-use pumicecleat_ops::{Admin, Drain, Dump, Log, Metrics, Readiness, Stop, events, field};
+use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer};
+use pumicecleat_ops::{
+    Admin, Drain, Dump, ListenError, Log, Metrics, Readiness, Stop, events, field, listen,
+};
 use pumicecleat_policy::RepeatOptions;
 use pumicecleat_types::Millis;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use snafu::{ResultExt, Snafu};
 
 use crate::gate::Gate;
 use crate::meters::Meters;
@@ -65,21 +64,6 @@
     pub wire: Rc<dyn Wire>,
 }
 
-/// A gateway that can't start.
-#[derive(Debug, Snafu)]
-pub enum StartError {
-    /// A listener can't be bound.
-    #[snafu(display("step bind, listener {purpose}, address {address}: {source}"))]
-    Bind {
-        /// Use of the listener.
-        purpose: &'static str,
-        /// Address.
-        address: SocketAddr,
-        /// Cause.
-        source: io::Error,
-    },
-}
-
 /// A running gateway.
 pub struct Gateway {
     shared: Rc<Shared>,
@@ -122,13 +106,13 @@
     /// Starts a gateway on this loop.
     ///
     /// # Errors
-    /// [`StartError`] if a listener can't be bound.
+    /// [`ListenError`] if a listener can't be bound.
     pub fn start(
         settings: &GatewaySettings,
         parts: &GatewayParts,
         timer: &Timer,
         log: &Log,
-    ) -> Result<Self, StartError> {
+    ) -> Result<Self, ListenError> {
         let metrics = Metrics::new();
         let shared = share(settings, parts, timer, log, &metrics);
         let state = Rc::new(State {
@@ -136,16 +120,16 @@
         });
         let admin = Rc::new(Admin::new(&metrics, &shared.readiness, state));
         let few = ServerOptions::default();
-        listen("admin", settings.common.admin, admin, few, &shared)?;
+        listen("admin", settings.common.admin, admin, few, timer, log)?;
         let gate = Rc::new(Gate::new(&shared));
-        listen("readiness", settings.ready_listen, gate, few, &shared)?;
+        listen("readiness", settings.ready_listen, gate, few, timer, log)?;
         let many = ServerOptions {
             connections: settings.connections,
             fields: 100,
             ..ServerOptions::default()
         };
         let handler = Rc::new(CallerHandler::new(&shared));
-        let callers = listen("callers", settings.listen, handler, many, &shared)?;
+        let callers = listen("callers", settings.listen, handler, many, timer, log)?;
         spawn_loops(&shared, settings, parts);
         shared.readiness.hold(RUNNING);
         Ok(Self {
@@ -228,7 +212,6 @@
 
 fn spawn_loops(shared: &Rc<Shared>, settings: &GatewaySettings, parts: &GatewayParts) {
     for topic in TOPICS {
-        let listener: Rc<dyn Follow> = shared.clone();
         let options = FollowSettings {
             wait: settings.store_wait.0,
             pace: match topic {
@@ -237,16 +220,15 @@
             },
             seed: pumicecleat_policy::upstream_key(&settings.common.vm),
         };
-        monoio::spawn(follow(
-            Rc::clone(&shared.catalog),
-            topic,
-            Rc::clone(&parts.store),
-            Rc::clone(&parts.dialect),
-            listener,
-            options,
-            shared.timer.clone(),
-            shared.log.clone(),
-        ));
+        let sources = FollowParts {
+            catalog: Rc::clone(&shared.catalog),
+            store: Rc::clone(&parts.store),
+            dialect: Rc::clone(&parts.dialect),
+            listener: shared.clone(),
+            timer: shared.timer.clone(),
+            log: shared.log.clone(),
+        };
+        monoio::spawn(follow(topic, sources, options));
     }
     monoio::spawn(side::sync(Rc::clone(shared)));
     monoio::spawn(expire(Rc::clone(shared)));
@@ -263,33 +245,3 @@
         }
     }
 }
-
-fn listen(
-    purpose: &'static str,
-    address: SocketAddr,
-    handler: Rc<dyn Handler>,
-    options: ServerOptions,
-    shared: &Shared,
-) -> Result<Server, StartError> {
-    let log = &shared.log;
-    let bound = bind(address);
-    match &bound {
-        Ok(_) => {
-            let fields = [field("purpose", purpose), field("address", &address)];
-            log.emit(&events::LISTENING, &fields);
-        }
-        Err(e) => {
-            let fields = [
-                field("purpose", purpose),
-                field("address", &address),
-                field("error", e),
-            ];
-            log.emit_last(&events::BIND_FAILED, &fields);
-        }
-    }
-    let listener = bound.context(BindSnafu { purpose, address })?;
-    let server = Server::new_ext(options, handler, &shared.timer);
-    let accepting = server.clone();
-    monoio::spawn(async move { accepting.serve(listener).await });
-    Ok(server)
-}
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -26,6 +26,7 @@
 //! ```
 
 mod admin;
+mod listen;
 mod log;
 mod metrics;
 mod ready;
@@ -33,6 +34,7 @@
 mod stop;
 
 pub use admin::{Admin, Dump};
+pub use listen::{ListenError, listen};
 pub use log::events;
 pub use log::{Event, Field, FieldValue, Level, Log, LogFormat, LogOptions, field};
 pub use metrics::{Buckets, Counter, Family, Gauge, Histogram, Histograms, LabelSet, Metrics};
