--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -21,8 +21,9 @@
 /// When to come back to a service whose upstreams are all full: an answer's time.
 const FULL_RETRY: Millis = Millis(150);
 
-/// When to come back after attempts that did not run.
-const FAILED_RETRY: Millis = Millis(300);
+/// Sends of one request at most, counting those that reached nobody: a service whose upstreams all
+/// refuse connections is given up.
+const SENDS: u32 = 8;
 
 /// What follows an attempt.
 enum Next {
@@ -30,51 +31,46 @@
     Again,
 }
 
+/// How far a request has come.
+#[derive(Default)]
+struct Progress {
+    sent: u32,
+    /// Some attempt may have run.
+    ran: bool,
+}
+
 /// Serves a request for a plain service.
 pub(super) async fn serve(mut job: Job) -> Reply {
     job.shared.count_request(&job.service);
-    let mut sent = 0;
-    let mut ran = false;
+    let mut progress = Progress::default();
     loop {
         if job.left().0 < LEAST_LEFT {
-            return give_up(&job, ran, "deadline");
+            return give_up(&job, &progress, "deadline");
         }
         let Some(upstream) = choose(&job) else {
-            return give_up(&job, ran, "no_upstream");
+            return give_up(&job, &progress, "no_upstream");
         };
-        if sent > 0 && !job.shared.may_repeat(&job.service) {
-            return give_up(&job, ran, "repeat_bound");
-        }
-        sent += 1;
+        progress.sent += 1;
         let under_way = job.shared.table.enter(&upstream.instance, None);
         let from = job.shared.timer.now();
-        let attempt = attempt(&job, &upstream, sent).await;
+        let tried = attempt(&job, &upstream, progress.sent).await;
         job.tried.push(upstream.instance.clone());
-        let (next, may_have_run) = match attempt {
+        let next = match tried {
+            Tried::Long(response, start) => return pass(response, start, job.trail, under_way),
             Tried::Whole(reply) => {
                 let took = job.shared.timer.now().since(from);
-                settle(&mut job, &upstream, reply, took, sent)
-            }
-            Tried::Long(response, start) => {
-                return pass(response, start, job.trail, under_way);
+                settle(&job, &upstream, reply, took, &mut progress)
             }
             Tried::Failed { ran, step, error } => {
                 let now = job.shared.timer.now();
                 job.shared
                     .table
                     .with(&upstream.instance, |r| r.slots.failed(now));
-                (fail(&job, ran, sent, step, &error), ran)
-            }
-            Tried::NotRun => {
-                job.trail.lost("refused by upstream", false, true, "");
-                (Next::Again, false)
+                progress.ran |= ran;
+                fail(&job, &progress, ran, step, &error)
             }
+            Tried::NotRun => fail(&job, &progress, false, "refused by upstream", ""),
         };
-        // An attempt that was not sent is none.
-        if matches!(next, Next::Again) && !may_have_run && sent > 0 && job.trail.attempts() > 8 {
-            return give_up(&job, ran, "attempts");
-        }
-        ran |= may_have_run;
         if let Next::Reply(reply) = next {
             return reply;
         }
@@ -144,54 +140,58 @@
     least.map(|(_, upstream)| upstream)
 }
 
+/// Whether another attempt may follow one that may have run, or did not. Takes it from the bound on
+/// repeats if so.
+fn may_go_on(job: &Job, progress: &Progress, ran: bool) -> bool {
+    let repeatable = job.route.repeat == Repeat::Whole && progress.sent < job.route.attempts;
+    let open = (!ran || repeatable) && progress.sent < SENDS;
+    let left = job.left().0 > LEAST_LEFT && !job.candidates().is_empty();
+    open && left && job.shared.may_repeat(&job.service)
+}
+
 /// Passes a whole answer on, unless it tells of a failure and another attempt may do better.
 fn settle(
-    job: &mut Job,
+    job: &Job,
     upstream: &Upstream,
     reply: Reply,
     took: Millis,
-    sent: u32,
-) -> (Next, bool) {
+    progress: &mut Progress,
+) -> Next {
     let status = reply.status().as_u16();
-    let failed = status >= 500;
-    job.shared.table.with(&upstream.instance, |r| {
-        if !failed {
-            r.slots.answered(took);
+    progress.ran = true;
+    if status >= 500 {
+        if may_go_on(job, progress, true) {
+            job.trail.lost("read answer", true, true, "upstream failed");
+            return Next::Again;
         }
-    });
-    let repeatable = job.route.repeat == Repeat::Whole && sent < job.route.attempts;
-    let others = !job.candidates().is_empty() && job.left().0 > LEAST_LEFT;
-    if failed && repeatable && others {
-        job.trail.lost("read answer", true, true, "upstream failed");
-        return (Next::Again, true);
+    } else {
+        job.shared
+            .table
+            .with(&upstream.instance, |r| r.slots.answered(took));
     }
     job.trail.first();
     job.trail.passed_on(status, true);
-    (Next::Reply(reply), true)
+    Next::Reply(reply)
 }
 
-fn fail(job: &Job, ran: bool, sent: u32, step: &str, error: &str) -> Next {
-    let repeatable = job.route.repeat == Repeat::Whole && sent < job.route.attempts;
-    let again = (!ran || repeatable) && job.left().0 > LEAST_LEFT;
+fn fail(job: &Job, progress: &Progress, ran: bool, step: &str, error: &str) -> Next {
+    let again = may_go_on(job, progress, ran);
     job.trail.lost(step, ran, again, error);
     if again {
         return Next::Again;
     }
-    Next::Reply(give_up(job, ran, "no_answer"))
+    let reason = if ran { "no_answer" } else { "no_upstream" };
+    Next::Reply(give_up(job, progress, reason))
 }
 
 /// Final answer without an upstream's.
-fn give_up(job: &Job, ran: bool, reason: &'static str) -> Reply {
-    if ran {
+fn give_up(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
+    if progress.ran {
         let status = if job.left().0 < LEAST_LEFT { 504 } else { 502 };
         return unsettled(&job.trail, status, reason);
     }
-    let retry = if reason == "no_upstream" && job.tried.is_empty() {
+    if job.tried.is_empty() {
         return Refusal::no_upstream().reply(&job.trail);
-    } else if job.tried.is_empty() {
-        FAILED_RETRY
-    } else {
-        FULL_RETRY
-    };
-    Refusal::new(reason, retry).reply(&job.trail)
+    }
+    Refusal::new(reason, FULL_RETRY).reply(&job.trail)
 }
--- a/crates/gateway/src/request/trail.rs
+++ b/crates/gateway/src/request/trail.rs
@@ -63,10 +63,6 @@
         self.instance.replace(instance.to_owned());
     }
 
-    pub(super) fn attempts(&self) -> u32 {
-        self.attempts.get()
-    }
-
     /// A wait for a turn took `waited`.
     pub(super) fn waited(&self, waited: Millis) {
         self.turn.set(self.turn.get() + waited);
