Don't hold on to an instance that the engine says it is not

The engine refused each order with 421, the base model was never loaded, and gateways that knew the new instance counted it as replaced and asked nothing more of it: both sides waited for the other. Ruled out: the store (no outage in that span), the gateways' list (they named the new instance from 36.3 s on), late orders (each ended within 10 ms).

--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -188,6 +188,9 @@
     shared.meters.orders.get_or_create(&labels).inc();
     if *shared.instance.borrow() == instance {
         shared.turns.borrow_mut().order_ended(answer.end, now);
+        if answer.end == OrderEnd::Misdirected {
+            shared.engine_denied(&instance);
+        }
     }
     shared.wake.ring();
 }
@@ -206,6 +209,7 @@
         OrderEnd::Done => "done",
         OrderEnd::Conflict => "conflict",
         OrderEnd::Refused => "refused",
+        OrderEnd::Misdirected => "misdirected",
         OrderEnd::Unknown => "unknown",
     }
 }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -35,6 +35,8 @@
     pub(crate) instance: RefCell<String>,
     pub(crate) readiness: Readiness,
     pub(crate) meters: Meters,
+    /// Instance that the engine said it is not, though the list may still name it.
+    pub(crate) denied: RefCell<String>,
     /// A token here has the decisions asked again.
     pub(crate) wake: Bell,
     /// A gateway named another instance than the one known.
@@ -77,6 +79,16 @@
         self.instance.borrow_mut().clear();
     }
 
+    /// The engine refused an order as meant for another instance: the list still named the one
+    /// before. Until it names the engine's own, orders name none; an engine that has just started
+    /// then gets its base model at once.
+    pub(crate) fn engine_denied(&self, instance: &str) {
+        self.denied.replace(instance.to_owned());
+        self.engine_restarted();
+        self.log
+            .emit(&events::OWN_ENGINE_DENIED, &[field("instance", instance)]);
+    }
+
     /// Whether it has to be found out which instance the engine is.
     pub(crate) fn in_doubt(&self) -> bool {
         self.instance.borrow().is_empty() || self.doubt.get()
@@ -95,6 +107,9 @@
 
     /// The list names `instance` as the engine's newest.
     pub(crate) fn found(&self, instance: &str) {
+        if *self.denied.borrow() == instance {
+            return;
+        }
         self.doubt.set(false);
         if *self.instance.borrow() == instance {
             return;
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -119,6 +119,7 @@
         turns: RefCell::new(Turns::new_ext(unknown)),
         waiters: RefCell::new(BTreeMap::new()),
         instance: RefCell::default(),
+        denied: RefCell::default(),
         readiness: Readiness::new(&[ENGINE], log),
         meters: Meters::new(metrics),
         wake: Bell::new(),
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -58,4 +58,6 @@
     ENGINE_TURN = "E7205" "engine_turn" Debug ["request", "adapter", "waited_ms", "unread"];
     /// A request gets no turn here.
     ENGINE_TURN_REFUSED = "E7206" "engine_turn_refused" Info ["request", "adapter", "reason", "waited_ms", "unread", "retry_ms"];
+    /// The engine is not the instance that the list names at its address.
+    OWN_ENGINE_DENIED = "E7207" "own_engine_denied" Warn ["instance"];
 }
--- a/crates/policy/src/prompt/places.rs
+++ b/crates/policy/src/prompt/places.rs
@@ -51,6 +51,8 @@
     Conflict,
     /// The engine did not take it; nothing was done.
     Refused,
+    /// The engine is not the instance that the order named; nothing was done.
+    Misdirected,
     /// No answer: it may be carried out, now or later.
     Unknown,
 }
@@ -276,7 +278,7 @@
         };
         match end {
             OrderEnd::Accepted | OrderEnd::Done => self.carry_out(out.order, end, now),
-            OrderEnd::Conflict | OrderEnd::Refused => self.doubt = true,
+            OrderEnd::Conflict | OrderEnd::Refused | OrderEnd::Misdirected => self.doubt = true,
             OrderEnd::Unknown => {
                 out.unknown = true;
                 self.out = Some(out);
