Read the log less often: processes tell each other how far its streams reach

Read off by kind: a gateway's list each 0.4 of the bound and its configuration each 2 s; two reads beside the one that brings a change, by all processes; in outages a try each 0.3 s by each of them. Ruled out: the agents' search for their instance (it ends with the list's entry).

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -52,6 +52,7 @@
             Ok(call) => call,
             Err(e) => return plain_reply(400, &format!("{e}\n")),
         };
+        self.shared.marks.hear(&call.marks);
         self.note(&call);
         let turn = match call.ask {
             Some(ask) => Some(self.turn(ask).await),
@@ -63,6 +64,7 @@
             turn,
             figures,
             kept,
+            marks: self.shared.marks.known(),
         })
     }
 
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -23,7 +23,7 @@
         /// time between two reports of the engine
         report_pause: Span = "100ms", "span";
         /// longest wait of a read of the log for a record
-        store_wait: Span = "8s", "span";
+        store_wait: Span = "25s", "span";
         /// lines logged in a second at most; warnings and errors may take as many again
         log_lines: u32 = "400", "lines/s";
     }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use async_channel::{Receiver, Sender};
-use pumicecleat_catalog::{Applied, Follow, Shared as Catalog, Upstream};
+use pumicecleat_catalog::{Applied, Follow, Marks, Shared as Catalog, Upstream};
 use pumicecleat_net::Timer;
 use pumicecleat_ops::{Log, Readiness, events, field};
 use pumicecleat_policy::{TurnId, Turns};
@@ -29,6 +29,7 @@
     pub(crate) host: u32,
     pub(crate) port: Rc<dyn EnginePort>,
     pub(crate) catalog: Catalog,
+    pub(crate) marks: Rc<Marks>,
     pub(crate) turns: RefCell<Turns>,
     /// Who waits for the outcome of a turn.
     pub(crate) waiters: RefCell<BTreeMap<TurnId, Sender<Turn>>>,
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -22,6 +22,10 @@
 /// Time for answers under way after a stop was asked for. Turns are short, and entries do without.
 const STOP_SPAN: Duration = Duration::from_millis(500);
 
+/// Longest pause between two attempts to reach the log. Gateways name the versions wanted, and tell
+/// when there is more to read, so that an agent can be seconds behind.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
 /// The deployment, as an agent needs it.
 #[derive(Clone)]
 pub struct AgentParts {
@@ -118,6 +122,7 @@
         host: settings.host_adapters,
         port: Rc::clone(&parts.port),
         catalog: Catalog::default(),
+        marks: Rc::default(),
         turns: RefCell::new(Turns::new_ext(unknown)),
         waiters: RefCell::new(BTreeMap::new()),
         instance: RefCell::default(),
@@ -133,6 +138,7 @@
     let options = FollowSettings {
         wait: settings.store_wait.0,
         pace: Duration::ZERO,
+        longest: LONGEST_PAUSE,
         seed: pumicecleat_policy::upstream_key(&settings.common.vm),
     };
     let sources = FollowParts {
@@ -142,6 +148,7 @@
         listener: shared.clone(),
         timer: shared.timer.clone(),
         log: shared.log.clone(),
+        marks: Rc::clone(&shared.marks),
     };
     monoio::spawn(follow(Topic::Operators, sources, options));
     monoio::spawn(find_instance(
--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use pumicecleat_infra::{
     BackoffOptions, FollowOptions, KeyedEvent, KeyedFollower, KeyedLog, KeyedRecord,
 };
@@ -11,11 +12,7 @@
 use pumicecleat_ops::{Log, events, field};
 use pumicecleat_types::Millis;
 
-use crate::{Applied, Catalog, Change, Dialect, Topic};
-
-/// Longest pause between two attempts to reach the log: a store that is back must be heard within
-/// the two seconds in which lapsed entries return.
-const LONGEST_PAUSE: Duration = Duration::from_millis(300);
+use crate::{Applied, Catalog, Change, Dialect, Marks, Topic};
 
 /// Catalog that the parts of a process share.
 pub type Shared = Rc<RefCell<Catalog>>;
@@ -34,11 +31,14 @@
     pub wait: Duration,
     /// Least time between two reads that give records.
     pub pace: Duration,
+    /// Longest pause between two attempts while the log does not answer.
+    pub longest: Duration,
     /// Seed of the pauses; processes should differ in it.
     pub seed: u64,
 }
 
 struct Following<'a> {
+    marks: &'a Marks,
     catalog: &'a Shared,
     topic: Topic,
     dialect: &'a dyn Dialect,
@@ -64,6 +64,8 @@
     pub timer: Timer,
     /// Log of this process.
     pub log: Log,
+    /// What processes tell each other of the streams.
+    pub marks: Rc<Marks>,
 }
 
 /// Follows `topic` for good.
@@ -75,12 +77,13 @@
         listener,
         timer,
         log,
+        marks,
     } = parts;
     let options = FollowOptions {
         wait: settings.wait,
         pace: settings.pace,
         backoff: BackoffOptions {
-            max: LONGEST_PAUSE,
+            max: settings.longest,
             seed: settings.seed,
             ..BackoffOptions::default()
         },
@@ -89,6 +92,7 @@
     let stream = dialect.stream(topic);
     let mut follower = KeyedFollower::new_ext(store, &timer, stream, options);
     let following = Following {
+        marks: &marks,
         catalog: &catalog,
         topic,
         dialect: &*dialect,
@@ -98,24 +102,40 @@
         down: Cell::new(None),
     };
     loop {
-        following.take(follower.next().await);
+        let offset = follower.offset();
+        let next = Box::pin(follower.next());
+        let event = match select(next, Box::pin(marks.beyond(topic, offset))).await {
+            Either::Left((event, _)) => Some(event),
+            Either::Right(_) => None,
+        };
+        match event {
+            Some(event) => {
+                let changed = following.take(event);
+                if let (true, Some(offset)) = (changed, follower.offset()) {
+                    marks.reached(topic, offset);
+                }
+            }
+            None => follower.hurry(),
+        }
     }
 }
 
 impl Following<'_> {
-    fn take(&self, event: KeyedEvent) {
+    /// Takes an event in; gives whether it changed what is believed.
+    fn take(&self, event: KeyedEvent) -> bool {
         match event {
             KeyedEvent::State(records) => {
                 self.back();
-                self.replace(&records);
+                self.replace(&records)
             }
             KeyedEvent::Changes(records) => {
                 self.back();
-                for record in &records {
-                    self.apply(record);
-                }
+                self.apply_all(&records)
+            }
+            KeyedEvent::CaughtUp => {
+                self.back();
+                false
             }
-            KeyedEvent::CaughtUp => self.back(),
             KeyedEvent::Outage { detail } => {
                 let fields = [
                     field("stream", self.dialect.stream(self.topic)),
@@ -128,6 +148,8 @@
                 if self.topic == Topic::Upstreams {
                     self.catalog.borrow_mut().outage();
                 }
+                self.marks.doubt(self.topic);
+                false
             }
         }
     }
@@ -146,17 +168,14 @@
         }
     }
 
-    fn replace(&self, records: &[KeyedRecord]) {
+    fn replace(&self, records: &[KeyedRecord]) -> bool {
         let fields = [
             field("stream", self.dialect.stream(self.topic)),
             field("records", records.len()),
         ];
         self.log.emit(&events::STORE_READ, &fields);
         if self.topic == Topic::Operators {
-            for record in records {
-                self.apply(record);
-            }
-            return;
+            return self.apply_all(records);
         }
         let mut list = Vec::new();
         for record in records {
@@ -166,18 +185,28 @@
         }
         let now = self.timer.now();
         let applied = self.catalog.borrow_mut().replace(list, now);
+        let mut changed = false;
         for applied in &applied {
-            self.tell(applied);
+            changed |= self.tell(applied);
+        }
+        changed
+    }
+
+    fn apply_all(&self, records: &[KeyedRecord]) -> bool {
+        let mut changed = false;
+        for record in records {
+            changed |= self.apply(record);
         }
+        changed
     }
 
-    fn apply(&self, record: &KeyedRecord) {
+    fn apply(&self, record: &KeyedRecord) -> bool {
         let Some(change) = self.read(record) else {
-            return;
+            return false;
         };
         let now = self.timer.now();
         let applied = self.catalog.borrow_mut().apply(change, now);
-        self.tell(&applied);
+        self.tell(&applied)
     }
 
     fn read(&self, record: &KeyedRecord) -> Option<Change> {
@@ -191,11 +220,14 @@
         }
     }
 
-    fn tell(&self, applied: &Applied) {
+    /// Tells of what was applied; gives whether it changed anything.
+    fn tell(&self, applied: &Applied) -> bool {
         log_applied(self.log, applied);
-        if *applied != Applied::Same {
+        let changed = *applied != Applied::Same;
+        if changed {
             self.listener.applied(applied);
         }
+        changed
     }
 }
 
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -21,11 +21,13 @@
 mod change;
 mod follow;
 mod layout;
+mod marks;
 mod state;
 mod upstream;
 
 pub use change::{Change, Dialect, Topic, Unreadable};
 pub use follow::{Follow, FollowParts, FollowSettings, Shared, follow};
 pub use layout::{Base, Engine, Layout, Limits, Repeat, Route, Service, Share};
+pub use marks::Marks;
 pub use state::{Applied, Catalog};
 pub use upstream::{Standing, Upstream};
--- /dev/null
+++ b/crates/catalog/src/marks.rs
@@ -0,0 +1,114 @@
+//! How far the streams are known to reach, by this process and by others.
+//!
+//! Processes tell each other the offset behind the last record that changed something. One that hears
+//! of a later offset than it has read to reads at once, so that a long wait of the log for a record,
+//! or a connection that fell silent, delays nobody as long as one process got the record. An offset is
+//! all that is told: what a record says comes from the log alone.
+
+use std::cell::Cell;
+
+use async_channel::{Receiver, Sender};
+use pumicecleat_types::StreamMarks;
+
+use crate::Topic;
+
+/// How far the streams are known to reach; of none at first.
+#[derive(Debug, Default)]
+pub struct Marks {
+    operators: Mark,
+    upstreams: Mark,
+}
+
+#[derive(Debug)]
+struct Mark {
+    offset: Cell<u64>,
+    /// A wait for a record may be one on a silent connection.
+    doubt: Cell<bool>,
+    /// Holds a token while there may be more to read than was read.
+    sender: Sender<()>,
+    receiver: Receiver<()>,
+}
+
+impl Default for Mark {
+    fn default() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Self {
+            offset: Cell::new(0),
+            doubt: Cell::new(false),
+            sender,
+            receiver,
+        }
+    }
+}
+
+impl Mark {
+    fn ring(&self) {
+        // A full channel holds a token already.
+        let _ = self.sender.try_send(());
+    }
+
+    fn raise(&self, offset: u64) -> bool {
+        let more = offset > self.offset.get();
+        if more {
+            self.offset.set(offset);
+        }
+        more
+    }
+}
+
+impl Marks {
+    fn of(&self, topic: Topic) -> &Mark {
+        match topic {
+            Topic::Operators => &self.operators,
+            Topic::Upstreams => &self.upstreams,
+        }
+    }
+
+    /// What other processes are to be told.
+    #[must_use]
+    pub fn known(&self) -> StreamMarks {
+        StreamMarks {
+            operators: self.operators.offset.get(),
+            upstreams: self.upstreams.offset.get(),
+        }
+    }
+
+    /// Another process knows this much.
+    pub fn hear(&self, marks: &StreamMarks) {
+        if self.operators.raise(marks.operators) {
+            self.operators.ring();
+        }
+        if self.upstreams.raise(marks.upstreams) {
+            self.upstreams.ring();
+        }
+    }
+
+    /// This process has read to `offset`, and something changed by it.
+    pub(crate) fn reached(&self, topic: Topic, offset: u64) {
+        self.of(topic).raise(offset);
+    }
+
+    /// The log did not answer on `topic`: a wait on another may be one on a connection that fell
+    /// silent with it.
+    pub(crate) fn doubt(&self, topic: Topic) {
+        let other = match topic {
+            Topic::Operators => &self.upstreams,
+            Topic::Upstreams => &self.operators,
+        };
+        other.doubt.set(true);
+        other.ring();
+    }
+
+    /// Waits until a read of `topic` that began at `offset` is worth giving up for a new one.
+    pub(crate) async fn beyond(&self, topic: Topic, offset: Option<u64>) {
+        let mark = self.of(topic);
+        loop {
+            // It can't be closed while `self` holds both ends.
+            let _ = mark.receiver.recv().await;
+            let doubt = mark.doubt.take();
+            if offset.is_some_and(|at| doubt || mark.offset.get() > at) {
+                return;
+            }
+        }
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -26,7 +26,7 @@
         /// gateways that share the slack
         gateways: u32 = "8", "gateways";
         /// longest wait of a read of the log for a record
-        store_wait: Span = "2s", "span";
+        store_wait: Span = "8s", "span";
         /// time within which a leaving upstream must get its last request
         leave_span: Span = "2s", "span";
         /// time that a stop may take in all
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use pumicecleat_catalog::{Applied, Follow, Shared as Catalog, Topic};
+use pumicecleat_catalog::{Applied, Follow, Marks, Shared as Catalog, Topic};
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
 use pumicecleat_policy::{RepeatOptions, RepeatWindow};
@@ -41,6 +41,7 @@
     pub(crate) agent_port: u16,
     pub(crate) wire: Rc<dyn Wire>,
     pub(crate) catalog: Catalog,
+    pub(crate) marks: Rc<Marks>,
     pub(crate) table: Rc<Table>,
     /// Client for upstreams.
     pub(crate) client: Client,
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -80,6 +80,7 @@
     let news = shared.table.with(&upstream.instance, Record::take_news);
     let call = TurnCall {
         news: news.clone(),
+        marks: shared.marks.known(),
         kept: known(shared, upstream),
         ask: None,
     };
@@ -119,6 +120,7 @@
     let span = Duration::from_millis((Millis(ask.patience_ms) + ASK_MARGIN).0);
     let call = TurnCall {
         news,
+        marks: shared.marks.known(),
         kept: known(shared, upstream),
         ask: Some(ask),
     };
@@ -171,6 +173,7 @@
         ];
         shared.log.emit(&events::SIDE_BACK, &fields);
     }
+    shared.marks.hear(&reply.marks);
     let named = &reply.figures.instance;
     let own = *named == upstream.instance;
     shared.table.with(&upstream.instance, |r| {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -46,9 +46,14 @@
 const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Part of the time for a leaving upstream that may pass between two reads of the list. Every upstream
-/// writes there each second or so, so that a gateway would be woken ten times a second; the rest of
-/// the time is for a read that has to be made again.
-const LIST_PART: f64 = 0.4;
+/// writes there each second or so, so that a gateway would be woken ten times a second. The gateways
+/// read at different times, and what one of them has read all hear of within an exchange with agents;
+/// the rest of the time is for a read that has to be made again.
+const LIST_PART: f64 = 0.7;
+
+/// Longest pause between two attempts to reach the log: a store that is back must be heard well within
+/// the two seconds in which lapsed entries return.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
 /// Part of the ratio of repeats that is used: windows of several gateways don't begin together.
 const RATIO_PART: f64 = 0.9;
@@ -187,6 +192,7 @@
         agent_port: settings.agent_port,
         wire: Rc::clone(&parts.wire),
         catalog: Rc::default(),
+        marks: Rc::default(),
         table: Rc::new(Table::default()),
         client: Client::new_ext(client, timer),
         agents: Client::new_ext(client, timer),
@@ -218,6 +224,7 @@
                 Topic::Operators => Duration::ZERO,
                 Topic::Upstreams => settings.leave_span.0.mul_f64(LIST_PART),
             },
+            longest: LONGEST_PAUSE,
             seed: pumicecleat_policy::upstream_key(&settings.common.vm),
         };
         let sources = FollowParts {
@@ -227,6 +234,7 @@
             listener: shared.clone(),
             timer: shared.timer.clone(),
             log: shared.log.clone(),
+            marks: Rc::clone(&shared.marks),
         };
         monoio::spawn(follow(topic, sources, options));
     }
--- a/crates/infra/src/follower/keyed.rs
+++ b/crates/infra/src/follower/keyed.rs
@@ -6,7 +6,7 @@
 
 use pumicecleat_net::Timer;
 
-use super::{FollowEvent, FollowOptions, Follower};
+use super::{FollowError, FollowEvent, FollowOptions, Follower};
 use crate::backoff::Backoff;
 use crate::{KeyedLog, KeyedRecord, Log, ReadError};
 
@@ -60,12 +60,28 @@
         }
     }
 
-    /// Next event.
+    /// Offset of the next record to be told; `None` before the first state.
+    #[must_use]
+    pub fn offset(&self) -> Option<u64> {
+        self.follower.as_ref().map(Follower::offset)
+    }
+
+    /// Reads at once when asked next; see [`Follower::hurry`].
+    pub fn hurry(&mut self) {
+        if let Some(follower) = &mut self.follower {
+            follower.hurry();
+        }
+    }
+
+    /// Next event. May be dropped at any time and asked for again; nothing is lost by it.
     pub async fn next(&mut self) -> KeyedEvent {
         loop {
-            let event = match self.follower.take() {
+            let event = match &mut self.follower {
                 None => self.state().await,
-                Some(follower) => self.changes(follower).await,
+                Some(follower) => {
+                    let event = follower.next().await;
+                    self.take(event).await
+                }
             };
             if let Some(event) = event {
                 return event;
@@ -81,32 +97,34 @@
         self.backoff.reset();
         self.outage = false;
         let log: Rc<dyn Log> = self.log.clone();
-        let follower = Follower::new_ext(log, &self.timer, &self.stream, newest.next, self.options);
+        let mut follower =
+            Follower::new_ext(log, &self.timer, &self.stream, newest.next, self.options);
+        follower.settle();
         self.follower = Some(follower);
         let offset = |r: &KeyedRecord| (r.key.clone(), r.offset);
         self.told = newest.records.iter().map(offset).collect();
         Some(KeyedEvent::State(newest.records))
     }
 
-    async fn changes(&mut self, mut follower: Follower) -> Option<KeyedEvent> {
-        match follower.next().await {
+    async fn take(&mut self, event: Result<FollowEvent, FollowError>) -> Option<KeyedEvent> {
+        match event {
             Ok(FollowEvent::Records(records)) => {
-                self.follower = Some(follower);
+                if let Some(follower) = &mut self.follower {
+                    follower.settle();
+                }
                 let keyed = records.iter().filter_map(|r| self.log.keyed(r)).collect();
                 let fresh = self.fresh(keyed);
                 (!fresh.is_empty()).then_some(KeyedEvent::Changes(fresh))
             }
-            Ok(FollowEvent::CaughtUp { .. }) => {
-                self.follower = Some(follower);
-                Some(KeyedEvent::CaughtUp)
-            }
-            Ok(FollowEvent::Outage { detail }) => {
-                self.follower = Some(follower);
-                Some(KeyedEvent::Outage { detail })
-            }
+            Ok(FollowEvent::CaughtUp { .. }) => Some(KeyedEvent::CaughtUp),
+            Ok(FollowEvent::Outage { detail }) => Some(KeyedEvent::Outage { detail }),
             // Records are missing, or the log contradicts itself: the newest ones tell the rest.
-            Ok(FollowEvent::Trimmed { .. }) => None,
+            Ok(FollowEvent::Trimmed { .. }) => {
+                self.follower = None;
+                None
+            }
             Err(e) => {
+                self.follower = None;
                 let pause = self.backoff.next_pause(None);
                 self.timer.sleep(pause).await;
                 let detail = e.to_string();
--- a/crates/infra/src/follower/mod.rs
+++ b/crates/infra/src/follower/mod.rs
@@ -54,6 +54,8 @@
     resume: Option<Millis>,
     /// Caller knows that it has all records.
     caught: bool,
+    /// The last answer reached the end, by the log's own word.
+    end: bool,
     /// Caller knows of the present outage.
     outage: bool,
 }
@@ -77,6 +79,7 @@
             next: from,
             resume: None,
             caught: false,
+            end: true,
             outage: false,
         }
     }
@@ -87,11 +90,28 @@
         self.next
     }
 
+    /// The caller needs no word that it has all records once it has the last one: the next read may
+    /// wait at once if that is so, which saves a read for each change.
+    pub fn settle(&mut self) {
+        self.caught |= self.end;
+    }
+
+    /// Reads at once and without a wait when asked next: there is more than this follower knows.
+    /// Drop a call of [`next`](Self::next) that is under way. After a failure the pause stays.
+    pub fn hurry(&mut self) {
+        if !self.outage {
+            self.resume = None;
+        }
+        self.caught = false;
+        self.end = false;
+    }
+
     /// Goes on from `offset`, after trimming or from a snapshot.
     pub fn seek(&mut self, offset: u64) {
         self.next = offset;
         self.resume = None;
         self.caught = false;
+        self.end = false;
     }
 
     /// Next event. May be dropped at any time and asked for again; nothing is lost by it.
@@ -139,6 +159,7 @@
             self.backoff.reset();
             self.caught = false;
             self.next += batch.records.len() as u64;
+            self.end = batch.next == self.next;
             self.resume = Some(start + as_millis(self.options.pace));
             return Ok(Some(FollowEvent::Records(batch.records)));
         }
--- a/crates/infra/tests/infra/follower.rs
+++ b/crates/infra/tests/infra/follower.rs
@@ -182,3 +182,25 @@
         prop_assert_eq!(given, (0..10).collect::<Vec<u64>>());
     }
 }
+
+/// A caller that needs no word of the end saves a read for each change.
+#[test]
+fn a_settled_follower_waits_at_once_after_the_last_record() {
+    with_client(|client| async move {
+        let timer = client.timer();
+        for (settles, told) in [(false, true), (true, false)] {
+            let log = log_of(1, timer, &[]);
+            let mut follower = follower_that_waits(&log, timer, 0, Duration::from_mins(1));
+            assert_eq!(offsets(&follower.next().await.unwrap()), [0]);
+            if settles {
+                follower.settle();
+            }
+            let next = timer.within(20 * MS, follower.next()).await;
+            assert_eq!(next.is_ok(), told, "settles: {settles}");
+            // One that hurries asks again without a wait.
+            follower.hurry();
+            let next = timer.within(20 * MS, follower.next()).await;
+            assert_eq!(next.unwrap().unwrap(), FollowEvent::CaughtUp { next: 1 });
+        }
+    });
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -27,7 +27,7 @@
 pub use message::{
     ConfigAsk, ConfigReply, EngineFigures, Frame, HeaderField, KeptAdapters, LoadBid, LoadCall,
     LoadCalled, LoadFigures, LoadTurn, LogRecord, ModelTarget, Ran, Reason, Refusal, Report,
-    ReportReply, RunHead, RunNews, RunRequest, ServiceTarget, Target, Turn, TurnAsk, TurnCall,
-    TurnRefusal, TurnReply, VmEntry, VmRole, VmState,
+    ReportReply, RunHead, RunNews, RunRequest, ServiceTarget, StreamMarks, Target, Turn, TurnAsk,
+    TurnCall, TurnRefusal, TurnReply, VmEntry, VmRole, VmState,
 };
 pub use time::Millis;
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -8,6 +8,8 @@
 pub struct TurnCall {
     /// Progress of requests that had their turn.
     pub news: Vec<RunNews>,
+    /// How far the entry knows the platform's streams to reach.
+    pub marks: StreamMarks,
     /// Digest of the kept adapters that the entry knows; 0 before the first.
     pub kept: u64,
     /// Request that wants its turn; without one the answer comes at once.
@@ -57,6 +59,17 @@
     pub figures: EngineFigures,
     /// Adapters that the engine's host keeps, if they aren't those that the entry knows.
     pub kept: Option<KeptAdapters>,
+    /// How far the side knows the platform's streams to reach.
+    pub marks: StreamMarks,
+}
+
+/// Offsets behind the last records that changed something, by stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamMarks {
+    /// Operators' records.
+    pub operators: u64,
+    /// List of upstreams.
+    pub upstreams: u64,
 }
 
 /// Adapters that an engine's host keeps in memory beside those held.
