Cut the slack of repeats by the number of gateways that agents tell

Cause, found by reading the bound against the grown deployments: the slack was cut in eight parts, and 24 and 29 gateways took one each, 264 in place of 88. Now an agent tells how many entries it heard of in the window, and each gateway takes half of an even part, as each may start anew within a window.

--- /dev/null
+++ b/crates/agent/src/entries.rs
@@ -0,0 +1,34 @@
+//! Which entries were heard of lately.
+//!
+//! Entries share bounds without a word between them, and don't know how many they are. All of them talk
+//! to each agent, which can tell.
+
+use std::collections::BTreeMap;
+
+use pumicecleat_types::{Millis, VmId};
+
+/// Time for which an entry counts after it was heard of: as long as the window of the bounds that
+/// entries share.
+const HEARD_SPAN: Millis = Millis(10_000);
+
+/// Entries by VM, and when each was heard of.
+#[derive(Debug, Default)]
+pub(crate) struct Entries {
+    heard: BTreeMap<VmId, Millis>,
+}
+
+impl Entries {
+    /// Notes that `entry` was heard of, and forgets those that were not for long.
+    pub(crate) fn heard(&mut self, entry: &VmId, now: Millis) {
+        if let Some(at) = self.heard.get_mut(entry) {
+            *at = now;
+        } else {
+            self.heard.insert(entry.clone(), now);
+        }
+        self.heard.retain(|_, at| now.since(*at) < HEARD_SPAN);
+    }
+
+    pub(crate) fn count(&self) -> u32 {
+        u32::try_from(self.heard.len()).unwrap_or(u32::MAX)
+    }
+}
--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -53,6 +53,8 @@
             Err(e) => return plain_reply(400, &format!("{e}\n")),
         };
         self.shared.marks.hear(&call.marks);
+        let now = timer.now();
+        self.shared.entries.borrow_mut().heard(&call.entry, now);
         self.note(&call);
         let turn = match call.ask {
             Some(ask) => Some(self.turn(ask).await),
@@ -64,6 +66,7 @@
             turn,
             figures,
             kept,
+            entries: self.shared.entries.borrow().count(),
             marks: self.shared.marks.known(),
         })
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -21,6 +21,7 @@
 //! ```
 
 mod drive;
+mod entries;
 mod handler;
 mod instance;
 mod meters;
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use crate::entries::Entries;
 use async_channel::{Receiver, Sender};
 use pumicecleat_catalog::{Applied, Follow, Marks, Shared as Catalog, Upstream};
 use pumicecleat_net::Timer;
@@ -35,6 +36,8 @@
     pub(crate) waiters: RefCell<BTreeMap<TurnId, Sender<Turn>>>,
     /// Instance of the engine; empty while it is not known.
     pub(crate) instance: RefCell<String>,
+    /// Entries that ask for turns here.
+    pub(crate) entries: RefCell<Entries>,
     pub(crate) readiness: Readiness,
     pub(crate) meters: Meters,
     /// Instance that the engine said it is not, though the list may still name it.
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -127,6 +127,7 @@
         waiters: RefCell::new(BTreeMap::new()),
         instance: RefCell::default(),
         denied: RefCell::default(),
+        entries: RefCell::default(),
         readiness: Readiness::new(&[ENGINE], log),
         meters: Meters::new(metrics),
         wake: Bell::new(),
--- /dev/null
+++ b/crates/gateway/src/gateways.rs
@@ -0,0 +1,43 @@
+//! How many gateways share a bound, as agents tell it.
+
+use pumicecleat_types::Millis;
+
+/// Time for which the highest number told holds though lower ones are told: the window of the bound on
+/// repeats, as a gateway that has just ended has its repeats in it.
+const HIGH_SPAN: Millis = Millis(10_000);
+
+/// Parts for each gateway: one that starts anew begins with an empty window, beside the repeats of its
+/// last life, and all may do so within a window.
+const LIVES: u32 = 2;
+
+/// Number of gateways.
+#[derive(Debug)]
+pub(crate) struct Gateways {
+    least: u32,
+    told: u32,
+    at: Millis,
+}
+
+impl Gateways {
+    /// None was told of; `least` parts in any case.
+    pub(crate) fn new(least: u32) -> Self {
+        Self {
+            least,
+            told: 0,
+            at: Millis(0),
+        }
+    }
+
+    /// An agent has heard of `count` lately.
+    pub(crate) fn told(&mut self, count: u32, now: Millis) {
+        if count >= self.told || now.since(self.at) > HIGH_SPAN {
+            self.told = count;
+            self.at = now;
+        }
+    }
+
+    /// Parts into which what they share is cut.
+    pub(crate) fn parts(&self) -> u32 {
+        self.least.max(LIVES.saturating_mul(self.told)).max(1)
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 //! ```
 
 mod gate;
+mod gateways;
 mod meters;
 mod request;
 mod settings;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -23,8 +23,8 @@
         repeat_slack: u32 = "54", "sends";
         /// time over which repeated sends are counted
         repeat_window: Span = "10s", "span";
-        /// gateways that share the slack
-        gateways: u32 = "8", "gateways";
+        /// parts into which the slack is cut at least; two for each gateway that agents know of, if that is more
+        gateways: u32 = "8", "parts";
         /// longest wait of a read of the log for a record
         store_wait: Span = "8s", "span";
         /// time within which a leaving upstream must get its last request
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,10 +8,11 @@
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
 use pumicecleat_policy::{RepeatOptions, RepeatWindow};
-use pumicecleat_types::{DataCentre, ServiceId};
+use pumicecleat_types::{DataCentre, ServiceId, VmId};
 use rand_chacha::ChaCha8Rng;
 
 use crate::Wire;
+use crate::gateways::Gateways;
 use crate::meters::{Meters, ServiceLabels};
 use crate::table::Table;
 
@@ -37,6 +38,7 @@
 pub(crate) struct Shared {
     pub(crate) timer: Timer,
     pub(crate) log: Log,
+    pub(crate) vm: VmId,
     pub(crate) centre: DataCentre,
     pub(crate) agent_port: u16,
     pub(crate) wire: Rc<dyn Wire>,
@@ -48,6 +50,8 @@
     /// Client for agents.
     pub(crate) agents: Client,
     pub(crate) repeat: RepeatOptions,
+    /// Gateways that share the slack of repeats.
+    pub(crate) gateways: RefCell<Gateways>,
     pub(crate) windows: RefCell<BTreeMap<ServiceId, RepeatWindow>>,
     pub(crate) rng: RefCell<ChaCha8Rng>,
     pub(crate) readiness: Readiness,
@@ -77,10 +81,15 @@
     }
 
     fn window<T>(&self, service: &ServiceId, look: impl FnOnce(&mut RepeatWindow) -> T) -> T {
+        let options = RepeatOptions {
+            slack: self.repeat.slack / f64::from(self.gateways.borrow().parts()),
+            ..self.repeat
+        };
         let mut windows = self.windows.borrow_mut();
         let window = windows
             .entry(service.clone())
-            .or_insert_with(|| RepeatWindow::new_ext(self.repeat));
+            .or_insert_with(|| RepeatWindow::new_ext(options));
+        window.retune(options);
         look(window)
     }
 
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -79,6 +79,7 @@
 async fn sync_one(shared: &Shared, upstream: &Upstream) {
     let news = shared.table.with(&upstream.instance, Record::take_news);
     let call = TurnCall {
+        entry: shared.vm.clone(),
         news: news.clone(),
         marks: shared.marks.known(),
         kept: known(shared, upstream),
@@ -119,6 +120,7 @@
     });
     let span = Duration::from_millis((Millis(ask.patience_ms) + ASK_MARGIN).0);
     let call = TurnCall {
+        entry: shared.vm.clone(),
         news,
         marks: shared.marks.known(),
         kept: known(shared, upstream),
@@ -174,6 +176,7 @@
         shared.log.emit(&events::SIDE_BACK, &fields);
     }
     shared.marks.hear(&reply.marks);
+    shared.gateways.borrow_mut().told(reply.entries, now);
     let named = &reply.figures.instance;
     let own = *named == upstream.instance;
     shared.table.with(&upstream.instance, |r| {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -17,6 +17,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::gate::Gate;
+use crate::gateways::Gateways;
 use crate::meters::Meters;
 use crate::request::CallerHandler;
 use crate::shared::{LAYOUT, RUNNING, Shared, Stopping, TOPICS};
@@ -188,6 +189,7 @@
     Rc::new(Shared {
         timer: timer.clone(),
         log: log.clone(),
+        vm: settings.common.vm.clone(),
         centre: settings.common.centre.clone(),
         agent_port: settings.agent_port,
         wire: Rc::clone(&parts.wire),
@@ -197,6 +199,7 @@
         client: Client::new_ext(client, timer),
         agents: Client::new_ext(client, timer),
         repeat: repeat(settings),
+        gateways: RefCell::new(Gateways::new(settings.gateways)),
         windows: RefCell::new(BTreeMap::new()),
         rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
         readiness: Readiness::new(&[LAYOUT, RUNNING], log),
@@ -206,13 +209,14 @@
     })
 }
 
-/// This gateway's part of the bound that all keep together.
+/// The bound that all gateways keep together: the ratio over its own requests by each, and the slack in
+/// parts.
 fn repeat(settings: &GatewaySettings) -> RepeatOptions {
     let window = u64::try_from(settings.repeat_window.0.as_millis()).unwrap_or(u64::MAX);
     RepeatOptions {
         window: Millis(window),
         ratio: f64::from(settings.repeat_percent) / 100.0 * RATIO_PART,
-        slack: f64::from(settings.repeat_slack) / f64::from(settings.gateways.max(1)),
+        slack: f64::from(settings.repeat_slack),
     }
 }
 
--- a/crates/policy/src/prompt/repeat.rs
+++ b/crates/policy/src/prompt/repeat.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Takes a new bound; what is counted stays.
+    pub fn retune(&mut self, options: RepeatOptions) {
+        self.options = options;
+    }
+
     /// Counts a request.
     pub fn request(&mut self, now: Millis) {
         self.settle(now);
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -2,10 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::VmId;
+
 /// Exchange of an entry with a side: what became of requests, and perhaps one more that asks for its
 /// turn.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TurnCall {
+    /// VM of the entry.
+    pub entry: VmId,
     /// Progress of requests that had their turn.
     pub news: Vec<RunNews>,
     /// How far the entry knows the platform's streams to reach.
@@ -59,6 +63,8 @@
     pub figures: EngineFigures,
     /// Adapters that the engine's host keeps, if they aren't those that the entry knows.
     pub kept: Option<KeptAdapters>,
+    /// Entries that the side heard of lately.
+    pub entries: u32,
     /// How far the side knows the platform's streams to reach.
     pub marks: StreamMarks,
 }
