Tell of each error that left no line: cut reads, unreadable entries and heads

A read of the log whose bytes don't add up counted as an empty one; an agent passed over entries that it can't read; numbers of a head that are none counted as 0. Now the read fails with step and peer, an entry leaves E7003 as it does at gateways, and a head leaves E7111. Ruled out: answering 400, as a proper request is never denied by us.

--- a/crates/agent/src/instance.rs
+++ b/crates/agent/src/instance.rs
@@ -28,7 +28,12 @@
                 Ok(newest) => {
                     let read = |r| match dialect.read(Topic::Upstreams, r) {
                         Ok(Change::Upstream(upstream)) => Some(upstream),
-                        _ => None,
+                        Ok(_) => None,
+                        Err(e) => {
+                            let fields = [field("error", &e)];
+                            shared.log.emit(&events::RECORD_UNREADABLE, &fields);
+                            None
+                        }
                     };
                     let mut listed: Vec<(u64, Upstream)> = newest
                         .records
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -19,6 +19,7 @@
 use http::HeaderValue;
 use http::header::CONNECTION;
 use pumicecleat_net::{Handler, Incoming, Reply, read_all};
+use pumicecleat_ops::{events, field};
 use rand::Rng;
 
 use crate::shared::{Shared, Stopping};
@@ -63,6 +64,14 @@
     let arrived = shared.timer.now();
     let (head, mut body) = request.into_parts();
     let attributes = shared.wire.attributes(&head.headers);
+    if !attributes.unreadable.is_empty() {
+        let parts = attributes.unreadable.join(", ");
+        let fields = [
+            field("request", attributes.request.as_deref().unwrap_or_default()),
+            field("parts", parts.as_str()),
+        ];
+        shared.log.emit(&events::HEAD_UNREADABLE, &fields);
+    }
     let Some(layout) = shared.catalog.borrow().layout().cloned() else {
         let trail = Trail::new(shared, &attributes, "", 0, arrived);
         return Refusal::unknown().reply(&trail);
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -17,6 +17,8 @@
     pub output: u32,
     /// Parts of the prompt, in order.
     pub parts: Vec<PromptPart>,
+    /// What was there and could not be read: it counts as not given.
+    pub unreadable: Vec<&'static str>,
 }
 
 /// Model that a request wants.
--- a/crates/infra/src/http/fault.rs
+++ b/crates/infra/src/http/fault.rs
@@ -33,6 +33,14 @@
         /// Cause.
         source: serde_json::Error,
     },
+    /// Bytes of the answer don't add up.
+    #[snafu(display("step decode answer, peer {peer}: {detail}"))]
+    Form {
+        /// Peer.
+        peer: String,
+        /// What is wrong.
+        detail: &'static str,
+    },
     /// A name can't stand in a request, so nothing was sent.
     #[snafu(display("step build request, peer {peer}: name {name:?} is not allowed"))]
     Name {
@@ -56,7 +64,7 @@
                 ..
             }
             | Self::Name { .. } => Sent::No,
-            Self::Status { .. } | Self::Json { .. } => Sent::Maybe,
+            Self::Status { .. } | Self::Json { .. } | Self::Form { .. } => Sent::Maybe,
         }
     }
 
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -45,6 +45,8 @@
     LINES_LEFT_OUT = "E7109" "lines_left_out" Warn ["lines"];
     /// The settings were read again.
     SETTINGS_SIGNAL = "E7110" "settings_signal" Info ["effect"];
+    /// Part of a request's head could not be read.
+    HEAD_UNREADABLE = "E7111" "head_unreadable" Warn ["request", "parts"];
 
     /// The engine does not answer its side.
     OWN_ENGINE_LOST = "E7201" "own_engine_lost" Warn ["address", "error"];
