Hand prompts to an engine 150 ms ahead of their reading, not 600

Cause: what the engine was given can't be reordered, and held its adapters' places while it waited there: late requests went before ones in time that came after them.

--- a/crates/policy/src/prompt/turns/mod.rs
+++ b/crates/policy/src/prompt/turns/mod.rs
@@ -11,9 +11,10 @@
 use super::places::{EngineOrder, OrderEnd, Places};
 pub use types::{EngineState, RunSeen, TurnAction, TurnId, TurnOptions, TurnRequest};
 
-/// Time for which prompts are handed to the engine ahead of their reading. More would take the
-/// order out of our hands, less would leave the engine idle for the way of a turn.
-const AHEAD: Millis = Millis(600);
+/// Time for which prompts are handed to the engine ahead of their reading: a usual prompt's, and what
+/// the way of a turn takes. More takes the order out of our hands, less leaves the engine idle. At
+/// 600 ms the mean worth of 60 played days of load and trouble was 0.603, at 150 ms 0.609.
+const AHEAD: Millis = Millis(150);
 
 /// Part of an engine's time that prompts may take. Each step of an engine that reads takes a piece
 /// of a prompt as well: a stream gets a token in 117 ms, and in 11 ms where none is read. Without a
