--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -20,6 +20,7 @@
     Status(StatusArgs),
     Dump(DumpArgs),
     Key(KeyArgs),
+    Trail(TrailArgs),
     Demo(DemoArgs),
 }
 
@@ -75,6 +76,19 @@
     pub(crate) admin: Vec<SocketAddr>,
 }
 
+/// Print all log lines of one request over several processes, in the order of their time, with what
+/// their clocks differ by taken off. Exit status 1 if there is none.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "trail")]
+pub(crate) struct TrailArgs {
+    /// id of the request
+    #[argh(positional)]
+    pub(crate) request: String,
+    /// files with lines of JSON, each of one or more processes
+    #[argh(positional)]
+    pub(crate) files: Vec<String>,
+}
+
 /// Print the whole state of a process as JSON.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "dump")]
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -18,6 +18,8 @@
     },
     #[snafu(display("{faults}"))]
     Faulty { faults: Faults },
+    #[snafu(display("no line of request {request} in {files} files"))]
+    NoTrail { request: String, files: usize },
     #[snafu(display("no file given"))]
     NoFile,
     #[snafu(display("step read log: {source}"))]
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -19,8 +19,10 @@
 mod files;
 mod reader;
 mod show;
+mod trail;
 
 pub use args::Args;
+pub use trail::{Step, gather};
 
 use args::Command;
 use error::CliError;
@@ -50,6 +52,7 @@
         Command::Apply(args) => on_loop(apply::apply(args)),
         Command::Status(args) => on_loop(show::status(args)),
         Command::Dump(args) => on_loop(show::dump(args)),
+        Command::Trail(args) => trail::trail(&args),
         Command::Demo(args) => on_loop(demo::demo(args)),
     }
 }
