--- a/crates/agent/src/entries.rs
+++ b/crates/agent/src/entries.rs
@@ -7,8 +7,8 @@
 
 use pumicecleat_types::{Millis, VmId};
 
-/// Time for which an entry counts after it was heard of: as long as the window of the bounds that
-/// entries share.
+/// Time for which an entry counts after it was heard of: as long as the window of 10 s over which the
+/// deployments bound repeats.
 const HEARD_SPAN: Millis = Millis(10_000);
 
 /// Entries by VM, and when each was heard of.
--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -2,10 +2,6 @@
 
 use pumicecleat_types::Millis;
 
-/// Time for which the highest number told holds though lower ones are told: the window of the bound on
-/// repeats, as a gateway that has just ended has its repeats in it.
-const HIGH_SPAN: Millis = Millis(10_000);
-
 /// Parts for each gateway: one that starts anew begins with an empty window, beside the repeats of its
 /// last life, and all may do so within a window.
 const LIVES: u32 = 2;
@@ -14,15 +10,19 @@
 #[derive(Debug)]
 pub(crate) struct Gateways {
     least: u32,
+    /// Time for which the highest number told holds though lower ones are told: the window of what
+    /// they share, as a gateway that has just ended has its part in it.
+    window: Millis,
     told: u32,
     at: Millis,
 }
 
 impl Gateways {
-    /// None was told of; `least` parts in any case.
-    pub(crate) fn new(least: u32) -> Self {
+    /// None was told of; `least` parts in any case, of what is bounded over `window`.
+    pub(crate) fn new(least: u32, window: Millis) -> Self {
         Self {
             least,
+            window,
             told: 0,
             at: Millis(0),
         }
@@ -30,7 +30,7 @@
 
     /// An agent has heard of `count` lately.
     pub(crate) fn told(&mut self, count: u32, now: Millis) {
-        if count >= self.told || now.since(self.at) > HIGH_SPAN {
+        if count >= self.told || now.since(self.at) > self.window {
             self.told = count;
             self.at = now;
         }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -186,6 +186,7 @@
         ..ClientOptions::default()
     };
     let seed = pumicecleat_policy::upstream_key(&settings.common.vm);
+    let repeat = repeat(settings);
     Rc::new(Shared {
         timer: timer.clone(),
         log: log.clone(),
@@ -198,8 +199,8 @@
         table: Rc::new(Table::default()),
         client: Client::new_ext(client, timer),
         agents: Client::new_ext(client, timer),
-        repeat: repeat(settings),
-        gateways: RefCell::new(Gateways::new(settings.gateways)),
+        repeat,
+        gateways: RefCell::new(Gateways::new(settings.gateways, repeat.window)),
         windows: RefCell::new(BTreeMap::new()),
         rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
         readiness: Readiness::new(&[LAYOUT, RUNNING], log),
