Name the instance in each exchange with an agent, not only in asks

Once the base model is loaded there is no order to give until a request comes, and gateways that know the new instance ask nothing of an engine whose agent names another: both wait for good. Ruled out: a denied instance (no order was sent), the list (its new entry was there), the gateways' links (their exchanges with the agent went on).

An ask for an instance that the agent does not know now leaves its line as well.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -22,8 +22,11 @@
 /// Time for a message to arrive.
 const MESSAGE_SPAN: Duration = Duration::from_secs(1);
 
-/// When to come back to an engine that the agent does not know, ms.
-const UNKNOWN_RETRY: u64 = 300;
+/// Outcome of an ask for an engine that the agent does not know: the list is read within half a second.
+const UNKNOWN: Turn = Turn::No {
+    reason: TurnRefusal::NoEngine,
+    retry_ms: 300,
+};
 
 /// Handler of the peer listener.
 #[derive(Clone)]
@@ -56,8 +59,14 @@
         let now = timer.now();
         self.shared.entries.borrow_mut().heard(&call.entry, now);
         self.note(&call);
+        // Also without an ask: entries that take the engine for another than we do ask nothing of it.
+        let meant = self.shared.is_meant(&call.instance);
         let turn = match call.ask {
-            Some(ask) => Some(self.turn(ask).await),
+            Some(ask) if meant => Some(self.turn(ask).await),
+            Some(ask) => {
+                self.log_turn(&ask.request, ask.adapter.as_deref(), UNKNOWN, now);
+                Some(UNKNOWN)
+            }
             None => None,
         };
         let figures = self.shared.figures();
@@ -88,14 +97,6 @@
     }
 
     async fn turn(&self, ask: TurnAsk) -> Turn {
-        let known = self.shared.instance.borrow().clone();
-        if known.is_empty() || known != ask.instance {
-            self.shared.named(&ask.instance);
-            return Turn::No {
-                reason: TurnRefusal::NoEngine,
-                retry_ms: UNKNOWN_RETRY,
-            };
-        }
         let from = self.shared.timer.now();
         let (sender, receiver) = async_channel::bounded(1);
         let request = ask.request.clone();
@@ -122,10 +123,7 @@
         self.shared.wake.ring();
         let turn = receiver.recv().await;
         // The sender is dropped without a word only when the agent ends.
-        let turn = turn.unwrap_or(Turn::No {
-            reason: TurnRefusal::NoEngine,
-            retry_ms: UNKNOWN_RETRY,
-        });
+        let turn = turn.unwrap_or(UNKNOWN);
         self.log_turn(&guard.request, ask.adapter.as_deref(), turn, from);
         guard.finish();
         turn
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -106,10 +106,11 @@
         self.instance.borrow().is_empty() || self.doubt.get()
     }
 
-    /// A gateway believes that the engine is `instance`.
-    pub(crate) fn named(&self, instance: &str) {
+    /// Whether the engine is `instance`, as an entry believes; if not, it has to be found out.
+    pub(crate) fn is_meant(&self, instance: &str) -> bool {
         let known = *self.instance.borrow() == instance;
         self.doubt.set(self.doubt.get() || !known);
+        known && !instance.is_empty()
     }
 
     /// Whether an entry of the list is the engine's.
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -144,7 +144,6 @@
         upstream,
         TurnAsk {
             request: job.id().to_owned(),
-            instance: upstream.instance.clone(),
             base: model.map(|m| m.base).unwrap_or_default(),
             version: version(job).unwrap_or_default(),
             adapter,
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -80,6 +80,7 @@
     let news = shared.table.with(&upstream.instance, Record::take_news);
     let call = TurnCall {
         entry: shared.vm.clone(),
+        instance: upstream.instance.clone(),
         news: news.clone(),
         marks: shared.marks.known(),
         kept: known(shared, upstream),
@@ -121,6 +122,7 @@
     let span = Duration::from_millis((Millis(ask.patience_ms) + ASK_MARGIN).0);
     let call = TurnCall {
         entry: shared.vm.clone(),
+        instance: upstream.instance.clone(),
         news,
         marks: shared.marks.known(),
         kept: known(shared, upstream),
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -10,6 +10,8 @@
 pub struct TurnCall {
     /// VM of the entry.
     pub entry: VmId,
+    /// Instance that the entry believes to be there, and that an ask is for.
+    pub instance: String,
     /// Progress of requests that had their turn.
     pub news: Vec<RunNews>,
     /// How far the entry knows the platform's streams to reach.
@@ -25,8 +27,6 @@
 pub struct TurnAsk {
     /// Request's id.
     pub request: String,
-    /// Instance that it is to run on.
-    pub instance: String,
     /// Base model.
     pub base: String,
     /// Adapter, if it wants one.
