Settings: spans and numbers with a fraction

Spans take a decimal part and are rounded to whole ms; a number with a fraction is a setting of its own type, and a setting that must be whole still says so.

--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -49,6 +49,10 @@
     SETTINGS_SIGNAL = "E7110" "settings_signal" Info ["effect"];
     /// Part of a request's head could not be read.
     HEAD_UNREADABLE = "E7111" "head_unreadable" Warn ["request", "parts"];
+    /// The side that gathers figures for others does not answer.
+    RELAY_LOST = "E7112" "relay_lost" Warn ["relay", "centre", "error"];
+    /// Another side gathers figures from now on.
+    RELAY_CHOSEN = "E7113" "relay_chosen" Info ["relay", "engines"];
 
     /// The engine does not answer its side.
     OWN_ENGINE_LOST = "E7201" "own_engine_lost" Warn ["address", "error"];
--- a/crates/ops/src/settings/value.rs
+++ b/crates/ops/src/settings/value.rs
@@ -16,7 +16,7 @@
     fn parse(text: &str) -> Option<Self>;
 }
 
-/// Span of time, such as `250ms`, `3s`, `5m` or `1h`.
+/// Span of time, such as `250ms`, `3s`, `1.5s`, `5m` or `1h`, in whole milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Span(pub Duration);
 
@@ -38,12 +38,21 @@
 
 impl SettingValue for Span {
     fn wanted() -> String {
-        "a span like 250ms, 3s, 5m or 1h".into()
+        "a span like 250ms, 3s, 1.5s, 5m or 1h".into()
     }
 
     fn parse(text: &str) -> Option<Self> {
-        let ms = parse_unit(text, &SPAN_UNITS)?;
-        Some(Self(Duration::from_millis(ms)))
+        if let Some(ms) = parse_unit(text, &SPAN_UNITS) {
+            return Some(Self(Duration::from_millis(ms)));
+        }
+        let unit = text.find(|c: char| c.is_ascii_alphabetic())?;
+        let (number, name) = text.split_at(unit);
+        let (_, ms) = SPAN_UNITS.iter().find(|(unit, _)| *unit == name)?;
+        let span = Duration::from_millis(*ms).as_secs_f64() * parse_decimal(number)?;
+        let ms = Duration::try_from_secs_f64(span).ok()?.as_secs_f64() * 1_000.0;
+        Duration::try_from_secs_f64(ms.round() / 1_000.0)
+            .ok()
+            .map(Self)
     }
 }
 
@@ -145,6 +154,16 @@
 
 numbers!(u8, u16, u32, u64, usize);
 
+impl SettingValue for f64 {
+    fn wanted() -> String {
+        "a number from 0 on like 54 or 38.25".into()
+    }
+
+    fn parse(text: &str) -> Option<Self> {
+        parse_decimal(text)
+    }
+}
+
 macro_rules! names {
     ($($kind:ty),*) => {
         $(impl SettingValue for $kind {
@@ -167,6 +186,13 @@
     !text.is_empty() && !text.contains(|c: char| c.is_whitespace() || c.is_control())
 }
 
+/// Number from 0 on, written in digits with at most one point between them.
+fn parse_decimal(text: &str) -> Option<f64> {
+    let (whole, part) = text.split_once('.').unwrap_or((text, "0"));
+    let digits = |s: &str| !s.is_empty() && s.bytes().all(|b| b.is_ascii_digit());
+    (digits(whole) && digits(part)).then(|| text.parse().ok())?
+}
+
 fn parse_unit(text: &str, units: &[(&str, u64)]) -> Option<u64> {
     let digits = text.find(|c: char| !c.is_ascii_digit());
     let (number, name) = text.split_at(digits.unwrap_or(text.len()));
