Turns: the request whose time is over first goes first, rank where that is equal

Change: of those that can still be in time, the one whose time is over first goes first, then by rank; late ones as before. In the model of the fleet: of the last rank 0.749 to 0.845 in time, of all 0.828 to 0.831 (case no_rank_waits_behind_the_others_all_the_time, which fails without the change).

--- a/crates/policy/src/prompt/turns/mod.rs
+++ b/crates/policy/src/prompt/turns/mod.rs
@@ -232,17 +232,27 @@
     }
 
     /// Requests that wait, in the order of their turns: those that can still be in time before those
-    /// that are late in any case, which lose nothing more by a longer wait; then by rank and age.
-    /// Answers the backlog after a crash or a loss of power: over 60 played days of load and trouble
-    /// 0.852 of what was owed was earned, and 0.842 without it.
+    /// that are late in any case, which lose nothing more by a longer wait. Of the first, the one whose
+    /// time is over first, then by rank; of the others by rank and age. Answers the backlog after a crash
+    /// or a loss of power: 0.852 of what was owed was earned over 60 played days of load and trouble, and
+    /// 0.842 without it. That rank decides only where somebody must be late keeps the last one from
+    /// waiting behind all others all the time.
     fn in_order(&self, now: Millis) -> Vec<TurnId> {
-        let mut order: Vec<(bool, u8, TurnId)> = self
+        let mut order: Vec<(bool, Millis, u8, TurnId)> = self
             .waiting
             .iter()
-            .map(|(turn, w)| (self.is_late(w, now), w.request.priority, *turn))
+            .map(|(turn, w)| {
+                let late = self.is_late(w, now);
+                let due = if late {
+                    Millis(0)
+                } else {
+                    w.since + w.request.due
+                };
+                (late, due, w.request.priority, *turn)
+            })
             .collect();
         order.sort_unstable();
-        order.into_iter().map(|(_, _, turn)| turn).collect()
+        order.into_iter().map(|(_, _, _, turn)| turn).collect()
     }
 
     /// Whether the first event would be late even if the request had its turn now.
--- a/crates/policy/tests/fleet/callers.rs
+++ b/crates/policy/tests/fleet/callers.rs
@@ -21,6 +21,8 @@
     pub objective: u64,
     /// Time for which callers come, ms.
     pub span: u64,
+    /// Ranks of the requests, in turn.
+    pub ranks: &'static [u8],
 }
 
 /// One request.
@@ -31,6 +33,7 @@
     pub adapter: String,
     pub tokens: u32,
     pub events: u64,
+    pub rank: u8,
 }
 
 /// What became of one request.
@@ -40,6 +43,8 @@
     pub at: u64,
     /// Its prompt.
     pub tokens: u32,
+    /// Its rank.
+    pub rank: u8,
     /// Time to its first event, ms; `None` if it was refused for good.
     pub first: Option<u64>,
     /// When engines refused it, ms, and why.
@@ -72,6 +77,7 @@
                 adapter: format!("a{}", adapter.unwrap_or_default()),
                 tokens: spread(self.tokens, &mut rng) as u32,
                 events: spread(self.events, &mut rng).max(1.0) as u64,
+                rank: self.ranks[requests.len() % self.ranks.len()],
             });
         }
     }
--- a/crates/policy/tests/prompt_learning.rs
+++ b/crates/policy/tests/prompt_learning.rs
@@ -28,6 +28,7 @@
         events: 5.0,
         objective: 1_000,
         span: 10_000,
+        ranks: &[1],
     }
 }
 
@@ -119,6 +120,7 @@
         }]);
         let demand = Demand {
             span: 20_000,
+            ranks: &[1],
             ..load(&slow, 2_500.0)
         };
         let after = Sheet {
@@ -178,6 +180,7 @@
             events: 4.0,
             objective: 1_000 + 4 * case.store,
             span: 60_000,
+            ranks: &[1],
         };
         play(&mut fleet, &demand, 3, |_, _| {});
         let name = format!("{} ms, {} kept", case.store, case.keeps);
--- a/crates/policy/tests/prompt_load.rs
+++ b/crates/policy/tests/prompt_load.rs
@@ -60,6 +60,7 @@
         events: 120.0,
         objective: 1_000,
         span: 30_000,
+        ranks: &[1],
     };
     let got = played(&demand, 8, 0..4);
     assert!(got.in_time > 0.94 && got.served > 0.99, "{got:?}");
@@ -78,6 +79,7 @@
         events: 50.0,
         objective: 1_000,
         span: 30_000,
+        ranks: &[1],
     };
     let got = played(&demand, 8, 0..4);
     assert!(got.in_time > 0.915 && got.served > 0.99, "{got:?}");
@@ -97,6 +99,7 @@
         events: 20.0,
         objective: 1_000,
         span: 6_000,
+        ranks: &[1],
     };
     let mut outcomes = Vec::new();
     for seed in 0..8 {
@@ -107,3 +110,35 @@
     let got = got(&outcomes, demand.objective);
     assert!(got.served > 0.96 && got.in_time > 0.66, "{got:?}");
 }
+
+/// Three ranks at engines that read for most of the time. Where rank went before time, 0.749 of the last
+/// rank had their first event in time and 0.828 of all; where the one goes first whose time is over first,
+/// 0.845 and 0.831. No rank is to fall behind all by more than one request in twenty.
+#[test]
+fn no_rank_waits_behind_the_others_all_the_time() {
+    let demand = Demand {
+        rate: 20.0,
+        adapters: 200,
+        skew: 1.0,
+        tokens: 6_000.0,
+        events: 20.0,
+        objective: 1_000,
+        span: 30_000,
+        ranks: &[0, 1, 1, 1, 1, 1, 1, 2],
+    };
+    let mut outcomes = Vec::new();
+    for seed in 0..4 {
+        let mut fleet = Fleet::new(&[SHEET; 8]);
+        outcomes.extend(play(&mut fleet, &demand, seed, |_, _| {}));
+    }
+    let all = got(&outcomes, demand.objective);
+    assert!(all.served > 0.99, "{all:?}");
+    for rank in 0..=2 {
+        let ranked = outcomes.iter().filter(|o| o.rank == rank).cloned();
+        let got = got(&ranked.collect::<Vec<_>>(), demand.objective);
+        assert!(
+            got.in_time > all.in_time - 0.05,
+            "{rank}: {got:?} of {all:?}"
+        );
+    }
+}
