--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -170,6 +170,7 @@
         pace: READ_PAUSE,
         fresh: Duration::ZERO,
         hurry: READ_PAUSE,
+        hurry_most: READ_PAUSE,
         longest: LONGEST_PAUSE,
         seed: pumicecleat_policy::upstream_key(&settings.common.vm),
     };
--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -42,6 +42,8 @@
     /// Least time between two reads that another process's word brings on, for each process that hears
     /// it: so many read at the same pace as few.
     pub hurry: Duration,
+    /// Longest such time, however many there are.
+    pub hurry_most: Duration,
     /// Longest pause between two attempts while the log does not answer.
     pub longest: Duration,
     /// Seed of the pauses; processes should differ in it.
@@ -129,9 +131,9 @@
             following.follow(event, began, &follower);
             continue;
         }
-        timer
-            .sleep_until(hurried + as_millis(settings.hurry * following.listener.followers()))
-            .await;
+        let rest = settings.hurry * listener.followers();
+        let rest = as_millis(rest.min(settings.hurry_most));
+        timer.sleep_until(hurried + rest).await;
         hurried = timer.now();
         follower.hurry();
         if topic == Topic::Upstreams {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -54,9 +54,12 @@
 
 /// Time between two reads that another process's word brings on, for each gateway: many upstreams that
 /// come or go within a second would else have every gateway read for each of them. Together they read 50
-/// times a second at most, whatever their number.
+/// times a second at most.
 const HURRY: Duration = Duration::from_millis(20);
 
+/// Part of the time for a leaving upstream that this may take, however many gateways there are.
+const HURRY_PART: f64 = 0.35;
+
 /// Longest pause between two attempts to reach the log: a store that is back must be heard well within
 /// the two seconds in which lapsed entries return.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
@@ -234,6 +237,7 @@
             pace: Duration::ZERO,
             fresh: settings.leave_span.0.mul_f64(LIST_PART),
             hurry: HURRY,
+            hurry_most: settings.leave_span.0.mul_f64(HURRY_PART),
             longest: LONGEST_PAUSE,
             seed: pumicecleat_policy::upstream_key(&settings.common.vm),
         };
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -27,29 +27,46 @@
 
 /// Asks for views while there are many engines, for good.
 pub(crate) async fn watch(shared: Rc<Shared>) {
-    let mut link = RelayLink::default();
-    let mut last = 0;
+    let mut watch = Watch {
+        shared: Rc::clone(&shared),
+        link: RelayLink::default(),
+        last: 0,
+    };
     loop {
         let members = members(&shared);
-        let mut pause = VIEW_PAUSE;
-        if RelayLink::is_wanted(members.len()) {
-            let now = shared.timer.now();
-            let digest = members_digest(&members);
-            let near = |m: &Member| m.centre == shared.centre;
-            if let Some(pick) = link.pick(&members, digest, near, now) {
-                if std::mem::replace(&mut last, pick.key) != pick.key {
-                    tell_chosen(&shared, &members, pick);
-                }
-                let heard = look(&shared, &mut link, &members, digest, pick).await;
-                if !heard {
-                    pause = RETRY_PAUSE;
-                }
-            }
-        }
+        let relayed = RelayLink::is_wanted(members.len());
+        let pause = if relayed && !watch.step(&members).await {
+            RETRY_PAUSE
+        } else {
+            VIEW_PAUSE
+        };
         shared.timer.sleep(pause).await;
     }
 }
 
+struct Watch {
+    shared: Rc<Shared>,
+    link: RelayLink,
+    /// Relay asked last.
+    last: u64,
+}
+
+impl Watch {
+    /// Asks the relay for one view; gives whether there was one.
+    async fn step(&mut self, members: &[Member]) -> bool {
+        let now = self.shared.timer.now();
+        let digest = members_digest(members);
+        let near = |m: &Member| m.centre == self.shared.centre;
+        let Some(pick) = self.link.pick(members, digest, near, now) else {
+            return false;
+        };
+        if std::mem::replace(&mut self.last, pick.key) != pick.key {
+            tell_chosen(&self.shared, members, pick);
+        }
+        look(&self.shared, &mut self.link, members, digest, pick).await
+    }
+}
+
 fn members(shared: &Shared) -> Vec<Member> {
     let catalog = shared.catalog.borrow();
     let member = |u: &Upstream| Member {
