Relays log agents that fall silent and come back

An exchange of a relay that failed left no line. E7106 and E7107 are written as by gateways, once a silence.

--- a/crates/agent/src/relay/board.rs
+++ b/crates/agent/src/relay/board.rs
@@ -262,31 +262,37 @@
             .retain(|name, _| wanted_names.contains(name.as_str()));
     }
 
-    /// An agent answered an exchange begun at `sent`.
-    pub(super) fn heard(&mut self, instance: &str, reply: FiguresReply, sent: Millis, now: Millis) {
-        let Some(row) = self.rows.get_mut(instance) else {
-            return;
-        };
+    /// An agent answered an exchange begun at `sent`; gives since when it had not.
+    pub(super) fn heard(
+        &mut self,
+        instance: &str,
+        reply: FiguresReply,
+        sent: Millis,
+        now: Millis,
+    ) -> Option<Millis> {
+        let row = self.rows.get_mut(instance)?;
         row.polling = false;
-        row.failing = None;
         row.checked = Some(now);
+        let failing = row.failing.take();
         if reply.figures.instance != instance {
             // An agent that does not know its engine yet has no turns to give.
             row.reach = Reach::Replaced;
-            return;
+            return failing;
         }
         row.reach = Reach::Sound;
         row.figures = Some((reply.figures, sent));
         if let Some(kept) = reply.kept {
             row.keep(kept, &mut self.seen);
         }
+        failing
     }
 
-    /// An agent did not answer; `refused` if its VM said that none listens.
-    pub(super) fn lost(&mut self, instance: &str, refused: bool, now: Millis) {
+    /// An agent did not answer; `refused` if its VM said that none listens. Gives whether that is new.
+    pub(super) fn lost(&mut self, instance: &str, refused: bool, now: Millis) -> bool {
         let Some(row) = self.rows.get_mut(instance) else {
-            return;
+            return false;
         };
+        let new = row.failing.is_none();
         row.polling = false;
         row.checked = Some(now);
         let since = *row.failing.get_or_insert(now);
@@ -295,6 +301,7 @@
         } else if now.since(since) >= FAILING_SPAN {
             row.reach = Reach::CutOff;
         }
+        new
     }
 
     /// The relay of another data centre answered an ask begun at `sent`.
--- a/crates/agent/src/relay/gather.rs
+++ b/crates/agent/src/relay/gather.rs
@@ -48,13 +48,23 @@
     let result: Result<FiguresReply, NetError> =
         post(&shared.peers, &peer, FIGURES_PATH, &call, SPAN).await;
     let now = shared.timer.now();
+    let instance = member.instance.as_str();
     let mut board = shared.board.borrow_mut();
     match result {
         Ok(reply) => {
             shared.marks.hear(&reply.marks, now);
-            board.heard(&member.instance, reply, sent, now);
+            if let Some(since) = board.heard(instance, reply, sent, now) {
+                let silent = field("silent_ms", now.since(since).0);
+                let fields = [field("side", instance), silent];
+                shared.log.emit(&events::SIDE_BACK, &fields);
+            }
+        }
+        Err(e) => {
+            if board.lost(instance, e.is_refused(), now) {
+                let fields = [field("side", instance), field("error", &e)];
+                shared.log.emit(&events::SIDE_LOST, &fields);
+            }
         }
-        Err(e) => board.lost(&member.instance, e.is_refused(), now),
     }
 }
 
