Log how long a lapsed entry stays, and when its upstream is gone

An upstream whose entry did not come back after an outage of the list left the catalog without a line, so that the logs could not tell an entry kept as lapsed from a list that was read late. E7009 now carries the time for which the upstream stays, and E7008 follows at its end. The loop that ends the wait moves from the gateway to the catalog, beside what tells of all other changes. No change of what is decided.

--- /dev/null
+++ b/crates/catalog/src/expire.rs
@@ -0,0 +1,21 @@
+//! Ends the wait for upstreams whose entries lapsed around an outage of the list.
+
+use std::time::Duration;
+
+use crate::FollowParts;
+use crate::tell::tell;
+
+/// Pause between two looks for upstreams that did not come back.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Forgets upstreams whose entries did not come back in time, for good.
+pub async fn expire(parts: FollowParts) {
+    loop {
+        parts.timer.sleep(PAUSE).await;
+        let now = parts.timer.now();
+        let gone = parts.catalog.borrow_mut().expire(now);
+        for applied in &gone {
+            tell(applied, &*parts.listener, &parts.log);
+        }
+    }
+}
--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -13,6 +13,7 @@
 use pumicecleat_types::Millis;
 
 use crate::share::believed;
+use crate::tell::tell;
 use crate::{Applied, Catalog, Change, Dialect, Marks, Topic, UnreadableKeys};
 
 /// Catalog that the parts of a process share.
@@ -284,54 +285,7 @@
         }
     }
 
-    /// Tells of what was applied; gives whether it changed anything.
     fn tell(&self, applied: &Applied) -> bool {
-        log_applied(self.log, applied);
-        let changed = *applied != Applied::Same;
-        if changed {
-            self.listener.applied(applied);
-        }
-        changed
-    }
-}
-
-pub(crate) fn log_applied(log: &Log, applied: &Applied) {
-    match applied {
-        Applied::Layout { number } => log.emit(&events::LAYOUT_TAKEN, &[field("number", *number)]),
-        Applied::Stale { number } => log.emit(&events::LAYOUT_STALE, &[field("number", *number)]),
-        Applied::Version { adapter, version } => {
-            let fields = [
-                field("adapter", adapter.as_str()),
-                field("version", *version),
-            ];
-            log.emit(&events::VERSION_TAKEN, &fields);
-        }
-        Applied::Upstream { instance, standing } => {
-            let standing = format!("{standing:?}").to_lowercase();
-            let fields = [
-                field("instance", instance.as_str()),
-                field("standing", standing.as_str()),
-            ];
-            log.emit(&events::UPSTREAM_LISTED, &fields);
-        }
-        Applied::Restarted { instance, standing } => {
-            let standing = format!("{standing:?}").to_lowercase();
-            let fields = [
-                field("instance", instance.as_str()),
-                field("standing", standing.as_str()),
-            ];
-            log.emit(&events::LISTED_AGAIN, &fields);
-        }
-        Applied::Gone { instance } => {
-            log.emit(
-                &events::UPSTREAM_GONE,
-                &[field("instance", instance.as_str())],
-            );
-        }
-        Applied::Lapsed { instance } => {
-            let fields = [field("instance", instance.as_str())];
-            log.emit(&events::UPSTREAM_LAPSED, &fields);
-        }
-        Applied::Same => {}
+        tell(applied, self.listener, self.log)
     }
 }
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -19,15 +19,18 @@
 //! ```
 
 mod change;
+mod expire;
 mod follow;
 mod layout;
 mod marks;
 mod share;
 mod state;
+mod tell;
 mod unreadable;
 mod upstream;
 
 pub use change::{Change, Dialect, Topic, Unreadable};
+pub use expire::expire;
 pub use follow::{Follow, FollowParts, FollowSettings, Shared, follow};
 pub use layout::{Base, Engine, Layout, Limits, Repeat, Route, Service, Share};
 pub use marks::Marks;
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -72,6 +72,8 @@
     Lapsed {
         /// Instance.
         instance: String,
+        /// Time for which it stays.
+        stays: Millis,
     },
     /// Nothing changed.
     Same,
@@ -206,17 +208,18 @@
             return Applied::Same;
         }
         match self.outage {
-            Some(Outage::Lasting) => self.lapse(instance, now + RETURN_SPAN),
+            Some(Outage::Lasting) => self.lapse(instance, now, RETURN_SPAN),
             Some(Outage::Ended(at)) if now.since(at) < RETURN_SPAN => {
-                self.lapse(instance, at + RETURN_SPAN)
+                let stays = (at + RETURN_SPAN).since(now);
+                self.lapse(instance, now, stays)
             }
             _ => self.forget(instance),
         }
     }
 
-    fn lapse(&mut self, instance: String, at: Millis) -> Applied {
-        self.lapsed.insert(instance.clone(), at);
-        Applied::Lapsed { instance }
+    fn lapse(&mut self, instance: String, now: Millis, stays: Millis) -> Applied {
+        self.lapsed.insert(instance.clone(), now + stays);
+        Applied::Lapsed { instance, stays }
     }
 
     fn forget(&mut self, instance: String) -> Applied {
--- /dev/null
+++ b/crates/catalog/src/tell.rs
@@ -0,0 +1,59 @@
+//! Tells of what took effect: a line in the log, and the listener.
+
+use pumicecleat_ops::{Log, events, field};
+
+use crate::{Applied, Follow};
+
+/// Tells of what was applied; gives whether it changed anything.
+pub(crate) fn tell(applied: &Applied, listener: &dyn Follow, log: &Log) -> bool {
+    log_applied(log, applied);
+    let changed = *applied != Applied::Same;
+    if changed {
+        listener.applied(applied);
+    }
+    changed
+}
+
+fn log_applied(log: &Log, applied: &Applied) {
+    match applied {
+        Applied::Layout { number } => log.emit(&events::LAYOUT_TAKEN, &[field("number", *number)]),
+        Applied::Stale { number } => log.emit(&events::LAYOUT_STALE, &[field("number", *number)]),
+        Applied::Version { adapter, version } => {
+            let fields = [
+                field("adapter", adapter.as_str()),
+                field("version", *version),
+            ];
+            log.emit(&events::VERSION_TAKEN, &fields);
+        }
+        Applied::Upstream { instance, standing } => {
+            let standing = format!("{standing:?}").to_lowercase();
+            let fields = [
+                field("instance", instance.as_str()),
+                field("standing", standing.as_str()),
+            ];
+            log.emit(&events::UPSTREAM_LISTED, &fields);
+        }
+        Applied::Restarted { instance, standing } => {
+            let standing = format!("{standing:?}").to_lowercase();
+            let fields = [
+                field("instance", instance.as_str()),
+                field("standing", standing.as_str()),
+            ];
+            log.emit(&events::LISTED_AGAIN, &fields);
+        }
+        Applied::Gone { instance } => {
+            log.emit(
+                &events::UPSTREAM_GONE,
+                &[field("instance", instance.as_str())],
+            );
+        }
+        Applied::Lapsed { instance, stays } => {
+            let fields = [
+                field("instance", instance.as_str()),
+                field("stays_ms", stays.0),
+            ];
+            log.emit(&events::UPSTREAM_LAPSED, &fields);
+        }
+        Applied::Same => {}
+    }
+}
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_catalog::{Catalog, Dialect, Follow, FollowParts, FollowSettings, follow};
+use pumicecleat_catalog::{Dialect, FollowParts, FollowSettings, expire, follow};
 use pumicecleat_infra::KeyedLog;
 use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer};
 use pumicecleat_ops::{
@@ -43,9 +43,6 @@
 /// Part of the grace after which the process ends in any case.
 const END_PART: f64 = 0.93;
 
-/// Pause between two looks for upstreams that did not come back.
-const EXPIRE_PAUSE: Duration = Duration::from_millis(100);
-
 /// Part of the time for a leaving upstream that may pass between two reads of the list. Every upstream
 /// writes there each second or so, so that a gateway would be woken ten times a second. What one of the
 /// gateways has read all hear of within an exchange with agents, as well as that there was nothing; the
@@ -231,6 +228,15 @@
 }
 
 fn spawn_loops(shared: &Rc<Shared>, settings: &GatewaySettings, parts: &GatewayParts) {
+    let sources = FollowParts {
+        catalog: Rc::clone(&shared.catalog),
+        store: Rc::clone(&parts.store),
+        dialect: Rc::clone(&parts.dialect),
+        listener: shared.clone(),
+        timer: shared.timer.clone(),
+        log: shared.log.clone(),
+        marks: Rc::clone(&shared.marks),
+    };
     for topic in TOPICS {
         let options = FollowSettings {
             wait: settings.store_wait.0,
@@ -241,30 +247,9 @@
             longest: LONGEST_PAUSE,
             seed: pumicecleat_policy::upstream_key(&settings.common.vm),
         };
-        let sources = FollowParts {
-            catalog: Rc::clone(&shared.catalog),
-            store: Rc::clone(&parts.store),
-            dialect: Rc::clone(&parts.dialect),
-            listener: shared.clone(),
-            timer: shared.timer.clone(),
-            log: shared.log.clone(),
-            marks: Rc::clone(&shared.marks),
-        };
-        monoio::spawn(follow(topic, sources, options));
+        monoio::spawn(follow(topic, sources.clone(), options));
     }
     monoio::spawn(side::sync(Rc::clone(shared)));
     monoio::spawn(view::watch(Rc::clone(shared)));
-    monoio::spawn(expire(Rc::clone(shared)));
-}
-
-/// Forgets upstreams whose entries did not come back after an outage of the list.
-async fn expire(shared: Rc<Shared>) {
-    loop {
-        shared.timer.sleep(EXPIRE_PAUSE).await;
-        let now = shared.timer.now();
-        let gone = Catalog::expire(&mut shared.catalog.borrow_mut(), now);
-        for applied in &gone {
-            shared.applied(applied);
-        }
-    }
+    monoio::spawn(expire(sources));
 }
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -21,7 +21,7 @@
     /// An upstream is gone.
     UPSTREAM_GONE = "E7008" "upstream_gone" Info ["instance"];
     /// An upstream's entry lapsed around an outage of the list.
-    UPSTREAM_LAPSED = "E7009" "upstream_lapsed" Warn ["instance"];
+    UPSTREAM_LAPSED = "E7009" "upstream_lapsed" Warn ["instance", "stays_ms"];
     /// A stream of the deployment's log answers again.
     STORE_BACK = "E7010" "store_back" Info ["stream", "down_ms"];
     /// An upstream started again under its name.
