An upstream that left while a gateway was cut off gets nothing after the cut

What callers saw: nothing wrong; but an upstream that had left 12 s before got requests, 2 s being allowed.

Cause: a gateway takes its own failed reads of the list for an outage of the list. Around an outage entries of upstreams that live lapse too, so a missing one was kept until 2.3 s after the gateway's own return, however long before it had been removed. Cut off alone, the gateway used upstreams that all others had left long ago. Class: a belief drawn from this process's own failure, which outlives what it was drawn from.

Change: what the list itself says decides. Each upstream writes as often as the others, so one that is missing while another wrote three times after it has had two whole turns and is gone. A true outage shows no such entries, and what lapsed in it stays as before. The bound by time stays too.

Ruled out: a list read late (the gateway reads it at once after its return) and an older record that replaced a newer one (offsets are compared by key). Weighed: others' word that the list was read meanwhile; it needs others that were not cut off and can be wrong, where the list can't. A shorter stay: what lapsed in a true outage would be refused for up to 2 s.

Holds because the removal and the entries after it come in one read, and the instance is dropped before that read's end, so no request sees it as ready.

--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -189,7 +189,8 @@
             }
             KeyedEvent::Changes(records) => {
                 self.back();
-                self.apply_all(&records)
+                let changed = self.apply_all(&records);
+                changed | self.expire()
             }
             KeyedEvent::CaughtUp => {
                 self.back();
@@ -213,6 +214,13 @@
         }
     }
 
+    /// Removes what the records just read show to be gone for good, before any request goes there.
+    fn expire(&self) -> bool {
+        let gone = self.catalog.borrow_mut().expire(self.timer.now());
+        let told = gone.iter().map(|applied| self.tell(applied));
+        told.fold(false, |any, changed| any | changed)
+    }
+
     fn back(&self) {
         let now = self.timer.now();
         if let Some(since) = self.down.take() {
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -21,6 +21,7 @@
 mod change;
 mod expire;
 mod follow;
+mod lapsed;
 mod layout;
 mod marks;
 mod share;
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -5,6 +5,7 @@
 
 use pumicecleat_types::{Millis, ServiceId};
 
+use crate::lapsed::Lapsed;
 use crate::{Change, Layout, Standing, Upstream};
 
 /// Time after an outage of the list within which an entry that lapsed may come back. The list
@@ -17,8 +18,8 @@
     layout: Option<Rc<Layout>>,
     versions: BTreeMap<String, u64>,
     upstreams: BTreeMap<String, Upstream>,
-    /// Instances whose entry lapsed around an outage, and when they count as gone.
-    lapsed: BTreeMap<String, Millis>,
+    /// Instances whose entry lapsed around an outage.
+    lapsed: Lapsed,
     /// End of the last outage of the list, or now while it lasts.
     outage: Option<Outage>,
 }
@@ -114,7 +115,11 @@
         match change {
             Change::Layout(layout) => self.apply_layout(layout),
             Change::Version { adapter, version } => self.apply_version(adapter, version),
-            Change::Upstream(upstream) => self.apply_upstream(upstream),
+            Change::Upstream(upstream) => {
+                // Own failed reads don't tell an outage of the list from a cut of this process; entries do.
+                self.lapsed.written(&upstream.instance, now);
+                self.apply_upstream(upstream)
+            }
             Change::Gone { instance } => self.remove(instance, now),
             Change::Unusable { instance } => self.drop_unusable(instance),
             Change::Other => Applied::Same,
@@ -146,10 +151,9 @@
         }
     }
 
-    /// Removes what lapsed and did not come back in time.
+    /// Removes what lapsed and will not come back.
     pub fn expire(&mut self, now: Millis) -> Vec<Applied> {
-        let due = |(instance, at): (&String, &Millis)| (*at <= now).then(|| instance.clone());
-        let due: Vec<String> = self.lapsed.iter().filter_map(due).collect();
+        let due = self.lapsed.due(now);
         due.into_iter().map(|i| self.forget(i)).collect()
     }
 
@@ -218,7 +222,7 @@
     }
 
     fn lapse(&mut self, instance: String, now: Millis, stays: Millis) -> Applied {
-        self.lapsed.insert(instance.clone(), now + stays);
+        self.lapsed.add(&instance, now + stays);
         Applied::Lapsed { instance, stays }
     }
 
