Word of a read of the list ages, also when it goes round

What callers saw: nothing wrong; an upstream that had said that it leaves got requests for longer than it may, as no gateway read the list of upstreams while one agent answered slowly.

Cause: processes tell each other how long ago somebody had read the list to its end. The time was counted back from the arrival of the word, which had been on its way, and the latest time heard was believed. A word that went from gateway to agent and back was younger by both ways, and was told on. With two ways of 150 ms it never aged; in a fleet with many exchanges a part of the time was lost always. A process that had run for less than the age took the read for one of now.

Change: a read is known by the offset of the end that it found. Of one and the same read the earliest time heard counts, a later one has a higher offset. A read from before the process ran is of unknown age to it.

Ruled out: counting replies from their ask alone; a call's own way still makes the word younger at the agent, and the fastest reply passes that on.

--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -7,15 +7,18 @@
 //!
 //! The list of upstreams never rests, as each of them writes there every second or so, and most of what
 //! it says is nothing new. So processes also tell how long ago one of them had read it to its end: one
-//! that knows all that had changed by then needs no read of its own, and few read for all.
+//! that knows all that had changed by then needs no read of its own, and few read for all. Such word takes
+//! its time on the way and goes round, so a read is known by the offset of the end that it found, and
+//! counts from the earliest time that anybody's word gives it.
 
 use std::cell::Cell;
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use pumicecleat_infra::as_millis;
 use pumicecleat_net::Timer;
-use pumicecleat_types::{Millis, StreamMarks};
+use pumicecleat_types::{ListRead, Millis, StreamMarks};
 
 use crate::Topic;
 
@@ -24,12 +27,19 @@
 pub struct Marks {
     operators: Mark,
     upstreams: Mark,
-    /// Latest time at which the list, as this process knows it, is known to have been whole.
-    listed: Cell<Option<Millis>>,
+    /// Latest read of the list to its end that this process knows to have told nothing new.
+    listed: Cell<Option<Listed>>,
     /// Offset up to which this process has read the list.
     read: Cell<u64>,
 }
 
+/// A read of the list to its end.
+#[derive(Clone, Copy, Debug)]
+struct Listed {
+    offset: u64,
+    at: Millis,
+}
+
 #[derive(Debug)]
 struct Mark {
     offset: Cell<u64>,
@@ -67,6 +77,35 @@
     }
 }
 
+impl Listed {
+    /// What was told of a read, if this process ran then.
+    fn heard(read: ListRead, now: Millis) -> Option<Self> {
+        let at = Millis(now.0.checked_sub(read.age_ms)?);
+        let offset = read.offset;
+        Some(Self { offset, at })
+    }
+
+    fn told(self, now: Millis) -> ListRead {
+        ListRead {
+            offset: self.offset,
+            age_ms: now.since(self.at).0,
+        }
+    }
+
+    /// The later of two reads. Word of one and the same that took long on its way looks younger than it
+    /// is; passed on again and again it would never age.
+    fn join(self, other: Self) -> Self {
+        match self.offset.cmp(&other.offset) {
+            Ordering::Less => other,
+            Ordering::Greater => self,
+            Ordering::Equal => Self {
+                at: self.at.min(other.at),
+                ..self
+            },
+        }
+    }
+}
+
 impl Marks {
     fn of(&self, topic: Topic) -> &Mark {
         match topic {
@@ -81,7 +120,7 @@
         StreamMarks {
             operators: self.operators.offset.get(),
             upstreams: self.upstreams.offset.get(),
-            listed_ms: self.listed.get().map(|at| now.since(at).0),
+            listed: self.listed.get().map(|listed| listed.told(now)),
         }
     }
 
@@ -93,25 +132,34 @@
         if self.upstreams.raise(marks.upstreams) {
             self.upstreams.ring();
         }
-        if let Some(age) = marks.listed_ms {
-            self.note_listed(now - Millis(age));
+        let listed = marks.listed.and_then(|read| Listed::heard(read, now));
+        if let Some(listed) = listed {
+            self.note_listed(listed);
         }
     }
 
     /// This process had read the list to its end at `at`, up to `offset`.
     pub(crate) fn listed(&self, offset: u64, at: Millis) {
         self.read.set(offset);
-        self.note_listed(at);
+        let later = self.listed.get().is_some_and(|known| known.offset > offset);
+        if self.knows_all() && !later {
+            self.listed.set(Some(Listed { offset, at }));
+        }
     }
 
-    /// The list was read to its end at `at`. Holds for this process only if it knows all that had
-    /// changed by then. A process that does not read the list passes the word on.
-    fn note_listed(&self, at: Millis) {
+    /// Another process had read the list to its end. Holds for this process only if it knows all that
+    /// had changed by then. A process that does not read the list passes the word on.
+    fn note_listed(&self, heard: Listed) {
         let reads = self.read.get() > 0;
-        let knows_all = self.upstreams.offset.get() <= self.read.get();
-        if !reads || knows_all {
-            self.listed.set(self.listed.get().max(Some(at)));
+        if reads && !self.knows_all() {
+            return;
         }
+        let listed = self.listed.get().map_or(heard, |known| known.join(heard));
+        self.listed.set(Some(listed));
+    }
+
+    fn knows_all(&self) -> bool {
+        self.upstreams.offset.get() <= self.read.get()
     }
 
     /// There is more in the list than this process knows.
@@ -121,8 +169,8 @@
 
     /// Waits until the list as this process knows it is older than `span`.
     pub(crate) async fn unlisted(&self, span: Duration, timer: &Timer) {
-        while let Some(at) = self.listed.get() {
-            let due = at + as_millis(span);
+        while let Some(listed) = self.listed.get() {
+            let due = listed.at + as_millis(span);
             if timer.now() >= due {
                 return;
             }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -26,9 +26,9 @@
 pub use lora::Lora;
 pub use message::{
     ConfigAsk, ConfigReply, EngineFigures, EngineTraits, FiguresCall, FiguresReply, Frame,
-    HeaderField, KeptAdapters, LoadBid, LoadCall, LoadCalled, LoadFigures, LoadTurn, LogRecord,
-    Member, ModelTarget, Ran, Reach, Reason, Refusal, Report, ReportReply, RunHead, RunNews,
-    RunRequest, Seen, ServiceTarget, StreamMarks, Target, Turn, TurnAsk, TurnCall, TurnRefusal,
-    TurnReply, ViewCall, ViewReply, ViewRow, Viewer, VmEntry, VmRole, VmState,
+    HeaderField, KeptAdapters, ListRead, LoadBid, LoadCall, LoadCalled, LoadFigures, LoadTurn,
+    LogRecord, Member, ModelTarget, Ran, Reach, Reason, Refusal, Report, ReportReply, RunHead,
+    RunNews, RunRequest, Seen, ServiceTarget, StreamMarks, Target, Turn, TurnAsk, TurnCall,
+    TurnRefusal, TurnReply, ViewCall, ViewReply, ViewRow, Viewer, VmEntry, VmRole, VmState,
 };
 pub use time::Millis;
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -16,8 +16,8 @@
     Target,
 };
 pub use turn::{
-    EngineFigures, EngineTraits, KeptAdapters, RunNews, StreamMarks, Turn, TurnAsk, TurnCall,
-    TurnRefusal, TurnReply,
+    EngineFigures, EngineTraits, KeptAdapters, ListRead, RunNews, StreamMarks, Turn, TurnAsk,
+    TurnCall, TurnRefusal, TurnReply,
 };
 pub use view::{
     FiguresCall, FiguresReply, Member, Reach, Seen, ViewCall, ViewReply, ViewRow, Viewer,
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -80,8 +80,17 @@
     pub operators: u64,
     /// List of upstreams.
     pub upstreams: u64,
-    /// Time since somebody had read the list to its end, ms; nothing if nobody did.
-    pub listed_ms: Option<u64>,
+    /// Latest read of the list to its end by anybody.
+    pub listed: Option<ListRead>,
+}
+
+/// A read of the list to its end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListRead {
+    /// Offset of the end: all who tell of the read name the same.
+    pub offset: u64,
+    /// Time since, ms.
+    pub age_ms: u64,
 }
 
 /// Adapters that an engine's host keeps in memory beside those held.
