What others read during a gateway's cut shows that the list was not out

What callers saw: nothing wrong; an upstream that had left got requests for 2.3 s from a gateway back from a cut, where the list itself could not show how long ago it had left: the store had forgotten its history meanwhile, or the upstream left just after the cut.

Cause: the same as of the upstream that left during a cut; an outage was inferred from this process's own failed reads alone, also from one connection that broke.

Change: processes tell each other of their reads of the list already. If another one read it after this one's reads began to fail, and nobody went without for 4 s (twice the time for a leaving upstream), the list has answered since before, and what is missing from it is gone. Own reads count from their answer; word of the own ones, told back, does not count as another's. An outage for all has no such reads, and what lapsed in it stays as before.

Taking the start of a read that was retried all through the outage for the time of its answer: the own answer then seems seconds old.

--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -61,11 +61,28 @@
     log: &'a Log,
     /// Start of the present outage.
     down: Cell<Option<Millis>>,
+    /// Last outage that ended.
+    outage: Cell<Option<Outage>>,
     /// The last read gave records, and the next would soon give more of them.
     busy: Cell<bool>,
     unreadable: RefCell<UnreadableKeys>,
 }
 
+/// Time without an answer to this process.
+#[derive(Clone, Copy)]
+struct Outage {
+    down: Millis,
+    back: Millis,
+}
+
+impl Outage {
+    /// When the list answered again: long before this process's return, or all the while, if others read it.
+    fn end(self, marks: &Marks, now: Millis) -> Millis {
+        let since = marks.answers_since(self.down, now);
+        since.map_or(self.back, |since| since.min(self.back))
+    }
+}
+
 /// What a follower works with.
 #[derive(Clone)]
 pub struct FollowParts {
@@ -117,6 +134,7 @@
         timer: &timer,
         log: &log,
         down: Cell::new(None),
+        outage: Cell::new(None),
         busy: Cell::new(false),
         unreadable: RefCell::default(),
     };
@@ -176,7 +194,7 @@
             self.marks.reached(self.topic, offset);
         }
         if self.topic == Topic::Upstreams && !lost && follower.is_at_end() {
-            self.marks.listed(offset, began);
+            self.marks.listed(offset, began, self.timer.now());
         }
     }
 
@@ -205,9 +223,6 @@
                 if self.down.get().is_none() {
                     self.down.set(Some(self.timer.now()));
                 }
-                if self.topic == Topic::Upstreams {
-                    self.catalog.borrow_mut().outage();
-                }
                 self.marks.doubt(self.topic);
                 false
             }
@@ -223,15 +238,17 @@
 
     fn back(&self) {
         let now = self.timer.now();
-        if let Some(since) = self.down.take() {
+        if let Some(down) = self.down.take() {
             let fields = [
                 field("stream", self.dialect.stream(self.topic)),
-                field("down_ms", now.since(since).0),
+                field("down_ms", now.since(down).0),
             ];
             self.log.emit(&events::STORE_BACK, &fields);
+            self.outage.set(Some(Outage { down, back: now }));
         }
-        if self.topic == Topic::Upstreams {
-            self.catalog.borrow_mut().back(now);
+        if let (Topic::Upstreams, Some(outage)) = (self.topic, self.outage.get()) {
+            let end = outage.end(self.marks, now);
+            self.catalog.borrow_mut().returned(end);
         }
     }
 
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -18,11 +18,13 @@
 //! assert!(catalog.layout().unwrap().find("api.example", "/other/7").is_none());
 //! ```
 
+mod answers;
 mod change;
 mod expire;
 mod follow;
 mod lapsed;
 mod layout;
+mod listed;
 mod marks;
 mod share;
 mod state;
--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -12,15 +12,16 @@
 //! counts from the earliest time that anybody's word gives it.
 
 use std::cell::Cell;
-use std::cmp::Ordering;
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
 use pumicecleat_infra::as_millis;
 use pumicecleat_net::Timer;
-use pumicecleat_types::{ListRead, Millis, StreamMarks};
+use pumicecleat_types::{Millis, StreamMarks};
 
 use crate::Topic;
+use crate::answers::Answers;
+use crate::listed::Listed;
 
 /// How far the streams are known to reach; of none at first.
 #[derive(Debug, Default)]
@@ -31,13 +32,10 @@
     listed: Cell<Option<Listed>>,
     /// Offset up to which this process has read the list.
     read: Cell<u64>,
-}
-
-/// A read of the list to its end.
-#[derive(Clone, Copy, Debug)]
-struct Listed {
-    offset: u64,
-    at: Millis,
+    /// Since when the list answers.
+    answers: Cell<Option<Answers>>,
+    /// Time for which processes rest between two reads of the list at most.
+    rest: Millis,
 }
 
 #[derive(Debug)]
@@ -77,36 +75,16 @@
     }
 }
 
-impl Listed {
-    /// What was told of a read, if this process ran then.
-    fn heard(read: ListRead, now: Millis) -> Option<Self> {
-        let at = Millis(now.0.checked_sub(read.age_ms)?);
-        let offset = read.offset;
-        Some(Self { offset, at })
-    }
-
-    fn told(self, now: Millis) -> ListRead {
-        ListRead {
-            offset: self.offset,
-            age_ms: now.since(self.at).0,
-        }
-    }
-
-    /// The later of two reads. Word of one and the same that took long on its way looks younger than it
-    /// is; passed on again and again it would never age.
-    fn join(self, other: Self) -> Self {
-        match self.offset.cmp(&other.offset) {
-            Ordering::Less => other,
-            Ordering::Greater => self,
-            Ordering::Equal => Self {
-                at: self.at.min(other.at),
-                ..self
-            },
+impl Marks {
+    /// Marks of a process among others that rest between two reads of the list for `rest` at most.
+    #[must_use]
+    pub fn new_ext(rest: Duration) -> Self {
+        Self {
+            rest: as_millis(rest),
+            ..Self::default()
         }
     }
-}
 
-impl Marks {
     fn of(&self, topic: Topic) -> &Mark {
         match topic {
             Topic::Operators => &self.operators,
@@ -134,19 +112,34 @@
         }
         let listed = marks.listed.and_then(|read| Listed::heard(read, now));
         if let Some(listed) = listed {
+            self.note_answer(listed, true);
             self.note_listed(listed);
         }
     }
 
-    /// This process had read the list to its end at `at`, up to `offset`.
-    pub(crate) fn listed(&self, offset: u64, at: Millis) {
+    /// This process has read the list to its end, up to `offset`, which was whole at `at` and answered now.
+    pub(crate) fn listed(&self, offset: u64, at: Millis, now: Millis) {
+        let read = Listed { offset, at };
         self.read.set(offset);
+        self.note_answer(Listed { offset, at: now }, false);
         let later = self.listed.get().is_some_and(|known| known.offset > offset);
         if self.knows_all() && !later {
-            self.listed.set(Some(Listed { offset, at }));
+            self.listed.set(Some(read));
         }
     }
 
+    /// Since when the list has answered without a pause, if others read it after `down`, when this process
+    /// could not.
+    pub(crate) fn answers_since(&self, down: Millis, now: Millis) -> Option<Millis> {
+        self.answers.get()?.since(down, now, self.rest)
+    }
+
+    fn note_answer(&self, read: Listed, other: bool) {
+        let mut answers = self.answers.get().unwrap_or(Answers::new(read, other));
+        answers.note(read, other, self.rest);
+        self.answers.set(Some(answers));
+    }
+
     /// Another process had read the list to its end. Holds for this process only if it knows all that
     /// had changed by then. A process that does not read the list passes the word on.
     fn note_listed(&self, heard: Listed) {
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -20,14 +20,8 @@
     upstreams: BTreeMap<String, Upstream>,
     /// Instances whose entry lapsed around an outage.
     lapsed: Lapsed,
-    /// End of the last outage of the list, or now while it lasts.
-    outage: Option<Outage>,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Outage {
-    Lasting,
-    Ended(Millis),
+    /// End of the last outage of the list.
+    returned: Option<Millis>,
 }
 
 /// What applying a change did.
@@ -139,16 +133,9 @@
         applied
     }
 
-    /// The list does not answer: entries may lapse meanwhile though their upstreams live.
-    pub fn outage(&mut self) {
-        self.outage = Some(Outage::Lasting);
-    }
-
-    /// The list answers again.
-    pub fn back(&mut self, now: Millis) {
-        if matches!(self.outage, Some(Outage::Lasting)) {
-            self.outage = Some(Outage::Ended(now));
-        }
+    /// The list answers again, since `at`: entries of upstreams that live may have lapsed meanwhile.
+    pub fn returned(&mut self, at: Millis) {
+        self.returned = Some(at);
     }
 
     /// Removes what lapsed and will not come back.
@@ -211,9 +198,8 @@
         if !self.upstreams.contains_key(&instance) {
             return Applied::Same;
         }
-        match self.outage {
-            Some(Outage::Lasting) => self.lapse(instance, now, RETURN_SPAN),
-            Some(Outage::Ended(at)) if now.since(at) < RETURN_SPAN => {
+        match self.returned {
+            Some(at) if now.since(at) < RETURN_SPAN => {
                 let stays = (at + RETURN_SPAN).since(now);
                 self.lapse(instance, now, stays)
             }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_catalog::{Dialect, FollowParts, FollowSettings, expire, follow};
+use pumicecleat_catalog::{Dialect, FollowParts, FollowSettings, Marks, expire, follow};
 use pumicecleat_infra::KeyedLog;
 use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer};
 use pumicecleat_ops::{
@@ -49,6 +49,10 @@
 /// rest of the time is for a read that has to be made again.
 const LIST_PART: f64 = 0.7;
 
+/// Part of the time for a leaving upstream in which some gateway finds something new in the list, while it
+/// answers, and all have heard of it: two reads, and the time between two entries of an upstream.
+const REST_PART: f64 = 2.0;
+
 /// Time between two reads that another process's word brings on, for each gateway: many upstreams that
 /// come or go within a second would else have every gateway read for each of them. Together they read 50
 /// times a second at most.
@@ -200,7 +204,7 @@
         agent_port: settings.agent_port,
         wire: Rc::clone(&parts.wire),
         catalog: Rc::default(),
-        marks: Rc::default(),
+        marks: Rc::new(Marks::new_ext(settings.leave_span.0.mul_f64(REST_PART))),
         table: Rc::new(Table::default()),
         client: Client::new_ext(client, timer),
         agents: Client::new_ext(client, timer),
