A read that was tried again through an outage counts from the try that was answered

What callers saw: nothing wrong; the upstream that had left during a cut got a request from a gateway, if another gateway had come back from the cut just before.

Cause: the time of a read was that at which the follower began to try. A gateway back from a cut told of its first read with the age of the whole cut; being the read with the highest offset it replaced all younger ones, with agents and gateways, so that nobody knew any more that the list had answered all the while.

Change: the follower tells when the read that was answered began. The catalog's loop carries no time beside the event any more.

--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -146,8 +146,8 @@
             Either::Left((event, _)) => Some(event),
             Either::Right(_) => None,
         };
-        if let Some((event, began)) = event {
-            following.follow(event, began, &follower);
+        if let Some(event) = event {
+            following.follow(event, &follower);
             continue;
         }
         let rest = settings.hurry * listener.followers();
@@ -159,42 +159,37 @@
             marks.doubt_list();
         }
         // Not given up for further word: where that never rests, no read would ever end.
-        let (event, began) = following.next(&mut follower, &settings).await;
-        following.follow(event, began, &follower);
+        let event = following.next(&mut follower, &settings).await;
+        following.follow(event, &follower);
     }
 }
 
 impl Following<'_> {
-    /// Next event, and when its read began. A list that never rests is not read while what a process
-    /// read of it may be believed; one that rests is waited at.
-    async fn next(
-        &self,
-        follower: &mut KeyedFollower,
-        settings: &FollowSettings,
-    ) -> (KeyedEvent, Millis) {
+    /// Next event. A list that never rests is not read while what a process read of it may be believed; one
+    /// that rests is waited at.
+    async fn next(&self, follower: &mut KeyedFollower, settings: &FollowSettings) -> KeyedEvent {
         let up = follower.offset().is_some() && self.down.get().is_none();
         if self.topic == Topic::Upstreams && up && self.busy.get() {
             let followers = self.listener.followers();
             let span = believed(settings.fresh, settings.seed, followers);
             self.marks.unlisted(span, self.timer).await;
         }
-        let began = self.timer.now();
-        (follower.next().await, began)
+        follower.next().await
     }
 
-    /// Takes in an event of a read that began at `began`, and notes how far it reached.
-    fn follow(&self, event: KeyedEvent, began: Millis, follower: &KeyedFollower) {
+    /// Takes in an event, and notes how far its read reached.
+    fn follow(&self, event: KeyedEvent, follower: &KeyedFollower) {
         let lost = matches!(event, KeyedEvent::Outage { .. });
         self.busy.set(matches!(event, KeyedEvent::Changes(_)));
         let changed = self.take(event);
-        let Some(offset) = follower.offset() else {
+        let (Some(offset), Some(asked)) = (follower.offset(), follower.asked()) else {
             return;
         };
         if changed {
             self.marks.reached(self.topic, offset);
         }
         if self.topic == Topic::Upstreams && !lost && follower.is_at_end() {
-            self.marks.listed(offset, began, self.timer.now());
+            self.marks.listed(offset, asked);
         }
     }
 
--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -117,11 +117,11 @@
         }
     }
 
-    /// This process has read the list to its end, up to `offset`, which was whole at `at` and answered now.
-    pub(crate) fn listed(&self, offset: u64, at: Millis, now: Millis) {
+    /// This process had read the list to its end at `at`, up to `offset`.
+    pub(crate) fn listed(&self, offset: u64, at: Millis) {
         let read = Listed { offset, at };
         self.read.set(offset);
-        self.note_answer(Listed { offset, at: now }, false);
+        self.note_answer(read, false);
         let later = self.listed.get().is_some_and(|known| known.offset > offset);
         if self.knows_all() && !later {
             self.listed.set(Some(read));
--- a/crates/infra/src/follower/keyed.rs
+++ b/crates/infra/src/follower/keyed.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use pumicecleat_net::Timer;
+use pumicecleat_types::Millis;
 
 use super::{FollowError, FollowEvent, FollowOptions, Follower};
 use crate::backoff::Backoff;
@@ -72,6 +73,12 @@
         self.follower.as_ref().is_some_and(Follower::is_at_end)
     }
 
+    /// Start of the last read that was answered; `None` before the first state.
+    #[must_use]
+    pub fn asked(&self) -> Option<Millis> {
+        self.follower.as_ref().map(Follower::asked)
+    }
+
     /// Reads at once when asked next; see [`Follower::hurry`].
     pub fn hurry(&mut self) {
         if let Some(follower) = &mut self.follower {
@@ -96,6 +103,7 @@
     }
 
     async fn state(&mut self) -> Option<KeyedEvent> {
+        let start = self.timer.now();
         let newest = match self.log.newest(&self.stream).await {
             Ok(newest) => newest,
             Err(e) => return self.fail(&e).await,
@@ -106,6 +114,7 @@
         let mut follower =
             Follower::new_ext(log, &self.timer, &self.stream, newest.next, self.options);
         follower.settle();
+        follower.asked = start;
         self.follower = Some(follower);
         let offset = |r: &KeyedRecord| (r.key.clone(), r.offset);
         self.told = newest.records.iter().map(offset).collect();
--- a/crates/infra/src/follower/mod.rs
+++ b/crates/infra/src/follower/mod.rs
@@ -58,6 +58,8 @@
     end: bool,
     /// Caller knows of the present outage.
     outage: bool,
+    /// Start of the last read that was answered.
+    asked: Millis,
 }
 
 impl Follower {
@@ -81,6 +83,7 @@
             caught: false,
             end: true,
             outage: false,
+            asked: timer.now(),
         }
     }
 
@@ -96,6 +99,12 @@
         self.end
     }
 
+    /// Start of the last read that was answered: all that there was then is known at its end.
+    #[must_use]
+    pub fn asked(&self) -> Millis {
+        self.asked
+    }
+
     /// The caller needs no word that it has all records once it has the last one: the next read may
     /// wait at once if that is so, which saves a read for each change.
     pub fn settle(&mut self) {
@@ -161,6 +170,7 @@
         }
         checked?;
         self.outage = false;
+        self.asked = start;
         if !batch.records.is_empty() {
             self.backoff.reset();
             self.caught = false;
