An entry that was written late does not replace a newer one of the same upstream

What callers would see: nothing wrong; an upstream that is leaving, or has left, is listed as ready again and gets requests, until its entry is next written or lapses.

Cause: the store may carry out a call whose answer it lost seconds later. The record of a key that was read last is then an old one, and it was believed. Class: a belief replaced by an older one.

Change: each entry tells its place among those of its upstream's start; one behind the newest that was read is not taken, for 10 s. An upstream that counts anew without telling its start is believed after that. E7012 tells of each.

Ruled out: comparing offsets, which rise in the order of carrying out. Without a bound in time a wrong writer's high number would shut an upstream out for good.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -26,6 +26,7 @@
 mod layout;
 mod listed;
 mod marks;
+mod newest;
 mod share;
 mod state;
 mod tell;
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -6,6 +6,7 @@
 use pumicecleat_types::{Millis, ServiceId};
 
 use crate::lapsed::Lapsed;
+use crate::newest::Newest;
 use crate::{Change, Layout, Standing, Upstream};
 
 /// Time after an outage of the list within which an entry that lapsed may come back. The list
@@ -18,6 +19,7 @@
     layout: Option<Rc<Layout>>,
     versions: BTreeMap<String, u64>,
     upstreams: BTreeMap<String, Upstream>,
+    newest: Newest,
     /// Instances whose entry lapsed around an outage.
     lapsed: Lapsed,
     /// End of the last outage of the list.
@@ -70,10 +72,23 @@
         /// Time for which it stays.
         stays: Millis,
     },
+    /// An entry is older than one that was read before, and was not taken.
+    Outdated {
+        /// Instance.
+        instance: String,
+    },
     /// Nothing changed.
     Same,
 }
 
+impl Applied {
+    /// Whether anything changed by it.
+    #[must_use]
+    pub fn is_change(&self) -> bool {
+        !matches!(self, Self::Same | Self::Outdated { .. })
+    }
+}
+
 impl Catalog {
     /// Configuration in force, if one is known.
     #[must_use]
@@ -112,7 +127,7 @@
             Change::Upstream(upstream) => {
                 // Own failed reads don't tell an outage of the list from a cut of this process; entries do.
                 self.lapsed.written(&upstream.instance, now);
-                self.apply_upstream(upstream)
+                self.apply_upstream(upstream, now)
             }
             Change::Gone { instance } => self.remove(instance, now),
             Change::Unusable { instance } => self.drop_unusable(instance),
@@ -129,7 +144,7 @@
             .into_iter()
             .map(|instance| self.remove(instance, now))
             .collect();
-        applied.extend(list.into_iter().map(|u| self.apply_upstream(u)));
+        applied.extend(list.into_iter().map(|u| self.apply_upstream(u, now)));
         applied
     }
 
@@ -140,8 +155,9 @@
 
     /// Removes what lapsed and will not come back.
     pub fn expire(&mut self, now: Millis) -> Vec<Applied> {
+        self.newest.expire(now);
         let due = self.lapsed.due(now);
-        due.into_iter().map(|i| self.forget(i)).collect()
+        due.into_iter().map(|i| self.leave(i, now)).collect()
     }
 
     fn apply_layout(&mut self, layout: Layout) -> Applied {
@@ -165,8 +181,11 @@
         Applied::Version { adapter, version }
     }
 
-    fn apply_upstream(&mut self, upstream: Upstream) -> Applied {
+    fn apply_upstream(&mut self, upstream: Upstream, now: Millis) -> Applied {
         let instance = upstream.instance.clone();
+        if self.newest.is_newer_than(&upstream, now) {
+            return Applied::Outdated { instance };
+        }
         let (standing, born) = (upstream.standing, upstream.born);
         let known = self.upstreams.get(&instance).and_then(|k| k.born);
         match (known, born) {
@@ -177,6 +196,7 @@
             _ => {}
         }
         self.lapsed.remove(&instance);
+        self.newest.note(&upstream, now);
         match self.upstreams.insert(instance.clone(), upstream) {
             Some(before) if before.born.is_some() && before.born < born => {
                 Applied::Restarted { instance, standing }
@@ -203,10 +223,15 @@
                 let stays = (at + RETURN_SPAN).since(now);
                 self.lapse(instance, now, stays)
             }
-            _ => self.forget(instance),
+            _ => self.leave(instance, now),
         }
     }
 
+    fn leave(&mut self, instance: String, now: Millis) -> Applied {
+        self.newest.removed(&instance, now);
+        self.forget(instance)
+    }
+
     fn lapse(&mut self, instance: String, now: Millis, stays: Millis) -> Applied {
         self.lapsed.add(&instance, now + stays);
         Applied::Lapsed { instance, stays }
--- a/crates/catalog/src/tell.rs
+++ b/crates/catalog/src/tell.rs
@@ -7,7 +7,7 @@
 /// Tells of what was applied; gives whether it changed anything.
 pub(crate) fn tell(applied: &Applied, listener: &dyn Follow, log: &Log) -> bool {
     log_applied(log, applied);
-    let changed = *applied != Applied::Same;
+    let changed = applied.is_change();
     if changed {
         listener.applied(applied);
     }
@@ -54,6 +54,10 @@
             ];
             log.emit(&events::UPSTREAM_LAPSED, &fields);
         }
+        Applied::Outdated { instance } => {
+            let fields = [field("instance", instance.as_str())];
+            log.emit(&events::ENTRY_OUTDATED, &fields);
+        }
         Applied::Same => {}
     }
 }
--- a/crates/catalog/src/upstream.rs
+++ b/crates/catalog/src/upstream.rs
@@ -22,6 +22,8 @@
     /// Unix time of its start, ms, if it tells. An upstream may start again under its name; it then
     /// knows nothing of before.
     pub born: Option<u64>,
+    /// Place of this entry among those of the same start, if it tells.
+    pub sequence: Option<u64>,
 }
 
 /// Whether an upstream takes new requests.
--- a/crates/catalog/tests/lapse.rs
+++ b/crates/catalog/tests/lapse.rs
@@ -69,6 +69,7 @@
         slots: 6,
         standing: Standing::Ready,
         born: None,
+        sequence: None,
     })
 }
 
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -26,6 +26,8 @@
     STORE_BACK = "E7010" "store_back" Info ["stream", "down_ms"];
     /// An upstream started again under its name.
     LISTED_AGAIN = "E7011" "listed_again" Warn ["instance", "standing"];
+    /// An upstream's entry is older than one read before.
+    ENTRY_OUTDATED = "E7012" "entry_outdated" Info ["instance"];
 
     /// A request ended with an upstream's answer.
     PASSED_ON = "E7101" "passed_on" Info ["request", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "layout", "whole"];
