An agent that a gateway could not reach is tried again though a relay tells of it

What callers saw: longer waits on deployments of more than 16 engines: a gateway used fewer and fewer engines, until its restart.

Cause: what the gateway found itself counts more than a relay's word, and an agent that it could not reach for half a second it asked no more while a relay told of that agent. So nothing ever ended its own finding. Class: a belief with two writers, that outlives what it was drawn from.

Change: an agent with an own finding against it is tried each second, whatever a relay tells.

Ruled out: taking the relay's word after a while; that VM may be out of reach for this gateway alone.

Before: no exchange in 3 s after the way was whole again (case an_agent_that_a_gateway_could_not_reach_is_tried_again_though_a_relay_tells_of_it, failed first); after: tried, three runs of three.

--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -27,7 +27,7 @@
 const SYNC_SPAN: Millis = Millis(200);
 
 /// Time after the last word about an engine, by its agent or a relay, after which its agent is asked
-/// though a relay gathers: five views.
+/// though a relay gathers: five views. Time between two tries of an agent that could not be reached, too.
 const UNHEARD_SPAN: Millis = Millis(1_000);
 
 /// Time for an exchange without an ask. A sound agent answers in a few milliseconds.
@@ -79,7 +79,9 @@
             let heard = r.heard.max(r.viewed).max(Some(r.listed(now)));
             let unheard = heard.is_none_or(|at| now.since(at) >= UNHEARD_SPAN);
             let tried = r.waiting > 0 || (r.failing.is_some() && r.reach == Reach::Sound);
-            news || (tried && age >= SYNC_SPAN) || (unheard && age >= UNHEARD_SPAN)
+            // What this gateway found itself counts more than a relay's word: only an own exchange ends it.
+            let doubted = unheard || r.failing.is_some();
+            news || (tried && age >= SYNC_SPAN) || (doubted && age >= UNHEARD_SPAN)
         } else {
             r.heard.is_none() || age >= SYNC_SPAN || news
         };
