--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -203,7 +203,8 @@
             KeyedEvent::Changes(records) => {
                 self.back();
                 let changed = self.apply_all(&records);
-                changed | self.expire()
+                self.expire();
+                changed
             }
             KeyedEvent::CaughtUp => {
                 self.back();
@@ -225,10 +226,11 @@
     }
 
     /// Removes what the records just read show to be gone for good, before any request goes there.
-    fn expire(&self) -> bool {
+    fn expire(&self) {
         let gone = self.catalog.borrow_mut().expire(self.timer.now());
-        let told = gone.iter().map(|applied| self.tell(applied));
-        told.fold(false, |any, changed| any | changed)
+        for applied in &gone {
+            self.tell(applied);
+        }
     }
 
     fn back(&self) {
