--- a/crates/catalog/src/tell.rs
+++ b/crates/catalog/src/tell.rs
@@ -1,8 +1,8 @@
 //! Tells of what took effect: a line in the log, and the listener.
 
-use pumicecleat_ops::{Log, events, field};
+use pumicecleat_ops::{Event, Log, events, field};
 
-use crate::{Applied, Follow};
+use crate::{Applied, Follow, Standing};
 
 /// Tells of what was applied; gives whether it changed anything.
 pub(crate) fn tell(applied: &Applied, listener: &dyn Follow, log: &Log) -> bool {
@@ -26,20 +26,10 @@
             log.emit(&events::VERSION_TAKEN, &fields);
         }
         Applied::Upstream { instance, standing } => {
-            let standing = format!("{standing:?}").to_lowercase();
-            let fields = [
-                field("instance", instance.as_str()),
-                field("standing", standing.as_str()),
-            ];
-            log.emit(&events::UPSTREAM_LISTED, &fields);
+            log_standing(log, &events::UPSTREAM_LISTED, instance, *standing);
         }
         Applied::Restarted { instance, standing } => {
-            let standing = format!("{standing:?}").to_lowercase();
-            let fields = [
-                field("instance", instance.as_str()),
-                field("standing", standing.as_str()),
-            ];
-            log.emit(&events::LISTED_AGAIN, &fields);
+            log_standing(log, &events::LISTED_AGAIN, instance, *standing);
         }
         Applied::Gone { instance } => {
             log.emit(
@@ -61,3 +51,12 @@
         Applied::Same => {}
     }
 }
+
+fn log_standing(log: &Log, event: &'static Event, instance: &str, standing: Standing) {
+    let standing = format!("{standing:?}").to_lowercase();
+    let fields = [
+        field("instance", instance),
+        field("standing", standing.as_str()),
+    ];
+    log.emit(event, &fields);
+}
