Log what two tries of a request have in common

An attempt's id is new each time its caller tries again, so the lines of a gateway did not tell whether the requests that end with engines are one request or many. A digest of host, path, caller and body goes into the lines of a request's end (E7101 to E7105). No change of logic.

--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! One request, from its route to its answer.
 
 mod head;
+mod identity;
 mod job;
 mod model;
 mod plain;
@@ -11,7 +12,7 @@
 mod trail;
 
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use rand::Rng;
 
 use crate::shared::{Shared, Stopping};
+use identity::fingerprint;
 use job::Job;
 use refuse::{Refusal, own_failure};
 use trail::Trail;
@@ -43,9 +45,9 @@
         }
     }
 
-    async fn reply(self, request: Incoming) -> Reply {
+    async fn reply(self, request: Incoming, peer: IpAddr) -> Reply {
         let shared = self.shared;
-        let mut reply = answer(&shared, request).await;
+        let mut reply = answer(&shared, request, peer).await;
         if shared.stopping.get() != Stopping::No {
             let close = HeaderValue::from_static("close");
             reply.headers_mut().insert(CONNECTION, close);
@@ -55,12 +57,12 @@
 }
 
 impl Handler for CallerHandler {
-    fn handle(&self, request: Incoming, _: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
-        Box::pin(self.clone().reply(request))
+    fn handle(&self, request: Incoming, peer: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
+        Box::pin(self.clone().reply(request, peer.ip()))
     }
 }
 
-async fn answer(shared: &Rc<Shared>, request: Incoming) -> Reply {
+async fn answer(shared: &Rc<Shared>, request: Incoming, peer: IpAddr) -> Reply {
     let arrived = shared.timer.now();
     let (head, mut body) = request.into_parts();
     let attributes = shared.wire.attributes(&head.headers);
@@ -86,6 +88,7 @@
         Ok(body) => body,
         Err(e) => return own_failure(&trail, e.status(), "body"),
     };
+    trail.set_fingerprint(fingerprint(&head, peer, &body));
     let roll = shared.rng.borrow_mut().next_u64();
     let Some(service) = route.pick(roll).cloned() else {
         return Refusal::no_upstream().reply(&trail);
--- a/crates/gateway/src/request/trail.rs
+++ b/crates/gateway/src/request/trail.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use pumicecleat_ops::{DrainGuard, events, field};
-use pumicecleat_types::{Millis, RequestId, ServiceId};
+use pumicecleat_types::{Fingerprint, Millis, RequestId, ServiceId};
 
 use crate::Attributes;
 use crate::meters::{OutcomeLabels, ServiceLabels};
@@ -15,6 +15,8 @@
     pub(super) shared: Rc<Shared>,
     pub(super) request: String,
     route: String,
+    /// What it has in common with other tries; nothing until its body was read.
+    fingerprint: Cell<Option<Fingerprint>>,
     layout: u64,
     pub(super) arrived: Millis,
     service: RefCell<String>,
@@ -41,6 +43,7 @@
             shared: Rc::clone(shared),
             request,
             route: route.to_owned(),
+            fingerprint: Cell::new(None),
             layout,
             arrived,
             service: RefCell::default(),
@@ -53,6 +56,18 @@
         }
     }
 
+    pub(super) fn set_fingerprint(&self, fingerprint: Fingerprint) {
+        self.fingerprint.set(Some(fingerprint));
+    }
+
+    /// The fingerprint as text; empty until the body was read.
+    fn fingerprint_text(&self) -> String {
+        self.fingerprint
+            .get()
+            .map(|f| f.to_string())
+            .unwrap_or_default()
+    }
+
     pub(super) fn set_service(&self, service: &ServiceId) {
         self.service.replace(service.to_string());
     }
@@ -90,8 +105,10 @@
         self.count(if whole { "passed_on" } else { "broken" });
         let first = self.first.get().unwrap_or_else(|| self.age());
         let instance = self.instance.borrow();
+        let fingerprint = self.fingerprint_text();
         let fields = [
             field("request", self.request.as_str()),
+            field("fingerprint", fingerprint.as_str()),
             field("route", self.route.as_str()),
             field("instance", instance.as_str()),
             field("status", status),
@@ -108,8 +125,10 @@
     /// The request was refused as not run.
     pub(super) fn turned_down(&self, status: u16, reason: &str, retry: Millis) {
         self.count("turned_down");
+        let fingerprint = self.fingerprint_text();
         let fields = [
             field("request", self.request.as_str()),
+            field("fingerprint", fingerprint.as_str()),
             field("route", self.route.as_str()),
             field("reason", reason),
             field("status", status),
@@ -125,8 +144,10 @@
     pub(super) fn unsettled(&self, status: u16, reason: &str) {
         self.count("unsettled");
         let instance = self.instance.borrow();
+        let fingerprint = self.fingerprint_text();
         let fields = [
             field("request", self.request.as_str()),
+            field("fingerprint", fingerprint.as_str()),
             field("route", self.route.as_str()),
             field("instance", instance.as_str()),
             field("reason", reason),
@@ -141,8 +162,10 @@
     /// One attempt gave nothing to pass on.
     pub(super) fn lost(&self, step: &str, ran: bool, again: bool, error: &str) {
         let instance = self.instance.borrow();
+        let fingerprint = self.fingerprint_text();
         let fields = [
             field("request", self.request.as_str()),
+            field("fingerprint", fingerprint.as_str()),
             field("instance", instance.as_str()),
             field("step", step),
             field("ran", ran),
@@ -168,8 +191,10 @@
         }
         self.count("caller_left");
         let instance = self.instance.borrow();
+        let fingerprint = self.fingerprint_text();
         let fields = [
             field("request", self.request.as_str()),
+            field("fingerprint", fingerprint.as_str()),
             field("route", self.route.as_str()),
             field("instance", instance.as_str()),
             field("age_ms", self.age().0),
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -30,15 +30,15 @@
     ENTRY_OUTDATED = "E7012" "entry_outdated" Info ["instance"];
 
     /// A request ended with an upstream's answer.
-    PASSED_ON = "E7101" "passed_on" Info ["request", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "layout", "whole"];
+    PASSED_ON = "E7101" "passed_on" Info ["request", "fingerprint", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "layout", "whole"];
     /// A request was refused as not run.
-    TURNED_DOWN = "E7102" "turned_down" Warn ["request", "route", "reason", "status", "retry_ms", "attempts", "age_ms", "layout"];
+    TURNED_DOWN = "E7102" "turned_down" Warn ["request", "fingerprint", "route", "reason", "status", "retry_ms", "attempts", "age_ms", "layout"];
     /// A request failed, and may have run.
-    UNSETTLED = "E7103" "unsettled" Warn ["request", "route", "instance", "reason", "status", "attempts", "age_ms", "layout"];
+    UNSETTLED = "E7103" "unsettled" Warn ["request", "fingerprint", "route", "instance", "reason", "status", "attempts", "age_ms", "layout"];
     /// One attempt of a request failed.
-    ATTEMPT_LOST = "E7104" "attempt_lost" Info ["request", "instance", "step", "ran", "age_ms", "again", "error"];
+    ATTEMPT_LOST = "E7104" "attempt_lost" Info ["request", "fingerprint", "instance", "step", "ran", "age_ms", "again", "error"];
     /// The caller left before its answer was whole.
-    CALLER_LEFT = "E7105" "caller_left" Info ["request", "route", "instance", "age_ms"];
+    CALLER_LEFT = "E7105" "caller_left" Info ["request", "fingerprint", "route", "instance", "age_ms"];
     /// A side does not answer.
     SIDE_LOST = "E7106" "side_lost" Warn ["side", "error"];
     /// A side answers again.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,12 +13,14 @@
 //! ```
 
 mod codec;
+mod fingerprint;
 mod id;
 mod lora;
 mod message;
 mod time;
 
 pub use codec::{CodecError, decode, decode_prefix, encode};
+pub use fingerprint::Fingerprint;
 pub use id::{
     AdapterId, BaseId, CallerId, DataCentre, PoolId, RegionId, RequestId, ServiceId, VersionId,
     VmId,
