A request under which engines end is sent twice more at most, and then refused

Cause: what a request did was forgotten with its attempt. Each try has a new id, the gateway's memory of tried instances ends with it, and nothing was told to the others, so each try went to the next engine.

Why this works: a request is known by a digest of host, path, caller and body. Each request that was under way when its upstream ended (it refuses connections, or another start or instance is listed there) is held to have ended it, until it is served. With two ends it is sent by leave only, which one agent gives for all gateways: once beside others on trial, once alone. What ends upstreams in both, or ended four at once, is refused with 503 and the time after which it is forgotten. Those who ran beside it are cleared by their trial. Words of ends go round by way of the agents and relays, as a union in which a cleared end stays cleared. Memory: 4,096 requests at most, those with the fewest ends dropped first.

Cases: one that only breaks its connection, other callers, bodies and paths, streams that go on elsewhere, plain upstreams, a gateway that starts later, 1, 8 and 32 streams beside it (path); order of words, floods, restarts, trials, 64 side by side (policy).

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -13,6 +13,7 @@
 
 use crate::relay::{self, FIGURES_PATH, VIEW_PATH};
 use crate::shared::Shared;
+use crate::trial::{TRIAL_PATH, decide};
 
 /// Path at which entries tell news and ask for turns.
 const TURN_PATH: &str = "/peer/v1/turn";
@@ -29,6 +30,15 @@
     retry_ms: 300,
 };
 
+/// Pause between two looks whether the engine is free for a trial.
+const TRIAL_LOOK: Duration = Duration::from_millis(25);
+
+/// Outcome of an ask for a trial while another is on at the engine.
+const ON_TRIAL: Turn = Turn::No {
+    reason: TurnRefusal::OnTrial,
+    retry_ms: 500,
+};
+
 /// Handler of the peer listener.
 #[derive(Clone)]
 pub(crate) struct PeerHandler {
@@ -55,6 +65,7 @@
                 Ok(call) => Ok(self.exchange(call).await),
                 Err(e) => Err(e),
             },
+            TRIAL_PATH => decode(&bytes).map(|call| peer_reply(&decide(&self.shared, &call))),
             VIEW_PATH => decode(&bytes).map(|call| peer_reply(&relay::view(&self.shared, call))),
             FIGURES_PATH => {
                 decode(&bytes).map(|call| peer_reply(&relay::figures(&self.shared, &call)))
@@ -70,6 +81,7 @@
         self.shared.marks.hear(&call.marks, now);
         self.shared.entries.borrow_mut().heard(&call.entry, now);
         self.shared.turns.borrow_mut().hint(&call.peers);
+        let suspects = self.shared.watch.exchange(&call.suspects, now);
         self.note(&call, now);
         // Also without an ask: entries that take the engine for another than we do ask nothing of it.
         let meant = self.shared.is_meant(&call.instance);
@@ -89,6 +101,7 @@
             kept,
             entries: self.shared.entries.borrow().count(timer.now()),
             marks: self.shared.marks.known(timer.now()),
+            suspects,
         })
     }
 
@@ -99,6 +112,7 @@
         let mut turns = self.shared.turns.borrow_mut();
         for news in &call.news {
             if news.ended {
+                self.shared.watch.ended(&news.request);
                 turns.ended(&news.request);
             } else {
                 turns.started(&news.request, now);
@@ -110,6 +124,11 @@
 
     async fn turn(&self, ask: TurnAsk) -> Turn {
         let from = self.shared.timer.now();
+        if !self.may_try(&ask, from).await {
+            let asked = Asked::new(&ask, self.hold(&ask));
+            self.log_turn(&asked, ON_TRIAL, from);
+            return ON_TRIAL;
+        }
         let (sender, receiver) = async_channel::bounded(1);
         let request = ask.request.clone();
         let asked = Asked::new(&ask, self.hold(&ask));
@@ -139,10 +158,32 @@
         // The sender is dropped without a word only when the agent ends.
         let turn = turn.unwrap_or(UNKNOWN);
         self.log_turn(&asked, turn, from);
+        if matches!(turn, Turn::No { .. }) {
+            self.shared.watch.ended(&guard.request);
+        }
         guard.finish();
         turn
     }
 
+    /// Whether a request that is on trial may have the engine; one that stays waits for it.
+    async fn may_try(&self, ask: &TurnAsk, from: Millis) -> bool {
+        let Some(trial) = ask.trial else {
+            return true;
+        };
+        let timer = &self.shared.timer;
+        let end = from + Millis(ask.patience_ms);
+        loop {
+            let now = timer.now();
+            if self.shared.watch.begin(&ask.request, trial, now) {
+                return true;
+            }
+            if !ask.stays || now >= end {
+                return false;
+            }
+            timer.sleep(TRIAL_LOOK).await;
+        }
+    }
+
     /// How the engine stands to the adapter asked for.
     fn hold(&self, ask: &TurnAsk) -> &'static str {
         let turns = self.shared.turns.borrow();
@@ -216,6 +257,7 @@
             return;
         }
         self.shared.waiters.borrow_mut().remove(&self.id);
+        self.shared.watch.ended(&self.request);
         let mut turns = self.shared.turns.borrow_mut();
         if !turns.withdraw(self.id) {
             turns.ended(&self.request);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -30,6 +30,7 @@
 mod settings;
 mod shared;
 mod start;
+mod trial;
 
 pub use port::{EnginePort, OrderAnswer, PortError};
 pub use settings::AgentSettings;
--- a/crates/agent/src/relay/gather.rs
+++ b/crates/agent/src/relay/gather.rs
@@ -1,11 +1,14 @@
 //! The exchanges by which a relay gathers.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use pumicecleat_net::{NetError, post};
 use pumicecleat_ops::{events, field};
-use pumicecleat_types::{FiguresCall, FiguresReply, Member, ViewCall, ViewReply, Viewer};
+use pumicecleat_types::{
+    FiguresCall, FiguresReply, Member, Seen, SuspectNews, ViewCall, ViewReply, Viewer,
+};
 
 use super::board::CentreAsk;
 use super::{FIGURES_PATH, VIEW_PATH};
@@ -70,6 +73,11 @@
 
 async fn ask_centre(shared: &Shared, ask: CentreAsk) {
     let sent = shared.timer.now();
+    let relay = ask.members[ask.pick.at].side;
+    let suspects = {
+        let known = shared.watch.suspects.borrow();
+        shared.watch.links.borrow().call(relay, &known, sent)
+    };
     let call = ViewCall {
         caller: shared.vm.clone(),
         viewer: Viewer::Relay,
@@ -77,8 +85,9 @@
         digest: ask.digest,
         members: ask.pick.tell.then(|| ask.members.clone()),
         seen: ask.pick.seen,
+        suspects: suspects.news,
     };
-    let peer = ask.members[ask.pick.at].side.to_string();
+    let peer = relay.to_string();
     let result: Result<ViewReply, NetError> =
         post(&shared.peers, &peer, VIEW_PATH, &call, SPAN).await;
     let now = shared.timer.now();
@@ -86,6 +95,7 @@
     match result {
         Ok(reply) => {
             shared.marks.hear(&reply.marks, now);
+            hear_suspects(shared, relay, suspects.told, &reply.suspects);
             board.heard_centre(&ask, reply, sent, now);
         }
         Err(e) => {
@@ -99,3 +109,10 @@
         }
     }
 }
+
+fn hear_suspects(shared: &Shared, relay: SocketAddr, told: Seen, news: &SuspectNews) {
+    let now = shared.timer.now();
+    let mut known = shared.watch.suspects.borrow_mut();
+    let mut links = shared.watch.links.borrow_mut();
+    links.answered(relay, told, news, &mut known, now);
+}
--- a/crates/agent/src/relay/mod.rs
+++ b/crates/agent/src/relay/mod.rs
@@ -24,6 +24,7 @@
 pub(crate) fn view(shared: &Shared, call: ViewCall) -> ViewReply {
     let now = shared.timer.now();
     shared.marks.hear(&call.marks, now);
+    let suspects = shared.watch.exchange(&call.suspects, now);
     let figures = shared.figures();
     let kept = shared.turns.borrow().kept();
     let mut board = shared.board.borrow_mut();
@@ -34,6 +35,7 @@
         shared.viewed.ring();
     }
     reply.marks = shared.marks.known(now);
+    reply.suspects = suspects;
     reply
 }
 
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -16,6 +16,7 @@
 use crate::EnginePort;
 use crate::meters::Meters;
 use crate::relay::Board;
+use crate::trial::Watch;
 
 /// Readiness condition of the engine.
 pub(crate) const ENGINE: &str = "engine";
@@ -54,6 +55,8 @@
     pub(crate) wake: Bell,
     /// Client for other agents.
     pub(crate) peers: Client,
+    /// Requests under which upstreams ended.
+    pub(crate) watch: Watch,
     /// What is gathered for entries.
     pub(crate) board: RefCell<Board>,
     /// A token here tells that somebody asks for what is gathered.
@@ -116,6 +119,7 @@
     /// What was believed of the engine, and ordered, is void.
     fn void(&self) {
         self.turns.borrow_mut().reset(self.timer.now());
+        self.watch.engine_ended();
         self.starts.set(self.starts.get() + 1);
     }
 
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -17,6 +17,7 @@
 use crate::meters::Meters;
 use crate::relay::{Board, gather};
 use crate::shared::{Bell, ENGINE, Shared};
+use crate::trial::Watch;
 use crate::{AgentSettings, EnginePort};
 
 /// Time for answers under way after a stop was asked for. Turns are short, and entries do without.
@@ -155,6 +156,7 @@
         meters: Meters::new(metrics),
         wake: Bell::new(),
         peers: Client::new_ext(peers, timer),
+        watch: Watch::new(rand::random()),
         board: RefCell::new(board),
         viewed: Bell::new(),
         named: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //!   `model` for engines, `send` for one attempt, `relay` for an answer on its way back.
 //! - `table` keeps what is believed of each upstream, and how old that is; `side` asks the agents
 //!   beside engines for turns.
+//! - `suspects` keeps requests under which upstreams end from ending more of them.
 //!
 //! A refusal tells that the request has not run and won't: it is given only before the first send,
 //! or after the upstream itself said that it did not run.
@@ -32,6 +33,7 @@
 mod shared;
 mod side;
 mod start;
+mod suspects;
 mod table;
 mod view;
 mod wire;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -21,8 +21,15 @@
     pub(crate) service: String,
 }
 
+/// What became known of a request under which upstreams ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct SuspectLabels {
+    pub(crate) what: &'static str,
+}
+
 /// Metrics of the gateway.
 pub(crate) struct Meters {
+    suspects: Family<SuspectLabels, Counter>,
     pub(crate) requests: Family<OutcomeLabels, Counter>,
     pub(crate) repeats: Family<ServiceLabels, Counter>,
     pub(crate) first: Histograms<ServiceLabels>,
@@ -32,6 +39,10 @@
 impl Meters {
     pub(crate) fn new(metrics: &Metrics) -> Self {
         Self {
+            suspects: metrics.counters(
+                "suspects",
+                "Ends of upstreams under requests, and what followed for these",
+            ),
             requests: metrics.counters("requests", "Requests, by service and outcome"),
             repeats: metrics.counters("repeats", "Sends beyond the first, by service"),
             first: metrics.histograms(
@@ -42,4 +53,8 @@
             turn: metrics.histogram("turn_seconds", "Wait for a turn at an engine", TIME_BUCKETS),
         }
     }
+
+    pub(crate) fn count_suspect(&self, what: &'static str) {
+        self.suspects.get_or_create(&SuspectLabels { what }).inc();
+    }
 }
--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -1,5 +1,6 @@
 //! A request that has its route and its service.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 use pumicecleat_catalog::{Catalog, Route, Standing, Upstream};
 use pumicecleat_types::{Millis, ServiceId};
 
+use super::clearance::Clearance;
 use super::head::strip;
 use super::trail::Trail;
 use crate::shared::Shared;
@@ -26,6 +28,8 @@
     pub(super) tried: Vec<String>,
     /// Last event that was passed on, after which another upstream goes on.
     pub(super) after: Option<u64>,
+    /// Leave to send it, where upstreams ended under it.
+    pub(super) clearance: Cell<Clearance>,
     /// Time by which there has to be a final answer.
     pub(super) end: Millis,
 }
@@ -55,6 +59,7 @@
             trail,
             tried: Vec::new(),
             after: None,
+            clearance: Cell::default(),
         }
     }
 
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! One request, from its route to its answer.
 
+mod clearance;
 mod head;
 mod identity;
 mod job;
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -37,6 +37,9 @@
     job.shared.count_request(&job.service);
     let mut progress = Progress::default();
     loop {
+        if let Err(refusal) = job.clear().await {
+            return stop(&job, &progress, refusal);
+        }
         let turn = match find_turn(&mut job, &mut progress).await {
             Ok(turn) => turn,
             Err(reason) => return give_up(&job, &progress, reason),
@@ -63,6 +66,7 @@
 pub(super) async fn go_on(job: &mut Job, progress: &mut Progress) -> Option<Box<Answered>> {
     progress.search.renew();
     while progress.sent < job.route.attempts {
+        job.clear().await.ok()?;
         let turn = find_turn(job, progress).await.ok()?;
         match run(job, &turn, progress).await {
             Ran::Answer(answered) if answered.response.status() == 200 => return Some(answered),
@@ -178,6 +182,7 @@
             due_ms: Millis(job.route.objective_ms).since(job.trail.age()).0,
             patience_ms: patience(job).0,
             stays,
+            trial: job.trial(),
         },
         place,
     )
@@ -275,6 +280,9 @@
         progress.search.failed(&instance);
         return Ran::Again;
     }
+    if !job.is_clear() {
+        return Ran::Again;
+    }
     if progress.sent > 0 && !job.shared.may_repeat(&job.service) {
         return Ran::Over("repeat_bound");
     }
@@ -348,8 +356,17 @@
         .with(&upstream.instance, |r| r.slots.failed(now));
 }
 
+/// Final answer to a request that may not be sent.
+fn stop(job: &Job, progress: &Progress, refusal: Refusal) -> Reply {
+    if progress.ran {
+        return unsettled(&job.trail, 502, refusal.reason);
+    }
+    refusal.reply(&job.trail)
+}
+
 /// Final answer without an engine's.
 fn give_up(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
+    job.give_clearance_back();
     if progress.ran {
         let status = if job.left().0 < LEAST_LEFT { 504 } else { 502 };
         return unsettled(&job.trail, status, reason);
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -50,6 +50,9 @@
         let Some(upstream) = choose(&job) else {
             return give_up(&job, &progress, "no_upstream");
         };
+        if let Err(refusal) = job.clear().await {
+            return stop(&job, &progress, refusal);
+        }
         progress.sent += 1;
         let under_way = job.shared.table.enter(&upstream.instance, None);
         let from = job.shared.timer.now();
@@ -104,7 +107,10 @@
         Attempt::Answer(response) => match hold(response).await {
             Ok(Held::Whole(reply)) => Tried::Whole(reply),
             Ok(Held::Long(response, start)) => Tried::Long(response, start),
-            Err(e) => failed(true, "read answer", e.to_string()),
+            Err(e) => {
+                job.trail.broke();
+                failed(true, "read answer", e.to_string())
+            }
         },
         Attempt::NotRun(_) => Tried::NotRun,
         Attempt::NotSent(e) => failed(false, "send", e),
@@ -169,6 +175,9 @@
             .table
             .with(&upstream.instance, |r| r.slots.answered(took));
     }
+    if status < 500 {
+        job.trail.served();
+    }
     job.trail.first();
     job.trail.passed_on(status, true);
     Next::Reply(reply)
@@ -184,8 +193,17 @@
     Next::Reply(give_up(job, progress, reason))
 }
 
+/// Final answer to a request that may not be sent.
+fn stop(job: &Job, progress: &Progress, refusal: Refusal) -> Reply {
+    if progress.ran {
+        return unsettled(&job.trail, 502, refusal.reason);
+    }
+    refusal.reply(&job.trail)
+}
+
 /// Final answer without an upstream's.
 fn give_up(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
+    job.give_clearance_back();
     if progress.ran {
         let status = if job.left().0 < LEAST_LEFT { 504 } else { 502 };
         return unsettled(&job.trail, status, reason);
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Upstreams ended under the request, and it may not be sent again before `retry` is over.
+    pub(super) fn ends_upstreams(retry: Millis) -> Self {
+        Self::new("ends_upstreams", retry)
+    }
+
     pub(super) fn new(reason: &'static str, retry: Millis) -> Self {
         Self { reason, retry }
     }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -83,8 +83,16 @@
         let piece = self.response.next().await;
         match &piece {
             Some(Ok(_)) => self.begin(),
-            Some(Err(_)) => self.trail.passed_on(self.status, false),
-            None => self.trail.passed_on(self.status, true),
+            Some(Err(_)) => {
+                self.trail.broke();
+                self.trail.passed_on(self.status, false);
+            }
+            None => {
+                self.trail.passed_on(self.status, true);
+                if self.status == 200 {
+                    self.trail.served();
+                }
+            }
         }
         piece
     }
--- a/crates/gateway/src/request/resume.rs
+++ b/crates/gateway/src/request/resume.rs
@@ -71,11 +71,13 @@
                     self.scanner = SseScanner::new(EVENT_LIMIT);
                     if rest.is_empty() {
                         self.job.trail.passed_on(self.status, true);
+                        self.job.trail.served();
                         return None;
                     }
                     return Some(Ok(Bytes::from(rest)));
                 }
                 Some(Err(e)) => {
+                    self.job.trail.broke();
                     if !self.go_on(&e).await {
                         self.job.trail.passed_on(self.status, false);
                         return Some(Err(e));
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -33,7 +33,8 @@
         version: Option<u64>,
         span: Duration,
     ) -> Attempt {
-        self.trail.attempt(&upstream.instance);
+        self.trail.attempt(upstream);
+        self.use_clearance();
         let priority = version.map(|_| self.route.priority);
         let outgoing = Outgoing {
             instance: &upstream.instance,
@@ -48,7 +49,10 @@
             Ok(response) => response,
             Err(e) if e.sent() == Sent::No => return Attempt::NotSent(e.to_string()),
             Err(pumicecleat_net::NetError::AnswerTimeout { .. }) => return Attempt::Late,
-            Err(e) => return Attempt::Lost(e.to_string()),
+            Err(e) => {
+                self.trail.broke();
+                return Attempt::Lost(e.to_string());
+            }
         };
         self.judge(upstream, response)
     }
--- a/crates/gateway/src/request/trail.rs
+++ b/crates/gateway/src/request/trail.rs
@@ -3,12 +3,14 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use pumicecleat_catalog::Upstream;
 use pumicecleat_ops::{DrainGuard, events, field};
 use pumicecleat_types::{Fingerprint, Millis, RequestId, ServiceId};
 
 use crate::Attributes;
 use crate::meters::{OutcomeLabels, ServiceLabels};
 use crate::shared::Shared;
+use crate::suspects;
 
 /// Tells a request's end once; a trail that is dropped before tells that the caller left.
 pub(super) struct Trail {
@@ -21,6 +23,8 @@
     pub(super) arrived: Millis,
     service: RefCell<String>,
     instance: RefCell<String>,
+    /// Where the attempt under way went.
+    upstream: RefCell<Option<Upstream>>,
     attempts: Cell<u32>,
     /// Time spent waiting for turns.
     turn: Cell<Millis>,
@@ -48,6 +52,7 @@
             arrived,
             service: RefCell::default(),
             instance: RefCell::default(),
+            upstream: RefCell::default(),
             attempts: Cell::new(0),
             turn: Cell::default(),
             first: Cell::new(None),
@@ -60,6 +65,10 @@
         self.fingerprint.set(Some(fingerprint));
     }
 
+    pub(super) fn fingerprint(&self) -> Fingerprint {
+        self.fingerprint.get().unwrap_or_default()
+    }
+
     /// The fingerprint as text; empty until the body was read.
     fn fingerprint_text(&self) -> String {
         self.fingerprint
@@ -72,10 +81,25 @@
         self.service.replace(service.to_string());
     }
 
-    /// An attempt goes to `instance`.
-    pub(super) fn attempt(&self, instance: &str) {
+    /// An attempt goes to `upstream`.
+    pub(super) fn attempt(&self, upstream: &Upstream) {
         self.attempts.set(self.attempts.get() + 1);
-        self.instance.replace(instance.to_owned());
+        self.instance.replace(upstream.instance.clone());
+        self.upstream.replace(Some(upstream.clone()));
+    }
+
+    /// The connection of the attempt under way broke off.
+    pub(super) fn broke(&self) {
+        if let (Some(fingerprint), Some(upstream)) =
+            (self.fingerprint.get(), &*self.upstream.borrow())
+        {
+            suspects::broke(&self.shared, fingerprint, upstream);
+        }
+    }
+
+    /// An upstream served the request.
+    pub(super) fn served(&self) {
+        suspects::served(&self.shared, &self.fingerprint());
     }
 
     /// A wait for a turn took `waited`.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use pumicecleat_catalog::{Applied, Follow, Marks, Shared as Catalog, Topic};
+use pumicecleat_catalog::{Applied, Follow, Marks, Shared as Catalog, Standing, Topic};
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
 use pumicecleat_policy::{RepeatOptions, RepeatWindow};
@@ -15,6 +15,7 @@
 use crate::gateways::Gateways;
 use crate::meters::{Meters, ServiceLabels};
 use crate::peers::Peers;
+use crate::suspects::Guard;
 use crate::table::Table;
 
 /// Readiness condition of the configuration.
@@ -50,6 +51,8 @@
     pub(crate) client: Client,
     /// Client for agents.
     pub(crate) agents: Client,
+    /// Requests under which upstreams ended.
+    pub(crate) guard: Guard,
     pub(crate) repeat: RepeatOptions,
     /// What the engines of a service were found to do.
     pub(crate) peers: RefCell<Peers>,
@@ -102,6 +105,7 @@
             .table
             .with(instance, |r| std::mem::replace(&mut r.leaving, true));
         if !known {
+            self.guard.note_leaving(instance, true, self.timer.now());
             let fields = [field("instance", instance), field("sign", sign)];
             self.log.emit(&events::SEEN_LEAVING, &fields);
         }
@@ -112,9 +116,15 @@
     fn applied(&self, applied: &Applied) {
         match applied {
             Applied::Layout { .. } => self.readiness.hold(LAYOUT),
-            Applied::Gone { instance } | Applied::Restarted { instance, .. } => {
+            Applied::Upstream {
+                instance,
+                standing: Standing::Leaving,
+            } => self.guard.note_leaving(instance, true, self.timer.now()),
+            Applied::Gone { instance } => {
+                self.guard.note_leaving(instance, false, self.timer.now());
                 self.table.forget(instance);
             }
+            Applied::Restarted { instance, .. } => self.table.forget(instance),
             _ => {}
         }
     }
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -8,10 +8,11 @@
 use pumicecleat_net::{NetError, post};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::RelayLink;
-use pumicecleat_types::{Millis, Reach, RunNews, Turn, TurnAsk, TurnCall, TurnReply};
+use pumicecleat_types::{Millis, Reach, RunNews, SuspectNews, Turn, TurnAsk, TurnCall, TurnReply};
 
 use crate::peers::peers;
 use crate::shared::Shared;
+use crate::suspects;
 use crate::table::{Asking, Record};
 
 /// Path of the one exchange.
@@ -96,16 +97,17 @@
 
 async fn sync_one(shared: &Shared, upstream: &Upstream) {
     let news = shared.table.with(&upstream.instance, Record::take_news);
-    let call = TurnCall {
+    let mut call = TurnCall {
         entry: shared.vm.clone(),
         instance: upstream.instance.clone(),
         news: news.clone(),
         marks: shared.marks.known(shared.timer.now()),
         kept: known(shared, upstream),
         peers: peers(shared, &upstream.service),
+        suspects: SuspectNews::default(),
         ask: None,
     };
-    let result = exchange(shared, upstream, &call, CALL_SPAN).await;
+    let result = exchange(shared, upstream, &mut call, CALL_SPAN).await;
     if result.is_err() {
         shared.table.with(&upstream.instance, |r| {
             for news in news {
@@ -140,20 +142,21 @@
         r.take_news()
     });
     let span = Duration::from_millis((Millis(ask.patience_ms) + ASK_MARGIN).0);
-    let call = TurnCall {
+    let mut call = TurnCall {
         entry: shared.vm.clone(),
         instance: upstream.instance.clone(),
         news,
         marks: shared.marks.known(now),
         kept: known(shared, upstream),
         peers: peers(shared, &upstream.service),
+        suspects: SuspectNews::default(),
         ask: Some(ask),
     };
     let _waiting = Waiting {
         shared,
         instance: &upstream.instance,
     };
-    let mut exchange = Box::pin(exchange(shared, upstream, &call, span));
+    let mut exchange = Box::pin(exchange(shared, upstream, &mut call, span));
     loop {
         match shared.timer.within(ASK_STEP, &mut exchange).await {
             Ok(Ok(reply)) => return reply.turn.ok_or(AgentLost),
@@ -185,16 +188,21 @@
 async fn exchange(
     shared: &Shared,
     upstream: &Upstream,
-    call: &TurnCall,
+    call: &mut TurnCall,
     span: Duration,
 ) -> Result<TurnReply, NetError> {
     let address = SocketAddr::new(upstream.address.ip(), shared.agent_port);
     let sent = shared.timer.now();
     let peer = address.to_string();
+    let suspects = suspects::tell(shared, address);
+    call.suspects = suspects.news;
     let result: Result<TurnReply, NetError> =
         post(&shared.agents, &peer, TURN_PATH, call, span).await;
     match &result {
-        Ok(reply) => note_heard(shared, upstream, reply, sent),
+        Ok(reply) => {
+            suspects::hear(shared, address, suspects.told, &reply.suspects);
+            note_heard(shared, upstream, reply, sent);
+        }
         Err(e) => note_lost(shared, upstream, e),
     }
     result
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -21,6 +21,7 @@
 use crate::meters::Meters;
 use crate::request::CallerHandler;
 use crate::shared::{LAYOUT, RUNNING, Shared, Stopping, TOPICS};
+use crate::suspects::Guard;
 use crate::table::Table;
 use crate::{GatewaySettings, Wire, side, view};
 
@@ -113,6 +114,7 @@
             "layout": catalog.layout().map(|l| l.number),
             "upstreams": upstreams,
             "open": self.shared.drain.count(),
+            "suspects": self.shared.guard.table.borrow().len(),
         })
     }
 }
@@ -208,6 +210,7 @@
         table: Rc::new(Table::default()),
         client: Client::new_ext(client, timer),
         agents: Client::new_ext(client, timer),
+        guard: Guard::new(rand::random()),
         repeat,
         peers: RefCell::default(),
         gateways: RefCell::new(Gateways::new(settings.gateways, repeat.window)),
--- /dev/null
+++ b/crates/gateway/src/suspects/breaks.rs
@@ -0,0 +1,82 @@
+//! Requests whose connection to an upstream broke off, until it is known whether the upstream ended.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use pumicecleat_catalog::Upstream;
+use pumicecleat_types::{Fingerprint, Millis};
+
+/// Time after a break within which its upstream may be found to have ended: three heartbeats, after which
+/// the list drops it, and the time for another to take its address.
+const WATCH_SPAN: Millis = Millis(10_000);
+
+/// What broke off at one upstream.
+#[derive(Debug, Default)]
+struct Break {
+    /// Requests, and when they broke off.
+    requests: BTreeMap<Fingerprint, Millis>,
+    /// Something broke off since the upstream was last looked at.
+    fresh: bool,
+    /// When it was found to have ended.
+    ended: Option<Millis>,
+}
+
+/// What broke off, by instance.
+#[derive(Debug, Default)]
+pub(super) struct Breaks {
+    open: BTreeMap<String, Break>,
+}
+
+impl Breaks {
+    /// Adds a request where others broke off before; gives whether that upstream is known to have ended,
+    /// or `None` if nothing broke off there.
+    pub(super) fn join(
+        &mut self,
+        upstream: &Upstream,
+        fingerprint: Fingerprint,
+        now: Millis,
+    ) -> Option<bool> {
+        let known = self.open.get_mut(&upstream.instance)?;
+        known.requests.insert(fingerprint, now);
+        known.fresh = true;
+        Some(known.ended.is_some())
+    }
+
+    /// The first request broke off at `upstream`.
+    pub(super) fn open(&mut self, upstream: &Upstream, fingerprint: Fingerprint, now: Millis) {
+        let first = Break {
+            requests: BTreeMap::from([(fingerprint, now)]),
+            fresh: true,
+            ended: None,
+        };
+        self.open.insert(upstream.instance.clone(), first);
+    }
+
+    /// Whether something broke off there since this was last asked.
+    pub(super) fn take_fresh(&mut self, instance: &str) -> bool {
+        let known = self.open.get_mut(instance);
+        known.is_some_and(|b| std::mem::take(&mut b.fresh))
+    }
+
+    /// The upstream has ended; gives the requests that were under way there.
+    pub(super) fn end(&mut self, instance: &str, now: Millis) -> Vec<Fingerprint> {
+        let Some(known) = self.open.get_mut(instance) else {
+            return Vec::new();
+        };
+        known.ended = Some(now);
+        let requests: BTreeSet<Fingerprint> = known.requests.keys().copied().collect();
+        requests.into_iter().collect()
+    }
+
+    /// Forgets what is over at `instance`; gives whether anything is left.
+    pub(super) fn settle(&mut self, instance: &str, now: Millis) -> bool {
+        let Some(known) = self.open.get_mut(instance) else {
+            return false;
+        };
+        known.requests.retain(|_, at| now.since(*at) < WATCH_SPAN);
+        let left = !known.requests.is_empty();
+        if !left {
+            self.open.remove(instance);
+        }
+        left
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/suspects/mod.rs
@@ -0,0 +1,128 @@
+//! Requests under which upstreams end: what this gateway sees of it, and what others tell.
+//!
+//! - `breaks` holds the requests whose connection to an upstream broke off; `watch` finds out whether the
+//!   upstream has ended.
+//! - `news` passes on what is known, by way of the agents.
+//! - `trial` asks an agent for leave to send a suspect once more.
+
+mod breaks;
+mod leavers;
+mod news;
+mod trial;
+mod watch;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use pumicecleat_catalog::Upstream;
+use pumicecleat_ops::{events, field};
+use pumicecleat_policy::{SuspectLinks, Suspects, TRIED_FROM, Trials, end_key};
+use pumicecleat_types::{Fingerprint, Millis};
+
+use crate::shared::Shared;
+use breaks::Breaks;
+use leavers::Leavers;
+pub(crate) use news::{hear, tell};
+pub(crate) use trial::{ask_trial, give_back};
+
+/// What a gateway knows of requests under which upstreams end.
+pub(crate) struct Guard {
+    pub(crate) table: RefCell<Suspects>,
+    links: RefCell<SuspectLinks>,
+    breaks: RefCell<Breaks>,
+    leavers: RefCell<Leavers>,
+    /// Leave given by this gateway itself, where there is no agent to ask.
+    trials: RefCell<Trials>,
+}
+
+impl Guard {
+    /// Knows of none; `start` tells this start of the process from others.
+    pub(crate) fn new(start: u64) -> Self {
+        Self {
+            table: RefCell::new(Suspects::new(start)),
+            links: RefCell::default(),
+            breaks: RefCell::default(),
+            leavers: RefCell::default(),
+            trials: RefCell::default(),
+        }
+    }
+
+    /// An upstream leaves by its own word, or is gone from the list.
+    pub(crate) fn note_leaving(&self, instance: &str, said: bool, now: Millis) {
+        self.leavers.borrow_mut().note(instance, said, now);
+    }
+
+    fn is_leaving(&self, instance: &str, now: Millis) -> bool {
+        self.leavers.borrow().is_planned(instance, now)
+    }
+
+    /// Upstreams that a request may have ended.
+    pub(crate) fn ends(&self, fingerprint: &Fingerprint, now: Millis) -> usize {
+        self.table.borrow().ends(fingerprint, now)
+    }
+}
+
+/// The connection on which `upstream` had the request broke off.
+pub(crate) fn broke(shared: &Rc<Shared>, fingerprint: Fingerprint, upstream: &Upstream) {
+    let now = shared.timer.now();
+    let known = shared
+        .guard
+        .breaks
+        .borrow_mut()
+        .join(upstream, fingerprint, now);
+    match known {
+        Some(true) => blame(shared, upstream, &[fingerprint]),
+        Some(false) => {}
+        // An upstream that leaves may cut what is under way at its end.
+        None if shared.guard.is_leaving(&upstream.instance, now) => {}
+        None => {
+            let mut breaks = shared.guard.breaks.borrow_mut();
+            breaks.open(upstream, fingerprint, now);
+            monoio::spawn(watch::watch(Rc::clone(shared), upstream.clone()));
+        }
+    }
+}
+
+/// `upstream` ended while these requests were under way there.
+fn blame(shared: &Shared, upstream: &Upstream, requests: &[Fingerprint]) {
+    let now = shared.timer.now();
+    let key = end_key(&upstream.instance, upstream.born);
+    for fingerprint in requests {
+        let new = shared
+            .guard
+            .table
+            .borrow_mut()
+            .ended(*fingerprint, key, now);
+        if new {
+            tell_suspected(shared, fingerprint, &upstream.instance);
+        }
+    }
+}
+
+/// Logs that a request is sent by leave only from now on, if it is.
+fn tell_suspected(shared: &Shared, fingerprint: &Fingerprint, source: &str) {
+    let ends = shared.guard.ends(fingerprint, shared.timer.now());
+    if ends < TRIED_FROM {
+        return;
+    }
+    shared.meters.count_suspect("suspected");
+    let text = fingerprint.to_string();
+    let fields = [
+        field("fingerprint", text.as_str()),
+        field("ends", ends),
+        field("source", source),
+    ];
+    shared.log.emit(&events::REQUEST_SUSPECTED, &fields);
+}
+
+/// An upstream served the request.
+pub(crate) fn served(shared: &Shared, fingerprint: &Fingerprint) {
+    let ends = shared.guard.table.borrow_mut().served(fingerprint);
+    if ends < TRIED_FROM {
+        return;
+    }
+    shared.meters.count_suspect("cleared");
+    let text = fingerprint.to_string();
+    let fields = [field("fingerprint", text.as_str()), field("ends", ends)];
+    shared.log.emit(&events::REQUEST_CLEARED, &fields);
+}
--- /dev/null
+++ b/crates/gateway/src/suspects/news.rs
@@ -0,0 +1,34 @@
+//! What is known of suspects, to and from the agents.
+
+use std::net::SocketAddr;
+
+use pumicecleat_policy::CallNews;
+use pumicecleat_types::{Seen, SuspectNews};
+
+use super::tell_suspected;
+use crate::shared::Shared;
+
+/// News for a call to `peer`.
+pub(crate) fn tell(shared: &Shared, peer: SocketAddr) -> CallNews {
+    let now = shared.timer.now();
+    let guard = &shared.guard;
+    guard.links.borrow().call(peer, &guard.table.borrow(), now)
+}
+
+/// `peer` answered a call that told it as far as `told`.
+pub(crate) fn hear(shared: &Shared, peer: SocketAddr, told: Seen, reply: &SuspectNews) {
+    let now = shared.timer.now();
+    let guard = &shared.guard;
+    let changed = {
+        let mut table = guard.table.borrow_mut();
+        let mut links = guard.links.borrow_mut();
+        links.answered(peer, told, reply, &mut table, now)
+    };
+    if changed.is_empty() {
+        return;
+    }
+    let source = peer.to_string();
+    for fingerprint in changed {
+        tell_suspected(shared, &fingerprint, &source);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/suspects/trial.rs
@@ -0,0 +1,135 @@
+//! Leave to send a suspect once more.
+//!
+//! One agent gives it for all gateways: the first by the request's own rank that answers. So gateways agree
+//! on it without a word, and different requests ask different agents.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_net::{NetError, post};
+use pumicecleat_ops::{events, field};
+use pumicecleat_policy::{Trials, name_key};
+use pumicecleat_types::{Fingerprint, Millis, Trial, TrialCall, TrialReply};
+
+use crate::shared::Shared;
+use crate::side::engines;
+
+/// Path at which an agent is asked.
+const TRIAL_PATH: &str = "/peer/v1/trial";
+
+/// Time for an answer. A sound agent answers in a few milliseconds.
+const SPAN: Duration = Duration::from_millis(400);
+
+/// Agents asked before a request is refused without leave.
+const ASKED: usize = 3;
+
+/// When to come back if no agent answers: one that failed is back within two seconds.
+const UNANSWERED_RETRY: Millis = Millis(2_000);
+
+/// Asks leave for one send of a request; if there is none, gives when to come back.
+pub(crate) async fn ask_trial(
+    shared: &Shared,
+    request: &str,
+    fingerprint: Fingerprint,
+) -> Result<Trial, Millis> {
+    let now = shared.timer.now();
+    shared.guard.table.borrow_mut().came(&fingerprint, now);
+    let call = call(shared, fingerprint, false);
+    let answer = match Trials::rest(call.ends.len()) {
+        Some(rest) => Answer::Known(rest),
+        None => ask_first(shared, &call).await,
+    };
+    let outcome = match &answer {
+        Answer::Known(rest) => Err(*rest),
+        Answer::By(_, reply) => reply.trial.ok_or(Millis(reply.retry_ms)),
+        Answer::Nobody => Err(UNANSWERED_RETRY),
+        Answer::NoAgents => {
+            let mut trials = shared.guard.trials.borrow_mut();
+            trials.ask(fingerprint, call.ends.len(), now)
+        }
+    };
+    let what = if outcome.is_ok() { "trial" } else { "refused" };
+    shared.meters.count_suspect(what);
+    let text = fingerprint.to_string();
+    let fields = [
+        field("request", request),
+        field("fingerprint", text.as_str()),
+        field("ends", call.ends.len()),
+        field("side", answer.side()),
+        field("granted", outcome.is_ok()),
+        field("retry_ms", outcome.err().unwrap_or_default().0),
+    ];
+    shared.log.emit(&events::TRIAL_ASKED, &fields);
+    outcome
+}
+
+/// Gives back leave that was not used.
+pub(crate) fn give_back(shared: &Rc<Shared>, fingerprint: Fingerprint) {
+    let shared = Rc::clone(shared);
+    monoio::spawn(async move {
+        let call = call(&shared, fingerprint, true);
+        if let Answer::NoAgents = ask_first(&shared, &call).await {
+            shared.guard.trials.borrow_mut().give_back(&fingerprint);
+        }
+    });
+}
+
+fn call(shared: &Shared, fingerprint: Fingerprint, unused: bool) -> TrialCall {
+    TrialCall {
+        entry: shared.vm.clone(),
+        fingerprint,
+        ends: shared.guard.table.borrow().end_keys(&fingerprint),
+        unused,
+    }
+}
+
+/// Who answered.
+enum Answer {
+    /// Nobody had to be asked.
+    Known(Millis),
+    By(String, TrialReply),
+    Nobody,
+    NoAgents,
+}
+
+impl Answer {
+    fn side(&self) -> &str {
+        match self {
+            Self::By(side, _) => side,
+            _ => "",
+        }
+    }
+}
+
+/// Answer of the first agent that gives one.
+async fn ask_first(shared: &Shared, call: &TrialCall) -> Answer {
+    let agents = ranked(shared, &call.fingerprint);
+    if agents.is_empty() {
+        return Answer::NoAgents;
+    }
+    for agent in agents.iter().take(ASKED) {
+        let peer = agent.to_string();
+        let reply: Result<TrialReply, NetError> =
+            post(&shared.agents, &peer, TRIAL_PATH, call, SPAN).await;
+        match reply {
+            Ok(reply) => return Answer::By(peer, reply),
+            Err(e) => {
+                let fields = [field("side", peer.as_str()), field("error", &e)];
+                shared.log.emit(&events::SIDE_LOST, &fields);
+            }
+        }
+    }
+    Answer::Nobody
+}
+
+/// Agents by the rank that they have for a request.
+fn ranked(shared: &Shared, fingerprint: &Fingerprint) -> Vec<SocketAddr> {
+    let catalog = shared.catalog.borrow();
+    let agent = |ip| SocketAddr::new(ip, shared.agent_port);
+    let agents: BTreeSet<SocketAddr> = engines(&catalog).map(|u| agent(u.address.ip())).collect();
+    let mut agents: Vec<SocketAddr> = agents.into_iter().collect();
+    agents.sort_by_cached_key(|a| name_key(&format!("{fingerprint} {a}")));
+    agents
+}
--- /dev/null
+++ b/crates/gateway/src/suspects/watch.rs
@@ -0,0 +1,98 @@
+//! Finds out whether an upstream has ended, after connections to it broke off.
+//!
+//! A connection that breaks off may be the network's doing, or one request's. An upstream has ended if its
+//! VM refuses connections, if another start of it or another instance is listed at its address, or if it
+//! does not answer and leaves the list.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_catalog::Upstream;
+use pumicecleat_ops::{events, field};
+
+use super::blame;
+use crate::shared::Shared;
+
+/// Pause before an upstream is looked at, and between two looks: its listener closes a little after its
+/// connections.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What a look at an upstream found.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Found {
+    Sound,
+    Silent,
+    Refuses,
+}
+
+/// Watches `upstream` until it is known what became of it.
+pub(super) async fn watch(shared: Rc<Shared>, upstream: Upstream) {
+    let instance = upstream.instance.as_str();
+    let mut found = Found::Sound;
+    loop {
+        shared.timer.sleep(LOOK).await;
+        let now = shared.timer.now();
+        if !shared.guard.breaks.borrow_mut().settle(instance, now) {
+            return;
+        }
+        if shared.guard.breaks.borrow_mut().take_fresh(instance) {
+            found = look(&shared, &upstream).await;
+        }
+        if let Some(sign) = sign(&shared, &upstream, found) {
+            return end(&shared, &upstream, sign).await;
+        }
+    }
+}
+
+async fn look(shared: &Shared, upstream: &Upstream) -> Found {
+    let peer = upstream.address.to_string();
+    match shared.client.open(&peer).await {
+        Ok(()) => Found::Sound,
+        Err(e) if e.is_refused() => Found::Refuses,
+        Err(_) => Found::Silent,
+    }
+}
+
+/// What shows that `upstream` has ended, if anything does.
+fn sign(shared: &Shared, upstream: &Upstream, found: Found) -> Option<&'static str> {
+    if found == Found::Refuses {
+        return Some("refuses connections");
+    }
+    let catalog = shared.catalog.borrow();
+    let listed = catalog.upstream(&upstream.instance);
+    if listed.is_some_and(|u| u.born > upstream.born) {
+        return Some("started again");
+    }
+    let here = |u: &Upstream| u.address == upstream.address && u.service == upstream.service;
+    if catalog
+        .upstreams()
+        .any(|u| u.instance != upstream.instance && here(u))
+    {
+        return Some("another at its address");
+    }
+    let gone = found == Found::Silent && listed.is_none();
+    gone.then_some("silent and gone from the list")
+}
+
+/// Holds the end against the requests that were under way, and against those whose break is heard later.
+async fn end(shared: &Rc<Shared>, upstream: &Upstream, sign: &str) {
+    let instance = upstream.instance.as_str();
+    let now = shared.timer.now();
+    let requests = shared.guard.breaks.borrow_mut().end(instance, now);
+    let fields = [
+        field("instance", instance),
+        field("sign", sign),
+        field("requests", requests.len()),
+    ];
+    shared.log.emit(&events::UPSTREAM_ENDED, &fields);
+    shared.meters.count_suspect("end");
+    blame(shared, upstream, &requests);
+    while shared
+        .guard
+        .breaks
+        .borrow_mut()
+        .settle(instance, shared.timer.now())
+    {
+        shared.timer.sleep(LOOK).await;
+    }
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -12,6 +12,7 @@
 
 use crate::shared::Shared;
 use crate::side::engines;
+use crate::suspects;
 
 /// Path at which an agent is asked for a view.
 const VIEW_PATH: &str = "/peer/v1/view";
@@ -86,6 +87,8 @@
     pick: RelayPick,
 ) -> bool {
     let sent = shared.timer.now();
+    let side = members[pick.at].side;
+    let suspects = suspects::tell(shared, side);
     let call = ViewCall {
         caller: shared.vm.clone(),
         viewer: Viewer::Entry,
@@ -93,8 +96,9 @@
         digest,
         members: pick.tell.then(|| members.to_vec()),
         seen: pick.seen,
+        suspects: suspects.news,
     };
-    let peer = members[pick.at].side.to_string();
+    let peer = side.to_string();
     let result: Result<ViewReply, NetError> =
         post(&shared.agents, &peer, VIEW_PATH, &call, VIEW_SPAN).await;
     let now = shared.timer.now();
@@ -102,6 +106,7 @@
         Ok(reply) => {
             link.answered(pick.key, digest, &reply);
             let known = !reply.unknown;
+            suspects::hear(shared, side, suspects.told, &reply.suspects);
             take(shared, reply, sent, now);
             known
         }
--- a/crates/net/src/client/mod.rs
+++ b/crates/net/src/client/mod.rs
@@ -126,6 +126,19 @@
         }
     }
 
+    /// Opens a connection to `peer`, which the next request to it takes.
+    ///
+    /// # Errors
+    /// [`NetError`]; [`NetError::is_refused`] tells that nobody listens there.
+    pub async fn open(&self, peer: &str) -> Result<(), NetError> {
+        let address = parse_address(peer)?;
+        let sender = self.connect(peer, address).await?;
+        if self.state.options.protocol == Protocol::Http1 {
+            self.keep(address, sender, None);
+        }
+        Ok(())
+    }
+
     async fn exchange(
         &self,
         peer: &str,
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -55,6 +55,14 @@
     RELAY_LOST = "E7112" "relay_lost" Warn ["relay", "centre", "error"];
     /// Another side gathers figures from now on.
     RELAY_CHOSEN = "E7113" "relay_chosen" Info ["relay", "engines"];
+    /// An upstream ended while requests were under way there.
+    UPSTREAM_ENDED = "E7114" "upstream_ended" Warn ["instance", "sign", "requests"];
+    /// Several upstreams ended under a request.
+    REQUEST_SUSPECTED = "E7115" "request_suspected" Warn ["fingerprint", "ends", "source"];
+    /// A request under which several upstreams ended was served.
+    REQUEST_CLEARED = "E7116" "request_cleared" Info ["fingerprint", "ends"];
+    /// Leave was asked to send such a request once.
+    TRIAL_ASKED = "E7117" "trial_asked" Warn ["request", "fingerprint", "ends", "side", "granted", "retry_ms"];
 
     /// The engine does not answer its side.
     OWN_ENGINE_LOST = "E7201" "own_engine_lost" Warn ["address", "error"];
@@ -70,4 +78,6 @@
     ENGINE_TURN_REFUSED = "E7206" "engine_turn_refused" Info ["request", "adapter", "hold", "reason", "waited_ms", "unread", "rate", "retry_ms"];
     /// The engine is not the instance that the list names at its address.
     OWN_ENGINE_DENIED = "E7207" "own_engine_denied" Warn ["instance"];
+    /// An entry asked leave to send a request under which upstreams ended.
+    TRIAL_DECIDED = "E7208" "trial_decided" Warn ["entry", "fingerprint", "ends", "granted", "retry_ms"];
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 mod prompt;
 mod router;
 mod scheduler;
+mod suspects;
 
 pub use index::{CallerIx, LoraIx, PoolIx, UpstreamIx};
 pub use load_order::{LoadOrder, LoadOrderOptions};
@@ -53,3 +54,4 @@
 pub use scheduler::{
     Action, Bid, GiveUp, Job, JobId, LoadEnd, Scheduler, SchedulerOptions, Weights,
 };
+pub use suspects::{CallNews, SuspectLinks, Suspects, TRIED_FROM, Trials, end_key};
--- /dev/null
+++ b/crates/policy/src/suspects/mod.rs
@@ -0,0 +1,27 @@
+//! Requests under which upstreams end.
+//!
+//! Some request ends each upstream that begins to run it, and its caller sends it again. Many others
+//! run beside it when an upstream ends, and upstreams end for other reasons too. So each request that
+//! was under way is held to have ended the upstream, until it has been served: a request that is served
+//! was not the cause of any end before.
+//!
+//! - Below [`TRIED_FROM`] ends a request is sent like any other.
+//! - From there on it is sent by leave only ([`Trials`]): once beside other suspects, and if the upstream
+//!   ends, once where no other suspect is. One that is served is free again; one under which upstreams
+//!   end in both is refused.
+//!
+//! Each process keeps [`Suspects`] and passes on what is new to it ([`SuspectLinks`]). What they hold is
+//! a union over all, in which a cleared end stays cleared, so that the order of words does not matter.
+
+mod case;
+mod links;
+mod table;
+mod trials;
+
+pub use links::{CallNews, SuspectLinks};
+pub use table::{Suspects, end_key};
+pub use trials::Trials;
+
+/// Ends from which a request is sent by leave only. With a single end nearly all are innocent; with two
+/// few are.
+pub const TRIED_FROM: usize = 2;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -30,7 +30,8 @@
     ConfigAsk, ConfigReply, EngineFigures, EngineTraits, FiguresCall, FiguresReply, Frame,
     HeaderField, KeptAdapters, ListRead, LoadBid, LoadCall, LoadCalled, LoadFigures, LoadTurn,
     LogRecord, Member, ModelTarget, Ran, Reach, Reason, Refusal, Report, ReportReply, RunHead,
-    RunNews, RunRequest, Seen, ServiceTarget, StreamMarks, Target, Turn, TurnAsk, TurnCall,
-    TurnRefusal, TurnReply, ViewCall, ViewReply, ViewRow, Viewer, VmEntry, VmRole, VmState,
+    RunNews, RunRequest, Seen, ServiceTarget, StreamMarks, SuspectNews, SuspectWord, Target, Trial,
+    TrialCall, TrialReply, Turn, TurnAsk, TurnCall, TurnRefusal, TurnReply, UpstreamEnd, ViewCall,
+    ViewReply, ViewRow, Viewer, VmEntry, VmRole, VmState,
 };
 pub use time::Millis;
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -4,6 +4,7 @@
 mod load;
 mod report;
 mod run;
+mod suspect;
 mod turn;
 mod view;
 mod vm;
@@ -15,6 +16,7 @@
     Frame, HeaderField, ModelTarget, Ran, Reason, Refusal, RunHead, RunRequest, ServiceTarget,
     Target,
 };
+pub use suspect::{SuspectNews, SuspectWord, Trial, TrialCall, TrialReply, UpstreamEnd};
 pub use turn::{
     EngineFigures, EngineTraits, KeptAdapters, ListRead, RunNews, StreamMarks, Turn, TurnAsk,
     TurnCall, TurnRefusal, TurnReply,
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{SuspectNews, Trial};
 use crate::VmId;
 
 /// Exchange of an entry with a side: what became of requests, and perhaps one more that asks for its
@@ -20,6 +21,8 @@
     pub kept: u64,
     /// How fast the engine's peers work, where the entry knows it.
     pub peers: EngineTraits,
+    /// Requests under which upstreams ended.
+    pub suspects: SuspectNews,
     /// Request that wants its turn; without one the answer comes at once.
     pub ask: Option<TurnAsk>,
 }
@@ -45,6 +48,8 @@
     pub due_ms: u64,
     /// Time after which its caller is gone, ms.
     pub patience_ms: u64,
+    /// Leave by which it is sent, if it needs any.
+    pub trial: Option<Trial>,
     /// Waits for a place for its adapter; otherwise it is refused at once where none is free.
     pub stays: bool,
 }
@@ -71,6 +76,8 @@
     pub entries: u32,
     /// How far the side knows the platform's streams to reach.
     pub marks: StreamMarks,
+    /// Requests under which upstreams ended.
+    pub suspects: SuspectNews,
 }
 
 /// Offsets behind the last records that changed something, by stream.
@@ -130,6 +137,8 @@
     Late,
     /// The adapter could not be loaded in time.
     NoPlace,
+    /// Other requests are on trial there.
+    OnTrial,
 }
 
 /// An engine, as its side knows it.
@@ -214,6 +223,7 @@
             Self::Leaving => "leaving",
             Self::Late => "late",
             Self::NoPlace => "no_place",
+            Self::OnTrial => "on_trial",
         }
     }
 }
--- a/crates/types/src/message/view.rs
+++ b/crates/types/src/message/view.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{EngineFigures, KeptAdapters, StreamMarks};
+use super::{EngineFigures, KeptAdapters, StreamMarks, SuspectNews};
 use crate::{DataCentre, VmId};
 
 /// An engine whose figures are wanted.
@@ -44,6 +44,8 @@
     pub members: Option<Vec<Member>>,
     /// Last reply that the asker had from here; nothing at first.
     pub seen: Seen,
+    /// Requests under which upstreams ended.
+    pub suspects: SuspectNews,
 }
 
 /// A reply of one start of a relay.
@@ -68,6 +70,8 @@
     pub entries: u32,
     /// How far the relay knows the platform's streams to reach.
     pub marks: StreamMarks,
+    /// Requests under which upstreams ended.
+    pub suspects: SuspectNews,
 }
 
 /// One engine in a view.
