A request that ends engines is known from whatever address it comes

Cause: without credentials the caller was taken to be the address of its connection. The same request comes from addresses of several data centres.

Why this works: a caller is known by its credentials; without any, host, path and body make the request. Two anonymous callers who send the same bytes to the same path ask for the same work.

--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -13,7 +13,7 @@
 mod trail;
 
 use std::future::Future;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -46,9 +46,9 @@
         }
     }
 
-    async fn reply(self, request: Incoming, peer: IpAddr) -> Reply {
+    async fn reply(self, request: Incoming) -> Reply {
         let shared = self.shared;
-        let mut reply = answer(&shared, request, peer).await;
+        let mut reply = answer(&shared, request).await;
         if shared.stopping.get() != Stopping::No {
             let close = HeaderValue::from_static("close");
             reply.headers_mut().insert(CONNECTION, close);
@@ -58,12 +58,12 @@
 }
 
 impl Handler for CallerHandler {
-    fn handle(&self, request: Incoming, peer: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
-        Box::pin(self.clone().reply(request, peer.ip()))
+    fn handle(&self, request: Incoming, _: SocketAddr) -> Pin<Box<dyn Future<Output = Reply>>> {
+        Box::pin(self.clone().reply(request))
     }
 }
 
-async fn answer(shared: &Rc<Shared>, request: Incoming, peer: IpAddr) -> Reply {
+async fn answer(shared: &Rc<Shared>, request: Incoming) -> Reply {
     let arrived = shared.timer.now();
     let (head, mut body) = request.into_parts();
     let attributes = shared.wire.attributes(&head.headers);
@@ -89,7 +89,7 @@
         Ok(body) => body,
         Err(e) => return own_failure(&trail, e.status(), "body"),
     };
-    trail.set_fingerprint(fingerprint(&head, peer, &body));
+    trail.set_fingerprint(fingerprint(&head, &body));
     let roll = shared.rng.borrow_mut().next_u64();
     let Some(service) = route.pick(roll).cloned() else {
         return Refusal::no_upstream().reply(&trail);
