An upstream that says in an answer that it leaves gets nothing more from that gateway

Cause: leaving was learned from the list and from an upstream that denies its name. What answers say of it was decoded from 'Connection: close', which says it of a connection and not of the upstream, and read by nobody; the header that says it was not decoded. With the list out from 34 to 47 s nothing told of it.

Candidates are chosen without it, and a request that has its turn looks again before it is sent. Each gateway hears it with its own first answer, so it is not told on and can't come back as older word. 'Connection: close' ends its connection, which the HTTP library sees to.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod gate;
 mod gateways;
 mod meters;
+mod own_word;
 mod peers;
 mod request;
 mod settings;
--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -89,15 +89,14 @@
     ) -> impl Iterator<Item = &'a Upstream> {
         let ready = catalog.ready(&self.service);
         let fresh = ready.filter(|u| !self.tried.contains(&u.instance));
-        fresh.filter(|u| !self.shared.table.with(&u.instance, |r| r.leaving))
+        fresh.filter(|u| self.shared.takes(u))
     }
 
     /// Whether `instance` still takes requests.
     pub(super) fn is_ready(&self, instance: &str) -> bool {
         let catalog = self.shared.catalog.borrow();
         let listed = catalog.upstream(instance);
-        let ready = listed.is_some_and(|u| u.standing == Standing::Ready);
-        ready && !self.shared.table.with(instance, |r| r.leaving)
+        listed.is_some_and(|u| u.standing == Standing::Ready && self.shared.takes(u))
     }
 
     /// Head and body for one attempt.
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -47,12 +47,12 @@
         if job.left().0 < LEAST_LEFT {
             return give_up(&job, &progress, "deadline");
         }
-        let Some(upstream) = choose(&job) else {
-            return give_up(&job, &progress, "no_upstream");
-        };
         if let Err(refusal) = job.clear().await {
             return stop(&job, &progress, refusal);
         }
+        let Some(upstream) = choose(&job) else {
+            return give_up(&job, &progress, "no_upstream");
+        };
         progress.sent += 1;
         let under_way = job.shared.table.enter(&upstream.instance, None);
         let from = job.shared.timer.now();
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -62,13 +62,15 @@
             .shared
             .wire
             .heard(response.status(), response.headers());
+        if heard.leaving {
+            self.shared.said_leaving(upstream);
+        }
         if heard.request.is_some() && heard.request.as_deref() != Some(self.id()) {
             // A connection that carries another request's answer is dropped with it.
             return Attempt::Lost("answer to another request".to_owned());
         }
         if heard.other_instance {
-            self.shared
-                .seen_leaving(&upstream.instance, "other instance");
+            self.shared.seen_replaced(&upstream.instance);
             return Attempt::NotRun(heard);
         }
         if let Some(load) = heard.load {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use pumicecleat_catalog::{Applied, Follow, Marks, Shared as Catalog, Standing, Topic};
+use pumicecleat_catalog::{Applied, Follow, Marks, Shared as Catalog, Standing, Topic, Upstream};
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
 use pumicecleat_policy::{RepeatOptions, RepeatWindow};
@@ -14,6 +14,7 @@
 use crate::Wire;
 use crate::gateways::Gateways;
 use crate::meters::{Meters, ServiceLabels};
+use crate::own_word::OwnWords;
 use crate::peers::Peers;
 use crate::suspects::Guard;
 use crate::table::Table;
@@ -51,6 +52,8 @@
     pub(crate) client: Client,
     /// Client for agents.
     pub(crate) agents: Client,
+    /// What upstreams said of themselves.
+    pub(crate) words: RefCell<OwnWords>,
     /// Requests under which upstreams ended.
     pub(crate) guard: Guard,
     pub(crate) repeat: RepeatOptions,
@@ -99,17 +102,35 @@
         look(window)
     }
 
-    /// Notes that an upstream said itself that it leaves.
-    pub(crate) fn seen_leaving(&self, instance: &str, sign: &'static str) {
+    /// An upstream said in an answer that it leaves.
+    pub(crate) fn said_leaving(&self, upstream: &Upstream) {
+        let now = self.timer.now();
+        if self.words.borrow_mut().leaves(upstream, now) {
+            self.tell_leaving(&upstream.instance, "own answer");
+        }
+    }
+
+    /// Another upstream answered in the place of `instance`.
+    pub(crate) fn seen_replaced(&self, instance: &str) {
         let known = self
             .table
-            .with(instance, |r| std::mem::replace(&mut r.leaving, true));
+            .with(instance, |r| std::mem::replace(&mut r.replaced, true));
         if !known {
-            self.guard.note_leaving(instance, true, self.timer.now());
-            let fields = [field("instance", instance), field("sign", sign)];
-            self.log.emit(&events::SEEN_LEAVING, &fields);
+            self.tell_leaving(instance, "other instance");
         }
     }
+
+    fn tell_leaving(&self, instance: &str, sign: &'static str) {
+        self.guard.note_leaving(instance, true, self.timer.now());
+        let fields = [field("instance", instance), field("sign", sign)];
+        self.log.emit(&events::SEEN_LEAVING, &fields);
+    }
+
+    /// Whether `upstream` takes requests, by all that was heard from itself and in its place.
+    pub(crate) fn takes(&self, upstream: &Upstream) -> bool {
+        let replaced = self.table.with(&upstream.instance, |r| r.replaced);
+        !replaced && !self.words.borrow().is_leaving(upstream)
+    }
 }
 
 impl Follow for Shared {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -98,12 +98,13 @@
         let upstreams: Vec<serde_json::Value> = catalog
             .upstreams()
             .map(|u| {
+                let takes = self.shared.takes(u);
                 self.shared.table.with(&u.instance, |r| {
                     serde_json::json!({
                         "instance": u.instance,
                         "service": u.service.as_str(),
                         "own": r.own,
-                        "leaving": r.leaving,
+                        "takes": takes,
                         "figures": r.figures.as_ref().map(|f| &f.0),
                         "figures_age_ms": r.figures.as_ref().map(|f| now.since(f.1).0),
                     })
@@ -210,6 +211,7 @@
         table: Rc::new(Table::default()),
         client: Client::new_ext(client, timer),
         agents: Client::new_ext(client, timer),
+        words: RefCell::default(),
         guard: Guard::new(rand::random()),
         repeat,
         peers: RefCell::default(),
--- a/crates/gateway/src/table/record.rs
+++ b/crates/gateway/src/table/record.rs
@@ -37,8 +37,8 @@
     pub(crate) waiting: u32,
     /// Last view that told of the engine.
     pub(crate) viewed: Option<Millis>,
-    /// Said itself that it leaves.
-    pub(crate) leaving: bool,
+    /// Another upstream answered in its place.
+    pub(crate) replaced: bool,
     /// News for its agent.
     news: Vec<RunNews>,
     /// An exchange with its agent is under way.
@@ -80,7 +80,7 @@
     pub(crate) fn take_figures(&mut self, figures: EngineFigures, now: Millis) {
         if self.born != 0 && figures.born > self.born {
             self.kept = KeptAdapters::default();
-            self.leaving = false;
+            self.replaced = false;
             self.slots = SlotChoice::default();
         }
         self.born = figures.born;
