An upstream that turns a request away gets nothing before the time that it names

Requests went on to an upstream that had answered 503 with a time to come back: in the new case seven of seven within 700 ms, and callers were told 150 ms where the upstreams had said 2 and 5 s.

Cause: the time was read for the refusal of one request only; nothing kept it for the next.

Why this works: it is kept by instance and start beside what the list says, and candidates, turns and requests that have their turn go by it, like leaving. Where all upstreams of a service that stay want nothing, callers are refused at once with the earliest of the times.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -41,4 +41,4 @@
 
 pub use settings::GatewaySettings;
 pub use start::{Gateway, GatewayParts};
-pub use wire::{Attributes, Heard, Load, ModelName, Outgoing, PromptPart, Wire};
+pub use wire::{Attributes, Heard, Load, ModelName, Outgoing, PromptPart, RetryTime, Wire};
--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -99,6 +99,18 @@
         listed.is_some_and(|u| u.standing == Standing::Ready && self.shared.takes(u))
     }
 
+    /// Time until the first upstream wants requests again, if all that are there want none by their own
+    /// word.
+    pub(super) fn resting(&self) -> Option<Millis> {
+        let catalog = self.shared.catalog.borrow();
+        let ready = catalog.ready(&self.service);
+        let rests: Option<Vec<Millis>> = ready
+            .filter(|u| self.shared.stays(u))
+            .map(|u| self.shared.rest_left(u))
+            .collect();
+        rests?.into_iter().min()
+    }
+
     /// Head and body for one attempt.
     pub(super) fn request(&self, outgoing: &Outgoing<'_>) -> http::Request<Bytes> {
         let mut request = http::Request::new(self.body.clone());
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -8,10 +8,11 @@
 use pumicecleat_types::{Millis, Turn, TurnAsk};
 
 use super::job::Job;
-use super::refuse::{Refusal, unsettled};
+use super::refuse::{RESTING, Refusal, unsettled};
 use super::relay::pass;
 use super::resume;
 use super::send::{Attempt, LEAST_LEFT};
+use crate::RetryTime;
 use crate::side::{self, AgentLost};
 use crate::table::UnderWay;
 
@@ -91,6 +92,10 @@
             return Err("deadline");
         }
         let Some((upstream, hold)) = choose(job, &progress.search) else {
+            if let Some(left) = job.resting() {
+                progress.rests(left);
+                return Err(RESTING);
+            }
             if progress.search.run_out() {
                 continue;
             }
@@ -142,6 +147,12 @@
 }
 
 impl Progress {
+    /// All engines want nothing for `left`.
+    fn rests(&mut self, left: Millis) {
+        self.reason = Some(RESTING);
+        self.retry = Some(left);
+    }
+
     fn refused(&mut self, reason: &'static str, retry: Millis) {
         self.reason = Some(reason);
         self.retry = Some(self.retry.map_or(retry, |r| r.min(retry)));
@@ -319,7 +330,10 @@
         }
         Attempt::NotRun(heard) => {
             job.trail.lost("refused by engine", false, true, "");
-            let retry = heard.retry_ms.map_or(RETRY, Millis);
+            let retry = match heard.retry {
+                Some(RetryTime::After(ms)) => Millis(ms),
+                _ => RETRY,
+            };
             progress.refused("engine_refused", retry);
             Ran::Again
         }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -208,6 +208,9 @@
         let status = if job.left().0 < LEAST_LEFT { 504 } else { 502 };
         return unsettled(&job.trail, status, reason);
     }
+    if let Some(left) = job.resting() {
+        return Refusal::resting(left).reply(&job.trail);
+    }
     if job.tried.is_empty() {
         return Refusal::no_upstream().reply(&job.trail);
     }
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -13,6 +13,9 @@
 /// When to come back to another gateway: at once.
 const ELSEWHERE_RETRY: Millis = Millis(20);
 
+/// Reason of a refusal while all upstreams want nothing by their own word.
+pub(super) const RESTING: &str = "resting";
+
 /// A refusal of a request that has not run and won't.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Refusal {
@@ -45,6 +48,11 @@
         }
     }
 
+    /// All upstreams want nothing for `left`.
+    pub(super) fn resting(left: Millis) -> Self {
+        Self::new(RESTING, left)
+    }
+
     /// Upstreams ended under the request, and it may not be sent again before `retry` is over.
     pub(super) fn ends_upstreams(retry: Millis) -> Self {
         Self::new("ends_upstreams", retry)
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -4,13 +4,18 @@
 
 use pumicecleat_catalog::Upstream;
 use pumicecleat_net::{Response, Sent};
+use pumicecleat_ops::{events, field};
+use pumicecleat_types::Millis;
 
 use super::job::Job;
-use crate::{Heard, Outgoing};
+use crate::{Heard, Outgoing, RetryTime};
 
 /// Least time that is worth a send.
 pub(super) const LEAST_LEFT: u64 = 20;
 
+/// Status of an upstream that turns a request away.
+const OVERLOADED: u16 = 503;
+
 /// How one attempt ended.
 pub(super) enum Attempt {
     /// An answer to pass on, its body still to come.
@@ -57,6 +62,18 @@
         self.judge(upstream, response)
     }
 
+    /// An upstream that turns a request away may tell when it wants requests again.
+    fn note_rest(&self, upstream: &Upstream, heard: &Heard) {
+        match heard.retry {
+            Some(RetryTime::After(told)) => self.shared.said_rests(upstream, Millis(told)),
+            Some(RetryTime::Unreadable) => {
+                let fields = [field("instance", upstream.instance.as_str())];
+                self.shared.log.emit(&events::RETRY_UNREADABLE, &fields);
+            }
+            None => {}
+        }
+    }
+
     fn judge(&self, upstream: &Upstream, response: Response) -> Attempt {
         let heard = self
             .shared
@@ -65,6 +82,9 @@
         if heard.leaving {
             self.shared.said_leaving(upstream);
         }
+        if response.status() == OVERLOADED {
+            self.note_rest(upstream, &heard);
+        }
         if heard.request.is_some() && heard.request.as_deref() != Some(self.id()) {
             // A connection that carries another request's answer is dropped with it.
             return Attempt::Lost("answer to another request".to_owned());
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,7 +8,7 @@
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
 use pumicecleat_policy::{RepeatOptions, RepeatWindow};
-use pumicecleat_types::{DataCentre, ServiceId, VmId};
+use pumicecleat_types::{DataCentre, Millis, ServiceId, VmId};
 use rand_chacha::ChaCha8Rng;
 
 use crate::Wire;
@@ -128,9 +128,32 @@
 
     /// Whether `upstream` takes requests, by all that was heard from itself and in its place.
     pub(crate) fn takes(&self, upstream: &Upstream) -> bool {
+        self.stays(upstream) && self.rest_left(upstream).is_none()
+    }
+
+    /// Whether `upstream` is there and does not leave, by the same.
+    pub(crate) fn stays(&self, upstream: &Upstream) -> bool {
         let replaced = self.table.with(&upstream.instance, |r| r.replaced);
         !replaced && !self.words.borrow().is_leaving(upstream)
     }
+
+    /// Time for which `upstream` wants nothing from this gateway, by its own word.
+    pub(crate) fn rest_left(&self, upstream: &Upstream) -> Option<Millis> {
+        let now = self.timer.now();
+        self.words.borrow().rest_left(upstream, now)
+    }
+
+    /// `upstream` turned a request away and wants nothing for `told`.
+    pub(crate) fn said_rests(&self, upstream: &Upstream, told: Millis) {
+        let now = self.timer.now();
+        let held = self.words.borrow_mut().rests(upstream, told, now);
+        let fields = [
+            field("instance", upstream.instance.as_str()),
+            field("told_ms", told.0),
+            field("held_ms", held.0),
+        ];
+        self.log.emit(&events::UPSTREAM_RESTS, &fields);
+    }
 }
 
 impl Follow for Shared {
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -54,6 +54,15 @@
     pub after: Option<u64>,
 }
 
+/// When to come back, by an upstream's word.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryTime {
+    /// After this time, ms.
+    After(u64),
+    /// It told something that is no time.
+    Unreadable,
+}
+
 /// What the head of an upstream's answer tells.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Heard {
@@ -67,8 +76,8 @@
     pub leaving: bool,
     /// Its load.
     pub load: Option<Load>,
-    /// When to come back, ms.
-    pub retry_ms: Option<u64>,
+    /// When to come back.
+    pub retry: Option<RetryTime>,
 }
 
 /// Load of an upstream, by its own word.
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -63,6 +63,10 @@
     REQUEST_CLEARED = "E7116" "request_cleared" Info ["fingerprint", "ends"];
     /// Leave was asked to send such a request once.
     TRIAL_ASKED = "E7117" "trial_asked" Warn ["request", "fingerprint", "ends", "side", "granted", "retry_ms"];
+    /// An upstream turned a request away and wants nothing for a time.
+    UPSTREAM_RESTS = "E7118" "upstream_rests" Info ["instance", "told_ms", "held_ms"];
+    /// An upstream told a time to come back that can't be read.
+    RETRY_UNREADABLE = "E7119" "retry_unreadable" Warn ["instance"];
 
     /// The engine does not answer its side.
     OWN_ENGINE_LOST = "E7201" "own_engine_lost" Warn ["address", "error"];
