Requests that end engines are known after all processes have started again

Callers saw: not seen by the users. After a loss of all power nothing knew of a request that had ended engines; it came again and ended as many as before.

Cause: what gateways and agents know of suspects was in their memories alone.

Evidence: the new case a_request_that_ends_engines_is_known_after_all_processes_have_started_again failed (the first try after the start ended an engine: 502 in place of 503).

Why this works: a gateway that saw the second end under a request keeps it in a stream of our own in the deployment's log, and drops it once it is served or forgotten. Each gateway reads the stream once as it starts, and goes on trying with longer pauses where the log does not answer. One call a start, and one for what is gathered in 100 ms when an upstream ends.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -23,7 +23,7 @@
 use crate::shared::{LAYOUT, RUNNING, Shared, Stopping, TOPICS};
 use crate::suspects::Guard;
 use crate::table::Table;
-use crate::{GatewaySettings, Wire, side, view};
+use crate::{GatewaySettings, Wire, side, suspects, view};
 
 /// Time for a connection to an upstream or an agent: over a hundred ways between data centres, and
 /// short enough to try another within any objective.
@@ -258,6 +258,7 @@
         };
         monoio::spawn(follow(topic, sources.clone(), options));
     }
+    monoio::spawn(suspects::keep(Rc::clone(shared), Rc::clone(&parts.store)));
     monoio::spawn(side::sync(Rc::clone(shared)));
     monoio::spawn(view::watch(Rc::clone(shared)));
     monoio::spawn(expire(sources));
--- /dev/null
+++ b/crates/gateway/src/suspects/keep.rs
@@ -0,0 +1,165 @@
+//! Suspects that outlast all processes, in a stream of our own of the deployment's log.
+//!
+//! A gateway that saw the second end under a request, or one after it, keeps the request there, and drops
+//! it when an upstream serves it or when it is forgotten. Each gateway reads the stream once, as it starts;
+//! what comes later is told between processes. The time of a record is the only one that is taken from the
+//! clock: it outlasts every process, and seconds don't matter to it.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use async_channel::{Receiver, Sender};
+use pumicecleat_infra::{AppendError, KeyedLog, KeyedRecord};
+use pumicecleat_ops::{events, field};
+use pumicecleat_policy::{Suspects, TRIED_FROM};
+use pumicecleat_types::{Fingerprint, Millis, SuspectWord};
+use serde::{Deserialize, Serialize};
+
+use crate::shared::Shared;
+
+/// Stream of the log.
+const STREAM: &str = "keyed.suspects";
+
+/// Time in which what is to be kept is gathered for one append: as an upstream ends, many requests come
+/// under suspicion at once.
+const GATHER: Duration = Duration::from_millis(100);
+
+/// Pause after a call that failed; it doubles with each further one.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(60);
+
+/// A request in the log.
+#[derive(Serialize, Deserialize)]
+struct Kept {
+    word: SuspectWord,
+    /// Unix time of the record, ms.
+    at: u64,
+}
+
+/// Requests whose record is behind what is known.
+pub(crate) struct Unkept {
+    requests: RefCell<BTreeSet<Fingerprint>>,
+    sender: Sender<()>,
+    receiver: Receiver<()>,
+}
+
+impl Unkept {
+    pub(super) fn new() -> Self {
+        let (sender, receiver) = async_channel::bounded(1);
+        Self {
+            requests: RefCell::default(),
+            sender,
+            receiver,
+        }
+    }
+
+    /// What is known of a request is to be kept, or it is to be dropped.
+    pub(super) fn add(&self, fingerprint: Fingerprint) {
+        self.requests.borrow_mut().insert(fingerprint);
+        // A full channel holds a token already.
+        let _ = self.sender.try_send(());
+    }
+}
+
+/// Reads what is kept, and keeps what is new, for good.
+pub(crate) async fn keep(shared: Rc<Shared>, store: Rc<dyn KeyedLog>) {
+    load(&shared, &*store).await;
+    let unkept = &shared.guard.unkept;
+    loop {
+        // It can't be closed while `shared` holds both ends.
+        let _ = unkept.receiver.recv().await;
+        shared.timer.sleep(GATHER).await;
+        let requests = unkept.requests.take();
+        let mut pause = PAUSE;
+        while let Err(e) = write(&shared, &*store, &requests).await {
+            tell_lost(&shared, &e.to_string());
+            shared.timer.sleep(pause).await;
+            pause = (pause * 2).min(LONGEST_PAUSE);
+        }
+    }
+}
+
+async fn load(shared: &Shared, store: &dyn KeyedLog) {
+    let mut pause = PAUSE;
+    let newest = loop {
+        match store.newest(STREAM).await {
+            Ok(newest) => break newest,
+            Err(e) => tell_lost(shared, &e.to_string()),
+        }
+        shared.timer.sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    };
+    let count = newest.records.len();
+    let fields = [field("stream", STREAM), field("records", count)];
+    shared.log.emit(&events::STORE_READ, &fields);
+    for record in newest.records {
+        take(shared, &record);
+    }
+}
+
+fn take(shared: &Shared, record: &KeyedRecord) {
+    let Some(value) = &record.value else {
+        return;
+    };
+    let mut kept: Kept = match serde_json::from_slice(value) {
+        Ok(kept) => kept,
+        Err(e) => {
+            let error = format!("step read record {STREAM}/{}: {e}", record.key);
+            let fields = [field("error", error.as_str())];
+            return shared.log.emit(&events::RECORD_UNREADABLE, &fields);
+        }
+    };
+    kept.word.age_ms += unix_ms().saturating_sub(kept.at);
+    let now = shared.timer.now();
+    let fingerprint = kept.word.fingerprint;
+    let new = shared.guard.table.borrow_mut().hear(&[kept.word], now);
+    if shared.guard.ends(&fingerprint, now) < TRIED_FROM {
+        shared.guard.unkept.add(fingerprint);
+    }
+    for fingerprint in new {
+        super::tell_suspected(shared, &fingerprint, STREAM);
+    }
+}
+
+async fn write(
+    shared: &Shared,
+    store: &dyn KeyedLog,
+    requests: &BTreeSet<Fingerprint>,
+) -> Result<(), AppendError> {
+    let now = shared.timer.now();
+    let record = |f: &Fingerprint| {
+        let value = value(&shared.guard.table.borrow(), f, now);
+        store.keyed_record(&f.to_string(), &value)
+    };
+    let records = requests.iter().map(record).collect();
+    store.append(STREAM, records).await.map(|_| ())
+}
+
+/// Value of a request's record; empty if it is not to be kept.
+fn value(suspects: &Suspects, fingerprint: &Fingerprint, now: Millis) -> Vec<u8> {
+    if suspects.ends(fingerprint, now) < TRIED_FROM {
+        return Vec::new();
+    }
+    let Some(word) = suspects.word(fingerprint, now) else {
+        return Vec::new();
+    };
+    let kept = Kept {
+        word,
+        at: unix_ms(),
+    };
+    serde_json::to_vec(&kept).unwrap_or_default()
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |s| u64::try_from(s.as_millis()).unwrap_or(u64::MAX))
+}
+
+fn tell_lost(shared: &Shared, error: &str) {
+    let fields = [field("stream", STREAM), field("error", error)];
+    shared.log.emit(&events::STORE_LOST, &fields);
+}
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -3,9 +3,11 @@
 //! - `breaks` holds the requests whose connection to an upstream broke off; `watch` finds out whether the
 //!   upstream has ended.
 //! - `news` passes on what is known, by way of the agents.
+//! - `keep` has them outlast all processes.
 //! - `trial` asks an agent for leave to send a suspect once more.
 
 mod breaks;
+mod keep;
 mod leavers;
 mod news;
 mod trial;
@@ -21,6 +23,8 @@
 
 use crate::shared::Shared;
 use breaks::Breaks;
+use keep::Unkept;
+pub(crate) use keep::keep;
 use leavers::Leavers;
 pub(crate) use news::{hear, tell};
 pub(crate) use trial::{ask_trial, give_back};
@@ -31,6 +35,7 @@
     links: RefCell<SuspectLinks>,
     breaks: RefCell<Breaks>,
     leavers: RefCell<Leavers>,
+    unkept: Unkept,
     /// Leave given by this gateway itself, where there is no agent to ask.
     trials: RefCell<Trials>,
 }
@@ -43,6 +48,7 @@
             links: RefCell::default(),
             breaks: RefCell::default(),
             leavers: RefCell::default(),
+            unkept: Unkept::new(),
             trials: RefCell::default(),
         }
     }
@@ -95,6 +101,9 @@
             .ended(*fingerprint, key, now);
         if new {
             tell_suspected(shared, fingerprint, &upstream.instance);
+            if shared.guard.ends(fingerprint, now) >= TRIED_FROM {
+                shared.guard.unkept.add(*fingerprint);
+            }
         }
     }
 }
@@ -121,6 +130,7 @@
     if ends < TRIED_FROM {
         return;
     }
+    shared.guard.unkept.add(*fingerprint);
     shared.meters.count_suspect("cleared");
     let text = fingerprint.to_string();
     let fields = [field("fingerprint", text.as_str()), field("ends", ends)];
--- a/crates/infra/src/keyed.rs
+++ b/crates/infra/src/keyed.rs
@@ -32,6 +32,9 @@
     /// [`ReadError::Failed`], with the step and the peer.
     fn newest<'a>(&'a self, stream: &'a str) -> Local<'a, Result<Newest, ReadError>>;
 
+    /// Record that gives `key` a value, or drops the key if `value` is empty.
+    fn keyed_record(&self, key: &str, value: &[u8]) -> Vec<u8>;
+
     /// Record of the stream with its key, or `None` if it has none.
     fn keyed(&self, record: &LogRecord) -> Option<KeyedRecord>;
 }
--- a/crates/policy/src/suspects/table.rs
+++ b/crates/policy/src/suspects/table.rs
@@ -107,6 +107,17 @@
         }
     }
 
+    /// What is known of a request.
+    #[must_use]
+    pub fn word(&self, fingerprint: &Fingerprint, now: Millis) -> Option<SuspectWord> {
+        let case = self.cases.get(fingerprint)?;
+        Some(SuspectWord {
+            fingerprint: *fingerprint,
+            ends: case.words(),
+            age_ms: now.since(case.last).0,
+        })
+    }
+
     /// What is new since `seen`, and how far that goes.
     #[must_use]
     pub fn news(&self, seen: Seen, now: Millis) -> SuspectNews {
@@ -123,12 +134,8 @@
             if news.words.len() == WORDS {
                 break;
             }
-            if let Some(case) = self.cases.get(fingerprint) {
-                news.words.push(SuspectWord {
-                    fingerprint: *fingerprint,
-                    ends: case.words(),
-                    age_ms: now.since(case.last).0,
-                });
+            if let Some(word) = self.word(fingerprint, now) {
+                news.words.push(word);
                 news.seen.count = *changed;
             }
         }
