--- a/crates/gateway/src/suspects/keep.rs
+++ b/crates/gateway/src/suspects/keep.rs
@@ -30,7 +30,7 @@
 const PAUSE: Duration = Duration::from_secs(1);
 
 /// Longest such pause.
-const LONGEST_PAUSE: Duration = Duration::from_secs(60);
+const LONGEST_PAUSE: Duration = Duration::from_mins(1);
 
 /// A request in the log.
 #[derive(Serialize, Deserialize)]
