--- a/crates/agent/src/trial.rs
+++ b/crates/agent/src/trial.rs
@@ -1,7 +1,7 @@
-//! Requests under which upstreams end: leave to send one once more, and the one that is sent.
+//! Requests under which upstreams end: permission to send one once more, and those that are being tried.
 //!
-//! Which requests they are is heard from entries and passed on; nothing here decides by it but the leave
-//! that entries ask for.
+//! Which requests they are is heard from entries and passed on; nothing here decides by it but the
+//! permission that entries ask for.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -12,7 +12,7 @@
 
 use crate::shared::Shared;
 
-/// Path at which entries ask leave.
+/// Path at which entries ask for permission.
 pub(crate) const TRIAL_PATH: &str = "/peer/v1/trial";
 
 /// Time after which a trial counts as over though nobody told its end: its entry may have ended.
@@ -76,7 +76,7 @@
     }
 }
 
-/// Decides on leave for one send of a request.
+/// Decides on permission for one send of a request.
 pub(crate) fn decide(shared: &Shared, call: &TrialCall) -> TrialReply {
     let now = shared.timer.now();
     let known = shared.watch.suspects.borrow().ends(&call.fingerprint, now);
--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -9,8 +9,8 @@
 use pumicecleat_catalog::{Catalog, Route, Standing, Upstream};
 use pumicecleat_types::{Millis, ServiceId};
 
-use super::clearance::Clearance;
 use super::head::strip;
+use super::permit::Permit;
 use super::trail::Trail;
 use crate::shared::Shared;
 use crate::{Attributes, Outgoing};
@@ -28,8 +28,8 @@
     pub(super) tried: Vec<String>,
     /// Last event that was passed on, after which another upstream goes on.
     pub(super) after: Option<u64>,
-    /// Leave to send it, where upstreams ended under it.
-    pub(super) clearance: Cell<Clearance>,
+    /// Permission to send it, where upstreams ended under it.
+    pub(super) permit: Cell<Permit>,
     /// Time by which there has to be a final answer.
     pub(super) end: Millis,
 }
@@ -59,7 +59,7 @@
             trail,
             tried: Vec::new(),
             after: None,
-            clearance: Cell::default(),
+            permit: Cell::default(),
         }
     }
 
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,10 +1,10 @@
 //! One request, from its route to its answer.
 
-mod clearance;
 mod head;
 mod identity;
 mod job;
 mod model;
+mod permit;
 mod plain;
 mod refuse;
 mod relay;
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -380,7 +380,7 @@
 
 /// Final answer without an engine's.
 fn give_up(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
-    job.give_clearance_back();
+    job.give_permit_back();
     if progress.ran {
         let status = if job.left().0 < LEAST_LEFT { 504 } else { 502 };
         return unsettled(&job.trail, status, reason);
--- a/crates/gateway/src/request/clearance.rs
+++ b/crates/gateway/src/request/permit.rs
@@ -7,43 +7,43 @@
 use super::refuse::Refusal;
 use crate::suspects::{ask_trial, give_back};
 
-/// Leave that a request has got.
+/// Permission that a request has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) enum Clearance {
+pub(super) enum Permit {
     /// Needs none, or has none.
     #[default]
     None,
     /// May be sent once, while no more upstreams end under it than these.
     Trial(Trial, usize),
-    /// Was sent by leave.
+    /// Was sent with permission.
     Used,
 }
 
-/// When to come back while the one send that there was leave for has no outcome.
+/// When to come back while the one send that was permitted has no outcome.
 const OUTCOME_RETRY: Millis = Millis(2_000);
 
 impl Job {
     /// Whether the request may be sent without asking anybody.
     pub(super) fn is_clear(&self) -> bool {
         let ends = self.ends();
-        match self.clearance.get() {
-            Clearance::Trial(_, known) => ends <= known,
+        match self.permit.get() {
+            Permit::Trial(_, known) => ends <= known,
             _ => ends < TRIED_FROM,
         }
     }
 
-    /// Asks leave to send the request, if it needs any.
+    /// Asks for permission to send the request, if it needs any.
     pub(super) async fn clear(&self) -> Result<(), Refusal> {
         if self.is_clear() {
             return Ok(());
         }
-        if self.clearance.get() != Clearance::None {
+        if self.permit.get() != Permit::None {
             return Err(Refusal::ends_upstreams(OUTCOME_RETRY));
         }
         let fingerprint = self.trail.fingerprint();
-        let leave = ask_trial(&self.shared, self.id(), fingerprint).await;
-        let trial = leave.map_err(Refusal::ends_upstreams)?;
-        self.clearance.set(Clearance::Trial(trial, self.ends()));
+        let answer = ask_trial(&self.shared, self.id(), fingerprint).await;
+        let trial = answer.map_err(Refusal::ends_upstreams)?;
+        self.permit.set(Permit::Trial(trial, self.ends()));
         Ok(())
     }
 
@@ -52,26 +52,26 @@
         self.shared.guard.ends(&self.trail.fingerprint(), now)
     }
 
-    /// Leave by which the request is to be sent.
+    /// How the request may be sent, if it has permission for one send.
     pub(super) fn trial(&self) -> Option<Trial> {
-        match self.clearance.get() {
-            Clearance::Trial(trial, _) => Some(trial),
+        match self.permit.get() {
+            Permit::Trial(trial, _) => Some(trial),
             _ => None,
         }
     }
 
-    /// Gives leave back that was not used.
-    pub(super) fn give_clearance_back(&self) {
+    /// Gives permission back that was not used.
+    pub(super) fn give_permit_back(&self) {
         if self.trial().is_some() {
-            self.clearance.set(Clearance::Used);
+            self.permit.set(Permit::Used);
             give_back(&self.shared, self.trail.fingerprint());
         }
     }
 
     /// The request is sent.
-    pub(super) fn use_clearance(&self) {
+    pub(super) fn use_permit(&self) {
         if self.trial().is_some() {
-            self.clearance.set(Clearance::Used);
+            self.permit.set(Permit::Used);
         }
     }
 }
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -39,7 +39,7 @@
         span: Duration,
     ) -> Attempt {
         self.trail.attempt(upstream);
-        self.use_clearance();
+        self.use_permit();
         let priority = version.map(|_| self.route.priority);
         let outgoing = Outgoing {
             instance: &upstream.instance,
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -4,7 +4,7 @@
 //!   upstream has ended.
 //! - `news` passes on what is known, by way of the agents.
 //! - `keep` has them outlast all processes.
-//! - `trial` asks an agent for leave to send a suspect once more.
+//! - `trial` asks an agent for permission to send a suspect once more.
 
 mod breaks;
 mod keep;
@@ -36,7 +36,7 @@
     breaks: RefCell<Breaks>,
     leavers: RefCell<Leavers>,
     unkept: Unkept,
-    /// Leave given by this gateway itself, where there is no agent to ask.
+    /// Permissions given by this gateway itself, where there is no agent to ask.
     trials: RefCell<Trials>,
 }
 
@@ -108,7 +108,7 @@
     }
 }
 
-/// Logs that a request is sent by leave only from now on, if it is.
+/// Logs that a request needs permission from now on, if it is.
 fn tell_suspected(shared: &Shared, fingerprint: &Fingerprint, source: &str) {
     let ends = shared.guard.ends(fingerprint, shared.timer.now());
     if ends < TRIED_FROM {
--- a/crates/gateway/src/suspects/trial.rs
+++ b/crates/gateway/src/suspects/trial.rs
@@ -1,4 +1,4 @@
-//! Leave to send a suspect once more.
+//! Permission to send a suspect once more.
 //!
 //! One agent gives it for all gateways: the first by the request's own rank that answers. So gateways agree
 //! on it without a word, and different requests ask different agents.
@@ -22,13 +22,13 @@
 /// Time for an answer. A sound agent answers in a few milliseconds.
 const SPAN: Duration = Duration::from_millis(400);
 
-/// Agents asked before a request is refused without leave.
+/// Agents asked before a request is refused without permission.
 const ASKED: usize = 3;
 
 /// When to come back if no agent answers: one that failed is back within two seconds.
 const UNANSWERED_RETRY: Millis = Millis(2_000);
 
-/// Asks leave for one send of a request; if there is none, gives when to come back.
+/// Asks for permission for one send of a request; if there is none, gives when to come back.
 pub(crate) async fn ask_trial(
     shared: &Shared,
     request: &str,
@@ -65,7 +65,7 @@
     outcome
 }
 
-/// Gives back leave that was not used.
+/// Gives back permission that was not used.
 pub(crate) fn give_back(shared: &Rc<Shared>, fingerprint: Fingerprint) {
     let shared = Rc::clone(shared);
     monoio::spawn(async move {
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -61,7 +61,7 @@
     REQUEST_SUSPECTED = "E7115" "request_suspected" Warn ["fingerprint", "ends", "source"];
     /// A request under which several upstreams ended was served.
     REQUEST_CLEARED = "E7116" "request_cleared" Info ["fingerprint", "ends"];
-    /// Leave was asked to send such a request once.
+    /// Permission was asked to send such a request once.
     TRIAL_ASKED = "E7117" "trial_asked" Warn ["request", "fingerprint", "ends", "side", "granted", "retry_ms"];
     /// An upstream turned a request away and wants nothing for a time.
     UPSTREAM_RESTS = "E7118" "upstream_rests" Info ["instance", "told_ms", "held_ms"];
@@ -82,6 +82,6 @@
     ENGINE_TURN_REFUSED = "E7206" "engine_turn_refused" Info ["request", "adapter", "hold", "reason", "waited_ms", "unread", "rate", "retry_ms"];
     /// The engine is not the instance that the list names at its address.
     OWN_ENGINE_DENIED = "E7207" "own_engine_denied" Warn ["instance"];
-    /// An entry asked leave to send a request under which upstreams ended.
+    /// An entry asked for permission to send a request under which upstreams ended.
     TRIAL_DECIDED = "E7208" "trial_decided" Warn ["entry", "fingerprint", "ends", "granted", "retry_ms"];
 }
--- a/crates/policy/src/suspects/mod.rs
+++ b/crates/policy/src/suspects/mod.rs
@@ -6,7 +6,7 @@
 //! was not the cause of any end before.
 //!
 //! - Below [`TRIED_FROM`] ends a request is sent like any other.
-//! - From there on it is sent by leave only ([`Trials`]): once beside other suspects, and if the upstream
+//! - From there on it needs permission ([`Trials`]): it is sent once beside other suspects, and if the upstream
 //!   ends, once where no other suspect is. One that is served is free again; one under which upstreams
 //!   end in both is refused.
 //!
@@ -22,6 +22,6 @@
 pub use table::{Suspects, end_key};
 pub use trials::Trials;
 
-/// Ends from which a request is sent by leave only. With a single end nearly all are innocent; with two
-/// few are.
+/// Ends from which a request needs permission. With a single end nearly all are harmless; with two few
+/// are.
 pub const TRIED_FROM: usize = 2;
--- a/crates/policy/src/suspects/trials.rs
+++ b/crates/policy/src/suspects/trials.rs
@@ -1,6 +1,6 @@
-//! Leave to send a suspect once more, given by one process for all.
+//! Permission to send a suspect once more, given by one process for all.
 //!
-//! The first time a suspect is sent beside others that are on trial: nearly all are innocent, and are
+//! The first time a suspect is sent beside others that are on trial: nearly all are harmless, and are
 //! cleared at once. If the upstream ends under them too, each is sent once more, at an upstream where no
 //! other is on trial. What ends that as well is refused until it has rested.
 
@@ -31,14 +31,14 @@
     ends: usize,
 }
 
-/// Trials given leave for.
+/// Trials that were permitted.
 #[derive(Clone, Debug, Default)]
 pub struct Trials {
     given: BTreeMap<Fingerprint, Given>,
 }
 
 impl Trials {
-    /// Asks leave for a request under which `ends` upstreams ended.
+    /// Asks for permission for a request under which `ends` upstreams ended.
     ///
     /// # Errors
     /// When to ask again, if it has none.
@@ -67,7 +67,7 @@
         (ends >= REFUSED_FROM).then_some(REST)
     }
 
-    /// Leave that was given is not used.
+    /// Permission that was given is not used.
     pub fn give_back(&mut self, fingerprint: &Fingerprint) {
         let Some(given) = self.given.remove(fingerprint) else {
             return;
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -131,14 +131,14 @@
 #[test]
 fn a_flood_of_requests_keeps_those_with_more_ends_and_bounded_memory() {
     let mut known = Suspects::new(1);
-    let (guilty, now) = (request(u32::MAX), Millis(5));
-    known.ended(guilty, 1, now);
-    known.ended(guilty, 2, now);
+    let (poison, now) = (request(u32::MAX), Millis(5));
+    known.ended(poison, 1, now);
+    known.ended(poison, 2, now);
     for n in 0..6_000 {
         known.ended(request(n), 3, now);
     }
     assert!(known.len() <= 4_096);
-    assert_eq!(known.ends(&guilty, now), 2);
+    assert_eq!(known.ends(&poison, now), 2);
     assert_eq!(known.ends(&request(5_999), now), 1);
 }
 
@@ -249,26 +249,26 @@
     assert_eq!(trials.ask(request(1), 3, Millis(3)), Ok(Trial::Alone));
 }
 
-/// Plays a deadly request among innocent ones: all of an engine's are there when it ends, and come again.
-fn play(innocents: u32, engines: usize) -> (usize, u32) {
+/// Plays a poison request among harmless ones: all of an engine's are there when it ends, and come again.
+fn play(harmless: u32, engines: usize) -> (usize, u32) {
     let mut known = Suspects::new(1);
     let mut trials = Trials::default();
-    let deadly = request(0);
+    let poison = request(0);
     let mut ended = 0;
-    let mut waiting: Vec<u32> = (1..=innocents).collect();
+    let mut waiting: Vec<u32> = (1..=harmless).collect();
     for round in 0..20_u64 {
         let now = Millis(round * 1_000);
-        // The deadly request is at the first engine, beside each one that goes there.
+        // The poison request is at the first engine, beside each one that goes there.
         let mut there = Vec::new();
         let mut refused = Vec::new();
-        let free = known.ends(&deadly, now) < TRIED_FROM;
-        let leave = if free {
+        let free = known.ends(&poison, now) < TRIED_FROM;
+        let permit = if free {
             None
         } else {
-            Some(trials.ask(deadly, known.ends(&deadly, now), now))
+            Some(trials.ask(poison, known.ends(&poison, now), now))
         };
-        let strikes = free || leave.is_some_and(|l| l.is_ok());
-        let alone = leave == Some(Ok(Trial::Alone));
+        let strikes = free || permit.is_some_and(|l| l.is_ok());
+        let alone = permit == Some(Ok(Trial::Alone));
         for (n, id) in waiting.drain(..).enumerate() {
             let ends = known.ends(&request(id), now);
             let own = if ends < TRIED_FROM {
@@ -300,37 +300,37 @@
 }
 
 struct SideBySide {
-    innocents: u32,
+    harmless: u32,
     engines: usize,
 }
 
 #[test]
-fn those_who_ran_beside_a_deadly_request_are_all_served_and_four_engines_end() {
+fn those_who_ran_beside_a_poison_request_are_all_served_and_four_engines_end() {
     let cases = [
         SideBySide {
-            innocents: 1,
+            harmless: 1,
             engines: 1,
         },
         SideBySide {
-            innocents: 8,
+            harmless: 8,
             engines: 1,
         },
         SideBySide {
-            innocents: 64,
+            harmless: 64,
             engines: 1,
         },
         SideBySide {
-            innocents: 64,
+            harmless: 64,
             engines: 8,
         },
     ];
     for case in cases {
-        let (ended, left) = play(case.innocents, case.engines);
+        let (ended, left) = play(case.harmless, case.engines);
         assert_eq!(
             (ended, left),
             (4, 0),
             "{} at {}",
-            case.innocents,
+            case.harmless,
             case.engines
         );
     }
--- a/crates/types/src/message/suspect.rs
+++ b/crates/types/src/message/suspect.rs
@@ -34,7 +34,7 @@
     pub cleared: bool,
 }
 
-/// Leave to send a suspect once more.
+/// How a suspect may be sent once more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Trial {
     /// Beside others that are on trial.
@@ -43,7 +43,7 @@
     Alone,
 }
 
-/// Ask for leave to send a suspect once more.
+/// Ask for permission to send a suspect once more.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialCall {
     /// VM of the entry.
@@ -52,7 +52,7 @@
     pub fingerprint: Fingerprint,
     /// Upstreams that ended under it, as far as the entry knows.
     pub ends: Vec<u64>,
-    /// Leave that was given is not used.
+    /// Permission that was given is not used.
     pub unused: bool,
 }
 
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -48,7 +48,7 @@
     pub due_ms: u64,
     /// Time after which its caller is gone, ms.
     pub patience_ms: u64,
-    /// Leave by which it is sent, if it needs any.
+    /// How it may be sent, if it needs permission.
     pub trial: Option<Trial>,
     /// Waits for a place for its adapter; otherwise it is refused at once where none is free.
     pub stays: bool,
