--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -39,7 +39,7 @@
     let mut progress = Progress::default();
     loop {
         if let Err(refusal) = job.clear().await {
-            return stop(&job, &progress, refusal);
+            return job.refuse(progress.ran, refusal);
         }
         let turn = match find_turn(&mut job, &mut progress).await {
             Ok(turn) => turn,
@@ -370,14 +370,6 @@
         .with(&upstream.instance, |r| r.slots.failed(now));
 }
 
-/// Final answer to a request that may not be sent.
-fn stop(job: &Job, progress: &Progress, refusal: Refusal) -> Reply {
-    if progress.ran {
-        return unsettled(&job.trail, 502, refusal.reason);
-    }
-    refusal.reply(&job.trail)
-}
-
 /// Final answer without an engine's.
 fn give_up(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
     job.give_permit_back();
--- a/crates/gateway/src/request/permit.rs
+++ b/crates/gateway/src/request/permit.rs
@@ -1,10 +1,11 @@
 //! Whether a request may be sent, as upstreams may have ended under it.
 
+use pumicecleat_net::Reply;
 use pumicecleat_policy::TRIED_FROM;
 use pumicecleat_types::{Millis, Trial};
 
 use super::job::Job;
-use super::refuse::Refusal;
+use super::refuse::{Refusal, unsettled};
 use crate::suspects::{ask_trial, give_back};
 
 /// Permission that a request has.
@@ -68,6 +69,15 @@
         }
     }
 
+    /// Final answer to the request, which may not be sent; `ran` if an attempt before may have run.
+    pub(super) fn refuse(&self, ran: bool, refusal: Refusal) -> Reply {
+        self.give_permit_back();
+        if ran {
+            return unsettled(&self.trail, 502, refusal.reason);
+        }
+        refusal.reply(&self.trail)
+    }
+
     /// The request is sent.
     pub(super) fn use_permit(&self) {
         if self.trial().is_some() {
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -48,7 +48,7 @@
             return give_up(&job, &progress, "deadline");
         }
         if let Err(refusal) = job.clear().await {
-            return stop(&job, &progress, refusal);
+            return job.refuse(progress.ran, refusal);
         }
         let Some(upstream) = choose(&job) else {
             return give_up(&job, &progress, "no_upstream");
@@ -193,14 +193,6 @@
     Next::Reply(give_up(job, progress, reason))
 }
 
-/// Final answer to a request that may not be sent.
-fn stop(job: &Job, progress: &Progress, refusal: Refusal) -> Reply {
-    if progress.ran {
-        return unsettled(&job.trail, 502, refusal.reason);
-    }
-    refusal.reply(&job.trail)
-}
-
 /// Final answer without an upstream's.
 fn give_up(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
     job.give_permit_back();
--- a/crates/gateway/src/suspects/breaks.rs
+++ b/crates/gateway/src/suspects/breaks.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use pumicecleat_catalog::Upstream;
 use pumicecleat_types::{Fingerprint, Millis};
 
 /// Time after a break within which its upstream may be found to have ended: three heartbeats, after which
@@ -20,46 +19,41 @@
     ended: Option<Millis>,
 }
 
-/// What broke off, by instance.
+/// What broke off, by the key of the upstream's start.
 #[derive(Debug, Default)]
 pub(super) struct Breaks {
-    open: BTreeMap<String, Break>,
+    open: BTreeMap<u64, Break>,
 }
 
 impl Breaks {
     /// Adds a request where others broke off before; gives whether that upstream is known to have ended,
     /// or `None` if nothing broke off there.
-    pub(super) fn join(
-        &mut self,
-        upstream: &Upstream,
-        fingerprint: Fingerprint,
-        now: Millis,
-    ) -> Option<bool> {
-        let known = self.open.get_mut(&upstream.instance)?;
+    pub(super) fn join(&mut self, key: u64, fingerprint: Fingerprint, now: Millis) -> Option<bool> {
+        let known = self.open.get_mut(&key)?;
         known.requests.insert(fingerprint, now);
         known.fresh = true;
         Some(known.ended.is_some())
     }
 
-    /// The first request broke off at `upstream`.
-    pub(super) fn open(&mut self, upstream: &Upstream, fingerprint: Fingerprint, now: Millis) {
+    /// The first request broke off there.
+    pub(super) fn open(&mut self, key: u64, fingerprint: Fingerprint, now: Millis) {
         let first = Break {
             requests: BTreeMap::from([(fingerprint, now)]),
             fresh: true,
             ended: None,
         };
-        self.open.insert(upstream.instance.clone(), first);
+        self.open.insert(key, first);
     }
 
     /// Whether something broke off there since this was last asked.
-    pub(super) fn take_fresh(&mut self, instance: &str) -> bool {
-        let known = self.open.get_mut(instance);
+    pub(super) fn take_fresh(&mut self, key: u64) -> bool {
+        let known = self.open.get_mut(&key);
         known.is_some_and(|b| std::mem::take(&mut b.fresh))
     }
 
     /// The upstream has ended; gives the requests that were under way there.
-    pub(super) fn end(&mut self, instance: &str, now: Millis) -> Vec<Fingerprint> {
-        let Some(known) = self.open.get_mut(instance) else {
+    pub(super) fn end(&mut self, key: u64, now: Millis) -> Vec<Fingerprint> {
+        let Some(known) = self.open.get_mut(&key) else {
             return Vec::new();
         };
         known.ended = Some(now);
@@ -67,15 +61,15 @@
         requests.into_iter().collect()
     }
 
-    /// Forgets what is over at `instance`; gives whether anything is left.
-    pub(super) fn settle(&mut self, instance: &str, now: Millis) -> bool {
-        let Some(known) = self.open.get_mut(instance) else {
+    /// Forgets what is over there; gives whether anything is left.
+    pub(super) fn settle(&mut self, key: u64, now: Millis) -> bool {
+        let Some(known) = self.open.get_mut(&key) else {
             return false;
         };
         known.requests.retain(|_, at| now.since(*at) < WATCH_SPAN);
         let left = !known.requests.is_empty();
         if !left {
-            self.open.remove(instance);
+            self.open.remove(&key);
         }
         left
     }
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -76,11 +76,8 @@
 /// The connection on which `upstream` had the request broke off.
 pub(crate) fn broke(shared: &Rc<Shared>, fingerprint: Fingerprint, upstream: &Upstream) {
     let now = shared.timer.now();
-    let known = shared
-        .guard
-        .breaks
-        .borrow_mut()
-        .join(upstream, fingerprint, now);
+    let key = end_key(&upstream.instance, upstream.born);
+    let known = shared.guard.breaks.borrow_mut().join(key, fingerprint, now);
     match known {
         Some(true) => blame(shared, upstream, &[fingerprint]),
         Some(false) => {}
@@ -88,7 +85,7 @@
         None if shared.guard.is_leaving(&upstream.instance, now) => {}
         None => {
             let mut breaks = shared.guard.breaks.borrow_mut();
-            breaks.open(upstream, fingerprint, now);
+            breaks.open(key, fingerprint, now);
             monoio::spawn(watch::watch(Rc::clone(shared), upstream.clone()));
         }
     }
@@ -113,7 +110,7 @@
     }
 }
 
-/// Logs that a request needs permission from now on, if it is.
+/// Logs that a request needs permission from now on, if it does.
 fn tell_suspected(shared: &Shared, fingerprint: &Fingerprint, source: &str) {
     let ends = shared.guard.ends(fingerprint, shared.timer.now());
     if ends < TRIED_FROM {
--- a/crates/gateway/src/suspects/watch.rs
+++ b/crates/gateway/src/suspects/watch.rs
@@ -9,6 +9,7 @@
 
 use pumicecleat_catalog::Upstream;
 use pumicecleat_ops::{events, field};
+use pumicecleat_policy::end_key;
 
 use super::blame;
 use crate::shared::Shared;
@@ -27,19 +28,19 @@
 
 /// Watches `upstream` until it is known what became of it.
 pub(super) async fn watch(shared: Rc<Shared>, upstream: Upstream) {
-    let instance = upstream.instance.as_str();
+    let key = end_key(&upstream.instance, upstream.born);
     let mut found = Found::Sound;
     loop {
         shared.timer.sleep(LOOK).await;
         let now = shared.timer.now();
-        if !shared.guard.breaks.borrow_mut().settle(instance, now) {
+        if !shared.guard.breaks.borrow_mut().settle(key, now) {
             return;
         }
-        if shared.guard.breaks.borrow_mut().take_fresh(instance) {
+        if shared.guard.breaks.borrow_mut().take_fresh(key) {
             found = look(&shared, &upstream).await;
         }
         if let Some(sign) = sign(&shared, &upstream, found) {
-            return end(&shared, &upstream, sign).await;
+            return end(&shared, &upstream, key, sign).await;
         }
     }
 }
@@ -75,12 +76,11 @@
 }
 
 /// Holds the end against the requests that were under way, and against those whose break is heard later.
-async fn end(shared: &Rc<Shared>, upstream: &Upstream, sign: &str) {
-    let instance = upstream.instance.as_str();
+async fn end(shared: &Rc<Shared>, upstream: &Upstream, key: u64, sign: &str) {
     let now = shared.timer.now();
-    let requests = shared.guard.breaks.borrow_mut().end(instance, now);
+    let requests = shared.guard.breaks.borrow_mut().end(key, now);
     let fields = [
-        field("instance", instance),
+        field("instance", upstream.instance.as_str()),
         field("sign", sign),
         field("requests", requests.len()),
     ];
@@ -91,7 +91,7 @@
         .guard
         .breaks
         .borrow_mut()
-        .settle(instance, shared.timer.now())
+        .settle(key, shared.timer.now())
     {
         shared.timer.sleep(LOOK).await;
     }
