A request is refused as the cause of an end only if no other suspect was there

Where many callers send the same bytes to the same path without credentials, one fingerprint is in flight at many upstreams; four ends at once, as in a crash of a data centre, refused all of them for ten minutes without a trial.

Cause: four ends counted as proof whatever the request had been tried for.

Why this works: an end is marked if the request was alone on trial there, which is proof and goes round with the words and into the log; anything less gets a trial.

--- a/crates/agent/src/trial.rs
+++ b/crates/agent/src/trial.rs
@@ -86,7 +86,11 @@
         trials.give_back(&call.fingerprint);
         return TrialReply::default();
     }
-    let outcome = trials.ask(call.fingerprint, ends, now);
+    let rest = shared.watch.suspects.borrow().rest(&call.fingerprint, now);
+    let outcome = match rest {
+        Some(rest) => Err(rest),
+        None => trials.ask(call.fingerprint, ends, now),
+    };
     let retry_ms = outcome.err().unwrap_or_default().0;
     let (entry, fingerprint) = (call.entry.to_string(), call.fingerprint.to_string());
     let fields = [
--- a/crates/gateway/src/request/permit.rs
+++ b/crates/gateway/src/request/permit.rs
@@ -80,8 +80,12 @@
 
     /// The request is sent.
     pub(super) fn use_permit(&self) {
-        if self.trial().is_some() {
-            self.permit.set(Permit::Used);
+        let Some(trial) = self.trial() else {
+            return;
+        };
+        self.permit.set(Permit::Used);
+        if trial == Trial::Alone {
+            self.trail.set_alone();
         }
     }
 }
--- a/crates/gateway/src/request/trail.rs
+++ b/crates/gateway/src/request/trail.rs
@@ -23,6 +23,8 @@
     pub(super) arrived: Millis,
     service: RefCell<String>,
     instance: RefCell<String>,
+    /// No other suspect is where it goes.
+    alone: Cell<bool>,
     /// Where the attempt under way went.
     upstream: RefCell<Option<Upstream>>,
     attempts: Cell<u32>,
@@ -52,6 +54,7 @@
             arrived,
             service: RefCell::default(),
             instance: RefCell::default(),
+            alone: Cell::default(),
             upstream: RefCell::default(),
             attempts: Cell::new(0),
             turn: Cell::default(),
@@ -88,12 +91,17 @@
         self.upstream.replace(Some(upstream.clone()));
     }
 
+    /// The request goes where no other suspect is.
+    pub(super) fn set_alone(&self) {
+        self.alone.set(true);
+    }
+
     /// The connection of the attempt under way broke off.
     pub(super) fn broke(&self) {
         if let (Some(fingerprint), Some(upstream)) =
             (self.fingerprint.get(), &*self.upstream.borrow())
         {
-            suspects::broke(&self.shared, fingerprint, upstream);
+            suspects::broke(&self.shared, fingerprint, self.alone.get(), upstream);
         }
     }
 
--- a/crates/gateway/src/suspects/breaks.rs
+++ b/crates/gateway/src/suspects/breaks.rs
@@ -1,6 +1,6 @@
 //! Requests whose connection to an upstream broke off, until it is known whether the upstream ended.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use pumicecleat_types::{Fingerprint, Millis};
 
@@ -8,11 +8,19 @@
 /// the list drops it, and the time for another to take its address.
 const WATCH_SPAN: Millis = Millis(10_000);
 
+/// A request that broke off.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Broken {
+    pub(super) at: Millis,
+    /// No other suspect was under way there.
+    pub(super) alone: bool,
+}
+
 /// What broke off at one upstream.
 #[derive(Debug, Default)]
 struct Break {
-    /// Requests, and when they broke off.
-    requests: BTreeMap<Fingerprint, Millis>,
+    /// Requests that broke off.
+    requests: BTreeMap<Fingerprint, Broken>,
     /// Something broke off since the upstream was last looked at.
     fresh: bool,
     /// When it was found to have ended.
@@ -28,17 +36,22 @@
 impl Breaks {
     /// Adds a request where others broke off before; gives whether that upstream is known to have ended,
     /// or `None` if nothing broke off there.
-    pub(super) fn join(&mut self, key: u64, fingerprint: Fingerprint, now: Millis) -> Option<bool> {
+    pub(super) fn join(
+        &mut self,
+        key: u64,
+        fingerprint: Fingerprint,
+        broken: Broken,
+    ) -> Option<bool> {
         let known = self.open.get_mut(&key)?;
-        known.requests.insert(fingerprint, now);
+        known.requests.insert(fingerprint, broken);
         known.fresh = true;
         Some(known.ended.is_some())
     }
 
     /// The first request broke off there.
-    pub(super) fn open(&mut self, key: u64, fingerprint: Fingerprint, now: Millis) {
+    pub(super) fn open(&mut self, key: u64, fingerprint: Fingerprint, broken: Broken) {
         let first = Break {
-            requests: BTreeMap::from([(fingerprint, now)]),
+            requests: BTreeMap::from([(fingerprint, broken)]),
             fresh: true,
             ended: None,
         };
@@ -52,13 +65,13 @@
     }
 
     /// The upstream has ended; gives the requests that were under way there.
-    pub(super) fn end(&mut self, key: u64, now: Millis) -> Vec<Fingerprint> {
+    pub(super) fn end(&mut self, key: u64, now: Millis) -> Vec<(Fingerprint, bool)> {
         let Some(known) = self.open.get_mut(&key) else {
             return Vec::new();
         };
         known.ended = Some(now);
-        let requests: BTreeSet<Fingerprint> = known.requests.keys().copied().collect();
-        requests.into_iter().collect()
+        let requests = known.requests.iter();
+        requests.map(|(f, broken)| (*f, broken.alone)).collect()
     }
 
     /// Forgets what is over there; gives whether anything is left.
@@ -66,7 +79,7 @@
         let Some(known) = self.open.get_mut(&key) else {
             return false;
         };
-        known.requests.retain(|_, at| now.since(*at) < WATCH_SPAN);
+        known.requests.retain(|_, b| now.since(b.at) < WATCH_SPAN);
         let left = !known.requests.is_empty();
         if !left {
             self.open.remove(&key);
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -7,6 +7,7 @@
 //! - `trial` asks an agent for permission to send a suspect once more.
 
 mod breaks;
+mod denials;
 mod keep;
 mod leavers;
 mod news;
@@ -22,7 +23,8 @@
 use pumicecleat_types::{Fingerprint, Millis};
 
 use crate::shared::Shared;
-use breaks::Breaks;
+use breaks::{Breaks, Broken};
+use denials::Denials;
 use keep::Unkept;
 pub(crate) use keep::keep;
 use leavers::Leavers;
@@ -36,6 +38,7 @@
     breaks: RefCell<Breaks>,
     leavers: RefCell<Leavers>,
     unkept: Unkept,
+    denials: RefCell<Denials>,
     /// Permissions given by this gateway itself, where there is no agent to ask.
     trials: RefCell<Trials>,
 }
@@ -49,6 +52,7 @@
             breaks: RefCell::default(),
             leavers: RefCell::default(),
             unkept: Unkept::new(),
+            denials: RefCell::default(),
             trials: RefCell::default(),
         }
     }
@@ -73,34 +77,44 @@
     }
 }
 
-/// The connection on which `upstream` had the request broke off.
-pub(crate) fn broke(shared: &Rc<Shared>, fingerprint: Fingerprint, upstream: &Upstream) {
+/// The connection on which `upstream` had the request broke off; `alone` if no other suspect was there.
+pub(crate) fn broke(
+    shared: &Rc<Shared>,
+    fingerprint: Fingerprint,
+    alone: bool,
+    upstream: &Upstream,
+) {
     let now = shared.timer.now();
+    let broken = Broken { at: now, alone };
     let key = end_key(&upstream.instance, upstream.born);
-    let known = shared.guard.breaks.borrow_mut().join(key, fingerprint, now);
+    let known = shared
+        .guard
+        .breaks
+        .borrow_mut()
+        .join(key, fingerprint, broken);
     match known {
-        Some(true) => blame(shared, upstream, &[fingerprint]),
+        Some(true) => blame(shared, upstream, &[(fingerprint, alone)]),
         Some(false) => {}
         // An upstream that leaves may cut what is under way at its end.
         None if shared.guard.is_leaving(&upstream.instance, now) => {}
         None => {
             let mut breaks = shared.guard.breaks.borrow_mut();
-            breaks.open(key, fingerprint, now);
+            breaks.open(key, fingerprint, broken);
             monoio::spawn(watch::watch(Rc::clone(shared), upstream.clone()));
         }
     }
 }
 
 /// `upstream` ended while these requests were under way there.
-fn blame(shared: &Shared, upstream: &Upstream, requests: &[Fingerprint]) {
+fn blame(shared: &Shared, upstream: &Upstream, requests: &[(Fingerprint, bool)]) {
     let now = shared.timer.now();
     let key = end_key(&upstream.instance, upstream.born);
-    for fingerprint in requests {
+    for (fingerprint, alone) in requests {
         let new = shared
             .guard
             .table
             .borrow_mut()
-            .ended(*fingerprint, key, now);
+            .ended(*fingerprint, key, *alone, now);
         if new {
             tell_suspected(shared, fingerprint, &upstream.instance);
             if shared.guard.ends(fingerprint, now) >= TRIED_FROM {
--- a/crates/gateway/src/suspects/trial.rs
+++ b/crates/gateway/src/suspects/trial.rs
@@ -10,7 +10,7 @@
 
 use pumicecleat_net::{NetError, post};
 use pumicecleat_ops::{events, field};
-use pumicecleat_policy::{Trials, name_key};
+use pumicecleat_policy::name_key;
 use pumicecleat_types::{Fingerprint, Millis, Trial, TrialCall, TrialReply};
 
 use crate::shared::Shared;
@@ -37,8 +37,8 @@
     let now = shared.timer.now();
     shared.guard.table.borrow_mut().came(&fingerprint, now);
     let call = call(shared, fingerprint, false);
-    let answer = match Trials::rest(call.ends.len()) {
-        Some(rest) => Answer::Known(rest),
+    let answer = match known(shared, &fingerprint, now) {
+        Some(left) => Answer::Known(left),
         None => ask_first(shared, &call).await,
     };
     let outcome = match &answer {
@@ -50,6 +50,11 @@
             trials.ask(fingerprint, call.ends.len(), now)
         }
     };
+    if let (Err(retry), Answer::By(..)) = (outcome, &answer) {
+        let ends = shared.guard.ends(&fingerprint, now);
+        let mut denials = shared.guard.denials.borrow_mut();
+        denials.add(fingerprint, ends, retry, now);
+    }
     let what = if outcome.is_ok() { "trial" } else { "refused" };
     shared.meters.count_suspect(what);
     let text = fingerprint.to_string();
@@ -76,6 +81,16 @@
     });
 }
 
+/// Time for which a request is refused without asking anybody.
+fn known(shared: &Shared, fingerprint: &Fingerprint, now: Millis) -> Option<Millis> {
+    let rest = shared.guard.table.borrow().rest(fingerprint, now);
+    let ends = shared.guard.ends(fingerprint, now);
+    rest.or_else(|| {
+        let denials = shared.guard.denials.borrow();
+        denials.left(fingerprint, ends, now)
+    })
+}
+
 fn call(shared: &Shared, fingerprint: Fingerprint, unused: bool) -> TrialCall {
     TrialCall {
         entry: shared.vm.clone(),
--- a/crates/policy/src/suspects/case.rs
+++ b/crates/policy/src/suspects/case.rs
@@ -10,8 +10,7 @@
 /// What is known of one request.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Case {
-    /// Ends by key, and whether the request was served since.
-    ends: BTreeMap<u64, bool>,
+    ends: BTreeMap<u64, UpstreamEnd>,
     /// Last end, or the last time the request came.
     pub(super) last: Millis,
     /// Count of changes at which it last changed.
@@ -21,12 +20,17 @@
 impl Case {
     /// Ends that the request may have caused.
     pub(super) fn open(&self) -> usize {
-        self.ends.values().filter(|cleared| !**cleared).count()
+        self.ends.values().filter(|end| !end.cleared).count()
+    }
+
+    /// Whether the request caused one of them: no other suspect was there.
+    pub(super) fn is_proven(&self) -> bool {
+        self.ends.values().any(|end| end.alone && !end.cleared)
     }
 
     pub(super) fn keys(&self) -> Vec<u64> {
-        let open = self.ends.iter().filter(|(_, cleared)| !**cleared);
-        open.map(|(key, _)| *key).collect()
+        let open = self.ends.values().filter(|end| !end.cleared);
+        open.map(|end| end.key).collect()
     }
 
     /// Takes an end in; gives whether it told something new.
@@ -34,30 +38,26 @@
         if self.ends.len() >= ENDS && !self.ends.contains_key(&end.key) {
             return false;
         }
-        match self.ends.insert(end.key, end.cleared) {
-            Some(true) => {
-                self.ends.insert(end.key, true);
-                false
-            }
-            Some(false) => end.cleared,
-            None => true,
-        }
+        let Some(known) = self.ends.get_mut(&end.key) else {
+            self.ends.insert(end.key, end);
+            return true;
+        };
+        let before = *known;
+        known.alone |= end.alone;
+        known.cleared |= end.cleared;
+        *known != before
     }
 
     /// The request was served; gives whether that told something new.
     pub(super) fn clear(&mut self) -> bool {
         let open = self.open() > 0;
-        for cleared in self.ends.values_mut() {
-            *cleared = true;
+        for end in self.ends.values_mut() {
+            end.cleared = true;
         }
         open
     }
 
     pub(super) fn words(&self) -> Vec<UpstreamEnd> {
-        let word = |(key, cleared): (&u64, &bool)| UpstreamEnd {
-            key: *key,
-            cleared: *cleared,
-        };
-        self.ends.iter().map(word).collect()
+        self.ends.values().copied().collect()
     }
 }
--- a/crates/policy/src/suspects/mod.rs
+++ b/crates/policy/src/suspects/mod.rs
@@ -7,8 +7,8 @@
 //!
 //! - Below [`TRIED_FROM`] ends a request is sent like any other.
 //! - From there on it needs permission ([`Trials`]): it is sent once beside other suspects, and if the upstream
-//!   ends, once where no other suspect is. One that is served is free again; one under which upstreams
-//!   end in both is refused.
+//!   ends, once where no other suspect is. One that is served is free again; one under which an upstream ends
+//!   though it is alone there is the cause, and is refused.
 //!
 //! Each process keeps [`Suspects`] and passes on what is new to it ([`SuspectLinks`]). What they hold is
 //! a union over all, in which a cleared end stays cleared, so that the order of words does not matter.
--- a/crates/policy/src/suspects/table.rs
+++ b/crates/policy/src/suspects/table.rs
@@ -70,6 +70,14 @@
         case.map_or(0, Case::open)
     }
 
+    /// Time for which a request is refused, if it is the cause of an end.
+    #[must_use]
+    pub fn rest(&self, fingerprint: &Fingerprint, now: Millis) -> Option<Millis> {
+        let case = self.cases.get(fingerprint)?;
+        let left = (case.last + MEMORY).since(now);
+        (case.is_proven() && left > Millis(0)).then_some(left)
+    }
+
     /// Their keys.
     #[must_use]
     pub fn end_keys(&self, fingerprint: &Fingerprint) -> Vec<u64> {
@@ -79,10 +87,12 @@
             .unwrap_or_default()
     }
 
-    /// An upstream ended while the request was under way there; gives whether that is new.
-    pub fn ended(&mut self, fingerprint: Fingerprint, key: u64, now: Millis) -> bool {
+    /// An upstream ended while the request was under way there, `alone` if no other suspect was; gives
+    /// whether that is new.
+    pub fn ended(&mut self, fingerprint: Fingerprint, key: u64, alone: bool, now: Millis) -> bool {
         let end = UpstreamEnd {
             key,
+            alone,
             cleared: false,
         };
         self.take(fingerprint, &[end], now, now)
--- a/crates/types/src/message/suspect.rs
+++ b/crates/types/src/message/suspect.rs
@@ -30,6 +30,8 @@
 pub struct UpstreamEnd {
     /// Key of the upstream's instance and start.
     pub key: u64,
+    /// No other suspect was under way there.
+    pub alone: bool,
     /// The request has been served since, so that it was not the cause.
     pub cleared: bool,
 }
