--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -246,7 +246,8 @@
             field("era", now),
         ];
         self.log.emit(&events::STORE_RENEWED, &fields);
-        self.catalog.borrow_mut().renewed(self.timer.now());
+        let began = self.marks.era_began(now, self.timer.now());
+        self.catalog.borrow_mut().renewed(began);
         self.listener.store_renewed();
     }
 
--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -34,6 +34,8 @@
     read: Cell<Position>,
     /// Since when the list answers.
     answers: Cell<Option<Answers>>,
+    /// Latest era of the log that another process told of, and when it first did.
+    era: Cell<Option<(u64, Millis)>>,
     /// Time for which processes rest between two reads of the list at most.
     rest: Millis,
 }
@@ -104,6 +106,9 @@
 
     /// Another process knows this much.
     pub fn hear(&self, marks: &StreamMarks, now: Millis) {
+        let read = marks.listed.map(|read| read.end).unwrap_or_default();
+        let latest = read.max(marks.operators).max(marks.upstreams);
+        self.note_era(latest.era, now);
         if self.operators.raise(marks.operators) {
             self.operators.ring();
         }
@@ -117,6 +122,19 @@
         }
     }
 
+    fn note_era(&self, era: u64, now: Millis) {
+        if self.era.get().is_none_or(|(known, _)| known < era) {
+            self.era.set(Some((era, now)));
+        }
+    }
+
+    /// When the log came to `era`, which this process has found by itself at `now`: others may have told of
+    /// it long before, while this process could not reach the log.
+    pub(crate) fn era_began(&self, era: u64, now: Millis) -> Millis {
+        let told = self.era.get().filter(|(known, _)| *known == era);
+        told.map_or(now, |(_, at)| at)
+    }
+
     /// This process had read the list to its end at `at`, up to `end`.
     pub(crate) fn listed(&self, end: Position, at: Millis) {
         let read = Listed { end, at };
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -158,7 +158,7 @@
     /// The list has come back from an older copy, at `at`: entries of upstreams that live may be missing
     /// until they write again.
     pub fn renewed(&mut self, at: Millis) {
-        self.renewed = Some(at);
+        self.renewed = self.renewed.max(Some(at));
     }
 
     /// Removes what lapsed and will not come back.
