Where relays gather, only they are told of suspects

Cause: each gateway told each agent that it asked for a turn of all requests under which an upstream had ended, and was told the same back: 68 gateways, 117 agents, thousands of requests after a crash of many engines.

Why this works: with more than 16 engines gateways hear and tell by their relay, as with all else that is known of engines; an exchange for a turn carries none.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -81,7 +81,8 @@
         self.shared.marks.hear(&call.marks, now);
         self.shared.entries.borrow_mut().heard(&call.entry, now);
         self.shared.turns.borrow_mut().hint(&call.peers);
-        let suspects = self.shared.watch.exchange(&call.suspects, now);
+        let told = call.suspects.as_ref();
+        let suspects = told.map(|told| self.shared.watch.exchange(told, now));
         self.note(&call, now);
         // Also without an ask: entries that take the engine for another than we do ask nothing of it.
         let meant = self.shared.is_meant(&call.instance);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -56,6 +56,8 @@
     pub(crate) words: RefCell<OwnWords>,
     /// Requests under which upstreams ended.
     pub(crate) guard: Guard,
+    /// Whether relays gather what is known of engines.
+    pub(crate) relayed: Cell<bool>,
     pub(crate) repeat: RepeatOptions,
     /// What the engines of a service were found to do.
     pub(crate) peers: RefCell<Peers>,
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -8,7 +8,7 @@
 use pumicecleat_net::{NetError, post};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::RelayLink;
-use pumicecleat_types::{Millis, Reach, RunNews, SuspectNews, Turn, TurnAsk, TurnCall, TurnReply};
+use pumicecleat_types::{Millis, Reach, RunNews, Turn, TurnAsk, TurnCall, TurnReply};
 
 use crate::peers::peers;
 use crate::shared::Shared;
@@ -59,6 +59,7 @@
 fn due(shared: &Shared, now: Millis) -> Vec<Upstream> {
     let catalog = shared.catalog.borrow();
     let relayed = RelayLink::is_wanted(engines(&catalog).count());
+    shared.relayed.set(relayed);
     let due = engines(&catalog).filter(|u| is_due(shared, &u.instance, relayed, now));
     due.cloned().collect()
 }
@@ -104,7 +105,7 @@
         marks: shared.marks.known(shared.timer.now()),
         kept: known(shared, upstream),
         peers: peers(shared, &upstream.service),
-        suspects: SuspectNews::default(),
+        suspects: None,
         ask: None,
     };
     let result = exchange(shared, upstream, &mut call, CALL_SPAN).await;
@@ -149,7 +150,7 @@
         marks: shared.marks.known(now),
         kept: known(shared, upstream),
         peers: peers(shared, &upstream.service),
-        suspects: SuspectNews::default(),
+        suspects: None,
         ask: Some(ask),
     };
     let _waiting = Waiting {
@@ -194,13 +195,16 @@
     let address = SocketAddr::new(upstream.address.ip(), shared.agent_port);
     let sent = shared.timer.now();
     let peer = address.to_string();
-    let suspects = suspects::tell(shared, address);
-    call.suspects = suspects.news;
+    // Where relays gather, word goes round by them: told to each side it would be the most of what is sent.
+    let suspects = (!shared.relayed.get()).then(|| suspects::tell(shared, address));
+    call.suspects = suspects.as_ref().map(|s| s.news.clone());
     let result: Result<TurnReply, NetError> =
         post(&shared.agents, &peer, TURN_PATH, call, span).await;
     match &result {
         Ok(reply) => {
-            suspects::hear(shared, address, suspects.told, &reply.suspects);
+            if let (Some(told), Some(news)) = (suspects, &reply.suspects) {
+                suspects::hear(shared, address, told.told, news);
+            }
             note_heard(shared, upstream, reply, sent);
         }
         Err(e) => note_lost(shared, upstream, e),
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -213,6 +213,7 @@
         agents: Client::new_ext(client, timer),
         words: RefCell::default(),
         guard: Guard::new(rand::random()),
+        relayed: Cell::default(),
         repeat,
         peers: RefCell::default(),
         gateways: RefCell::new(Gateways::new(settings.gateways, repeat.window)),
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -21,8 +21,8 @@
     pub kept: u64,
     /// How fast the engine's peers work, where the entry knows it.
     pub peers: EngineTraits,
-    /// Requests under which upstreams ended.
-    pub suspects: SuspectNews,
+    /// Requests under which upstreams ended; none are told either way without it.
+    pub suspects: Option<SuspectNews>,
     /// Request that wants its turn; without one the answer comes at once.
     pub ask: Option<TurnAsk>,
 }
@@ -76,8 +76,8 @@
     pub entries: u32,
     /// How far the side knows the platform's streams to reach.
     pub marks: StreamMarks,
-    /// Requests under which upstreams ended.
-    pub suspects: SuspectNews,
+    /// Requests under which upstreams ended, if the call told of any news.
+    pub suspects: Option<SuspectNews>,
 }
 
 /// Places behind the last records that changed something, by stream.
