--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -202,23 +202,24 @@
 
     /// Takes an event in; gives whether it changed what is believed.
     fn take(&self, event: KeyedEvent) -> bool {
+        let now = self.timer.now();
         match event {
             KeyedEvent::State(records) => {
-                self.back();
-                self.replace(&records)
+                self.back(now);
+                self.replace(&records, now)
             }
             KeyedEvent::Changes(records) => {
-                self.back();
-                let changed = self.apply_all(&records);
-                self.expire();
+                self.back(now);
+                let changed = self.apply_all(&records, now);
+                self.expire(now);
                 changed
             }
             KeyedEvent::CaughtUp => {
-                self.back();
+                self.back(now);
                 false
             }
-            KeyedEvent::Era { before, now } => {
-                self.renew(before, now);
+            KeyedEvent::Era { before, now: found } => {
+                self.renew(before, found);
                 false
             }
             KeyedEvent::Outage { detail } => {
@@ -228,7 +229,7 @@
                 ];
                 self.log.emit(&events::STORE_LOST, &fields);
                 if self.down.get().is_none() {
-                    self.down.set(Some(self.timer.now()));
+                    self.down.set(Some(now));
                 }
                 self.marks.doubt(self.topic);
                 false
@@ -252,15 +253,14 @@
     }
 
     /// Removes what the records just read show to be gone for good, before any request goes there.
-    fn expire(&self) {
-        let gone = self.catalog.borrow_mut().expire(self.timer.now());
+    fn expire(&self, now: Millis) {
+        let gone = self.catalog.borrow_mut().expire(now);
         for applied in &gone {
             self.tell(applied);
         }
     }
 
-    fn back(&self) {
-        let now = self.timer.now();
+    fn back(&self, now: Millis) {
         if let Some(down) = self.down.take() {
             let fields = [
                 field("stream", self.dialect.stream(self.topic)),
@@ -275,25 +275,26 @@
         }
     }
 
-    fn replace(&self, records: &[KeyedRecord]) -> bool {
+    fn replace(&self, records: &[KeyedRecord], now: Millis) -> bool {
         let fields = [
             field("stream", self.dialect.stream(self.topic)),
             field("records", records.len()),
         ];
         self.log.emit(&events::STORE_READ, &fields);
         if self.topic == Topic::Operators {
-            return self.apply_all(records);
+            return self.apply_all(records, now);
         }
         let mut list = Vec::new();
         let mut changed = false;
         for record in records {
             match self.read(record) {
                 Some(Change::Upstream(upstream)) => list.push(upstream),
-                Some(unusable @ Change::Unusable { .. }) => changed |= self.apply_change(unusable),
+                Some(unusable @ Change::Unusable { .. }) => {
+                    changed |= self.apply_change(unusable, now);
+                }
                 _ => {}
             }
         }
-        let now = self.timer.now();
         let applied = self.catalog.borrow_mut().replace(list, now);
         for applied in &applied {
             changed |= self.tell(applied);
@@ -301,20 +302,20 @@
         changed
     }
 
-    fn apply_all(&self, records: &[KeyedRecord]) -> bool {
+    fn apply_all(&self, records: &[KeyedRecord], now: Millis) -> bool {
         let mut changed = false;
         for record in records {
-            changed |= self.apply(record);
+            changed |= self.apply(record, now);
         }
         changed
     }
 
-    fn apply(&self, record: &KeyedRecord) -> bool {
-        self.read(record).is_some_and(|c| self.apply_change(c))
+    fn apply(&self, record: &KeyedRecord, now: Millis) -> bool {
+        let change = self.read(record);
+        change.is_some_and(|c| self.apply_change(c, now))
     }
 
-    fn apply_change(&self, change: Change) -> bool {
-        let now = self.timer.now();
+    fn apply_change(&self, change: Change, now: Millis) -> bool {
         let applied = self.catalog.borrow_mut().apply(change, now);
         self.tell(&applied)
     }
