Report the age of the upstream list in gateways

Cause: a gateway that did not read the list of upstreams logged nothing about it until the read was abandoned, 20.7 s later. Its logs did not show whether it had read the list late, trusted another process's read for too long, or read the list and then reverted the change.

Change: add the events E7015 list_old (the list is older than the bound for leaving upstreams) and E7016 list_current, and the gauge upstream_list_age_milliseconds. E7101, E7103 and E7104 now include the age of the list when the request was sent (list_ms). The age is measured from the start of the latest read, by any process, whose results the gateway knows in full.

--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -27,6 +27,9 @@
     /// The log has come back from an older copy: what this process wrote there may be lost.
     fn store_renewed(&self) {}
 
+    /// Called periodically with the age of the list of upstreams known to this process.
+    fn report_list_age(&self, _: Millis) {}
+
     /// Processes that follow the same, as far as is known.
     fn followers(&self) -> u32 {
         1
@@ -218,8 +221,8 @@
                 self.back(now);
                 false
             }
-            KeyedEvent::Era { before, now: found } => {
-                self.renew(before, found);
+            KeyedEvent::Era { before, now: era } => {
+                self.renew(before, era);
                 false
             }
             KeyedEvent::Outage { detail } => {
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -18,6 +18,7 @@
 //! assert!(catalog.layout().unwrap().find("api.example", "/other/7").is_none());
 //! ```
 
+mod age;
 mod answers;
 mod change;
 mod expire;
@@ -33,6 +34,7 @@
 mod unreadable;
 mod upstream;
 
+pub use age::watch_list_age;
 pub use change::{Change, Dialect, Topic, Unreadable};
 pub use expire::expire;
 pub use follow::{Follow, FollowParts, FollowSettings, Shared, follow};
--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -30,6 +30,8 @@
     upstreams: Mark,
     /// Latest read of the list to its end that this process knows to have told nothing new.
     listed: Cell<Option<Listed>>,
+    /// Latest read of the list, by any process, whose results this process knows in full.
+    list_as_of: Cell<Option<Listed>>,
     /// Place up to which this process has read the list.
     read: Cell<Position>,
     /// Since when the list answers.
@@ -139,6 +141,7 @@
     pub(crate) fn listed(&self, end: Position, at: Millis) {
         let read = Listed { end, at };
         self.read.set(end);
+        self.note_as_of(read);
         self.note_answer(read, false);
         let later = self.listed.get().is_some_and(|known| known.end > end);
         if self.knows_all() && !later {
@@ -167,6 +170,22 @@
         }
         let listed = self.listed.get().map_or(heard, |known| known.join(heard));
         self.listed.set(Some(listed));
+        if reads {
+            self.note_as_of(heard);
+        }
+    }
+
+    /// Time since the start of the latest read of the list, by any process, whose results this process
+    /// knows in full; `None` before this process has first read the list to its end.
+    #[must_use]
+    pub fn list_age(&self, now: Millis) -> Option<Millis> {
+        self.list_as_of.get().map(|read| now.since(read.at))
+    }
+
+    fn note_as_of(&self, read: Listed) {
+        let known = self.list_as_of.get();
+        let latest = known.map_or(read, |known| known.join(read));
+        self.list_as_of.set(Some(latest));
     }
 
     fn knows_all(&self) -> bool {
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -1,7 +1,7 @@
 //! Metrics of the gateway.
 
 use prometheus_client::encoding::EncodeLabelSet;
-use pumicecleat_ops::{Counter, Family, Histogram, Histograms, Metrics};
+use pumicecleat_ops::{Counter, Family, Gauge, Histogram, Histograms, Metrics};
 
 /// Upper bounds of the times to the first and to the last byte of answers, s.
 const TIME_BUCKETS: &[f64] = &[
@@ -34,6 +34,8 @@
     pub(crate) repeats: Family<ServiceLabels, Counter>,
     pub(crate) first: Histograms<ServiceLabels>,
     pub(crate) turn: Histogram,
+    /// In milliseconds.
+    pub(crate) list_age: Gauge,
 }
 
 impl Meters {
@@ -51,6 +53,10 @@
                 TIME_BUCKETS,
             ),
             turn: metrics.histogram("turn_seconds", "Wait for a turn at an engine", TIME_BUCKETS),
+            list_age: metrics.gauge(
+                "upstream_list_age_milliseconds",
+                "Age of the list of upstreams as this process knows it",
+            ),
         }
     }
 
--- a/crates/gateway/src/request/trail.rs
+++ b/crates/gateway/src/request/trail.rs
@@ -28,6 +28,9 @@
     /// Where the attempt under way went.
     upstream: RefCell<Option<Upstream>>,
     attempts: Cell<u32>,
+    /// Age of the list of upstreams at the start of the latest attempt; 0 if unknown or before any
+    /// attempt.
+    list_age: Cell<Millis>,
     /// Time spent waiting for turns.
     turn: Cell<Millis>,
     first: Cell<Option<Millis>>,
@@ -57,6 +60,7 @@
             alone: Cell::default(),
             upstream: RefCell::default(),
             attempts: Cell::new(0),
+            list_age: Cell::default(),
             turn: Cell::default(),
             first: Cell::new(None),
             told: Cell::new(false),
@@ -87,6 +91,8 @@
     /// An attempt goes to `upstream`.
     pub(super) fn attempt(&self, upstream: &Upstream) {
         self.attempts.set(self.attempts.get() + 1);
+        let age = self.shared.marks.list_age(self.shared.timer.now());
+        self.list_age.set(age.unwrap_or_default());
         self.instance.replace(upstream.instance.clone());
         self.upstream.replace(Some(upstream.clone()));
     }
@@ -148,6 +154,7 @@
             field("turn_ms", self.turn.get().0),
             field("first_ms", first.0),
             field("total_ms", self.age().0),
+            field("list_ms", self.list_age.get().0),
             field("layout", self.layout),
             field("whole", whole),
         ];
@@ -186,6 +193,7 @@
             field("status", status),
             field("attempts", self.attempts.get()),
             field("age_ms", self.age().0),
+            field("list_ms", self.list_age.get().0),
             field("layout", self.layout),
         ];
         self.shared.log.emit(&events::UNSETTLED, &fields);
@@ -202,6 +210,7 @@
             field("step", step),
             field("ran", ran),
             field("age_ms", self.age().0),
+            field("list_ms", self.list_age.get().0),
             field("again", again),
             field("error", error),
         ];
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -179,6 +179,11 @@
         self.guard.keep_again();
     }
 
+    fn report_list_age(&self, age: Millis) {
+        let age = i64::try_from(age.0).unwrap_or(i64::MAX);
+        self.meters.list_age.set(age);
+    }
+
     fn followers(&self) -> u32 {
         self.gateways.borrow().count()
     }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_catalog::{Dialect, FollowParts, FollowSettings, Marks, expire, follow};
+use pumicecleat_catalog::{
+    Dialect, FollowParts, FollowSettings, Marks, expire, follow, watch_list_age,
+};
 use pumicecleat_infra::KeyedLog;
 use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer};
 use pumicecleat_ops::{
@@ -262,5 +264,6 @@
     monoio::spawn(suspects::keep(Rc::clone(shared), Rc::clone(&parts.store)));
     monoio::spawn(side::sync(Rc::clone(shared)));
     monoio::spawn(view::watch(Rc::clone(shared)));
+    monoio::spawn(watch_list_age(sources.clone(), settings.leave_span.0));
     monoio::spawn(expire(sources));
 }
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -32,15 +32,20 @@
     STORE_RENEWED = "E7013" "store_renewed" Warn ["stream", "era_before", "offset_before", "era"];
     /// The deployment's log told an era that makes no sense.
     ERA_UNCLEAR = "E7014" "era_unclear" Warn ["stream"];
+    /// The list of upstreams is older than the time within which a leaving upstream must get its last
+    /// request.
+    LIST_OLD = "E7015" "list_old" Warn ["age_ms"];
+    /// The age of the list of upstreams is within that bound again.
+    LIST_CURRENT = "E7016" "list_current" Info ["old_ms"];
 
     /// A request ended with an upstream's answer.
-    PASSED_ON = "E7101" "passed_on" Info ["request", "fingerprint", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "layout", "whole"];
+    PASSED_ON = "E7101" "passed_on" Info ["request", "fingerprint", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "list_ms", "layout", "whole"];
     /// A request was refused as not run.
     TURNED_DOWN = "E7102" "turned_down" Warn ["request", "fingerprint", "route", "reason", "status", "retry_ms", "attempts", "age_ms", "layout"];
     /// A request failed, and may have run.
-    UNSETTLED = "E7103" "unsettled" Warn ["request", "fingerprint", "route", "instance", "reason", "status", "attempts", "age_ms", "layout"];
+    UNSETTLED = "E7103" "unsettled" Warn ["request", "fingerprint", "route", "instance", "reason", "status", "attempts", "age_ms", "list_ms", "layout"];
     /// One attempt of a request failed.
-    ATTEMPT_LOST = "E7104" "attempt_lost" Info ["request", "fingerprint", "instance", "step", "ran", "age_ms", "again", "error"];
+    ATTEMPT_LOST = "E7104" "attempt_lost" Info ["request", "fingerprint", "instance", "step", "ran", "age_ms", "list_ms", "again", "error"];
     /// The caller left before its answer was whole.
     CALLER_LEFT = "E7105" "caller_left" Info ["request", "fingerprint", "route", "instance", "age_ms"];
     /// A side does not answer.
