Bound reads of the upstream list by the leave span

Symptom: one request reached an upstream 2,062 ms and another 2,140 ms after the log had acknowledged that the upstream leaves; 2,000 ms are allowed.

Cause: a read of the upstream list could wait 20 s for a record. A read sent as the log became unresponsive stayed unanswered after the log had recovered, and timed out only after 20.7 s. All gateways read within 1.4 s, so each had such a read pending and none could inform the others.

Evidence: at the first gateway, E7001 of the list with `none within 20.7s`, 20.7 s after the start of the outage; no E7007 or E7008 at any gateway in between.

After a pause in reading, the list is read without waiting for records. An empty answer to a hurried read now counts as the end of the stream; it did not before.

--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -42,6 +42,9 @@
     /// Time that the log may wait for a record. Half of the time in which a silent connection
     /// has to be noticed.
     pub wait: Duration,
+    /// Time beyond `wait` after which an unanswered read is retried; `None` for the timeout of the log's
+    /// client.
+    pub answer_timeout: Option<Duration>,
     /// Least time between two reads that give records.
     pub pace: Duration,
     /// Age up to which the list of upstreams may be believed, whoever read it.
@@ -121,6 +124,7 @@
     } = parts;
     let options = FollowOptions {
         wait: settings.wait,
+        answer_timeout: settings.answer_timeout,
         pace: settings.pace,
         backoff: BackoffOptions {
             max: settings.longest,
@@ -171,21 +175,22 @@
 }
 
 impl Following<'_> {
-    /// Next event. A list that never rests is not read while what a process read of it may be believed; one
-    /// that rests is waited at.
+    /// Next event. If the last read of the list of upstreams gave changes, the next one starts once the list
+    /// is no longer believed and does not wait for records. All other reads may wait for a record.
     async fn next(&self, follower: &mut KeyedFollower, settings: &FollowSettings) -> KeyedEvent {
         let up = follower.position().is_some() && self.down.get().is_none();
         if self.topic == Topic::Upstreams && up && self.busy.get() {
             let followers = self.listener.followers();
             let span = believed(settings.fresh, settings.seed, followers);
             self.marks.unlisted(span, self.timer).await;
+            follower.hurry();
         }
         follower.next().await
     }
 
     /// Takes in an event, and notes how far its read reached.
     fn follow(&self, event: KeyedEvent, follower: &mut KeyedFollower) {
-        let lost = matches!(event, KeyedEvent::Outage { .. });
+        let lost = matches!(event, KeyedEvent::Outage { .. } | KeyedEvent::Unanswered);
         self.busy.set(matches!(event, KeyedEvent::Changes(_)));
         let changed = self.take(event);
         if follower.has_odd_era() {
@@ -225,6 +230,12 @@
                 self.renew(before, era);
                 false
             }
+            KeyedEvent::Unanswered => {
+                let fields = [field("stream", self.dialect.stream(self.topic))];
+                self.log.emit(&events::READ_UNANSWERED, &fields);
+                self.marks.doubt(self.topic);
+                false
+            }
             KeyedEvent::Outage { detail } => {
                 let fields = [
                     field("stream", self.dialect.stream(self.topic)),
--- /dev/null
+++ b/crates/gateway/src/leave.rs
@@ -0,0 +1,62 @@
+//! Time bounds within which a gateway stops sending requests to a leaving upstream.
+//!
+//! Agents and other gateways may be unreachable, so the bounds assume that a gateway learns of the upstream
+//! from the list alone. The sum of all waits from the entry in the list to the last request must stay below
+//! the leave span.
+
+use std::time::Duration;
+
+/// Part of the leave span for which the list is believed, counted from the start of the read.
+const FRESH_PART: f64 = 0.6;
+
+/// Part of the leave span for which a read of the list may wait for a record.
+const WAIT_PART: f64 = 0.5;
+
+/// Part of the leave span after which an unanswered read is retried on another connection.
+const ANSWER_TIMEOUT_PART: f64 = 0.125;
+
+/// Part of the leave span within which some gateway reads a new record and all gateways have heard of it,
+/// while the list answers. Covers two reads and the interval between two entries of an upstream.
+const REST_PART: f64 = 2.0;
+
+/// Time budgeted for an answer from a store that works.
+const STORE_ANSWER_SPAN: Duration = Duration::from_millis(100);
+
+/// Connect timeout for upstreams and agents. A request that is already assigned to a leaving upstream may
+/// still wait this long.
+pub(crate) const CONNECT_SPAN: Duration = Duration::from_millis(250);
+
+/// Bounds of the waits between an entry in the list and the last request to its upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaveBudget {
+    /// Age up to which the list is believed.
+    pub fresh: Duration,
+    /// Time that a read of the list may wait for a record.
+    pub wait: Duration,
+    /// Time beyond the wait after which an unanswered read is retried.
+    pub answer_timeout: Duration,
+    /// Longest time between two reads of a list that answers, as known to all gateways.
+    pub rest: Duration,
+}
+
+impl LeaveBudget {
+    /// Budget for upstreams that may get requests for `span` after they announced that they leave.
+    #[must_use]
+    pub fn new(span: Duration) -> Self {
+        Self {
+            fresh: span.mul_f64(FRESH_PART),
+            wait: span.mul_f64(WAIT_PART),
+            answer_timeout: span.mul_f64(ANSWER_TIMEOUT_PART),
+            rest: span.mul_f64(REST_PART),
+        }
+    }
+
+    /// Longest time from an entry in the list to the last request to its upstream, while the store answers.
+    /// Assumes that the first read after the entry times out, and that the retry finds the history trimmed
+    /// and is followed by a read of the newest records.
+    #[must_use]
+    pub fn worst_case(&self) -> Duration {
+        let first_read = self.fresh.max(self.wait) + self.answer_timeout;
+        first_read + 2 * STORE_ANSWER_SPAN + CONNECT_SPAN
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod gate;
 mod gateways;
+mod leave;
 mod meters;
 mod own_word;
 mod peers;
@@ -39,6 +40,7 @@
 mod view;
 mod wire;
 
+pub use leave::LeaveBudget;
 pub use settings::GatewaySettings;
 pub use start::{Gateway, GatewayParts};
 pub use wire::{Attributes, Heard, Load, ModelName, Outgoing, PromptPart, RetryTime, Wire};
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use pumicecleat_catalog::{
-    Dialect, FollowParts, FollowSettings, Marks, expire, follow, watch_list_age,
+    Dialect, FollowParts, FollowSettings, Marks, Topic, expire, follow, watch_list_age,
 };
 use pumicecleat_infra::KeyedLog;
 use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer};
@@ -20,6 +20,7 @@
 
 use crate::gate::Gate;
 use crate::gateways::Gateways;
+use crate::leave::{CONNECT_SPAN, LeaveBudget};
 use crate::meters::Meters;
 use crate::request::CallerHandler;
 use crate::shared::{LAYOUT, RUNNING, Shared, Stopping, TOPICS};
@@ -27,10 +28,6 @@
 use crate::table::Table;
 use crate::{GatewaySettings, Wire, side, suspects, view};
 
-/// Time for a connection to an upstream or an agent: over a hundred ways between data centres, and
-/// short enough to try another within any objective.
-const CONNECT_SPAN: Duration = Duration::from_millis(250);
-
 /// Time for which an upstream or an agent may leave bytes without acknowledgement: many ways there
 /// and back, with a loss or two, and well below the time that callers wait.
 const ACK_SPAN: Duration = Duration::from_millis(1_200);
@@ -46,16 +43,6 @@
 /// Part of the grace after which the process ends in any case.
 const END_PART: f64 = 0.93;
 
-/// Part of the time for a leaving upstream that may pass between two reads of the list. Every upstream
-/// writes there each second or so, so that a gateway would be woken ten times a second. What one of the
-/// gateways has read all hear of within an exchange with agents, as well as that there was nothing; the
-/// rest of the time is for a read that has to be made again.
-const LIST_PART: f64 = 0.7;
-
-/// Part of the time for a leaving upstream in which some gateway finds something new in the list, while it
-/// answers, and all have heard of it: two reads, and the time between two entries of an upstream.
-const REST_PART: f64 = 2.0;
-
 /// Time between two reads that another process's word brings on, for each gateway: many upstreams that
 /// come or go within a second would else have every gateway read for each of them. Together they read 50
 /// times a second at most.
@@ -209,7 +196,7 @@
         agent_port: settings.agent_port,
         wire: Rc::clone(&parts.wire),
         catalog: Rc::default(),
-        marks: Rc::new(Marks::new_ext(settings.leave_span.0.mul_f64(REST_PART))),
+        marks: Rc::new(Marks::new_ext(LeaveBudget::new(settings.leave_span.0).rest)),
         table: Rc::new(Table::default()),
         client: Client::new_ext(client, timer),
         agents: Client::new_ext(client, timer),
@@ -249,11 +236,20 @@
         log: shared.log.clone(),
         marks: Rc::clone(&shared.marks),
     };
+    let budget = LeaveBudget::new(settings.leave_span.0);
     for topic in TOPICS {
+        let (wait, answer_timeout) = match topic {
+            Topic::Operators => (settings.store_wait.0, None),
+            Topic::Upstreams => (
+                settings.store_wait.0.min(budget.wait),
+                Some(budget.answer_timeout),
+            ),
+        };
         let options = FollowSettings {
-            wait: settings.store_wait.0,
+            wait,
+            answer_timeout,
             pace: Duration::ZERO,
-            fresh: settings.leave_span.0.mul_f64(LIST_PART),
+            fresh: budget.fresh,
             hurry: HURRY,
             hurry_most: settings.leave_span.0.mul_f64(HURRY_PART),
             longest: LONGEST_PAUSE,
--- a/crates/infra/src/follower/event.rs
+++ b/crates/infra/src/follower/event.rs
@@ -21,6 +21,8 @@
         /// Next free offset.
         next: u64,
     },
+    /// A read timed out without an answer; it is retried on another connection.
+    Unanswered,
     /// Log does not answer; told once, and tried on until it does.
     Outage {
         /// First failure, for people.
--- a/crates/infra/src/follower/keyed.rs
+++ b/crates/infra/src/follower/keyed.rs
@@ -27,6 +27,8 @@
         /// Era that it is in now.
         now: u64,
     },
+    /// A read timed out without an answer; it is retried on another connection.
+    Unanswered,
     /// Log does not answer; told once, and tried on until it does.
     Outage {
         /// First failure, for people.
@@ -157,6 +159,7 @@
                 (!fresh.is_empty()).then_some(KeyedEvent::Changes(fresh))
             }
             Ok(FollowEvent::CaughtUp { .. }) => Some(KeyedEvent::CaughtUp),
+            Ok(FollowEvent::Unanswered) => Some(KeyedEvent::Unanswered),
             Ok(FollowEvent::Outage { detail }) => Some(KeyedEvent::Outage { detail }),
             // Records are missing, or the log contradicts itself: the newest ones tell the rest.
             Ok(FollowEvent::Trimmed { .. }) => {
--- a/crates/infra/src/follower/mod.rs
+++ b/crates/infra/src/follower/mod.rs
@@ -26,6 +26,9 @@
     pub batch: u32,
     /// Time that the log may wait for a record.
     pub wait: Duration,
+    /// Time beyond `wait` after which an unanswered read is retried on another connection; `None` for
+    /// the timeout of the log's client.
+    pub answer_timeout: Option<Duration>,
     /// Least time between the starts of two reads that give records: a stream that never rests is
     /// read in batches.
     pub pace: Duration,
@@ -38,12 +41,23 @@
         Self {
             batch: 256,
             wait: Duration::from_secs(10),
+            answer_timeout: None,
             pace: Duration::ZERO,
             backoff: BackoffOptions::default(),
         }
     }
 }
 
+/// Outcome of the last read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LastRead {
+    Answered,
+    /// It timed out without an answer; the next read is its retry.
+    Unanswered,
+    /// It failed, and the outage was reported to the caller.
+    Failed,
+}
+
 /// Follower of one stream.
 pub struct Follower {
     log: Rc<dyn Log>,
@@ -59,8 +73,7 @@
     caught: bool,
     /// The last answer reached the end, by the log's own word.
     end: bool,
-    /// Caller knows of the present outage.
-    outage: bool,
+    last_read: LastRead,
     /// Start of the last read that was answered.
     asked: Millis,
     era: Era,
@@ -86,7 +99,7 @@
             resume: None,
             caught: false,
             end: true,
-            outage: false,
+            last_read: LastRead::Answered,
             asked: timer.now(),
             era: Era::default(),
         }
@@ -119,7 +132,7 @@
     /// Reads at once and without a wait when asked next: there is more than this follower knows.
     /// Drop a call of [`next`](Self::next) that is under way. After a failure the pause stays.
     pub fn hurry(&mut self) {
-        if !self.outage {
+        if self.last_read != LastRead::Failed {
             self.resume = None;
         }
         self.caught = false;
@@ -147,7 +160,16 @@
             let start = self.timer.now();
             let (batch, wait) = (self.options.batch, self.wait());
             let read = self.log.read(&self.stream, self.next, batch, wait);
-            let event = match read.await {
+            let read = match self.read_timeout(wait) {
+                Some(timeout) => self.timer.within(timeout, read).await,
+                None => Ok(read.await),
+            };
+            let Ok(read) = read else {
+                self.last_read = LastRead::Unanswered;
+                self.caught = false;
+                return Ok(FollowEvent::Unanswered);
+            };
+            let event = match read {
                 Ok(batch) => self.take(batch, start)?,
                 Err(ReadError::Trimmed { first, next, .. }) => Some(self.trimmed(first, next)),
                 Err(e) => self.fail(&e),
@@ -168,6 +190,13 @@
         }
     }
 
+    /// Timeout of a read that may wait for `wait`; `None` for that of the log's client. Retries and reads
+    /// during an outage use the latter, so that a slow log can still be read.
+    fn read_timeout(&self, wait: Duration) -> Option<Duration> {
+        let answer_timeout = self.options.answer_timeout?;
+        (self.last_read == LastRead::Answered).then_some(wait + answer_timeout)
+    }
+
     fn take(&mut self, batch: Batch, start: Millis) -> Result<Option<FollowEvent>, FollowError> {
         self.check_era(batch.era)?;
         let checked = check_batch(&self.stream, self.next, &batch);
@@ -175,7 +204,7 @@
             self.pause(None);
         }
         checked?;
-        self.outage = false;
+        self.last_read = LastRead::Answered;
         self.asked = start;
         if !batch.records.is_empty() {
             self.backoff.reset();
@@ -191,6 +220,7 @@
             return Ok(None);
         }
         self.backoff.reset();
+        self.end = true;
         // A log that does not wait by itself must not be asked in a hurry either.
         self.resume = Some(start + as_millis(self.options.backoff.first));
         let known = std::mem::replace(&mut self.caught, true);
@@ -212,7 +242,7 @@
     }
 
     fn trimmed(&mut self, first: u64, next: u64) -> FollowEvent {
-        self.outage = false;
+        self.last_read = LastRead::Answered;
         self.caught = false;
         // A caller that asks again without a seek gets the same; it must not do so in a hurry.
         self.pause(None);
@@ -222,7 +252,7 @@
     fn fail(&mut self, error: &ReadError) -> Option<FollowEvent> {
         self.pause(error.retry());
         self.caught = false;
-        let known = std::mem::replace(&mut self.outage, true);
+        let known = std::mem::replace(&mut self.last_read, LastRead::Failed) == LastRead::Failed;
         let detail = error.to_string();
         (!known).then_some(FollowEvent::Outage { detail })
     }
--- a/crates/infra/tests/infra/follower.rs
+++ b/crates/infra/tests/infra/follower.rs
@@ -18,6 +18,7 @@
     let options = FollowOptions {
         batch: 3,
         wait,
+        answer_timeout: None,
         pace: Duration::ZERO,
         backoff: BackoffOptions {
             first: MS,
@@ -204,3 +205,41 @@
         }
     });
 }
+
+/// Guards against a follower that is blocked by an unresponsive connection for the full client timeout, and
+/// against a retry that is too short for a slow log.
+#[test]
+fn an_unanswered_read_is_retried_without_the_answer_timeout() {
+    with_client(|client| async move {
+        let timer = client.timer();
+        let log = log_of(2, timer, &[]);
+        log.delay.set(40 * MS);
+        let options = FollowOptions {
+            answer_timeout: Some(10 * MS),
+            ..FollowOptions::default()
+        };
+        let mut follower = Follower::new_ext(log.clone(), timer, "config", 0, options);
+        let event = follower.next().await.unwrap();
+        assert_eq!(event, FollowEvent::Unanswered);
+        let event = follower.next().await.unwrap();
+        assert_eq!(offsets(&event), [0, 1]);
+        let event = follower.next().await.unwrap();
+        assert_eq!(event, FollowEvent::Unanswered);
+        let event = follower.next().await.unwrap();
+        assert_eq!(event, FollowEvent::CaughtUp { next: 2 });
+    });
+}
+
+/// Guards against a follower that does not report the end of the log after an empty answer.
+#[test]
+fn an_empty_answer_to_a_hurried_read_is_the_end() {
+    with_client(|client| async move {
+        let log = log_of(0, client.timer(), &[]);
+        let mut follower = follower(&log, client.timer(), 0);
+        follower.hurry();
+        assert!(!follower.is_at_end());
+        let event = follower.next().await.unwrap();
+        assert_eq!(event, FollowEvent::CaughtUp { next: 0 });
+        assert!(follower.is_at_end());
+    });
+}
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -37,6 +37,8 @@
     LIST_OLD = "E7015" "list_old" Warn ["age_ms"];
     /// The age of the list of upstreams is within that bound again.
     LIST_CURRENT = "E7016" "list_current" Info ["old_ms"];
+    /// A read of the deployment's log timed out without an answer.
+    READ_UNANSWERED = "E7017" "read_unanswered" Info ["stream"];
 
     /// A request ended with an upstream's answer.
     PASSED_ON = "E7101" "passed_on" Info ["request", "fingerprint", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "list_ms", "layout", "whole"];
--- a/crates/side/src/keys/reader.rs
+++ b/crates/side/src/keys/reader.rs
@@ -34,6 +34,7 @@
             max: LONGEST,
             ..BackoffOptions::default()
         },
+        ..FollowOptions::default()
     }
 }
 
@@ -55,6 +56,7 @@
             match event {
                 Ok(FollowEvent::Records(records)) => self.take(&records),
                 Ok(FollowEvent::CaughtUp { .. }) => self.note_end(),
+                Ok(FollowEvent::Unanswered) => {}
                 Ok(FollowEvent::Outage { detail }) => self.note_down(&detail),
                 Ok(FollowEvent::Trimmed { first, .. }) => {
                     self.skip_trimmed(first);
