Derive waits on the operators' stream from the apply span

A read of the operators' stream could wait 20 s for a record. It was abandoned sooner only if a read of the upstream list failed or another process knew of newer records. If the waiting reads of all gateways became unresponsive while their reads of the list were answered, a configuration was not taken for up to 20.7 s.

Evidence: the test a_configuration_is_taken_while_reads_of_the_operators_stream_are_unanswered failed before the change with status 200 instead of 404.

The wait differs from read to read, as a record ends the waits of all gateways at once. Some gateway thus ends its wait about once in each span, and the others are informed of what it reads.

Cost, computed and not measured: about 4 reads in each apply span over all gateways, up to 20 gateways at 2 s, instead of one read per gateway every 20 s.

--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -169,6 +169,7 @@
 fn spawn_loops(shared: &Rc<Shared>, settings: &AgentSettings, parts: &AgentParts) {
     let options = FollowSettings {
         wait: settings.store_wait.0,
+        detection_span: None,
         answer_timeout: None,
         pace: READ_PAUSE,
         fresh: Duration::ZERO,
--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -12,7 +12,7 @@
 use pumicecleat_ops::{Log, events, field};
 use pumicecleat_types::{Millis, Position};
 
-use crate::share::believed;
+use crate::share::{believed, staggered_wait};
 use crate::tell::tell;
 use crate::{Applied, Catalog, Change, Dialect, Marks, Topic, UnreadableKeys};
 
@@ -42,6 +42,9 @@
     /// Time that the log may wait for a record. Half of the time in which a silent connection
     /// has to be noticed.
     pub wait: Duration,
+    /// Intended time until a new record is known if the reads in progress of all processes stay unanswered.
+    /// Shortens `wait` according to the number of processes; `None` to always use `wait`.
+    pub detection_span: Option<Duration>,
     /// Time beyond `wait` after which an unanswered read is retried; `None` for the timeout of the log's
     /// client.
     pub answer_timeout: Option<Duration>,
@@ -74,6 +77,8 @@
     outage: Cell<Option<Outage>>,
     /// The last read gave records, and the next would soon give more of them.
     busy: Cell<bool>,
+    /// Reads so far.
+    reads: Cell<u64>,
     unreadable: RefCell<UnreadableKeys>,
 }
 
@@ -111,6 +116,20 @@
     pub marks: Rc<Marks>,
 }
 
+fn follow_options(settings: &FollowSettings) -> FollowOptions {
+    FollowOptions {
+        wait: settings.wait,
+        answer_timeout: settings.answer_timeout,
+        pace: settings.pace,
+        backoff: BackoffOptions {
+            max: settings.longest,
+            seed: settings.seed,
+            ..BackoffOptions::default()
+        },
+        ..FollowOptions::default()
+    }
+}
+
 /// Follows `topic` for good.
 pub async fn follow(topic: Topic, parts: FollowParts, settings: FollowSettings) {
     let FollowParts {
@@ -122,17 +141,7 @@
         log,
         marks,
     } = parts;
-    let options = FollowOptions {
-        wait: settings.wait,
-        answer_timeout: settings.answer_timeout,
-        pace: settings.pace,
-        backoff: BackoffOptions {
-            max: settings.longest,
-            seed: settings.seed,
-            ..BackoffOptions::default()
-        },
-        ..FollowOptions::default()
-    };
+    let options = follow_options(&settings);
     let stream = dialect.stream(topic);
     let mut follower = KeyedFollower::new_ext(store, &timer, stream, options);
     let following = Following {
@@ -146,6 +155,7 @@
         down: Cell::new(None),
         outage: Cell::new(None),
         busy: Cell::new(false),
+        reads: Cell::new(0),
         unreadable: RefCell::default(),
     };
     let mut hurried = Millis(0);
@@ -185,6 +195,13 @@
             self.marks.unlisted(span, self.timer).await;
             follower.hurry();
         }
+        if let Some(span) = settings.detection_span {
+            let followers = self.listener.followers();
+            let n = self.reads.get();
+            self.reads.set(n + 1);
+            let wait = staggered_wait(span, settings.seed, n, followers);
+            follower.set_wait(wait.min(settings.wait));
+        }
         follower.next().await
     }
 
--- a/crates/catalog/src/share.rs
+++ b/crates/catalog/src/share.rs
@@ -16,6 +16,15 @@
 /// of 200 ms.
 const LATE_PARTS: (f64, f64) = (0.8, 1.0);
 
+/// Shortest staggered wait, in parts of the span.
+const LEAST_WAIT_PART: f64 = 0.5;
+
+/// Longest staggered wait, in parts of the span times the number of processes.
+const MOST_WAIT_PART: f64 = 0.5;
+
+/// Step between the rolls of successive reads; rolls a golden ratio apart spread evenly.
+const ROLL_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Time for which the process of `seed`, one of `followers`, believes a list that may be believed for
 /// `most`.
 pub(crate) fn believed(most: Duration, seed: u64, followers: u32) -> Duration {
@@ -29,6 +38,15 @@
     most.mul_f64(part)
 }
 
+/// Time that the `n`th read by the process of `seed`, one of `followers`, may wait for a record, so that some
+/// process ends its wait about once in each `span`. Processes whose reads began together end them apart.
+pub(crate) fn staggered_wait(span: Duration, seed: u64, n: u64, followers: u32) -> Duration {
+    let roll = seed.wrapping_add(n.wrapping_mul(ROLL_STEP));
+    let roll = approximate(roll >> 11) / approximate(u64::MAX >> 11);
+    let most = (f64::from(followers) * MOST_WAIT_PART).max(2.0 * LEAST_WAIT_PART);
+    span.mul_f64(between((LEAST_WAIT_PART, most), roll))
+}
+
 fn between((least, most): (f64, f64), part: f64) -> f64 {
     least + (most - least) * part
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -29,6 +29,8 @@
         store_wait: Span = "20s", "span";
         /// time within which a leaving upstream must get its last request
         leave_span: Span = "2s", "span";
+        /// time within which a configuration must be in force
+        apply_span: Span = "2s", "span";
         /// time that a stop may take in all
         grace: Span = "8s", "span";
         /// lines logged in a second at most; warnings and errors may take as many again
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -238,16 +238,14 @@
     };
     let budget = LeaveBudget::new(settings.leave_span.0);
     for topic in TOPICS {
-        let (wait, answer_timeout) = match topic {
-            Topic::Operators => (settings.store_wait.0, None),
-            Topic::Upstreams => (
-                settings.store_wait.0.min(budget.wait),
-                Some(budget.answer_timeout),
-            ),
+        let (wait, detection_span) = match topic {
+            Topic::Operators => (settings.store_wait.0, Some(settings.apply_span.0)),
+            Topic::Upstreams => (settings.store_wait.0.min(budget.wait), None),
         };
         let options = FollowSettings {
             wait,
-            answer_timeout,
+            detection_span,
+            answer_timeout: Some(budget.answer_timeout),
             pace: Duration::ZERO,
             fresh: budget.fresh,
             hurry: HURRY,
--- a/crates/infra/src/follower/keyed.rs
+++ b/crates/infra/src/follower/keyed.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use pumicecleat_net::Timer;
 use pumicecleat_types::{Millis, Position};
@@ -104,6 +105,14 @@
         self.follower.as_ref().map(Follower::asked)
     }
 
+    /// Sets the time that the log may wait for a record; applies from the next read.
+    pub fn set_wait(&mut self, wait: Duration) {
+        self.options.wait = wait;
+        if let Some(follower) = &mut self.follower {
+            follower.set_wait(wait);
+        }
+    }
+
     /// Reads at once when asked next; see [`Follower::hurry`].
     pub fn hurry(&mut self) {
         if let Some(follower) = &mut self.follower {
--- a/crates/infra/src/follower/mod.rs
+++ b/crates/infra/src/follower/mod.rs
@@ -123,6 +123,11 @@
         self.asked
     }
 
+    /// Sets the time that the log may wait for a record; applies from the next read.
+    pub fn set_wait(&mut self, wait: Duration) {
+        self.options.wait = wait;
+    }
+
     /// The caller needs no word that it has all records once it has the last one: the next read may
     /// wait at once if that is so, which saves a read for each change.
     pub fn settle(&mut self) {
