Decode and log the rate limits that upstreams announce

Cause: an upstream that needs to limit its load announces in its responses (Server-Limit) the requests per second that it accepts across all gateways. Nothing decoded the header and no event reported it, so the logs could not show whether a limit was not received, received by only one gateway, or received late.

Change: the header is decoded into requests per 1,000 seconds. A negative value, a value that is not a number, or two differing values are ignored (E7122, once per upstream). Gateways store the limit by instance and start. A lower limit replaces the current one. A higher limit, or a response without one, takes effect only if its request was not sent before the limit was last announced, because responses may arrive out of order. A response of an earlier start is ignored. E7120 and E7121 report changes. No decision uses the limit yet.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,4 +43,6 @@
 pub use leave::LeaveBudget;
 pub use settings::GatewaySettings;
 pub use start::{Gateway, GatewayParts};
-pub use wire::{Attributes, Heard, Load, ModelName, Outgoing, PromptPart, RetryTime, Wire};
+pub use wire::{
+    Attributes, Heard, Load, ModelName, Outgoing, PromptPart, RateLimit, RetryTime, Wire,
+};
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -50,6 +50,7 @@
         };
         let request = self.request(&outgoing);
         let peer = upstream.address.to_string();
+        let sent_at = self.shared.timer.now();
         let response = match self.shared.client.send(&peer, request, span).await {
             Ok(response) => response,
             Err(e) if e.sent() == Sent::No => return Attempt::NotSent(e.to_string()),
@@ -59,7 +60,7 @@
                 return Attempt::Lost(e.to_string());
             }
         };
-        self.judge(upstream, response)
+        self.judge(upstream, response, sent_at)
     }
 
     /// An upstream that turns a request away may tell when it wants requests again.
@@ -74,7 +75,7 @@
         }
     }
 
-    fn judge(&self, upstream: &Upstream, response: Response) -> Attempt {
+    fn judge(&self, upstream: &Upstream, response: Response, sent_at: Millis) -> Attempt {
         let heard = self
             .shared
             .wire
@@ -93,6 +94,7 @@
             self.shared.seen_replaced(&upstream.instance);
             return Attempt::NotRun(heard);
         }
+        self.shared.note_limit(upstream, heard.limit, sent_at);
         if let Some(load) = heard.load {
             let now = self.shared.timer.now();
             self.shared.table.told(&upstream.instance, load, now);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,17 +7,17 @@
 use pumicecleat_catalog::{Applied, Follow, Marks, Shared as Catalog, Standing, Topic, Upstream};
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
-use pumicecleat_policy::{RepeatOptions, RepeatWindow};
+use pumicecleat_policy::{LimitChange, LimitSource, RateLimits, RepeatOptions, RepeatWindow};
 use pumicecleat_types::{DataCentre, Millis, ServiceId, VmId};
 use rand_chacha::ChaCha8Rng;
 
-use crate::Wire;
 use crate::gateways::Gateways;
 use crate::meters::{Meters, ServiceLabels};
 use crate::own_word::OwnWords;
 use crate::peers::Peers;
 use crate::suspects::Guard;
 use crate::table::Table;
+use crate::{RateLimit, Wire};
 
 /// Readiness condition of the configuration.
 pub(crate) const LAYOUT: &str = "layout";
@@ -54,6 +54,8 @@
     pub(crate) agents: Client,
     /// What upstreams said of themselves.
     pub(crate) words: RefCell<OwnWords>,
+    /// Rate limits announced by upstreams.
+    pub(crate) limits: RefCell<RateLimits>,
     /// Requests under which upstreams ended.
     pub(crate) guard: Guard,
     /// Whether relays gather what is known of engines.
@@ -112,6 +114,43 @@
         }
     }
 
+    /// Applies and logs the rate limit, if any, of a response from `upstream` to a request sent at `sent_at`.
+    pub(crate) fn note_limit(
+        &self,
+        upstream: &Upstream,
+        limit: Option<RateLimit>,
+        sent_at: Millis,
+    ) {
+        let instance = field("instance", upstream.instance.as_str());
+        let rate = match limit {
+            Some(RateLimit::Unreadable) => {
+                if self.limits.borrow_mut().note_unreadable(&upstream.instance) {
+                    self.log.emit(&events::LIMIT_UNREADABLE, &[instance]);
+                }
+                return;
+            }
+            Some(RateLimit::Rate(rate)) => Some(rate),
+            None => None,
+        };
+        let now = self.timer.now();
+        let source = LimitSource {
+            instance: &upstream.instance,
+            born: upstream.born,
+        };
+        let change = self.limits.borrow_mut().update(source, rate, sent_at, now);
+        match change {
+            Some(LimitChange::Set { rate }) => {
+                let rate = field("per_1000_s", rate);
+                self.log.emit(&events::LIMIT_NAMED, &[instance, rate]);
+            }
+            Some(LimitChange::Ended { held }) => {
+                let held = field("held_ms", held.0);
+                self.log.emit(&events::LIMIT_ENDED, &[instance, held]);
+            }
+            None => {}
+        }
+    }
+
     /// Another upstream answered in the place of `instance`.
     pub(crate) fn seen_replaced(&self, instance: &str) {
         let known = self
@@ -168,6 +207,7 @@
             } => self.guard.note_leaving(instance, true, self.timer.now()),
             Applied::Gone { instance } => {
                 self.guard.note_leaving(instance, false, self.timer.now());
+                self.limits.borrow_mut().forget(instance);
                 self.table.forget(instance);
             }
             Applied::Restarted { instance, .. } => self.table.forget(instance),
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -201,6 +201,7 @@
         client: Client::new_ext(client, timer),
         agents: Client::new_ext(client, timer),
         words: RefCell::default(),
+        limits: RefCell::default(),
         guard: Guard::new(rand::random()),
         relayed: Cell::default(),
         repeat,
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -63,6 +63,15 @@
     Unreadable,
 }
 
+/// Rate limit of an upstream across all gateways.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RateLimit {
+    /// Requests per 1,000 seconds.
+    Rate(u64),
+    /// The value could not be decoded.
+    Unreadable,
+}
+
 /// What the head of an upstream's answer tells.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Heard {
@@ -78,6 +87,8 @@
     pub load: Option<Load>,
     /// When to come back.
     pub retry: Option<RetryTime>,
+    /// Rate limit, if the answer carries one.
+    pub limit: Option<RateLimit>,
 }
 
 /// Load of an upstream, by its own word.
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -78,6 +78,12 @@
     UPSTREAM_RESTS = "E7118" "upstream_rests" Info ["instance", "told_ms", "held_ms"];
     /// An upstream told a time to come back that can't be read.
     RETRY_UNREADABLE = "E7119" "retry_unreadable" Warn ["instance"];
+    /// An upstream announced a rate limit or changed it.
+    LIMIT_NAMED = "E7120" "limit_named" Warn ["instance", "per_1000_s"];
+    /// An upstream no longer announces a rate limit.
+    LIMIT_ENDED = "E7121" "limit_ended" Info ["instance", "held_ms"];
+    /// An upstream sent a malformed rate limit.
+    LIMIT_UNREADABLE = "E7122" "limit_unreadable" Warn ["instance"];
 
     /// The engine does not answer its side.
     OWN_ENGINE_LOST = "E7201" "own_engine_lost" Warn ["address", "error"];
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 //! ```
 
 mod index;
+mod limits;
 mod load_order;
 mod prompt;
 mod router;
@@ -41,6 +42,7 @@
 mod suspects;
 
 pub use index::{CallerIx, LoraIx, PoolIx, UpstreamIx};
+pub use limits::{LimitChange, LimitSource, RateLimits};
 pub use load_order::{LoadOrder, LoadOrderOptions};
 pub use prompt::{
     AdapterHold, BaseCopy, BaseLoads, EngineChoice, EngineOrder, EngineState, EngineView, OrderEnd,
--- /dev/null
+++ b/crates/policy/src/limits/mod.rs
@@ -0,0 +1,11 @@
+//! Rate limits that upstreams announce in their responses.
+//!
+//! An upstream that needs to limit its load announces the requests per second that it accepts across all
+//! gateways. The limit applies from the first response that carries it until a response carries a different
+//! one or none. Responses may arrive out of order, so a limit is raised or cleared only by a response whose
+//! request was not sent before the limit was last updated. A limit also ends when a later start of its
+//! upstream is known or the upstream is removed.
+
+mod named;
+
+pub use named::{LimitChange, LimitSource, RateLimits};
