Enforce the rate limit that an upstream announces across all gateways

Symptom: an engine that had announced a limit of 1.1 requests per second received 12 requests in 4 s from gateways that had relayed a response with this limit; another with a limit of 1.3 received 13. The allowed number is 1.5 times the limit, plus 5.

Cause: no decision used the limit, and for plain upstreams no component was in a position to enforce a total over all gateways.

Evidence: the test an_upstream_that_names_a_limit_gets_no_more_from_all_gateways_together failed in all 8 cases, with up to 234 requests in 4 s where 5 to 41 are allowed.

Change: requests to an upstream with a limit are sent in slots, one interval of the rate apart, without bursts. The total is enforced in one place where there is one: gateways report the limit to the agent of a model engine with each exchange (LimitNews, ordered by the age of the response), and the agent grants turns in slots for all gateways. The same share applies to requests that are sent to an engine whose agent does not answer. A request is sent to another upstream if possible, waits for a slot if one is free within its objective, and is otherwise refused immediately with the time of the next slot (reason limited). The slot of a request that gets no turn is given back. Metrics: upstream_limit_per_1000_seconds, limited_requests_total.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -8,7 +8,7 @@
 
 use pumicecleat_net::{Handler, Incoming, Reply, peer_reply, plain_reply, read_all};
 use pumicecleat_ops::{events, field};
-use pumicecleat_policy::{TurnId, TurnRequest};
+use pumicecleat_policy::{Admission, LimitSource, Slot, TurnId, TurnRequest};
 use pumicecleat_types::{Millis, Turn, TurnAsk, TurnCall, TurnRefusal, TurnReply, decode};
 
 use crate::relay::{self, FIGURES_PATH, VIEW_PATH};
@@ -84,10 +84,14 @@
         let told = call.suspects.as_ref();
         let suspects = told.map(|told| self.shared.watch.exchange(told, now));
         self.note(&call, now);
+        if let Some(limit) = call.limit {
+            let mut limits = self.shared.limits.borrow_mut();
+            limits.hear(&call.instance, limit, now);
+        }
         // Also without an ask: entries that take the engine for another than we do ask nothing of it.
         let meant = self.shared.is_meant(&call.instance);
         let turn = match call.ask {
-            Some(ask) if meant => Some(self.turn(ask).await),
+            Some(ask) if meant => Some(self.admit(ask, &call.instance).await),
             Some(ask) => {
                 self.log_turn(&Asked::new(&ask, "unknown"), UNKNOWN, now);
                 Some(UNKNOWN)
@@ -123,6 +127,54 @@
         self.shared.wake.ring();
     }
 
+    /// Grants a turn within the engine's rate limit. A request that does not stay is refused instead of
+    /// waiting for a slot, because another engine may accept it immediately.
+    async fn admit(&self, mut ask: TurnAsk, instance: &str) -> Turn {
+        let now = self.shared.timer.now();
+        let max_wait = if ask.stays {
+            Millis(ask.due_ms.min(ask.patience_ms))
+        } else {
+            Millis(0)
+        };
+        let source = LimitSource {
+            instance,
+            born: None,
+        };
+        let admission = self
+            .shared
+            .limits
+            .borrow_mut()
+            .reserve(source, 1, max_wait, now);
+        let slot = match admission {
+            Admission::Unlimited => return self.turn(ask).await,
+            Admission::Reserved(slot) => slot,
+            Admission::Refused(wait) => {
+                let turn = Turn::No {
+                    reason: TurnRefusal::Limited,
+                    retry_ms: wait.0,
+                };
+                self.log_turn(&Asked::new(&ask, self.hold(&ask)), turn, now);
+                return turn;
+            }
+        };
+        let mut guard = Reservation {
+            shared: Rc::clone(&self.shared),
+            instance: instance.to_owned(),
+            slot: Some(slot),
+        };
+        self.shared
+            .timer
+            .sleep(Duration::from_millis(slot.wait.0))
+            .await;
+        ask.due_ms = ask.due_ms.saturating_sub(slot.wait.0);
+        ask.patience_ms = ask.patience_ms.saturating_sub(slot.wait.0);
+        let turn = self.turn(ask).await;
+        if matches!(turn, Turn::Go { .. }) {
+            guard.slot = None;
+        }
+        turn
+    }
+
     async fn turn(&self, ask: TurnAsk) -> Turn {
         let from = self.shared.timer.now();
         if !self.may_try(&ask, from).await {
@@ -238,6 +290,22 @@
     }
 }
 
+/// Slot under the engine's rate limit; given back on drop unless `slot` was cleared.
+struct Reservation {
+    shared: Rc<Shared>,
+    instance: String,
+    slot: Option<Slot>,
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if let Some(slot) = self.slot {
+            let mut limits = self.shared.limits.borrow_mut();
+            limits.give_back(&self.instance, slot);
+        }
+    }
+}
+
 /// Takes an ask back if its entry leaves before the outcome reached it.
 struct Withdraw {
     shared: Rc<Shared>,
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -10,7 +10,7 @@
 use pumicecleat_catalog::{Applied, Follow, Marks, Shared as Catalog, Upstream};
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Log, Readiness, events, field};
-use pumicecleat_policy::{TurnId, Turns};
+use pumicecleat_policy::{RateLimits, TurnId, Turns};
 use pumicecleat_types::{EngineFigures, KeptAdapters, Millis, ServiceId, Turn, VmId};
 
 use crate::EnginePort;
@@ -37,6 +37,8 @@
     pub(crate) catalog: Catalog,
     pub(crate) marks: Rc<Marks>,
     pub(crate) turns: RefCell<Turns>,
+    /// Rate limit of the engine.
+    pub(crate) limits: RefCell<RateLimits>,
     /// Who waits for the outcome of a turn.
     pub(crate) waiters: RefCell<BTreeMap<TurnId, Sender<Turn>>>,
     /// Instance of the engine; empty while it is not known.
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -9,7 +9,7 @@
 use pumicecleat_infra::KeyedLog;
 use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer};
 use pumicecleat_ops::{Admin, Dump, ListenError, Log, Metrics, Readiness, Stop, events, listen};
-use pumicecleat_policy::{BaseLoads, TurnOptions, Turns};
+use pumicecleat_policy::{BaseLoads, RateLimits, TurnOptions, Turns};
 
 use crate::drive::drive;
 use crate::handler::PeerHandler;
@@ -53,6 +53,10 @@
     pub port: Rc<dyn EnginePort>,
 }
 
+/// Fraction of the interval before the first slot of a rate limit. A full interval, because requests that got
+/// their turn before the limit was known may still be in flight.
+const FIRST_SLOT_PHASE: f64 = 1.0;
+
 /// A running agent.
 pub struct Agent {
     peers: Server,
@@ -146,6 +150,7 @@
         catalog: Catalog::default(),
         marks: Rc::default(),
         turns: RefCell::new(Turns::new_ext(unknown)),
+        limits: RefCell::new(RateLimits::new_ext(FIRST_SLOT_PHASE)),
         waiters: RefCell::new(BTreeMap::new()),
         instance: RefCell::default(),
         born: Cell::new(None),
--- a/crates/gateway/src/gateways.rs
+++ b/crates/gateway/src/gateways.rs
@@ -41,6 +41,15 @@
         self.told.max(1)
     }
 
+    /// Number of gateways that share a rate limit: the number told by agents, or `least` until one is told.
+    pub(crate) fn sharers(&self) -> u32 {
+        if self.told == 0 {
+            self.least.max(1)
+        } else {
+            self.told
+        }
+    }
+
     /// Parts into which what they share is cut.
     pub(crate) fn parts(&self) -> u32 {
         self.least.max(LIVES.saturating_mul(self.told)).max(1)
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -2,6 +2,7 @@
 
 use prometheus_client::encoding::EncodeLabelSet;
 use pumicecleat_ops::{Counter, Family, Gauge, Histogram, Histograms, Metrics};
+use pumicecleat_types::ServiceId;
 
 /// Upper bounds of the times to the first and to the last byte of answers, s.
 const TIME_BUCKETS: &[f64] = &[
@@ -21,6 +22,12 @@
     pub(crate) service: String,
 }
 
+/// Labels of metrics by upstream instance.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct InstanceLabels {
+    pub(crate) instance: String,
+}
+
 /// What became known of a request under which upstreams ended.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct SuspectLabels {
@@ -36,6 +43,10 @@
     pub(crate) turn: Histogram,
     /// In milliseconds.
     pub(crate) list_age: Gauge,
+    /// In requests per 1,000 seconds.
+    rate_limits: Family<InstanceLabels, Gauge>,
+    /// Requests to upstreams with a rate limit.
+    limited: Family<OutcomeLabels, Counter>,
 }
 
 impl Meters {
@@ -53,6 +64,14 @@
                 TIME_BUCKETS,
             ),
             turn: metrics.histogram("turn_seconds", "Wait for a turn at an engine", TIME_BUCKETS),
+            rate_limits: metrics.gauges(
+                "upstream_limit_per_1000_seconds",
+                "Rate limit of an upstream over all gateways",
+            ),
+            limited: metrics.counters(
+                "limited_requests",
+                "Requests for upstreams with a rate limit, by service and outcome",
+            ),
             list_age: metrics.gauge(
                 "upstream_list_age_milliseconds",
                 "Age of the list of upstreams as this process knows it",
@@ -60,6 +79,28 @@
         }
     }
 
+    /// Sets the rate limit of an upstream, in requests per 1,000 seconds, or removes it.
+    pub(crate) fn set_rate_limit(&self, instance: &str, rate: Option<u64>) {
+        let labels = InstanceLabels {
+            instance: instance.to_owned(),
+        };
+        match rate {
+            Some(rate) => {
+                let rate = i64::try_from(rate).unwrap_or(i64::MAX);
+                self.rate_limits.get_or_create(&labels).set(rate);
+            }
+            None => {
+                self.rate_limits.remove(&labels);
+            }
+        }
+    }
+
+    pub(crate) fn count_limited(&self, service: &ServiceId, outcome: &'static str) {
+        let service = service.to_string();
+        let labels = OutcomeLabels { service, outcome };
+        self.limited.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_suspect(&self, what: &'static str) {
         self.suspects.get_or_create(&SuspectLabels { what }).inc();
     }
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -4,11 +4,11 @@
 
 use pumicecleat_catalog::{Catalog, Repeat, Upstream};
 use pumicecleat_net::{Reply, Response};
-use pumicecleat_policy::{AdapterHold, EngineChoice, EngineView, TurnSearch};
+use pumicecleat_policy::{AdapterHold, Admission, EngineChoice, EngineView, TurnSearch};
 use pumicecleat_types::{Millis, Turn, TurnAsk};
 
 use super::job::Job;
-use super::refuse::{RESTING, Refusal, unsettled};
+use super::refuse::{LIMITED, RESTING, Refusal, unsettled};
 use super::relay::pass;
 use super::resume;
 use super::send::{Attempt, LEAST_LEFT};
@@ -112,6 +112,11 @@
         match ask(job, &upstream, hold.needs_place(), stays).await {
             Ok(Turn::Go { version }) => return Ok(HadTurn { upstream, version }),
             Err(AgentLost) if hold == AdapterHold::Held => {
+                if let Admission::Refused(wait) = job.shared.reserve(&upstream, Millis(0)) {
+                    progress.refused(LIMITED, wait);
+                    progress.search.failed(&upstream.instance);
+                    continue;
+                }
                 let version = None;
                 return Ok(HadTurn { upstream, version });
             }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -4,10 +4,11 @@
 
 use pumicecleat_catalog::{Repeat, Upstream};
 use pumicecleat_net::Reply;
+use pumicecleat_policy::Admission;
 use pumicecleat_types::Millis;
 
 use super::job::Job;
-use super::refuse::{Refusal, unsettled};
+use super::refuse::{LIMITED, Refusal, unsettled};
 use super::relay::{Held, hold, pass};
 use super::send::{Attempt, LEAST_LEFT};
 
@@ -50,9 +51,14 @@
         if let Err(refusal) = job.clear().await {
             return job.refuse(progress.ran, refusal);
         }
-        let Some(upstream) = choose(&job) else {
-            return give_up(&job, &progress, "no_upstream");
+        let upstream = match admit(&job).await {
+            Ok(Some(upstream)) => upstream,
+            Ok(None) => return give_up(&job, &progress, "no_upstream"),
+            Err(wait) => return refuse_limited(&job, &progress, wait),
         };
+        if !job.is_ready(&upstream.instance) {
+            continue;
+        }
         progress.sent += 1;
         let under_way = job.shared.table.enter(&upstream.instance, None);
         let from = job.shared.timer.now();
@@ -132,7 +138,29 @@
     part.max(least).min(Duration::from_millis(left.0))
 }
 
-fn choose(job: &Job) -> Option<Upstream> {
+/// Chooses an upstream, waits for a slot under its rate limit if necessary, and returns it. Fails with the time
+/// until its next slot if that exceeds the rest of the objective.
+async fn admit(job: &Job) -> Result<Option<Upstream>, Millis> {
+    let Some((upstream, wait)) = choose(job) else {
+        return Ok(None);
+    };
+    let due = Millis(job.route.objective_ms).since(job.trail.age());
+    let max_wait = if wait > Millis(0) { due } else { Millis(0) };
+    match job.shared.reserve(&upstream, max_wait) {
+        Admission::Unlimited => Ok(Some(upstream)),
+        Admission::Reserved(slot) => {
+            job.shared
+                .timer
+                .sleep(Duration::from_millis(slot.wait.0))
+                .await;
+            Ok(Some(upstream))
+        }
+        Admission::Refused(wait) => Err(wait),
+    }
+}
+
+/// Upstream with the shortest wait under its rate limit, and that wait. Ties go to the least expected time.
+fn choose(job: &Job) -> Option<(Upstream, Millis)> {
     let now = job.shared.timer.now();
     let cost = |u: &Upstream| {
         job.shared.table.with(&u.instance, |r| {
@@ -141,9 +169,9 @@
         })
     };
     let candidates = job.candidates().into_iter();
-    let costed = candidates.map(|u| (cost(&u), u));
-    let least = costed.min_by(|a, b| a.0.total_cmp(&b.0));
-    least.map(|(_, upstream)| upstream)
+    let costed = candidates.map(|u| (job.shared.limit_wait(&u), cost(&u), u));
+    let least = costed.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    least.map(|(wait, _, upstream)| (upstream, wait))
 }
 
 /// Whether another attempt may follow one that may have run, or did not. Takes it from the bound on
@@ -193,6 +221,16 @@
     Next::Reply(give_up(job, progress, reason))
 }
 
+/// Final answer if the rate limits of all upstreams delay the request too long; `wait` is the time until the
+/// next slot.
+fn refuse_limited(job: &Job, progress: &Progress, wait: Millis) -> Reply {
+    if progress.ran {
+        return give_up(job, progress, LIMITED);
+    }
+    job.give_permit_back();
+    Refusal::new(LIMITED, wait).reply(&job.trail)
+}
+
 /// Final answer without an upstream's.
 fn give_up(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
     job.give_permit_back();
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -16,6 +16,9 @@
 /// Reason of a refusal while all upstreams want nothing by their own word.
 pub(super) const RESTING: &str = "resting";
 
+/// Reason of a refusal while the rate limits of all upstreams have no free slot in time.
+pub(super) const LIMITED: &str = "limited";
+
 /// A refusal of a request that has not run and won't.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Refusal {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,7 +7,9 @@
 use pumicecleat_catalog::{Applied, Follow, Marks, Shared as Catalog, Standing, Topic, Upstream};
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
-use pumicecleat_policy::{LimitChange, LimitSource, RateLimits, RepeatOptions, RepeatWindow};
+use pumicecleat_policy::{
+    Admission, LimitChange, LimitSource, RateLimits, RepeatOptions, RepeatWindow,
+};
 use pumicecleat_types::{DataCentre, Millis, ServiceId, VmId};
 use rand_chacha::ChaCha8Rng;
 
@@ -133,11 +135,12 @@
             None => None,
         };
         let now = self.timer.now();
-        let source = LimitSource {
-            instance: &upstream.instance,
-            born: upstream.born,
-        };
-        let change = self.limits.borrow_mut().update(source, rate, sent_at, now);
+        let mut limits = self.limits.borrow_mut();
+        let change = limits.update(limit_source(upstream), rate, sent_at, now);
+        self.meters.set_rate_limit(
+            &upstream.instance,
+            limits.rate(&upstream.instance, upstream.born),
+        );
         match change {
             Some(LimitChange::Set { rate }) => {
                 let rate = field("per_1000_s", rate);
@@ -151,6 +154,33 @@
         }
     }
 
+    /// Number of gateways that share the rate limit of an upstream equally.
+    fn limit_sharers(&self) -> u32 {
+        self.gateways.borrow().sharers()
+    }
+
+    /// Time until this gateway's next free slot under the rate limit of `upstream`.
+    pub(crate) fn limit_wait(&self, upstream: &Upstream) -> Millis {
+        let now = self.timer.now();
+        let limits = self.limits.borrow();
+        limits.wait(limit_source(upstream), self.limit_sharers(), now)
+    }
+
+    /// Reserves a slot in this gateway's share of the rate limit of `upstream`, if one is free within `max_wait`.
+    pub(crate) fn reserve(&self, upstream: &Upstream, max_wait: Millis) -> Admission {
+        let now = self.timer.now();
+        let sharers = self.limit_sharers();
+        let mut limits = self.limits.borrow_mut();
+        let admission = limits.reserve(limit_source(upstream), sharers, max_wait, now);
+        let outcome = match admission {
+            Admission::Unlimited => return admission,
+            Admission::Reserved(_) => "reserved",
+            Admission::Refused(_) => "refused",
+        };
+        self.meters.count_limited(&upstream.service, outcome);
+        admission
+    }
+
     /// Another upstream answered in the place of `instance`.
     pub(crate) fn seen_replaced(&self, instance: &str) {
         let known = self
@@ -197,6 +227,13 @@
     }
 }
 
+fn limit_source(upstream: &Upstream) -> LimitSource<'_> {
+    LimitSource {
+        instance: &upstream.instance,
+        born: upstream.born,
+    }
+}
+
 impl Follow for Shared {
     fn applied(&self, applied: &Applied) {
         match applied {
@@ -208,6 +245,7 @@
             Applied::Gone { instance } => {
                 self.guard.note_leaving(instance, false, self.timer.now());
                 self.limits.borrow_mut().forget(instance);
+                self.meters.set_rate_limit(instance, None);
                 self.table.forget(instance);
             }
             Applied::Restarted { instance, .. } => self.table.forget(instance),
--- a/crates/gateway/src/side.rs
+++ b/crates/gateway/src/side.rs
@@ -8,7 +8,7 @@
 use pumicecleat_net::{NetError, post};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::RelayLink;
-use pumicecleat_types::{Millis, Reach, RunNews, Turn, TurnAsk, TurnCall, TurnReply};
+use pumicecleat_types::{LimitNews, Millis, Reach, RunNews, Turn, TurnAsk, TurnCall, TurnReply};
 
 use crate::peers::peers;
 use crate::shared::Shared;
@@ -106,6 +106,7 @@
         kept: known(shared, upstream),
         peers: peers(shared, &upstream.service),
         suspects: None,
+        limit: limit_news(shared, upstream),
         ask: None,
     };
     let result = exchange(shared, upstream, &mut call, CALL_SPAN).await;
@@ -119,6 +120,12 @@
     shared.table.with(&upstream.instance, |r| r.syncing = false);
 }
 
+/// News of the rate limit of `upstream` for its agent.
+fn limit_news(shared: &Shared, upstream: &Upstream) -> Option<LimitNews> {
+    let now = shared.timer.now();
+    shared.limits.borrow().news(&upstream.instance, now)
+}
+
 /// Digest of the kept adapters known of `upstream`.
 fn known(shared: &Shared, upstream: &Upstream) -> u64 {
     shared.table.with(&upstream.instance, |r| r.kept.digest)
@@ -151,6 +158,7 @@
         kept: known(shared, upstream),
         peers: peers(shared, &upstream.service),
         suspects: None,
+        limit: limit_news(shared, upstream),
         ask: Some(ask),
     };
     let _waiting = Waiting {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -13,7 +13,7 @@
 use pumicecleat_ops::{
     Admin, Drain, Dump, ListenError, Log, Metrics, Readiness, Stop, events, field, listen,
 };
-use pumicecleat_policy::RepeatOptions;
+use pumicecleat_policy::{RateLimits, RepeatOptions};
 use pumicecleat_types::Millis;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -94,6 +94,7 @@
                         "service": u.service.as_str(),
                         "own": r.own,
                         "takes": takes,
+                        "limit_per_1000_s": self.shared.limits.borrow().rate(&u.instance, u.born),
                         "figures": r.figures.as_ref().map(|f| &f.0),
                         "figures_age_ms": r.figures.as_ref().map(|f| now.since(f.1).0),
                     })
@@ -201,7 +202,7 @@
         client: Client::new_ext(client, timer),
         agents: Client::new_ext(client, timer),
         words: RefCell::default(),
-        limits: RefCell::default(),
+        limits: RefCell::new(RateLimits::new_ext(rand::random())),
         guard: Guard::new(rand::random()),
         relayed: Cell::default(),
         repeat,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,7 +42,7 @@
 mod suspects;
 
 pub use index::{CallerIx, LoraIx, PoolIx, UpstreamIx};
-pub use limits::{LimitChange, LimitSource, RateLimits};
+pub use limits::{Admission, LimitChange, LimitSource, RateLimits, Slot};
 pub use load_order::{LoadOrder, LoadOrderOptions};
 pub use prompt::{
     AdapterHold, BaseCopy, BaseLoads, EngineChoice, EngineOrder, EngineState, EngineView, OrderEnd,
--- a/crates/policy/src/limits/mod.rs
+++ b/crates/policy/src/limits/mod.rs
@@ -7,5 +7,7 @@
 //! upstream is known or the upstream is removed.
 
 mod named;
+mod pace;
 
-pub use named::{LimitChange, LimitSource, RateLimits};
+pub use named::{Admission, LimitChange, LimitSource, RateLimits};
+pub use pace::Slot;
--- a/crates/policy/src/limits/named.rs
+++ b/crates/policy/src/limits/named.rs
@@ -2,11 +2,16 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use pumicecleat_types::Millis;
+use pumicecleat_types::{LimitNews, Millis};
+
+use super::pace::{Pacer, Slot};
 
 /// Maximum number of upstreams in each collection; further ones are not stored.
 const MAX_UPSTREAMS: usize = 4_096;
 
+/// Time for which the end of a limit is reported to other processes.
+const ENDED_NEWS_SPAN: Millis = Millis(10_000);
+
 #[derive(Clone, Copy, Debug)]
 struct Limit {
     /// Requests per 1,000 seconds.
@@ -17,6 +22,7 @@
     updated_at: Millis,
     /// Start of the upstream, if known.
     born: Option<u64>,
+    pacer: Pacer,
 }
 
 /// Upstream that sent a response.
@@ -43,15 +49,41 @@
     },
 }
 
+/// Decision on a request to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// The upstream has no limit; the request may be sent immediately.
+    Unlimited,
+    /// The request may be sent in this slot.
+    Reserved(Slot),
+    /// No slot is free in time; the next one is free after this time.
+    Refused(Millis),
+}
+
 /// Rate limits by upstream instance.
 #[derive(Debug, Default)]
 pub struct RateLimits {
     limits: BTreeMap<String, Limit>,
+    /// When limits ended, for news and to ignore older news.
+    ended: BTreeMap<String, Millis>,
+    /// Fraction of the interval before the first slot of a limit.
+    phase: f64,
     /// Instances that sent a malformed limit.
     unreadable: BTreeSet<String>,
 }
 
 impl RateLimits {
+    /// Creates an empty set. The first slot of a limit is delayed by the fraction `phase`, from 0 to 1, of the
+    /// interval. Processes that share a limit use different phases, so that their first requests do not
+    /// coincide.
+    #[must_use]
+    pub fn new_ext(phase: f64) -> Self {
+        Self {
+            phase,
+            ..Self::default()
+        }
+    }
+
     /// Applies a response that arrived at `now` to a request sent at `sent_at`. `rate` is the limit that it
     /// carries, in requests per 1,000 seconds, or `None` if it carries none.
     pub fn update(
@@ -70,7 +102,7 @@
         match (known, rate) {
             (None, None) => None,
             (Some(limit), None) => may_relax.then(|| {
-                self.limits.remove(source.instance);
+                self.end(source.instance, now);
                 let held = now.since(limit.held_since);
                 LimitChange::Ended { held }
             }),
@@ -87,16 +119,92 @@
         if self.limits.len() >= MAX_UPSTREAMS && !self.limits.contains_key(source.instance) {
             return false;
         }
+        let pacer = self.limits.get(source.instance).map(|l| l.pacer);
         let limit = Limit {
             rate,
             held_since,
             updated_at: now,
             born: source.born,
+            pacer: pacer.unwrap_or(Pacer::new_ext(self.phase, now)),
         };
+        self.ended.remove(source.instance);
         self.limits.insert(source.instance.to_owned(), limit);
         true
     }
 
+    fn end(&mut self, instance: &str, now: Millis) {
+        self.limits.remove(instance);
+        self.ended.retain(|_, at| now.since(*at) < ENDED_NEWS_SPAN);
+        if self.ended.len() < MAX_UPSTREAMS {
+            self.ended.insert(instance.to_owned(), now);
+        }
+    }
+
+    /// Applies news of the limit of `instance` from another process, unless a later response is known.
+    pub fn hear(&mut self, instance: &str, news: LimitNews, now: Millis) {
+        let at = Millis(now.0.saturating_sub(news.age_ms));
+        let known = self.limits.get(instance).map(|l| l.updated_at);
+        let known = known.max(self.ended.get(instance).copied());
+        if known.is_some_and(|known| known > at) {
+            return;
+        }
+        let source = LimitSource {
+            instance,
+            born: None,
+        };
+        match news.rate {
+            Some(rate) => {
+                self.set(source, rate, at, at);
+            }
+            None => self.end(instance, at),
+        }
+    }
+
+    /// News of the limit of `instance` for other processes; `None` if it has no limit and none ended recently.
+    #[must_use]
+    pub fn news(&self, instance: &str, now: Millis) -> Option<LimitNews> {
+        let limit = self
+            .limits
+            .get(instance)
+            .map(|l| (Some(l.rate), l.updated_at));
+        let ended = self.ended.get(instance).map(|at| (None, *at));
+        let (rate, at) = limit.or(ended.filter(|(_, at)| now.since(*at) < ENDED_NEWS_SPAN))?;
+        let age_ms = now.since(at).0;
+        Some(LimitNews { rate, age_ms })
+    }
+
+    /// Time until the next free slot of this process if `sharers` processes share the limit equally.
+    #[must_use]
+    pub fn wait(&self, source: LimitSource<'_>, sharers: u32, now: Millis) -> Millis {
+        let limit = self.limits.get(source.instance);
+        let limit = limit.filter(|limit| limit.applies_to(source.born));
+        limit.map_or(Millis(0), |l| l.pacer.wait(l.rate, sharers, now))
+    }
+
+    /// Reserves the next free slot of this process if it is free within `max_wait`, where `sharers` processes
+    /// share the limit equally.
+    pub fn reserve(
+        &mut self,
+        source: LimitSource<'_>,
+        sharers: u32,
+        max_wait: Millis,
+        now: Millis,
+    ) -> Admission {
+        let limit = self.limits.get_mut(source.instance);
+        let Some(limit) = limit.filter(|limit| limit.applies_to(source.born)) else {
+            return Admission::Unlimited;
+        };
+        let reserved = limit.pacer.reserve(limit.rate, sharers, max_wait, now);
+        reserved.map_or_else(Admission::Refused, Admission::Reserved)
+    }
+
+    /// Frees a slot that was not used, unless a later one has been reserved.
+    pub fn give_back(&mut self, instance: &str, slot: Slot) {
+        if let Some(limit) = self.limits.get_mut(instance) {
+            limit.pacer.give_back(slot);
+        }
+    }
+
     /// Records a malformed limit; returns whether it is the first one from `instance`.
     pub fn note_unreadable(&mut self, instance: &str) -> bool {
         let has_capacity = self.unreadable.len() < MAX_UPSTREAMS;
@@ -113,6 +221,7 @@
     /// Removes all state of an upstream that no longer exists.
     pub fn forget(&mut self, instance: &str) {
         self.limits.remove(instance);
+        self.ended.remove(instance);
         self.unreadable.remove(instance);
     }
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -29,11 +29,11 @@
 pub use lora::Lora;
 pub use message::{
     ConfigAsk, ConfigReply, EngineFigures, EngineTraits, FiguresCall, FiguresReply, Frame,
-    HeaderField, KeptAdapters, ListRead, LoadBid, LoadCall, LoadCalled, LoadFigures, LoadTurn,
-    LogRecord, Member, ModelTarget, Ran, Reach, Reason, Refusal, Report, ReportReply, RunHead,
-    RunNews, RunRequest, Seen, ServiceTarget, StreamMarks, SuspectNews, SuspectWord, Target, Trial,
-    TrialCall, TrialReply, Turn, TurnAsk, TurnCall, TurnRefusal, TurnReply, UpstreamEnd, ViewCall,
-    ViewReply, ViewRow, Viewer, VmEntry, VmRole, VmState,
+    HeaderField, KeptAdapters, LimitNews, ListRead, LoadBid, LoadCall, LoadCalled, LoadFigures,
+    LoadTurn, LogRecord, Member, ModelTarget, Ran, Reach, Reason, Refusal, Report, ReportReply,
+    RunHead, RunNews, RunRequest, Seen, ServiceTarget, StreamMarks, SuspectNews, SuspectWord,
+    Target, Trial, TrialCall, TrialReply, Turn, TurnAsk, TurnCall, TurnRefusal, TurnReply,
+    UpstreamEnd, ViewCall, ViewReply, ViewRow, Viewer, VmEntry, VmRole, VmState,
 };
 pub use position::Position;
 pub use time::Millis;
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -18,8 +18,8 @@
 };
 pub use suspect::{SuspectNews, SuspectWord, Trial, TrialCall, TrialReply, UpstreamEnd};
 pub use turn::{
-    EngineFigures, EngineTraits, KeptAdapters, ListRead, RunNews, StreamMarks, Turn, TurnAsk,
-    TurnCall, TurnRefusal, TurnReply,
+    EngineFigures, EngineTraits, KeptAdapters, LimitNews, ListRead, RunNews, StreamMarks, Turn,
+    TurnAsk, TurnCall, TurnRefusal, TurnReply,
 };
 pub use view::{
     FiguresCall, FiguresReply, Member, Reach, Seen, ViewCall, ViewReply, ViewRow, Viewer,
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -23,6 +23,8 @@
     pub peers: EngineTraits,
     /// Requests under which upstreams ended; none are told either way without it.
     pub suspects: Option<SuspectNews>,
+    /// Rate limit of the engine as the entry knows it; `None` if the entry has no recent news of one.
+    pub limit: Option<LimitNews>,
     /// Request that wants its turn; without one the answer comes at once.
     pub ask: Option<TurnAsk>,
 }
@@ -54,6 +56,15 @@
     pub stays: bool,
 }
 
+/// Rate limit of an engine, from the latest response that an entry received.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitNews {
+    /// Requests per 1,000 seconds; `None` if the limit has ended.
+    pub rate: Option<u64>,
+    /// Time since that response, ms.
+    pub age_ms: u64,
+}
+
 /// What became of a request that had its turn.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunNews {
@@ -139,6 +150,8 @@
     NoPlace,
     /// Other requests are on trial there.
     OnTrial,
+    /// No slot under the engine's rate limit is free in time.
+    Limited,
 }
 
 /// An engine, as its side knows it.
@@ -224,6 +237,7 @@
             Self::Late => "late",
             Self::NoPlace => "no_place",
             Self::OnTrial => "on_trial",
+            Self::Limited => "limited",
         }
     }
 }
