Platform: client accounts, keys, and an end to keys that were taken away

Cause: the platform path knew no client accounts.

Change: the configuration's accounts are decoded and checked as a whole; keys are kept and compared as digests. A gateway answers 401 to requests without a known key, withholds the key, sets the account's name on each attempt, and puts the account's priority before the route's. Keys are accepted only while a read has shown that the configuration was the newest less than the revoke span ago, counted from the start of the read on the clock that counts suspensions; otherwise 503 and not ready.

--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -205,6 +205,7 @@
         timer: shared.timer.clone(),
         log: shared.log.clone(),
         marks: Rc::clone(&shared.marks),
+        confirmations: Rc::default(),
     };
     monoio::spawn(follow(Topic::Operators, follow_context, options));
     monoio::spawn(find_instance(
--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -14,7 +14,7 @@
 
 use crate::read_schedule::{max_read_age, staggered_wait};
 use crate::report::report_applied;
-use crate::{Applied, Catalog, Change, Marks, RecordDecoder, Topic, UnreadableKeys};
+use crate::{Applied, Catalog, Change, Confirmations, Marks, RecordDecoder, Topic, UnreadableKeys};
 
 /// Catalog shared by the components of a process.
 pub type SharedCatalog = Rc<RefCell<Catalog>>;
@@ -65,6 +65,7 @@
 
 struct TopicFollower<'a> {
     marks: &'a Marks,
+    confirmations: &'a Confirmations,
     catalog: &'a SharedCatalog,
     topic: Topic,
     decoder: &'a dyn RecordDecoder,
@@ -115,6 +116,8 @@
     pub log: Log,
     /// Stream positions exchanged with other processes.
     pub marks: Rc<Marks>,
+    /// Confirmations of the configuration.
+    pub confirmations: Rc<Confirmations>,
 }
 
 fn follow_options(settings: &FollowSettings) -> FollowOptions {
@@ -141,12 +144,14 @@
         timer,
         log,
         marks,
+        confirmations,
     } = context;
     let options = follow_options(&settings);
     let stream = decoder.stream(topic);
     let mut follower = KeyedFollower::new_ext(store, &timer, stream, options);
     let topic_follower = TopicFollower {
         marks: &marks,
+        confirmations: &confirmations,
         catalog: &catalog,
         topic,
         decoder: &*decoder,
@@ -215,6 +220,9 @@
             let fields = [field("stream", self.decoder.stream(self.topic))];
             self.log.emit(&events::ERA_UNCLEAR, &fields);
         }
+        if self.topic == Topic::Operators {
+            self.confirmations.set_down(failed);
+        }
         let (Some(position), Some(read_start)) = (follower.position(), follower.last_read_start())
         else {
             return;
@@ -222,8 +230,15 @@
         if changed {
             self.marks.note_position(self.topic, position);
         }
-        if self.topic == Topic::Upstreams && !failed && follower.is_at_end() {
-            self.marks.note_own_read(position, read_start);
+        if self.topic == Topic::Operators {
+            self.confirmations.note_known(position);
+        }
+        if failed || !follower.is_at_end() {
+            return;
+        }
+        match self.topic {
+            Topic::Operators => self.confirmations.note_end(position, read_start.boot),
+            Topic::Upstreams => self.marks.note_own_read(position, read_start.at),
         }
     }
 
--- a/crates/catalog/src/layout.rs
+++ b/crates/catalog/src/layout.rs
@@ -1,9 +1,11 @@
-//! Configuration of a deployment: routes, services and limits.
+//! Configuration of a deployment: routes, services, client accounts and limits.
 
 use std::collections::BTreeMap;
 
 use pumicecleat_types::{BaseId, ServiceId};
 
+use crate::Accounts;
+
 /// One complete, numbered configuration.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Layout {
@@ -15,6 +17,8 @@
     pub services: BTreeMap<ServiceId, Service>,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
+    /// Client accounts; `None` if requests need no key.
+    pub accounts: Option<Accounts>,
 }
 
 /// Maps requests for a host and path prefix to services.
@@ -28,6 +32,8 @@
     pub path_prefix: String,
     /// Services that the requests are distributed to.
     pub services: Vec<WeightedService>,
+    /// Whether requests need no key although there are client accounts.
+    pub public: bool,
     /// What may be retried.
     pub retry: RetryMode,
     /// Whether the response is a stream of numbered events.
@@ -137,6 +143,7 @@
             host: host.to_owned(),
             path_prefix: path_prefix.to_owned(),
             services: Vec::new(),
+            public: false,
             retry: RetryMode::Never,
             stream: false,
             timeout_ms: 30_000,
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -18,10 +18,13 @@
 //! assert!(catalog.layout().unwrap().find("api.example", "/other/7").is_none());
 //! ```
 
+mod account;
 mod age;
 mod availability;
 mod change;
 mod complete_read;
+mod confirm;
+mod confirmations;
 mod expire;
 mod follow;
 mod lapsed;
@@ -34,8 +37,11 @@
 mod unreadable;
 mod upstream;
 
+pub use account::{Account, AccountError, Accounts, Allowance, AllowanceUnit, KeyDigest};
 pub use age::watch_list_age;
 pub use change::{Change, DecodeError, RecordDecoder, Topic};
+pub use confirm::{ConfirmSettings, confirm_layout};
+pub use confirmations::Confirmations;
 pub use expire::expire_lapsed;
 pub use follow::{CatalogListener, FollowContext, FollowSettings, SharedCatalog, follow};
 pub use layout::{BaseModel, Engine, Layout, Limits, RetryMode, Route, Service, WeightedService};
--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -228,6 +228,14 @@
         self.mark(topic).advance(position);
     }
 
+    /// Notes that `topic` ends at `end`: a process that has not read up to it reads at once.
+    pub(crate) fn hint(&self, topic: Topic, end: Position) {
+        let mark = self.mark(topic);
+        if mark.advance(end) {
+            mark.notify();
+        }
+    }
+
     /// Notes that the log did not respond on `topic`: a read of the other topic may be waiting on a
     /// connection that fell silent at the same time.
     pub(crate) fn suspect_connection(&self, topic: Topic) {
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -1,6 +1,7 @@
 //! Headers of requests and responses, whose names and formats differ by deployment.
 
 use http::HeaderMap;
+use pumicecleat_catalog::KeyDigest;
 
 /// Decoded headers of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -11,16 +12,32 @@
     pub deadline_ms: Option<u64>,
     /// Requested model.
     pub model: Option<ModelName>,
+    /// Key of the caller.
+    pub credentials: Credentials,
     /// Number of prompt tokens.
     pub prompt_tokens: u32,
     /// Maximum number of output tokens.
     pub max_output_tokens: u32,
+    /// Sum of both numbers of tokens, if they are declared.
+    pub declared_tokens: Option<u64>,
     /// Parts of the prompt, in order.
     pub prompt_parts: Vec<PromptPart>,
     /// Names of the values that were present but could not be decoded, and are treated as absent.
     pub unreadable: Vec<&'static str>,
 }
 
+/// Key that a request carries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Credentials {
+    /// None.
+    #[default]
+    Absent,
+    /// A key.
+    Key(KeyDigest),
+    /// Credentials of another form, or more than one.
+    Malformed,
+}
+
 /// Requested model.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ModelName {
@@ -48,12 +65,49 @@
     pub deadline_ms: u64,
     /// Required version of the adapter.
     pub adapter_version: Option<u64>,
-    /// Priority at the engine; 0 is the highest.
-    pub priority: Option<u8>,
+    /// Priority at the engine.
+    pub priority: Priority,
+    /// Caller, as the upstream is told.
+    pub caller: CallerName<'a>,
     /// Event of the response stream after which to resume.
     pub last_event_id: Option<u64>,
 }
 
+/// Priority of a request; 0 is the highest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Priority {
+    /// Priority of the caller's account, if it has one.
+    pub account: Option<u8>,
+    /// Priority of the route.
+    pub route: u8,
+}
+
+impl Priority {
+    /// Returns one number for comparisons with requests of any account and route: the account's priority
+    /// decides before the route's.
+    #[must_use]
+    pub fn rank(self) -> u8 {
+        let first = self.account.unwrap_or(self.route);
+        let second = self.route.min(ROUTE_RANKS - 1);
+        first.saturating_mul(ROUTE_RANKS).saturating_add(second)
+    }
+}
+
+/// Ranks for routes within one priority of an account.
+const ROUTE_RANKS: u8 = 4;
+
+/// Caller of a request, as an upstream is told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CallerName<'a> {
+    /// There are no accounts: the caller's credentials are for the upstream.
+    #[default]
+    Unmanaged,
+    /// No account.
+    Anonymous,
+    /// The account with this name.
+    Account(&'a str),
+}
+
 /// Time after which an upstream asks for requests again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryAfter {
@@ -114,6 +168,9 @@
     /// Decodes the headers of a response.
     fn decode_response(&self, status: u16, headers: &HeaderMap) -> ResponseAttributes;
 
+    /// Authentication scheme of keys.
+    fn auth_scheme(&self) -> &'static str;
+
     /// Path of the readiness check.
     fn ready_path(&self) -> &'static str;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod meters;
 mod readiness;
 mod request;
+mod revoke;
 mod self_reports;
 mod service_traits;
 mod settings;
@@ -42,9 +43,10 @@
 mod view;
 
 pub use headers::{
-    AttemptAttributes, HeaderCodec, ModelName, PromptPart, RateLimit, ReportedLoad,
-    RequestAttributes, ResponseAttributes, RetryAfter,
+    AttemptAttributes, CallerName, Credentials, HeaderCodec, ModelName, Priority, PromptPart,
+    RateLimit, ReportedLoad, RequestAttributes, ResponseAttributes, RetryAfter,
 };
 pub use leave::LeaveBudget;
+pub use revoke::RevokeBudget;
 pub use settings::GatewaySettings;
 pub use start::{Gateway, GatewayParts};
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -2,7 +2,7 @@
 
 use prometheus_client::encoding::EncodeLabelSet;
 use pumicecleat_ops::{Counter, Family, Gauge, Histogram, Histograms, Metrics};
-use pumicecleat_types::ServiceId;
+use pumicecleat_types::{Millis, ServiceId};
 
 /// Upper bounds of the histogram buckets, in seconds.
 const TIME_BUCKETS: &[f64] = &[
@@ -42,6 +42,8 @@
     pub(crate) turn_wait: Histogram,
     /// In milliseconds.
     pub(crate) list_age_ms: Gauge,
+    /// In milliseconds.
+    layout_age_ms: Gauge,
     /// In requests per 1,000 seconds.
     rate_limits: Family<InstanceLabels, Gauge>,
     /// Requests to upstreams with a rate limit.
@@ -75,6 +77,10 @@
                 "limited_requests",
                 "Requests for upstreams with a rate limit, by service and outcome",
             ),
+            layout_age_ms: metrics.gauge(
+                "layout_age_milliseconds",
+                "Time since which the configuration may have been replaced unnoticed",
+            ),
             list_age_ms: metrics.gauge(
                 "upstream_list_age_milliseconds",
                 "Age of the list of upstreams as this process knows it",
@@ -82,6 +88,12 @@
         }
     }
 
+    /// Sets the time since which the configuration may have been replaced.
+    pub(crate) fn set_layout_age(&self, age: Millis) {
+        self.layout_age_ms
+            .set(i64::try_from(age.0).unwrap_or(i64::MAX));
+    }
+
     /// Sets the rate limit of an upstream, in requests per 1,000 seconds, or removes it.
     pub(crate) fn set_rate_limit(&self, instance: &str, rate: Option<u64>) {
         let labels = InstanceLabels {
--- a/crates/gateway/src/request/fingerprint.rs
+++ b/crates/gateway/src/request/fingerprint.rs
@@ -10,14 +10,21 @@
 use pumicecleat_types::Fingerprint;
 use sha2::{Digest, Sha256};
 
+use super::authenticate::Caller;
 use super::hop_headers::host;
 
-/// Fingerprint of a request. The caller is identified by its credentials only, because one caller may use
-/// many addresses.
-pub(super) fn fingerprint(head: &Parts, body: &[u8]) -> Fingerprint {
+/// Fingerprint of a request. The caller is identified by its account, or by its credentials where there are no
+/// accounts, because one caller may use many addresses.
+pub(super) fn fingerprint(head: &Parts, caller: &Caller, body: &[u8]) -> Fingerprint {
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
-    let credentials = head.headers.get(AUTHORIZATION);
-    let caller = credentials.map_or(&b""[..], |c| c.as_bytes());
+    let caller = match caller {
+        Caller::Unmanaged => {
+            let credentials = head.headers.get(AUTHORIZATION);
+            credentials.map_or(&b""[..], |c| c.as_bytes())
+        }
+        Caller::Anonymous => b"",
+        Caller::Account(account) => account.name.as_bytes(),
+    };
     let mut digest = Sha256::new();
     for part in [host(head).as_bytes(), path.as_bytes(), caller, body] {
         digest.update((part.len() as u64).to_be_bytes());
--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -9,11 +9,12 @@
 use pumicecleat_catalog::{Catalog, Route, Standing, Upstream};
 use pumicecleat_types::{Millis, ServiceId};
 
+use super::authenticate::Caller;
 use super::hop_headers::strip_hop_headers;
 use super::permit::Permit;
 use super::trace::RequestTrace;
 use crate::shared::Shared;
-use crate::{AttemptAttributes, RequestAttributes};
+use crate::{AttemptAttributes, Priority, RequestAttributes};
 
 /// A request with its route and service.
 pub(super) struct Job {
@@ -23,6 +24,7 @@
     pub(super) attributes: RequestAttributes,
     pub(super) route: Route,
     pub(super) service: ServiceId,
+    pub(super) caller: Caller,
     pub(super) trace: RequestTrace,
     /// Instances that must not be tried again.
     pub(super) tried_instances: Vec<String>,
@@ -42,6 +44,7 @@
         attributes: RequestAttributes,
         route: Route,
         service: ServiceId,
+        caller: Caller,
         trace: RequestTrace,
     ) -> Self {
         strip_hop_headers(&mut head.headers);
@@ -56,6 +59,7 @@
             deadline: trace.arrived + Millis(timeout_ms),
             route,
             service,
+            caller,
             trace,
             tried_instances: Vec::new(),
             last_event_id: None,
@@ -72,6 +76,14 @@
         Duration::from_millis(self.time_left().0)
     }
 
+    /// Priority of the request.
+    pub(super) fn priority(&self) -> Priority {
+        Priority {
+            account: self.caller.account().and_then(|a| a.priority),
+            route: self.route.priority,
+        }
+    }
+
     pub(super) fn id(&self) -> &str {
         self.attributes.request_id.as_deref().unwrap_or_default()
     }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,5 +1,6 @@
 //! Handling of one request, from routing to response.
 
+mod authenticate;
 mod fingerprint;
 mod forward;
 mod hop_headers;
@@ -25,6 +26,7 @@
 use rand::Rng;
 
 use crate::shared::{Shared, StopPhase};
+use authenticate::authenticate;
 use fingerprint::fingerprint;
 use job::Job;
 use refuse::{Refusal, reject};
@@ -90,6 +92,10 @@
         return reject(&trace, 404, "no_route");
     };
     let trace = RequestTrace::new(shared, &attributes, &route.name, layout.number, arrived);
+    let caller = match authenticate(shared, &layout, &route, attributes.credentials) {
+        Ok(caller) => caller,
+        Err(denial) => return denial.reply(shared, &trace),
+    };
     let body = match read_all(
         &mut body,
         layout.limits.max_body_bytes,
@@ -101,7 +107,7 @@
         Ok(body) => body,
         Err(e) => return reject(&trace, e.status(), "body"),
     };
-    trace.set_fingerprint(fingerprint(&head, &body));
+    trace.set_fingerprint(fingerprint(&head, &caller, &body));
     let random = shared.rng.borrow_mut().next_u64();
     let Some(service) = route.pick_service(random).cloned() else {
         return Refusal::no_upstream().reply(&trace);
@@ -110,7 +116,9 @@
     if is_engine && shared.stop_phase.get() == StopPhase::Closing {
         return Refusal::stopping().reply(&trace);
     }
-    let job = Job::new(shared, head, body, attributes, route, service, trace);
+    let job = Job::new(
+        shared, head, body, attributes, route, service, caller, trace,
+    );
     if is_engine {
         model::serve(job).await
     } else {
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -208,7 +208,7 @@
             min_version: adapter_version(job).unwrap_or_default(),
             adapter,
             prompt_tokens: job.attributes.prompt_tokens,
-            priority: job.route.priority,
+            priority: job.priority().rank(),
             objective_ms: job.route.objective_ms,
             objective_left_ms: Millis(job.route.objective_ms).since(job.trace.age()).0,
             patience_ms: patience(job).0,
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -35,6 +35,14 @@
         }
     }
 
+    /// The configuration may be out of date, so that the keys known may have been taken away.
+    pub(super) fn outdated() -> Self {
+        Self {
+            reason: "keys_outdated",
+            retry_after: UNKNOWN_RETRY_AFTER,
+        }
+    }
+
     /// No upstream accepts requests.
     pub(super) fn no_upstream() -> Self {
         Self {
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -41,12 +41,12 @@
     ) -> AttemptOutcome {
         self.trace.start_attempt(upstream);
         self.use_permit();
-        let priority = adapter_version.map(|_| self.route.priority);
         let attributes = AttemptAttributes {
             instance: &upstream.instance,
             deadline_ms: self.time_left().0,
             adapter_version,
-            priority: priority.or(Some(self.route.priority)),
+            priority: self.priority(),
+            caller: self.caller.name(),
             last_event_id: self.last_event_id,
         };
         let request = self.build_request(&attributes);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,6 +32,8 @@
         leave_span: HumanDuration = "2s", "span";
         /// time within which a configuration must be in force
         apply_span: HumanDuration = "2s", "span";
+        /// time within which a key that was taken away must be refused; 0 for no bound
+        revoke_span: HumanDuration = "5s", "span";
         /// maximum duration of a stop
         grace: HumanDuration = "8s", "span";
         /// maximum number of log lines per second; warnings and errors have a separate budget of the same
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use pumicecleat_catalog::{
-    Applied, CatalogListener, Marks, SharedCatalog, Standing, Topic, Upstream,
+    Applied, CatalogListener, Confirmations, Marks, SharedCatalog, Standing, Topic, Upstream,
 };
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
@@ -29,6 +29,9 @@
 /// Readiness condition: no stop was requested.
 pub(crate) const RUNNING: &str = "running";
 
+/// Readiness condition: keys are accepted, if the configuration has accounts.
+pub(crate) const KEYS: &str = "keys";
+
 /// Progress of a stop.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum StopPhase {
@@ -53,6 +56,9 @@
     pub(crate) header_codec: Rc<dyn HeaderCodec>,
     pub(crate) catalog: SharedCatalog,
     pub(crate) marks: Rc<Marks>,
+    pub(crate) confirmations: Rc<Confirmations>,
+    /// Age of the configuration up to which keys are accepted; `None` for any age.
+    pub(crate) max_key_age: Option<Millis>,
     pub(crate) table: Rc<UpstreamTable>,
     /// Client for upstreams.
     pub(crate) upstream_client: Client,
@@ -81,6 +87,21 @@
 }
 
 impl Shared {
+    /// Whether the configuration is recent enough to accept keys.
+    pub(crate) fn are_keys_current(&self) -> bool {
+        let Some(max_age) = self.max_key_age else {
+            return true;
+        };
+        let age = self.confirmations.age(self.timer.boot_now());
+        age.is_some_and(|age| age <= max_age)
+    }
+
+    /// Whether the configuration has accounts.
+    pub(crate) fn needs_keys(&self) -> bool {
+        let catalog = self.catalog.borrow();
+        catalog.layout().is_some_and(|l| l.accounts.is_some())
+    }
+
     /// Counts the first send of a request to `service`.
     pub(crate) fn count_request(&self, service: &ServiceId) {
         let now = self.timer.now();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use pumicecleat_catalog::{
-    FollowContext, FollowSettings, Marks, RecordDecoder, Topic, expire_lapsed, follow,
-    watch_list_age,
+    ConfirmSettings, FollowContext, FollowSettings, Marks, RecordDecoder, Topic, confirm_layout,
+    expire_lapsed, follow, watch_list_age,
 };
-use pumicecleat_infra::KeyedLog;
+use pumicecleat_infra::{KeyedLog, as_millis};
 use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer};
 use pumicecleat_ops::{
     Admin, Drain, Dump, ListenError, Log, Metrics, Readiness, Stop, events, field, listen,
@@ -24,7 +24,8 @@
 use crate::meters::Meters;
 use crate::readiness::ReadinessHandler;
 use crate::request::CallerHandler;
-use crate::shared::{LAYOUT, RUNNING, Shared, StopPhase, TOPICS};
+use crate::revoke::{RevokeBudget, watch_keys};
+use crate::shared::{KEYS, LAYOUT, RUNNING, Shared, StopPhase, TOPICS};
 use crate::suspects::SuspectState;
 use crate::table::UpstreamTable;
 use crate::{GatewaySettings, HeaderCodec, agents, suspects, view};
@@ -164,6 +165,7 @@
         )?;
         spawn_loops(&shared, settings, parts);
         shared.readiness.set_met(RUNNING);
+        shared.readiness.set_met(KEYS);
         Ok(Self {
             shared,
             callers,
@@ -227,6 +229,8 @@
         marks: Rc::new(Marks::new_ext(
             LeaveBudget::new(settings.leave_span.0).max_read_interval,
         )),
+        confirmations: Rc::default(),
+        max_key_age: max_key_age(settings),
         table: Rc::new(UpstreamTable::default()),
         upstream_client: Client::new_ext(client_options, timer),
         agent_client: Client::new_ext(client_options, timer),
@@ -239,7 +243,7 @@
         gateway_count: RefCell::new(GatewayCount::new(settings.gateways, repeat_options.window)),
         repeat_windows: RefCell::new(BTreeMap::new()),
         rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
-        readiness: Readiness::new(&[LAYOUT, RUNNING], log),
+        readiness: Readiness::new(&[LAYOUT, RUNNING, KEYS], log),
         drain: Drain::new(),
         meters: Meters::new(metrics),
         stop_phase: Cell::default(),
@@ -257,6 +261,12 @@
     }
 }
 
+/// Age of the configuration up to which keys are accepted; `None` for any age.
+fn max_key_age(settings: &GatewaySettings) -> Option<Millis> {
+    let span = settings.revoke_span.0;
+    (!span.is_zero()).then(|| as_millis(RevokeBudget::new(span).max_age))
+}
+
 fn spawn_loops(shared: &Rc<Shared>, settings: &GatewaySettings, parts: &GatewayParts) {
     let context = FollowContext {
         catalog: Rc::clone(&shared.catalog),
@@ -266,6 +276,7 @@
         timer: shared.timer.clone(),
         log: shared.log.clone(),
         marks: Rc::clone(&shared.marks),
+        confirmations: Rc::clone(&shared.confirmations),
     };
     let budget = LeaveBudget::new(settings.leave_span.0);
     for topic in TOPICS {
@@ -292,6 +303,15 @@
     ));
     monoio::spawn(agents::sync_agents(Rc::clone(shared)));
     monoio::spawn(view::poll_views(Rc::clone(shared)));
+    if shared.max_key_age.is_some() {
+        let budget = RevokeBudget::new(settings.revoke_span.0);
+        let settings = ConfirmSettings {
+            interval: budget.interval,
+            answer_timeout: budget.answer_timeout,
+        };
+        monoio::spawn(confirm_layout(context.clone(), settings));
+        monoio::spawn(watch_keys(Rc::clone(shared)));
+    }
     monoio::spawn(watch_list_age(context.clone(), settings.leave_span.0));
     monoio::spawn(expire_lapsed(context));
 }
--- a/crates/infra/src/follower/keyed.rs
+++ b/crates/infra/src/follower/keyed.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use pumicecleat_net::Timer;
-use pumicecleat_types::{Millis, Position};
+use pumicecleat_types::Position;
 
-use super::{FollowError, FollowEvent, FollowOptions, Follower};
+use super::{FollowError, FollowEvent, FollowOptions, Follower, ReadStart};
 use crate::backoff::Backoff;
 use crate::{KeyedLog, KeyedRecord, Log, ReadError};
 
@@ -101,7 +101,7 @@
 
     /// Start time of the last read that got a response; `None` before the first state.
     #[must_use]
-    pub fn last_read_start(&self) -> Option<Millis> {
+    pub fn last_read_start(&self) -> Option<ReadStart> {
         self.follower.as_ref().map(Follower::last_read_start)
     }
 
@@ -137,7 +137,7 @@
     }
 
     async fn load_state(&mut self) -> Option<KeyedEvent> {
-        let start = self.timer.now();
+        let start = ReadStart::now(&self.timer);
         let newest = match self.log.newest(&self.stream).await {
             Ok(newest) => newest,
             Err(e) => return self.handle_error(&e).await,
--- a/crates/infra/src/follower/mod.rs
+++ b/crates/infra/src/follower/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use pumicecleat_net::Timer;
-use pumicecleat_types::Millis;
+use pumicecleat_types::{BootTime, Millis};
 
 use crate::backoff::{Backoff, as_millis};
 use crate::{BackoffOptions, Batch, Log, ReadError};
@@ -48,6 +48,26 @@
     }
 }
 
+/// Start of a read, on both clocks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadStart {
+    /// Time of the timer service.
+    pub at: Millis,
+    /// Time that also counts suspensions of the VM.
+    pub boot: BootTime,
+}
+
+impl ReadStart {
+    /// Start of a read that begins now.
+    #[must_use]
+    pub fn now(timer: &Timer) -> Self {
+        Self {
+            at: timer.now(),
+            boot: timer.boot_now(),
+        }
+    }
+}
+
 /// Outcome of the last read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LastRead {
@@ -75,7 +95,7 @@
     at_end: bool,
     last_read: LastRead,
     /// Start time of the last read that got a response.
-    last_read_start: Millis,
+    last_read_start: ReadStart,
     era: Era,
 }
 
@@ -100,7 +120,7 @@
             caught_up: false,
             at_end: true,
             last_read: LastRead::Answered,
-            last_read_start: timer.now(),
+            last_read_start: ReadStart::now(timer),
             era: Era::default(),
         }
     }
@@ -120,7 +140,7 @@
     /// Start time of the last read that got a response. If that response reached the end, all records
     /// that existed at this time are known.
     #[must_use]
-    pub fn last_read_start(&self) -> Millis {
+    pub fn last_read_start(&self) -> ReadStart {
         self.last_read_start
     }
 
@@ -165,7 +185,7 @@
                 self.timer.sleep_until(next_read_at).await;
                 self.next_read_at = None;
             }
-            let start = self.timer.now();
+            let start = ReadStart::now(&self.timer);
             let (batch, wait) = (self.options.batch, self.read_wait());
             let read = self.log.read(&self.stream, self.next, batch, wait);
             let read = match self.read_timeout(wait) {
@@ -208,7 +228,7 @@
     fn handle_batch(
         &mut self,
         batch: Batch,
-        start: Millis,
+        start: ReadStart,
     ) -> Result<Option<FollowEvent>, FollowError> {
         self.check_era(batch.era)?;
         let checked = check_batch(&self.stream, self.next, &batch);
@@ -223,7 +243,7 @@
             self.caught_up = false;
             self.next += batch.records.len() as u64;
             self.at_end = batch.next == self.next;
-            self.next_read_at = Some(start + as_millis(self.options.pace));
+            self.next_read_at = Some(start.at + as_millis(self.options.pace));
             return Ok(Some(FollowEvent::Records(batch.records)));
         }
         if batch.next > self.next {
@@ -234,7 +254,7 @@
         self.backoff.reset();
         self.at_end = true;
         // Avoids a busy loop if the log does not wait for records.
-        self.next_read_at = Some(start + as_millis(self.options.backoff.first));
+        self.next_read_at = Some(start.at + as_millis(self.options.backoff.first));
         let known = std::mem::replace(&mut self.caught_up, true);
         let next = self.next;
         Ok((!known).then_some(FollowEvent::CaughtUp { next }))
--- a/crates/infra/src/lib.rs
+++ b/crates/infra/src/lib.rs
@@ -30,7 +30,9 @@
 
 pub use appender::{AppendOptions, AppendedRecord, Appender, SubmitError};
 pub use backoff::{BackoffOptions, as_millis};
-pub use follower::{FollowError, FollowEvent, FollowOptions, Follower, KeyedEvent, KeyedFollower};
+pub use follower::{
+    FollowError, FollowEvent, FollowOptions, Follower, KeyedEvent, KeyedFollower, ReadStart,
+};
 pub use http::{Peers, RequestError};
 pub use keyed::{KeyedLog, KeyedRecord, NewestRecords};
 pub use log::{AppendError, Appended, Batch, HttpLog, Log, ReadError};
--- a/crates/net/src/timer.rs
+++ b/crates/net/src/timer.rs
@@ -12,7 +12,8 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 
-use pumicecleat_types::Millis;
+use pumicecleat_types::{BootTime, Millis};
+use rustix::time::{ClockId, clock_gettime};
 
 /// Longest span; a longer one, from a peer's header perhaps, ends after this one.
 pub(crate) const LONGEST: Duration = Duration::from_hours(100 * 365 * 24);
@@ -66,6 +67,15 @@
         Millis(u64::try_from(ms).unwrap_or(u64::MAX))
     }
 
+    /// Time on the clock that also counts the time in which the VM was suspended.
+    #[must_use]
+    pub fn boot_now(&self) -> BootTime {
+        let now = clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
+        let millis = u64::try_from(now.tv_nsec / 1_000_000).unwrap_or_default();
+        BootTime(seconds * 1_000 + millis)
+    }
+
     /// Subscription that ends after `span`.
     #[must_use]
     pub fn sleep(&self, span: Duration) -> Sleep {
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -39,6 +39,10 @@
     LIST_CURRENT = "E7016" "list_current" Info ["old_ms"];
     /// A read of the deployment's log timed out without a response.
     READ_UNANSWERED = "E7017" "read_unanswered" Info ["stream"];
+    /// The configuration was not confirmed for so long that keys are no longer accepted.
+    KEYS_OUTDATED = "E7018" "keys_outdated" Warn ["age_ms", "layout"];
+    /// The configuration is confirmed again, and keys are accepted.
+    KEYS_CURRENT = "E7019" "keys_current" Info ["refused_ms", "layout"];
 
     /// A request ended with the response of an upstream.
     PASSED_ON = "E7101" "passed_on" Info ["request", "fingerprint", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "list_ms", "layout", "whole"];
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -38,4 +38,4 @@
     VmState,
 };
 pub use position::Position;
-pub use time::Millis;
+pub use time::{BootTime, Millis};
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -29,6 +29,25 @@
     }
 }
 
+/// Instant on a clock that also counts the time in which the VM was suspended, in milliseconds since the VM
+/// started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct BootTime(pub u64);
+
+impl BootTime {
+    /// Duration from `earlier` to `self`; zero if `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Millis {
+        Millis(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Instant that was `span` before `self`.
+    #[must_use]
+    pub fn before(self, span: Millis) -> Self {
+        Self(self.0.saturating_sub(span.0))
+    }
+}
+
 impl Add for Millis {
     type Output = Self;
 
