Platform: allowances of client accounts, granted by a pool

The pool accrues the rates in proportion to the gateways attached to it, so that a divided fleet stays within the limit without any pool knowing of the other. Requests beyond the allowance get 429 at once, with the time at which there is room.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -8,8 +8,13 @@
 
 use pumicecleat_net::{Handler, Incoming, Reply, peer_reply, plain_reply, read_all};
 use pumicecleat_ops::{events, field};
-use pumicecleat_policy::{Admission, LimitSource, Slot, TurnId, TurnRequest};
-use pumicecleat_types::{Millis, Turn, TurnAsk, TurnCall, TurnRefusal, TurnReply, decode};
+use pumicecleat_policy::{
+    Admission, AllowanceDecision, AllowanceTerms, LimitSource, Slot, TurnId, TurnRequest,
+};
+use pumicecleat_types::{
+    AllowanceAsk, AllowanceCall, AllowanceOutcome, AllowanceReply, Millis, Turn, TurnAsk, TurnCall,
+    TurnRefusal, TurnReply, decode,
+};
 
 use crate::relay::{self, FIGURES_PATH, VIEW_PATH};
 use crate::shared::Shared;
@@ -18,6 +23,9 @@
 /// Path at which gateways report the progress of requests and ask for turns.
 const TURN_PATH: &str = "/peer/v1/turn";
 
+/// Path at which gateways ask for units of accounts' allowances.
+const ALLOWANCE_PATH: &str = "/peer/v1/allowance";
+
 /// Maximum size of a message in bytes. Enough for a few hundred IDs or the addresses of 10,000 engines.
 const MAX_MESSAGE_BYTES: u64 = 1 << 20;
 
@@ -66,6 +74,7 @@
                 Ok(call) => Ok(self.handle_turn_call(call).await),
                 Err(e) => Err(e),
             },
+            ALLOWANCE_PATH => decode(&bytes).map(|call| self.handle_allowance_call(&call)),
             TRIAL_PATH => decode(&bytes).map(|call| peer_reply(&decide_trial(&self.shared, &call))),
             VIEW_PATH => {
                 decode(&bytes).map(|call| peer_reply(&relay::answer_view(&self.shared, call)))
@@ -78,6 +87,23 @@
         reply.unwrap_or_else(|e| plain_reply(400, &format!("{e}\n")))
     }
 
+    fn handle_allowance_call(&self, call: &AllowanceCall) -> Reply {
+        let now = self.shared.timer.now();
+        let mut pool = self.shared.allowances.borrow_mut();
+        pool.attach(call.entry.as_str(), call.entries, now);
+        let outcome = call.ask.as_ref().map(|ask| {
+            let max_wait = Millis(ask.max_wait_ms);
+            match pool.request(&ask.account, terms(ask), ask.units, max_wait, now) {
+                AllowanceDecision::Granted(wait) => AllowanceOutcome::Granted { wait_ms: wait.0 },
+                AllowanceDecision::Refused(wait) => AllowanceOutcome::Refused { retry_ms: wait.0 },
+            }
+        });
+        peer_reply(&AllowanceReply {
+            entries: pool.gateway_count(now),
+            outcome,
+        })
+    }
+
     async fn handle_turn_call(&self, call: TurnCall) -> Reply {
         let timer = &self.shared.timer;
         let now = timer.now();
@@ -287,6 +313,16 @@
     }
 }
 
+/// Limit of the account that an ask names.
+fn terms(ask: &AllowanceAsk) -> AllowanceTerms {
+    AllowanceTerms {
+        number: ask.number,
+        rate: ask.rate,
+        burst: ask.burst,
+        tolerance: ask.tolerance,
+    }
+}
+
 /// Properties of a request for a turn that are logged with its outcome.
 struct LoggedAsk {
     request: String,
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -10,7 +10,7 @@
 use pumicecleat_catalog::{Applied, CatalogListener, Marks, SharedCatalog, Upstream};
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Log, Readiness, events, field};
-use pumicecleat_policy::{RateLimits, TurnId, TurnScheduler};
+use pumicecleat_policy::{AllowancePool, RateLimits, TurnId, TurnScheduler};
 use pumicecleat_types::{CachedAdapters, EngineFigures, Millis, ServiceId, Turn, VmId};
 
 use crate::EngineClient;
@@ -39,6 +39,8 @@
     pub(crate) scheduler: RefCell<TurnScheduler>,
     /// Rate limit of the engine.
     pub(crate) rate_limits: RefCell<RateLimits>,
+    /// Allowances of client accounts, if gateways use this agent as their pool.
+    pub(crate) allowances: RefCell<AllowancePool>,
     /// Senders to the tasks that wait for a turn.
     pub(crate) waiters: RefCell<BTreeMap<TurnId, Sender<Turn>>>,
     /// Instance name of the engine; empty while it is not known.
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -165,6 +165,7 @@
         marks: Rc::default(),
         scheduler: RefCell::new(TurnScheduler::new_ext(initial_options)),
         rate_limits: RefCell::new(RateLimits::new_ext(FIRST_SLOT_PHASE)),
+        allowances: RefCell::default(),
         waiters: RefCell::new(BTreeMap::new()),
         instance: RefCell::default(),
         engine_start_time_ms: Cell::new(None),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 //! ```
 
 mod agents;
+mod allowance;
 mod gateway_count;
 mod headers;
 mod leave;
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -19,14 +19,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join;
 use http::HeaderValue;
 use http::header::CONNECTION;
+use pumicecleat_catalog::Route;
 use pumicecleat_net::{Handler, Incoming, Reply, read_all};
 use pumicecleat_ops::{events, field};
+use pumicecleat_types::Millis;
 use rand::Rng;
 
 use crate::shared::{Shared, StopPhase};
-use authenticate::authenticate;
+use crate::{RequestAttributes, allowance};
+use authenticate::{Caller, authenticate};
 use fingerprint::fingerprint;
 use job::Job;
 use refuse::{Refusal, reject};
@@ -35,6 +39,9 @@
 /// Timeout for reading a request body. Callers upload over a link for a few seconds at most.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Part of the objective, as a divisor, for which a request waits for its account's allowance.
+const ALLOWANCE_WAIT_DIVISOR: u64 = 4;
+
 /// Handler of the callers' listener.
 #[derive(Clone)]
 pub(crate) struct CallerHandler {
@@ -96,17 +103,21 @@
         Ok(caller) => caller,
         Err(denial) => return denial.reply(shared, &trace),
     };
-    let body = match read_all(
+    let read = read_all(
         &mut body,
         layout.limits.max_body_bytes,
         BODY_TIMEOUT,
         &shared.timer,
-    )
-    .await
-    {
+    );
+    let take = take_allowance(shared, &caller, layout.number, &route, &attributes);
+    let (body, taken) = join(read, take).await;
+    let body = match body {
         Ok(body) => body,
         Err(e) => return reject(&trace, e.status(), "body"),
     };
+    if let Err(wait) = taken {
+        return Refusal::exceeded(wait).reply_exceeded(&trace);
+    }
     trace.set_fingerprint(fingerprint(&head, &caller, &body));
     let random = shared.rng.borrow_mut().next_u64();
     let Some(service) = route.pick_service(random).cloned() else {
@@ -125,3 +136,19 @@
         plain::serve(job).await
     }
 }
+
+/// Takes what the request uses from its account's allowance; fails with the time after which there is room.
+async fn take_allowance(
+    shared: &Shared,
+    caller: &Caller,
+    layout: u64,
+    route: &Route,
+    attributes: &RequestAttributes,
+) -> Result<(), Millis> {
+    let Some(account) = caller.account() else {
+        return Ok(());
+    };
+    let max_wait = Millis(route.objective_ms / ALLOWANCE_WAIT_DIVISOR);
+    let tokens = attributes.declared_tokens;
+    allowance::take(shared, account, layout, tokens, max_wait).await
+}
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -70,6 +70,11 @@
         Self::new("ends_upstreams", retry_after)
     }
 
+    /// The allowance of the caller's account has room only after `retry_after`.
+    pub(super) fn exceeded(retry_after: Millis) -> Self {
+        Self::new("allowance", retry_after)
+    }
+
     pub(super) fn new(reason: &'static str, retry_after: Millis) -> Self {
         Self {
             reason,
@@ -79,8 +84,17 @@
 
     /// Response 503 with the retry time.
     pub(super) fn reply(self, trace: &RequestTrace) -> Reply {
-        trace.log_turned_down(503, self.reason, self.retry_after);
-        let mut reply = plain_reply(503, "not run; come back later\n");
+        self.reply_with(503, trace)
+    }
+
+    /// Response 429 with the retry time, for a caller that exceeds its own allowance.
+    pub(super) fn reply_exceeded(self, trace: &RequestTrace) -> Reply {
+        self.reply_with(429, trace)
+    }
+
+    fn reply_with(self, status: u16, trace: &RequestTrace) -> Reply {
+        trace.log_turned_down(status, self.reason, self.retry_after);
+        let mut reply = plain_reply(status, "not run; come back later\n");
         let seconds = format!("{:.2}", self.retry_after.as_secs());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             reply.headers_mut().insert(RETRY_AFTER, value);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -34,6 +34,12 @@
         apply_span: HumanDuration = "2s", "span";
         /// time within which a key that was taken away must be refused; 0 for no bound
         revoke_span: HumanDuration = "5s", "span";
+        /// window over which the use of an account's allowance is counted
+        allowance_window: HumanDuration = "8s", "span";
+        /// part of an account's allowance by which it may be exceeded
+        allowance_overage: f64 = "0", "fraction";
+        /// units by which an account's allowance may be exceeded in addition
+        allowance_slack: f64 = "0", "units";
         /// maximum duration of a stop
         grace: HumanDuration = "8s", "span";
         /// maximum number of log lines per second; warnings and errors have a separate budget of the same
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,6 +15,7 @@
 use pumicecleat_types::{DataCentre, Millis, ServiceId, VmId};
 use rand_chacha::ChaCha8Rng;
 
+use crate::allowance::Allowances;
 use crate::gateway_count::GatewayCount;
 use crate::meters::{Meters, ServiceLabels};
 use crate::self_reports::SelfReports;
@@ -68,6 +69,8 @@
     pub(crate) self_reports: RefCell<SelfReports>,
     /// Rate limits announced by upstreams.
     pub(crate) limits: RefCell<RateLimits>,
+    /// Use of client accounts' allowances.
+    pub(crate) allowances: Allowances,
     /// Requests in progress when upstreams ended.
     pub(crate) suspects: SuspectState,
     /// Whether figures of engines are collected by relays.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -19,6 +19,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::allowance::{self, Allowances};
 use crate::gateway_count::GatewayCount;
 use crate::leave::{CONNECT_TIMEOUT, LeaveBudget};
 use crate::meters::Meters;
@@ -236,6 +237,7 @@
         agent_client: Client::new_ext(client_options, timer),
         self_reports: RefCell::default(),
         limits: RefCell::new(RateLimits::new_ext(rand::random())),
+        allowances: Allowances::new(allowance::tolerance(settings)),
         suspects: SuspectState::new(rand::random()),
         uses_relay: Cell::default(),
         repeat_options,
@@ -312,6 +314,7 @@
         monoio::spawn(confirm_layout(context.clone(), settings));
         monoio::spawn(watch_keys(Rc::clone(shared)));
     }
+    monoio::spawn(allowance::stay_attached(Rc::clone(shared)));
     monoio::spawn(watch_list_age(context.clone(), settings.leave_span.0));
     monoio::spawn(expire_lapsed(context));
 }
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -88,6 +88,14 @@
     LIMIT_ENDED = "E7121" "limit_ended" Info ["instance", "held_ms"];
     /// An upstream sent a malformed rate limit.
     LIMIT_UNREADABLE = "E7122" "limit_unreadable" Warn ["instance"];
+    /// Another agent grants units of accounts' allowances to this gateway.
+    POOL_CHOSEN = "E7123" "pool_chosen" Info ["pool", "gateways"];
+    /// The agent that grants units of accounts' allowances did not answer.
+    POOL_LOST = "E7124" "pool_lost" Warn ["pool", "error"];
+    /// Requests of an account exceed its allowance.
+    ALLOWANCE_EXCEEDED = "E7125" "allowance_exceeded" Warn ["account", "retry_ms"];
+    /// Requests of an account are within its allowance again.
+    ALLOWANCE_KEPT = "E7126" "allowance_kept" Info ["account", "exceeded_ms", "refused"];
 
     /// The engine does not respond to its side.
     OWN_ENGINE_LOST = "E7201" "own_engine_lost" Warn ["address", "error"];
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -42,7 +42,10 @@
 mod suspects;
 
 pub use index::{CallerIx, LoraIx, PoolIx, UpstreamIx};
-pub use limits::{Admission, LimitChange, LimitSource, RateLimits, Slot};
+pub use limits::{
+    ATTACHED_TTL, Admission, AllowanceDecision, AllowancePool, AllowanceTerms, COUNT_TTL,
+    GatewayPeak, LimitChange, LimitSource, PoolSelector, RateLimits, Slot,
+};
 pub use load_order::{LoadOrder, LoadOrderOptions};
 pub use prompt::{
     AdapterState, BaseLoadTimes, BaseLocation, EngineChoice, EngineOrder, EngineReport, EngineView,
--- a/crates/policy/src/limits/mod.rs
+++ b/crates/policy/src/limits/mod.rs
@@ -1,4 +1,4 @@
-//! Rate limits that upstreams announce in their responses.
+//! Rate limits that upstreams announce in their responses, and allowances of client accounts.
 //!
 //! An upstream that needs to limit its load announces the requests per second that it accepts across all
 //! gateways. The limit applies from the first response that carries it until a response carries a different
@@ -6,8 +6,14 @@
 //! request was not sent before the limit was last updated. A limit also ends when a later start of its
 //! upstream is known or the upstream is removed.
 
+mod allowance;
 mod pace;
+mod pool_selector;
 mod rate_limits;
 
+pub use allowance::{
+    ATTACHED_TTL, AllowanceDecision, AllowancePool, AllowanceTerms, COUNT_TTL, GatewayPeak,
+};
 pub use pace::Slot;
+pub use pool_selector::PoolSelector;
 pub use rate_limits::{Admission, LimitChange, LimitSource, RateLimits};
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between processes, one module per kind of exchange.
 
+mod allowance;
 mod config;
 mod load;
 mod report;
@@ -9,6 +10,7 @@
 mod view;
 mod vm;
 
+pub use allowance::{AllowanceAsk, AllowanceCall, AllowanceOutcome, AllowanceReply};
 pub use config::{ConfigCall, ConfigReply, LogRecord};
 pub use load::{BidRequest, BidRequestReply, LoadBid, LoadTurn};
 pub use report::{LoadFigures, Report, ReportReply};
