--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -92,9 +92,8 @@
         let mut pool = self.shared.allowances.borrow_mut();
         pool.attach(call.entry.as_str(), call.entries, now);
         let outcome = call.ask.as_ref().map(|ask| {
-            let max_wait = Millis(ask.max_wait_ms);
-            match pool.request(&ask.account, terms(ask), ask.units, max_wait, now) {
-                AllowanceDecision::Granted(wait) => AllowanceOutcome::Granted { wait_ms: wait.0 },
+            match pool.request(&ask.account, terms(ask), ask.units, now) {
+                AllowanceDecision::Granted => AllowanceOutcome::Granted,
                 AllowanceDecision::Refused(wait) => AllowanceOutcome::Refused { retry_ms: wait.0 },
             }
         });
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -82,43 +82,32 @@
 }
 
 /// Takes what a request that declares `tokens` uses from the allowance of `account`, as of configuration
-/// `number`. Waits for it for `max_wait` at most; fails with the time after which it is available.
+/// `number`; fails with the time after which it is available.
 pub(crate) async fn take(
     shared: &Shared,
     account: &Account,
     number: u64,
     tokens: Option<u64>,
-    max_wait: Millis,
 ) -> Result<(), Millis> {
     let terms = shared.allowances.terms(account, number);
     let (Some(terms), Some(allowance)) = (terms, account.allowance) else {
         return Ok(());
     };
-    let units = allowance.cost(tokens);
     let ask = AllowanceAsk {
         account: account.name.clone(),
         number: terms.number,
         rate: terms.rate,
         burst: terms.burst,
         tolerance: terms.tolerance,
-        units,
-        max_wait_ms: max_wait.0,
+        units: allowance.cost(tokens),
     };
-    let decision = match ask_pools(shared, &ask).await {
-        Some(AllowanceOutcome::Granted { wait_ms }) => AllowanceDecision::Granted(Millis(wait_ms)),
-        Some(AllowanceOutcome::Refused { retry_ms }) => {
-            AllowanceDecision::Refused(Millis(retry_ms))
-        }
-        None => ask_own_share(shared, &ask.account, terms, units, max_wait),
+    let outcome = match ask_pools(shared, &ask).await {
+        Some(outcome) => outcome,
+        None => ask_own_share(shared, &ask, terms),
     };
-    match decision {
-        AllowanceDecision::Granted(wait) => {
-            if wait > Millis(0) {
-                shared.timer.sleep(Duration::from_millis(wait.0)).await;
-            }
-            Ok(())
-        }
-        AllowanceDecision::Refused(wait) => Err(wait),
+    match outcome {
+        AllowanceOutcome::Granted => Ok(()),
+        AllowanceOutcome::Refused { retry_ms } => Err(Millis(retry_ms)),
     }
 }
 
@@ -136,13 +125,7 @@
 }
 
 /// Decides by this gateway's own share of the rate and burst.
-fn ask_own_share(
-    shared: &Shared,
-    account: &str,
-    terms: AllowanceTerms,
-    units: u64,
-    max_wait: Millis,
-) -> AllowanceDecision {
+fn ask_own_share(shared: &Shared, ask: &AllowanceAsk, terms: AllowanceTerms) -> AllowanceOutcome {
     let now = shared.timer.now();
     let allowances = &shared.allowances;
     let told = allowances.gateways.borrow().get(now);
@@ -150,7 +133,10 @@
     let mut own_share = allowances.own_share.borrow_mut();
     let own_share = own_share.get_or_insert_with(AllowancePool::without_credit);
     own_share.attach(shared.vm.as_str(), count, now);
-    own_share.request(account, terms, units, max_wait, now)
+    match own_share.request(&ask.account, terms, ask.units, now) {
+        AllowanceDecision::Granted => AllowanceOutcome::Granted,
+        AllowanceDecision::Refused(wait) => AllowanceOutcome::Refused { retry_ms: wait.0 },
+    }
 }
 
 /// Addresses of the agents beside the listed engines.
--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -16,6 +16,12 @@
 use crate::shared::Shared;
 use crate::{AttemptAttributes, Priority, RequestAttributes};
 
+/// Route of a request, and the service selected for it.
+pub(super) struct Destination {
+    pub(super) route: Route,
+    pub(super) service: ServiceId,
+}
+
 /// A request with its route and service.
 pub(super) struct Job {
     pub(super) shared: Rc<Shared>,
@@ -42,11 +48,11 @@
         mut head: Parts,
         body: Vec<u8>,
         attributes: RequestAttributes,
-        route: Route,
-        service: ServiceId,
+        destination: Destination,
         caller: Caller,
         trace: RequestTrace,
     ) -> Self {
+        let Destination { route, service } = destination;
         strip_hop_headers(&mut head.headers);
         let caller_timeout_ms = attributes.deadline_ms.unwrap_or(u64::MAX);
         let timeout_ms = caller_timeout_ms.min(route.timeout_ms);
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -22,7 +22,6 @@
 use futures_util::future::join;
 use http::HeaderValue;
 use http::header::CONNECTION;
-use pumicecleat_catalog::Route;
 use pumicecleat_net::{Handler, Incoming, Reply, read_all};
 use pumicecleat_ops::{events, field};
 use pumicecleat_types::Millis;
@@ -32,16 +31,13 @@
 use crate::{RequestAttributes, allowance};
 use authenticate::{Caller, authenticate};
 use fingerprint::fingerprint;
-use job::Job;
+use job::{Destination, Job};
 use refuse::{Refusal, reject};
 use trace::RequestTrace;
 
 /// Timeout for reading a request body. Callers upload over a link for a few seconds at most.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Part of the objective, as a divisor, for which a request waits for its account's allowance.
-const ALLOWANCE_WAIT_DIVISOR: u64 = 4;
-
 /// Handler of the callers' listener.
 #[derive(Clone)]
 pub(crate) struct CallerHandler {
@@ -76,17 +72,7 @@
     let arrived = shared.timer.now();
     let (head, mut body) = request.into_parts();
     let attributes = shared.header_codec.decode_request(&head.headers);
-    if !attributes.unreadable.is_empty() {
-        let parts = attributes.unreadable.join(", ");
-        let fields = [
-            field(
-                "request",
-                attributes.request_id.as_deref().unwrap_or_default(),
-            ),
-            field("parts", parts.as_str()),
-        ];
-        shared.log.emit(&events::HEAD_UNREADABLE, &fields);
-    }
+    log_unreadable(shared, &attributes);
     let Some(layout) = shared.catalog.borrow().layout().cloned() else {
         let trace = RequestTrace::new(shared, &attributes, "", 0, arrived);
         return Refusal::no_layout().reply(&trace);
@@ -109,7 +95,7 @@
         BODY_TIMEOUT,
         &shared.timer,
     );
-    let take = take_allowance(shared, &caller, layout.number, &route, &attributes);
+    let take = take_allowance(shared, &caller, layout.number, &attributes);
     let (body, taken) = join(read, take).await;
     let body = match body {
         Ok(body) => body,
@@ -127,9 +113,8 @@
     if is_engine && shared.stop_phase.get() == StopPhase::Closing {
         return Refusal::stopping().reply(&trace);
     }
-    let job = Job::new(
-        shared, head, body, attributes, route, service, caller, trace,
-    );
+    let destination = Destination { route, service };
+    let job = Job::new(shared, head, body, attributes, destination, caller, trace);
     if is_engine {
         model::serve(job).await
     } else {
@@ -137,18 +122,25 @@
     }
 }
 
+fn log_unreadable(shared: &Shared, attributes: &RequestAttributes) {
+    if attributes.unreadable.is_empty() {
+        return;
+    }
+    let request = attributes.request_id.as_deref().unwrap_or_default();
+    let parts = attributes.unreadable.join(", ");
+    let fields = [field("request", request), field("parts", parts.as_str())];
+    shared.log.emit(&events::HEAD_UNREADABLE, &fields);
+}
+
 /// Takes what the request uses from its account's allowance; fails with the time after which there is room.
 async fn take_allowance(
     shared: &Shared,
     caller: &Caller,
     layout: u64,
-    route: &Route,
     attributes: &RequestAttributes,
 ) -> Result<(), Millis> {
-    let Some(account) = caller.account() else {
-        return Ok(());
-    };
-    let max_wait = Millis(route.objective_ms / ALLOWANCE_WAIT_DIVISOR);
-    let tokens = attributes.declared_tokens;
-    allowance::take(shared, account, layout, tokens, max_wait).await
+    match caller.account() {
+        Some(account) => allowance::take(shared, account, layout, attributes.declared_tokens).await,
+        None => Ok(()),
+    }
 }
--- a/crates/policy/src/limits/allowance.rs
+++ b/crates/policy/src/limits/allowance.rs
@@ -51,9 +51,9 @@
 /// Outcome of a request for units.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AllowanceDecision {
-    /// The units may be used after this time.
-    Granted(Millis),
-    /// The units are not available in time, but after this time if nothing else is granted.
+    /// The units may be used.
+    Granted,
+    /// The units are not available, but after this time if nothing else is granted.
     Refused(Millis),
 }
 
@@ -77,7 +77,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Balance {
     terms: AllowanceTerms,
-    /// Units available; negative after a request that was larger than the burst or may start later.
+    /// Units available; negative after a request that was larger than the burst.
     units: f64,
     /// Value of `accrued_s` up to which the rate is included.
     accrued_s: f64,
@@ -126,13 +126,13 @@
         self.seen.get(now)
     }
 
-    /// Grants `units` of the allowance of `account` if they are available within `max_wait`.
+    /// Grants `units` of the allowance of `account` if they are available. Nothing is reserved for later: requests
+    /// that could wait longest would otherwise take what accrues from those that can't.
     pub fn request(
         &mut self,
         account: &str,
         terms: AllowanceTerms,
         units: u64,
-        max_wait: Millis,
         now: Millis,
     ) -> AllowanceDecision {
         self.advance(now);
@@ -144,13 +144,14 @@
             .or_insert_with(|| Balance {
                 terms,
                 units: start,
-                accrued_s,
+                // The shares of all accounts have been lent since the pool started.
+                accrued_s: 0.0,
                 used_at: now,
             });
         balance.accrue(accrued_s, share);
         balance.set_terms(terms, share);
         balance.used_at = now;
-        balance.request(units, share, max_wait)
+        balance.request(units, share)
     }
 
     /// Part of the rates that accrues here: that of the attached gateways.
@@ -194,16 +195,16 @@
         self.terms = terms;
     }
 
-    fn request(&mut self, units: u64, share: f64, max_wait: Millis) -> AllowanceDecision {
+    fn request(&mut self, units: u64, share: f64) -> AllowanceDecision {
         let units = to_f64(units);
         // A request that is larger than the burst is granted at the full burst, and overdraws the balance.
         let missing = units.min(self.terms.burst * share) - self.units;
         let wait = wait_for(missing, self.terms.rate * share);
-        if wait > max_wait {
+        if wait > Millis(0) {
             return AllowanceDecision::Refused(wait);
         }
         self.units -= units;
-        AllowanceDecision::Granted(wait)
+        AllowanceDecision::Granted
     }
 }
 
--- a/crates/types/src/message/allowance.rs
+++ b/crates/types/src/message/allowance.rs
@@ -31,8 +31,6 @@
     pub tolerance: f64,
     /// Units asked for.
     pub units: u64,
-    /// Time for which the request may wait for the units, ms.
-    pub max_wait_ms: u64,
 }
 
 /// Reply of a side to an [`AllowanceCall`].
@@ -47,12 +45,9 @@
 /// Outcome of an ask for units.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AllowanceOutcome {
-    /// The units may be used after `wait_ms`.
-    Granted {
-        /// Time until then, ms.
-        wait_ms: u64,
-    },
-    /// The units are not available in time.
+    /// The units may be used.
+    Granted,
+    /// The units are not available.
     Refused {
         /// Time after which they are, ms.
         retry_ms: u64,
