Accounts: the pool's agent confirms the configuration for all gateways

A gateway counts the age from the time at which its call was sent, which can only make the read older than it is, and reads for itself when no told read is recent.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -89,6 +89,15 @@
 
     fn handle_allowance_call(&self, call: &AllowanceCall) -> Reply {
         let now = self.shared.timer.now();
+        let confirmed = self
+            .shared
+            .confirmations
+            .latest_read(self.shared.timer.boot_now());
+        let is_recent = confirmed.is_some_and(|read| read.age_ms <= call.max_age_ms);
+        if call.max_age_ms > 0 && !is_recent {
+            self.shared.wanted_age.set(Millis(call.max_age_ms));
+            self.shared.read_wanted.notify();
+        }
         let mut pool = self.shared.allowances.borrow_mut();
         pool.attach(call.entry.as_str(), call.entries, now);
         let outcome = call.ask.as_ref().map(|ask| {
@@ -99,6 +108,7 @@
         });
         peer_reply(&AllowanceReply {
             entries: pool.gateway_count(now),
+            confirmed,
             outcome,
         })
     }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -7,7 +7,9 @@
 
 use crate::gateways::RecentGateways;
 use async_channel::{Receiver, Sender};
-use pumicecleat_catalog::{Applied, CatalogListener, Marks, SharedCatalog, Upstream};
+use pumicecleat_catalog::{
+    Applied, CatalogListener, Confirmations, Marks, SharedCatalog, Upstream,
+};
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Log, Readiness, events, field};
 use pumicecleat_policy::{AllowancePool, RateLimits, TurnId, TurnScheduler};
@@ -39,6 +41,12 @@
     pub(crate) scheduler: RefCell<TurnScheduler>,
     /// Rate limit of the engine.
     pub(crate) rate_limits: RefCell<RateLimits>,
+    /// Reads of the operators' records that confirm the configuration.
+    pub(crate) confirmations: Rc<Confirmations>,
+    /// Wakes the task that reads them.
+    pub(crate) read_wanted: Notify,
+    /// Age at which they are read again.
+    pub(crate) wanted_age: Cell<Millis>,
     /// Allowances of client accounts, if gateways use this agent as their pool.
     pub(crate) allowances: RefCell<AllowancePool>,
     /// Senders to the tasks that wait for a turn.
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -13,6 +13,7 @@
 use pumicecleat_ops::{Admin, Dump, ListenError, Log, Metrics, Readiness, Stop, events, listen};
 use pumicecleat_policy::{BaseLoadTimes, RateLimits, TurnOptions, TurnScheduler};
 
+use crate::confirm::confirm_for_gateways;
 use crate::drive::drive;
 use crate::handler::PeerHandler;
 use crate::instance::find_instance;
@@ -165,6 +166,9 @@
         marks: Rc::default(),
         scheduler: RefCell::new(TurnScheduler::new_ext(initial_options)),
         rate_limits: RefCell::new(RateLimits::new_ext(FIRST_SLOT_PHASE)),
+        confirmations: Rc::default(),
+        read_wanted: Notify::new(),
+        wanted_age: Cell::default(),
         allowances: RefCell::default(),
         waiters: RefCell::new(BTreeMap::new()),
         instance: RefCell::default(),
@@ -206,8 +210,12 @@
         timer: shared.timer.clone(),
         log: shared.log.clone(),
         marks: Rc::clone(&shared.marks),
-        confirmations: Rc::default(),
+        confirmations: Rc::clone(&shared.confirmations),
     };
+    monoio::spawn(confirm_for_gateways(
+        Rc::clone(shared),
+        follow_context.clone(),
+    ));
     monoio::spawn(follow(Topic::Operators, follow_context, options));
     monoio::spawn(find_instance(
         Rc::clone(shared),
--- a/crates/catalog/src/complete_read.rs
+++ b/crates/catalog/src/complete_read.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Ordering;
 
-use pumicecleat_types::{ListRead, Millis, Position};
+use pumicecleat_types::{EndRead, Millis, Position};
 
 /// A read of the list of upstreams up to its end.
 #[derive(Clone, Copy, Debug)]
@@ -15,7 +15,7 @@
 
 impl CompleteRead {
     /// Converts a received message; `None` if the read is older than this process's clock.
-    pub(crate) fn from_message(read: ListRead, now: Millis) -> Option<Self> {
+    pub(crate) fn from_message(read: EndRead, now: Millis) -> Option<Self> {
         let as_of = Millis(now.0.checked_sub(read.age_ms)?);
         Some(Self {
             end: read.end,
@@ -23,8 +23,8 @@
         })
     }
 
-    pub(crate) fn to_message(self, now: Millis) -> ListRead {
-        ListRead {
+    pub(crate) fn to_message(self, now: Millis) -> EndRead {
+        EndRead {
             end: self.end,
             age_ms: now.since(self.as_of).0,
         }
--- a/crates/catalog/src/confirm.rs
+++ b/crates/catalog/src/confirm.rs
@@ -34,7 +34,7 @@
         let Some(position) = due_position(&context, settings.interval) else {
             continue;
         };
-        if now >= retry_at && !read_end(&context, position, settings.answer_timeout).await {
+        if now >= retry_at && !read_from(&context, position, settings.answer_timeout).await {
             retry_at = context.timer.now() + RETRY_DELAY;
         }
     }
@@ -53,8 +53,17 @@
     position.filter(|_| has_accounts && is_due && !context.confirmations.is_down())
 }
 
-/// Reads the end of the operators' records; returns whether the log answered.
-async fn read_end(context: &FollowContext, from: Position, timeout: Duration) -> bool {
+/// Reads the end of the operators' records, for this process or others; returns whether the log answered.
+pub async fn read_end(context: &FollowContext, timeout: Duration) -> bool {
+    let known_to = context.confirmations.known_to();
+    let latest = context.confirmations.latest_read(context.timer.boot_now());
+    let Some(from) = known_to.max(latest.map(|read| read.end)) else {
+        return false;
+    };
+    read_from(context, from, timeout).await
+}
+
+async fn read_from(context: &FollowContext, from: Position, timeout: Duration) -> bool {
     let start = ReadStart::now(&context.timer);
     let stream = context.decoder.stream(Topic::Operators);
     let read = context.store.read(stream, from.offset, 1, Duration::ZERO);
--- a/crates/catalog/src/confirmations.rs
+++ b/crates/catalog/src/confirmations.rs
@@ -6,11 +6,11 @@
 
 use std::cell::Cell;
 
-use pumicecleat_types::{BootTime, Millis, Position};
+use pumicecleat_types::{BootTime, EndRead, Millis, Position};
 
 /// A read that found the end of the operators' records.
 #[derive(Clone, Copy, Debug)]
-struct EndRead {
+struct KnownEnd {
     end: Position,
     /// Time as of which the end is known.
     as_of: BootTime,
@@ -24,7 +24,9 @@
     /// Time as of which the configuration was the newest.
     confirmed_at: Cell<Option<BootTime>>,
     /// Latest read whose end is beyond the records known.
-    ahead: Cell<Option<EndRead>>,
+    ahead: Cell<Option<KnownEnd>>,
+    /// Latest read, whether or not its records are known.
+    latest: Cell<Option<KnownEnd>>,
     /// The log does not answer this process.
     is_down: Cell<bool>,
 }
@@ -43,10 +45,14 @@
 
     /// Notes a read as of `as_of`, by any process, that found `end`.
     pub fn note_end(&self, end: Position, as_of: BootTime) {
+        let read = KnownEnd { end, as_of };
+        if self.latest.get().is_none_or(|latest| latest.as_of < as_of) {
+            self.latest.set(Some(read));
+        }
         if self.known_to.get().is_some_and(|known| end <= known) {
             self.confirm(as_of);
         } else if self.ahead.get().is_none_or(|read| read.as_of < as_of) {
-            self.ahead.set(Some(EndRead { end, as_of }));
+            self.ahead.set(Some(read));
         }
     }
 
@@ -69,6 +75,23 @@
         self.known_to.get()
     }
 
+    /// Returns the latest read for other processes, with its age at `now`.
+    #[must_use]
+    pub fn latest_read(&self, now: BootTime) -> Option<EndRead> {
+        let latest = self.latest.get()?;
+        let age_ms = now.since(latest.as_of).0;
+        Some(EndRead {
+            end: latest.end,
+            age_ms,
+        })
+    }
+
+    /// Notes a read that another process told in its response to a call sent at `sent_at`. The response was
+    /// written later than that, so that the read is at most as old as it seems.
+    pub fn note_told(&self, read: EndRead, sent_at: BootTime) {
+        self.note_end(read.end, sent_at.before(Millis(read.age_ms)));
+    }
+
     /// Returns the time since which the configuration may have been replaced without this process knowing;
     /// `None` before the first read.
     #[must_use]
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -40,7 +40,7 @@
 pub use account::{Account, AccountError, Accounts, Allowance, AllowanceUnit, KeyDigest};
 pub use age::watch_list_age;
 pub use change::{Change, DecodeError, RecordDecoder, Topic};
-pub use confirm::{ConfirmSettings, confirm_layout};
+pub use confirm::{ConfirmSettings, confirm_layout, read_end};
 pub use confirmations::Confirmations;
 pub use expire::expire_lapsed;
 pub use follow::{CatalogListener, FollowContext, FollowSettings, SharedCatalog, follow};
--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -229,7 +229,7 @@
     }
 
     /// Notes that `topic` ends at `end`: a process that has not read up to it reads at once.
-    pub(crate) fn hint(&self, topic: Topic, end: Position) {
+    pub fn hint(&self, topic: Topic, end: Position) {
         let mark = self.mark(topic);
         if mark.advance(end) {
             mark.notify();
--- a/crates/catalog/tests/marks.rs
+++ b/crates/catalog/tests/marks.rs
@@ -1,7 +1,7 @@
 //! Guards against a wrong age of a read of the list that other processes announced.
 
 use pumicecleat_catalog::Marks;
-use pumicecleat_types::{ListRead, Millis, Position, StreamMarks};
+use pumicecleat_types::{EndRead, Millis, Position, StreamMarks};
 
 /// Message that announces a read of the list.
 struct Announcement {
@@ -83,7 +83,7 @@
     for case in &CASES {
         let marks = Marks::default();
         for announcement in case.announcements {
-            let listed = Some(ListRead {
+            let listed = Some(EndRead {
                 end: announcement.end,
                 age_ms: announcement.age_ms,
             });
@@ -105,7 +105,7 @@
 fn read_passed_on_in_a_cycle_ages() {
     let (near, far) = (Marks::default(), Marks::default());
     let read = StreamMarks {
-        listed: Some(ListRead {
+        listed: Some(EndRead {
             end: Position::at(7),
             age_ms: 0,
         }),
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_catalog::Account;
+use pumicecleat_catalog::{Account, Topic};
 use pumicecleat_net::post;
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::{
@@ -154,10 +154,12 @@
 ) -> Option<AllowanceReply> {
     let allowances = &shared.allowances;
     let sent_at = shared.timer.now();
+    let boot_sent_at = shared.timer.boot_now();
     allowances.called_at.set(sent_at);
     let message = AllowanceCall {
         entry: shared.vm.clone(),
         entries: allowances.gateways.borrow().get(sent_at),
+        max_age_ms: shared.max_told_age.0,
         ask,
     };
     let peer = side.to_string();
@@ -170,6 +172,12 @@
             allowances.selector.borrow_mut().record_answer(side);
             allowances.gateways.borrow_mut().record(reply.entries, now);
             allowances.own_share.take();
+            if let Some(read) = reply.confirmed {
+                shared.confirmations.note_told(read, boot_sent_at);
+                if Some(read.end) > shared.confirmations.known_to() {
+                    shared.marks.hint(Topic::Operators, read.end);
+                }
+            }
             if allowances.pool.replace(Some(side)) != Some(side) {
                 let fields = [
                     field("pool", peer.as_str()),
--- a/crates/gateway/src/revoke.rs
+++ b/crates/gateway/src/revoke.rs
@@ -22,6 +22,10 @@
 /// Part of the revoke span at which the configuration is confirmed again.
 const INTERVAL_PART: f64 = 0.35;
 
+/// Part of the revoke span at which an agent that confirms the configuration for gateways reads again. The rest
+/// of the interval covers the time between two calls of a gateway to it.
+const TOLD_PART: f64 = 0.2;
+
 /// Part of the revoke span by which the clocks of two VMs may drift apart within it.
 const DRIFT_PART: f64 = 0.01;
 
@@ -39,6 +43,8 @@
 pub struct RevokeBudget {
     /// Age of the last confirmation at which the next one is due.
     pub interval: Duration,
+    /// Age of a read by an agent at which the agent reads again.
+    pub told_age: Duration,
     /// Time after which an unanswered confirmation is retried.
     pub answer_timeout: Duration,
     /// Age of the last confirmation up to which keys are accepted.
@@ -52,6 +58,7 @@
         let drift = span.mul_f64(DRIFT_PART);
         Self {
             interval: span.mul_f64(INTERVAL_PART),
+            told_age: span.mul_f64(TOLD_PART),
             answer_timeout: span.mul_f64(ANSWER_TIMEOUT_PART),
             max_age: span.saturating_sub(drift + ROUNDING),
         }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -60,6 +60,8 @@
     pub(crate) confirmations: Rc<Confirmations>,
     /// Age of the configuration up to which keys are accepted; `None` for any age.
     pub(crate) max_key_age: Option<Millis>,
+    /// Age of an agent's read of the configuration at which the agent reads again; 0 for no reads.
+    pub(crate) max_told_age: Millis,
     pub(crate) table: Rc<UpstreamTable>,
     /// Client for upstreams.
     pub(crate) upstream_client: Client,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -232,6 +232,7 @@
         )),
         confirmations: Rc::default(),
         max_key_age: max_key_age(settings),
+        max_told_age: as_millis(RevokeBudget::new(settings.revoke_span.0).told_age),
         table: Rc::new(UpstreamTable::default()),
         upstream_client: Client::new_ext(client_options, timer),
         agent_client: Client::new_ext(client_options, timer),
--- a/crates/types/src/message/allowance.rs
+++ b/crates/types/src/message/allowance.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::EndRead;
 use crate::VmId;
 
 /// Call of an entry to the side that grants allowances. It attaches the entry to the side, with or without an
@@ -12,6 +13,8 @@
     pub entry: VmId,
     /// Number of entries that the caller knows of.
     pub entries: u32,
+    /// Age, ms, of the read in the reply at which the side reads the operators' records again; 0 for no read.
+    pub max_age_ms: u64,
     /// Request for units, if any.
     pub ask: Option<AllowanceAsk>,
 }
@@ -38,6 +41,8 @@
 pub struct AllowanceReply {
     /// Largest number of entries that were attached recently.
     pub entries: u32,
+    /// Latest read of the operators' records by the side, if it has made one.
+    pub confirmed: Option<EndRead>,
     /// Outcome of the ask, if the call had one.
     pub outcome: Option<AllowanceOutcome>,
 }
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -20,7 +20,7 @@
 };
 pub use suspect::{SuspectNews, SuspectReport, Trial, TrialCall, TrialReply, UpstreamEnd};
 pub use turn::{
-    CachedAdapters, EngineFigures, EngineTraits, LimitNews, ListRead, RunNews, StreamMarks, Turn,
+    CachedAdapters, EndRead, EngineFigures, EngineTraits, LimitNews, RunNews, StreamMarks, Turn,
     TurnAsk, TurnCall, TurnRefusal, TurnReply,
 };
 pub use view::{
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -106,13 +106,13 @@
     /// Stream of the list of upstreams.
     pub upstreams: Position,
     /// Latest read of the list to its end by any process.
-    pub listed: Option<ListRead>,
+    pub listed: Option<EndRead>,
 }
 
-/// A read of the list of upstreams to its end.
+/// A read of a stream to its end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListRead {
-    /// End of the list; every process that passes on this read names the same position.
+pub struct EndRead {
+    /// End of the stream; every process that passes on this read names the same position.
     pub end: Position,
     /// Time since the read, ms.
     pub age_ms: u64,
