Catalog: a list at rest that is read is as old as its last read

Cause: reads that found no record were not reported, and a read that found the same end as an earlier one took the earlier one's time. Idle reads are reported, and an own read that finds the same end counts from its own start.

--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -125,6 +125,7 @@
         wait: settings.wait,
         answer_timeout: settings.answer_timeout,
         pace: settings.pace,
+        report_idle: true,
         backoff: BackoffOptions {
             max: settings.max_backoff,
             seed: settings.seed,
--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -148,7 +148,10 @@
     pub(crate) fn note_own_read(&self, end: Position, as_of: Millis) {
         let read = CompleteRead { end, as_of };
         self.read_position.set(end);
-        self.note_as_of(read);
+        // A read that finds the same end again is as old as its own start, not as that of the first one.
+        if self.list_as_of.get().is_none_or(|known| known.end <= end) {
+            self.list_as_of.set(Some(read));
+        }
         self.note_available(read, false);
         let later = self.trusted_read.get().is_some_and(|known| known.end > end);
         if self.knows_all() && !later {
@@ -185,8 +188,13 @@
             .get()
             .map_or(read, |known| known.merge(read));
         self.trusted_read.set(Some(latest));
-        if reads {
-            self.note_as_of(read);
+        if reads
+            && self
+                .list_as_of
+                .get()
+                .is_none_or(|known| known.end < read.end)
+        {
+            self.list_as_of.set(Some(read));
         }
     }
 
@@ -197,12 +205,6 @@
         self.list_as_of.get().map(|read| now.since(read.as_of))
     }
 
-    fn note_as_of(&self, read: CompleteRead) {
-        let known = self.list_as_of.get();
-        let latest = known.map_or(read, |known| known.merge(read));
-        self.list_as_of.set(Some(latest));
-    }
-
     fn knows_all(&self) -> bool {
         self.upstreams.position.get() <= self.read_position.get()
     }
--- a/crates/infra/src/follower/event.rs
+++ b/crates/infra/src/follower/event.rs
@@ -16,7 +16,7 @@
         /// Next free offset.
         next: u64,
     },
-    /// No record is left; reported once after records and once after an outage.
+    /// No record is left; reported once after records and once after an outage, or for each read.
     CaughtUp {
         /// Next free offset.
         next: u64,
--- a/crates/infra/src/follower/mod.rs
+++ b/crates/infra/src/follower/mod.rs
@@ -32,6 +32,8 @@
     /// Minimum time between the starts of two reads that return records, so that a busy stream is read
     /// in batches.
     pub pace: Duration,
+    /// Whether each read that finds no record is reported, not only the first.
+    pub report_idle: bool,
     /// Backoff after failures.
     pub backoff: BackoffOptions,
 }
@@ -43,6 +45,7 @@
             wait: Duration::from_secs(10),
             answer_timeout: None,
             pace: Duration::ZERO,
+            report_idle: false,
             backoff: BackoffOptions::default(),
         }
     }
@@ -257,7 +260,8 @@
         self.next_read_at = Some(start.at + as_millis(self.options.backoff.first));
         let known = std::mem::replace(&mut self.caught_up, true);
         let next = self.next;
-        Ok((!known).then_some(FollowEvent::CaughtUp { next }))
+        let is_news = !known || self.options.report_idle;
+        Ok(is_news.then_some(FollowEvent::CaughtUp { next }))
     }
 
     /// Fails if the era of a response is later than the known one. A missing or earlier one is no error.
