--- a/crates/cli/tests/outage.rs
+++ b/crates/cli/tests/outage.rs
@@ -151,7 +151,9 @@
         ]);
         assert!(out.status.success(), "{out:?}");
     }
-    let digest = get(&fleet.entries[0].admin, "/dump").json()["config"]["digest"].clone();
+    let config = || get(&fleet.entries[0].admin, "/dump").json()["config"].clone();
+    until("the entry has both claims", || config()["revision"] == 3);
+    let digest = config()["digest"].clone();
     until("the first records are trimmed", || {
         get(
             &fleet.log.address,
