Gateway: a broken stream's patience counts from the break

Cause: the time that a caller still waits for an event was counted from the request's arrival. A stream that lost its engine later than four objectives after that was refused by every agent at once, though its caller waits two seconds for the next event. It counts from the loss.

--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -38,6 +38,8 @@
     pub(super) last_event_id: Option<u64>,
     /// Permission to send the request, if upstreams ended while it was in progress.
     pub(super) permit: Cell<Permit>,
+    /// Time since which the caller has waited for the next event: the arrival, or the loss of an engine.
+    pub(super) waiting_since: Millis,
     /// Time by which the request needs a final response.
     pub(super) deadline: Millis,
 }
@@ -57,6 +59,7 @@
         let caller_timeout_ms = attributes.deadline_ms.unwrap_or(u64::MAX);
         let timeout_ms = caller_timeout_ms.min(route.timeout_ms);
         trace.set_service(&service);
+        let arrived = trace.arrived;
         Self {
             shared: Rc::clone(shared),
             head,
@@ -70,6 +73,7 @@
             tried_instances: Vec::new(),
             last_event_id: None,
             permit: Cell::default(),
+            waiting_since: arrived,
         }
     }
 
@@ -82,6 +86,11 @@
         Duration::from_millis(self.time_left().0)
     }
 
+    /// Time for which the caller has waited for the next event.
+    pub(super) fn waited(&self) -> Millis {
+        self.shared.timer.now().since(self.waiting_since)
+    }
+
     /// Priority of the request.
     pub(super) fn priority(&self) -> Priority {
         Priority {
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -68,6 +68,7 @@
     job: &mut Job,
     progress: &mut Progress,
 ) -> Option<Box<EngineResponse>> {
+    job.waiting_since = job.shared.timer.now();
     progress.search.restart();
     while progress.sends < job.route.max_attempts {
         job.acquire_permit().await.ok()?;
@@ -210,7 +211,7 @@
             prompt_tokens: job.attributes.prompt_tokens,
             priority: job.priority().rank(),
             objective_ms: job.route.objective_ms,
-            objective_left_ms: Millis(job.route.objective_ms).since(job.trace.age()).0,
+            objective_left_ms: Millis(job.route.objective_ms).since(job.waited()).0,
             patience_ms: patience(job).0,
             waits_for_slot: stays,
             trial: job.trial(),
@@ -236,11 +237,11 @@
     catalog.version(&name)
 }
 
-/// Time for which the caller still waits for the first event.
+/// Time for which the caller still waits for the next event.
 fn patience(job: &Job) -> Millis {
     let max_wait = Millis(job.route.objective_ms * PATIENCE_OBJECTIVES);
     let max_wait = max_wait.max(MIN_PATIENCE);
-    max_wait.since(job.trace.age()).min(job.time_left())
+    max_wait.since(job.waited()).min(job.time_left())
 }
 
 fn choose_engine(job: &Job, search: &TurnSearch) -> Option<(Upstream, AdapterState)> {
