Accounts: events and metrics of allowances

An account that exceeds its allowance is logged when it begins (E7125) and ends (E7126), with its name; requests are counted by account and outcome, for 256 accounts at most.

--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -105,10 +105,12 @@
         Some(outcome) => outcome,
         None => ask_own_share(shared, &ask, terms),
     };
-    match outcome {
-        AllowanceOutcome::Granted => Ok(()),
-        AllowanceOutcome::Refused { retry_ms } => Err(Millis(retry_ms)),
-    }
+    let retry_after = match outcome {
+        AllowanceOutcome::Granted => None,
+        AllowanceOutcome::Refused { retry_ms } => Some(Millis(retry_ms)),
+    };
+    shared.exceeded.record(shared, &account.name, retry_after);
+    retry_after.map_or(Ok(()), Err)
 }
 
 /// Asks pools in the order of their ranks; returns `None` if none answers.
@@ -201,6 +203,7 @@
 pub(crate) async fn stay_attached(shared: Rc<Shared>) {
     loop {
         shared.timer.sleep(CHECK_INTERVAL).await;
+        shared.exceeded.expire(&shared);
         if !shared.needs_keys() {
             continue;
         }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -28,6 +28,13 @@
     pub(crate) instance: String,
 }
 
+/// Labels of metrics by account and outcome.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AccountLabels {
+    pub(crate) account: String,
+    pub(crate) outcome: &'static str,
+}
+
 /// Label of the metric of suspects: what happened.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct SuspectLabels {
@@ -48,6 +55,8 @@
     rate_limits: Family<InstanceLabels, Gauge>,
     /// Requests to upstreams with a rate limit.
     limited_requests: Family<OutcomeLabels, Counter>,
+    /// Requests of accounts with an allowance.
+    account_requests: Family<AccountLabels, Counter>,
 }
 
 impl Meters {
@@ -81,6 +90,10 @@
                 "layout_age_milliseconds",
                 "Time since which the configuration may have been replaced unnoticed",
             ),
+            account_requests: metrics.counters(
+                "account_requests",
+                "Requests of accounts with an allowance, by account and outcome",
+            ),
             list_age_ms: metrics.gauge(
                 "upstream_list_age_milliseconds",
                 "Age of the list of upstreams as this process knows it",
@@ -116,6 +129,12 @@
         self.limited_requests.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_allowance(&self, account: &str, outcome: &'static str) {
+        let account = account.to_owned();
+        let labels = AccountLabels { account, outcome };
+        self.account_requests.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_suspect(&self, what: &'static str) {
         self.suspects.get_or_create(&SuspectLabels { what }).inc();
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::allowance::Allowances;
+use crate::exceeded::ExceededAccounts;
 use crate::gateway_count::GatewayCount;
 use crate::meters::{Meters, ServiceLabels};
 use crate::self_reports::SelfReports;
@@ -73,6 +74,8 @@
     pub(crate) limits: RefCell<RateLimits>,
     /// Use of client accounts' allowances.
     pub(crate) allowances: Allowances,
+    /// Accounts that exceed their allowances.
+    pub(crate) exceeded: ExceededAccounts,
     /// Requests in progress when upstreams ended.
     pub(crate) suspects: SuspectState,
     /// Whether figures of engines are collected by relays.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -20,6 +20,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::allowance::{self, Allowances};
+use crate::exceeded::ExceededAccounts;
 use crate::gateway_count::GatewayCount;
 use crate::leave::{CONNECT_TIMEOUT, LeaveBudget};
 use crate::meters::Meters;
@@ -238,6 +239,7 @@
         agent_client: Client::new_ext(client_options, timer),
         self_reports: RefCell::default(),
         limits: RefCell::new(RateLimits::new_ext(rand::random())),
+        exceeded: ExceededAccounts::default(),
         allowances: Allowances::new(allowance::tolerance(settings)),
         suspects: SuspectState::new(rand::random()),
         uses_relay: Cell::default(),
--- a/crates/infra/tests/infra/follower.rs
+++ b/crates/infra/tests/infra/follower.rs
@@ -20,6 +20,7 @@
         wait,
         answer_timeout: None,
         pace: Duration::ZERO,
+        report_idle: false,
         backoff: BackoffOptions {
             first: MS,
             max: 4 * MS,
