--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -31,6 +31,10 @@
 /// Number of agents that a request asks before this gateway's own share decides.
 const MAX_POOLS: u32 = 2;
 
+/// Longest wait for units of an allowance, after which a request asks once more. It is shorter than what a
+/// caller needs to come back, and the same for all requests of an account.
+const MAX_WAIT: Millis = Millis(50);
+
 /// Tolerance of the operators' limits.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Tolerance {
@@ -101,16 +105,25 @@
         tolerance: terms.tolerance,
         units: allowance.cost(tokens),
     };
-    let outcome = match ask_pools(shared, &ask).await {
+    let mut retry_after = decide(shared, &ask, terms).await;
+    if let Some(wait) = retry_after.filter(|wait| *wait <= MAX_WAIT) {
+        shared.timer.sleep(Duration::from_millis(wait.0)).await;
+        retry_after = decide(shared, &ask, terms).await;
+    }
+    shared.exceeded.record(shared, &account.name, retry_after);
+    retry_after.map_or(Ok(()), Err)
+}
+
+/// Decides on `ask`; returns the time after which to ask again if it is refused.
+async fn decide(shared: &Shared, ask: &AllowanceAsk, terms: AllowanceTerms) -> Option<Millis> {
+    let outcome = match ask_pools(shared, ask).await {
         Some(outcome) => outcome,
-        None => ask_own_share(shared, &ask, terms),
+        None => ask_own_share(shared, ask, terms),
     };
-    let retry_after = match outcome {
+    match outcome {
         AllowanceOutcome::Granted => None,
         AllowanceOutcome::Refused { retry_ms } => Some(Millis(retry_ms)),
-    };
-    shared.exceeded.record(shared, &account.name, retry_after);
-    retry_after.map_or(Ok(()), Err)
+    }
 }
 
 /// Asks pools in the order of their ranks; returns `None` if none answers.
