Catalog: a confirming read from before the first record finds the end

Cause, found by reading: a read whose start was no longer retained took the first retained record for the end of the records. An agent that lags could have told gateways a read that confirmed a configuration although a newer one had been acknowledged before it. It reads on from there.

--- a/crates/catalog/src/confirm.rs
+++ b/crates/catalog/src/confirm.rs
@@ -65,21 +65,28 @@
 
 async fn read_from(context: &FollowContext, from: Position, timeout: Duration) -> bool {
     let start = ReadStart::now(&context.timer);
-    let stream = context.decoder.stream(Topic::Operators);
-    let read = context.store.read(stream, from.offset, 1, Duration::ZERO);
-    let (era, offset) = match context.timer.within(timeout, read).await {
-        Ok(Ok(batch)) => (batch.era, batch.next),
-        Ok(Err(ReadError::Trimmed { first, .. })) => (None, first),
-        Ok(Err(_)) | Err(_) => {
-            context.marks.suspect_connection(Topic::Upstreams);
-            return false;
-        }
+    let Ok(Ok(end)) = context.timer.within(timeout, find_end(context, from)).await else {
+        context.marks.suspect_connection(Topic::Upstreams);
+        return false;
     };
-    let era = era.unwrap_or(from.era);
-    let end = Position { era, offset };
     context.confirmations.note_end(end, start.boot);
     if end > from {
         context.marks.hint(Topic::Operators, end);
     }
     true
 }
+
+/// Finds the end of the operators' records. Where the record at `from` is no longer retained, the log tells the
+/// first one that is, which need not be the last.
+async fn find_end(context: &FollowContext, from: Position) -> Result<Position, ReadError> {
+    let stream = context.decoder.stream(Topic::Operators);
+    let read = |offset| context.store.read(stream, offset, 1, Duration::ZERO);
+    let batch = match read(from.offset).await {
+        Err(ReadError::Trimmed { first, .. }) => read(first).await?,
+        other => other?,
+    };
+    Ok(Position {
+        era: batch.era.unwrap_or(from.era),
+        offset: batch.next,
+    })
+}
