Log: a read of a stream's state keeps its request while it sends the next one

A process that had logged E7001 then said nothing more.

Change: the newest records of a stream are asked for again after 0.7 s, 1.4 s, then each 2.8 s, and earlier requests are kept; the first response counts. E7020 tells how long a process has waited.

--- a/crates/agent/src/instance.rs
+++ b/crates/agent/src/instance.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use pumicecleat_catalog::{Change, RecordDecoder, Standing, Topic, UnreadableKeys, Upstream};
-use pumicecleat_infra::{KeyedLog, KeyedRecord};
+use pumicecleat_infra::{KeyedLog, KeyedRecord, read_newest};
 use pumicecleat_ops::{events, field};
 
 use crate::shared::Shared;
@@ -37,7 +37,7 @@
 ) {
     let mut lookup = Lookup {
         shared: &shared,
-        store: &*store,
+        store: &store,
         decoder: &*decoder,
         unreadable: RefCell::default(),
         unnamed_checks: 0,
@@ -57,7 +57,7 @@
 
 struct Lookup<'a> {
     shared: &'a Shared,
-    store: &'a dyn KeyedLog,
+    store: &'a Rc<dyn KeyedLog>,
     decoder: &'a dyn RecordDecoder,
     unreadable: RefCell<UnreadableKeys>,
     /// Number of health checks in a row that named no instance.
@@ -94,7 +94,8 @@
 
     async fn read_list(&self) {
         let stream = self.decoder.stream(Topic::Upstreams);
-        let newest = match self.store.newest(stream).await {
+        let timer = self.shared.timer.clone();
+        let newest = match read_newest(Rc::clone(self.store), stream.to_owned(), timer).await {
             Ok(newest) => newest,
             Err(e) => {
                 let fields = [field("stream", stream), field("error", &e)];
--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -214,7 +214,10 @@
 
     /// Handles an event and updates the marks.
     fn handle_event(&self, event: KeyedEvent, follower: &mut KeyedFollower) {
-        let failed = matches!(event, KeyedEvent::Outage { .. } | KeyedEvent::Unanswered);
+        let failed = matches!(
+            event,
+            KeyedEvent::Outage { .. } | KeyedEvent::StateMissing { .. } | KeyedEvent::Unanswered
+        );
         self.is_busy.set(matches!(event, KeyedEvent::Changes(_)));
         let changed = self.apply_event(event);
         if follower.has_invalid_era() {
@@ -271,6 +274,14 @@
                 self.marks.suspect_connection(self.topic);
                 false
             }
+            KeyedEvent::StateMissing { waited } => {
+                let fields = [
+                    field("stream", self.decoder.stream(self.topic)),
+                    field("waited_ms", waited.0),
+                ];
+                self.log.emit(&events::STATE_MISSING, &fields);
+                false
+            }
             KeyedEvent::Outage { detail } => {
                 let fields = [
                     field("stream", self.decoder.stream(self.topic)),
--- a/crates/gateway/src/suspects/persist.rs
+++ b/crates/gateway/src/suspects/persist.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use async_channel::{Receiver, Sender};
-use pumicecleat_infra::{AppendError, KeyedLog, KeyedRecord};
+use pumicecleat_infra::{AppendError, KeyedLog, KeyedRecord, read_newest};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::{SuspectTable, TRIAL_MIN_ENDS};
 use pumicecleat_types::{Fingerprint, Millis, SuspectReport};
@@ -89,7 +89,7 @@
 
 /// Reads the stored suspects, then stores changes; never returns.
 pub(crate) async fn persist_suspects(shared: Rc<Shared>, store: Rc<dyn KeyedLog>) {
-    load_stored(&shared, &*store).await;
+    load_stored(&shared, &store).await;
     let persist_queue = &shared.suspects.persist_queue;
     loop {
         // The channel can't be closed, because `shared` holds both ends.
@@ -105,10 +105,11 @@
     }
 }
 
-async fn load_stored(shared: &Shared, store: &dyn KeyedLog) {
+async fn load_stored(shared: &Shared, store: &Rc<dyn KeyedLog>) {
     let mut delay = RETRY_DELAY;
     let newest = loop {
-        match store.newest(STREAM).await {
+        let (store, timer) = (Rc::clone(store), shared.timer.clone());
+        match read_newest(store, STREAM.to_owned(), timer).await {
             Ok(newest) => break newest,
             Err(e) => log_store_lost(shared, &e.to_string()),
         }
--- a/crates/infra/src/follower/keyed.rs
+++ b/crates/infra/src/follower/keyed.rs
@@ -5,12 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use pumicecleat_net::Timer;
-use pumicecleat_types::Position;
+use pumicecleat_types::{Millis, Position};
 
 use super::{FollowError, FollowEvent, FollowOptions, Follower, ReadStart};
-use crate::backoff::Backoff;
-use crate::{KeyedLog, KeyedRecord, Log, ReadError};
+use crate::backoff::{Backoff, as_millis};
+use crate::newest::{FIRST_DELAY, read_newest};
+use crate::{KeyedLog, KeyedRecord, Local, Log, NewestRecords, ReadError};
 
 /// Event of a followed keyed stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,6 +37,26 @@
         /// Human-readable description of the failure.
         detail: String,
     },
+    /// The whole state has still not been read after this time; the read goes on.
+    StateMissing {
+        /// Time since its start.
+        waited: Millis,
+    },
+}
+
+/// Read of the state that is in progress.
+struct StateRead {
+    start: ReadStart,
+    /// Time from the start to the next report that it waits.
+    report_delay: Duration,
+    records: Local<'static, Result<NewestRecords, ReadError>>,
+}
+
+/// The state was not read.
+enum StateError {
+    Failed(ReadError),
+    /// The read is still in progress after this time.
+    Late(Millis),
 }
 
 /// Follower of one keyed stream.
@@ -48,6 +70,8 @@
     /// Offset of the newest reported record by key; filters out older records in pages and repeats.
     reported_offsets: BTreeMap<String, u64>,
     outage_reported: bool,
+    /// Read of the state in progress, if there is one.
+    state_read: Option<StateRead>,
     /// Latest era received.
     era: Option<u64>,
     /// Whether an invalid era has been reported to the caller.
@@ -72,6 +96,7 @@
             follower: None,
             reported_offsets: BTreeMap::new(),
             outage_reported: false,
+            state_read: None,
             era: None,
             invalid_era_reported: false,
         }
@@ -138,9 +163,11 @@
 
     async fn load_state(&mut self) -> Option<KeyedEvent> {
         let start = ReadStart::now(&self.timer);
-        let newest = match self.log.newest(&self.stream).await {
+        let start = self.state_read.as_ref().map_or(start, |read| read.start);
+        let newest = match self.read_state(start).await {
             Ok(newest) => newest,
-            Err(e) => return self.handle_error(&e).await,
+            Err(StateError::Failed(e)) => return self.handle_error(&e).await,
+            Err(StateError::Late(waited)) => return Some(self.report_wait(waited)),
         };
         self.backoff.reset();
         self.outage_reported = false;
@@ -209,6 +236,38 @@
         newer
     }
 
+    /// Continues or starts a read of the state, up to the next time at which a wait is reported.
+    async fn read_state(&mut self, start: ReadStart) -> Result<NewestRecords, StateError> {
+        let (log, stream, timer) = (&self.log, &self.stream, &self.timer);
+        let read = self.state_read.get_or_insert_with(|| StateRead {
+            start,
+            report_delay: FIRST_DELAY,
+            records: Box::pin(read_newest(Rc::clone(log), stream.clone(), timer.clone())),
+        });
+        let report_at = read.start.at + as_millis(read.report_delay);
+        let timeout = Box::pin(self.timer.sleep_until(report_at));
+        match select(read.records.as_mut(), timeout).await {
+            Either::Left((result, _)) => {
+                self.state_read = None;
+                result.map_err(StateError::Failed)
+            }
+            Either::Right(_) => {
+                let waited = as_millis(read.report_delay);
+                read.report_delay *= 2;
+                Err(StateError::Late(waited))
+            }
+        }
+    }
+
+    /// Reports that the state has not arrived; the read goes on.
+    fn report_wait(&mut self, waited: Millis) -> KeyedEvent {
+        if std::mem::replace(&mut self.outage_reported, true) {
+            return KeyedEvent::StateMissing { waited };
+        }
+        let detail = format!("no newest records within {} ms", waited.0);
+        KeyedEvent::Outage { detail }
+    }
+
     async fn handle_error(&mut self, error: &ReadError) -> Option<KeyedEvent> {
         let known = std::mem::replace(&mut self.outage_reported, true);
         if !known {
--- a/crates/infra/src/keyed.rs
+++ b/crates/infra/src/keyed.rs
@@ -1,5 +1,7 @@
 //! Keyed streams: the newest record of each key is never trimmed.
 
+use std::time::Duration;
+
 use pumicecleat_types::LogRecord;
 
 use crate::{Local, Log, ReadError};
@@ -28,11 +30,16 @@
 
 /// Log with keyed streams.
 pub trait KeyedLog: Log {
-    /// Newest record of each key of `stream`. Not a snapshot: records may be newer than `next`.
+    /// Newest record of each key of `stream`, if each page of them arrives within `timeout`. Not a snapshot: records
+    /// may be newer than `next`.
     ///
     /// # Errors
     /// [`ReadError::Failed`], including the step and the peer.
-    fn newest<'a>(&'a self, stream: &'a str) -> Local<'a, Result<NewestRecords, ReadError>>;
+    fn newest<'a>(
+        &'a self,
+        stream: &'a str,
+        timeout: Duration,
+    ) -> Local<'a, Result<NewestRecords, ReadError>>;
 
     /// Record that sets the value of `key`, or deletes the key if `value` is empty.
     fn keyed_record(&self, key: &str, value: &[u8]) -> Vec<u8>;
--- a/crates/infra/src/lib.rs
+++ b/crates/infra/src/lib.rs
@@ -25,6 +25,7 @@
 mod http;
 mod keyed;
 mod log;
+mod newest;
 mod store;
 mod vms;
 
@@ -36,6 +37,7 @@
 pub use http::{Peers, RequestError};
 pub use keyed::{KeyedLog, KeyedRecord, NewestRecords};
 pub use log::{AppendError, Appended, Batch, HttpLog, Log, ReadError};
+pub use newest::read_newest;
 pub use pumicecleat_net::Local;
 pub use store::{HttpStore, Store, StoreError};
 pub use vms::{HttpVms, VmList, Vms, VmsError};
