--- a/crates/agent/src/relay/mod.rs
+++ b/crates/agent/src/relay/mod.rs
@@ -3,15 +3,20 @@
 //! An agent acts as a relay while gateways request views from it. It polls the agents of its own data centre and
 //! queries one relay in each other data centre. It makes no decisions based on the figures and passes them on with
 //! their age. Wrong or outdated figures can only cause a gateway to choose a less suitable engine.
+//!
+//! A relay that gateways use also follows the streams of the log and passes their changes on, so that the number of
+//! reads does not grow with the number of gateways.
 
 mod poll;
 mod state;
+mod streams;
 
 use pumicecleat_types::{FiguresCall, FiguresReply, ViewCall, ViewReply};
 
 use crate::shared::Shared;
 pub(crate) use poll::run_relay;
 pub(crate) use state::RelayState;
+pub(crate) use streams::follow_for_gateways;
 
 /// Path at which gateways and other relays request a view.
 pub(crate) const VIEW_PATH: &str = "/peer/v1/view";
@@ -23,6 +28,7 @@
 pub(crate) fn answer_view(shared: &Shared, call: ViewCall) -> ViewReply {
     let now = shared.timer.now();
     shared.marks.merge(&call.marks, now);
+    let streams = streams::answer(shared, &call, now);
     let suspects = shared.suspects.exchange_news(&call.suspects, now);
     let figures = shared.figures();
     let cached_adapters = shared.scheduler.borrow().cached_adapters();
@@ -35,6 +41,7 @@
     }
     reply.marks = shared.marks.to_message(now);
     reply.suspects = suspects;
+    reply.streams = streams;
     reply
 }
 
--- a/crates/agent/src/relay/poll.rs
+++ b/crates/agent/src/relay/poll.rs
@@ -11,7 +11,7 @@
 };
 
 use super::state::CentreQuery;
-use super::{FIGURES_PATH, VIEW_PATH};
+use super::{FIGURES_PATH, VIEW_PATH, streams};
 use crate::shared::Shared;
 
 /// Interval between checks for exchanges that are due.
@@ -99,6 +99,7 @@
         members: query.pick.send_members.then(|| query.members.clone()),
         seen: query.pick.seen,
         suspects: outgoing.news,
+        read_to: streams::read_to(shared),
     };
     let peer = relay.to_string();
     let result: Result<ViewReply, NetError> = post(
@@ -112,7 +113,10 @@
     let now = shared.timer.now();
     let mut state = shared.relay.borrow_mut();
     match result {
-        Ok(reply) => {
+        Ok(mut reply) => {
+            if let Some(streams) = reply.streams.take() {
+                streams::receive(shared, streams, sent_at);
+            }
             shared.marks.merge(&reply.marks, now);
             apply_suspects(shared, relay, outgoing.sent_up_to, &reply.suspects);
             state.record_centre_reply(&query, reply, sent_at, now);
--- a/crates/agent/src/relay/state.rs
+++ b/crates/agent/src/relay/state.rs
@@ -191,6 +191,11 @@
         recent.fold(local, |sum, (count, _)| sum.saturating_add(count))
     }
 
+    /// Number of data centres with engines, each of which has a relay.
+    pub(super) fn centre_count(&self) -> u32 {
+        u32::try_from(self.centres.len() + 1).unwrap_or(u32::MAX)
+    }
+
     /// Returns the exchanges that are due and marks them as started.
     pub(super) fn start_due_exchanges(&mut self, now: Millis) -> DueExchanges {
         self.update_members(now);
@@ -214,7 +219,7 @@
         due
     }
 
-    fn serves_gateways(&self, now: Millis) -> bool {
+    pub(super) fn serves_gateways(&self, now: Millis) -> bool {
         let mut callers = self.callers.values();
         callers.any(|c| c.viewer == Viewer::Entry && now.since(c.last_call) < CALLER_TTL)
     }
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -20,6 +20,10 @@
         report_pause: HumanDuration = "100ms", "span";
         /// longest wait of a read of the log for a record
         store_wait: HumanDuration = "25s", "span";
+        /// time within which a leaving upstream must get its last request
+        leave_span: HumanDuration = "2s", "span";
+        /// time within which a configuration must be in force
+        apply_span: HumanDuration = "2s", "span";
         /// lines logged in a second at most; warnings and errors may take as many again
         log_lines: u32 = "400", "lines/s";
     }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -72,6 +72,10 @@
     pub(crate) relay: RefCell<RelayState>,
     /// Wakes the relay loop when a view is requested.
     pub(crate) view_requested: Notify,
+    /// Marks of the streams, while this agent follows them for gateways.
+    pub(crate) stream_marks: RefCell<Option<Rc<Marks>>>,
+    /// Wakes the task that follows them.
+    pub(crate) streams_requested: Notify,
     /// Whether another process has named an instance other than the known one.
     pub(crate) lookup_needed: Cell<bool>,
     /// Instance last named by another process.
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use pumicecleat_catalog::{
-    FollowContext, FollowSettings, RecordDecoder, SharedCatalog, Topic, follow,
+    FollowContext, FollowSettings, FollowSpans, RecordDecoder, SharedCatalog, Topic, follow,
 };
 use pumicecleat_infra::KeyedLog;
 use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer};
@@ -18,7 +18,7 @@
 use crate::handler::PeerHandler;
 use crate::instance::find_instance;
 use crate::meters::Meters;
-use crate::relay::{RelayState, run_relay};
+use crate::relay::{RelayState, follow_for_gateways, run_relay};
 use crate::shared::{ENGINE_CONDITION, Notify, Shared};
 use crate::trial::SuspectState;
 use crate::{AgentSettings, EngineClient};
@@ -183,6 +183,8 @@
         suspects: SuspectState::new(rand::random()),
         relay: RefCell::new(relay),
         view_requested: Notify::new(),
+        stream_marks: RefCell::default(),
+        streams_requested: Notify::new(),
         claimed_instance: RefCell::default(),
         instance_claimed: Notify::new(),
         rejected_claim: RefCell::default(),
@@ -196,10 +198,11 @@
         detection_span: None,
         answer_timeout: None,
         pace: READ_INTERVAL,
-        max_list_age: Duration::ZERO,
+        max_age: Duration::ZERO,
         hint_interval: READ_INTERVAL,
         max_hint_interval: READ_INTERVAL,
         max_backoff: MAX_BACKOFF,
+        relies_on_relay: false,
         seed: pumicecleat_policy::upstream_key(&settings.common.vm),
     };
     let follow_context = FollowContext {
@@ -216,7 +219,7 @@
         Rc::clone(shared),
         follow_context.clone(),
     ));
-    monoio::spawn(follow(Topic::Operators, follow_context, options));
+    monoio::spawn(follow(Topic::Operators, follow_context.clone(), options));
     monoio::spawn(find_instance(
         Rc::clone(shared),
         Rc::clone(&context.store),
@@ -224,4 +227,14 @@
     ));
     monoio::spawn(drive(Rc::clone(shared), settings.report_pause.0));
     monoio::spawn(run_relay(Rc::clone(shared)));
+    let spans = FollowSpans {
+        leave: settings.leave_span.0,
+        apply: settings.apply_span.0,
+        store_wait: settings.store_wait.0,
+    };
+    monoio::spawn(follow_for_gateways(
+        Rc::clone(shared),
+        follow_context,
+        spans,
+    ));
 }
--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 
 use futures_util::future::{Either, select};
 use pumicecleat_infra::{
@@ -10,8 +9,10 @@
 };
 use pumicecleat_net::Timer;
 use pumicecleat_ops::{Log, events, field};
-use pumicecleat_types::{Millis, Position};
+use pumicecleat_types::{Millis, Position, StreamChanges};
 
+use crate::follow_settings::FollowSettings;
+use crate::marks::Hint;
 use crate::read_schedule::{max_read_age, staggered_wait};
 use crate::report::report_applied;
 use crate::{Applied, Catalog, Change, Confirmations, Marks, RecordDecoder, Topic, UnreadableKeys};
@@ -36,33 +37,6 @@
     }
 }
 
-/// Settings of a follower.
-#[derive(Clone)]
-pub struct FollowSettings {
-    /// Longest time that the log may wait for a record. Half of the time within which a silent connection
-    /// must be detected.
-    pub wait: Duration,
-    /// Intended time until a new record is known if the reads in progress of all processes stay unanswered.
-    /// Shortens `wait` according to the number of processes; `None` to always use `wait`.
-    pub detection_span: Option<Duration>,
-    /// Time beyond `wait` after which an unanswered read is retried; `None` for the timeout of the log's
-    /// client.
-    pub answer_timeout: Option<Duration>,
-    /// Shortest time between two reads that return records.
-    pub pace: Duration,
-    /// Age up to which a read of the list of upstreams may be relied on, whichever process made it.
-    pub max_list_age: Duration,
-    /// Shortest time between two reads triggered by messages from other processes, for each process that
-    /// follows the stream: the total read rate does not grow with the number of processes.
-    pub hint_interval: Duration,
-    /// Upper bound of that time, for any number of processes.
-    pub max_hint_interval: Duration,
-    /// Longest delay between two attempts while the log does not answer.
-    pub max_backoff: Duration,
-    /// Seed of the delays; should differ between processes.
-    pub seed: u64,
-}
-
 struct TopicFollower<'a> {
     marks: &'a Marks,
     confirmations: &'a Confirmations,
@@ -80,6 +54,10 @@
     is_busy: Cell<bool>,
     /// Number of reads so far.
     read_count: Cell<u64>,
+    /// Position up to which changes were noted for other processes.
+    noted_to: Cell<Position>,
+    /// Records that changed something since then.
+    changed: RefCell<Vec<KeyedRecord>>,
     unreadable: RefCell<UnreadableKeys>,
 }
 
@@ -163,18 +141,27 @@
         last_outage: Cell::new(None),
         is_busy: Cell::new(false),
         read_count: Cell::new(0),
+        noted_to: Cell::default(),
+        changed: RefCell::default(),
         unreadable: RefCell::default(),
     };
     let mut last_hinted_read = Millis(0);
     loop {
         let position = follower.position();
         let next = Box::pin(topic_follower.next(&mut follower, &settings));
-        let event = match select(next, Box::pin(marks.wait_for_hint(topic, position))).await {
-            Either::Left((event, _)) => Some(event),
-            Either::Right(_) => None,
+        let interruption = Box::pin(marks.wait_for_hint(topic, position));
+        let outcome = match select(next, interruption).await {
+            Either::Left((event, _)) => Ok(event),
+            Either::Right((hint, _)) => Err(hint),
+        };
+        let hint = match outcome {
+            Ok(event) => {
+                topic_follower.handle_event(event, &mut follower);
+                continue;
+            }
+            Err(hint) => hint,
         };
-        if let Some(event) = event {
-            topic_follower.handle_event(event, &mut follower);
+        if hint == Hint::Changes && topic_follower.receive_changes(&mut follower).await {
             continue;
         }
         let interval = settings.hint_interval * listener.follower_count();
@@ -182,9 +169,7 @@
         timer.sleep_until(last_hinted_read + interval).await;
         last_hinted_read = timer.now();
         follower.read_now();
-        if topic == Topic::Upstreams {
-            marks.distrust_list();
-        }
+        marks.distrust(topic);
         // Further messages don't interrupt this read: if they kept arriving, no read would ever end.
         let event = topic_follower.next(&mut follower, &settings).await;
         topic_follower.handle_event(event, &mut follower);
@@ -192,14 +177,19 @@
 }
 
 impl TopicFollower<'_> {
-    /// Returns the next event. If the last read of the list of upstreams returned changes, the next one
-    /// starts once the list is too old and does not wait for records. All other reads may wait for a record.
+    /// Returns the next event. While a relay passes on the changes, or if the last read of the list of upstreams
+    /// returned changes, the next read starts once the known state is too old and does not wait for records. All
+    /// other reads may wait for a record.
     async fn next(&self, follower: &mut KeyedFollower, settings: &FollowSettings) -> KeyedEvent {
         let is_up = follower.position().is_some() && self.down_since.get().is_none();
-        if self.topic == Topic::Upstreams && is_up && self.is_busy.get() {
+        let is_busy = self.topic == Topic::Upstreams && self.is_busy.get();
+        let is_relayed = settings.relies_on_relay && self.marks.is_relayed(self.timer.now());
+        if is_up && (is_busy || is_relayed) {
             let followers = self.listener.follower_count();
-            let max_age = max_read_age(settings.max_list_age, settings.seed, followers);
-            self.marks.wait_until_stale(max_age, self.timer).await;
+            let max_age = max_read_age(settings.max_age, settings.seed, followers);
+            self.marks
+                .wait_until_stale(self.topic, max_age, self.timer)
+                .await;
             follower.read_now();
         }
         if let Some(span) = settings.detection_span {
@@ -212,12 +202,70 @@
         follower.next().await
     }
 
+    /// Applies the changes that a relay passes on. If none have arrived yet, waits for them for a short time. Returns
+    /// whether this process then knows all that others know.
+    async fn receive_changes(&self, follower: &mut KeyedFollower) -> bool {
+        if !self.marks.is_relayed(self.timer.now()) {
+            return false;
+        }
+        if self.apply_received(follower) {
+            return true;
+        }
+        self.marks.wait_for_changes(self.topic, self.timer).await;
+        self.apply_received(follower)
+    }
+
+    fn apply_received(&self, follower: &mut KeyedFollower) -> bool {
+        for changes in self.marks.take_received(self.topic) {
+            self.apply_changes(changes, follower);
+        }
+        !self.marks.is_behind(self.topic)
+    }
+
+    fn apply_changes(&self, changes: StreamChanges, follower: &mut KeyedFollower) {
+        let Some(position) = follower.position() else {
+            return;
+        };
+        let StreamChanges { from, to, records } = changes;
+        if to.era != position.era || from > position || to <= position {
+            return;
+        }
+        let records = records.into_iter().map(|r| KeyedRecord {
+            key: r.key,
+            value: r.value,
+            offset: r.offset,
+        });
+        let newer = follower.skip_to(to.offset, records.collect());
+        let now = self.timer.now();
+        let is_news = self.apply_all(&newer, now);
+        if self.topic == Topic::Upstreams {
+            self.expire(now);
+        }
+        self.marks.note_received(self.topic, to);
+        self.note_changes(to);
+        if is_news {
+            self.marks.note_position(self.topic, to);
+        }
+        if self.topic == Topic::Operators {
+            self.confirmations.note_known(to);
+        }
+    }
+
+    /// Notes the records that changed something up to `position`, so that they can be passed on.
+    fn note_changes(&self, position: Position) {
+        let from = self.noted_to.replace(position);
+        let changed = self.changed.take();
+        self.marks
+            .note_changes(self.topic, (from, position), &changed);
+    }
+
     /// Handles an event and updates the marks.
     fn handle_event(&self, event: KeyedEvent, follower: &mut KeyedFollower) {
         let failed = matches!(
             event,
             KeyedEvent::Outage { .. } | KeyedEvent::StateMissing { .. } | KeyedEvent::Unanswered
         );
+        let is_state = matches!(event, KeyedEvent::State(_));
         self.is_busy.set(matches!(event, KeyedEvent::Changes(_)));
         let changed = self.apply_event(event);
         if follower.has_invalid_era() {
@@ -231,6 +279,13 @@
         else {
             return;
         };
+        if is_state {
+            self.changed.take();
+            self.noted_to.set(position);
+            self.marks.note_state(self.topic, position);
+        } else if !failed {
+            self.note_changes(position);
+        }
         if changed {
             self.marks.note_position(self.topic, position);
         }
@@ -240,10 +295,11 @@
         if failed || !follower.is_at_end() {
             return;
         }
-        match self.topic {
-            Topic::Operators => self.confirmations.note_end(position, read_start.boot),
-            Topic::Upstreams => self.marks.note_own_read(position, read_start.at),
+        if self.topic == Topic::Operators {
+            self.confirmations.note_end(position, read_start.boot);
         }
+        self.marks
+            .note_own_read(self.topic, position, read_start.at);
     }
 
     /// Applies an event. Returns whether it changed the catalog.
@@ -373,7 +429,11 @@
 
     fn apply(&self, record: &KeyedRecord, now: Millis) -> bool {
         let change = self.decode(record);
-        change.is_some_and(|c| self.apply_change(c, now))
+        let changed = change.is_some_and(|c| self.apply_change(c, now));
+        if changed {
+            self.changed.borrow_mut().push(record.clone());
+        }
+        changed
     }
 
     fn apply_change(&self, change: Change, now: Millis) -> bool {
--- a/crates/catalog/src/leave.rs
+++ b/crates/catalog/src/leave.rs
@@ -24,7 +24,7 @@
 
 /// Connect timeout for upstreams and agents. A request that is already assigned to a leaving upstream may
 /// still wait this long.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Bounds of the waits between an entry in the list and the last request to its upstream.
 #[derive(Clone, Copy, Debug)]
--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -9,34 +9,45 @@
 //! list. A process that knows all changes up to that read needs no read of its own, so a few processes read
 //! on behalf of all. Messages are delayed and passed on in cycles. A read is therefore identified by the end
 //! position that it found, and its time is the earliest that any message gives.
+//!
+//! Where a relay follows the streams, processes also receive the changed records from it. They read the log
+//! themselves only once what the relay knows is too old.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use pumicecleat_infra::as_millis;
+use futures_util::future::{Either, select};
+use pumicecleat_infra::{KeyedRecord, as_millis};
 use pumicecleat_net::Timer;
-use pumicecleat_types::{Millis, Position, StreamMarks};
+use pumicecleat_types::{
+    Millis, Position, ReadPositions, StreamChanges, StreamMarks, StreamsReply,
+};
 
 use crate::Topic;
 use crate::availability::Availability;
+use crate::change_log::ChangeLog;
 use crate::complete_read::CompleteRead;
 
+/// Time after the last reply of a relay that follows the streams for which its changes are waited for. Five views.
+const RELAYED_TTL: Millis = Millis(1_000);
+
+/// Time for which a process that was told of changes waits to receive them. Two views.
+const CHANGES_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// High-water marks of the streams; initially zero.
 #[derive(Debug, Default)]
 pub struct Marks {
     operators: Mark,
     upstreams: Mark,
-    /// Latest complete read of the list by any process, if this process knows all changes up to its end.
-    trusted_read: Cell<Option<CompleteRead>>,
     /// Latest read of the list, by any process, whose results this process knows in full.
     list_as_of: Cell<Option<CompleteRead>>,
-    /// Position up to which this process has read the list.
-    read_position: Cell<Position>,
     /// Availability of the list.
     availability: Cell<Option<Availability>>,
     /// Latest era of the log announced by another process, and the time of the first announcement.
     announced_era: Cell<Option<(u64, Millis)>>,
+    /// Time of the last reply of a relay that follows the streams.
+    relayed_at: Cell<Option<Millis>>,
     /// Longest interval between two reads of the list by any process.
     max_read_interval: Millis,
 }
@@ -44,6 +55,18 @@
 #[derive(Debug)]
 struct Mark {
     position: Cell<Position>,
+    /// Position up to which this process has read the stream, or has received its changes.
+    read_position: Cell<Position>,
+    /// Latest complete read of the stream by any process, if this process knows all changes up to its end.
+    trusted_read: Cell<Option<CompleteRead>>,
+    /// Latest complete read by this process.
+    own_read: Cell<Option<CompleteRead>>,
+    /// Latest complete read by another process that does not count yet, as this process has not read up to its end.
+    untrusted_read: Cell<Option<CompleteRead>>,
+    /// Changes up to `read_position`, for other processes.
+    change_log: RefCell<ChangeLog>,
+    /// Changes received from a relay and not applied yet.
+    received: RefCell<Vec<StreamChanges>>,
     /// A read in progress may be waiting on a silent connection.
     connection_suspect: Cell<bool>,
     /// Holds a token while there may be unread records.
@@ -51,11 +74,26 @@
     receiver: Receiver<()>,
 }
 
+/// Reason to abandon a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Hint {
+    /// Other processes know of later changes.
+    Changes,
+    /// The connection may be silent.
+    SilentConnection,
+}
+
 impl Default for Mark {
     fn default() -> Self {
         let (sender, receiver) = async_channel::bounded(1);
         Self {
             position: Cell::default(),
+            read_position: Cell::default(),
+            trusted_read: Cell::default(),
+            own_read: Cell::default(),
+            untrusted_read: Cell::default(),
+            change_log: RefCell::default(),
+            received: RefCell::default(),
             connection_suspect: Cell::new(false),
             sender,
             receiver,
@@ -77,6 +115,50 @@
         }
         more
     }
+
+    fn knows_all(&self) -> bool {
+        self.position.get() <= self.read_position.get()
+    }
+
+    /// Whether this process follows the stream.
+    fn is_followed(&self) -> bool {
+        self.read_position.get() > Position::default()
+    }
+
+    fn note_own_read(&self, read: CompleteRead) {
+        self.read_position.set(read.end);
+        self.own_read.set(Some(read));
+        let is_later = |known: CompleteRead| known.end > read.end;
+        if self.knows_all() && !self.trusted_read.get().is_some_and(is_later) {
+            self.trusted_read.set(Some(read));
+        }
+    }
+
+    /// Notes a complete read that its reader itself tells, which is as old as it says. It counts once this process knows
+    /// all changes up to its end.
+    fn note_told_read(&self, read: CompleteRead) {
+        if !self.knows_all() || self.read_position.get() < read.end {
+            self.untrusted_read.set(Some(read));
+            return;
+        }
+        let is_newer = |known: CompleteRead| known.as_of < read.as_of;
+        if self.trusted_read.get().is_none_or(is_newer) {
+            self.trusted_read.set(Some(read));
+        }
+    }
+
+    /// Notes a complete read by another process; returns whether it counts for this process, which then knows all
+    /// changes up to its end. A process that does not follow the stream only passes the read on.
+    fn note_read_by_other(&self, read: CompleteRead) -> bool {
+        if self.is_followed() && !self.knows_all() {
+            self.untrusted_read.set(Some(read));
+            return false;
+        }
+        let known = self.trusted_read.get();
+        let latest = known.map_or(read, |known| known.merge(read));
+        self.trusted_read.set(Some(latest));
+        self.is_followed()
+    }
 }
 
 impl Marks {
@@ -100,10 +182,11 @@
     /// Builds the message for other processes.
     #[must_use]
     pub fn to_message(&self, now: Millis) -> StreamMarks {
+        let listed = self.upstreams.trusted_read.get();
         StreamMarks {
             operators: self.operators.position.get(),
             upstreams: self.upstreams.position.get(),
-            listed: self.trusted_read.get().map(|read| read.to_message(now)),
+            listed: listed.map(|read| read.to_message(now)),
         }
     }
 
@@ -123,10 +206,91 @@
             .and_then(|read| CompleteRead::from_message(read, now));
         if let Some(read) = read {
             self.note_available(read, true);
-            self.note_read_by_other(read);
+            self.note_list_read_by_other(read);
         }
     }
 
+    /// Returns the positions up to which this process has read the streams.
+    #[must_use]
+    pub fn read_to(&self) -> ReadPositions {
+        ReadPositions {
+            operators: self.operators.read_position.get(),
+            upstreams: self.upstreams.read_position.get(),
+        }
+    }
+
+    /// Returns what this process, which follows the streams, passes on to one that has read them up to `read_to`.
+    #[must_use]
+    pub fn to_streams_reply(&self, read_to: ReadPositions, now: Millis) -> StreamsReply {
+        let operators_read = self.operators.own_read.get();
+        StreamsReply {
+            operators_read: operators_read.map(|read| read.to_message(now)),
+            operators: self.operators.change_log.borrow().since(read_to.operators),
+            upstreams: self.upstreams.change_log.borrow().since(read_to.upstreams),
+        }
+    }
+
+    /// Receives what a relay passes on in its reply to a call sent at `sent_at`, before the marks of the reply are merged.
+    pub fn receive(&self, reply: StreamsReply, sent_at: Millis) {
+        self.relayed_at.set(Some(sent_at));
+        let topics = [
+            (&self.operators, reply.operators),
+            (&self.upstreams, reply.upstreams),
+        ];
+        for (mark, changes) in topics {
+            if let Some(changes) = changes {
+                mark.received.borrow_mut().push(changes);
+                mark.notify();
+            }
+        }
+        let read = reply
+            .operators_read
+            .and_then(|read| CompleteRead::from_message(read, sent_at));
+        if let Some(read) = read {
+            self.operators.note_told_read(read);
+        }
+    }
+
+    /// Whether a relay passes on the changes of the streams.
+    pub(crate) fn is_relayed(&self, now: Millis) -> bool {
+        let at = self.relayed_at.get();
+        at.is_some_and(|at| now.since(at) < RELAYED_TTL)
+    }
+
+    /// Takes the changes of `topic` that were received from a relay.
+    pub(crate) fn take_received(&self, topic: Topic) -> Vec<StreamChanges> {
+        self.mark(topic).received.take()
+    }
+
+    /// Waits until changes of `topic` are received from a relay, for a short time.
+    pub(crate) async fn wait_for_changes(&self, topic: Topic, timer: &Timer) {
+        let mark = self.mark(topic);
+        let end = timer.now() + as_millis(CHANGES_TIMEOUT);
+        while mark.received.borrow().is_empty() {
+            let received = Box::pin(mark.receiver.recv());
+            let timeout = Box::pin(timer.sleep_until(end));
+            if let Either::Right(_) = select(received, timeout).await {
+                return;
+            }
+        }
+    }
+
+    /// Notes the records between `from` and `to` that changed something, so that they can be passed on.
+    pub(crate) fn note_changes(
+        &self,
+        topic: Topic,
+        (from, to): (Position, Position),
+        changed: &[KeyedRecord],
+    ) {
+        let mut change_log = self.mark(topic).change_log.borrow_mut();
+        change_log.extend(from, to, changed);
+    }
+
+    /// Notes that the state of `topic` was read as of `position`, whatever changed before.
+    pub(crate) fn note_state(&self, topic: Topic, position: Position) {
+        self.mark(topic).change_log.borrow_mut().restart(position);
+    }
+
     fn note_era(&self, era: u64, now: Millis) {
         if self
             .announced_era
@@ -144,21 +308,39 @@
         announced.map_or(now, |(_, at)| at)
     }
 
-    /// Notes that this process has read the list to its end, which is `end`, as of `as_of`.
-    pub(crate) fn note_own_read(&self, end: Position, as_of: Millis) {
+    /// Notes that this process has read `topic` to its end, which is `end`, as of `as_of`.
+    pub(crate) fn note_own_read(&self, topic: Topic, end: Position, as_of: Millis) {
         let read = CompleteRead { end, as_of };
-        self.read_position.set(end);
-        // A read that finds the same end again is as old as its own start, not as that of the first one.
-        if self.list_as_of.get().is_none_or(|known| known.end <= end) {
-            self.list_as_of.set(Some(read));
+        self.mark(topic).note_own_read(read);
+        if topic == Topic::Upstreams {
+            // A read that finds the same end again is as old as its own start, not as that of the first one.
+            if self.list_as_of.get().is_none_or(|known| known.end <= end) {
+                self.list_as_of.set(Some(read));
+            }
+            self.note_available(read, false);
         }
-        self.note_available(read, false);
-        let later = self.trusted_read.get().is_some_and(|known| known.end > end);
-        if self.knows_all() && !later {
-            self.trusted_read.set(Some(read));
+    }
+
+    /// Notes that this process has received all changes of `topic` up to `end`. Reads by other processes up to there
+    /// count from now on.
+    pub(crate) fn note_received(&self, topic: Topic, end: Position) {
+        let mark = self.mark(topic);
+        mark.read_position.set(end);
+        let read = mark.untrusted_read.get().filter(|read| read.end <= end);
+        if let (Some(read), true) = (read, mark.knows_all()) {
+            mark.untrusted_read.set(None);
+            match topic {
+                Topic::Operators => mark.note_told_read(read),
+                Topic::Upstreams => self.note_list_read_by_other(read),
+            }
         }
     }
 
+    /// Whether other processes know of changes of `topic` that this process has not read.
+    pub(crate) fn is_behind(&self, topic: Topic) -> bool {
+        !self.mark(topic).knows_all()
+    }
+
     /// Returns the time since which the list has been available without a gap, if other processes have read
     /// it after `down_since`, when this process could not.
     pub(crate) fn list_available_since(&self, down_since: Millis, now: Millis) -> Option<Millis> {
@@ -176,24 +358,10 @@
         self.availability.set(Some(availability));
     }
 
-    /// Notes a complete read by another process. It counts for this process only if this process knows all
-    /// changes up to its end. A process that does not read the list only passes the read on.
-    fn note_read_by_other(&self, read: CompleteRead) {
-        let reads = self.read_position.get() > Position::default();
-        if reads && !self.knows_all() {
-            return;
-        }
-        let latest = self
-            .trusted_read
-            .get()
-            .map_or(read, |known| known.merge(read));
-        self.trusted_read.set(Some(latest));
-        if reads
-            && self
-                .list_as_of
-                .get()
-                .is_none_or(|known| known.end < read.end)
-        {
+    fn note_list_read_by_other(&self, read: CompleteRead) {
+        let counts = self.upstreams.note_read_by_other(read);
+        let known = self.list_as_of.get();
+        if counts && known.is_none_or(|known| known.end < read.end) {
             self.list_as_of.set(Some(read));
         }
     }
@@ -205,18 +373,14 @@
         self.list_as_of.get().map(|read| now.since(read.as_of))
     }
 
-    fn knows_all(&self) -> bool {
-        self.upstreams.position.get() <= self.read_position.get()
+    /// Notes that `topic` has records that this process has not read.
+    pub(crate) fn distrust(&self, topic: Topic) {
+        self.mark(topic).trusted_read.set(None);
     }
 
-    /// Notes that the list has records that this process has not read.
-    pub(crate) fn distrust_list(&self) {
-        self.trusted_read.set(None);
-    }
-
-    /// Waits until this process's view of the list is older than `max_age`.
-    pub(crate) async fn wait_until_stale(&self, max_age: Duration, timer: &Timer) {
-        while let Some(read) = self.trusted_read.get() {
+    /// Waits until this process's view of `topic` is older than `max_age`.
+    pub(crate) async fn wait_until_stale(&self, topic: Topic, max_age: Duration, timer: &Timer) {
+        while let Some(read) = self.mark(topic).trusted_read.get() {
             let due = read.as_of + as_millis(max_age);
             if timer.now() >= due {
                 return;
@@ -250,14 +414,20 @@
     }
 
     /// Waits until a read of `topic` that started at `position` should be abandoned for a new one.
-    pub(crate) async fn wait_for_hint(&self, topic: Topic, position: Option<Position>) {
+    pub(crate) async fn wait_for_hint(&self, topic: Topic, position: Option<Position>) -> Hint {
         let mark = self.mark(topic);
         loop {
             // The channel can't close while `self` holds both ends.
             let _ = mark.receiver.recv().await;
             let suspect = mark.connection_suspect.take();
-            if position.is_some_and(|at| suspect || mark.position.get() > at) {
-                return;
+            let Some(position) = position else {
+                continue;
+            };
+            if suspect {
+                return Hint::SilentConnection;
+            }
+            if mark.position.get() > position || !mark.received.borrow().is_empty() {
+                return Hint::Changes;
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,7 +30,6 @@
 mod exceeded;
 mod gateway_count;
 mod headers;
-mod leave;
 mod meters;
 mod readiness;
 mod request;
@@ -48,7 +47,6 @@
     AttemptAttributes, CallerName, Credentials, HeaderCodec, ModelName, Priority, PromptPart,
     RateLimit, ReportedLoad, RequestAttributes, ResponseAttributes, RetryAfter,
 };
-pub use leave::LeaveBudget;
 pub use revoke::RevokeBudget;
 pub use settings::GatewaySettings;
 pub use start::{Gateway, GatewayParts};
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use pumicecleat_catalog::{
-    ConfirmSettings, FollowContext, FollowSettings, Marks, RecordDecoder, Topic, confirm_layout,
-    expire_lapsed, follow, watch_list_age,
+    CONNECT_TIMEOUT, ConfirmSettings, FollowContext, FollowSettings, FollowSpans, LeaveBudget,
+    Marks, RecordDecoder, confirm_layout, expire_lapsed, follow, watch_list_age,
 };
 use pumicecleat_infra::{KeyedLog, as_millis};
 use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer};
@@ -22,7 +22,6 @@
 use crate::allowance::{self, Allowances};
 use crate::exceeded::ExceededAccounts;
 use crate::gateway_count::GatewayCount;
-use crate::leave::{CONNECT_TIMEOUT, LeaveBudget};
 use crate::meters::Meters;
 use crate::readiness::ReadinessHandler;
 use crate::request::CallerHandler;
@@ -47,19 +46,6 @@
 /// Part of the grace after which the process ends in any case.
 const END_PART: f64 = 0.93;
 
-/// Minimum interval between reads of the list that are triggered by hints from other processes; a gateway
-/// multiplies it by the number of gateways. Without it, many upstreams that join or leave within a second
-/// would make every gateway read once for each of them. All gateways together perform at most 50 such reads
-/// per second.
-const HINT_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Part of the leave span that the interval between such reads may take, whatever the number of gateways.
-const MAX_HINT_INTERVAL_PART: f64 = 0.35;
-
-/// Maximum backoff between attempts to reach the log. A store that is available again must be read well
-/// within the two seconds in which lapsed entries return.
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
-
 /// Part of the ratio of repeats that is used, because the windows of several gateways do not start at the
 /// same time.
 const RATIO_PART: f64 = 0.9;
@@ -283,23 +269,14 @@
         marks: Rc::clone(&shared.marks),
         confirmations: Rc::clone(&shared.confirmations),
     };
-    let budget = LeaveBudget::new(settings.leave_span.0);
+    let spans = FollowSpans {
+        leave: settings.leave_span.0,
+        apply: settings.apply_span.0,
+        store_wait: settings.store_wait.0,
+    };
+    let seed = pumicecleat_policy::upstream_key(&settings.common.vm);
     for topic in TOPICS {
-        let (wait, detection_span) = match topic {
-            Topic::Operators => (settings.store_wait.0, Some(settings.apply_span.0)),
-            Topic::Upstreams => (settings.store_wait.0.min(budget.wait), None),
-        };
-        let options = FollowSettings {
-            wait,
-            detection_span,
-            answer_timeout: Some(budget.answer_timeout),
-            pace: Duration::ZERO,
-            max_list_age: budget.max_list_age,
-            hint_interval: HINT_INTERVAL,
-            max_hint_interval: settings.leave_span.0.mul_f64(MAX_HINT_INTERVAL_PART),
-            max_backoff: MAX_BACKOFF,
-            seed: pumicecleat_policy::upstream_key(&settings.common.vm),
-        };
+        let options = FollowSettings::within(&spans, topic, seed);
         monoio::spawn(follow(topic, context.clone(), options));
     }
     monoio::spawn(suspects::persist_suspects(
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -97,6 +97,7 @@
         members: pick.send_members.then(|| members.to_vec()),
         seen: pick.seen,
         suspects: suspects.news,
+        read_to: shared.marks.read_to(),
     };
     let peer = side.to_string();
     let result: Result<ViewReply, NetError> =
@@ -124,6 +125,9 @@
 }
 
 fn apply_view(shared: &Shared, reply: ViewReply, sent_at: Millis, now: Millis) {
+    if let Some(streams) = reply.streams {
+        shared.marks.receive(streams, sent_at);
+    }
     shared.marks.merge(&reply.marks, now);
     shared
         .gateway_count
--- a/crates/gateway/tests/leave.rs
+++ b/crates/gateway/tests/leave.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pumicecleat_gateway::LeaveBudget;
+use pumicecleat_catalog::LeaveBudget;
 
 /// Margin for network latency between data centres and for a busy process.
 const MARGIN: Duration = Duration::from_millis(50);
--- a/crates/infra/src/follower/keyed.rs
+++ b/crates/infra/src/follower/keyed.rs
@@ -145,6 +145,15 @@
         }
     }
 
+    /// Continues from `offset`, as all records before it have been received by other means. Returns those of
+    /// `records` that were not reported before. Cancel a pending call of [`next`](Self::next) first.
+    pub fn skip_to(&mut self, offset: u64, records: Vec<KeyedRecord>) -> Vec<KeyedRecord> {
+        if let Some(follower) = &mut self.follower {
+            follower.skip_to(offset);
+        }
+        self.keep_newer(records)
+    }
+
     /// Returns the next event. Cancel safe: dropping the future loses no event.
     pub async fn next(&mut self) -> KeyedEvent {
         loop {
--- a/crates/infra/src/follower/mod.rs
+++ b/crates/infra/src/follower/mod.rs
@@ -177,6 +177,14 @@
         self.at_end = false;
     }
 
+    /// Continues from `offset`. Other than after [`seek`](Self::seek), the next read may wait for a record, and the
+    /// delay after a failure still applies.
+    pub(super) fn skip_to(&mut self, offset: u64) {
+        self.next = offset;
+        self.at_end = true;
+        self.caught_up = true;
+    }
+
     /// Returns the next event. Cancel safe: dropping the future loses no event.
     ///
     /// # Errors
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between processes, one module per kind of exchange.
 
 mod allowance;
+mod changes;
 mod config;
 mod load;
 mod report;
@@ -11,6 +12,7 @@
 mod vm;
 
 pub use allowance::{AllowanceAsk, AllowanceCall, AllowanceOutcome, AllowanceReply};
+pub use changes::{ChangedRecord, ReadPositions, StreamChanges, StreamsReply};
 pub use config::{ConfigCall, ConfigReply, LogRecord};
 pub use load::{BidRequest, BidRequestReply, LoadBid, LoadTurn};
 pub use report::{LoadFigures, Report, ReportReply};
--- a/crates/types/src/message/view.rs
+++ b/crates/types/src/message/view.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{CachedAdapters, EngineFigures, StreamMarks, SuspectNews};
+use super::{CachedAdapters, EngineFigures, ReadPositions, StreamMarks, StreamsReply, SuspectNews};
 use crate::{DataCentre, VmId};
 
 /// An engine whose figures are requested.
@@ -47,6 +47,9 @@
     pub seen: ChangeCursor,
     /// Changes of the suspects.
     pub suspects: SuspectNews,
+    /// Positions up to which the caller has read the platform's streams.
+    #[serde(default)]
+    pub read_to: ReadPositions,
 }
 
 /// Position in the sequence of changes that a process has recorded since it started.
@@ -73,6 +76,9 @@
     pub marks: StreamMarks,
     /// Changes of the suspects.
     pub suspects: SuspectNews,
+    /// What the relay has read of the platform's streams, if it follows them.
+    #[serde(default)]
+    pub streams: Option<StreamsReply>,
 }
 
 /// One engine in a view.
