Gateways ask their relay for engines when a request comes, and hold no figures of all

Change: the relay takes the engines from the list that it follows, and answers a request with the eight engines that the gateways' own decision code ranks first; it counts what it proposed until the figures show it. A gateway asks those for a turn as before. Without a relay that proposes, it chooses by home rank and asks agents directly. Weighed: changed rows alone (most rows change several times a second), a fixed subset of engines for each gateway (loses the engines that hold the adapter), probes of drawn engines (the same loss for rare adapters).

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -16,7 +16,7 @@
     TurnRefusal, TurnReply, decode,
 };
 
-use crate::relay::{self, FIGURES_PATH, VIEW_PATH};
+use crate::relay::{self, CANDIDATES_PATH, FIGURES_PATH, VIEW_PATH};
 use crate::shared::Shared;
 use crate::trial::{TRIAL_PATH, decide_trial};
 
@@ -79,6 +79,8 @@
             VIEW_PATH => {
                 decode(&bytes).map(|call| peer_reply(&relay::answer_view(&self.shared, call)))
             }
+            CANDIDATES_PATH => decode(&bytes)
+                .map(|call| peer_reply(&relay::answer_candidates(&self.shared, &call))),
             FIGURES_PATH => {
                 decode(&bytes).map(|call| peer_reply(&relay::answer_figures(&self.shared, &call)))
             }
--- a/crates/agent/src/relay/mod.rs
+++ b/crates/agent/src/relay/mod.rs
@@ -1,12 +1,13 @@
 //! Relay: collects the figures of many engines for gateways.
 //!
 //! An agent acts as a relay while gateways request views from it. It polls the agents of its own data centre and
-//! queries one relay in each other data centre. It makes no decisions based on the figures and passes them on with
-//! their age. Wrong or outdated figures can only cause a gateway to choose a less suitable engine.
+//! queries one relay in each other data centre. It proposes engines to gateways, which ask the engines' agents. Wrong or
+//! outdated figures can only cause a gateway to choose a less suitable engine.
 //!
 //! A relay that gateways use also follows the streams of the log and passes their changes on, so that the number of
 //! reads does not grow with the number of gateways.
 
+mod candidates;
 mod poll;
 mod state;
 mod streams;
@@ -14,6 +15,7 @@
 use pumicecleat_types::{FiguresCall, FiguresReply, ViewCall, ViewReply};
 
 use crate::shared::Shared;
+pub(crate) use candidates::answer_candidates;
 pub(crate) use poll::run_relay;
 pub(crate) use state::RelayState;
 pub(crate) use streams::follow_for_gateways;
@@ -21,6 +23,9 @@
 /// Path at which gateways and other relays request a view.
 pub(crate) const VIEW_PATH: &str = "/peer/v1/view";
 
+/// Path at which gateways request the engines that suit a request.
+pub(crate) const CANDIDATES_PATH: &str = "/peer/v1/candidates";
+
 /// Path at which a relay requests the figures of one engine.
 pub(crate) const FIGURES_PATH: &str = "/peer/v1/figures";
 
--- a/crates/agent/src/relay/poll.rs
+++ b/crates/agent/src/relay/poll.rs
@@ -7,9 +7,11 @@
 use pumicecleat_net::{NetError, post};
 use pumicecleat_ops::{events, field};
 use pumicecleat_types::{
-    ChangeCursor, FiguresCall, FiguresReply, Member, SuspectNews, ViewCall, ViewReply, Viewer,
+    ChangeCursor, FiguresCall, FiguresReply, Member, Millis, SuspectNews, ViewCall, ViewReply,
+    Viewer,
 };
 
+use super::candidates::{LIST_INTERVAL, listed_members};
 use super::state::CentreQuery;
 use super::{FIGURES_PATH, VIEW_PATH, streams};
 use crate::shared::Shared;
@@ -22,11 +24,17 @@
 
 /// Collects figures while views are requested. Never returns.
 pub(crate) async fn run_relay(shared: Rc<Shared>) {
+    let mut listed_at = Millis(0);
     loop {
         let now = shared.timer.now();
         if shared.relay.borrow().is_idle(now) {
             shared.view_requested.notified().await;
         }
+        if now.since(listed_at) >= LIST_INTERVAL {
+            listed_at = now;
+            let members = listed_members(&shared);
+            shared.relay.borrow_mut().set_listed(members);
+        }
         let due = shared
             .relay
             .borrow_mut()
--- a/crates/agent/src/relay/state.rs
+++ b/crates/agent/src/relay/state.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use pumicecleat_policy::{RelayPick, RelaySelector, members_digest, name_key};
+use pumicecleat_policy::{
+    EngineNeeds, EngineView, RelayPick, RelaySelector, members_digest, name_key,
+};
 use pumicecleat_types::{
     CachedAdapters, ChangeCursor, DataCentre, EngineFigures, FiguresReply, Member, Millis,
     Reachability, ViewCall, ViewReply, ViewRow, Viewer, VmId,
@@ -26,6 +28,12 @@
 /// Time for which exchanges must fail before a VM is considered cut off. A single failure may be a lost packet.
 const CUT_OFF_DELAY: Millis = Millis(500);
 
+/// Age up to which figures are relied on.
+const MAX_FIGURES_AGE: Millis = Millis(700);
+
+/// Time after which a proposed request shows in the figures, or was sent elsewhere.
+const PROPOSAL_TTL: Millis = Millis(500);
+
 /// Time after the last result for an engine for which its row is included in views. After that, callers contact
 /// the engine's agent themselves.
 const ROW_TTL: Millis = Millis(1_000);
@@ -39,9 +47,11 @@
 }
 
 /// State of an engine.
-struct MemberState {
+pub(super) struct MemberState {
     member: Member,
     figures: Option<(EngineFigures, Millis)>,
+    /// Requests for which the engine was proposed first, and which its figures may not include yet.
+    proposals: Vec<Proposal>,
     cached_adapters: CachedAdapters,
     /// Revision in which `cached_adapters` last changed.
     cached_revision: u64,
@@ -54,6 +64,13 @@
     poll_pending: bool,
 }
 
+/// A request for which an engine was proposed first.
+struct Proposal {
+    at: Millis,
+    tokens: u32,
+    needs_slot: bool,
+}
+
 /// State of the exchange with another data centre.
 #[derive(Default)]
 struct CentreState {
@@ -75,6 +92,8 @@
     members: BTreeMap<String, MemberState>,
     centres: BTreeMap<DataCentre, CentreState>,
     recent_gateways: RecentGateways,
+    /// Engines of the list, if this relay follows it.
+    listed: Rc<Vec<Member>>,
 }
 
 /// Query to the relay of another data centre.
@@ -104,9 +123,18 @@
             members: BTreeMap::new(),
             centres: BTreeMap::new(),
             recent_gateways: RecentGateways::default(),
+            listed: Rc::default(),
         }
     }
 
+    pub(super) fn own_centre(&self) -> &DataCentre {
+        &self.own_centre
+    }
+
+    pub(super) fn own_address(&self) -> SocketAddr {
+        self.own_address
+    }
+
     /// Whether there was no call recently.
     pub(crate) fn is_idle(&self, now: Millis) -> bool {
         self.callers
@@ -133,6 +161,18 @@
         self.record_reply(&instance, reply, now, now);
     }
 
+    /// Sets the engines of the list, whose figures are collected for gateways.
+    pub(super) fn set_listed(&mut self, members: Vec<Member>) {
+        if *self.listed != members {
+            self.listed = Rc::new(members);
+        }
+    }
+
+    /// State of a listed engine.
+    pub(super) fn member_mut(&mut self, instance: &str) -> Option<&mut MemberState> {
+        self.members.get_mut(instance)
+    }
+
     /// Registers the caller and returns its view.
     pub(super) fn reply(&mut self, call: ViewCall, now: Millis) -> ViewReply {
         if call.viewer == Viewer::Entry {
@@ -143,6 +183,16 @@
             entries: self.gateway_count(call.viewer, now),
             ..ViewReply::default()
         };
+        if call.digest == 0 {
+            let caller = Caller {
+                viewer: call.viewer,
+                digest: 0,
+                members: Rc::default(),
+                last_call: now,
+            };
+            self.callers.insert(call.caller, caller);
+            return reply;
+        }
         let Some(members) = self.resolve_members(call.digest, call.members) else {
             reply.unknown = true;
             return reply;
@@ -268,7 +318,10 @@
             .values()
             .map(|c| (c.digest, Rc::clone(&c.members)))
             .collect();
-        let requested = lists.values().flat_map(|members| members.iter());
+        let listed = self.serves_gateways(now).then(|| Rc::clone(&self.listed));
+        let lists = lists.into_values().chain(listed);
+        let lists: Vec<Rc<Vec<Member>>> = lists.collect();
+        let requested = lists.iter().flat_map(|members| members.iter());
         let mut requested_instances = BTreeSet::new();
         for member in requested {
             requested_instances.insert(member.instance.as_str());
@@ -375,6 +428,7 @@
         Self {
             member,
             figures: None,
+            proposals: Vec::new(),
             cached_adapters: CachedAdapters::default(),
             cached_revision: 0,
             reach: Reachability::Reachable,
@@ -385,6 +439,62 @@
         }
     }
 
+    /// View of the engine for a request; `None` if it can't serve requests now.
+    pub(super) fn view(
+        &mut self,
+        needs: &EngineNeeds<'_>,
+        own_centre: &DataCentre,
+        now: Millis,
+    ) -> Option<EngineView> {
+        let figures = self.figures.as_ref();
+        let measured_at = figures.map_or(Millis(0), |f| f.1);
+        let is_stale = now.since(measured_at) > MAX_FIGURES_AGE;
+        let is_down = !is_stale && figures.is_some_and(|f| f.0.ready_ms.is_none());
+        if self.reach != Reachability::Reachable || is_down {
+            return None;
+        }
+        self.proposals
+            .retain(|p| p.at > measured_at && now.since(p.at) < PROPOSAL_TTL);
+        let proposed_tokens: u64 = self.proposals.iter().map(|p| u64::from(p.tokens)).sum();
+        let proposed_slots = self.proposals.iter().filter(|p| p.needs_slot).count();
+        let proposed_slots = u32::try_from(proposed_slots).unwrap_or(u32::MAX);
+        let figures = figures.map(|f| &f.0);
+        let view = needs.view(&self.member.instance, figures, &self.cached_adapters.names);
+        Some(EngineView {
+            available_slots: view.available_slots.saturating_sub(proposed_slots),
+            unread_tokens: view.unread_tokens + proposed_tokens,
+            stale: is_stale,
+            remote: self.member.centre != *own_centre,
+            ..view
+        })
+    }
+
+    /// Records that the engine was proposed first for a request.
+    pub(super) fn record_proposal(&mut self, view: &EngineView, now: Millis) {
+        self.proposals.push(Proposal {
+            at: now,
+            tokens: view.prompt_tokens,
+            needs_slot: view.adapter_state.needs_slot(),
+        });
+    }
+
+    /// Row for a gateway that wants to know whether the engine's host caches `adapter`.
+    pub(super) fn to_candidate(&self, adapter: Option<&str>, now: Millis) -> ViewRow {
+        let as_of = self.figures.as_ref().map_or(now, |f| f.1);
+        let cached = &self.cached_adapters.names;
+        let names = cached.iter().filter(|n| adapter == Some(n.as_str()));
+        ViewRow {
+            instance: self.member.instance.clone(),
+            reach: self.reach,
+            age_ms: now.since(as_of).0,
+            figures: self.figures.as_ref().map(|f| f.0.clone()),
+            cached_adapters: Some(CachedAdapters {
+                digest: 0,
+                names: names.cloned().collect(),
+            }),
+        }
+    }
+
     fn set_cached_adapters(&mut self, adapters: CachedAdapters, revision: &mut ChangeCursor) {
         if adapters.digest == self.cached_adapters.digest {
             return;
--- a/crates/agent/src/relay/streams.rs
+++ b/crates/agent/src/relay/streams.rs
@@ -39,6 +39,9 @@
             ..agent_context.clone()
         };
         shared.stream_marks.replace(Some(marks));
+        shared
+            .stream_catalog
+            .replace(Some(Rc::clone(&context.catalog)));
         let seed = pumicecleat_policy::upstream_key(&shared.vm);
         let followed = |topic| {
             let settings = FollowSettings::of_relay(&spans, topic, seed);
@@ -53,6 +56,7 @@
         };
         select(Box::pin(all), Box::pin(wait_until_unused(&shared))).await;
         shared.stream_marks.take();
+        shared.stream_catalog.take();
     }
 }
 
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -74,6 +74,8 @@
     pub(crate) view_requested: Notify,
     /// Marks of the streams, while this agent follows them for gateways.
     pub(crate) stream_marks: RefCell<Option<Rc<Marks>>>,
+    /// Catalog built from them.
+    pub(crate) stream_catalog: RefCell<Option<SharedCatalog>>,
     /// Wakes the task that follows them.
     pub(crate) streams_requested: Notify,
     /// Whether another process has named an instance other than the known one.
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -184,6 +184,7 @@
         relay: RefCell::new(relay),
         view_requested: Notify::new(),
         stream_marks: RefCell::default(),
+        stream_catalog: RefCell::default(),
         streams_requested: Notify::new(),
         claimed_instance: RefCell::default(),
         instance_claimed: Notify::new(),
--- a/crates/gateway/src/agents.rs
+++ b/crates/gateway/src/agents.rs
@@ -15,7 +15,7 @@
 use crate::service_traits::service_traits;
 use crate::shared::Shared;
 use crate::suspects;
-use crate::table::{UnreportedAsk, UpstreamRecord};
+use crate::table::{SILENCE_TIMEOUT, UnreportedAsk, UpstreamRecord};
 
 /// Path of the exchange.
 const TURN_PATH: &str = "/peer/v1/turn";
@@ -31,9 +31,7 @@
 /// routing.
 const SYNC_INTERVAL: Millis = Millis(200);
 
-/// Time after the last message about an engine, from its agent or a relay, after which its agent is called
-/// directly although a relay collects figures: five views. Also the interval between calls to an agent that
-/// could not be reached.
+/// Interval between calls to an agent that could not be reached, where a relay collects figures.
 const DIRECT_SYNC_INTERVAL: Millis = Millis(1_000);
 
 /// Timeout of an exchange without an ask. A healthy agent responds within a few milliseconds.
@@ -77,19 +75,17 @@
 }
 
 /// Whether an exchange with the agent beside `instance` is due. Where a relay collects figures, only agents
-/// are called that have news to receive, have pending asks, or have not been heard of.
+/// are called that have news to receive, have pending asks, or could not be reached.
 fn is_due(shared: &Shared, instance: &str, uses_relay: bool, now: Millis) -> bool {
     shared.table.with(instance, |r| {
         let age = now.since(r.synced_at);
         let is_news_due = r.has_news() && age >= MIN_NEWS_INTERVAL;
         let due = if uses_relay {
-            let last_message = r.heard_at.max(r.viewed_at).max(Some(r.first_seen(now)));
-            let is_overdue = last_message.is_none_or(|at| now.since(at) >= DIRECT_SYNC_INTERVAL);
             let needs_contact = r.pending_asks > 0
                 || (r.failing_since.is_some() && r.reach == Reachability::Reachable);
             // What this gateway observed itself takes precedence over a relay's report: only a direct
             // exchange ends the failure.
-            let needs_check = is_overdue || r.failing_since.is_some();
+            let needs_check = r.failing_since.is_some();
             is_news_due
                 || (needs_contact && age >= SYNC_INTERVAL)
                 || (needs_check && age >= DIRECT_SYNC_INTERVAL)
@@ -185,7 +181,7 @@
         match shared.timer.within(ASK_CHECK_INTERVAL, &mut exchange).await {
             Ok(Ok(reply)) => return reply.turn.ok_or(AgentLost),
             Ok(Err(_)) => return Err(AgentLost),
-            Err(_) if is_silent(shared, &upstream.instance) => return Err(AgentLost),
+            Err(_) if is_silent(shared, &upstream.instance, now) => return Err(AgentLost),
             Err(_) => {}
         }
     }
@@ -206,9 +202,13 @@
     }
 }
 
-fn is_silent(shared: &Shared, instance: &str) -> bool {
+/// Whether the agent of `instance` counts as lost for an ask sent at `sent_at`.
+fn is_silent(shared: &Shared, instance: &str, sent_at: Millis) -> bool {
     let now = shared.timer.now();
-    shared.table.with(instance, |r| r.is_silent(now))
+    let has_waited = now.since(sent_at) >= SILENCE_TIMEOUT;
+    shared.table.with(instance, |r| {
+        r.is_failing(now) || has_waited && r.is_silent(now)
+    })
 }
 
 async fn exchange(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod agents;
 mod allowance;
+mod candidates;
 mod exceeded;
 mod gateway_count;
 mod headers;
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -4,8 +4,10 @@
 
 use pumicecleat_catalog::{Catalog, RetryMode, Upstream};
 use pumicecleat_net::{Reply, Response};
-use pumicecleat_policy::{AdapterState, Admission, EngineChoice, EngineView, TurnSearch};
-use pumicecleat_types::{Millis, Turn, TurnAsk, TurnRefusal};
+use pumicecleat_policy::{
+    AdapterState, Admission, EngineChoice, EngineNeeds, EngineView, TurnSearch,
+};
+use pumicecleat_types::{CandidatesCall, Millis, Turn, TurnAsk, TurnRefusal};
 
 use super::forward::forward;
 use super::job::Job;
@@ -14,6 +16,7 @@
 use super::send::{AttemptOutcome, MIN_TIME_LEFT_MS};
 use crate::RetryAfter;
 use crate::agents::{self, AgentLost};
+use crate::candidates::fetch_candidates;
 use crate::table::InFlight;
 
 /// Wait for the first event after which callers disconnect, in objectives. They wait at least
@@ -30,6 +33,10 @@
 /// Interval between checks for an available engine.
 const ENGINE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Time for which a request that waits for an engine relies on proposals. A relay that proposed none knows of others by
+/// then.
+const SHORTLIST_TTL: Millis = Millis(200);
+
 /// Retry time returned if no engine gave one.
 const DEFAULT_RETRY_AFTER: Millis = Millis(500);
 
@@ -57,7 +64,7 @@
                 }
                 return forward(response, Vec::new(), job.trace, in_flight);
             }
-            AttemptResult::Retry => {}
+            AttemptResult::Retry => progress.shortlist.clear(),
             AttemptResult::Failed(reason) => return final_refusal(&job, &progress, reason),
         }
     }
@@ -70,6 +77,7 @@
 ) -> Option<Box<EngineResponse>> {
     job.waiting_since = job.shared.timer.now();
     progress.search.restart();
+    progress.shortlist.clear();
     while progress.sends < job.route.max_attempts {
         job.acquire_permit().await.ok()?;
         let turn = find_turn(job, progress).await.ok()?;
@@ -79,7 +87,7 @@
             {
                 return Some(engine_response);
             }
-            AttemptResult::Retry => {}
+            AttemptResult::Retry => progress.shortlist.clear(),
             AttemptResult::Response(_) | AttemptResult::Failed(_) => return None,
         }
     }
@@ -99,7 +107,8 @@
         if job.time_left().0 < MIN_TIME_LEFT_MS {
             return Err("deadline");
         }
-        let Some((upstream, adapter_state)) = choose_engine(job, &progress.search) else {
+        progress.shortlist.refresh(job, &progress.search).await;
+        let Some((upstream, adapter_state)) = choose_engine(job, progress) else {
             if let Some(backoff) = job.min_backoff() {
                 progress.set_backoff(backoff);
                 return Err(RESTING);
@@ -112,6 +121,7 @@
             }
             job.shared.timer.sleep(ENGINE_CHECK_INTERVAL).await;
             progress.search.restart();
+            progress.shortlist.expire(job.shared.timer.now());
             continue;
         };
         let Some(stays) = progress.search.count_ask() else {
@@ -152,10 +162,59 @@
     job.trace.age() < max_wait && listed.iter().any(|u| !search.is_excluded(&u.instance))
 }
 
+/// Engines proposed by a relay, to which the search is limited.
+#[derive(Default)]
+struct Shortlist {
+    /// `None` if no relay proposed any: all engines are candidates.
+    instances: Option<Vec<String>>,
+    fetched_at: Option<Millis>,
+}
+
+impl Shortlist {
+    /// Asks for proposals if there are none yet.
+    async fn refresh(&mut self, job: &Job, search: &TurnSearch) {
+        if self.fetched_at.is_some() || job.shared.relay.get().is_none() {
+            return;
+        }
+        let now = job.shared.timer.now();
+        let mut without = job.shared.table.unsuitable(now);
+        without.extend(search.excluded().map(str::to_owned));
+        without.extend(job.tried_instances.iter().cloned());
+        let model = job.attributes.model.as_ref();
+        let call = CandidatesCall {
+            service: job.service.clone(),
+            adapter: model.and_then(|m| m.adapter.clone()),
+            min_version: adapter_version(job).unwrap_or_default(),
+            prompt_tokens: job.attributes.prompt_tokens,
+            without,
+        };
+        self.instances = fetch_candidates(&job.shared, &call).await;
+        self.fetched_at = Some(now);
+    }
+
+    /// Discards proposals that are too old.
+    fn expire(&mut self, now: Millis) {
+        let is_old = |at: Millis| now.since(at) >= SHORTLIST_TTL;
+        if self.fetched_at.is_some_and(is_old) {
+            self.clear();
+        }
+    }
+
+    fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    fn contains(&self, instance: &str) -> bool {
+        let instances = self.instances.as_ref();
+        instances.is_none_or(|all| all.iter().any(|i| i == instance))
+    }
+}
+
 /// Progress of a request.
 #[derive(Default)]
 pub(super) struct Progress {
     search: TurnSearch,
+    shortlist: Shortlist,
     sends: u32,
     may_have_run: bool,
     reason: Option<&'static str>,
@@ -244,10 +303,12 @@
     max_wait.since(job.waited()).min(job.time_left())
 }
 
-fn choose_engine(job: &Job, search: &TurnSearch) -> Option<(Upstream, AdapterState)> {
+fn choose_engine(job: &Job, progress: &Progress) -> Option<(Upstream, AdapterState)> {
     let now = job.shared.timer.now();
     let catalog = job.shared.catalog.borrow();
-    let is_candidate = |u: &&Upstream| search.is_candidate(&u.instance);
+    let is_candidate = |u: &&Upstream| {
+        progress.shortlist.contains(&u.instance) && progress.search.is_candidate(&u.instance)
+    };
     let is_reachable = |u: &&Upstream| {
         job.shared
             .table
@@ -295,45 +356,28 @@
     min_version: u64,
     now: Millis,
 ) -> EngineView {
+    let needs = EngineNeeds {
+        adapter,
+        min_version,
+        prompt_tokens: job.attributes.prompt_tokens,
+    };
     job.shared.table.with(&upstream.instance, |r| {
-        let stale = r.fresh_figures(now).is_none();
         let pending_tokens: u64 = r.unreported_asks.iter().map(|a| u64::from(a.tokens)).sum();
-        let figures = r.figures.as_ref().map(|f| &f.0);
-        let is_loaded = |name: &str| {
-            figures.is_some_and(|f| {
-                f.loaded_adapters
-                    .iter()
-                    .any(|h| h.0 == name && h.1 >= min_version)
-            })
-        };
-        let is_cached = |name: &str| r.kept_adapters.names.iter().any(|k| k == name);
         let reserved_slots = r.unreported_asks.iter().filter(|a| a.needs_slot).count();
         let reserved_slots = u32::try_from(reserved_slots).unwrap_or(u32::MAX);
-        let is_loading =
-            |name: &str| figures.is_some_and(|f| f.loading_adapters.iter().any(|l| l == name));
+        let figures = r.figures.as_ref().map(|f| &f.0);
+        let view = needs.view(&upstream.instance, figures, &r.kept_adapters.names);
         EngineView {
-            key: pumicecleat_policy::name_key(&upstream.instance),
-            adapter_state: match adapter {
-                Some(name) if is_loaded(name) => AdapterState::Loaded,
-                Some(name) if is_loading(name) => AdapterState::Loading,
-                Some(name) if is_cached(name) => AdapterState::Cached,
-                Some(_) => AdapterState::Absent,
-                None => AdapterState::Loaded,
-            },
-            available_slots: figures
-                .map_or(0, |f| f.available_slots.saturating_sub(reserved_slots)),
-            unread_tokens: figures.map_or(0, |f| f.unread_tokens) + pending_tokens,
-            prompt_tokens: job.attributes.prompt_tokens,
-            traits: figures.map(|f| f.traits).unwrap_or_default(),
-            running: figures.map_or(0, |f| f.running),
-            ready_in_ms: figures.and_then(|f| f.ready_ms).unwrap_or_default(),
-            stale,
+            available_slots: view.available_slots.saturating_sub(reserved_slots),
+            unread_tokens: view.unread_tokens + pending_tokens,
+            stale: r.fresh_figures(now).is_none(),
             remote: upstream.centre != job.shared.centre,
             failure_penalty_ms: if r.stats.has_recent_failure(now) {
                 2_000
             } else {
                 0
             },
+            ..view
         }
     })
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use pumicecleat_catalog::{
@@ -80,6 +81,8 @@
     pub(crate) suspects: SuspectState,
     /// Whether figures of engines are collected by relays.
     pub(crate) uses_relay: Cell<bool>,
+    /// Agent that proposes engines, if one does.
+    pub(crate) relay: Cell<Option<SocketAddr>>,
     pub(crate) repeat_options: RepeatOptions,
     /// Median traits of the engines of each service.
     pub(crate) service_traits: RefCell<ServiceTraits>,
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -229,6 +229,7 @@
         allowances: Allowances::new(allowance::tolerance(settings)),
         suspects: SuspectState::new(rand::random()),
         uses_relay: Cell::default(),
+        relay: Cell::default(),
         repeat_options,
         service_traits: RefCell::default(),
         gateway_count: RefCell::new(GatewayCount::new(settings.gateways, repeat_options.window)),
--- a/crates/gateway/src/table/mod.rs
+++ b/crates/gateway/src/table/mod.rs
@@ -12,7 +12,7 @@
 use pumicecleat_types::{Millis, RunNews};
 
 use crate::ReportedLoad;
-pub(crate) use record::{UnreportedAsk, UpstreamRecord};
+pub(crate) use record::{SILENCE_TIMEOUT, UnreportedAsk, UpstreamRecord};
 
 /// Upstreams by instance.
 #[derive(Default)]
@@ -38,6 +38,13 @@
         f(records.entry(instance.to_owned()).or_default())
     }
 
+    /// Instances that this gateway does not use for now, by its own observation.
+    pub(crate) fn unsuitable(&self, now: Millis) -> Vec<String> {
+        let records = self.records.borrow();
+        let unsuitable = records.iter().filter(|(_, r)| r.is_unsuitable(now));
+        unsuitable.map(|(instance, _)| instance.clone()).collect()
+    }
+
     pub(crate) fn remove(&self, instance: &str) {
         self.records.borrow_mut().remove(instance);
     }
--- a/crates/gateway/src/table/record.rs
+++ b/crates/gateway/src/table/record.rs
@@ -13,7 +13,7 @@
 const MAX_FIGURES_AGE: Millis = Millis(700);
 
 /// Time without a message after which an agent counts as lost and pending asks there fail.
-const SILENCE_TIMEOUT: Millis = Millis(700);
+pub(crate) const SILENCE_TIMEOUT: Millis = Millis(700);
 
 /// Time for which direct exchanges must fail until the agent counts as lost, whatever a relay reports. With
 /// 500 ms, that is the second failure.
@@ -36,8 +36,6 @@
     pub(crate) unreported_asks: Vec<UnreportedAsk>,
     /// Number of own asks without an outcome.
     pub(crate) pending_asks: u32,
-    /// Arrival of the last view that included the engine.
-    pub(crate) viewed_at: Option<Millis>,
     /// Another instance answered at its address.
     pub(crate) is_replaced: bool,
     /// News for its agent.
@@ -54,8 +52,6 @@
     pub(crate) loss_logged: bool,
     /// Reachability, as shown by exchanges with its agent.
     pub(crate) reach: Reachability,
-    /// When the engine was first seen in the list.
-    first_seen: Option<Millis>,
     /// Unix time of the engine's start in milliseconds, reported by its agent; 0 if unknown.
     born: u64,
 }
@@ -90,7 +86,6 @@
 
     /// Applies what a relay reported of the engine. Results of direct exchanges take precedence.
     pub(crate) fn apply_row(&mut self, row: ViewRow, now: Millis) {
-        self.viewed_at = Some(now);
         let measured_at = now - Millis(row.age_ms);
         if let Some(kept) = row.cached_adapters {
             self.kept_adapters = kept;
@@ -118,13 +113,18 @@
         let is_overdue = self
             .last_message()
             .is_none_or(|at| now.since(at) > SILENCE_TIMEOUT);
+        is_overdue || self.is_failing(now)
+    }
+
+    /// Whether direct exchanges with the agent have failed for so long that it counts as lost.
+    pub(crate) fn is_failing(&self, now: Millis) -> bool {
         let failing_since = self.failing_since;
-        is_overdue || failing_since.is_some_and(|since| now.since(since) >= FAILURE_TIMEOUT)
+        failing_since.is_some_and(|since| now.since(since) >= FAILURE_TIMEOUT)
     }
 
-    /// When the engine was first seen in the list.
-    pub(crate) fn first_seen(&mut self, now: Millis) -> Millis {
-        *self.first_seen.get_or_insert(now)
+    /// Whether this gateway itself observed that it can't use the engine now.
+    pub(crate) fn is_unsuitable(&self, now: Millis) -> bool {
+        self.is_replaced || self.is_failing(now) || self.stats.has_recent_failure(now)
     }
 
     pub(crate) fn has_news(&self) -> bool {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,4 +1,4 @@
-//! Figures of all engines, collected by one agent as relay if there are many engines.
+//! Exchanges with the agent that acts as relay if there are many engines.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,7 +17,7 @@
 /// Path of a view.
 const VIEW_PATH: &str = "/peer/v1/view";
 
-/// Interval between views. Figures older than the time of a few prompts lead to poor routing.
+/// Interval between views. News of suspects and of the log's streams are late by as much.
 const VIEW_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Timeout of a view. A healthy agent responds within a few milliseconds.
@@ -93,8 +93,8 @@
         caller: shared.vm.clone(),
         viewer: Viewer::Entry,
         marks: shared.marks.to_message(sent_at),
-        digest,
-        members: pick.send_members.then(|| members.to_vec()),
+        digest: 0,
+        members: None,
         seen: pick.seen,
         suspects: suspects.news,
         read_to: shared.marks.read_to(),
@@ -106,12 +106,14 @@
     match result {
         Ok(reply) => {
             selector.record_reply(pick.key, digest, &reply);
-            let known = !reply.unknown;
+            let follows = reply.streams.is_some();
+            shared.relay.set(follows.then_some(side));
             suspects::apply_reply(shared, side, suspects.sent_up_to, &reply.suspects);
             apply_view(shared, reply, sent_at, now);
-            known
+            true
         }
         Err(e) => {
+            shared.relay.set(None);
             selector.record_failure(pick.key, now);
             let fields = [
                 field("relay", peer.as_str()),
@@ -133,13 +135,6 @@
         .gateway_count
         .borrow_mut()
         .record_report(reply.entries, now);
-    let round_trip = now.since(sent_at);
-    for mut row in reply.rows {
-        // The age includes the whole round trip, so that figures never appear newer than they are.
-        row.age_ms += round_trip.0;
-        let instance = row.instance.clone();
-        shared.table.with(&instance, |r| r.apply_row(row, now));
-    }
 }
 
 fn log_chosen(shared: &Shared, members: &[Member], pick: RelayPick) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -48,10 +48,10 @@
 };
 pub use load_order::{LoadOrder, LoadOrderOptions};
 pub use prompt::{
-    AdapterState, BaseLoadTimes, BaseLocation, EngineChoice, EngineOrder, EngineReport, EngineView,
-    OrderOutcome, RelayPick, RelaySelector, RepeatOptions, RepeatWindow, ReportedRun, TurnAction,
-    TurnId, TurnOptions, TurnRequest, TurnScheduler, TurnSearch, UpstreamLoad, UpstreamStats,
-    members_digest,
+    AdapterState, BaseLoadTimes, BaseLocation, EngineChoice, EngineNeeds, EngineOrder,
+    EngineReport, EngineView, OrderOutcome, RelayPick, RelaySelector, RepeatOptions, RepeatWindow,
+    ReportedRun, TurnAction, TurnId, TurnOptions, TurnRequest, TurnScheduler, TurnSearch,
+    UpstreamLoad, UpstreamStats, members_digest,
 };
 pub use router::{
     AttemptOutcome, PromptAffinity, RetryBudget, RetryBudgetOptions, RouteDecision, RouteQuery,
--- a/crates/policy/src/prompt/engine.rs
+++ b/crates/policy/src/prompt/engine.rs
@@ -1,6 +1,6 @@
 //! Choice of engine in the gateway: the engine with the lowest expected time to the first event.
 
-use pumicecleat_types::EngineTraits;
+use pumicecleat_types::{EngineFigures, EngineTraits};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time of a load from the weight store while none has been measured, ms. It only has to differ from zero:
@@ -111,6 +111,66 @@
     pub failure_penalty_ms: u64,
 }
 
+/// What a request needs of an engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EngineNeeds<'a> {
+    /// Adapter, if the request uses one.
+    pub adapter: Option<&'a str>,
+    /// Minimum version of the adapter.
+    pub min_version: u64,
+    /// Prompt tokens.
+    pub prompt_tokens: u32,
+}
+
+impl EngineNeeds<'_> {
+    /// State of the requested adapter at an engine whose host caches the adapters `cached`.
+    #[must_use]
+    pub fn adapter_state(
+        &self,
+        figures: Option<&EngineFigures>,
+        cached: &[String],
+    ) -> AdapterState {
+        let Some(name) = self.adapter else {
+            return AdapterState::Loaded;
+        };
+        let is_loaded = |f: &EngineFigures| {
+            let mut loaded = f.loaded_adapters.iter();
+            loaded.any(|(adapter, version)| adapter == name && *version >= self.min_version)
+        };
+        let is_loading = |f: &EngineFigures| f.loading_adapters.iter().any(|l| l == name);
+        if figures.is_some_and(is_loaded) {
+            AdapterState::Loaded
+        } else if figures.is_some_and(is_loading) {
+            AdapterState::Loading
+        } else if cached.iter().any(|c| c == name) {
+            AdapterState::Cached
+        } else {
+            AdapterState::Absent
+        }
+    }
+
+    /// View of the engine `instance`, by its latest figures.
+    #[must_use]
+    pub fn view(
+        &self,
+        instance: &str,
+        figures: Option<&EngineFigures>,
+        cached: &[String],
+    ) -> EngineView {
+        EngineView {
+            key: crate::name_key(instance),
+            adapter_state: self.adapter_state(figures, cached),
+            available_slots: figures.map_or(0, |f| f.available_slots),
+            unread_tokens: figures.map_or(0, |f| f.unread_tokens),
+            prompt_tokens: self.prompt_tokens,
+            traits: figures.map(|f| f.traits).unwrap_or_default(),
+            running: figures.map_or(0, |f| f.running),
+            ready_in_ms: figures.and_then(|f| f.ready_ms).unwrap_or_default(),
+            ..EngineView::default()
+        }
+    }
+}
+
 /// Chooses an engine for requests that use one adapter.
 #[derive(Clone, Copy, Debug)]
 pub struct EngineChoice {
@@ -127,13 +187,26 @@
     /// Index of the engine with the lowest expected time to the first event.
     #[must_use]
     pub fn pick(self, engines: &[EngineView]) -> Option<usize> {
+        let costs = self.costs(engines);
+        let indexed = costs.iter().enumerate();
+        indexed.min_by(|a, b| a.1.total_cmp(b.1)).map(|(i, _)| i)
+    }
+
+    /// Indices of the `count` engines with the lowest expected times to the first event, lowest first.
+    #[must_use]
+    pub fn rank(self, engines: &[EngineView], count: usize) -> Vec<usize> {
+        let costs = self.costs(engines);
+        let mut order: Vec<usize> = (0..engines.len()).collect();
+        order.sort_by(|a, b| costs[*a].total_cmp(&costs[*b]));
+        order.truncate(count);
+        order
+    }
+
+    fn costs(self, engines: &[EngineView]) -> Vec<f64> {
         let peer_traits = EngineTraits::median(engines.iter().map(|e| e.traits));
         let home_weights = self.home_weights(engines);
-        let costs = engines
-            .iter()
-            .map(|e| self.cost(e, &home_weights, &peer_traits));
-        let indexed = costs.enumerate();
-        indexed.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(i, _)| i)
+        let cost = |e| self.cost(e, &home_weights, &peer_traits);
+        engines.iter().map(cost).collect()
     }
 
     /// Expected time to the first event, ms, plus the cost that the choice has for other requests.
--- a/crates/policy/src/prompt/mod.rs
+++ b/crates/policy/src/prompt/mod.rs
@@ -23,7 +23,7 @@
 mod slots;
 mod turns;
 
-pub use engine::{AdapterState, EngineChoice, EngineView};
+pub use engine::{AdapterState, EngineChoice, EngineNeeds, EngineView};
 pub use places::{EngineOrder, OrderOutcome};
 pub use relay::{RelayPick, RelaySelector, members_digest};
 pub use repeat::{RepeatOptions, RepeatWindow};
--- a/crates/policy/src/prompt/search.rs
+++ b/crates/policy/src/prompt/search.rs
@@ -70,6 +70,11 @@
         self.excluded.contains(instance)
     }
 
+    /// Excluded engines.
+    pub fn excluded(&self) -> impl Iterator<Item = &str> {
+        self.excluded.iter().map(String::as_str)
+    }
+
     /// Restarts the search; excluded engines stay excluded.
     pub fn restart(&mut self) {
         self.asks = 0;
--- a/crates/policy/tests/prompt_choice.rs
+++ b/crates/policy/tests/prompt_choice.rs
@@ -228,3 +228,27 @@
     }
     assert!(repeats.len() > 300, "{}", repeats.len());
 }
+
+/// Guards against proposals in another order than that of the choice itself.
+#[test]
+fn engines_are_ranked_as_they_would_be_chosen_one_after_the_other() {
+    use AdapterState::{Absent, Cached, Loaded, Loading};
+    let states = [Absent, Loading, Cached, Loaded];
+    let mut engines: Vec<EngineView> = (0_u64..12)
+        .map(|n| engine(n, states[(n % 4) as usize], n * 7_919 % 20_000))
+        .collect();
+    let choice = EngineChoice::new(7);
+    let ranked: Vec<u64> = choice
+        .rank(&engines, 5)
+        .into_iter()
+        .map(|i| engines[i].key)
+        .collect();
+    // Homes are ranked among the engines of a call, so only engines that need no home are left out one by one.
+    engines.retain(|e| e.adapter_state != Absent);
+    let mut chosen = Vec::new();
+    while chosen.len() < ranked.len() {
+        let best = choice.pick(&engines).unwrap();
+        chosen.push(engines.remove(best).key);
+    }
+    assert_eq!(ranked, chosen);
+}
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -26,7 +26,7 @@
     TurnAsk, TurnCall, TurnRefusal, TurnReply,
 };
 pub use view::{
-    ChangeCursor, FiguresCall, FiguresReply, Member, Reachability, ViewCall, ViewReply, ViewRow,
-    Viewer,
+    CandidatesCall, CandidatesReply, ChangeCursor, FiguresCall, FiguresReply, Member, Reachability,
+    ViewCall, ViewReply, ViewRow, Viewer,
 };
 pub use vm::{VmEntry, VmRole, VmState};
--- a/crates/types/src/message/view.rs
+++ b/crates/types/src/message/view.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{CachedAdapters, EngineFigures, ReadPositions, StreamMarks, StreamsReply, SuspectNews};
-use crate::{DataCentre, VmId};
+use crate::{DataCentre, ServiceId, VmId};
 
 /// An engine whose figures are requested.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,7 +39,7 @@
     pub viewer: Viewer,
     /// Latest positions of the platform's streams that the caller knows.
     pub marks: StreamMarks,
-    /// Digest of the list of members.
+    /// Digest of the list of members; 0 for a reply without rows.
     pub digest: u64,
     /// The members, unless the relay is expected to know them by their digest.
     pub members: Option<Vec<Member>>,
@@ -81,6 +81,28 @@
     pub streams: Option<StreamsReply>,
 }
 
+/// Request for the engines that suit a request best.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CandidatesCall {
+    /// Service of the engines.
+    pub service: ServiceId,
+    /// Adapter, if the request uses one.
+    pub adapter: Option<String>,
+    /// Minimum version of the adapter.
+    pub min_version: u64,
+    /// Number of prompt tokens of the request.
+    pub prompt_tokens: u32,
+    /// Instances that the caller does not use.
+    pub without: Vec<String>,
+}
+
+/// Reply to a [`CandidatesCall`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CandidatesReply {
+    /// The engines, best first; `None` if the called side doesn't know the engines.
+    pub rows: Option<Vec<ViewRow>>,
+}
+
 /// One engine in a view.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ViewRow {
