Catalog: the return of a lapsed entry counts as a change

Cause, by reading: a relay passes on what changes its own list. The entry of an upstream that returns after an outage left the list as it was, so gateways that had been told of its removal were not told of its return, and would have removed the upstream for good.

Change: Applied::Returned, logged as E7021; proposals of relays are counted. Test seen failing without it.

--- a/crates/catalog/src/lapsed.rs
+++ b/crates/catalog/src/lapsed.rs
@@ -35,9 +35,9 @@
             .insert(instance.to_owned(), Lapse { deadline, writes });
     }
 
-    /// Stops waiting for `instance`.
-    pub(crate) fn remove(&mut self, instance: &str) {
-        self.lapsed.remove(instance);
+    /// Stops waiting for `instance`. Returns whether its entry was missing.
+    pub(crate) fn remove(&mut self, instance: &str) -> bool {
+        self.lapsed.remove(instance).is_some()
     }
 
     /// Notes that an entry of `writer` was read at `now`, which shows that the list accepts writes.
--- a/crates/catalog/src/report.rs
+++ b/crates/catalog/src/report.rs
@@ -47,6 +47,10 @@
             ];
             log.emit(&events::UPSTREAM_LAPSED, &fields);
         }
+        Applied::Returned { instance } => {
+            let fields = [field("instance", instance.as_str())];
+            log.emit(&events::UPSTREAM_RETURNED, &fields);
+        }
         Applied::Outdated { instance } => {
             let fields = [field("instance", instance.as_str())];
             log.emit(&events::ENTRY_OUTDATED, &fields);
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -74,6 +74,11 @@
         /// Time for which the upstream is kept.
         retained_for: Millis,
     },
+    /// The entry of an upstream returned after it had lapsed.
+    Returned {
+        /// Instance.
+        instance: String,
+    },
     /// An entry was rejected because it is older than one read before.
     Outdated {
         /// Instance.
@@ -211,12 +216,15 @@
             (Some(known), Some(born)) if born < known => return Applied::Unchanged,
             _ => {}
         }
-        self.lapsed.remove(&instance);
+        let was_lapsed = self.lapsed.remove(&instance);
         self.newest.note(&upstream, now);
         match self.upstreams.insert(instance.clone(), upstream) {
             Some(before) if before.born.is_some() && before.born < born => {
                 Applied::Restarted { instance, standing }
             }
+            Some(before) if before.standing == standing && was_lapsed => {
+                Applied::Returned { instance }
+            }
             Some(before) if before.standing == standing => Applied::Unchanged,
             _ => Applied::Upstream { instance, standing },
         }
--- a/crates/catalog/tests/lapse.rs
+++ b/crates/catalog/tests/lapse.rs
@@ -92,3 +92,16 @@
         assert_eq!(is_kept, case.is_kept, "{}", case.name);
     }
 }
+
+/// Guards against a relay that passes on the removal of an entry and not its return, because its own list is the same
+/// before and after: processes that rely on it would remove the upstream.
+#[test]
+fn the_return_of_a_lapsed_entry_counts_as_a_change() {
+    let mut catalog = Catalog::default();
+    catalog.apply(entry("x"), Millis(0));
+    catalog.note_list_recovery(RECOVERY);
+    let instance = "x".to_owned();
+    catalog.apply(Change::Gone { instance }, RECOVERY);
+    assert!(catalog.apply(entry("x"), RECOVERY).is_change());
+    assert!(!catalog.apply(entry("x"), RECOVERY).is_change());
+}
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -28,8 +28,9 @@
         post(client, &peer, CANDIDATES_PATH, call, CANDIDATES_TIMEOUT).await;
     let now = shared.timer.now();
     let rows = match result {
-        Ok(reply) => reply.rows?,
+        Ok(reply) => reply.rows.unwrap_or_default(),
         Err(e) => {
+            shared.meters.count_proposal("lost");
             // The next view finds a relay that answers.
             shared.relay.set(None);
             let fields = [
@@ -50,5 +51,11 @@
         shared.table.with(&instance, |r| r.apply_row(row, now));
         instances.push(instance);
     }
+    let outcome = if instances.is_empty() {
+        "none"
+    } else {
+        "proposed"
+    };
+    shared.meters.count_proposal(outcome);
     (!instances.is_empty()).then_some(instances)
 }
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -35,6 +35,12 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Label of the metric of proposals: what the relay replied.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ProposalLabels {
+    pub(crate) outcome: &'static str,
+}
+
 /// Label of the metric of suspects: what happened.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct SuspectLabels {
@@ -57,6 +63,8 @@
     limited_requests: Family<OutcomeLabels, Counter>,
     /// Requests of accounts with an allowance.
     account_requests: Family<AccountLabels, Counter>,
+    /// Requests for which a relay was asked for engines.
+    proposals: Family<ProposalLabels, Counter>,
 }
 
 impl Meters {
@@ -94,6 +102,10 @@
                 "account_requests",
                 "Requests of accounts with an allowance, by account and outcome",
             ),
+            proposals: metrics.counters(
+                "proposals",
+                "Requests to a relay for engines: proposed, none, or lost",
+            ),
             list_age_ms: metrics.gauge(
                 "upstream_list_age_milliseconds",
                 "Age of the list of upstreams as this process knows it",
@@ -135,6 +147,11 @@
         self.account_requests.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_proposal(&self, outcome: &'static str) {
+        let labels = ProposalLabels { outcome };
+        self.proposals.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_suspect(&self, what: &'static str) {
         self.suspects.get_or_create(&SuspectLabels { what }).inc();
     }
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -43,6 +43,8 @@
     KEYS_OUTDATED = "E7018" "keys_outdated" Warn ["age_ms", "layout"];
     /// The configuration is confirmed again, and keys are accepted.
     KEYS_CURRENT = "E7019" "keys_current" Info ["refused_ms", "layout"];
+    /// The entry of an upstream returned after it had lapsed.
+    UPSTREAM_RETURNED = "E7021" "upstream_returned" Info ["instance"];
     /// The whole state of a stream has still not been read.
     STATE_MISSING = "E7020" "state_missing" Warn ["stream", "waited_ms"];
 
