Catalog: an entry that says something else counts as a change

Cause, by reading: an entry with another address or number of slots changed the list and was reported as unchanged, so that a relay kept it to itself. Tests seen failing before for the return of an entry; this case by its assertion.

--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -48,7 +48,7 @@
         /// Version.
         version: u64,
     },
-    /// An upstream is new or has changed its standing.
+    /// An upstream is new or its entry has changed.
     Upstream {
         /// Instance.
         instance: String,
@@ -218,14 +218,14 @@
         }
         let was_lapsed = self.lapsed.remove(&instance);
         self.newest.note(&upstream, now);
+        let before = self.upstreams.get(&instance);
+        let is_rewrite = before.is_some_and(|before| upstream.is_rewrite_of(before));
         match self.upstreams.insert(instance.clone(), upstream) {
             Some(before) if before.born.is_some() && before.born < born => {
                 Applied::Restarted { instance, standing }
             }
-            Some(before) if before.standing == standing && was_lapsed => {
-                Applied::Returned { instance }
-            }
-            Some(before) if before.standing == standing => Applied::Unchanged,
+            Some(_) if is_rewrite && was_lapsed => Applied::Returned { instance },
+            Some(_) if is_rewrite => Applied::Unchanged,
             _ => Applied::Upstream { instance, standing },
         }
     }
--- a/crates/catalog/src/upstream.rs
+++ b/crates/catalog/src/upstream.rs
@@ -35,3 +35,12 @@
     /// Is shutting down and must not get new requests.
     Leaving,
 }
+
+impl Upstream {
+    /// Whether this entry says the same as `earlier`. Upstreams rewrite their entries with rising sequence numbers.
+    pub(crate) fn is_rewrite_of(&self, earlier: &Self) -> bool {
+        let same_place = self.address == earlier.address && self.centre == earlier.centre;
+        let same_service = self.service == earlier.service && self.slots == earlier.slots;
+        same_place && same_service && self.standing == earlier.standing
+    }
+}
--- a/crates/catalog/tests/lapse.rs
+++ b/crates/catalog/tests/lapse.rs
@@ -105,3 +105,25 @@
     assert!(catalog.apply(entry("x"), RECOVERY).is_change());
     assert!(!catalog.apply(entry("x"), RECOVERY).is_change());
 }
+
+/// Guards against a relay that keeps a changed entry to itself.
+#[test]
+fn an_entry_that_says_something_else_counts_as_a_change() {
+    let mut catalog = Catalog::default();
+    catalog.apply(entry("x"), Millis(0));
+    let Change::Upstream(mut moved) = entry("x") else {
+        return;
+    };
+    moved.slots = 12;
+    assert!(
+        catalog
+            .apply(Change::Upstream(moved.clone()), Millis(1))
+            .is_change()
+    );
+    moved.sequence = Some(7);
+    assert!(
+        !catalog
+            .apply(Change::Upstream(moved), Millis(2))
+            .is_change()
+    );
+}
