Log: further requests for a stream's state are sent each 2.8 s

Reads of small streams waited as long as those of large ones, so the log answers in turn.

Change: 2.8 s in place of 0.7, 1.4, 2.8 s. A connection that falls silent during such a read is noticed as late.

--- a/crates/infra/src/follower/keyed.rs
+++ b/crates/infra/src/follower/keyed.rs
@@ -11,7 +11,7 @@
 
 use super::{FollowError, FollowEvent, FollowOptions, Follower, ReadStart};
 use crate::backoff::{Backoff, as_millis};
-use crate::newest::{FIRST_DELAY, read_newest};
+use crate::newest::read_newest;
 use crate::{KeyedLog, KeyedRecord, Local, Log, NewestRecords, ReadError};
 
 /// Event of a followed keyed stream.
@@ -44,6 +44,10 @@
     },
 }
 
+/// Time without a response after which a wait for the state is first reported; it doubles with each further report. A log
+/// answers within a few milliseconds unless many processes read at once.
+const FIRST_REPORT_DELAY: Duration = Duration::from_millis(700);
+
 /// Read of the state that is in progress.
 struct StateRead {
     start: ReadStart,
@@ -250,7 +254,7 @@
         let (log, stream, timer) = (&self.log, &self.stream, &self.timer);
         let read = self.state_read.get_or_insert_with(|| StateRead {
             start,
-            report_delay: FIRST_DELAY,
+            report_delay: FIRST_REPORT_DELAY,
             records: Box::pin(read_newest(Rc::clone(log), stream.clone(), timer.clone())),
         });
         let report_at = read.start.at + as_millis(read.report_delay);
--- a/crates/infra/src/newest.rs
+++ b/crates/infra/src/newest.rs
@@ -14,14 +14,11 @@
 
 use crate::{KeyedLog, NewestRecords, ReadError};
 
-/// Time without a response after which the second request is sent; it doubles with each further one. A log answers
-/// within a few milliseconds unless many processes read at once.
-pub(crate) const FIRST_DELAY: Duration = Duration::from_millis(700);
+/// Time without a response after which the next request is sent. It bounds how late a process notices that a silent log
+/// answers again. Further pages queue behind the second requests of other processes, so it is long.
+const DELAY: Duration = Duration::from_millis(2_800);
 
-/// Maximum time between two requests. It bounds how late a process notices that a silent log answers again.
-const MAX_DELAY: Duration = Duration::from_millis(2_800);
-
-/// Timeout of each page of a response: the log may serve each process this late. It keeps at most five requests in
+/// Timeout of each page of a response: the log may serve each process this late. It keeps at most three requests in
 /// progress.
 const TIMEOUT: Duration = Duration::from_millis(8_400);
 
@@ -35,17 +32,15 @@
     timer: Timer,
 ) -> Result<NewestRecords, ReadError> {
     let mut requests = FuturesUnordered::new();
-    let mut delay = FIRST_DELAY;
     requests.push(log.newest(&stream, TIMEOUT));
     loop {
-        match timer.within(delay, requests.next()).await {
+        match timer.within(DELAY, requests.next()).await {
             Ok(Some(Ok(newest))) => return Ok(newest),
             Ok(Some(Err(e))) if requests.is_empty() => return Err(e),
             // An earlier request is still in progress.
             Ok(_) => {}
             Err(_) => {
                 requests.push(log.newest(&stream, TIMEOUT));
-                delay = (delay * 2).min(MAX_DELAY);
             }
         }
     }
