Relays tell the age of their own reads of both streams

Cause: reads of the list were told by the end that they found, and of two messages about one end the older counts.

Change: the relay tells its own read and its age, counted from the call; it stands beside reads passed on in cycles. A gateway whose own way to the log is down relies on the relay as well, in place of trying each second.

--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -181,10 +181,10 @@
     /// returned changes, the next read starts once the known state is too old and does not wait for records. All
     /// other reads may wait for a record.
     async fn next(&self, follower: &mut KeyedFollower, settings: &FollowSettings) -> KeyedEvent {
-        let is_up = follower.position().is_some() && self.down_since.get().is_none();
-        let is_busy = self.topic == Topic::Upstreams && self.is_busy.get();
+        let is_up = self.down_since.get().is_none();
+        let is_busy = is_up && self.topic == Topic::Upstreams && self.is_busy.get();
         let is_relayed = settings.relies_on_relay && self.marks.is_relayed(self.timer.now());
-        if is_up && (is_busy || is_relayed) {
+        if follower.position().is_some() && (is_busy || is_relayed) {
             let followers = self.listener.follower_count();
             let max_age = max_read_age(settings.max_age, settings.seed, followers);
             self.marks
--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -61,6 +61,8 @@
     trusted_read: Cell<Option<CompleteRead>>,
     /// Latest complete read by this process.
     own_read: Cell<Option<CompleteRead>>,
+    /// Latest complete read that its reader told, or by this process.
+    exact_read: Cell<Option<CompleteRead>>,
     /// Latest complete read by another process that does not count yet, as this process has not read up to its end.
     untrusted_read: Cell<Option<CompleteRead>>,
     /// Changes up to `read_position`, for other processes.
@@ -91,6 +93,7 @@
             read_position: Cell::default(),
             trusted_read: Cell::default(),
             own_read: Cell::default(),
+            exact_read: Cell::default(),
             untrusted_read: Cell::default(),
             change_log: RefCell::default(),
             received: RefCell::default(),
@@ -128,23 +131,26 @@
     fn note_own_read(&self, read: CompleteRead) {
         self.read_position.set(read.end);
         self.own_read.set(Some(read));
+        self.exact_read.set(Some(read));
         let is_later = |known: CompleteRead| known.end > read.end;
         if self.knows_all() && !self.trusted_read.get().is_some_and(is_later) {
             self.trusted_read.set(Some(read));
         }
     }
 
-    /// Notes a complete read that its reader itself tells, which is as old as it says. It counts once this process knows
-    /// all changes up to its end.
-    fn note_told_read(&self, read: CompleteRead) {
+    /// Notes a complete read that its reader itself tells, which is as old as it says. Returns whether it counts: this
+    /// process has to know all changes up to its end.
+    fn note_told_read(&self, read: CompleteRead) -> bool {
         if !self.knows_all() || self.read_position.get() < read.end {
             self.untrusted_read.set(Some(read));
-            return;
+            return false;
         }
         let is_newer = |known: CompleteRead| known.as_of < read.as_of;
         if self.trusted_read.get().is_none_or(is_newer) {
             self.trusted_read.set(Some(read));
+            self.exact_read.set(Some(read));
         }
+        true
     }
 
     /// Notes a complete read by another process; returns whether it counts for this process, which then knows all
@@ -156,7 +162,10 @@
         }
         let known = self.trusted_read.get();
         let latest = known.map_or(read, |known| known.merge(read));
-        self.trusted_read.set(Some(latest));
+        // Passed-on reads are told apart by their ends only, and look older than they are while the end is the same.
+        let exact = self.exact_read.get();
+        let exact = exact.filter(|exact| exact.end == latest.end && exact.as_of > latest.as_of);
+        self.trusted_read.set(exact.or(Some(latest)));
         self.is_followed()
     }
 }
@@ -222,9 +231,10 @@
     /// Returns what this process, which follows the streams, passes on to one that has read them up to `read_to`.
     #[must_use]
     pub fn to_streams_reply(&self, read_to: ReadPositions, now: Millis) -> StreamsReply {
-        let operators_read = self.operators.own_read.get();
+        let own_read = |mark: &Mark| mark.own_read.get().map(|read| read.to_message(now));
         StreamsReply {
-            operators_read: operators_read.map(|read| read.to_message(now)),
+            operators_read: own_read(&self.operators),
+            upstreams_read: own_read(&self.upstreams),
             operators: self.operators.change_log.borrow().since(read_to.operators),
             upstreams: self.upstreams.change_log.borrow().since(read_to.upstreams),
         }
@@ -234,20 +244,27 @@
     pub fn receive(&self, reply: StreamsReply, sent_at: Millis) {
         self.relayed_at.set(Some(sent_at));
         let topics = [
-            (&self.operators, reply.operators),
-            (&self.upstreams, reply.upstreams),
+            (Topic::Operators, reply.operators, reply.operators_read),
+            (Topic::Upstreams, reply.upstreams, reply.upstreams_read),
         ];
-        for (mark, changes) in topics {
+        for (topic, changes, read) in topics {
+            let mark = self.mark(topic);
             if let Some(changes) = changes {
                 mark.received.borrow_mut().push(changes);
                 mark.notify();
             }
+            if let Some(read) = read.and_then(|read| CompleteRead::from_message(read, sent_at)) {
+                self.note_told_read(topic, read);
+            }
         }
-        let read = reply
-            .operators_read
-            .and_then(|read| CompleteRead::from_message(read, sent_at));
-        if let Some(read) = read {
-            self.operators.note_told_read(read);
+    }
+
+    /// Notes a complete read of `topic` that its reader itself tells.
+    fn note_told_read(&self, topic: Topic, read: CompleteRead) {
+        let counts = self.mark(topic).note_told_read(read);
+        let is_newer = |known: CompleteRead| known.as_of < read.as_of;
+        if topic == Topic::Upstreams && counts && self.list_as_of.get().is_none_or(is_newer) {
+            self.list_as_of.set(Some(read));
         }
     }
 
@@ -329,10 +346,7 @@
         let read = mark.untrusted_read.get().filter(|read| read.end <= end);
         if let (Some(read), true) = (read, mark.knows_all()) {
             mark.untrusted_read.set(None);
-            match topic {
-                Topic::Operators => mark.note_told_read(read),
-                Topic::Upstreams => self.note_list_read_by_other(read),
-            }
+            self.note_told_read(topic, read);
         }
     }
 
--- a/crates/types/src/message/changes.rs
+++ b/crates/types/src/message/changes.rs
@@ -20,6 +20,8 @@
 pub struct StreamsReply {
     /// Latest read of the operators' records to their end by the process itself.
     pub operators_read: Option<EndRead>,
+    /// Latest read of the list of upstreams, likewise.
+    pub upstreams_read: Option<EndRead>,
     /// Changes of the operators' records since the position in the call, if there are any.
     pub operators: Option<StreamChanges>,
     /// Changes of the list of upstreams, likewise.
