--- a/crates/agent/src/relay/candidates.rs
+++ b/crates/agent/src/relay/candidates.rs
@@ -5,7 +5,7 @@
 //! Then it asks the engines' agents for a turn, as they decide.
 
 use pumicecleat_policy::{EngineChoice, EngineNeeds, EngineView, name_key};
-use pumicecleat_types::{CandidatesCall, CandidatesReply, Member, Millis};
+use pumicecleat_types::{CandidatesCall, CandidatesReply, Member};
 
 use crate::shared::Shared;
 
@@ -81,6 +81,3 @@
     });
     members.collect()
 }
-
-/// Interval at which the members are taken from the list.
-pub(super) const LIST_INTERVAL: Millis = Millis(200);
--- a/crates/agent/src/relay/poll.rs
+++ b/crates/agent/src/relay/poll.rs
@@ -11,7 +11,7 @@
     Viewer,
 };
 
-use super::candidates::{LIST_INTERVAL, listed_members};
+use super::candidates::listed_members;
 use super::state::CentreQuery;
 use super::{FIGURES_PATH, VIEW_PATH, streams};
 use crate::shared::Shared;
@@ -19,6 +19,9 @@
 /// Interval between checks for exchanges that are due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Interval at which the engines to poll are taken from the list.
+const LIST_INTERVAL: Millis = Millis(200);
+
 /// Timeout of an exchange. A healthy agent answers within a few milliseconds.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(400);
 
