--- a/crates/policy/tests/allowance.rs
+++ b/crates/policy/tests/allowance.rs
@@ -381,3 +381,77 @@
         assert!(peak <= bound, "seed {seed}: {peak} of {bound}");
     }
 }
+
+/// Pool that a gateway calls, if any, and the time for which it says that another one may count its share.
+struct Step {
+    at_ms: u64,
+    pool: Option<usize>,
+    lent_ms: u64,
+}
+
+const fn step(at_ms: u64, pool: Option<usize>, lent_ms: u64) -> Step {
+    Step {
+        at_ms,
+        pool,
+        lent_ms,
+    }
+}
+
+struct Moves {
+    name: &'static str,
+    steps: &'static [Step],
+}
+
+const MOVES: [Moves; 4] = [
+    Moves {
+        name: "the first pool counts the share at once",
+        steps: &[step(0, Some(0), 0), step(300, Some(0), 0)],
+    },
+    Moves {
+        name: "a second pool counts it once the first one has stopped",
+        steps: &[
+            step(0, Some(0), 0),
+            step(600, Some(1), 400),
+            step(1_000, Some(1), 0),
+        ],
+    },
+    Moves {
+        name: "a gateway that goes back waits for the pool between",
+        steps: &[
+            step(0, Some(0), 0),
+            step(600, Some(1), 400),
+            step(900, Some(0), 700),
+        ],
+    },
+    Moves {
+        name: "a gateway uses its own share once no pool counts it, and lends it at once again",
+        steps: &[
+            step(0, Some(0), 0),
+            step(400, None, 600),
+            step(1_000, None, 0),
+            step(1_100, Some(1), 0),
+        ],
+    },
+];
+
+/// Guards against a share that is counted at two pools.
+#[test]
+fn a_gateway_says_how_long_another_pool_may_count_its_share() {
+    for case in &MOVES {
+        let mut lender = new_lender();
+        for step in case.steps {
+            let now = Millis(step.at_ms);
+            let loan = match step.pool {
+                Some(pool) => lender.lend(pool_address(pool), now),
+                None => lender.keep(now),
+            };
+            let name = case.name;
+            assert_eq!(
+                loan.lent_for,
+                Millis(step.lent_ms),
+                "{name}: {}",
+                step.at_ms
+            );
+        }
+    }
+}
