--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -43,10 +43,10 @@
     KEYS_OUTDATED = "E7018" "keys_outdated" Warn ["age_ms", "layout"];
     /// The configuration is confirmed again, and keys are accepted.
     KEYS_CURRENT = "E7019" "keys_current" Info ["refused_ms", "layout"];
-    /// The entry of an upstream returned after it had lapsed.
-    UPSTREAM_RETURNED = "E7021" "upstream_returned" Info ["instance"];
     /// The whole state of a stream has still not been read.
     STATE_MISSING = "E7020" "state_missing" Warn ["stream", "waited_ms"];
+    /// The entry of an upstream returned after it had lapsed.
+    UPSTREAM_RETURNED = "E7021" "upstream_returned" Info ["instance"];
 
     /// A request ended with the response of an upstream.
     PASSED_ON = "E7101" "passed_on" Info ["request", "fingerprint", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "list_ms", "layout", "whole"];
