--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -9,7 +9,7 @@
 use pumicecleat_net::{Handler, Incoming, Reply, peer_reply, plain_reply, read_all};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::{
-    Admission, AllowanceDecision, AllowanceTerms, LimitSource, Loan, Slot, TurnId, TurnRequest,
+    Admission, AllowanceDecision, AllowanceTerms, LimitSource, Slot, TurnId, TurnRequest,
 };
 use pumicecleat_types::{
     AllowanceAsk, AllowanceCall, AllowanceOutcome, AllowanceReply, Millis, Turn, TurnAsk, TurnCall,
@@ -101,12 +101,7 @@
             self.shared.read_wanted.notify();
         }
         let mut pool = self.shared.allowances.borrow_mut();
-        let loan = Loan {
-            lent_for: Millis(call.lent_ms),
-            has_credit: call.has_credit,
-        };
-        let took_credit =
-            !call.is_probe && pool.attach(call.entry.as_str(), call.entries, loan, now);
+        pool.attach(call.entry.as_str(), call.entries, now);
         let outcome = call.ask.as_ref().map(|ask| {
             match pool.request(&ask.account, terms(ask), ask.units, now) {
                 AllowanceDecision::Granted => AllowanceOutcome::Granted,
@@ -115,7 +110,6 @@
         });
         peer_reply(&AllowanceReply {
             entries: pool.gateway_count(now),
-            took_credit,
             confirmed,
             outcome,
         })
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -6,15 +6,12 @@
 use std::time::Duration;
 
 use pumicecleat_catalog::{Account, Topic};
-use pumicecleat_infra::as_millis;
 use pumicecleat_net::post;
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::{
-    AllowanceDecision, AllowancePool, AllowanceTerms, GatewayPeak, Lender, Loan, PoolSelector,
-};
-use pumicecleat_types::{
-    AllowanceAsk, AllowanceCall, AllowanceOutcome, AllowanceReply, BootTime, Millis,
+    AllowanceDecision, AllowancePool, AllowanceTerms, GatewayPeak, PoolSelector,
 };
+use pumicecleat_types::{AllowanceAsk, AllowanceCall, AllowanceOutcome, AllowanceReply, Millis};
 
 use crate::agents::engines;
 use crate::shared::Shared;
@@ -31,9 +28,6 @@
 /// Timeout of a call. A healthy agent responds within a few milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Longest time for which a call may be under way, with room for a late timer.
-const MAX_CALL_DELAY: Millis = Millis(200);
-
 /// Number of agents that a request asks before this gateway's own share decides.
 const MAX_POOLS: u32 = 2;
 
@@ -57,7 +51,6 @@
 pub(crate) struct Allowances {
     tolerance: Tolerance,
     selector: RefCell<PoolSelector>,
-    lender: RefCell<Lender>,
     /// Pool that answered last.
     pool: Cell<Option<SocketAddr>>,
     called_at: Cell<Millis>,
@@ -72,7 +65,6 @@
         Self {
             tolerance,
             selector: RefCell::default(),
-            lender: RefCell::new(Lender::new_ext(MAX_CALL_DELAY, as_millis(tolerance.window))),
             pool: Cell::default(),
             called_at: Cell::default(),
             gateways: RefCell::default(),
@@ -139,7 +131,7 @@
     for _ in 0..MAX_POOLS {
         let sides = sides(shared);
         let side = shared.allowances.selector.borrow().pick(&sides)?;
-        let reply = call(shared, side, CallKind::Ask(ask.clone())).await;
+        let reply = call(shared, side, Some(ask.clone())).await;
         if let Some(outcome) = reply.and_then(|r| r.outcome) {
             return Some(outcome);
         }
@@ -154,9 +146,8 @@
     let told = allowances.gateways.borrow().get(now);
     let count = told.max(shared.gateway_count.borrow().sharers());
     let mut own_share = allowances.own_share.borrow_mut();
-    let own_share = own_share.get_or_insert_with(AllowancePool::default);
-    let loan = allowances.lender.borrow_mut().keep(now);
-    own_share.attach(shared.vm.as_str(), count, loan, now);
+    let own_share = own_share.get_or_insert_with(AllowancePool::without_credit);
+    own_share.attach(shared.vm.as_str(), count, now);
     match own_share.request(&ask.account, terms, ask.units, now) {
         AllowanceDecision::Granted => AllowanceOutcome::Granted,
         AllowanceDecision::Refused(wait) => AllowanceOutcome::Refused { retry_ms: wait.0 },
@@ -170,39 +161,21 @@
     engines(&catalog).map(|u| side(u.address.ip())).collect()
 }
 
-/// Purpose of a call to a pool.
-enum CallKind {
-    /// Attaches this gateway and asks for units.
-    Ask(AllowanceAsk),
-    /// Attaches this gateway.
-    Attach,
-    /// Tests whether the pool answers.
-    Probe,
-}
-
-/// Calls the pool at `side`.
-async fn call(shared: &Shared, side: SocketAddr, kind: CallKind) -> Option<AllowanceReply> {
+/// Calls the pool at `side`, which attaches this gateway to it.
+async fn call(
+    shared: &Shared,
+    side: SocketAddr,
+    ask: Option<AllowanceAsk>,
+) -> Option<AllowanceReply> {
     let allowances = &shared.allowances;
     let sent_at = shared.timer.now();
     let boot_sent_at = shared.timer.boot_now();
-    let is_probe = matches!(kind, CallKind::Probe);
-    let loan = if is_probe {
-        Loan::default()
-    } else {
-        allowances.called_at.set(sent_at);
-        allowances.lender.borrow_mut().lend(side, sent_at)
-    };
+    allowances.called_at.set(sent_at);
     let message = AllowanceCall {
         entry: shared.vm.clone(),
         entries: allowances.gateways.borrow().get(sent_at),
-        lent_ms: loan.lent_for.0,
-        has_credit: loan.has_credit,
-        is_probe,
         max_age_ms: shared.max_told_age.0,
-        ask: match kind {
-            CallKind::Ask(ask) => Some(ask),
-            CallKind::Attach | CallKind::Probe => None,
-        },
+        ask,
     };
     let peer = side.to_string();
     let client = &shared.agent_client;
@@ -211,12 +184,21 @@
     let result: Result<AllowanceReply, _> = result;
     match result {
         Ok(reply) => {
-            if loan.has_credit && !reply.took_credit {
-                allowances.lender.borrow_mut().return_credit();
+            allowances.selector.borrow_mut().record_answer(side);
+            allowances.gateways.borrow_mut().record(reply.entries, now);
+            allowances.own_share.take();
+            if let Some(read) = reply.confirmed {
+                shared.confirmations.note_told(read, boot_sent_at);
+                if Some(read.end) > shared.confirmations.known_to() {
+                    shared.marks.hint(Topic::Operators, read.end);
+                }
             }
-            record_reply(shared, side, &reply, boot_sent_at);
-            if !is_probe {
-                record_pool(shared, side, &reply);
+            if allowances.pool.replace(Some(side)) != Some(side) {
+                let fields = [
+                    field("pool", peer.as_str()),
+                    field("gateways", reply.entries),
+                ];
+                shared.log.emit(&events::POOL_CHOSEN, &fields);
             }
             Some(reply)
         }
@@ -229,33 +211,6 @@
     }
 }
 
-/// Records what the reply to a call that started at `boot_sent_at` tells.
-fn record_reply(shared: &Shared, side: SocketAddr, reply: &AllowanceReply, boot_sent_at: BootTime) {
-    let now = shared.timer.now();
-    let allowances = &shared.allowances;
-    allowances.selector.borrow_mut().record_answer(side);
-    allowances.gateways.borrow_mut().record(reply.entries, now);
-    if let Some(read) = reply.confirmed {
-        shared.confirmations.note_told(read, boot_sent_at);
-        if Some(read.end) > shared.confirmations.known_to() {
-            shared.marks.hint(Topic::Operators, read.end);
-        }
-    }
-}
-
-/// Records that this gateway is attached to the pool at `side`.
-fn record_pool(shared: &Shared, side: SocketAddr, reply: &AllowanceReply) {
-    shared.allowances.own_share.take();
-    if shared.allowances.pool.replace(Some(side)) != Some(side) {
-        let pool = side.to_string();
-        let fields = [
-            field("pool", pool.as_str()),
-            field("gateways", reply.entries),
-        ];
-        shared.log.emit(&events::POOL_CHOSEN, &fields);
-    }
-}
-
 /// Keeps this gateway attached to the pool while the configuration limits accounts, and returns to a pool that
 /// answers again. Never returns.
 pub(crate) async fn stay_attached(shared: Rc<Shared>) {
@@ -271,11 +226,11 @@
         allowances.selector.borrow_mut().retain(&sides);
         let probe = allowances.selector.borrow().probe(&sides, now);
         if let Some(side) = probe {
-            call(&shared, side, CallKind::Probe).await;
+            call(&shared, side, None).await;
         } else if now.since(allowances.called_at.get()) >= ATTACH_INTERVAL {
             let side = allowances.selector.borrow().pick(&sides);
             if let Some(side) = side {
-                call(&shared, side, CallKind::Attach).await;
+                call(&shared, side, None).await;
             }
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -44,7 +44,7 @@
 pub use index::{CallerIx, LoraIx, PoolIx, UpstreamIx};
 pub use limits::{
     ATTACHED_TTL, Admission, AllowanceDecision, AllowancePool, AllowanceTerms, COUNT_TTL,
-    GatewayPeak, Lender, LimitChange, LimitSource, Loan, PoolSelector, RateLimits, Slot,
+    GatewayPeak, LimitChange, LimitSource, PoolSelector, RateLimits, Slot,
 };
 pub use load_order::{LoadOrder, LoadOrderOptions};
 pub use prompt::{
--- a/crates/policy/src/limits/mod.rs
+++ b/crates/policy/src/limits/mod.rs
@@ -7,7 +7,6 @@
 //! upstream is known or the upstream is removed.
 
 mod allowance;
-mod lender;
 mod pace;
 mod pool_selector;
 mod rate_limits;
@@ -15,7 +14,6 @@
 pub use allowance::{
     ATTACHED_TTL, AllowanceDecision, AllowancePool, AllowanceTerms, COUNT_TTL, GatewayPeak,
 };
-pub use lender::{Lender, Loan};
 pub use pace::Slot;
 pub use pool_selector::PoolSelector;
 pub use rate_limits::{Admission, LimitChange, LimitSource, RateLimits};
--- a/crates/types/src/message/allowance.rs
+++ b/crates/types/src/message/allowance.rs
@@ -13,15 +13,6 @@
     pub entry: VmId,
     /// Number of entries that the caller knows of.
     pub entries: u32,
-    /// Time for which another side may still count the caller's share, ms.
-    #[serde(default)]
-    pub lent_ms: u64,
-    /// Whether the caller brings its part of the start credit.
-    #[serde(default)]
-    pub has_credit: bool,
-    /// Whether the call only tests whether the side answers, and doesn't attach the entry to it.
-    #[serde(default)]
-    pub is_probe: bool,
     /// Age, ms, of the read in the reply at which the side reads the operators' records again; 0 for no read.
     pub max_age_ms: u64,
     /// Request for units, if any.
@@ -50,9 +41,6 @@
 pub struct AllowanceReply {
     /// Largest number of entries that were attached recently.
     pub entries: u32,
-    /// Whether the start credit of the call was accepted.
-    #[serde(default)]
-    pub took_credit: bool,
     /// Latest read of the operators' records by the side, if it has made one.
     pub confirmed: Option<EndRead>,
     /// Outcome of the ask, if the call had one.
