Relays tell when an outage of the list ended that they saw as well

Cause, by the log of the known red test: after an outage of 2 s the relay had read the list 0.1 s before a gateway. A read by another process after the start of its own outage counted for the gateway as a sign that the list had been available all the while, so the entry that had lapsed was removed at once; it returned under the same sequence and was refused. Changes handed on while the gateway's own way was down were applied without any recovery noted.

Change: the relay tells the end of the last outage that it saw; a gateway whose own outage overlaps takes that as the list's return. Up to 16 engines, without relays, a short outage that another gateway sees end first is still taken for a cut.

--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow.rs
@@ -70,8 +70,12 @@
 
 impl Outage {
     /// Returns the time since which the list has been available. If other processes have read it, this may be
-    /// long before the end of the outage for this process, or even before its start.
+    /// long before the end of the outage for this process, or even before its start. Reads of others don't show a
+    /// short outage, so a relay that saw one tells when it ended.
     fn list_recovery(self, marks: &Marks, now: Millis) -> Millis {
+        if let Some(at) = marks.relay_recovery(self.start) {
+            return at.min(self.end);
+        }
         let since = marks.list_available_since(self.start, now);
         since.map_or(self.end, |since| since.min(self.end))
     }
@@ -237,6 +241,11 @@
         });
         let newer = follower.skip_to(to.offset, records.collect());
         let now = self.timer.now();
+        if let (Topic::Upstreams, Some(start)) = (self.topic, self.down_since.get()) {
+            // The relay reads the list while this process can't.
+            let recovery = Outage { start, end: now }.list_recovery(self.marks, now);
+            self.catalog.borrow_mut().note_list_recovery(recovery);
+        }
         let is_news = self.apply_all(&newer, now);
         if self.topic == Topic::Upstreams {
             self.expire(now);
@@ -384,6 +393,9 @@
             ];
             self.log.emit(&events::STORE_BACK, &fields);
             self.last_outage.set(Some(Outage { start, end: now }));
+            if self.topic == Topic::Upstreams {
+                self.marks.note_recovery(now);
+            }
         }
         if let (Topic::Upstreams, Some(outage)) = (self.topic, self.last_outage.get()) {
             let recovery = outage.list_recovery(self.marks, now);
--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -46,6 +46,10 @@
     availability: Cell<Option<Availability>>,
     /// Latest era of the log announced by another process, and the time of the first announcement.
     announced_era: Cell<Option<(u64, Millis)>>,
+    /// End of the last outage of the list that this process saw.
+    recovered_at: Cell<Option<Millis>>,
+    /// The same, as seen by the relay.
+    relay_recovered_at: Cell<Option<Millis>>,
     /// Time of the last reply of a relay that follows the streams.
     relayed_at: Cell<Option<Millis>>,
     /// Longest interval between two reads of the list by any process.
@@ -235,6 +239,7 @@
         StreamsReply {
             operators_read: own_read(&self.operators),
             upstreams_read: own_read(&self.upstreams),
+            recovered_ms: self.recovered_at.get().map(|at| now.since(at).0),
             operators: self.operators.change_log.borrow().since(read_to.operators),
             upstreams: self.upstreams.change_log.borrow().since(read_to.upstreams),
         }
@@ -243,6 +248,8 @@
     /// Receives what a relay passes on in its reply to a call sent at `sent_at`, before the marks of the reply are merged.
     pub fn receive(&self, reply: StreamsReply, sent_at: Millis) {
         self.relayed_at.set(Some(sent_at));
+        let recovered_at = reply.recovered_ms.map(|ms| sent_at - Millis(ms));
+        self.relay_recovered_at.set(recovered_at);
         let topics = [
             (Topic::Operators, reply.operators, reply.operators_read),
             (Topic::Upstreams, reply.upstreams, reply.upstreams_read),
@@ -355,6 +362,17 @@
         !self.mark(topic).knows_all()
     }
 
+    /// Notes that an outage of the list ended for this process at `at`.
+    pub(crate) fn note_recovery(&self, at: Millis) {
+        self.recovered_at.set(Some(at));
+    }
+
+    /// Returns the end of an outage of the list that the relay saw as well, if it ended after `down_since`.
+    pub(crate) fn relay_recovery(&self, down_since: Millis) -> Option<Millis> {
+        let at = self.relay_recovered_at.get();
+        at.filter(|at| *at >= down_since)
+    }
+
     /// Returns the time since which the list has been available without a gap, if other processes have read
     /// it after `down_since`, when this process could not.
     pub(crate) fn list_available_since(&self, down_since: Millis, now: Millis) -> Option<Millis> {
--- a/crates/types/src/message/changes.rs
+++ b/crates/types/src/message/changes.rs
@@ -22,6 +22,9 @@
     pub operators_read: Option<EndRead>,
     /// Latest read of the list of upstreams, likewise.
     pub upstreams_read: Option<EndRead>,
+    /// Time since the list was available again after the last outage that the process saw, ms.
+    #[serde(default)]
+    pub recovered_ms: Option<u64>,
     /// Changes of the operators' records since the position in the call, if there are any.
     pub operators: Option<StreamChanges>,
     /// Changes of the list of upstreams, likewise.
