--- a/crates/agent/src/relay/mod.rs
+++ b/crates/agent/src/relay/mod.rs
@@ -8,6 +8,7 @@
 //! reads does not grow with the number of gateways.
 
 mod candidates;
+mod member;
 mod poll;
 mod state;
 mod streams;
--- a/crates/agent/src/relay/state.rs
+++ b/crates/agent/src/relay/state.rs
@@ -4,40 +4,21 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use pumicecleat_policy::{
-    EngineNeeds, EngineView, RelayPick, RelaySelector, members_digest, name_key,
-};
+use pumicecleat_policy::{RelayPick, RelaySelector, members_digest, name_key};
 use pumicecleat_types::{
     CachedAdapters, ChangeCursor, DataCentre, EngineFigures, FiguresReply, Member, Millis,
-    Reachability, ViewCall, ViewReply, ViewRow, Viewer, VmId,
+    ViewCall, ViewReply, Viewer, VmId,
 };
 
+use super::member::MemberState;
 use crate::gateways::RecentGateways;
 
 /// Time after its last call for which figures are collected for a caller: five intervals between its calls.
 const CALLER_TTL: Millis = Millis(1_000);
 
-/// Interval between exchanges with an agent of the same data centre. Together with the intervals of the queries
-/// between relays and of the gateways' calls, figures are at most half a second old when they reach a gateway,
-/// which is within the time for which they are relied on.
-const POLL_INTERVAL: Millis = Millis(100);
-
 /// Interval between queries to the relay of another data centre.
 const CENTRE_QUERY_INTERVAL: Millis = Millis(150);
 
-/// Time for which exchanges must fail before a VM is considered cut off. A single failure may be a lost packet.
-const CUT_OFF_DELAY: Millis = Millis(500);
-
-/// Age up to which figures are relied on.
-const MAX_FIGURES_AGE: Millis = Millis(700);
-
-/// Time after which a proposed request shows in the figures, or was sent elsewhere.
-const PROPOSAL_TTL: Millis = Millis(500);
-
-/// Time after the last result for an engine for which its row is included in views. After that, callers contact
-/// the engine's agent themselves.
-const ROW_TTL: Millis = Millis(1_000);
-
 /// A caller and the members that it requests.
 struct Caller {
     viewer: Viewer,
@@ -46,31 +27,6 @@
     last_call: Millis,
 }
 
-/// State of an engine.
-pub(super) struct MemberState {
-    member: Member,
-    figures: Option<(EngineFigures, Millis)>,
-    /// Requests for which the engine was proposed first, and which its figures may not include yet.
-    proposals: Vec<Proposal>,
-    cached_adapters: CachedAdapters,
-    /// Revision in which `cached_adapters` last changed.
-    cached_revision: u64,
-    reach: Reachability,
-    /// Time of the first failed exchange since the last successful one.
-    failing_since: Option<Millis>,
-    /// Time of the last result, successful or not.
-    last_result_at: Option<Millis>,
-    last_poll: Option<Millis>,
-    poll_pending: bool,
-}
-
-/// A request for which an engine was proposed first.
-struct Proposal {
-    at: Millis,
-    tokens: u32,
-    needs_slot: bool,
-}
-
 /// State of the exchange with another data centre.
 #[derive(Default)]
 struct CentreState {
@@ -253,14 +209,8 @@
         for state in self.members.values_mut() {
             let is_polled =
                 state.member.centre == self.own_centre && state.member.side != self.own_address;
-            let interval_over = state
-                .last_poll
-                .is_none_or(|at| now.since(at) >= POLL_INTERVAL);
-            if is_polled && interval_over && !state.poll_pending {
-                state.poll_pending = true;
-                state.last_poll = Some(now);
-                due.agents
-                    .push((state.member.clone(), state.cached_adapters.digest));
+            if is_polled && let Some(known_digest) = state.start_poll(now) {
+                due.agents.push((state.member.clone(), known_digest));
             }
         }
         if self.serves_gateways(now) {
@@ -349,38 +299,14 @@
         now: Millis,
     ) -> Option<Millis> {
         let state = self.members.get_mut(instance)?;
-        state.poll_pending = false;
-        state.last_result_at = Some(now);
-        let failing_since = state.failing_since.take();
-        if reply.figures.instance != instance {
-            // An agent that does not know the instance of its engine yet grants no turns.
-            state.reach = Reachability::Replaced;
-            return failing_since;
-        }
-        state.reach = Reachability::Reachable;
-        state.figures = Some((reply.figures, sent_at));
-        if let Some(kept) = reply.cached_adapters {
-            state.set_cached_adapters(kept, &mut self.revision);
-        }
-        failing_since
+        state.record_reply(reply, (sent_at, now), &mut self.revision)
     }
 
     /// Records that an agent did not answer, `refused` if its VM refused the connection. Returns whether this is the
     /// first failure since the last reply.
     pub(super) fn record_failure(&mut self, instance: &str, refused: bool, now: Millis) -> bool {
-        let Some(state) = self.members.get_mut(instance) else {
-            return false;
-        };
-        let is_first = state.failing_since.is_none();
-        state.poll_pending = false;
-        state.last_result_at = Some(now);
-        let failing_since = *state.failing_since.get_or_insert(now);
-        if refused {
-            state.reach = Reachability::Reachable;
-        } else if now.since(failing_since) >= CUT_OFF_DELAY {
-            state.reach = Reachability::Unreachable;
-        }
-        is_first
+        let state = self.members.get_mut(instance);
+        state.is_some_and(|state| state.record_failure(refused, now))
     }
 
     /// Records the reply of another data centre's relay to a query started at `sent_at`.
@@ -398,17 +324,8 @@
             .relays
             .record_reply(query.pick.key, query.digest, &reply);
         for view_row in reply.rows {
-            let Some(state) = self.members.get_mut(&view_row.instance) else {
-                continue;
-            };
-            state.last_result_at = Some(now);
-            state.reach = view_row.reach;
-            if let Some(figures) = view_row.figures {
-                // The age counts from the start of the query, so that it is never underestimated.
-                state.figures = Some((figures, sent_at - Millis(view_row.age_ms)));
-            }
-            if let Some(kept) = view_row.cached_adapters {
-                state.set_cached_adapters(kept, &mut self.revision);
+            if let Some(state) = self.members.get_mut(&view_row.instance) {
+                state.record_row(view_row, (sent_at, now), &mut self.revision);
             }
         }
     }
@@ -422,101 +339,3 @@
         centre.relays.record_failure(query.pick.key, now);
     }
 }
-
-impl MemberState {
-    fn new(member: Member) -> Self {
-        Self {
-            member,
-            figures: None,
-            proposals: Vec::new(),
-            cached_adapters: CachedAdapters::default(),
-            cached_revision: 0,
-            reach: Reachability::Reachable,
-            failing_since: None,
-            last_result_at: None,
-            last_poll: None,
-            poll_pending: false,
-        }
-    }
-
-    /// View of the engine for a request; `None` if it can't serve requests now.
-    pub(super) fn view(
-        &mut self,
-        needs: &EngineNeeds<'_>,
-        own_centre: &DataCentre,
-        now: Millis,
-    ) -> Option<EngineView> {
-        let figures = self.figures.as_ref();
-        let measured_at = figures.map_or(Millis(0), |f| f.1);
-        let is_stale = now.since(measured_at) > MAX_FIGURES_AGE;
-        let is_down = !is_stale && figures.is_some_and(|f| f.0.ready_ms.is_none());
-        if self.reach != Reachability::Reachable || is_down {
-            return None;
-        }
-        self.proposals
-            .retain(|p| p.at > measured_at && now.since(p.at) < PROPOSAL_TTL);
-        let proposed_tokens: u64 = self.proposals.iter().map(|p| u64::from(p.tokens)).sum();
-        let proposed_slots = self.proposals.iter().filter(|p| p.needs_slot).count();
-        let proposed_slots = u32::try_from(proposed_slots).unwrap_or(u32::MAX);
-        let figures = figures.map(|f| &f.0);
-        let view = needs.view(&self.member.instance, figures, &self.cached_adapters.names);
-        Some(EngineView {
-            available_slots: view.available_slots.saturating_sub(proposed_slots),
-            unread_tokens: view.unread_tokens + proposed_tokens,
-            stale: is_stale,
-            remote: self.member.centre != *own_centre,
-            ..view
-        })
-    }
-
-    /// Records that the engine was proposed first for a request.
-    pub(super) fn record_proposal(&mut self, view: &EngineView, now: Millis) {
-        self.proposals.push(Proposal {
-            at: now,
-            tokens: view.prompt_tokens,
-            needs_slot: view.adapter_state.needs_slot(),
-        });
-    }
-
-    /// Row for a gateway that wants to know whether the engine's host caches `adapter`.
-    pub(super) fn to_candidate(&self, adapter: Option<&str>, now: Millis) -> ViewRow {
-        let as_of = self.figures.as_ref().map_or(now, |f| f.1);
-        let cached = &self.cached_adapters.names;
-        let names = cached.iter().filter(|n| adapter == Some(n.as_str()));
-        ViewRow {
-            instance: self.member.instance.clone(),
-            reach: self.reach,
-            age_ms: now.since(as_of).0,
-            figures: self.figures.as_ref().map(|f| f.0.clone()),
-            cached_adapters: Some(CachedAdapters {
-                digest: 0,
-                names: names.cloned().collect(),
-            }),
-        }
-    }
-
-    fn set_cached_adapters(&mut self, adapters: CachedAdapters, revision: &mut ChangeCursor) {
-        if adapters.digest == self.cached_adapters.digest {
-            return;
-        }
-        revision.count += 1;
-        self.cached_revision = revision.count;
-        self.cached_adapters = adapters;
-    }
-
-    /// Returns the row for a caller that has all changes up to `since`, or `None` without a recent result.
-    fn to_row(&self, since: u64, now: Millis) -> Option<ViewRow> {
-        let last_result_at = self.last_result_at?;
-        if now.since(last_result_at) >= ROW_TTL {
-            return None;
-        }
-        let as_of = self.figures.as_ref().map_or(now, |f| f.1);
-        Some(ViewRow {
-            instance: self.member.instance.clone(),
-            reach: self.reach,
-            age_ms: now.since(as_of).0,
-            figures: self.figures.as_ref().map(|f| f.0.clone()),
-            cached_adapters: (self.cached_revision > since).then(|| self.cached_adapters.clone()),
-        })
-    }
-}
