--- a/crates/catalog/src/follow.rs
+++ b/crates/catalog/src/follow/mod.rs
@@ -1,5 +1,9 @@
 //! Keeps a catalog up to date, with one follower for each topic.
 
+mod apply;
+mod outage;
+mod settings;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
@@ -11,11 +15,11 @@
 use pumicecleat_ops::{Log, events, field};
 use pumicecleat_types::{Millis, Position, StreamChanges};
 
-use crate::follow_settings::FollowSettings;
 use crate::marks::Hint;
 use crate::read_schedule::{max_read_age, staggered_wait};
-use crate::report::report_applied;
-use crate::{Applied, Catalog, Change, Confirmations, Marks, RecordDecoder, Topic, UnreadableKeys};
+use crate::{Applied, Catalog, Confirmations, Marks, RecordDecoder, Topic, UnreadableKeys};
+use outage::Outage;
+pub use settings::{FollowSettings, FollowSpans};
 
 /// Catalog shared by the components of a process.
 pub type SharedCatalog = Rc<RefCell<Catalog>>;
@@ -61,26 +65,6 @@
     unreadable: RefCell<UnreadableKeys>,
 }
 
-/// Time during which this process got no answer from the log.
-#[derive(Clone, Copy)]
-struct Outage {
-    start: Millis,
-    end: Millis,
-}
-
-impl Outage {
-    /// Returns the time since which the list has been available. If other processes have read it, this may be
-    /// long before the end of the outage for this process, or even before its start. Reads of others don't show a
-    /// short outage, so a relay that saw one tells when it ended.
-    fn list_recovery(self, marks: &Marks, now: Millis) -> Millis {
-        if let Some(at) = marks.relay_recovery(self.start) {
-            return at.min(self.end);
-        }
-        let since = marks.list_available_since(self.start, now);
-        since.map_or(self.end, |since| since.min(self.end))
-    }
-}
-
 /// Shared state and services used by a follower.
 #[derive(Clone)]
 pub struct FollowContext {
@@ -310,164 +294,4 @@
         self.marks
             .note_own_read(self.topic, position, read_start.at);
     }
-
-    /// Applies an event. Returns whether it changed the catalog.
-    fn apply_event(&self, event: KeyedEvent) -> bool {
-        let now = self.timer.now();
-        match event {
-            KeyedEvent::State(records) => {
-                self.end_outage(now);
-                self.apply_state(&records, now)
-            }
-            KeyedEvent::Changes(records) => {
-                self.end_outage(now);
-                let changed = self.apply_all(&records, now);
-                self.expire(now);
-                changed
-            }
-            KeyedEvent::CaughtUp => {
-                self.end_outage(now);
-                false
-            }
-            KeyedEvent::Era { before, now: era } => {
-                self.handle_store_renewal(before, era);
-                false
-            }
-            KeyedEvent::Unanswered => {
-                let fields = [field("stream", self.decoder.stream(self.topic))];
-                self.log.emit(&events::READ_UNANSWERED, &fields);
-                self.marks.suspect_connection(self.topic);
-                false
-            }
-            KeyedEvent::StateMissing { waited } => {
-                let fields = [
-                    field("stream", self.decoder.stream(self.topic)),
-                    field("waited_ms", waited.0),
-                ];
-                self.log.emit(&events::STATE_MISSING, &fields);
-                false
-            }
-            KeyedEvent::Outage { detail } => {
-                let fields = [
-                    field("stream", self.decoder.stream(self.topic)),
-                    field("error", detail.as_str()),
-                ];
-                self.log.emit(&events::STORE_LOST, &fields);
-                if self.down_since.get().is_none() {
-                    self.down_since.set(Some(now));
-                }
-                self.marks.suspect_connection(self.topic);
-                false
-            }
-        }
-    }
-
-    /// Handles a log restored from an older copy. Upstreams missing from the copy are kept until they have
-    /// written their entries again or had enough time to do so.
-    fn handle_store_renewal(&self, before: Position, era: u64) {
-        let fields = [
-            field("stream", self.decoder.stream(self.topic)),
-            field("era_before", before.era),
-            field("offset_before", before.offset),
-            field("era", era),
-        ];
-        self.log.emit(&events::STORE_RENEWED, &fields);
-        let start = self.marks.era_start(era, self.timer.now());
-        self.catalog.borrow_mut().note_store_renewal(start);
-        self.listener.on_store_renewed();
-    }
-
-    /// Removes upstreams that the records just read prove to be gone, before any request is sent to them.
-    fn expire(&self, now: Millis) {
-        let removed = self.catalog.borrow_mut().expire(now);
-        for applied in &removed {
-            self.report(applied);
-        }
-    }
-
-    fn end_outage(&self, now: Millis) {
-        if let Some(start) = self.down_since.take() {
-            let fields = [
-                field("stream", self.decoder.stream(self.topic)),
-                field("down_ms", now.since(start).0),
-            ];
-            self.log.emit(&events::STORE_BACK, &fields);
-            self.last_outage.set(Some(Outage { start, end: now }));
-            if self.topic == Topic::Upstreams {
-                self.marks.note_recovery(now);
-            }
-        }
-        if let (Topic::Upstreams, Some(outage)) = (self.topic, self.last_outage.get()) {
-            let recovery = outage.list_recovery(self.marks, now);
-            self.catalog.borrow_mut().note_list_recovery(recovery);
-        }
-    }
-
-    /// Applies the complete state of the stream.
-    fn apply_state(&self, records: &[KeyedRecord], now: Millis) -> bool {
-        let fields = [
-            field("stream", self.decoder.stream(self.topic)),
-            field("records", records.len()),
-        ];
-        self.log.emit(&events::STORE_READ, &fields);
-        if self.topic == Topic::Operators {
-            return self.apply_all(records, now);
-        }
-        let mut list = Vec::new();
-        let mut changed = false;
-        for record in records {
-            match self.decode(record) {
-                Some(Change::Upstream(upstream)) => list.push(upstream),
-                Some(unusable @ Change::Unusable { .. }) => {
-                    changed |= self.apply_change(unusable, now);
-                }
-                _ => {}
-            }
-        }
-        let applied = self.catalog.borrow_mut().replace(list, now);
-        for applied in &applied {
-            changed |= self.report(applied);
-        }
-        changed
-    }
-
-    fn apply_all(&self, records: &[KeyedRecord], now: Millis) -> bool {
-        let mut changed = false;
-        for record in records {
-            changed |= self.apply(record, now);
-        }
-        changed
-    }
-
-    fn apply(&self, record: &KeyedRecord, now: Millis) -> bool {
-        let change = self.decode(record);
-        let changed = change.is_some_and(|c| self.apply_change(c, now));
-        if changed {
-            self.changed.borrow_mut().push(record.clone());
-        }
-        changed
-    }
-
-    fn apply_change(&self, change: Change, now: Millis) -> bool {
-        let applied = self.catalog.borrow_mut().apply(change, now);
-        self.report(&applied)
-    }
-
-    fn decode(&self, record: &KeyedRecord) -> Option<Change> {
-        match self.decoder.decode(self.topic, record) {
-            Ok(change) => {
-                self.unreadable.borrow_mut().clear(&record.key);
-                Some(change)
-            }
-            Err(e) => {
-                self.unreadable.borrow_mut().log_once(&e, self.log);
-                let instance = record.key.clone();
-                (self.topic == Topic::Upstreams).then_some(Change::Unusable { instance })
-            }
-        }
-    }
-
-    fn report(&self, applied: &Applied) -> bool {
-        report_applied(applied, self.listener, self.log)
-    }
 }
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -28,10 +28,10 @@
 mod confirmations;
 mod expire;
 mod follow;
-mod follow_settings;
 mod lapsed;
 mod layout;
 mod leave;
+mod mark;
 mod marks;
 mod newest_entries;
 mod read_schedule;
@@ -46,8 +46,9 @@
 pub use confirm::{ConfirmSettings, confirm_layout, read_end};
 pub use confirmations::Confirmations;
 pub use expire::expire_lapsed;
-pub use follow::{CatalogListener, FollowContext, SharedCatalog, follow};
-pub use follow_settings::{FollowSettings, FollowSpans};
+pub use follow::{
+    CatalogListener, FollowContext, FollowSettings, FollowSpans, SharedCatalog, follow,
+};
 pub use layout::{BaseModel, Engine, Layout, Limits, RetryMode, Route, Service, WeightedService};
 pub use leave::{CONNECT_TIMEOUT, LeaveBudget};
 pub use marks::Marks;
--- a/crates/catalog/src/marks.rs
+++ b/crates/catalog/src/marks.rs
@@ -13,10 +13,9 @@
 //! Where a relay follows the streams, processes also receive the changed records from it. They read the log
 //! themselves only once what the relay knows is too old.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender};
 use futures_util::future::{Either, select};
 use pumicecleat_infra::{KeyedRecord, as_millis};
 use pumicecleat_net::Timer;
@@ -26,8 +25,8 @@
 
 use crate::Topic;
 use crate::availability::Availability;
-use crate::change_log::ChangeLog;
 use crate::complete_read::CompleteRead;
+use crate::mark::Mark;
 
 /// Time after the last reply of a relay that follows the streams for which its changes are waited for. Five views.
 const RELAYED_TTL: Millis = Millis(1_000);
@@ -56,30 +55,6 @@
     max_read_interval: Millis,
 }
 
-#[derive(Debug)]
-struct Mark {
-    position: Cell<Position>,
-    /// Position up to which this process has read the stream, or has received its changes.
-    read_position: Cell<Position>,
-    /// Latest complete read of the stream by any process, if this process knows all changes up to its end.
-    trusted_read: Cell<Option<CompleteRead>>,
-    /// Latest complete read by this process.
-    own_read: Cell<Option<CompleteRead>>,
-    /// Latest complete read that its reader told, or by this process.
-    exact_read: Cell<Option<CompleteRead>>,
-    /// Latest complete read by another process that does not count yet, as this process has not read up to its end.
-    untrusted_read: Cell<Option<CompleteRead>>,
-    /// Changes up to `read_position`, for other processes.
-    change_log: RefCell<ChangeLog>,
-    /// Changes received from a relay and not applied yet.
-    received: RefCell<Vec<StreamChanges>>,
-    /// A read in progress may be waiting on a silent connection.
-    connection_suspect: Cell<bool>,
-    /// Holds a token while there may be unread records.
-    sender: Sender<()>,
-    receiver: Receiver<()>,
-}
-
 /// Reason to abandon a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Hint {
@@ -89,91 +64,6 @@
     SilentConnection,
 }
 
-impl Default for Mark {
-    fn default() -> Self {
-        let (sender, receiver) = async_channel::bounded(1);
-        Self {
-            position: Cell::default(),
-            read_position: Cell::default(),
-            trusted_read: Cell::default(),
-            own_read: Cell::default(),
-            exact_read: Cell::default(),
-            untrusted_read: Cell::default(),
-            change_log: RefCell::default(),
-            received: RefCell::default(),
-            connection_suspect: Cell::new(false),
-            sender,
-            receiver,
-        }
-    }
-}
-
-impl Mark {
-    fn notify(&self) {
-        // A full channel already holds a token.
-        let _ = self.sender.try_send(());
-    }
-
-    /// Returns whether `position` is beyond the mark.
-    fn advance(&self, position: Position) -> bool {
-        let more = position > self.position.get();
-        if more {
-            self.position.set(position);
-        }
-        more
-    }
-
-    fn knows_all(&self) -> bool {
-        self.position.get() <= self.read_position.get()
-    }
-
-    /// Whether this process follows the stream.
-    fn is_followed(&self) -> bool {
-        self.read_position.get() > Position::default()
-    }
-
-    fn note_own_read(&self, read: CompleteRead) {
-        self.read_position.set(read.end);
-        self.own_read.set(Some(read));
-        self.exact_read.set(Some(read));
-        let is_later = |known: CompleteRead| known.end > read.end;
-        if self.knows_all() && !self.trusted_read.get().is_some_and(is_later) {
-            self.trusted_read.set(Some(read));
-        }
-    }
-
-    /// Notes a complete read that its reader itself tells, which is as old as it says. Returns whether it counts: this
-    /// process has to know all changes up to its end.
-    fn note_told_read(&self, read: CompleteRead) -> bool {
-        if !self.knows_all() || self.read_position.get() < read.end {
-            self.untrusted_read.set(Some(read));
-            return false;
-        }
-        let is_newer = |known: CompleteRead| known.as_of < read.as_of;
-        if self.trusted_read.get().is_none_or(is_newer) {
-            self.trusted_read.set(Some(read));
-            self.exact_read.set(Some(read));
-        }
-        true
-    }
-
-    /// Notes a complete read by another process; returns whether it counts for this process, which then knows all
-    /// changes up to its end. A process that does not follow the stream only passes the read on.
-    fn note_read_by_other(&self, read: CompleteRead) -> bool {
-        if self.is_followed() && !self.knows_all() {
-            self.untrusted_read.set(Some(read));
-            return false;
-        }
-        let known = self.trusted_read.get();
-        let latest = known.map_or(read, |known| known.merge(read));
-        // Passed-on reads are told apart by their ends only, and look older than they are while the end is the same.
-        let exact = self.exact_read.get();
-        let exact = exact.filter(|exact| exact.end == latest.end && exact.as_of > latest.as_of);
-        self.trusted_read.set(exact.or(Some(latest)));
-        self.is_followed()
-    }
-}
-
 impl Marks {
     /// Creates the marks of a process in a deployment whose processes read the list at intervals of at most
     /// `max_read_interval`.
@@ -348,11 +238,7 @@
     /// Notes that this process has received all changes of `topic` up to `end`. Reads by other processes up to there
     /// count from now on.
     pub(crate) fn note_received(&self, topic: Topic, end: Position) {
-        let mark = self.mark(topic);
-        mark.read_position.set(end);
-        let read = mark.untrusted_read.get().filter(|read| read.end <= end);
-        if let (Some(read), true) = (read, mark.knows_all()) {
-            mark.untrusted_read.set(None);
+        if let Some(read) = self.mark(topic).note_received(end) {
             self.note_told_read(topic, read);
         }
     }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! Handling of one request, from routing to response.
 
 mod authenticate;
+mod choose;
 mod fingerprint;
 mod forward;
 mod hop_headers;
@@ -11,6 +12,7 @@
 mod refuse;
 mod resume;
 mod send;
+mod shortlist;
 mod trace;
 
 use std::future::Future;
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -2,21 +2,20 @@
 
 use std::time::Duration;
 
-use pumicecleat_catalog::{Catalog, RetryMode, Upstream};
+use pumicecleat_catalog::{RetryMode, Upstream};
 use pumicecleat_net::{Reply, Response};
-use pumicecleat_policy::{
-    AdapterState, Admission, EngineChoice, EngineNeeds, EngineView, TurnSearch,
-};
-use pumicecleat_types::{CandidatesCall, Millis, Turn, TurnAsk, TurnRefusal};
+use pumicecleat_policy::{AdapterState, Admission, TurnSearch};
+use pumicecleat_types::{Millis, Turn, TurnAsk, TurnRefusal};
 
+use super::choose::{adapter_version, choose_engine};
 use super::forward::forward;
 use super::job::Job;
 use super::refuse::{LIMITED, RESTING, Refusal, outcome_unknown};
 use super::resume;
 use super::send::{AttemptOutcome, MIN_TIME_LEFT_MS};
+use super::shortlist::Shortlist;
 use crate::RetryAfter;
 use crate::agents::{self, AgentLost};
-use crate::candidates::fetch_candidates;
 use crate::table::InFlight;
 
 /// Wait for the first event after which callers disconnect, in objectives. They wait at least
@@ -33,10 +32,6 @@
 /// Interval between checks for an available engine.
 const ENGINE_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Time for which a request that waits for an engine relies on proposals. A relay that proposed none knows of others by
-/// then.
-const SHORTLIST_TTL: Millis = Millis(200);
-
 /// Retry time returned if no engine gave one.
 const DEFAULT_RETRY_AFTER: Millis = Millis(500);
 
@@ -108,7 +103,9 @@
             return Err("deadline");
         }
         progress.shortlist.refresh(job, &progress.search).await;
-        let Some((upstream, adapter_state)) = choose_engine(job, progress) else {
+        let Some((upstream, adapter_state)) =
+            choose_engine(job, &progress.search, &progress.shortlist)
+        else {
             if let Some(backoff) = job.min_backoff() {
                 progress.set_backoff(backoff);
                 return Err(RESTING);
@@ -162,54 +159,6 @@
     job.trace.age() < max_wait && listed.iter().any(|u| !search.is_excluded(&u.instance))
 }
 
-/// Engines proposed by a relay, to which the search is limited.
-#[derive(Default)]
-struct Shortlist {
-    /// `None` if no relay proposed any: all engines are candidates.
-    instances: Option<Vec<String>>,
-    fetched_at: Option<Millis>,
-}
-
-impl Shortlist {
-    /// Asks for proposals if there are none yet.
-    async fn refresh(&mut self, job: &Job, search: &TurnSearch) {
-        if self.fetched_at.is_some() || job.shared.relay.get().is_none() {
-            return;
-        }
-        let now = job.shared.timer.now();
-        let mut without = job.shared.table.unsuitable(now);
-        without.extend(search.excluded().map(str::to_owned));
-        without.extend(job.tried_instances.iter().cloned());
-        let model = job.attributes.model.as_ref();
-        let call = CandidatesCall {
-            service: job.service.clone(),
-            adapter: model.and_then(|m| m.adapter.clone()),
-            min_version: adapter_version(job).unwrap_or_default(),
-            prompt_tokens: job.attributes.prompt_tokens,
-            without,
-        };
-        self.instances = fetch_candidates(&job.shared, &call).await;
-        self.fetched_at = Some(now);
-    }
-
-    /// Discards proposals that are too old.
-    fn expire(&mut self, now: Millis) {
-        let is_old = |at: Millis| now.since(at) >= SHORTLIST_TTL;
-        if self.fetched_at.is_some_and(is_old) {
-            self.clear();
-        }
-    }
-
-    fn clear(&mut self) {
-        *self = Self::default();
-    }
-
-    fn contains(&self, instance: &str) -> bool {
-        let instances = self.instances.as_ref();
-        instances.is_none_or(|all| all.iter().any(|i| i == instance))
-    }
-}
-
 /// Progress of a request.
 #[derive(Default)]
 pub(super) struct Progress {
@@ -284,18 +233,6 @@
     turn
 }
 
-/// Latest declared version of the requested adapter, if any.
-fn adapter_version(job: &Job) -> Option<u64> {
-    adapter_version_in(job, &job.shared.catalog.borrow())
-}
-
-fn adapter_version_in(job: &Job, catalog: &Catalog) -> Option<u64> {
-    let model = job.attributes.model.as_ref()?;
-    let adapter = model.adapter.as_ref()?;
-    let name = format!("{}/{adapter}", model.base);
-    catalog.version(&name)
-}
-
 /// Time for which the caller still waits for the next event.
 fn patience(job: &Job) -> Millis {
     let max_wait = Millis(job.route.objective_ms * PATIENCE_OBJECTIVES);
@@ -303,85 +240,6 @@
     max_wait.since(job.waited()).min(job.time_left())
 }
 
-fn choose_engine(job: &Job, progress: &Progress) -> Option<(Upstream, AdapterState)> {
-    let now = job.shared.timer.now();
-    let catalog = job.shared.catalog.borrow();
-    let is_candidate = |u: &&Upstream| {
-        progress.shortlist.contains(&u.instance) && progress.search.is_candidate(&u.instance)
-    };
-    let is_reachable = |u: &&Upstream| {
-        job.shared
-            .table
-            .with(&u.instance, |r| !r.is_unavailable(now))
-    };
-    let candidates = job
-        .candidates_in(&catalog)
-        .filter(is_candidate)
-        .filter(is_reachable);
-    let candidates = without_exhausted(job, candidates.collect(), now);
-    let min_version = adapter_version_in(job, &catalog).unwrap_or_default();
-    let model = job.attributes.model.as_ref();
-    let adapter = model.and_then(|m| m.adapter.as_deref());
-    let views: Vec<EngineView> = candidates
-        .iter()
-        .map(|u| engine_view(job, u, adapter, min_version, now))
-        .collect();
-    let name = adapter.unwrap_or_default();
-    let choice = EngineChoice::new(pumicecleat_policy::name_key(name));
-    let index = choice.pick(&views)?;
-    Some((candidates[index].clone(), views[index].adapter_state))
-}
-
-/// Excludes candidates whose agent is known to have no free slot under the rate limit, unless that excludes
-/// all of them. A rate-limited engine receives few requests and therefore looks idle, so it would be
-/// preferred to a busier engine that can serve the request after a wait.
-fn without_exhausted<'a>(
-    job: &Job,
-    candidates: Vec<&'a Upstream>,
-    now: Millis,
-) -> Vec<&'a Upstream> {
-    let limits = job.shared.limits.borrow();
-    let has_slot = |u: &&Upstream| !limits.is_exhausted(&u.instance, now);
-    if !candidates.iter().any(has_slot) {
-        return candidates;
-    }
-    candidates.into_iter().filter(has_slot).collect()
-}
-
-/// State of an engine for a request that needs its adapter at `min_version` or newer.
-fn engine_view(
-    job: &Job,
-    upstream: &Upstream,
-    adapter: Option<&str>,
-    min_version: u64,
-    now: Millis,
-) -> EngineView {
-    let needs = EngineNeeds {
-        adapter,
-        min_version,
-        prompt_tokens: job.attributes.prompt_tokens,
-    };
-    job.shared.table.with(&upstream.instance, |r| {
-        let pending_tokens: u64 = r.unreported_asks.iter().map(|a| u64::from(a.tokens)).sum();
-        let reserved_slots = r.unreported_asks.iter().filter(|a| a.needs_slot).count();
-        let reserved_slots = u32::try_from(reserved_slots).unwrap_or(u32::MAX);
-        let figures = r.figures.as_ref().map(|f| &f.0);
-        let view = needs.view(&upstream.instance, figures, &r.kept_adapters.names);
-        EngineView {
-            available_slots: view.available_slots.saturating_sub(reserved_slots),
-            unread_tokens: view.unread_tokens + pending_tokens,
-            stale: r.fresh_figures(now).is_none(),
-            remote: upstream.centre != job.shared.centre,
-            failure_penalty_ms: if r.stats.has_recent_failure(now) {
-                2_000
-            } else {
-                0
-            },
-            ..view
-        }
-    })
-}
-
 async fn attempt(job: &mut Job, turn: &GrantedTurn, progress: &mut Progress) -> AttemptResult {
     let instance = turn.upstream.instance.clone();
     let in_flight = job.shared.table.track(&instance, Some(job.id()));
