Repeats: tell each one with its cause, and when their limit stops them

What was missing: the log told that a request may be sent again, not that it was, nor what its gateway had counted and into how many parts the slack was divided. So a count that ends with its process, a wrong number of gateways, requests that move between gateways and sends that nobody counts looked the same.

E7127 tells each send beyond the first with its cause and the limit then in force, E7128 and E7129 when the limit begins and ends to stop them, E7130 the number of gateways. Counters by cause, a gauge of the gateways. No decision is changed.

--- a/crates/gateway/src/agents.rs
+++ b/crates/gateway/src/agents.rs
@@ -255,10 +255,7 @@
         shared.log.emit(&events::SIDE_BACK, &fields);
     }
     shared.marks.merge(&reply.marks, now);
-    shared
-        .gateway_count
-        .borrow_mut()
-        .record_report(reply.entries, now);
+    shared.record_gateways(reply.entries, now);
     let instance = &reply.figures.instance;
     let is_expected = *instance == upstream.instance;
     shared.table.with(&upstream.instance, |r| {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod headers;
 mod meters;
 mod readiness;
+mod repeats;
 mod request;
 mod revoke;
 mod self_reports;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -22,6 +22,13 @@
     pub(crate) service: String,
 }
 
+/// Labels of metrics by service and cause.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CauseLabels {
+    pub(crate) service: String,
+    pub(crate) cause: &'static str,
+}
+
 /// Labels of metrics by upstream instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct InstanceLabels {
@@ -50,7 +57,10 @@
 pub(crate) struct Meters {
     suspects: Family<SuspectLabels, Counter>,
     pub(crate) requests: Family<OutcomeLabels, Counter>,
-    pub(crate) repeats: Family<ServiceLabels, Counter>,
+    pub(crate) repeats: Family<CauseLabels, Counter>,
+    pub(crate) stopped_repeats: Family<CauseLabels, Counter>,
+    /// Number of gateways, as agents report it.
+    pub(crate) gateways: Gauge,
     pub(crate) first_byte: Histograms<ServiceLabels>,
     pub(crate) turn_wait: Histogram,
     /// In milliseconds.
@@ -75,7 +85,15 @@
                 "Ends of upstreams under requests, and what followed for these",
             ),
             requests: metrics.counters("requests", "Requests, by service and outcome"),
-            repeats: metrics.counters("repeats", "Sends beyond the first, by service"),
+            repeats: metrics.counters("repeats", "Sends beyond the first, by service and cause"),
+            stopped_repeats: metrics.counters(
+                "stopped_repeats",
+                "Sends beyond the first that their limit stopped, by service and cause",
+            ),
+            gateways: metrics.gauge(
+                "gateways",
+                "Gateways that share limits, as agents report them; 1 before the first report",
+            ),
             first_byte: metrics.histograms(
                 "first_byte_seconds",
                 "Time to the first byte of an answer",
--- /dev/null
+++ b/crates/gateway/src/repeats.rs
@@ -0,0 +1,201 @@
+//! Sends of requests beyond the first: counts them by cause, and keeps them within their limit.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pumicecleat_ops::{events, field};
+use pumicecleat_policy::{RepeatOptions, RepeatWindow};
+use pumicecleat_types::{Millis, ServiceId};
+
+use crate::meters::CauseLabels;
+use crate::shared::Shared;
+
+/// Interval between checks for services whose repeats are no longer stopped.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time without a stopped repeat after which a service is within its limit again.
+const KEPT_TIME: Millis = Millis(5_000);
+
+/// Why a request is sent again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum RepeatCause {
+    /// The upstream reported that it did not execute the request.
+    Refused,
+    /// The upstream responded with a failure.
+    Failed,
+    /// No complete response arrived.
+    #[default]
+    Lost,
+    /// The connection could not be opened.
+    NotSent,
+    /// The stream broke after its first event.
+    Resumed,
+}
+
+impl RepeatCause {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Failed => "failed",
+            Self::Lost => "lost",
+            Self::NotSent => "not_sent",
+            Self::Resumed => "resumed",
+        }
+    }
+}
+
+/// Repeats of each service.
+pub(crate) struct Repeats {
+    options: RepeatOptions,
+    services: RefCell<BTreeMap<ServiceId, ServiceRepeats>>,
+}
+
+struct ServiceRepeats {
+    window: RepeatWindow,
+    stop: Option<Stop>,
+}
+
+/// Repeats that the limit stopped since it was reached.
+struct Stop {
+    since: Millis,
+    last: Millis,
+    count: u64,
+}
+
+impl Repeats {
+    /// `options` holds the slack of all gateways together.
+    pub(crate) fn new(options: RepeatOptions) -> Self {
+        Self {
+            options,
+            services: RefCell::default(),
+        }
+    }
+
+    /// Counts the first send of a request to `service`.
+    pub(crate) fn record_request(&self, shared: &Shared, service: &ServiceId) {
+        let now = shared.timer.now();
+        self.with_service(shared, service, |s| s.window.record_request(now));
+    }
+
+    /// Counts a repeated send of `request` to `service`, if the limit allows one; returns whether it does.
+    pub(crate) fn try_repeat(
+        &self,
+        shared: &Shared,
+        service: &ServiceId,
+        request: &str,
+        cause: RepeatCause,
+    ) -> bool {
+        let now = shared.timer.now();
+        self.with_service(shared, service, |s| {
+            let is_allowed = s.window.try_repeat(now);
+            let meters = &shared.meters;
+            let counters = if is_allowed {
+                &meters.repeats
+            } else {
+                &meters.stopped_repeats
+            };
+            let labels = CauseLabels {
+                service: service.to_string(),
+                cause: cause.as_str(),
+            };
+            counters.get_or_create(&labels).inc();
+            if is_allowed {
+                log_repeat(shared, service, request, cause, &s.window);
+            } else {
+                s.record_stop(shared, service, now);
+            }
+            is_allowed
+        })
+    }
+
+    fn with_service<T>(
+        &self,
+        shared: &Shared,
+        service: &ServiceId,
+        f: impl FnOnce(&mut ServiceRepeats) -> T,
+    ) -> T {
+        let parts = shared.gateway_count.borrow().slack_shares();
+        let options = RepeatOptions {
+            slack: self.options.slack / f64::from(parts),
+            ..self.options
+        };
+        let mut services = self.services.borrow_mut();
+        let state = services
+            .entry(service.clone())
+            .or_insert_with(|| ServiceRepeats {
+                window: RepeatWindow::new_ext(options),
+                stop: None,
+            });
+        state.window.set_options(options);
+        f(state)
+    }
+
+    /// Logs the services whose repeats are within their limit again.
+    fn expire_stops(&self, shared: &Shared) {
+        let now = shared.timer.now();
+        for (service, state) in self.services.borrow_mut().iter_mut() {
+            let ended = state.stop.take_if(|stop| now.since(stop.last) >= KEPT_TIME);
+            let Some(stop) = ended else {
+                continue;
+            };
+            let fields = [
+                field("service", service.as_str()),
+                field("stopped_ms", stop.last.since(stop.since).0),
+                field("stopped", stop.count),
+            ];
+            shared.log.emit(&events::REPEATS_KEPT, &fields);
+        }
+    }
+}
+
+impl ServiceRepeats {
+    fn record_stop(&mut self, shared: &Shared, service: &ServiceId, now: Millis) {
+        if let Some(stop) = &mut self.stop {
+            stop.last = now;
+            stop.count += 1;
+            return;
+        }
+        self.stop = Some(Stop {
+            since: now,
+            last: now,
+            count: 1,
+        });
+        let fields = [
+            field("service", service.as_str()),
+            field("requests", self.window.requests()),
+            field("repeats", self.window.repeats()),
+            field("allowed", self.window.allowed()),
+            field("gateways", shared.gateway_count.borrow().count()),
+        ];
+        shared.log.emit(&events::REPEATS_STOPPED, &fields);
+    }
+}
+
+fn log_repeat(
+    shared: &Shared,
+    service: &ServiceId,
+    request: &str,
+    cause: RepeatCause,
+    window: &RepeatWindow,
+) {
+    let fields = [
+        field("request", request),
+        field("service", service.as_str()),
+        field("cause", cause.as_str()),
+        field("requests", window.requests()),
+        field("repeats", window.repeats()),
+        field("allowed", window.allowed()),
+        field("gateways", shared.gateway_count.borrow().count()),
+    ];
+    shared.log.emit(&events::REQUEST_REPEATED, &fields);
+}
+
+/// Logs when repeats of a service are no longer stopped; never returns.
+pub(crate) async fn watch_stops(shared: Rc<Shared>) {
+    loop {
+        shared.timer.sleep(CHECK_INTERVAL).await;
+        shared.repeats.expire_stops(&shared);
+    }
+}
--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -13,6 +13,7 @@
 use super::hop_headers::strip_hop_headers;
 use super::permit::Permit;
 use super::trace::RequestTrace;
+use crate::repeats::RepeatCause;
 use crate::shared::Shared;
 use crate::{AttemptAttributes, Priority, RequestAttributes};
 
@@ -103,6 +104,20 @@
         self.attributes.request_id.as_deref().unwrap_or_default()
     }
 
+    /// Counts the first send of the request.
+    pub(super) fn count_request(&self) {
+        self.shared
+            .repeats
+            .record_request(&self.shared, &self.service);
+    }
+
+    /// Counts a repeated send of the request, if the limit allows one; returns whether it does.
+    pub(super) fn try_repeat(&self, cause: RepeatCause) -> bool {
+        self.shared
+            .repeats
+            .try_repeat(&self.shared, &self.service, self.id(), cause)
+    }
+
     /// Upstreams that accept requests and were not tried yet.
     pub(super) fn candidates(&self) -> Vec<Upstream> {
         let catalog = self.shared.catalog.borrow();
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -16,6 +16,7 @@
 use super::shortlist::Shortlist;
 use crate::RetryAfter;
 use crate::agents::{self, AgentLost};
+use crate::repeats::RepeatCause;
 use crate::table::InFlight;
 
 /// Wait for the first event after which callers disconnect, in objectives. They wait at least
@@ -37,7 +38,7 @@
 
 /// Handles a request to a model engine.
 pub(super) async fn serve(mut job: Job) -> Reply {
-    job.shared.count_request(&job.service);
+    job.count_request();
     let mut progress = Progress::default();
     loop {
         if let Err(refusal) = job.acquire_permit().await {
@@ -73,6 +74,7 @@
     job.waiting_since = job.shared.timer.now();
     progress.search.restart();
     progress.shortlist.clear();
+    progress.repeat_cause = RepeatCause::Resumed;
     while progress.sends < job.route.max_attempts {
         job.acquire_permit().await.ok()?;
         let turn = find_turn(job, progress).await.ok()?;
@@ -165,6 +167,8 @@
     search: TurnSearch,
     shortlist: Shortlist,
     sends: u32,
+    /// Why the latest attempt is followed by another one.
+    repeat_cause: RepeatCause,
     may_have_run: bool,
     reason: Option<&'static str>,
     retry_after: Option<Millis>,
@@ -250,7 +254,7 @@
     if !job.is_permitted() {
         return AttemptResult::Retry;
     }
-    if progress.sends > 0 && !job.shared.try_repeat(&job.service) {
+    if progress.sends > 0 && !job.try_repeat(progress.repeat_cause) {
         return AttemptResult::Failed("repeat_bound");
     }
     progress.sends += 1;
@@ -279,6 +283,7 @@
                     job.trace
                         .log_attempt_lost("read answer", true, true, "engine failed");
                     progress.may_have_run = true;
+                    progress.repeat_cause = RepeatCause::Failed;
                     return AttemptResult::Retry;
                 }
             }
@@ -295,6 +300,7 @@
                 _ => DEFAULT_RETRY_AFTER,
             };
             progress.record_refusal("engine_refused", retry_after);
+            progress.repeat_cause = RepeatCause::Refused;
             AttemptResult::Retry
         }
         AttemptOutcome::NotSent(e) => {
@@ -306,6 +312,7 @@
         }
         AttemptOutcome::Lost(e) => {
             progress.may_have_run = true;
+            progress.repeat_cause = RepeatCause::Lost;
             record_failure(job, &turn.upstream);
             job.trace
                 .log_attempt_lost("await answer", true, may_retry, &e);
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -11,6 +11,7 @@
 use super::job::Job;
 use super::refuse::{LIMITED, Refusal, outcome_unknown};
 use super::send::{AttemptOutcome, MIN_TIME_LEFT_MS};
+use crate::repeats::RepeatCause;
 
 /// Part of the objective after which a retryable request is sent to another upstream, so that the retry can
 /// still meet the objective. With one half, one response in thirty is slower than this.
@@ -42,7 +43,7 @@
 
 /// Handles a request to a plain service.
 pub(super) async fn serve(mut job: Job) -> Reply {
-    job.shared.count_request(&job.service);
+    job.count_request();
     let mut progress = Progress::default();
     loop {
         if job.time_left().0 < MIN_TIME_LEFT_MS {
@@ -72,20 +73,18 @@
                 let took = job.shared.timer.now().since(started_at);
                 handle_response(&job, &upstream, reply, took, &mut progress)
             }
-            AttemptResult::Failed {
-                may_have_run,
-                step,
-                error,
-            } => {
+            AttemptResult::Failed { cause, step, error } => {
+                let may_have_run = cause != RepeatCause::NotSent;
                 let now = job.shared.timer.now();
                 job.shared
                     .table
                     .with(&upstream.instance, |r| r.stats.record_failure(now));
                 progress.may_have_run |= may_have_run;
-                handle_failure(&job, &progress, may_have_run, step, &error)
+                handle_failure(&job, &progress, cause, step, &error)
             }
             AttemptResult::NotRun => {
-                handle_failure(&job, &progress, false, "refused by upstream", "")
+                let step = "refused by upstream";
+                handle_failure(&job, &progress, RepeatCause::Refused, step, "")
             }
         };
         if let Next::Reply(reply) = next {
@@ -98,7 +97,7 @@
     Complete(Reply),
     Oversized(pumicecleat_net::Response, Vec<u8>),
     Failed {
-        may_have_run: bool,
+        cause: RepeatCause,
         step: &'static str,
         error: String,
     },
@@ -112,32 +111,28 @@
         .timer
         .within(timeout, exchange(job, upstream, timeout));
     within.await.unwrap_or_else(|_| AttemptResult::Failed {
-        may_have_run: true,
+        cause: RepeatCause::Lost,
         step: "await answer",
         error: format!("response incomplete after {timeout:?}"),
     })
 }
 
 async fn exchange(job: &Job, upstream: &Upstream, timeout: Duration) -> AttemptResult {
-    let failed = |may_have_run, step, error| AttemptResult::Failed {
-        may_have_run,
-        step,
-        error,
-    };
+    let failed = |cause, step, error| AttemptResult::Failed { cause, step, error };
     match job.send(upstream, None, timeout).await {
         AttemptOutcome::Response(response) => match buffer(response).await {
             Ok(Buffered::Complete(reply)) => AttemptResult::Complete(reply),
             Ok(Buffered::Oversized(response, prefix)) => AttemptResult::Oversized(response, prefix),
             Err(e) => {
                 job.trace.record_lost_connection();
-                failed(true, "read answer", e.to_string())
+                failed(RepeatCause::Lost, "read answer", e.to_string())
             }
         },
         AttemptOutcome::NotRun(_) => AttemptResult::NotRun,
-        AttemptOutcome::NotSent(e) => failed(false, "send", e),
-        AttemptOutcome::Lost(e) => failed(true, "await answer", e),
+        AttemptOutcome::NotSent(e) => failed(RepeatCause::NotSent, "send", e),
+        AttemptOutcome::Lost(e) => failed(RepeatCause::Lost, "await answer", e),
         AttemptOutcome::TimedOut => failed(
-            true,
+            RepeatCause::Lost,
             "await answer",
             format!("no response within {timeout:?}"),
         ),
@@ -199,11 +194,11 @@
 
 /// Whether another attempt may follow; `may_have_run` if the last one may have been executed. If so, counts
 /// it against the limit of repeats.
-fn try_retry(job: &Job, progress: &Progress, may_have_run: bool) -> bool {
+fn try_retry(job: &Job, progress: &Progress, may_have_run: bool, cause: RepeatCause) -> bool {
     let may_retry = job.route.retry == RetryMode::Whole && progress.sends < job.route.max_attempts;
     let is_allowed = (!may_have_run || may_retry) && progress.sends < MAX_SENDS;
     let can_continue = job.time_left().0 > MIN_TIME_LEFT_MS && !job.candidates().is_empty();
-    is_allowed && can_continue && job.shared.try_repeat(&job.service)
+    is_allowed && can_continue && job.try_repeat(cause)
 }
 
 /// Returns a complete response, unless it reports a failure and another attempt may follow.
@@ -217,7 +212,7 @@
     let status = reply.status().as_u16();
     progress.may_have_run = true;
     if status >= 500 {
-        if try_retry(job, progress, true) {
+        if try_retry(job, progress, true, RepeatCause::Failed) {
             job.trace
                 .log_attempt_lost("read answer", true, true, "upstream failed");
             return Next::Retry;
@@ -238,11 +233,12 @@
 fn handle_failure(
     job: &Job,
     progress: &Progress,
-    may_have_run: bool,
+    cause: RepeatCause,
     step: &str,
     error: &str,
 ) -> Next {
-    let will_retry = try_retry(job, progress, may_have_run);
+    let may_have_run = cause == RepeatCause::Lost;
+    let will_retry = try_retry(job, progress, may_have_run, cause);
     job.trace
         .log_attempt_lost(step, may_have_run, will_retry, error);
     if will_retry {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -1,7 +1,6 @@
 //! State shared by the parts of the gateway.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -10,16 +9,15 @@
 };
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
-use pumicecleat_policy::{
-    Admission, LimitChange, LimitSource, RateLimits, RepeatOptions, RepeatWindow,
-};
-use pumicecleat_types::{DataCentre, Millis, ServiceId, VmId};
+use pumicecleat_policy::{Admission, LimitChange, LimitSource, RateLimits};
+use pumicecleat_types::{DataCentre, Millis, VmId};
 use rand_chacha::ChaCha8Rng;
 
 use crate::allowance::Allowances;
 use crate::exceeded::ExceededAccounts;
 use crate::gateway_count::GatewayCount;
-use crate::meters::{Meters, ServiceLabels};
+use crate::meters::Meters;
+use crate::repeats::Repeats;
 use crate::self_reports::SelfReports;
 use crate::service_traits::ServiceTraits;
 use crate::suspects::SuspectState;
@@ -83,12 +81,12 @@
     pub(crate) uses_relay: Cell<bool>,
     /// Agent that proposes engines, if one does.
     pub(crate) relay: Cell<Option<SocketAddr>>,
-    pub(crate) repeat_options: RepeatOptions,
     /// Median traits of the engines of each service.
     pub(crate) service_traits: RefCell<ServiceTraits>,
     /// Number of gateways that share the slack of repeats.
     pub(crate) gateway_count: RefCell<GatewayCount>,
-    pub(crate) repeat_windows: RefCell<BTreeMap<ServiceId, RepeatWindow>>,
+    /// Sends of requests beyond the first.
+    pub(crate) repeats: Repeats,
     pub(crate) rng: RefCell<ChaCha8Rng>,
     pub(crate) readiness: Readiness,
     pub(crate) drain: Drain,
@@ -113,40 +111,17 @@
         catalog.layout().is_some_and(|l| l.accounts.is_some())
     }
 
-    /// Counts the first send of a request to `service`.
-    pub(crate) fn count_request(&self, service: &ServiceId) {
-        let now = self.timer.now();
-        self.with_repeat_window(service, |w| w.record_request(now));
-    }
-
-    /// Counts a repeated send of a request to `service`, if the limit allows one; returns whether it does.
-    pub(crate) fn try_repeat(&self, service: &ServiceId) -> bool {
-        let now = self.timer.now();
-        let allowed = self.with_repeat_window(service, |w| w.try_repeat(now));
-        if allowed {
-            let service = service.to_string();
-            let labels = ServiceLabels { service };
-            self.meters.repeats.get_or_create(&labels).inc();
+    /// Records that an agent has recently been called by `count` gateways.
+    pub(crate) fn record_gateways(&self, count: u32, now: Millis) {
+        let mut gateways = self.gateway_count.borrow_mut();
+        let before = gateways.count();
+        gateways.record_report(count, now);
+        let after = gateways.count();
+        self.meters.gateways.set(i64::from(after));
+        if after != before {
+            let fields = [field("gateways", after), field("before", before)];
+            self.log.emit(&events::GATEWAYS_COUNTED, &fields);
         }
-        allowed
-    }
-
-    fn with_repeat_window<T>(
-        &self,
-        service: &ServiceId,
-        f: impl FnOnce(&mut RepeatWindow) -> T,
-    ) -> T {
-        let options = RepeatOptions {
-            slack: self.repeat_options.slack
-                / f64::from(self.gateway_count.borrow().slack_shares()),
-            ..self.repeat_options
-        };
-        let mut windows = self.repeat_windows.borrow_mut();
-        let window = windows
-            .entry(service.clone())
-            .or_insert_with(|| RepeatWindow::new_ext(options));
-        window.set_options(options);
-        f(window)
     }
 
     /// Records that `upstream` reported in a response that it is leaving.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,7 +1,6 @@
 //! Start and stop of a gateway.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,6 +23,7 @@
 use crate::gateway_count::GatewayCount;
 use crate::meters::Meters;
 use crate::readiness::ReadinessHandler;
+use crate::repeats::{Repeats, watch_stops};
 use crate::request::CallerHandler;
 use crate::revoke::{RevokeBudget, watch_keys};
 use crate::shared::{KEYS, LAYOUT, RUNNING, Shared, StopPhase, TOPICS};
@@ -230,10 +230,9 @@
         suspects: SuspectState::new(rand::random()),
         uses_relay: Cell::default(),
         relay: Cell::default(),
-        repeat_options,
         service_traits: RefCell::default(),
         gateway_count: RefCell::new(GatewayCount::new(settings.gateways, repeat_options.window)),
-        repeat_windows: RefCell::new(BTreeMap::new()),
+        repeats: Repeats::new(repeat_options),
         rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
         readiness: Readiness::new(&[LAYOUT, RUNNING, KEYS], log),
         drain: Drain::new(),
@@ -295,6 +294,7 @@
         monoio::spawn(confirm_layout(context.clone(), settings));
         monoio::spawn(watch_keys(Rc::clone(shared)));
     }
+    monoio::spawn(watch_stops(Rc::clone(shared)));
     monoio::spawn(allowance::stay_attached(Rc::clone(shared)));
     monoio::spawn(watch_list_age(context.clone(), settings.leave_span.0));
     monoio::spawn(expire_lapsed(context));
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -131,10 +131,7 @@
         shared.marks.receive(streams, sent_at);
     }
     shared.marks.merge(&reply.marks, now);
-    shared
-        .gateway_count
-        .borrow_mut()
-        .record_report(reply.entries, now);
+    shared.record_gateways(reply.entries, now);
 }
 
 fn log_chosen(shared: &Shared, members: &[Member], pick: RelayPick) {
--- a/crates/policy/src/prompt/repeat.rs
+++ b/crates/policy/src/prompt/repeat.rs
@@ -53,22 +53,37 @@
     #[must_use]
     pub fn try_repeat(&mut self, now: Millis) -> bool {
         self.drop_expired(now);
-        let allowed = self.allowed();
-        if approximate(self.repeats.len()) + 1.0 > allowed {
+        if approximate(self.repeats.len()) + 1.0 > self.max_repeats() {
             return false;
         }
         self.repeats.push_back(now);
         true
     }
 
-    /// Number of repeats that are still allowed now.
+    /// Requests in the window, as of the last call with a time.
     #[must_use]
-    pub fn remaining(&mut self, now: Millis) -> f64 {
-        self.drop_expired(now);
-        self.allowed() - approximate(self.repeats.len())
+    pub fn requests(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Repeats in the window, as of the last call with a time.
+    #[must_use]
+    pub fn repeats(&self) -> usize {
+        self.repeats.len()
+    }
+
+    /// Repeats that the window allows, as of the last call with a time.
+    #[must_use]
+    #[allow(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a window allows far fewer than 2^52, and never less than zero"
+    )]
+    pub fn allowed(&self) -> u64 {
+        self.max_repeats() as u64
     }
 
-    fn allowed(&self) -> f64 {
+    fn max_repeats(&self) -> f64 {
         self.options.ratio * approximate(self.requests.len()) + self.options.slack
     }
 
