--- /dev/null
+++ b/crates/policy/tests/repeats.rs
@@ -0,0 +1,251 @@
+//! Limit on repeated sends, summed over all gateways and all their starts.
+
+use pumicecleat_policy::{RepeatOptions, RepeatWindow};
+use pumicecleat_types::Millis;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const WINDOW_MS: usize = 10_000;
+const RATIO: f64 = 0.2;
+/// Slack of all gateways together.
+const SLACK: f64 = 56.0;
+/// Time between two steps.
+const STEP_MS: usize = 10;
+const STEPS: usize = 4_500;
+const WINDOW_STEPS: usize = WINDOW_MS / STEP_MS;
+
+/// Disturbances of a search.
+#[derive(Clone, Copy, Debug)]
+struct Disturbances {
+    name: &'static str,
+    /// Mean time between kills of some or all gateways; 0 for none.
+    kills_ms: usize,
+    /// Mean time between changes of how much each gateway gets.
+    shifts_ms: usize,
+    /// Mean time between losses that have many requests sent again at once.
+    losses_ms: usize,
+    /// Largest number of gateways.
+    gateways: usize,
+}
+
+const SEARCHES: [Disturbances; 5] = [
+    Disturbances {
+        name: "kills in quick succession",
+        kills_ms: 800,
+        shifts_ms: 20_000,
+        losses_ms: 2_000,
+        gateways: 8,
+    },
+    Disturbances {
+        name: "kills a window apart",
+        kills_ms: 9_000,
+        shifts_ms: 20_000,
+        losses_ms: 3_000,
+        gateways: 8,
+    },
+    Disturbances {
+        name: "requests move between gateways",
+        kills_ms: 0,
+        shifts_ms: 4_000,
+        losses_ms: 4_000,
+        gateways: 4,
+    },
+    Disturbances {
+        name: "all at once",
+        kills_ms: 3_000,
+        shifts_ms: 2_500,
+        losses_ms: 2_500,
+        gateways: 8,
+    },
+    Disturbances {
+        name: "one gateway",
+        kills_ms: 4_000,
+        shifts_ms: 3_000,
+        losses_ms: 3_000,
+        gateways: 1,
+    },
+];
+
+/// A gateway; `window` is `None` while it is down.
+struct Gateway {
+    window: Option<RepeatWindow>,
+    /// Step at which it starts again.
+    back_at: usize,
+    /// Requests per step.
+    rate: f64,
+    due: f64,
+}
+
+struct Fleet {
+    rng: ChaCha8Rng,
+    gateways: Vec<Gateway>,
+    /// Part of the requests that are sent again at once.
+    failing: f64,
+    requests: Vec<u32>,
+    repeats: Vec<u32>,
+}
+
+impl Fleet {
+    fn new(seed: u64, disturbances: Disturbances) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let count = rng.random_range(1..=disturbances.gateways);
+        let gateways = (0..count).map(|_| Gateway {
+            window: None,
+            back_at: 0,
+            rate: 0.0,
+            due: 0.0,
+        });
+        let mut fleet = Self {
+            gateways: gateways.collect(),
+            rng,
+            failing: 0.0,
+            requests: vec![0; STEPS],
+            repeats: vec![0; STEPS],
+        };
+        fleet.shift();
+        fleet
+    }
+
+    fn options(&self) -> RepeatOptions {
+        let count = u32::try_from(self.gateways.len()).unwrap();
+        RepeatOptions {
+            window: Millis(WINDOW_MS as u64),
+            ratio: RATIO,
+            slack: SLACK / f64::from(count),
+        }
+    }
+
+    /// Draws how many requests each gateway gets, and how many of them are sent again.
+    fn shift(&mut self) {
+        let total = self.rng.random_range(0.05..1.5);
+        let weights: Vec<f64> = self
+            .gateways
+            .iter()
+            .map(|_| self.rng.random_range(0.0_f64..1.0).powi(3))
+            .collect();
+        let sum: f64 = weights.iter().sum();
+        for (gateway, weight) in self.gateways.iter_mut().zip(weights) {
+            gateway.rate = total * weight / sum;
+        }
+        self.failing = [0.0, 0.05, 1.0][self.rng.random_range(0..3)];
+    }
+
+    fn kill(&mut self, step: usize) {
+        let part = [0.2, 0.6, 1.0][self.rng.random_range(0..3)];
+        for gateway in &mut self.gateways {
+            if self.rng.random_bool(part) {
+                gateway.window = None;
+                gateway.back_at = step + self.rng.random_range(1..60);
+            }
+        }
+    }
+
+    /// Many requests under way are sent again at once.
+    fn lose(&mut self, step: usize) {
+        for gateway in &mut self.gateways {
+            let lost = self.rng.random_range(0..80);
+            gateway.repeat(lost, step, &mut self.repeats);
+        }
+    }
+
+    fn step(&mut self, step: usize) {
+        let options = self.options();
+        for gateway in &mut self.gateways {
+            if gateway.window.is_none() && gateway.back_at <= step {
+                gateway.window = Some(RepeatWindow::new_ext(options));
+            }
+            gateway.due += gateway.rate;
+            while gateway.due >= 1.0 {
+                gateway.due -= 1.0;
+                // Callers send to a gateway that is down as well.
+                self.requests[step] += 1;
+                if let Some(window) = &mut gateway.window {
+                    window.record_request(at(step));
+                }
+                if self.rng.random_bool(self.failing) {
+                    gateway.repeat(1, step, &mut self.repeats);
+                }
+            }
+        }
+    }
+
+    fn play(mut self, disturbances: Disturbances) -> Self {
+        for step in 0..STEPS {
+            self.step(step);
+            if happens(&mut self.rng, disturbances.shifts_ms) {
+                self.shift();
+            }
+            if happens(&mut self.rng, disturbances.losses_ms) {
+                self.lose(step);
+            }
+            if happens(&mut self.rng, disturbances.kills_ms) {
+                self.kill(step);
+            }
+        }
+        self
+    }
+
+    /// Largest number of repeats in a window beyond what is allowed there, and whether the limit was reached
+    /// by half.
+    fn worst_excess(&self) -> f64 {
+        let requests = sums(&self.requests);
+        let repeats = sums(&self.repeats);
+        let in_window = |sums: &[u32], start: usize| {
+            f64::from(sums[(start + WINDOW_STEPS).min(STEPS)] - sums[start])
+        };
+        let excess = (0..STEPS).map(|start| {
+            let earlier = [0, WINDOW_STEPS / 2, WINDOW_STEPS].map(|back| {
+                let begun = start.checked_sub(back);
+                let from = begun.unwrap_or_default();
+                let until = (start + WINDOW_STEPS).saturating_sub(back).min(STEPS);
+                f64::from(requests[until.max(from)] - requests[from])
+            });
+            let most = earlier.into_iter().fold(0.0, f64::max);
+            in_window(&repeats, start) - (RATIO * most + SLACK)
+        });
+        excess.fold(f64::MIN, f64::max)
+    }
+}
+
+impl Gateway {
+    fn repeat(&mut self, wanted: u32, step: usize, repeats: &mut [u32]) {
+        let Some(window) = &mut self.window else {
+            return;
+        };
+        for _ in 0..wanted {
+            if window.try_repeat(at(step)) {
+                repeats[step] += 1;
+            }
+        }
+    }
+}
+
+fn at(step: usize) -> Millis {
+    Millis((step * STEP_MS) as u64)
+}
+
+fn happens(rng: &mut impl Rng, mean_ms: usize) -> bool {
+    mean_ms > 0 && rng.random_ratio(1, u32::try_from(mean_ms / STEP_MS).unwrap())
+}
+
+/// Sums of all values before each index.
+fn sums(values: &[u32]) -> Vec<u32> {
+    let mut sums = vec![0];
+    for value in values {
+        sums.push(sums[sums.len() - 1] + value);
+    }
+    sums
+}
+
+/// Guards against a limit that is kept by each process alone and exceeded by their sum.
+#[test]
+fn repeats_of_all_gateways_and_starts_keep_to_their_limit_together() {
+    for disturbances in SEARCHES {
+        for seed in 0..60 {
+            let fleet = Fleet::new(seed, disturbances).play(disturbances);
+            let excess = fleet.worst_excess();
+            let name = disturbances.name;
+            assert!(excess <= 0.0, "{name}, seed {seed}: {excess:.1} too many");
+        }
+    }
+}
