Repeats: credit that accrues from nothing, so that restarts don't multiply the limit

Cause: each gateway counted its own sliding window and took a fixed share of the slack, for two starts of each gateway within a window. A process knows nothing of the one before it, so that four starts took four shares.

The class: a limit over all processes that each keeps in a memory which ends with the process.

Change: a process starts without credit. Requests and time add to it; what can be saved up is bounded by half of its share of the slack and a quarter of the ratio over its last window. So what is saved up at the start of a window and what is added in it sum up to the limit, whatever starts, stops or moves. The ratio is taken down by the time that a repeat may be under way, in place of nine tenths.

--- a/crates/gateway/src/gateway_count.rs
+++ b/crates/gateway/src/gateway_count.rs
@@ -2,10 +2,6 @@
 
 use pumicecleat_types::Millis;
 
-/// Shares of the slack reserved for each gateway. A gateway that restarts begins with an empty window while
-/// the repeats of its previous process still count, and all gateways may restart within one window.
-const SHARES_PER_GATEWAY: u32 = 2;
-
 /// Number of gateways.
 #[derive(Debug)]
 pub(crate) struct GatewayCount {
@@ -55,8 +51,6 @@
 
     /// Number of shares into which the slack of repeats is divided.
     pub(crate) fn slack_shares(&self) -> u32 {
-        self.min_shares
-            .max(SHARES_PER_GATEWAY.saturating_mul(self.reported))
-            .max(1)
+        self.min_shares.max(self.reported).max(1)
     }
 }
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -5,8 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use pumicecleat_net::Timer;
 use pumicecleat_ops::{events, field};
-use pumicecleat_policy::{RepeatOptions, RepeatWindow};
+use pumicecleat_policy::{RepeatLimit, RepeatOptions};
 use pumicecleat_types::{Millis, ServiceId};
 
 use crate::meters::CauseLabels;
@@ -49,11 +50,13 @@
 /// Repeats of each service.
 pub(crate) struct Repeats {
     options: RepeatOptions,
+    /// Time from which the process gets credit.
+    started_at: Millis,
     services: RefCell<BTreeMap<ServiceId, ServiceRepeats>>,
 }
 
 struct ServiceRepeats {
-    window: RepeatWindow,
+    limit: RepeatLimit,
     stop: Option<Stop>,
 }
 
@@ -66,17 +69,18 @@
 
 impl Repeats {
     /// `options` holds the slack of all gateways together.
-    pub(crate) fn new(options: RepeatOptions) -> Self {
+    pub(crate) fn new(options: RepeatOptions, timer: &Timer) -> Self {
         Self {
             options,
+            started_at: window_time(timer),
             services: RefCell::default(),
         }
     }
 
     /// Counts the first send of a request to `service`.
     pub(crate) fn record_request(&self, shared: &Shared, service: &ServiceId) {
-        let now = shared.timer.now();
-        self.with_service(shared, service, |s| s.window.record_request(now));
+        let now = window_time(&shared.timer);
+        self.with_service(shared, service, |s| s.limit.record_request(now));
     }
 
     /// Counts a repeated send of `request` to `service`, if the limit allows one; returns whether it does.
@@ -87,9 +91,9 @@
         request: &str,
         cause: RepeatCause,
     ) -> bool {
-        let now = shared.timer.now();
+        let now = window_time(&shared.timer);
         self.with_service(shared, service, |s| {
-            let is_allowed = s.window.try_repeat(now);
+            let is_allowed = s.limit.try_repeat(now);
             let meters = &shared.meters;
             let counters = if is_allowed {
                 &meters.repeats
@@ -102,9 +106,9 @@
             };
             counters.get_or_create(&labels).inc();
             if is_allowed {
-                log_repeat(shared, service, request, cause, &s.window);
+                log_repeat(shared, service, request, cause, &s.limit);
             } else {
-                s.record_stop(shared, service, now);
+                s.record_stop(shared, service);
             }
             is_allowed
         })
@@ -125,10 +129,10 @@
         let state = services
             .entry(service.clone())
             .or_insert_with(|| ServiceRepeats {
-                window: RepeatWindow::new_ext(options),
+                limit: RepeatLimit::new_ext(options, self.started_at),
                 stop: None,
             });
-        state.window.set_options(options);
+        state.limit.set_options(options);
         f(state)
     }
 
@@ -151,7 +155,8 @@
 }
 
 impl ServiceRepeats {
-    fn record_stop(&mut self, shared: &Shared, service: &ServiceId, now: Millis) {
+    fn record_stop(&mut self, shared: &Shared, service: &ServiceId) {
+        let now = shared.timer.now();
         if let Some(stop) = &mut self.stop {
             stop.last = now;
             stop.count += 1;
@@ -164,9 +169,6 @@
         });
         let fields = [
             field("service", service.as_str()),
-            field("requests", self.window.requests()),
-            field("repeats", self.window.repeats()),
-            field("allowed", self.window.allowed()),
             field("gateways", shared.gateway_count.borrow().count()),
         ];
         shared.log.emit(&events::REPEATS_STOPPED, &fields);
@@ -178,20 +180,23 @@
     service: &ServiceId,
     request: &str,
     cause: RepeatCause,
-    window: &RepeatWindow,
+    limit: &RepeatLimit,
 ) {
     let fields = [
         field("request", request),
         field("service", service.as_str()),
         field("cause", cause.as_str()),
-        field("requests", window.requests()),
-        field("repeats", window.repeats()),
-        field("allowed", window.allowed()),
+        field("remaining", limit.remaining()),
         field("gateways", shared.gateway_count.borrow().count()),
     ];
     shared.log.emit(&events::REQUEST_REPEATED, &fields);
 }
 
+/// Time on a clock that also counts the time in which the VM was suspended, as the windows of others do.
+fn window_time(timer: &Timer) -> Millis {
+    Millis(timer.boot_now().0)
+}
+
 /// Logs when repeats of a service are no longer stopped; never returns.
 pub(crate) async fn watch_stops(shared: Rc<Shared>) {
     loop {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -23,7 +23,7 @@
         repeat_slack: f64 = "54", "sends";
         /// window over which repeated sends are counted
         repeat_window: HumanDuration = "10s", "span";
-        /// minimum number of shares into which the slack is divided; two for each gateway known to agents, if
+        /// minimum number of shares into which the slack is divided; one for each gateway known to agents, if
         /// that is more
         gateways: u32 = "8", "parts";
         /// longest wait of a read of the log for a record
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -46,9 +46,8 @@
 /// Part of the grace after which the process ends in any case.
 const END_PART: f64 = 0.93;
 
-/// Part of the ratio of repeats that is used, because the windows of several gateways do not start at the
-/// same time.
-const RATIO_PART: f64 = 0.9;
+/// Longest time between the decision on a repeat and its arrival at an upstream.
+const MAX_TRANSIT: Duration = CONNECT_TIMEOUT.saturating_add(ACK_TIMEOUT);
 
 /// Interfaces to the deployment.
 #[derive(Clone)]
@@ -232,7 +231,7 @@
         relay: Cell::default(),
         service_traits: RefCell::default(),
         gateway_count: RefCell::new(GatewayCount::new(settings.gateways, repeat_options.window)),
-        repeats: Repeats::new(repeat_options),
+        repeats: Repeats::new(repeat_options, timer),
         rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
         readiness: Readiness::new(&[LAYOUT, RUNNING, KEYS], log),
         drain: Drain::new(),
@@ -241,13 +240,14 @@
     })
 }
 
-/// Limit of repeats across all gateways: each applies the ratio to its own requests, and uses its share of
-/// the slack.
+/// Limit of repeats across all gateways. The repeats that arrive within a window were decided within a window
+/// that is longer by [`MAX_TRANSIT`], so that the ratio is lower by as much.
 fn repeat_options(settings: &GatewaySettings) -> RepeatOptions {
-    let window = u64::try_from(settings.repeat_window.0.as_millis()).unwrap_or(u64::MAX);
+    let window = settings.repeat_window.0;
+    let part = window.as_secs_f64() / (window + MAX_TRANSIT).as_secs_f64();
     RepeatOptions {
-        window: Millis(window),
-        ratio: f64::from(settings.repeat_percent) / 100.0 * RATIO_PART,
+        window: as_millis(window),
+        ratio: f64::from(settings.repeat_percent) / 100.0 * part,
         slack: settings.repeat_slack,
     }
 }
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -101,9 +101,9 @@
     /// Requests of an account are within its allowance again.
     ALLOWANCE_KEPT = "E7126" "allowance_kept" Info ["account", "exceeded_ms", "refused"];
     /// A request is sent to its service once more.
-    REQUEST_REPEATED = "E7127" "request_repeated" Info ["request", "service", "cause", "requests", "repeats", "allowed", "gateways"];
+    REQUEST_REPEATED = "E7127" "request_repeated" Info ["request", "service", "cause", "remaining", "gateways"];
     /// The limit of repeats stopped one, for the first time since it was kept.
-    REPEATS_STOPPED = "E7128" "repeats_stopped" Warn ["service", "requests", "repeats", "allowed", "gateways"];
+    REPEATS_STOPPED = "E7128" "repeats_stopped" Warn ["service", "gateways"];
     /// The limit of repeats has stopped none for some seconds.
     REPEATS_KEPT = "E7129" "repeats_kept" Info ["service", "stopped_ms", "stopped"];
     /// Agents report another number of gateways than before.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -49,7 +49,7 @@
 pub use load_order::{LoadOrder, LoadOrderOptions};
 pub use prompt::{
     AdapterState, BaseLoadTimes, BaseLocation, EngineChoice, EngineNeeds, EngineOrder,
-    EngineReport, EngineView, OrderOutcome, RelayPick, RelaySelector, RepeatOptions, RepeatWindow,
+    EngineReport, EngineView, OrderOutcome, RelayPick, RelaySelector, RepeatLimit, RepeatOptions,
     ReportedRun, TurnAction, TurnId, TurnOptions, TurnRequest, TurnScheduler, TurnSearch,
     UpstreamLoad, UpstreamStats, members_digest,
 };
--- a/crates/policy/src/prompt/mod.rs
+++ b/crates/policy/src/prompt/mod.rs
@@ -9,7 +9,7 @@
 //! many engines.
 //!
 //! The gateway uses [`EngineChoice`] and [`TurnSearch`] to decide which engine to ask and where to wait,
-//! [`UpstreamStats`] to choose among upstreams without adapters, and [`RepeatWindow`] to limit repeated
+//! [`UpstreamStats`] to choose among upstreams without adapters, and [`RepeatLimit`] to limit repeated
 //! sends.
 
 mod demand;
@@ -26,7 +26,7 @@
 pub use engine::{AdapterState, EngineChoice, EngineNeeds, EngineView};
 pub use places::{EngineOrder, OrderOutcome};
 pub use relay::{RelayPick, RelaySelector, members_digest};
-pub use repeat::{RepeatOptions, RepeatWindow};
+pub use repeat::{RepeatLimit, RepeatOptions};
 pub use search::TurnSearch;
 pub use slots::{UpstreamLoad, UpstreamStats};
 pub use turns::{
--- a/crates/policy/src/prompt/repeat.rs
+++ b/crates/policy/src/prompt/repeat.rs
@@ -1,99 +1,124 @@
-//! Limit on repeated sends of requests, over a sliding window.
+//! Limit on repeated sends of requests, which several gateways keep without communication.
 //!
-//! Several gateways share one limit without communication: each keeps to the ratio over its own requests and
-//! to its share of the slack. The sum over all gateways then keeps to the limit, whatever the distribution of
-//! the requests.
+//! Over any window, the repeats of all gateways must not exceed a ratio of the requests plus a slack. The
+//! requests are those of the window, of the one before it, or of the one half a window earlier, whichever has
+//! the most. Each process spends credit of its own:
+//!
+//! - It starts without credit.
+//! - Each request adds [`EARNED_PART`] of the ratio, and each window up to [`ACCRUED_PART`] of the process's
+//!   share of the slack.
+//! - At most the rest of the share is saved up, and the rest of the ratio for each request of the last window.
+//!
+//! What all processes spend within a window is therefore at most what they had saved up at its start, plus what
+//! is added in it: the slack, the saved part of the ratio over the requests of the window before, and the
+//! earned part over those of the window itself. That holds for any distribution of the requests, however often
+//! processes start.
 
 use std::collections::VecDeque;
 
 use pumicecleat_types::Millis;
 
-/// Limit of a [`RepeatWindow`].
+/// Part of the ratio that each request adds. The rest is saved up for losses of many requests at once.
+const EARNED_PART: f64 = 0.75;
+
+/// Part of the share of the slack that a window adds, whether or not there are requests.
+const ACCRUED_PART: f64 = 0.5;
+
+/// Options of a [`RepeatLimit`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatOptions {
     /// Length of the window.
     pub window: Millis,
     /// Allowed repeats per request in the window.
     pub ratio: f64,
-    /// Allowed repeats of this process in addition to the ratio.
+    /// Share of this process in the repeats that are allowed in addition to the ratio.
     pub slack: f64,
 }
 
-/// Requests and repeats in the current window.
+impl RepeatOptions {
+    /// Part of the share that can be saved up. A share of less than two is saved up to the first whole repeat.
+    fn saved_slack(&self) -> f64 {
+        let saved = self.slack * (1.0 - ACCRUED_PART);
+        saved.max(self.slack.min(1.0))
+    }
+}
+
+/// Credit of one process for repeats, and its requests of the last window.
 #[derive(Clone, Debug)]
-pub struct RepeatWindow {
+pub struct RepeatLimit {
     options: RepeatOptions,
     requests: VecDeque<Millis>,
-    repeats: VecDeque<Millis>,
+    credit: f64,
+    /// Time up to which `credit` has accrued.
+    accrued_at: Millis,
 }
 
-impl RepeatWindow {
-    /// Creates an empty window.
+impl RepeatLimit {
+    /// Creates a limit without credit at `now`.
     #[must_use]
-    pub fn new_ext(options: RepeatOptions) -> Self {
+    pub fn new_ext(options: RepeatOptions, now: Millis) -> Self {
         Self {
             options,
             requests: VecDeque::new(),
-            repeats: VecDeque::new(),
+            credit: 0.0,
+            accrued_at: now,
         }
     }
 
-    /// Replaces the options; counted requests and repeats are kept.
+    /// Replaces the options; as much credit is kept as they allow.
     pub fn set_options(&mut self, options: RepeatOptions) {
         self.options = options;
     }
 
-    /// Counts a request.
+    /// Counts a request and adds its credit.
     pub fn record_request(&mut self, now: Millis) {
-        self.drop_expired(now);
+        self.advance(now);
         self.requests.push_back(now);
+        self.add(self.options.ratio * EARNED_PART);
     }
 
-    /// Counts a repeated send if the limit allows it, and returns whether it does.
+    /// Spends credit on a repeated send, and returns whether there was enough.
     #[must_use]
     pub fn try_repeat(&mut self, now: Millis) -> bool {
-        self.drop_expired(now);
-        if approximate(self.repeats.len()) + 1.0 > self.max_repeats() {
+        self.advance(now);
+        if self.credit < 1.0 {
             return false;
         }
-        self.repeats.push_back(now);
+        self.credit -= 1.0;
         true
     }
 
-    /// Requests in the window, as of the last call with a time.
-    #[must_use]
-    pub fn requests(&self) -> usize {
-        self.requests.len()
-    }
-
-    /// Repeats in the window, as of the last call with a time.
-    #[must_use]
-    pub fn repeats(&self) -> usize {
-        self.repeats.len()
-    }
-
-    /// Repeats that the window allows, as of the last call with a time.
+    /// Repeats for which there is credit, as of the last call with a time.
     #[must_use]
     #[allow(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
-        reason = "a window allows far fewer than 2^52, and never less than zero"
+        reason = "credit is far below 2^52 and never negative"
     )]
-    pub fn allowed(&self) -> u64 {
-        self.max_repeats() as u64
+    pub fn remaining(&self) -> u64 {
+        self.credit as u64
     }
 
-    fn max_repeats(&self) -> f64 {
-        self.options.ratio * approximate(self.requests.len()) + self.options.slack
+    /// Removes expired requests, and adds the credit that has accrued.
+    fn advance(&mut self, now: Millis) {
+        let window = self.options.window.max(Millis(1));
+        while self
+            .requests
+            .front()
+            .is_some_and(|at| now.since(*at) >= window)
+        {
+            self.requests.pop_front();
+        }
+        let passed = now.since(self.accrued_at).as_secs() / window.as_secs();
+        self.accrued_at = self.accrued_at.max(now);
+        let accrued = self.options.slack - self.options.saved_slack();
+        self.add(accrued * passed);
     }
 
-    fn drop_expired(&mut self, now: Millis) {
-        let window = self.options.window;
-        for list in [&mut self.requests, &mut self.repeats] {
-            while list.front().is_some_and(|at| now.since(*at) > window) {
-                list.pop_front();
-            }
-        }
+    fn add(&mut self, credit: f64) {
+        let ratio = self.options.ratio * (1.0 - EARNED_PART);
+        let max_credit = self.options.saved_slack() + ratio * approximate(self.requests.len());
+        self.credit = (self.credit + credit).min(max_credit);
     }
 }
 
--- a/crates/policy/tests/prompt_choice.rs
+++ b/crates/policy/tests/prompt_choice.rs
@@ -1,8 +1,7 @@
 //! Choice among engines and among upstreams without adapters, and the limit on repeated sends.
 
 use pumicecleat_policy::{
-    AdapterState, EngineChoice, EngineView, RepeatOptions, RepeatWindow, UpstreamLoad,
-    UpstreamStats,
+    AdapterState, EngineChoice, EngineView, RepeatLimit, RepeatOptions, UpstreamLoad, UpstreamStats,
 };
 use pumicecleat_types::{EngineTraits, Millis};
 
@@ -195,7 +194,7 @@
         ratio: 0.18,
         slack: 6.0,
     };
-    let mut window = RepeatWindow::new_ext(options);
+    let mut window = RepeatLimit::new_ext(options, Millis(0));
     let (mut requests, mut repeats) = (Vec::new(), Vec::new());
     for step in 0..4_000_u64 {
         let now = Millis(step * 10);
--- a/crates/policy/tests/repeats.rs
+++ b/crates/policy/tests/repeats.rs
@@ -1,14 +1,12 @@
 //! Limit on repeated sends, summed over all gateways and all their starts.
 
-use pumicecleat_policy::{RepeatOptions, RepeatWindow};
+use pumicecleat_policy::{RepeatLimit, RepeatOptions};
 use pumicecleat_types::Millis;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 const WINDOW_MS: usize = 10_000;
 const RATIO: f64 = 0.2;
-/// Slack of all gateways together.
-const SLACK: f64 = 56.0;
 /// Time between two steps.
 const STEP_MS: usize = 10;
 const STEPS: usize = 4_500;
@@ -26,15 +24,18 @@
     losses_ms: usize,
     /// Largest number of gateways.
     gateways: usize,
+    /// Slack of all gateways together.
+    slack: f64,
 }
 
-const SEARCHES: [Disturbances; 5] = [
+const SEARCHES: [Disturbances; 7] = [
     Disturbances {
         name: "kills in quick succession",
         kills_ms: 800,
         shifts_ms: 20_000,
         losses_ms: 2_000,
         gateways: 8,
+        slack: 56.0,
     },
     Disturbances {
         name: "kills a window apart",
@@ -42,6 +43,7 @@
         shifts_ms: 20_000,
         losses_ms: 3_000,
         gateways: 8,
+        slack: 56.0,
     },
     Disturbances {
         name: "requests move between gateways",
@@ -49,6 +51,7 @@
         shifts_ms: 4_000,
         losses_ms: 4_000,
         gateways: 4,
+        slack: 56.0,
     },
     Disturbances {
         name: "all at once",
@@ -56,6 +59,7 @@
         shifts_ms: 2_500,
         losses_ms: 2_500,
         gateways: 8,
+        slack: 56.0,
     },
     Disturbances {
         name: "one gateway",
@@ -63,12 +67,29 @@
         shifts_ms: 3_000,
         losses_ms: 3_000,
         gateways: 1,
+        slack: 56.0,
+    },
+    Disturbances {
+        name: "less slack than gateways",
+        kills_ms: 3_000,
+        shifts_ms: 2_500,
+        losses_ms: 2_500,
+        gateways: 12,
+        slack: 6.0,
+    },
+    Disturbances {
+        name: "many gateways",
+        kills_ms: 2_000,
+        shifts_ms: 2_500,
+        losses_ms: 2_500,
+        gateways: 60,
+        slack: 100.0,
     },
 ];
 
 /// A gateway; `window` is `None` while it is down.
 struct Gateway {
-    window: Option<RepeatWindow>,
+    window: Option<RepeatLimit>,
     /// Step at which it starts again.
     back_at: usize,
     /// Requests per step.
@@ -77,6 +98,7 @@
 }
 
 struct Fleet {
+    slack: f64,
     rng: ChaCha8Rng,
     gateways: Vec<Gateway>,
     /// Part of the requests that are sent again at once.
@@ -96,6 +118,7 @@
             due: 0.0,
         });
         let mut fleet = Self {
+            slack: disturbances.slack,
             gateways: gateways.collect(),
             rng,
             failing: 0.0,
@@ -111,7 +134,7 @@
         RepeatOptions {
             window: Millis(WINDOW_MS as u64),
             ratio: RATIO,
-            slack: SLACK / f64::from(count),
+            slack: self.slack / f64::from(count),
         }
     }
 
@@ -152,7 +175,7 @@
         let options = self.options();
         for gateway in &mut self.gateways {
             if gateway.window.is_none() && gateway.back_at <= step {
-                gateway.window = Some(RepeatWindow::new_ext(options));
+                gateway.window = Some(RepeatLimit::new_ext(options, at(step)));
             }
             gateway.due += gateway.rate;
             while gateway.due >= 1.0 {
@@ -185,8 +208,7 @@
         self
     }
 
-    /// Largest number of repeats in a window beyond what is allowed there, and whether the limit was reached
-    /// by half.
+    /// Largest number of repeats in a window beyond what is allowed there.
     fn worst_excess(&self) -> f64 {
         let requests = sums(&self.requests);
         let repeats = sums(&self.repeats);
@@ -201,7 +223,7 @@
                 f64::from(requests[until.max(from)] - requests[from])
             });
             let most = earlier.into_iter().fold(0.0, f64::max);
-            in_window(&repeats, start) - (RATIO * most + SLACK)
+            in_window(&repeats, start) - (RATIO * most + self.slack)
         });
         excess.fold(f64::MIN, f64::max)
     }
@@ -249,3 +271,60 @@
         }
     }
 }
+
+/// Smallest part of the ratio that a gateway uses where each request is to be sent again.
+const USED_PART: f64 = 0.7;
+
+struct Use {
+    name: &'static str,
+    slack: f64,
+    /// Time between two requests, each of which is to be sent again.
+    interval_ms: u64,
+}
+
+const USES: [Use; 4] = [
+    Use {
+        name: "a large share of the slack",
+        slack: 7.0,
+        interval_ms: 70,
+    },
+    Use {
+        name: "a share of one repeat",
+        slack: 1.0,
+        interval_ms: 70,
+    },
+    Use {
+        name: "less than one repeat",
+        slack: 0.5,
+        interval_ms: 70,
+    },
+    Use {
+        name: "few requests",
+        slack: 2.0,
+        interval_ms: 3_000,
+    },
+];
+
+/// Guards against shares that are too small for any repeat.
+#[test]
+fn a_gateway_with_a_small_share_still_sends_repeats() {
+    for row in USES {
+        let options = RepeatOptions {
+            window: Millis(WINDOW_MS as u64),
+            ratio: RATIO,
+            slack: row.slack,
+        };
+        let mut limit = RepeatLimit::new_ext(options, Millis(0));
+        let (mut requests, mut repeats) = (0.0, 0.0);
+        for n in 1..=60_000 / row.interval_ms {
+            let now = Millis(n * row.interval_ms);
+            limit.record_request(now);
+            requests += 1.0;
+            if limit.try_repeat(now) {
+                repeats += 1.0;
+            }
+        }
+        let least = USED_PART * RATIO * requests;
+        assert!(repeats >= least, "{}: {repeats} of {least}", row.name);
+    }
+}
