Repeats: decided where an attempt ends, not after the wait for the next turn

What callers saw: a request whose repeat the limit stops waited for a turn at another engine first (910 ms in the case), and an engine's own failure was replaced by a 502.

Cause: a model engine's repeat was counted just before its send, so that whether there was one was known only then. Credit is now reserved where an attempt ends, spent by the send, and returned if there is none. What is reserved counts against what may be saved up, so that the sum over all gateways holds while requests wait; the search reserves, waits, sends and gives up.

--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -1,6 +1,6 @@
 //! Sends of requests beyond the first: counts them by cause, and keeps them within their limit.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,6 +45,13 @@
             Self::Resumed => "resumed",
         }
     }
+
+    fn labels(self, service: &ServiceId) -> CauseLabels {
+        CauseLabels {
+            service: service.to_string(),
+            cause: self.as_str(),
+        }
+    }
 }
 
 /// Repeats of each service.
@@ -83,34 +90,33 @@
         self.with_service(shared, service, |s| s.limit.record_request(now));
     }
 
-    /// Counts a repeated send of `request` to `service`, if the limit allows one; returns whether it does.
-    pub(crate) fn try_repeat(
+    /// Reserves a repeated send of `request` to `service`, if the limit allows one.
+    pub(crate) fn reserve(
         &self,
-        shared: &Shared,
+        shared: &Rc<Shared>,
         service: &ServiceId,
         request: &str,
         cause: RepeatCause,
-    ) -> bool {
+    ) -> Option<RepeatReservation> {
         let now = window_time(&shared.timer);
-        self.with_service(shared, service, |s| {
-            let is_allowed = s.limit.try_repeat(now);
-            let meters = &shared.meters;
-            let counters = if is_allowed {
-                &meters.repeats
-            } else {
-                &meters.stopped_repeats
-            };
-            let labels = CauseLabels {
-                service: service.to_string(),
-                cause: cause.as_str(),
-            };
-            counters.get_or_create(&labels).inc();
-            if is_allowed {
-                log_repeat(shared, service, request, cause, &s.limit);
-            } else {
+        let is_allowed = self.with_service(shared, service, |s| {
+            let is_allowed = s.limit.try_reserve(now);
+            if !is_allowed {
                 s.record_stop(shared, service);
             }
             is_allowed
+        });
+        if !is_allowed {
+            let counters = &shared.meters.stopped_repeats;
+            counters.get_or_create(&cause.labels(service)).inc();
+            return None;
+        }
+        Some(RepeatReservation {
+            shared: Rc::clone(shared),
+            service: service.clone(),
+            request: request.to_owned(),
+            cause,
+            is_spent: Cell::default(),
         })
     }
 
@@ -175,21 +181,50 @@
     }
 }
 
-fn log_repeat(
-    shared: &Shared,
-    service: &ServiceId,
-    request: &str,
+/// Credit that is reserved for one repeated send, and returned if dropped before it is spent.
+pub(crate) struct RepeatReservation {
+    shared: Rc<Shared>,
+    service: ServiceId,
+    request: String,
     cause: RepeatCause,
-    limit: &RepeatLimit,
-) {
-    let fields = [
-        field("request", request),
-        field("service", service.as_str()),
-        field("cause", cause.as_str()),
-        field("remaining", limit.remaining()),
-        field("gateways", shared.gateway_count.borrow().count()),
-    ];
-    shared.log.emit(&events::REQUEST_REPEATED, &fields);
+    is_spent: Cell<bool>,
+}
+
+impl RepeatReservation {
+    /// Spends the credit: the request is sent once more.
+    pub(crate) fn spend(&self) {
+        if self.is_spent.replace(true) {
+            return;
+        }
+        let shared = &self.shared;
+        let remaining = shared.repeats.with_service(shared, &self.service, |s| {
+            s.limit.spend();
+            s.limit.remaining()
+        });
+        let counters = &shared.meters.repeats;
+        let labels = self.cause.labels(&self.service);
+        counters.get_or_create(&labels).inc();
+        let fields = [
+            field("request", self.request.as_str()),
+            field("service", self.service.as_str()),
+            field("cause", self.cause.as_str()),
+            field("remaining", remaining),
+            field("gateways", shared.gateway_count.borrow().count()),
+        ];
+        shared.log.emit(&events::REQUEST_REPEATED, &fields);
+    }
+}
+
+impl Drop for RepeatReservation {
+    fn drop(&mut self) {
+        if self.is_spent.get() {
+            return;
+        }
+        let shared = &self.shared;
+        let now = window_time(&shared.timer);
+        let repeats = &shared.repeats;
+        repeats.with_service(shared, &self.service, |s| s.limit.release(now));
+    }
 }
 
 /// Time on a clock that also counts the time in which the VM was suspended, as the windows of others do.
--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -13,7 +13,7 @@
 use super::hop_headers::strip_hop_headers;
 use super::permit::Permit;
 use super::trace::RequestTrace;
-use crate::repeats::RepeatCause;
+use crate::repeats::{RepeatCause, RepeatReservation};
 use crate::shared::Shared;
 use crate::{AttemptAttributes, Priority, RequestAttributes};
 
@@ -111,11 +111,11 @@
             .record_request(&self.shared, &self.service);
     }
 
-    /// Counts a repeated send of the request, if the limit allows one; returns whether it does.
-    pub(super) fn try_repeat(&self, cause: RepeatCause) -> bool {
+    /// Reserves a repeated send of the request, if the limit allows one.
+    pub(super) fn reserve_repeat(&self, cause: RepeatCause) -> Option<RepeatReservation> {
         self.shared
             .repeats
-            .try_repeat(&self.shared, &self.service, self.id(), cause)
+            .reserve(&self.shared, &self.service, self.id(), cause)
     }
 
     /// Upstreams that accept requests and were not tried yet.
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -10,13 +10,13 @@
 use super::choose::{adapter_version, choose_engine};
 use super::forward::forward;
 use super::job::Job;
-use super::refuse::{LIMITED, RESTING, Refusal, outcome_unknown};
+use super::refuse::{LIMITED, REPEAT_BOUND, RESTING, Refusal, outcome_unknown};
 use super::resume;
 use super::send::{AttemptOutcome, MIN_TIME_LEFT_MS};
 use super::shortlist::Shortlist;
 use crate::RetryAfter;
 use crate::agents::{self, AgentLost};
-use crate::repeats::RepeatCause;
+use crate::repeats::{RepeatCause, RepeatReservation};
 use crate::table::InFlight;
 
 /// Wait for the first event after which callers disconnect, in objectives. They wait at least
@@ -74,7 +74,11 @@
     job.waiting_since = job.shared.timer.now();
     progress.search.restart();
     progress.shortlist.clear();
-    progress.repeat_cause = RepeatCause::Resumed;
+    if progress.sends >= job.route.max_attempts
+        || !progress.reserve_repeat(job, RepeatCause::Resumed)
+    {
+        return None;
+    }
     while progress.sends < job.route.max_attempts {
         job.acquire_permit().await.ok()?;
         let turn = find_turn(job, progress).await.ok()?;
@@ -167,8 +171,8 @@
     search: TurnSearch,
     shortlist: Shortlist,
     sends: u32,
-    /// Why the latest attempt is followed by another one.
-    repeat_cause: RepeatCause,
+    /// Reserved for the next attempt, if it is a repeat.
+    repeat: Option<RepeatReservation>,
     may_have_run: bool,
     reason: Option<&'static str>,
     retry_after: Option<Millis>,
@@ -181,6 +185,17 @@
         self.retry_after = Some(backoff);
     }
 
+    /// Whether a request that may have run may be sent once more.
+    fn may_retry(&self, job: &Job) -> bool {
+        job.route.retry != RetryMode::Never && self.sends < job.route.max_attempts
+    }
+
+    /// Reserves the next attempt, if the limit of repeats allows one.
+    fn reserve_repeat(&mut self, job: &Job, cause: RepeatCause) -> bool {
+        self.repeat = job.reserve_repeat(cause);
+        self.repeat.is_some()
+    }
+
     fn record_refusal(&mut self, reason: &'static str, retry_after: Millis) {
         self.reason = Some(reason);
         self.retry_after = Some(self.retry_after.map_or(retry_after, |r| r.min(retry_after)));
@@ -254,8 +269,8 @@
     if !job.is_permitted() {
         return AttemptResult::Retry;
     }
-    if progress.sends > 0 && !job.try_repeat(progress.repeat_cause) {
-        return AttemptResult::Failed("repeat_bound");
+    if let Some(repeat) = &progress.repeat {
+        repeat.spend();
     }
     progress.sends += 1;
     let version = adapter_version(job).max(turn.version);
@@ -263,6 +278,9 @@
         .send(&turn.upstream, version, job.time_left_duration())
         .await;
     progress.search.exclude(&instance);
+    if !matches!(outcome, AttemptOutcome::NotSent(_)) {
+        progress.repeat = None;
+    }
     handle_outcome(job, turn, outcome, in_flight, progress)
 }
 
@@ -274,18 +292,11 @@
     in_flight: InFlight,
     progress: &mut Progress,
 ) -> AttemptResult {
-    let may_retry = job.route.retry != RetryMode::Never && progress.sends < job.route.max_attempts;
     match outcome {
         AttemptOutcome::Response(response) => {
-            if response.status() >= 500 {
-                record_failure(job, &turn.upstream);
-                if may_retry {
-                    job.trace
-                        .log_attempt_lost("read answer", true, true, "engine failed");
-                    progress.may_have_run = true;
-                    progress.repeat_cause = RepeatCause::Failed;
-                    return AttemptResult::Retry;
-                }
+            let is_failure = response.status() >= 500;
+            if is_failure && handle_failure(job, turn, progress) {
+                return AttemptResult::Retry;
             }
             AttemptResult::Response(Box::new(EngineResponse {
                 response,
@@ -293,15 +304,11 @@
             }))
         }
         AttemptOutcome::NotRun(attributes) => {
-            job.trace
-                .log_attempt_lost("refused by engine", false, true, "");
             let retry_after = match attributes.retry_after {
                 Some(RetryAfter::DelayMs(ms)) => Millis(ms),
                 _ => DEFAULT_RETRY_AFTER,
             };
-            progress.record_refusal("engine_refused", retry_after);
-            progress.repeat_cause = RepeatCause::Refused;
-            AttemptResult::Retry
+            handle_not_run(job, retry_after, progress)
         }
         AttemptOutcome::NotSent(e) => {
             progress.sends -= 1;
@@ -310,18 +317,7 @@
             progress.record_refusal("not_sent", DEFAULT_RETRY_AFTER);
             AttemptResult::Retry
         }
-        AttemptOutcome::Lost(e) => {
-            progress.may_have_run = true;
-            progress.repeat_cause = RepeatCause::Lost;
-            record_failure(job, &turn.upstream);
-            job.trace
-                .log_attempt_lost("await answer", true, may_retry, &e);
-            if may_retry {
-                AttemptResult::Retry
-            } else {
-                AttemptResult::Failed("no_answer")
-            }
-        }
+        AttemptOutcome::Lost(e) => handle_lost(job, turn, &e, progress),
         AttemptOutcome::TimedOut => {
             progress.may_have_run = true;
             record_failure(job, &turn.upstream);
@@ -332,6 +328,52 @@
     }
 }
 
+/// Records that the engine responded with a failure, and returns whether another attempt follows.
+fn handle_failure(job: &Job, turn: &GrantedTurn, progress: &mut Progress) -> bool {
+    record_failure(job, &turn.upstream);
+    let will_retry = progress.may_retry(job) && progress.reserve_repeat(job, RepeatCause::Failed);
+    if will_retry {
+        job.trace
+            .log_attempt_lost("read answer", true, true, "engine failed");
+        progress.may_have_run = true;
+    }
+    will_retry
+}
+
+fn handle_not_run(job: &Job, retry_after: Millis, progress: &mut Progress) -> AttemptResult {
+    let will_retry = progress.reserve_repeat(job, RepeatCause::Refused);
+    job.trace
+        .log_attempt_lost("refused by engine", false, will_retry, "");
+    if will_retry {
+        progress.record_refusal("engine_refused", retry_after);
+        AttemptResult::Retry
+    } else {
+        progress.record_refusal(REPEAT_BOUND, retry_after);
+        AttemptResult::Failed(REPEAT_BOUND)
+    }
+}
+
+fn handle_lost(
+    job: &Job,
+    turn: &GrantedTurn,
+    error: &str,
+    progress: &mut Progress,
+) -> AttemptResult {
+    progress.may_have_run = true;
+    record_failure(job, &turn.upstream);
+    let may_retry = progress.may_retry(job);
+    let will_retry = may_retry && progress.reserve_repeat(job, RepeatCause::Lost);
+    job.trace
+        .log_attempt_lost("await answer", true, will_retry, error);
+    if will_retry {
+        AttemptResult::Retry
+    } else if may_retry {
+        AttemptResult::Failed(REPEAT_BOUND)
+    } else {
+        AttemptResult::Failed("no_answer")
+    }
+}
+
 fn record_failure(job: &Job, upstream: &Upstream) {
     let now = job.shared.timer.now();
     job.shared
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -11,7 +11,7 @@
 use super::job::Job;
 use super::refuse::{LIMITED, Refusal, outcome_unknown};
 use super::send::{AttemptOutcome, MIN_TIME_LEFT_MS};
-use crate::repeats::RepeatCause;
+use crate::repeats::{RepeatCause, RepeatReservation};
 
 /// Part of the objective after which a retryable request is sent to another upstream, so that the retry can
 /// still meet the objective. With one half, one response in thirty is slower than this.
@@ -37,6 +37,8 @@
 #[derive(Default)]
 struct Progress {
     sends: u32,
+    /// Reserved for the next attempt, if it is a repeat.
+    repeat: Option<RepeatReservation>,
     /// Whether an attempt may have been executed.
     may_have_run: bool,
 }
@@ -63,6 +65,9 @@
         progress.sends += 1;
         let in_flight = job.shared.table.track(&upstream.instance, None);
         let started_at = job.shared.timer.now();
+        if let Some(repeat) = progress.repeat.take() {
+            repeat.spend();
+        }
         let result = attempt(&job, &upstream, progress.sends).await;
         job.tried_instances.push(upstream.instance.clone());
         let next = match result {
@@ -80,11 +85,11 @@
                     .table
                     .with(&upstream.instance, |r| r.stats.record_failure(now));
                 progress.may_have_run |= may_have_run;
-                handle_failure(&job, &progress, cause, step, &error)
+                handle_failure(&job, &mut progress, cause, step, &error)
             }
             AttemptResult::NotRun => {
                 let step = "refused by upstream";
-                handle_failure(&job, &progress, RepeatCause::Refused, step, "")
+                handle_failure(&job, &mut progress, RepeatCause::Refused, step, "")
             }
         };
         if let Next::Reply(reply) = next {
@@ -192,13 +197,17 @@
     shortest.map(|(wait, _, upstream)| (upstream, wait))
 }
 
-/// Whether another attempt may follow; `may_have_run` if the last one may have been executed. If so, counts
-/// it against the limit of repeats.
-fn try_retry(job: &Job, progress: &Progress, may_have_run: bool, cause: RepeatCause) -> bool {
+/// Whether another attempt may follow; `may_have_run` if the last one may have been executed. If so, reserves
+/// it.
+fn try_retry(job: &Job, progress: &mut Progress, may_have_run: bool, cause: RepeatCause) -> bool {
     let may_retry = job.route.retry == RetryMode::Whole && progress.sends < job.route.max_attempts;
     let is_allowed = (!may_have_run || may_retry) && progress.sends < MAX_SENDS;
     let can_continue = job.time_left().0 > MIN_TIME_LEFT_MS && !job.candidates().is_empty();
-    is_allowed && can_continue && job.try_repeat(cause)
+    if !is_allowed || !can_continue {
+        return false;
+    }
+    progress.repeat = job.reserve_repeat(cause);
+    progress.repeat.is_some()
 }
 
 /// Returns a complete response, unless it reports a failure and another attempt may follow.
@@ -232,7 +241,7 @@
 
 fn handle_failure(
     job: &Job,
-    progress: &Progress,
+    progress: &mut Progress,
     cause: RepeatCause,
     step: &str,
     error: &str,
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -19,6 +19,9 @@
 /// Reason of a refusal while the rate limits of all upstreams have no free slot in time.
 pub(super) const LIMITED: &str = "limited";
 
+/// Reason of a failure where the limit of repeats allows no other attempt.
+pub(super) const REPEAT_BOUND: &str = "repeat_bound";
+
 /// Refusal of a request that was not executed and will not be.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Refusal {
--- a/crates/policy/src/prompt/repeat.rs
+++ b/crates/policy/src/prompt/repeat.rs
@@ -49,6 +49,8 @@
     options: RepeatOptions,
     requests: VecDeque<Millis>,
     credit: f64,
+    /// Reserved repeats without an outcome. They count against what may be saved up.
+    reserved: u32,
     /// Time up to which `credit` has accrued.
     accrued_at: Millis,
 }
@@ -61,6 +63,7 @@
             options,
             requests: VecDeque::new(),
             credit: 0.0,
+            reserved: 0,
             accrued_at: now,
         }
     }
@@ -77,17 +80,30 @@
         self.add(self.options.ratio * EARNED_PART);
     }
 
-    /// Spends credit on a repeated send, and returns whether there was enough.
+    /// Reserves credit for a repeated send, and returns whether there was enough.
     #[must_use]
-    pub fn try_repeat(&mut self, now: Millis) -> bool {
+    pub fn try_reserve(&mut self, now: Millis) -> bool {
         self.advance(now);
         if self.credit < 1.0 {
             return false;
         }
         self.credit -= 1.0;
+        self.reserved += 1;
         true
     }
 
+    /// Spends reserved credit: the repeat is sent.
+    pub fn spend(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
+    /// Returns reserved credit: the repeat is not sent.
+    pub fn release(&mut self, now: Millis) {
+        self.advance(now);
+        self.reserved = self.reserved.saturating_sub(1);
+        self.add(1.0);
+    }
+
     /// Repeats for which there is credit, as of the last call with a time.
     #[must_use]
     #[allow(
@@ -117,7 +133,8 @@
 
     fn add(&mut self, credit: f64) {
         let ratio = self.options.ratio * (1.0 - EARNED_PART);
-        let max_credit = self.options.saved_slack() + ratio * approximate(self.requests.len());
+        let max_saved = self.options.saved_slack() + ratio * approximate(self.requests.len());
+        let max_credit = (max_saved - f64::from(self.reserved)).max(0.0);
         self.credit = (self.credit + credit).min(max_credit);
     }
 }
--- a/crates/policy/tests/prompt_choice.rs
+++ b/crates/policy/tests/prompt_choice.rs
@@ -194,16 +194,17 @@
         ratio: 0.18,
         slack: 6.0,
     };
-    let mut window = RepeatLimit::new_ext(options, Millis(0));
+    let mut limit = RepeatLimit::new_ext(options, Millis(0));
     let (mut requests, mut repeats) = (Vec::new(), Vec::new());
     for step in 0..4_000_u64 {
         let now = Millis(step * 10);
         // The load comes in waves, and each request is to be repeated immediately.
         if step % 1_000 < 600 {
-            window.record_request(now);
+            limit.record_request(now);
             requests.push(now);
         }
-        if window.try_repeat(now) {
+        if limit.try_reserve(now) {
+            limit.spend();
             repeats.push(now);
         }
         // The limit is checked against the requests of the current window, of the previous one, and of the
--- a/crates/policy/tests/repeats.rs
+++ b/crates/policy/tests/repeats.rs
@@ -1,5 +1,7 @@
 //! Limit on repeated sends, summed over all gateways and all their starts.
 
+use std::collections::BTreeMap;
+
 use pumicecleat_policy::{RepeatLimit, RepeatOptions};
 use pumicecleat_types::Millis;
 use rand::{Rng, RngExt, SeedableRng};
@@ -87,9 +89,11 @@
     },
 ];
 
-/// A gateway; `window` is `None` while it is down.
+/// A gateway; `limit` is `None` while it is down.
 struct Gateway {
-    window: Option<RepeatLimit>,
+    limit: Option<RepeatLimit>,
+    /// Reserved repeats, by the step at which each is sent or given up.
+    reserved: BTreeMap<usize, u32>,
     /// Step at which it starts again.
     back_at: usize,
     /// Requests per step.
@@ -112,7 +116,8 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let count = rng.random_range(1..=disturbances.gateways);
         let gateways = (0..count).map(|_| Gateway {
-            window: None,
+            limit: None,
+            reserved: BTreeMap::new(),
             back_at: 0,
             rate: 0.0,
             due: 0.0,
@@ -157,44 +162,45 @@
         let part = [0.2, 0.6, 1.0][self.rng.random_range(0..3)];
         for gateway in &mut self.gateways {
             if self.rng.random_bool(part) {
-                gateway.window = None;
+                gateway.limit = None;
+                gateway.reserved.clear();
                 gateway.back_at = step + self.rng.random_range(1..60);
             }
         }
     }
 
-    /// Many requests under way are sent again at once.
+    /// Many requests under way are to be sent again at once.
     fn lose(&mut self, step: usize) {
         for gateway in &mut self.gateways {
             let lost = self.rng.random_range(0..80);
-            gateway.repeat(lost, step, &mut self.repeats);
+            gateway.reserve(lost, step, &mut self.rng);
         }
     }
 
     fn step(&mut self, step: usize) {
         let options = self.options();
         for gateway in &mut self.gateways {
-            if gateway.window.is_none() && gateway.back_at <= step {
-                gateway.window = Some(RepeatLimit::new_ext(options, at(step)));
+            if gateway.limit.is_none() && gateway.back_at <= step {
+                gateway.limit = Some(RepeatLimit::new_ext(options, at(step)));
             }
             gateway.due += gateway.rate;
             while gateway.due >= 1.0 {
                 gateway.due -= 1.0;
                 // Callers send to a gateway that is down as well.
                 self.requests[step] += 1;
-                if let Some(window) = &mut gateway.window {
-                    window.record_request(at(step));
+                if let Some(limit) = &mut gateway.limit {
+                    limit.record_request(at(step));
                 }
                 if self.rng.random_bool(self.failing) {
-                    gateway.repeat(1, step, &mut self.repeats);
+                    gateway.reserve(1, step, &mut self.rng);
                 }
             }
+            self.repeats[step] += gateway.send_reserved(step, &mut self.rng);
         }
     }
 
     fn play(mut self, disturbances: Disturbances) -> Self {
         for step in 0..STEPS {
-            self.step(step);
             if happens(&mut self.rng, disturbances.shifts_ms) {
                 self.shift();
             }
@@ -204,6 +210,7 @@
             if happens(&mut self.rng, disturbances.kills_ms) {
                 self.kill(step);
             }
+            self.step(step);
         }
         self
     }
@@ -230,15 +237,36 @@
 }
 
 impl Gateway {
-    fn repeat(&mut self, wanted: u32, step: usize, repeats: &mut [u32]) {
-        let Some(window) = &mut self.window else {
+    /// Reserves up to `wanted` repeats, which wait for upstreams for up to two seconds.
+    fn reserve(&mut self, wanted: u32, step: usize, rng: &mut impl Rng) {
+        let Some(limit) = &mut self.limit else {
             return;
         };
         for _ in 0..wanted {
-            if window.try_repeat(at(step)) {
-                repeats[step] += 1;
+            if limit.try_reserve(at(step)) {
+                let wait = [0, rng.random_range(0..200)][rng.random_range(0..2)];
+                *self.reserved.entry(step + wait).or_default() += 1;
+            }
+        }
+    }
+
+    /// Sends the repeats that are due, but for those that are given up; returns their number.
+    fn send_reserved(&mut self, step: usize, rng: &mut impl Rng) -> u32 {
+        let due = self.reserved.remove(&step).unwrap_or_default();
+        let limit = self.limit.as_mut().filter(|_| due > 0);
+        let Some(limit) = limit else {
+            return 0;
+        };
+        let mut sent = 0;
+        for _ in 0..due {
+            if rng.random_bool(0.2) {
+                limit.release(at(step));
+            } else {
+                limit.spend();
+                sent += 1;
             }
         }
+        sent
     }
 }
 
@@ -320,7 +348,8 @@
             let now = Millis(n * row.interval_ms);
             limit.record_request(now);
             requests += 1.0;
-            if limit.try_repeat(now) {
+            if limit.try_reserve(now) {
+                limit.spend();
                 repeats += 1.0;
             }
         }
