Repeats: what reached no upstream takes nothing from the limit

What callers saw: a request to a plain service whose first upstream could not be reached was turned away with 503 where the limit was used up, although no upstream had got it and another one was ready.

Cause: every further attempt was taken for a repeat, also after one of which nothing was sent. Now only an attempt after one that may have arrived is; a repeat of which nothing was sent keeps its credit for the next attempt.

a_request_that_no_upstream_got_takes_nothing_from_the_limit failed before (503 in place of 200).

--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -20,17 +20,14 @@
 const KEPT_TIME: Millis = Millis(5_000);
 
 /// Why a request is sent again.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum RepeatCause {
     /// The upstream reported that it did not execute the request.
     Refused,
     /// The upstream responded with a failure.
     Failed,
     /// No complete response arrived.
-    #[default]
     Lost,
-    /// The connection could not be opened.
-    NotSent,
     /// The stream broke after its first event.
     Resumed,
 }
@@ -41,7 +38,6 @@
             Self::Refused => "refused",
             Self::Failed => "failed",
             Self::Lost => "lost",
-            Self::NotSent => "not_sent",
             Self::Resumed => "resumed",
         }
     }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -65,7 +65,7 @@
         progress.sends += 1;
         let in_flight = job.shared.table.track(&upstream.instance, None);
         let started_at = job.shared.timer.now();
-        if let Some(repeat) = progress.repeat.take() {
+        if let Some(repeat) = &progress.repeat {
             repeat.spend();
         }
         let result = attempt(&job, &upstream, progress.sends).await;
@@ -79,7 +79,7 @@
                 handle_response(&job, &upstream, reply, took, &mut progress)
             }
             AttemptResult::Failed { cause, step, error } => {
-                let may_have_run = cause != RepeatCause::NotSent;
+                let may_have_run = cause.is_some();
                 let now = job.shared.timer.now();
                 job.shared
                     .table
@@ -89,7 +89,7 @@
             }
             AttemptResult::NotRun => {
                 let step = "refused by upstream";
-                handle_failure(&job, &mut progress, RepeatCause::Refused, step, "")
+                handle_failure(&job, &mut progress, Some(RepeatCause::Refused), step, "")
             }
         };
         if let Next::Reply(reply) = next {
@@ -102,7 +102,8 @@
     Complete(Reply),
     Oversized(pumicecleat_net::Response, Vec<u8>),
     Failed {
-        cause: RepeatCause,
+        /// Why another attempt is a repeat; `None` if nothing was sent.
+        cause: Option<RepeatCause>,
         step: &'static str,
         error: String,
     },
@@ -116,7 +117,7 @@
         .timer
         .within(timeout, exchange(job, upstream, timeout));
     within.await.unwrap_or_else(|_| AttemptResult::Failed {
-        cause: RepeatCause::Lost,
+        cause: Some(RepeatCause::Lost),
         step: "await answer",
         error: format!("response incomplete after {timeout:?}"),
     })
@@ -130,14 +131,14 @@
             Ok(Buffered::Oversized(response, prefix)) => AttemptResult::Oversized(response, prefix),
             Err(e) => {
                 job.trace.record_lost_connection();
-                failed(RepeatCause::Lost, "read answer", e.to_string())
+                failed(Some(RepeatCause::Lost), "read answer", e.to_string())
             }
         },
         AttemptOutcome::NotRun(_) => AttemptResult::NotRun,
-        AttemptOutcome::NotSent(e) => failed(RepeatCause::NotSent, "send", e),
-        AttemptOutcome::Lost(e) => failed(RepeatCause::Lost, "await answer", e),
+        AttemptOutcome::NotSent(e) => failed(None, "send", e),
+        AttemptOutcome::Lost(e) => failed(Some(RepeatCause::Lost), "await answer", e),
         AttemptOutcome::TimedOut => failed(
-            RepeatCause::Lost,
+            Some(RepeatCause::Lost),
             "await answer",
             format!("no response within {timeout:?}"),
         ),
@@ -198,14 +199,22 @@
 }
 
 /// Whether another attempt may follow; `may_have_run` if the last one may have been executed. If so, reserves
-/// it.
-fn try_retry(job: &Job, progress: &mut Progress, may_have_run: bool, cause: RepeatCause) -> bool {
+/// it, unless nothing was sent.
+fn try_retry(
+    job: &Job,
+    progress: &mut Progress,
+    may_have_run: bool,
+    cause: Option<RepeatCause>,
+) -> bool {
     let may_retry = job.route.retry == RetryMode::Whole && progress.sends < job.route.max_attempts;
     let is_allowed = (!may_have_run || may_retry) && progress.sends < MAX_SENDS;
     let can_continue = job.time_left().0 > MIN_TIME_LEFT_MS && !job.candidates().is_empty();
     if !is_allowed || !can_continue {
         return false;
     }
+    let Some(cause) = cause else {
+        return true;
+    };
     progress.repeat = job.reserve_repeat(cause);
     progress.repeat.is_some()
 }
@@ -221,7 +230,7 @@
     let status = reply.status().as_u16();
     progress.may_have_run = true;
     if status >= 500 {
-        if try_retry(job, progress, true, RepeatCause::Failed) {
+        if try_retry(job, progress, true, Some(RepeatCause::Failed)) {
             job.trace
                 .log_attempt_lost("read answer", true, true, "upstream failed");
             return Next::Retry;
@@ -242,11 +251,11 @@
 fn handle_failure(
     job: &Job,
     progress: &mut Progress,
-    cause: RepeatCause,
+    cause: Option<RepeatCause>,
     step: &str,
     error: &str,
 ) -> Next {
-    let may_have_run = cause == RepeatCause::Lost;
+    let may_have_run = cause == Some(RepeatCause::Lost);
     let will_retry = try_retry(job, progress, may_have_run, cause);
     job.trace
         .log_attempt_lost(step, may_have_run, will_retry, error);
