Repeats: a lower number of gateways raises no share of the slack

What callers saw: nothing yet; found while the same cause was looked for elsewhere.

Cause: a gateway that is cut off from others for more than 20 s is told of those on its own side alone, and took its share of the slack for their number, while those on the other side did the same. Gateways that left and gateways behind a cut look the same, so the share of what may be saved up now follows the highest number that a process was ever told. Parts of a rate limit follow the number as before.

The count moves to the policy crate.

Left: a gateway that starts while it is cut off knows only its own side.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,7 +29,6 @@
 mod allowance;
 mod candidates;
 mod exceeded;
-mod gateway_count;
 mod headers;
 mod meters;
 mod readiness;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -23,8 +23,8 @@
         repeat_slack: f64 = "54", "sends";
         /// window over which repeated sends are counted
         repeat_window: HumanDuration = "10s", "span";
-        /// minimum number of shares into which the slack is divided; one for each gateway known to agents, if
-        /// that is more
+        /// minimum number of shares into which the slack is divided; the highest number of gateways that agents
+        /// told since the start, if that is more
         gateways: u32 = "8", "parts";
         /// longest wait of a read of the log for a record
         store_wait: HumanDuration = "20s", "span";
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -9,13 +9,12 @@
 };
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
-use pumicecleat_policy::{Admission, LimitChange, LimitSource, RateLimits};
+use pumicecleat_policy::{Admission, GatewayCount, LimitChange, LimitSource, RateLimits};
 use pumicecleat_types::{DataCentre, Millis, VmId};
 use rand_chacha::ChaCha8Rng;
 
 use crate::allowance::Allowances;
 use crate::exceeded::ExceededAccounts;
-use crate::gateway_count::GatewayCount;
 use crate::meters::Meters;
 use crate::repeats::Repeats;
 use crate::self_reports::SelfReports;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -13,14 +13,13 @@
 use pumicecleat_ops::{
     Admin, Drain, Dump, ListenError, Log, Metrics, Readiness, Stop, events, field, listen,
 };
-use pumicecleat_policy::{RateLimits, RepeatOptions};
+use pumicecleat_policy::{GatewayCount, RateLimits, RepeatOptions};
 use pumicecleat_types::Millis;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::allowance::{self, Allowances};
 use crate::exceeded::ExceededAccounts;
-use crate::gateway_count::GatewayCount;
 use crate::meters::Meters;
 use crate::readiness::ReadinessHandler;
 use crate::repeats::{Repeats, watch_stops};
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -44,7 +44,7 @@
 pub use index::{CallerIx, LoraIx, PoolIx, UpstreamIx};
 pub use limits::{
     ATTACHED_TTL, Admission, AllowanceDecision, AllowancePool, AllowanceTerms, COUNT_TTL,
-    GatewayPeak, LimitChange, LimitSource, PoolSelector, RateLimits, Slot,
+    GatewayCount, GatewayPeak, LimitChange, LimitSource, PoolSelector, RateLimits, Slot,
 };
 pub use load_order::{LoadOrder, LoadOrderOptions};
 pub use prompt::{
--- a/crates/policy/src/limits/mod.rs
+++ b/crates/policy/src/limits/mod.rs
@@ -7,6 +7,7 @@
 //! upstream is known or the upstream is removed.
 
 mod allowance;
+mod gateway_count;
 mod pace;
 mod pool_selector;
 mod rate_limits;
@@ -14,6 +15,7 @@
 pub use allowance::{
     ATTACHED_TTL, AllowanceDecision, AllowancePool, AllowanceTerms, COUNT_TTL, GatewayPeak,
 };
+pub use gateway_count::GatewayCount;
 pub use pace::Slot;
 pub use pool_selector::PoolSelector;
 pub use rate_limits::{Admission, LimitChange, LimitSource, RateLimits};
--- a/crates/policy/tests/repeats.rs
+++ b/crates/policy/tests/repeats.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use pumicecleat_policy::{RepeatLimit, RepeatOptions};
+use pumicecleat_policy::{GatewayCount, RepeatLimit, RepeatOptions};
 use pumicecleat_types::Millis;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -22,76 +22,112 @@
     kills_ms: usize,
     /// Mean time between changes of how much each gateway gets.
     shifts_ms: usize,
+    /// Mean time between cuts of some gateways and one agent from the others, one to four windows long; 0 for none.
+    cuts_ms: usize,
     /// Mean time between losses that have many requests sent again at once.
     losses_ms: usize,
     /// Largest number of gateways.
     gateways: usize,
     /// Slack of all gateways together.
     slack: f64,
+    /// Largest number of requests per step to all gateways.
+    max_rate: f64,
 }
 
-const SEARCHES: [Disturbances; 7] = [
+const SEARCHES: [Disturbances; 8] = [
     Disturbances {
         name: "kills in quick succession",
         kills_ms: 800,
         shifts_ms: 20_000,
+        cuts_ms: 0,
         losses_ms: 2_000,
         gateways: 8,
         slack: 56.0,
+        max_rate: 1.5,
     },
     Disturbances {
         name: "kills a window apart",
         kills_ms: 9_000,
         shifts_ms: 20_000,
+        cuts_ms: 0,
         losses_ms: 3_000,
         gateways: 8,
         slack: 56.0,
+        max_rate: 1.5,
     },
     Disturbances {
         name: "requests move between gateways",
         kills_ms: 0,
         shifts_ms: 4_000,
+        cuts_ms: 0,
         losses_ms: 4_000,
         gateways: 4,
         slack: 56.0,
+        max_rate: 1.5,
     },
     Disturbances {
         name: "all at once",
         kills_ms: 3_000,
         shifts_ms: 2_500,
+        cuts_ms: 0,
         losses_ms: 2_500,
         gateways: 8,
         slack: 56.0,
+        max_rate: 1.5,
     },
     Disturbances {
         name: "one gateway",
         kills_ms: 4_000,
         shifts_ms: 3_000,
+        cuts_ms: 0,
         losses_ms: 3_000,
         gateways: 1,
         slack: 56.0,
+        max_rate: 1.5,
     },
     Disturbances {
         name: "less slack than gateways",
         kills_ms: 3_000,
         shifts_ms: 2_500,
+        cuts_ms: 0,
         losses_ms: 2_500,
         gateways: 12,
         slack: 6.0,
+        max_rate: 1.5,
+    },
+    Disturbances {
+        name: "gateways are cut off from others",
+        kills_ms: 0,
+        shifts_ms: 5_000,
+        cuts_ms: 2_000,
+        losses_ms: 4_000,
+        gateways: 30,
+        slack: 56.0,
+        max_rate: 0.2,
     },
     Disturbances {
         name: "many gateways",
         kills_ms: 2_000,
         shifts_ms: 2_500,
+        cuts_ms: 0,
         losses_ms: 2_500,
         gateways: 60,
         slack: 100.0,
+        max_rate: 1.5,
     },
 ];
 
+/// Shares of the slack before the first report.
+const MIN_SHARES: u32 = 8;
+/// Steps between the reports of agents.
+const REPORT_STEPS: usize = 20;
+
 /// A gateway; `limit` is `None` while it is down.
 struct Gateway {
     limit: Option<RepeatLimit>,
+    count: GatewayCount,
+    /// Side of the cut.
+    side: usize,
     /// Reserved repeats, by the step at which each is sent or given up.
     reserved: BTreeMap<usize, u32>,
     /// Step at which it starts again.
@@ -103,8 +139,12 @@
 
 struct Fleet {
     slack: f64,
+    max_rate: f64,
     rng: ChaCha8Rng,
     gateways: Vec<Gateway>,
+    /// For each of two agents, the step of its last contact with each gateway.
+    contacts: [BTreeMap<usize, usize>; 2],
+    cut_until: usize,
     /// Part of the requests that are sent again at once.
     failing: f64,
     requests: Vec<u32>,
@@ -117,6 +157,8 @@
         let count = rng.random_range(1..=disturbances.gateways);
         let gateways = (0..count).map(|_| Gateway {
             limit: None,
+            count: new_count(),
+            side: 0,
             reserved: BTreeMap::new(),
             back_at: 0,
             rate: 0.0,
@@ -124,7 +166,10 @@
         });
         let mut fleet = Self {
             slack: disturbances.slack,
+            max_rate: disturbances.max_rate,
             gateways: gateways.collect(),
+            contacts: <[_; 2]>::default(),
+            cut_until: 0,
             rng,
             failing: 0.0,
             requests: vec![0; STEPS],
@@ -134,18 +179,37 @@
         fleet
     }
 
-    fn options(&self) -> RepeatOptions {
-        let count = u32::try_from(self.gateways.len()).unwrap();
-        RepeatOptions {
-            window: Millis(WINDOW_MS as u64),
-            ratio: RATIO,
-            slack: self.slack / f64::from(count),
+    /// Gateways call the agents on their side of a cut, which report how many have called them.
+    fn report(&mut self, step: usize) {
+        let is_cut = step < self.cut_until;
+        for (n, gateway) in self.gateways.iter_mut().enumerate() {
+            let sides = if is_cut {
+                gateway.side..gateway.side + 1
+            } else {
+                0..2
+            };
+            for contacts in &mut self.contacts[sides] {
+                contacts.insert(n, step);
+                contacts.retain(|_, at| step - *at < WINDOW_STEPS);
+                let count = u32::try_from(contacts.len()).unwrap();
+                gateway.count.record_report(count, at(step));
+            }
+        }
+    }
+
+    fn cut(&mut self, step: usize) {
+        if step < self.cut_until {
+            return;
+        }
+        self.cut_until = step + self.rng.random_range(WINDOW_STEPS..4 * WINDOW_STEPS);
+        for gateway in &mut self.gateways {
+            gateway.side = self.rng.random_range(0..2);
         }
     }
 
     /// Draws how many requests each gateway gets, and how many of them are sent again.
     fn shift(&mut self) {
-        let total = self.rng.random_range(0.05..1.5);
+        let total = self.rng.random_range(0.05..self.max_rate);
         let weights: Vec<f64> = self
             .gateways
             .iter()
@@ -163,6 +227,7 @@
         for gateway in &mut self.gateways {
             if self.rng.random_bool(part) {
                 gateway.limit = None;
+                gateway.count = new_count();
                 gateway.reserved.clear();
                 gateway.back_at = step + self.rng.random_range(1..60);
             }
@@ -178,11 +243,17 @@
     }
 
     fn step(&mut self, step: usize) {
-        let options = self.options();
+        if step.is_multiple_of(REPORT_STEPS) {
+            self.report(step);
+        }
         for gateway in &mut self.gateways {
+            let options = gateway.options(self.slack);
             if gateway.limit.is_none() && gateway.back_at <= step {
                 gateway.limit = Some(RepeatLimit::new_ext(options, at(step)));
             }
+            if let Some(limit) = &mut gateway.limit {
+                limit.set_options(options);
+            }
             gateway.due += gateway.rate;
             while gateway.due >= 1.0 {
                 gateway.due -= 1.0;
@@ -207,6 +278,9 @@
             if happens(&mut self.rng, disturbances.losses_ms) {
                 self.lose(step);
             }
+            if happens(&mut self.rng, disturbances.cuts_ms) {
+                self.cut(step);
+            }
             if happens(&mut self.rng, disturbances.kills_ms) {
                 self.kill(step);
             }
@@ -237,6 +311,14 @@
 }
 
 impl Gateway {
+    fn options(&self, slack: f64) -> RepeatOptions {
+        RepeatOptions {
+            window: Millis(WINDOW_MS as u64),
+            ratio: RATIO,
+            slack: slack / f64::from(self.count.slack_shares()),
+        }
+    }
+
     /// Reserves up to `wanted` repeats, which wait for upstreams for up to two seconds.
     fn reserve(&mut self, wanted: u32, step: usize, rng: &mut impl Rng) {
         let Some(limit) = &mut self.limit else {
@@ -270,6 +352,10 @@
     }
 }
 
+fn new_count() -> GatewayCount {
+    GatewayCount::new(MIN_SHARES, Millis(WINDOW_MS as u64))
+}
+
 fn at(step: usize) -> Millis {
     Millis((step * STEP_MS) as u64)
 }
