Gateway: the ratio of repeats comes from the deployment

Cause: the deploy file passed window and slack and not the ratio, for which the default of 20 percent stood in. A ratio that is no whole percent could not be set at all. The class: a bound of the deployment that a default stands in for.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,7 @@
 //!     "--vm", "vm-1", "--data-centre", "bp-a", "--region", "hu", "--store", "127.0.0.1:9000",
 //! ];
 //! let settings = GatewaySettings::read("gateway", &args, &BTreeMap::new()).unwrap();
-//! assert_eq!(settings.repeat_percent, 20);
+//! assert_eq!(settings.gateways, 8);
 //! ```
 
 mod agents;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -17,8 +17,8 @@
         agent_port: u16 = "8082", "port";
         /// maximum number of connections of callers
         connections: usize = "1500", "connections";
-        /// repeated sends to a service over all gateways, in percent of its requests
-        repeat_percent: u32 = "20", "percent";
+        /// repeated sends to a service over all gateways, per request
+        repeat_ratio: f64 = "0.2", "fraction";
         /// additional repeated sends to a service within the window, over all gateways
         repeat_slack: f64 = "54", "sends";
         /// window over which repeated sends are counted
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -246,7 +246,7 @@
     let part = window.as_secs_f64() / (window + MAX_TRANSIT).as_secs_f64();
     RepeatOptions {
         window: as_millis(window),
-        ratio: f64::from(settings.repeat_percent) / 100.0 * part,
+        ratio: settings.repeat_ratio * part,
         slack: settings.repeat_slack,
     }
 }
