Repeats: callers that the limit stops together come back one by one

What callers saw: all of them were told the same time to come back (0.15 s at plain services), and the line of the refusal said no_upstream. Now the time is drawn from the one that the upstream or the gateway gives up to twice as long, and the reason is repeat_bound.

callers_whose_repeats_are_stopped_come_back_at_different_times failed before (one time for twelve requests).

--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -8,6 +8,7 @@
 use http::request::Parts;
 use pumicecleat_catalog::{Catalog, Route, Standing, Upstream};
 use pumicecleat_types::{Millis, ServiceId};
+use rand::RngExt;
 
 use super::authenticate::Caller;
 use super::hop_headers::strip_hop_headers;
@@ -118,6 +119,12 @@
             .reserve(&self.shared, &self.service, self.id(), cause)
     }
 
+    /// Random time from `shortest` up to twice as long, so that callers refused together come back one by one.
+    pub(super) fn spread(&self, shortest: Millis) -> Millis {
+        let extra = self.shared.rng.borrow_mut().random_range(0..=shortest.0);
+        shortest + Millis(extra)
+    }
+
     /// Upstreams that accept requests and were not tried yet.
     pub(super) fn candidates(&self) -> Vec<Upstream> {
         let catalog = self.shared.catalog.borrow();
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -348,7 +348,7 @@
         progress.record_refusal("engine_refused", retry_after);
         AttemptResult::Retry
     } else {
-        progress.record_refusal(REPEAT_BOUND, retry_after);
+        progress.record_refusal(REPEAT_BOUND, job.spread(retry_after));
         AttemptResult::Failed(REPEAT_BOUND)
     }
 }
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -9,7 +9,7 @@
 
 use super::forward::{Buffered, buffer, forward};
 use super::job::Job;
-use super::refuse::{LIMITED, Refusal, outcome_unknown};
+use super::refuse::{LIMITED, REPEAT_BOUND, Refusal, outcome_unknown};
 use super::send::{AttemptOutcome, MIN_TIME_LEFT_MS};
 use crate::repeats::{RepeatCause, RepeatReservation};
 
@@ -39,6 +39,8 @@
     sends: u32,
     /// Reserved for the next attempt, if it is a repeat.
     repeat: Option<RepeatReservation>,
+    /// Whether the limit of repeats allowed no other attempt.
+    is_stopped: bool,
     /// Whether an attempt may have been executed.
     may_have_run: bool,
 }
@@ -216,7 +218,8 @@
         return true;
     };
     progress.repeat = job.reserve_repeat(cause);
-    progress.repeat.is_some()
+    progress.is_stopped = progress.repeat.is_none();
+    !progress.is_stopped
 }
 
 /// Returns a complete response, unless it reports a failure and another attempt may follow.
@@ -262,7 +265,9 @@
     if will_retry {
         return Next::Retry;
     }
-    let reason = if may_have_run {
+    let reason = if progress.is_stopped {
+        REPEAT_BOUND
+    } else if may_have_run {
         "no_answer"
     } else {
         "no_upstream"
@@ -297,5 +302,10 @@
     if job.tried_instances.is_empty() {
         return Refusal::no_upstream().reply(&job.trace);
     }
-    Refusal::new(reason, FULL_RETRY_AFTER).reply(&job.trace)
+    let retry_after = if progress.is_stopped {
+        job.spread(FULL_RETRY_AFTER)
+    } else {
+        FULL_RETRY_AFTER
+    };
+    Refusal::new(reason, retry_after).reply(&job.trace)
 }
