Repeats: the time under way counts for all that a window adds

The ratio was taken down by the time between a repeat's send and its arrival, and the accrued part of the slack was not, so that the terms of a window summed up to 0.07 of the slack more than the limit. The terms are functions of the options now, which the limit itself uses, and a test sums them up for 1 to 340 gateways: it holds for the saved, the accrued and the earned part together. The search delays arrivals as well.

--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -45,9 +45,6 @@
 /// Part of the grace after which the process ends in any case.
 const END_PART: f64 = 0.93;
 
-/// Longest time between the decision on a repeat and its arrival at an upstream.
-const MAX_TRANSIT: Duration = CONNECT_TIMEOUT.saturating_add(ACK_TIMEOUT);
-
 /// Interfaces to the deployment.
 #[derive(Clone)]
 pub struct GatewayParts {
@@ -239,14 +236,12 @@
     })
 }
 
-/// Limit of repeats across all gateways. The repeats that arrive within a window were decided within a window
-/// that is longer by [`MAX_TRANSIT`], so that the ratio is lower by as much.
+/// Limit of repeats, with the slack of all gateways.
 fn repeat_options(settings: &GatewaySettings) -> RepeatOptions {
-    let window = settings.repeat_window.0;
-    let part = window.as_secs_f64() / (window + MAX_TRANSIT).as_secs_f64();
     RepeatOptions {
-        window: as_millis(window),
-        ratio: settings.repeat_ratio * part,
+        window: as_millis(settings.repeat_window.0),
+        transit: as_millis(CONNECT_TIMEOUT + ACK_TIMEOUT),
+        ratio: settings.repeat_ratio,
         slack: settings.repeat_slack,
     }
 }
--- a/crates/policy/src/prompt/repeat.rs
+++ b/crates/policy/src/prompt/repeat.rs
@@ -29,6 +29,8 @@
 pub struct RepeatOptions {
     /// Length of the window.
     pub window: Millis,
+    /// Longest time between the send of a repeat and its arrival.
+    pub transit: Millis,
     /// Allowed repeats per request in the window.
     pub ratio: f64,
     /// Share of this process in the repeats that are allowed in addition to the ratio.
@@ -36,11 +38,37 @@
 }
 
 impl RepeatOptions {
+    /// Credit that `requests` requests of the last window allow to save up.
+    #[must_use]
+    pub fn max_saved(&self, requests: usize) -> f64 {
+        let ratio = self.ratio * (1.0 - EARNED_PART);
+        self.saved_slack() + ratio * approximate(requests)
+    }
+
+    /// Credit that a request adds.
+    #[must_use]
+    pub fn earned(&self) -> f64 {
+        self.ratio * EARNED_PART * self.sent_part()
+    }
+
+    /// Credit that a window adds.
+    #[must_use]
+    pub fn accrued(&self) -> f64 {
+        (self.slack - self.saved_slack()) * self.sent_part()
+    }
+
     /// Part of the share that can be saved up. A share of less than two is saved up to the first whole repeat.
     fn saved_slack(&self) -> f64 {
         let saved = self.slack * (1.0 - ACCRUED_PART);
         saved.max(self.slack.min(1.0))
     }
+
+    /// Part of what is added that can be spent: repeats that arrive within a window were sent within one that
+    /// is longer by the transit.
+    fn sent_part(&self) -> f64 {
+        let sent_window = self.window + self.transit;
+        self.window.as_secs() / sent_window.max(Millis(1)).as_secs()
+    }
 }
 
 /// Credit of one process for repeats, and its requests of the last window.
@@ -77,7 +105,7 @@
     pub fn record_request(&mut self, now: Millis) {
         self.advance(now);
         self.requests.push_back(now);
-        self.add(self.options.ratio * EARNED_PART);
+        self.add(self.options.earned());
     }
 
     /// Reserves credit for a repeated send, and returns whether there was enough.
@@ -127,13 +155,11 @@
         }
         let passed = now.since(self.accrued_at).as_secs() / window.as_secs();
         self.accrued_at = self.accrued_at.max(now);
-        let accrued = self.options.slack - self.options.saved_slack();
-        self.add(accrued * passed);
+        self.add(self.options.accrued() * passed);
     }
 
     fn add(&mut self, credit: f64) {
-        let ratio = self.options.ratio * (1.0 - EARNED_PART);
-        let max_saved = self.options.saved_slack() + ratio * approximate(self.requests.len());
+        let max_saved = self.options.max_saved(self.requests.len());
         let max_credit = (max_saved - f64::from(self.reserved)).max(0.0);
         self.credit = (self.credit + credit).min(max_credit);
     }
--- a/crates/policy/tests/prompt_choice.rs
+++ b/crates/policy/tests/prompt_choice.rs
@@ -191,6 +191,7 @@
 fn repeats_never_pass_their_bound_in_any_window() {
     let options = RepeatOptions {
         window: Millis(10_000),
+        transit: Millis(0),
         ratio: 0.18,
         slack: 6.0,
     };
--- a/crates/policy/tests/repeats.rs
+++ b/crates/policy/tests/repeats.rs
@@ -9,6 +9,8 @@
 
 const WINDOW_MS: usize = 10_000;
 const RATIO: f64 = 0.2;
+/// Longest time between the send of a repeat and its arrival.
+const TRANSIT_MS: usize = 1_450;
 /// Time between two steps.
 const STEP_MS: usize = 10;
 const STEPS: usize = 4_500;
@@ -266,7 +268,12 @@
                     gateway.reserve(1, step, &mut self.rng);
                 }
             }
-            self.repeats[step] += gateway.send_reserved(step, &mut self.rng);
+            for _ in 0..gateway.send_reserved(step, &mut self.rng) {
+                let delay = [0, TRANSIT_MS / STEP_MS][self.rng.random_range(0..2)];
+                if let Some(arrived) = self.repeats.get_mut(step + delay) {
+                    *arrived += 1;
+                }
+            }
         }
     }
 
@@ -314,6 +321,7 @@
     fn options(&self, slack: f64) -> RepeatOptions {
         RepeatOptions {
             window: Millis(WINDOW_MS as u64),
+            transit: Millis(TRANSIT_MS as u64),
             ratio: RATIO,
             slack: slack / f64::from(self.count.slack_shares()),
         }
@@ -386,6 +394,35 @@
     }
 }
 
+/// Guards against terms that sum up to more than the limit, for steady requests to all gateways.
+#[test]
+fn the_terms_of_a_window_sum_up_to_the_limit() {
+    for gateways in [1, 5, 8, 12, 68, 340] {
+        for slack in [0.0, 6.0, 54.0, 1_040.0] {
+            for requests in [0_u16, 100, 10_000] {
+                for ratio in [0.0, 0.05, 0.2] {
+                    let count = f64::from(gateways);
+                    let options = RepeatOptions {
+                        window: Millis(WINDOW_MS as u64),
+                        transit: Millis(TRANSIT_MS as u64),
+                        ratio,
+                        slack: slack / count,
+                    };
+                    let sent_window = options.window + options.transit;
+                    let sent_windows = sent_window.as_secs() / options.window.as_secs();
+                    let (each, all) = (f64::from(requests), count * f64::from(requests));
+                    let saved = count * options.max_saved(usize::from(requests));
+                    let accrued = count * options.accrued() * sent_windows;
+                    let earned = all * options.earned() * sent_windows;
+                    let (sum, limit) = (saved + accrued + earned, ratio * all + slack);
+                    let case = format!("{gateways} gateways, {each} requests each");
+                    assert!(sum <= limit + 1e-6, "{case}, {options:?}: {sum} of {limit}");
+                }
+            }
+        }
+    }
+}
+
 /// Smallest part of the ratio that a gateway uses where each request is to be sent again.
 const USED_PART: f64 = 0.7;
 
@@ -425,6 +462,7 @@
     for row in USES {
         let options = RepeatOptions {
             window: Millis(WINDOW_MS as u64),
+            transit: Millis(0),
             ratio: RATIO,
             slack: row.slack,
         };
