--- a/crates/policy/tests/prompt_turns.rs
+++ b/crates/policy/tests/prompt_turns.rs
@@ -160,6 +160,37 @@
     assert_eq!(scheduler.poll(Millis(500)), [unload("a1", 1)]);
 }
 
+/// Guards against a load into a slot that an order without an answer takes late, after one that changed nothing.
+#[test]
+fn no_load_follows_unanswered_orders_before_a_report_settles_them() {
+    let mut scheduler = scheduler_with(&["a1"]);
+    scheduler.enqueue(request("r1", "a2"), Millis(1));
+    assert_eq!(scheduler.poll(Millis(1)), [load("a2", 0)]);
+    scheduler.order_ended(OrderOutcome::Unknown, Millis(801));
+    scheduler.apply_report(&report(0, &["a1"], &[]), Millis(900));
+    scheduler.enqueue(request("r2", "a3"), Millis(901));
+    assert_eq!(scheduler.poll(Millis(901)), [unload("a1", 0)]);
+    scheduler.order_ended(OrderOutcome::Unknown, Millis(1_701));
+    scheduler.apply_report(&report(0, &["a1"], &[]), Millis(1_800));
+    scheduler.enqueue(request("r3", "a1"), Millis(1_801));
+    assert_eq!(scheduler.poll(Millis(1_801)), [load("a1", 0)]);
+    scheduler.order_ended(OrderOutcome::Done, Millis(1_802));
+    let unsettled = scheduler.poll(Millis(2_000));
+    assert_eq!(unsettled, [grant(TurnId(2))], "no order before a report");
+    scheduler.apply_report(&report(0, &["a1"], &[]), Millis(2_100));
+    assert_eq!(scheduler.poll(Millis(2_100)), [load("a2", 0)]);
+    scheduler.order_ended(OrderOutcome::Conflict, Millis(2_103));
+    assert_eq!(
+        scheduler.poll(Millis(2_300)),
+        [],
+        "no order before a report"
+    );
+    // The first load was carried out late.
+    scheduler.apply_report(&report(1, &["a1", "a2"], &[]), Millis(2_400));
+    let settled = scheduler.poll(Millis(2_400));
+    assert_eq!(settled.last(), Some(&unload("a2", 1)), "{settled:?}");
+}
+
 #[test]
 fn a_load_answered_as_done_keeps_the_sequence_in_sync() {
     let mut scheduler = scheduler_with(&["a1"]);
