Log: how an answer was framed, and the caller's version of HTTP

The users' record of cut streams that reached their callers as complete can't be told apart by its cause: E7101 says whether the gateway took an answer for whole, but not how the upstream marked its end (length, chunks, the end of its connection), nor whether the caller's answer could show a cut (HTTP/1.0 can't by chunks). Both stand in E7101 now.

--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -107,6 +107,7 @@
         return Refusal::exceeded(wait).reply_exceeded(&trace);
     }
     trace.set_fingerprint(fingerprint(&head, &caller, &body));
+    trace.set_version(head.version);
     let random = shared.rng.borrow_mut().next_u64();
     let Some(service) = route.pick_service(random).cloned() else {
         return Refusal::no_upstream().reply(&trace);
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -68,6 +68,7 @@
                 return AttemptOutcome::Lost(e.to_string());
             }
         };
+        self.trace.set_framing(response.framing());
         self.classify(upstream, response, sent_at)
     }
 
--- a/crates/gateway/src/request/trace.rs
+++ b/crates/gateway/src/request/trace.rs
@@ -3,7 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+use http::Version;
 use pumicecleat_catalog::Upstream;
+use pumicecleat_net::Framing;
 use pumicecleat_ops::{DrainGuard, events, field};
 use pumicecleat_types::{Fingerprint, Millis, RequestId, ServiceId};
 
@@ -33,6 +35,10 @@
     /// Time spent waiting for turns.
     turn_wait: Cell<Millis>,
     first_byte: Cell<Option<Millis>>,
+    /// Framing of the latest response.
+    framing: Cell<Option<Framing>>,
+    /// Protocol of the caller.
+    version: Cell<Version>,
     outcome_counted: Cell<bool>,
     _drain_guard: DrainGuard,
 }
@@ -62,6 +68,8 @@
             list_age: Cell::default(),
             turn_wait: Cell::default(),
             first_byte: Cell::new(None),
+            framing: Cell::default(),
+            version: Cell::default(),
             outcome_counted: Cell::new(false),
             _drain_guard: shared.drain.track(&id),
         }
@@ -101,6 +109,16 @@
         self.is_alone.set(true);
     }
 
+    /// Records how the response of the current attempt is framed.
+    pub(super) fn set_framing(&self, framing: Framing) {
+        self.framing.set(Some(framing));
+    }
+
+    /// Records the caller's version of HTTP.
+    pub(super) fn set_version(&self, version: Version) {
+        self.version.set(version);
+    }
+
     /// Records that the connection of the current attempt was lost.
     pub(super) fn record_lost_connection(&self) {
         if let (Some(fingerprint), Some(upstream)) =
@@ -161,6 +179,8 @@
             field("list_ms", self.list_age.get().0),
             field("layout", self.layout),
             field("whole", is_complete),
+            field("framing", self.framing.get().map_or("", Framing::as_str)),
+            field("caller_http", version_name(self.version.get())),
         ];
         self.shared.log.emit(&events::PASSED_ON, &fields);
     }
@@ -253,3 +273,12 @@
         self.shared.log.emit(&events::CALLER_LEFT, &fields);
     }
 }
+
+/// Version of HTTP in logs.
+fn version_name(version: Version) -> &'static str {
+    if version == Version::HTTP_10 {
+        "1.0"
+    } else {
+        "1.1"
+    }
+}
--- a/crates/net/src/client/response.rs
+++ b/crates/net/src/client/response.rs
@@ -11,7 +11,7 @@
 use super::sender::Sender;
 use crate::body::next_piece;
 use crate::error::AnswerSnafu;
-use crate::{BodyError, NetError, read_all};
+use crate::{BodyError, Framing, NetError, read_all};
 
 /// What goes back to the pool after the body's end.
 pub(super) struct Kept {
@@ -49,6 +49,12 @@
         &self.head.headers
     }
 
+    /// How the end of the body is told.
+    #[must_use]
+    pub fn framing(&self) -> Framing {
+        Framing::of(self.head.version, &self.head.headers)
+    }
+
     /// Peer that answered.
     #[must_use]
     pub fn peer(&self) -> &str {
