--- a/crates/net/src/framing.rs
+++ b/crates/net/src/framing.rs
@@ -26,9 +26,8 @@
         let codings = headers.get_all(TRANSFER_ENCODING);
         match codings.iter().next_back() {
             Some(value) if ends_chunked(value.as_bytes()) => Self::Chunked,
-            Some(_) => Self::Close,
             None if headers.contains_key(CONTENT_LENGTH) => Self::Length,
-            None => Self::Close,
+            Some(_) | None => Self::Close,
         }
     }
 
