Events: lines may end in CR alone

A stream whose lines end in CR, as the format of server-sent events allows, was never cut into events: on a route that may be resumed nothing reached the caller until 256 KiB had come, and no id was found to resume after. Found while looking at where an event ends, for the cut streams.

One scanner finds the blank line for all line ends, and says an event has ended as soon as the bytes tell. New cases of the table and a case for ids failed before.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -20,6 +20,7 @@
 mod body;
 mod client;
 mod error;
+mod event_end;
 mod frame;
 mod framing;
 mod full;
--- a/crates/net/src/sse.rs
+++ b/crates/net/src/sse.rs
@@ -2,9 +2,9 @@
 
 use std::ops::Range;
 
-use memchr::memchr;
 use snafu::Snafu;
 
+use crate::event_end::EventEnd;
 use crate::pending::Pending;
 
 /// An event longer than allowed.
@@ -28,7 +28,7 @@
     /// Its id, if it has one that is a number.
     #[must_use]
     pub fn number(&self) -> Option<u64> {
-        let mut lines = self.raw.split(|b| *b == b'\n');
+        let mut lines = self.raw.split(|b| ends_line(*b));
         let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
         std::str::from_utf8(value).ok()?.trim().parse().ok()
     }
@@ -49,8 +49,7 @@
     pending: Pending,
     /// Bytes of the pending event that were looked at.
     seen: usize,
-    /// Start of the line that `seen` stands in.
-    line: usize,
+    end: EventEnd,
     limit: usize,
 }
 
@@ -61,7 +60,7 @@
         Self {
             pending: Pending::default(),
             seen: 0,
-            line: 0,
+            end: EventEnd::default(),
             limit,
         }
     }
@@ -88,7 +87,6 @@
         let raw = self.pending.bytes()[..end].to_vec();
         self.pending.take(end);
         self.seen = 0;
-        self.line = 0;
         Ok(Some(read_event(raw)))
     }
 
@@ -98,28 +96,26 @@
         self.pending.bytes()
     }
 
-    /// Length up to and with the first blank line; lines end in LF or CR LF.
+    /// Length up to and with the first blank line.
     fn scan_blank_line(&mut self) -> Option<usize> {
         let bytes = self.pending.bytes();
-        while let Some(length) = memchr(b'\n', &bytes[self.seen..]) {
-            let end = self.seen + length;
-            let line = &bytes[self.line..end];
-            let blank = line.is_empty() || line == b"\r";
-            self.seen = end + 1;
-            self.line = end + 1;
-            if blank {
-                return Some(end + 1);
-            }
+        if let Some(length) = self.end.scan(&bytes[self.seen..]) {
+            return Some(self.seen + length);
         }
         self.seen = bytes.len();
         None
     }
 }
 
+/// Whether a line ends at `byte`; of CR LF, an empty line follows the CR.
+fn ends_line(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
 fn read_event(raw: Vec<u8>) -> SseEvent {
     let mut ranges = Vec::new();
     let mut start = 0;
-    for line in raw.split_inclusive(|b| *b == b'\n') {
+    for line in raw.split_inclusive(|b| ends_line(*b)) {
         if let Some(range) = scan_data(line) {
             ranges.push(start + range.start..start + range.end);
         }
@@ -141,7 +137,7 @@
         start += 1;
     }
     let mut end = line.len();
-    while end > start && matches!(line[end - 1], b'\n' | b'\r') {
+    while end > start && ends_line(line[end - 1]) {
         end -= 1;
     }
     Some(start..end)
--- a/crates/net/tests/scan.rs
+++ b/crates/net/tests/scan.rs
@@ -140,6 +140,12 @@
     case("data: a\n", &[]),
     case("data: a\r\n\r", &[]),
     case("\n\n", &["", ""]),
+    case("data: a\r\rdata: b\r\r", &["a", "b"]),
+    case("id: 1\rdata: a\rdata: b\r\r", &["a\nb"]),
+    case("data: a\r\r", &["a"]),
+    case("data: a\r", &[]),
+    case("data: a\r\n\rdata: b\n\n", &["a", "b"]),
+    case("data: a\n\rdata: b\n\n", &["a", "b"]),
 ];
 
 #[test]
@@ -152,6 +158,18 @@
     }
 }
 
+/// Guards against a stream that is resumed from its start because its ids were not found.
+#[test]
+fn an_id_is_found_whatever_ends_its_line() {
+    for end in ["\n", "\r\n", "\r"] {
+        let text = ["weight-versions: 3", "id: 7", "data: a", "", ""].join(end);
+        let mut scanner = SseScanner::new(EVENT_LIMIT);
+        scanner.push(text.as_bytes());
+        let event = scanner.scan_event().unwrap();
+        assert_eq!(event.and_then(|e| e.number()), Some(7), "{end:?}");
+    }
+}
+
 #[test]
 fn an_event_over_the_limit_is_refused_before_it_ends() {
     let (events, long) = scan_events([b"data: a\n\n".as_slice(), &[b'y'; EVENT_LIMIT + 1]]);
