Streams: one that ends inside an event has been broken off

What callers saw: a stream cut by its engine's crash, framed as complete. The engine had answered with neither a length nor chunks, so that the end of the connection was the only end there was; the gateway took it for the stream's end. On routes that may be resumed it passed on the part of the event as well.

The class: the end of a connection taken for the end of content. How a body is framed is read once from its head; a body that is taken for events is checked where it is read, for all its readers: its end must be that of an event, and where only the connection tells it, an event must have ended at all. Otherwise it is an error as a reset is: the caller's answer breaks off, or goes on elsewhere after the last whole event, the try counts as lost, and the connection goes back to no pool. A length or a last chunk inside an event is no end either.

--- a/crates/entry/src/caller/mod.rs
+++ b/crates/entry/src/caller/mod.rs
@@ -139,7 +139,7 @@
     let (status, code) = match error {
         BodyError::TooLong { .. } => (413, "body_too_long"),
         BodyError::TooSlow { .. } => (408, "body_too_slow"),
-        BodyError::Broken { .. } => (400, "body_broken"),
+        BodyError::Cut { .. } | BodyError::Broken { .. } => (400, "body_broken"),
     };
     ApiError::rejected(status, code, error.to_string())
 }
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -87,12 +87,12 @@
         let chunk = self.response.next().await;
         match &chunk {
             Some(Ok(_)) => self.mark_begun(),
-            Some(Err(_)) => {
+            Some(Err(e)) => {
                 self.trace.record_lost_connection();
-                self.trace.log_passed_on(self.status, false);
+                self.trace.log_passed_on(self.status, Some(e));
             }
             None => {
-                self.trace.log_passed_on(self.status, true);
+                self.trace.log_passed_on(self.status, None);
                 if self.status == 200 {
                     self.trace.record_served();
                 }
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -54,7 +54,7 @@
                     response,
                     in_flight,
                 } = *engine_response;
-                let is_resumable = response.status() == 200 && job.route.retry == RetryMode::Resume;
+                let is_resumable = response.has_events() && job.route.retry == RetryMode::Resume;
                 if is_resumable {
                     return resume::forward(response, job, progress, in_flight);
                 }
@@ -83,9 +83,7 @@
         job.acquire_permit().await.ok()?;
         let turn = find_turn(job, progress).await.ok()?;
         match attempt(job, &turn, progress).await {
-            AttemptResult::Response(engine_response)
-                if engine_response.response.status() == 200 =>
-            {
+            AttemptResult::Response(engine_response) if engine_response.response.has_events() => {
                 return Some(engine_response);
             }
             AttemptResult::Retry => progress.shortlist.clear(),
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -247,7 +247,7 @@
         job.trace.record_served();
     }
     job.trace.record_first_byte();
-    job.trace.log_passed_on(status, true);
+    job.trace.log_passed_on(status, None);
     Next::Reply(reply)
 }
 
--- a/crates/gateway/src/request/resume.rs
+++ b/crates/gateway/src/request/resume.rs
@@ -65,26 +65,21 @@
                 }
                 Ok(None) => {}
                 Err(e) => {
-                    self.job.trace.log_passed_on(self.status, false);
+                    self.job.trace.log_passed_on(self.status, Some(&e));
                     return Some(Err(e));
                 }
             }
             match self.response.next().await {
                 Some(Ok(bytes)) => self.scanner.push(&bytes),
                 None => {
-                    let rest = self.scanner.pending().to_vec();
-                    self.scanner = SseScanner::new(EVENT_LIMIT);
-                    if rest.is_empty() {
-                        self.job.trace.log_passed_on(self.status, true);
-                        self.job.trace.record_served();
-                        return None;
-                    }
-                    return Some(Ok(Bytes::from(rest)));
+                    self.job.trace.log_passed_on(self.status, None);
+                    self.job.trace.record_served();
+                    return None;
                 }
                 Some(Err(e)) => {
                     self.job.trace.record_lost_connection();
                     if !self.resume(&e).await {
-                        self.job.trace.log_passed_on(self.status, false);
+                        self.job.trace.log_passed_on(self.status, Some(&e));
                         return Some(Err(e));
                     }
                 }
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::header::CONTENT_TYPE;
 use pumicecleat_catalog::Upstream;
 use pumicecleat_net::{Response, Sent};
 use pumicecleat_ops::{events, field};
@@ -13,6 +14,9 @@
 /// Minimum time left, in milliseconds, for which an attempt is worthwhile.
 pub(super) const MIN_TIME_LEFT_MS: u64 = 20;
 
+/// Media type of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Status of an upstream that rejects a request.
 const OVERLOADED: u16 = 503;
 
@@ -52,7 +56,7 @@
         let request = self.build_request(&attributes);
         let peer = upstream.address.to_string();
         let sent_at = self.shared.timer.now();
-        let response = match self
+        let mut response = match self
             .shared
             .upstream_client
             .send(&peer, request, timeout)
@@ -69,9 +73,23 @@
             }
         };
         self.trace.set_framing(response.framing());
+        if self.is_event_stream(&response) {
+            response.expect_events();
+        }
         self.classify(upstream, response, sent_at)
     }
 
+    /// Whether the body is a stream of events. Without a media type the route tells.
+    fn is_event_stream(&self, response: &Response) -> bool {
+        let media_type = response.headers().get(CONTENT_TYPE);
+        let is_stream = media_type.map_or(self.route.stream, |value| {
+            let text = value.as_bytes();
+            let length = text.len().min(EVENT_STREAM.len());
+            text[..length].eq_ignore_ascii_case(EVENT_STREAM)
+        });
+        response.status() == 200 && is_stream
+    }
+
     /// An upstream that rejects a request may tell when it accepts requests again.
     fn note_retry_after(&self, upstream: &Upstream, response_attributes: &ResponseAttributes) {
         match response_attributes.retry_after {
--- a/crates/gateway/src/request/trace.rs
+++ b/crates/gateway/src/request/trace.rs
@@ -5,7 +5,7 @@
 
 use http::Version;
 use pumicecleat_catalog::Upstream;
-use pumicecleat_net::Framing;
+use pumicecleat_net::{BodyError, Framing};
 use pumicecleat_ops::{DrainGuard, events, field};
 use pumicecleat_types::{Fingerprint, Millis, RequestId, ServiceId};
 
@@ -160,8 +160,10 @@
         self.shared.timer.now().since(self.arrived)
     }
 
-    /// Logs that an upstream's response was forwarded.
-    pub(super) fn log_passed_on(&self, status: u16, is_complete: bool) {
+    /// Logs that an upstream's response was forwarded, completely unless there is an `error`.
+    pub(super) fn log_passed_on(&self, status: u16, error: Option<&BodyError>) {
+        let is_complete = error.is_none();
+        let error = error.map(ToString::to_string).unwrap_or_default();
         self.count_outcome(if is_complete { "passed_on" } else { "broken" });
         let first = self.first_byte.get().unwrap_or_else(|| self.age());
         let instance = self.instance.borrow();
@@ -180,6 +182,7 @@
             field("layout", self.layout),
             field("whole", is_complete),
             field("framing", self.framing.get().map_or("", Framing::as_str)),
+            field("error", error.as_str()),
             field("caller_http", version_name(self.version.get())),
         ];
         self.shared.log.emit(&events::PASSED_ON, &fields);
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -17,6 +17,7 @@
 
 /// A body that is not whole.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum BodyError {
     /// Longer than allowed.
     #[snafu(display("body over {limit} bytes"))]
@@ -30,6 +31,12 @@
         /// Time given.
         span: Duration,
     },
+    /// Stream of events that ended inside one, or before the first.
+    #[snafu(display("stream ended inside an event, framing {framing}"))]
+    Cut {
+        /// How the peer marked the end.
+        framing: &'static str,
+    },
     /// Connection broke off, or the framing is wrong.
     #[snafu(display("body broke off: {detail}"))]
     Broken {
@@ -45,7 +52,7 @@
         match self {
             Self::TooLong { .. } => 413,
             Self::TooSlow { .. } => 408,
-            Self::Broken { .. } => 400,
+            Self::Cut { .. } | Self::Broken { .. } => 400,
         }
     }
 }
--- a/crates/net/src/client/mod.rs
+++ b/crates/net/src/client/mod.rs
@@ -174,6 +174,7 @@
                     peer: peer.into(),
                     rest: ResponseBody {
                         body,
+                        events: None,
                         kept: Some(Kept {
                             client: self.clone(),
                             address,
--- a/crates/net/src/client/response.rs
+++ b/crates/net/src/client/response.rs
@@ -9,8 +9,9 @@
 
 use super::Client;
 use super::sender::Sender;
-use crate::body::next_piece;
+use crate::body::{CutSnafu, next_piece};
 use crate::error::AnswerSnafu;
+use crate::event_end::EventEnd;
 use crate::{BodyError, Framing, NetError, read_all};
 
 /// What goes back to the pool after the body's end.
@@ -34,6 +35,33 @@
 pub(crate) struct ResponseBody {
     pub(super) body: hyper::body::Incoming,
     pub(super) kept: Option<Kept>,
+    /// Where the stream of events stands that the body is checked to be.
+    pub(super) events: Option<Events>,
+}
+
+/// Where a stream of events stands.
+#[derive(Clone, Debug)]
+pub(super) struct Events {
+    framing: Framing,
+    end: EventEnd,
+    /// Whether an event has ended.
+    begun: bool,
+}
+
+impl Events {
+    fn push(&mut self, mut bytes: &[u8]) {
+        while let Some(length) = self.end.scan(bytes) {
+            self.begun = true;
+            bytes = &bytes[length..];
+        }
+    }
+
+    /// Whether the stream may be complete if no byte follows. A connection that ends before any event tells
+    /// nothing.
+    fn may_end(&self) -> bool {
+        let is_told = self.begun || self.framing != Framing::Close;
+        is_told && !self.end.is_inside()
+    }
 }
 
 impl Response {
@@ -61,10 +89,26 @@
         &self.peer
     }
 
+    /// Takes the body for a stream of server-sent events, whose end must be that of an event.
+    pub fn expect_events(&mut self) {
+        self.rest.events = Some(Events {
+            framing: self.framing(),
+            end: EventEnd::default(),
+            begun: false,
+        });
+    }
+
+    /// Whether the body is taken for a stream of events.
+    #[must_use]
+    pub fn has_events(&self) -> bool {
+        self.rest.events.is_some()
+    }
+
     /// Next piece of the body, or `None` at its proper end.
     ///
     /// # Errors
-    /// [`BodyError::Broken`] if the connection broke off first.
+    /// [`BodyError::Broken`] if the connection broke off first, [`BodyError::Cut`] if a stream of events
+    /// ended inside one.
     pub async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         self.rest.next().await
     }
@@ -94,8 +138,15 @@
     /// Next piece, or `None` at the proper end.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         let piece = next_piece(&mut self.body).await;
-        if piece.is_none() {
-            self.release();
+        match (&piece, &mut self.events) {
+            (Some(Ok(bytes)), Some(events)) => events.push(bytes),
+            (None, Some(events)) if !events.may_end() => {
+                let framing = events.framing.as_str();
+                self.kept = None;
+                return Some(CutSnafu { framing }.fail());
+            }
+            (None, _) => self.release(),
+            _ => {}
         }
         piece
     }
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -49,7 +49,7 @@
     UPSTREAM_RETURNED = "E7021" "upstream_returned" Info ["instance"];
 
     /// A request ended with the response of an upstream.
-    PASSED_ON = "E7101" "passed_on" Info ["request", "fingerprint", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "list_ms", "layout", "whole", "framing", "caller_http"];
+    PASSED_ON = "E7101" "passed_on" Info ["request", "fingerprint", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "list_ms", "layout", "whole", "framing", "error", "caller_http"];
     /// A request was rejected without having run.
     TURNED_DOWN = "E7102" "turned_down" Warn ["request", "fingerprint", "route", "reason", "status", "retry_ms", "attempts", "age_ms", "layout"];
     /// A request failed and may have run.
