Server: a stream to a caller of HTTP/1.0 is sent with its length

Callers of HTTP/1.0 know no chunks: a streamed answer ended with its connection, and one that broke off ended in the same way, so that every cut looked like the end. Found while looking for the cut streams' cause elsewhere; all servers of the crate had it.

Such an answer is collected, up to 1 MiB, and sent with its length; one that breaks off is answered 502. A reset would show a cut with the events passed on as they arrive, but the loop's sockets can't be told to reset without unsafe code.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -26,6 +26,7 @@
 mod full;
 mod linger;
 mod local;
+mod measured;
 mod peer;
 mod pending;
 mod protocol;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -11,6 +11,7 @@
 use async_channel::{Receiver, Sender};
 use futures_util::FutureExt;
 use futures_util::future::{Either, select};
+use http::Version;
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use monoio::io::IntoPollIo;
@@ -20,6 +21,7 @@
 
 use crate::full::refuse;
 use crate::linger::linger;
+use crate::measured::measured;
 use crate::protocol::{CONNECTION_WINDOW, STREAM_WINDOW};
 use crate::{Body, Protocol, Tally, Timer};
 
@@ -193,7 +195,16 @@
 
     async fn converse_http1(&self, stream: TcpStreamPoll, peer: SocketAddr) {
         let handler = Rc::clone(&self.state.handler);
-        let service = service_fn(move |r| handler.handle(r, peer).map(Ok::<_, Infallible>));
+        let service = service_fn(move |r: Incoming| {
+            let is_old = r.version() == Version::HTTP_10;
+            let reply = handler.handle(r, peer);
+            let reply = if is_old {
+                Either::Left(Box::pin(reply.then(measured)))
+            } else {
+                Either::Right(reply)
+            };
+            reply.map(Ok::<_, Infallible>)
+        });
         let options = &self.state.options;
         let mut connection = http1::Builder::new()
             .timer(MonoioTimer)
