Log: software versions of upstreams, and what goes on with a stream

The record of streams with events of two software versions can't tell a stream resumed within its answer from one that its caller took up at another gateway.

--- a/crates/catalog/src/upstream.rs
+++ b/crates/catalog/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use pumicecleat_types::{DataCentre, ServiceId};
+use pumicecleat_types::{DataCentre, ServiceId, SoftwareVersion};
 
 /// Entry of an upstream in the list; the list may lag behind the upstream's actual state.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,6 +17,8 @@
     pub centre: DataCentre,
     /// Number of concurrent requests.
     pub slots: u32,
+    /// Version of its software, if the entry has it.
+    pub software: Option<SoftwareVersion>,
     /// Whether it accepts new requests.
     pub standing: Standing,
     /// Unix time of the upstream's start, ms, if the entry has it. An upstream may also restart under the
--- a/crates/catalog/tests/lapse.rs
+++ b/crates/catalog/tests/lapse.rs
@@ -68,6 +68,7 @@
         address: ([127, 0, 0, 1], 9_000).into(),
         centre: "a".into(),
         slots: 6,
+        software: None,
         standing: Standing::Ready,
         born: None,
         sequence: None,
--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -22,10 +22,21 @@
     pub declared_tokens: Option<u64>,
     /// Parts of the prompt, in order.
     pub prompt_parts: Vec<PromptPart>,
+    /// Set if the request continues a stream that an earlier request of the caller began.
+    pub resumption: Option<Resumption>,
     /// Names of the values that were present but could not be decoded, and are treated as absent.
     pub unreadable: Vec<&'static str>,
 }
 
+/// Where a stream goes on that an earlier request of the caller began.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Resumption {
+    /// ID of the request that brought the stream's first event, if it is named.
+    pub origin: Option<String>,
+    /// Last event that the caller has, if it is given and could be decoded.
+    pub last_event_id: Option<u64>,
+}
+
 /// Key that a request carries.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Credentials {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,7 +46,7 @@
 
 pub use headers::{
     AttemptAttributes, CallerName, Credentials, HeaderCodec, ModelName, Priority, PromptPart,
-    RateLimit, ReportedLoad, RequestAttributes, ResponseAttributes, RetryAfter,
+    RateLimit, ReportedLoad, RequestAttributes, ResponseAttributes, Resumption, RetryAfter,
 };
 pub use revoke::RevokeBudget;
 pub use settings::GatewaySettings;
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -6,7 +6,7 @@
 use pumicecleat_catalog::Upstream;
 use pumicecleat_net::{Response, Sent};
 use pumicecleat_ops::{events, field};
-use pumicecleat_types::Millis;
+use pumicecleat_types::{Millis, SoftwareVersion};
 
 use super::job::Job;
 use crate::{AttemptAttributes, ResponseAttributes, RetryAfter};
@@ -44,6 +44,7 @@
         timeout: Duration,
     ) -> AttemptOutcome {
         self.trace.start_attempt(upstream);
+        self.log_resumption(upstream);
         self.use_permit();
         let attributes = AttemptAttributes {
             instance: &upstream.instance,
@@ -79,6 +80,30 @@
         self.classify(upstream, response, sent_at)
     }
 
+    /// Logs an attempt that goes on with a stream.
+    fn log_resumption(&self, upstream: &Upstream) {
+        let resumption = self.attributes.resumption.as_ref();
+        let by = match (self.last_event_id, resumption) {
+            (Some(_), _) => "gateway",
+            (None, Some(_)) => "caller",
+            (None, None) => return,
+        };
+        let named = resumption.and_then(|r| r.origin.as_deref());
+        let after = self
+            .last_event_id
+            .or_else(|| resumption.and_then(|r| r.last_event_id));
+        let software = upstream.software.as_ref().map(SoftwareVersion::as_str);
+        let fields = [
+            field("request", self.id()),
+            field("origin", named.unwrap_or_default()),
+            field("by", by),
+            field("after", after.unwrap_or_default()),
+            field("instance", upstream.instance.as_str()),
+            field("software", software.unwrap_or_default()),
+        ];
+        self.shared.log.emit(&events::STREAM_RESUMED, &fields);
+    }
+
     /// Whether the body is a stream of events. Without a media type the route tells.
     fn is_event_stream(&self, response: &Response) -> bool {
         let media_type = response.headers().get(CONTENT_TYPE);
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -108,6 +108,8 @@
     REPEATS_KEPT = "E7129" "repeats_kept" Info ["service", "stopped_ms", "stopped"];
     /// Agents report another number of gateways than before.
     GATEWAYS_COUNTED = "E7130" "gateways_counted" Info ["gateways", "before"];
+    /// A request is sent to an upstream that goes on with a stream.
+    STREAM_RESUMED = "E7131" "stream_resumed" Info ["request", "origin", "by", "after", "instance", "software"];
 
     /// The engine does not respond to its side.
     OWN_ENGINE_LOST = "E7201" "own_engine_lost" Warn ["address", "error"];
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -54,6 +54,10 @@
     };
 }
 
+text_id!(
+    /// Version of an upstream's software. Versions have no order.
+    SoftwareVersion
+);
 text_id!(
     /// Base model, as declared in the configuration.
     BaseId
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -24,8 +24,8 @@
 pub use codec::{CodecError, decode, decode_prefix, encode};
 pub use fingerprint::Fingerprint;
 pub use id::{
-    AdapterId, BaseId, CallerId, DataCentre, PoolId, RegionId, RequestId, ServiceId, VersionId,
-    VmId,
+    AdapterId, BaseId, CallerId, DataCentre, PoolId, RegionId, RequestId, ServiceId,
+    SoftwareVersion, VersionId, VmId,
 };
 pub use lora::Lora;
 pub use message::{
