Streams: resumed within their answer at their own software version only

What callers saw: events of two software versions of an engine in one answer. A stream whose engine failed went on at the engine that suited best, whatever its version; entries tell it and nobody read it.

The engine whose first event is forwarded binds the stream to its version; only engines of it are asked from then on, without a relay's proposals, which know no versions, and without one the answer breaks off at once. The version is that of the entry at the send, and counts as unknown if the entry is of another start of the engine than its agent sees; such a stream is not resumed. Tries before the first event go to any version, as do plain requests and streams that may not be resumed.

--- a/crates/catalog/src/upstream.rs
+++ b/crates/catalog/src/upstream.rs
@@ -17,8 +17,8 @@
     pub centre: DataCentre,
     /// Number of concurrent requests.
     pub slots: u32,
-    /// Version of its software, if the entry has it.
-    pub software: Option<SoftwareVersion>,
+    /// Version of its software; empty if the entry has none.
+    pub software: SoftwareVersion,
     /// Whether it accepts new requests.
     pub standing: Standing,
     /// Unix time of the upstream's start, ms, if the entry has it. An upstream may also restart under the
--- a/crates/catalog/tests/lapse.rs
+++ b/crates/catalog/tests/lapse.rs
@@ -2,7 +2,7 @@
 //! the list.
 
 use pumicecleat_catalog::{Catalog, Change, Standing, Upstream};
-use pumicecleat_types::Millis;
+use pumicecleat_types::{Millis, SoftwareVersion};
 
 /// End of the outage of the list.
 const RECOVERY: Millis = Millis(10_000);
@@ -68,7 +68,7 @@
         address: ([127, 0, 0, 1], 9_000).into(),
         centre: "a".into(),
         slots: 6,
-        software: None,
+        software: SoftwareVersion::default(),
         standing: Standing::Ready,
         born: None,
         sequence: None,
--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -11,6 +11,7 @@
 use rand::RngExt;
 
 use super::authenticate::Caller;
+use super::binding::Binding;
 use super::hop_headers::strip_hop_headers;
 use super::permit::Permit;
 use super::trace::RequestTrace;
@@ -38,6 +39,8 @@
     pub(super) tried_instances: Vec<String>,
     /// Last event that was forwarded, after which another upstream resumes the stream.
     pub(super) last_event_id: Option<u64>,
+    /// Software version that the request is bound to.
+    pub(super) binding: Binding,
     /// Permission to send the request, if upstreams ended while it was in progress.
     pub(super) permit: Cell<Permit>,
     /// Time since which the caller has waited for the next event: the arrival, or the loss of an engine.
@@ -74,6 +77,7 @@
             trace,
             tried_instances: Vec::new(),
             last_event_id: None,
+            binding: Binding::default(),
             permit: Cell::default(),
             waiting_since: arrived,
         }
@@ -138,7 +142,8 @@
     ) -> impl Iterator<Item = &'a Upstream> {
         let ready = catalog.ready_upstreams(&self.service);
         let untried = ready.filter(|u| !self.tried_instances.contains(&u.instance));
-        untried.filter(|u| self.shared.accepts_requests(u))
+        let admitted = untried.filter(|u| self.binding.admits(&u.software));
+        admitted.filter(|u| self.shared.accepts_requests(u))
     }
 
     /// Whether `instance` still accepts requests.
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! Handling of one request, from routing to response.
 
 mod authenticate;
+mod binding;
 mod choose;
 mod fingerprint;
 mod forward;
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -5,8 +5,9 @@
 use pumicecleat_catalog::{RetryMode, Upstream};
 use pumicecleat_net::{Reply, Response};
 use pumicecleat_policy::{AdapterState, Admission, TurnSearch};
-use pumicecleat_types::{Millis, Turn, TurnAsk, TurnRefusal};
+use pumicecleat_types::{Millis, SoftwareVersion, Turn, TurnAsk, TurnRefusal};
 
+use super::binding::Binding;
 use super::choose::{adapter_version, choose_engine};
 use super::forward::forward;
 use super::job::Job;
@@ -50,14 +51,16 @@
         };
         match attempt(&mut job, &turn, &mut progress).await {
             AttemptResult::Response(engine_response) => {
+                let is_resumable =
+                    engine_response.response.has_events() && job.route.retry == RetryMode::Resume;
+                if is_resumable {
+                    return resume::forward(*engine_response, job, progress);
+                }
                 let EngineResponse {
                     response,
                     in_flight,
+                    ..
                 } = *engine_response;
-                let is_resumable = response.has_events() && job.route.retry == RetryMode::Resume;
-                if is_resumable {
-                    return resume::forward(response, job, progress, in_flight);
-                }
                 return forward(response, Vec::new(), job.trace, in_flight);
             }
             AttemptResult::Retry => progress.shortlist.clear(),
@@ -203,6 +206,8 @@
 /// A response, and the guard that counts its request as in progress.
 pub(super) struct EngineResponse {
     pub(super) response: Response,
+    /// Software version of the engine, if it is known for certain.
+    pub(super) software: Option<SoftwareVersion>,
     pub(super) in_flight: InFlight,
 }
 
@@ -267,6 +272,11 @@
     if !job.is_permitted() {
         return AttemptResult::Retry;
     }
+    let software = job.shared.software(&turn.upstream);
+    if job.binding != Binding::Unbound && job.binding != Binding::of(software.clone()) {
+        progress.search.exclude(&instance);
+        return AttemptResult::Retry;
+    }
     if let Some(repeat) = &progress.repeat {
         repeat.spend();
     }
@@ -279,17 +289,29 @@
     if !matches!(outcome, AttemptOutcome::NotSent(_)) {
         progress.repeat = None;
     }
-    handle_outcome(job, turn, outcome, in_flight, progress)
+    let sent = SentAttempt {
+        turn,
+        software,
+        in_flight,
+    };
+    handle_outcome(job, sent, outcome, progress)
+}
+
+/// An attempt that was sent.
+struct SentAttempt<'a> {
+    turn: &'a GrantedTurn,
+    software: Option<SoftwareVersion>,
+    in_flight: InFlight,
 }
 
 /// Determines how to continue after an attempt.
 fn handle_outcome(
     job: &Job,
-    turn: &GrantedTurn,
+    sent: SentAttempt<'_>,
     outcome: AttemptOutcome,
-    in_flight: InFlight,
     progress: &mut Progress,
 ) -> AttemptResult {
+    let turn = sent.turn;
     match outcome {
         AttemptOutcome::Response(response) => {
             let is_failure = response.status() >= 500;
@@ -298,7 +320,8 @@
             }
             AttemptResult::Response(Box::new(EngineResponse {
                 response,
-                in_flight,
+                software: sent.software,
+                in_flight: sent.in_flight,
             }))
         }
         AttemptOutcome::NotRun(attributes) => {
--- a/crates/gateway/src/request/resume.rs
+++ b/crates/gateway/src/request/resume.rs
@@ -7,10 +7,12 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use pumicecleat_net::{Body, BodyError, Reply, Response, SseScanner};
+use pumicecleat_types::SoftwareVersion;
 
+use super::binding::Binding;
 use super::forward::response_head;
 use super::job::Job;
-use super::model::{Progress, resume_elsewhere};
+use super::model::{EngineResponse, Progress, resume_elsewhere};
 use crate::table::InFlight;
 
 /// Maximum size of an event in bytes. An event with one token takes some dozens of bytes.
@@ -21,6 +23,8 @@
     job: Job,
     progress: Progress,
     response: Response,
+    /// Software version of the engine that responds, if it is known for certain.
+    software: Option<SoftwareVersion>,
     in_flight: InFlight,
     scanner: SseScanner,
     status: u16,
@@ -29,18 +33,19 @@
 }
 
 /// Forwards a stream event by event, resuming at other upstreams if necessary.
-pub(super) fn forward(
-    response: Response,
-    job: Job,
-    progress: Progress,
-    in_flight: InFlight,
-) -> Reply {
+pub(super) fn forward(engine_response: EngineResponse, job: Job, progress: Progress) -> Reply {
+    let EngineResponse {
+        response,
+        software,
+        in_flight,
+    } = engine_response;
     let mut reply = response_head(&response);
     let stream = ResumableStream {
         job,
         progress,
         status: response.status(),
         response,
+        software,
         in_flight,
         scanner: SseScanner::new(EVENT_LIMIT),
         begun: false,
@@ -115,6 +120,7 @@
         match resume_elsewhere(&mut self.job, &mut self.progress).await {
             Some(engine_response) => {
                 self.response = engine_response.response;
+                self.software = engine_response.software;
                 self.in_flight = engine_response.in_flight;
                 self.scanner = SseScanner::new(EVENT_LIMIT);
                 true
@@ -123,9 +129,17 @@
         }
     }
 
+    /// Binds the stream to the software version that sent its first event.
+    fn bind(&mut self) {
+        if self.job.binding == Binding::Unbound {
+            self.job.binding = Binding::of(self.software.take());
+        }
+    }
+
     fn mark_begun(&mut self) {
         if !self.begun {
             self.begun = true;
+            self.bind();
             self.job.trace.record_first_byte();
         }
         self.in_flight.mark_begun();
--- a/crates/gateway/src/request/send.rs
+++ b/crates/gateway/src/request/send.rs
@@ -6,7 +6,7 @@
 use pumicecleat_catalog::Upstream;
 use pumicecleat_net::{Response, Sent};
 use pumicecleat_ops::{events, field};
-use pumicecleat_types::{Millis, SoftwareVersion};
+use pumicecleat_types::Millis;
 
 use super::job::Job;
 use crate::{AttemptAttributes, ResponseAttributes, RetryAfter};
@@ -92,14 +92,13 @@
         let after = self
             .last_event_id
             .or_else(|| resumption.and_then(|r| r.last_event_id));
-        let software = upstream.software.as_ref().map(SoftwareVersion::as_str);
         let fields = [
             field("request", self.id()),
             field("origin", named.unwrap_or_default()),
             field("by", by),
             field("after", after.unwrap_or_default()),
             field("instance", upstream.instance.as_str()),
-            field("software", software.unwrap_or_default()),
+            field("software", upstream.software.as_str()),
         ];
         self.shared.log.emit(&events::STREAM_RESUMED, &fields);
     }
--- a/crates/gateway/src/request/shortlist.rs
+++ b/crates/gateway/src/request/shortlist.rs
@@ -3,6 +3,7 @@
 use pumicecleat_policy::TurnSearch;
 use pumicecleat_types::{CandidatesCall, Millis};
 
+use super::binding::Binding;
 use super::choose::adapter_version;
 use super::job::Job;
 use crate::candidates::fetch_candidates;
@@ -22,7 +23,9 @@
 impl Shortlist {
     /// Asks for proposals if there are none yet.
     pub(super) async fn refresh(&mut self, job: &Job, search: &TurnSearch) {
-        if self.fetched_at.is_some() || job.shared.relay.get().is_none() {
+        // A relay knows nothing of software versions.
+        let is_bound = job.binding != Binding::Unbound;
+        if is_bound || self.fetched_at.is_some() || job.shared.relay.get().is_none() {
             return;
         }
         let now = job.shared.timer.now();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -10,7 +10,7 @@
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Drain, Log, Readiness, events, field};
 use pumicecleat_policy::{Admission, GatewayCount, LimitChange, LimitSource, RateLimits};
-use pumicecleat_types::{DataCentre, Millis, VmId};
+use pumicecleat_types::{DataCentre, Millis, SoftwareVersion, VmId};
 use rand_chacha::ChaCha8Rng;
 
 use crate::allowance::Allowances;
@@ -220,6 +220,18 @@
         self.log.emit(&events::SEEN_LEAVING, &fields);
     }
 
+    /// Software version of the process that answers as `upstream`. `None` if the entry is of another start of the
+    /// upstream than the one that its agent sees.
+    pub(crate) fn software(&self, upstream: &Upstream) -> Option<SoftwareVersion> {
+        let catalog = self.catalog.borrow();
+        let listed = catalog.upstream(&upstream.instance)?;
+        let seen_start = self.table.with(&upstream.instance, |r| {
+            r.figures.as_ref().map(|f| f.0.start_time_ms)
+        });
+        let is_same_start = listed.born.is_none_or(|born| seen_start == Some(born));
+        is_same_start.then(|| listed.software.clone())
+    }
+
     /// Whether `upstream` accepts requests, by its own reports and by what answered at its address.
     pub(crate) fn accepts_requests(&self, upstream: &Upstream) -> bool {
         self.is_staying(upstream) && self.backoff_left(upstream).is_none()
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -14,7 +14,7 @@
     Admin, Drain, Dump, ListenError, Log, Metrics, Readiness, Stop, events, field, listen,
 };
 use pumicecleat_policy::{GatewayCount, RateLimits, RepeatOptions};
-use pumicecleat_types::{Millis, SoftwareVersion};
+use pumicecleat_types::Millis;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -79,7 +79,7 @@
                     serde_json::json!({
                         "instance": u.instance,
                         "service": u.service.as_str(),
-                        "software": u.software.as_ref().map(SoftwareVersion::as_str),
+                        "software": u.software.as_str(),
                         "own": r.own_requests,
                         "takes": accepts,
                         "limit_per_1000_s": self.shared.limits.borrow().rate(&u.instance, u.born),
