Streams: taken up by their callers at their own software version only

What callers saw: a stream that they took up again went on at another software version than the one that began it; a gateway passed Resumes on unread and sent the request to any engine.

Where a stream began is known at one place, the gateway that forwards its first event; it keeps the version under the request's id, and sends copies to three agents ranked by that id out of at most 32 that all gateways select alike. The event waits for none. A gateway that is asked to go on looks at its own table, then asks six at once, of which the first that has it decides; the request is then bound as a stream is that was resumed within its answer, and to the service that began it where a route has several. An origin that is not named, not found or not reached is refused at once as not run. Nothing is written to the store.

E7132 tells the origin, who had it and its age; counters the take-ups by outcome and the streams by version.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -12,8 +12,8 @@
     Admission, AllowanceDecision, AllowanceTerms, LimitSource, Slot, TurnId, TurnRequest,
 };
 use pumicecleat_types::{
-    AllowanceAsk, AllowanceCall, AllowanceOutcome, AllowanceReply, Millis, Turn, TurnAsk, TurnCall,
-    TurnRefusal, TurnReply, decode,
+    AllowanceAsk, AllowanceCall, AllowanceOutcome, AllowanceReply, Millis, OriginCall, OriginReply,
+    Turn, TurnAsk, TurnCall, TurnRefusal, TurnReply, decode,
 };
 
 use crate::relay::{self, CANDIDATES_PATH, FIGURES_PATH, VIEW_PATH};
@@ -26,6 +26,9 @@
 /// Path at which gateways ask for units of accounts' allowances.
 const ALLOWANCE_PATH: &str = "/peer/v1/allowance";
 
+/// Path at which gateways keep and look up where streams began.
+const ORIGIN_PATH: &str = "/peer/v1/origin";
+
 /// Maximum size of a message in bytes. Enough for a few hundred IDs or the addresses of 10,000 engines.
 const MAX_MESSAGE_BYTES: u64 = 1 << 20;
 
@@ -75,6 +78,7 @@
                 Err(e) => Err(e),
             },
             ALLOWANCE_PATH => decode(&bytes).map(|call| self.handle_allowance_call(&call)),
+            ORIGIN_PATH => decode(&bytes).map(|call| self.handle_origin_call(&call)),
             TRIAL_PATH => decode(&bytes).map(|call| peer_reply(&decide_trial(&self.shared, &call))),
             VIEW_PATH => {
                 decode(&bytes).map(|call| peer_reply(&relay::answer_view(&self.shared, call)))
@@ -89,6 +93,18 @@
         reply.unwrap_or_else(|e| plain_reply(400, &format!("{e}\n")))
     }
 
+    fn handle_origin_call(&self, call: &OriginCall) -> Reply {
+        let now = self.shared.timer.now();
+        let mut origins = self.shared.origins.borrow_mut();
+        for origin in &call.begun {
+            origins.insert(origin, now);
+        }
+        let asked = call.ask.as_deref();
+        peer_reply(&OriginReply {
+            origin: asked.and_then(|request| origins.get(request, now)),
+        })
+    }
+
     fn handle_allowance_call(&self, call: &AllowanceCall) -> Reply {
         let now = self.shared.timer.now();
         let confirmed = self
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -12,7 +12,7 @@
 };
 use pumicecleat_net::{Client, Timer};
 use pumicecleat_ops::{Log, Readiness, events, field};
-use pumicecleat_policy::{AllowancePool, RateLimits, TurnId, TurnScheduler};
+use pumicecleat_policy::{AllowancePool, OriginTable, RateLimits, TurnId, TurnScheduler};
 use pumicecleat_types::{CachedAdapters, EngineFigures, Millis, ServiceId, Turn, VmId};
 
 use crate::EngineClient;
@@ -48,6 +48,8 @@
     pub(crate) wanted_age: Cell<Millis>,
     /// Allowances of client accounts, if gateways use this agent as their pool.
     pub(crate) allowances: RefCell<AllowancePool>,
+    /// Copies of where streams began.
+    pub(crate) origins: RefCell<OriginTable>,
     /// Senders to the tasks that wait for a turn.
     pub(crate) waiters: RefCell<BTreeMap<TurnId, Sender<Turn>>>,
     /// Instance name of the engine; empty while it is not known.
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -170,6 +170,7 @@
         read_wanted: Notify::new(),
         wanted_age: Cell::default(),
         allowances: RefCell::default(),
+        origins: RefCell::default(),
         waiters: RefCell::new(BTreeMap::new()),
         instance: RefCell::default(),
         engine_start_time_ms: Cell::new(None),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod exceeded;
 mod headers;
 mod meters;
+mod origins;
 mod readiness;
 mod repeats;
 mod request;
--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -2,7 +2,7 @@
 
 use prometheus_client::encoding::EncodeLabelSet;
 use pumicecleat_ops::{Counter, Family, Gauge, Histogram, Histograms, Metrics};
-use pumicecleat_types::{Millis, ServiceId};
+use pumicecleat_types::{Millis, ServiceId, SoftwareVersion};
 
 /// Upper bounds of the histogram buckets, in seconds.
 const TIME_BUCKETS: &[f64] = &[
@@ -29,6 +29,13 @@
     pub(crate) cause: &'static str,
 }
 
+/// Labels of metrics by service and software version.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct SoftwareLabels {
+    pub(crate) service: String,
+    pub(crate) software: String,
+}
+
 /// Labels of metrics by upstream instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct InstanceLabels {
@@ -73,6 +80,10 @@
     limited_requests: Family<OutcomeLabels, Counter>,
     /// Requests of accounts with an allowance.
     account_requests: Family<AccountLabels, Counter>,
+    /// Requests that go on with an earlier stream.
+    resumptions: Family<OutcomeLabels, Counter>,
+    /// Streams that began and may be resumed.
+    streams: Family<SoftwareLabels, Counter>,
     /// Requests for which a relay was asked for engines.
     proposals: Family<ProposalLabels, Counter>,
 }
@@ -120,6 +131,14 @@
                 "account_requests",
                 "Requests of accounts with an allowance, by account and outcome",
             ),
+            resumptions: metrics.counters(
+                "resumptions",
+                "Requests that take a stream up again: its origin was found, or why not, by service",
+            ),
+            streams: metrics.counters(
+                "resumable_streams",
+                "Streams begun that may be resumed, by service and software version",
+            ),
             proposals: metrics.counters(
                 "proposals",
                 "Requests to a relay for engines: proposed, none, or lost",
@@ -165,6 +184,20 @@
         self.account_requests.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_resumption(&self, service: &ServiceId, outcome: &'static str) {
+        let service = service.to_string();
+        let labels = OutcomeLabels { service, outcome };
+        self.resumptions.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn count_stream(&self, service: &ServiceId, software: &SoftwareVersion) {
+        let labels = SoftwareLabels {
+            service: service.to_string(),
+            software: software.to_string(),
+        };
+        self.streams.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_proposal(&self, outcome: &'static str) {
         let labels = ProposalLabels { outcome };
         self.proposals.get_or_create(&labels).inc();
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod hop_headers;
 mod job;
 mod model;
+mod origin;
 mod permit;
 mod plain;
 mod refuse;
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -40,6 +40,9 @@
 /// Handles a request to a model engine.
 pub(super) async fn serve(mut job: Job) -> Reply {
     job.count_request();
+    if let Err(refusal) = job.bind_to_origin().await {
+        return refusal.reply(&job.trace);
+    }
     let mut progress = Progress::default();
     loop {
         if let Err(refusal) = job.acquire_permit().await {
--- a/crates/gateway/src/request/resume.rs
+++ b/crates/gateway/src/request/resume.rs
@@ -133,6 +133,7 @@
     fn bind(&mut self) {
         if self.job.binding == Binding::Unbound {
             self.job.binding = Binding::of(self.software.take());
+            self.job.record_origin();
         }
     }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use crate::allowance::Allowances;
 use crate::exceeded::ExceededAccounts;
 use crate::meters::Meters;
+use crate::origins::Origins;
 use crate::repeats::Repeats;
 use crate::self_reports::SelfReports;
 use crate::service_traits::ServiceTraits;
@@ -74,6 +75,8 @@
     pub(crate) allowances: Allowances,
     /// Accounts that exceed their allowances.
     pub(crate) exceeded: ExceededAccounts,
+    /// Where streams began.
+    pub(crate) origins: Origins,
     /// Requests in progress when upstreams ended.
     pub(crate) suspects: SuspectState,
     /// Whether figures of engines are collected by relays.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -21,6 +21,7 @@
 use crate::allowance::{self, Allowances};
 use crate::exceeded::ExceededAccounts;
 use crate::meters::Meters;
+use crate::origins::Origins;
 use crate::readiness::ReadinessHandler;
 use crate::repeats::{Repeats, watch_stops};
 use crate::request::CallerHandler;
@@ -223,6 +224,7 @@
         limits: RefCell::new(RateLimits::new_ext(rand::random())),
         exceeded: ExceededAccounts::default(),
         allowances: Allowances::new(allowance::tolerance(settings)),
+        origins: Origins::default(),
         suspects: SuspectState::new(rand::random()),
         uses_relay: Cell::default(),
         relay: Cell::default(),
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -110,6 +110,8 @@
     GATEWAYS_COUNTED = "E7130" "gateways_counted" Info ["gateways", "before"];
     /// A request is sent to an upstream that goes on with a stream.
     STREAM_RESUMED = "E7131" "stream_resumed" Info ["request", "origin", "by", "after", "instance", "software"];
+    /// The origin of a stream was found that its caller takes up again.
+    ORIGIN_FOUND = "E7132" "origin_found" Info ["request", "origin", "source", "age_ms", "software"];
 
     /// The engine does not respond to its side.
     OWN_ENGINE_LOST = "E7201" "own_engine_lost" Warn ["address", "error"];
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,7 @@
 mod index;
 mod limits;
 mod load_order;
+mod origins;
 mod prompt;
 mod router;
 mod scheduler;
@@ -47,6 +48,7 @@
     GatewayCount, GatewayPeak, LimitChange, LimitSource, PoolSelector, RateLimits, Slot,
 };
 pub use load_order::{LoadOrder, LoadOrderOptions};
+pub use origins::{COPIES, LOOKUPS, OriginTable, keepers, keepers_of};
 pub use prompt::{
     AdapterState, BaseLoadTimes, BaseLocation, EngineChoice, EngineNeeds, EngineOrder,
     EngineReport, EngineView, OrderOutcome, RelayPick, RelaySelector, RepeatLimit, RepeatOptions,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -32,11 +32,12 @@
     AllowanceAsk, AllowanceCall, AllowanceOutcome, AllowanceReply, BidRequest, BidRequestReply,
     CachedAdapters, CandidatesCall, CandidatesReply, ChangeCursor, ChangedRecord, ConfigCall,
     ConfigReply, EndRead, EngineFigures, EngineTraits, FiguresCall, FiguresReply, Frame,
-    HeaderField, LimitNews, LoadBid, LoadFigures, LoadTurn, LogRecord, Member, ModelTarget, Ran,
-    Reachability, ReadPositions, Reason, Refusal, Report, ReportReply, RunHead, RunNews,
-    RunRequest, ServiceTarget, StreamChanges, StreamMarks, StreamsReply, SuspectNews,
-    SuspectReport, Target, Trial, TrialCall, TrialReply, Turn, TurnAsk, TurnCall, TurnRefusal,
-    TurnReply, UpstreamEnd, ViewCall, ViewReply, ViewRow, Viewer, VmEntry, VmRole, VmState,
+    HeaderField, LimitNews, LoadBid, LoadFigures, LoadTurn, LogRecord, Member, ModelTarget,
+    OriginCall, OriginReply, Ran, Reachability, ReadPositions, Reason, Refusal, Report,
+    ReportReply, RunHead, RunNews, RunRequest, ServiceTarget, StreamChanges, StreamMarks,
+    StreamOrigin, StreamsReply, SuspectNews, SuspectReport, Target, Trial, TrialCall, TrialReply,
+    Turn, TurnAsk, TurnCall, TurnRefusal, TurnReply, UpstreamEnd, ViewCall, ViewReply, ViewRow,
+    Viewer, VmEntry, VmRole, VmState,
 };
 pub use position::Position;
 pub use time::{BootTime, Millis};
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod config;
 mod load;
+mod origin;
 mod report;
 mod run;
 mod suspect;
@@ -15,6 +16,7 @@
 pub use changes::{ChangedRecord, ReadPositions, StreamChanges, StreamsReply};
 pub use config::{ConfigCall, ConfigReply, LogRecord};
 pub use load::{BidRequest, BidRequestReply, LoadBid, LoadTurn};
+pub use origin::{OriginCall, OriginReply, StreamOrigin};
 pub use report::{LoadFigures, Report, ReportReply};
 pub use run::{
     Frame, HeaderField, ModelTarget, Ran, Reason, Refusal, RunHead, RunRequest, ServiceTarget,
