Streams: one of unknown origin goes on where there was one version only

That there is one version proves something only if no entry can have been missed since before the stream began, and none since. A gateway binds such a request to the only version that its list had within the route's time and ten seconds, if it has followed the list without a gap for as long, and only once the list was read to its end after the request came (at most 0.6 s). A gateway that has just started, is cut off, or saw another version come or go refuses as before.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -36,6 +36,7 @@
 mod newest_entries;
 mod read_schedule;
 mod report;
+mod software;
 mod state;
 mod unreadable;
 mod upstream;
--- a/crates/catalog/src/upstream.rs
+++ b/crates/catalog/src/upstream.rs
@@ -43,6 +43,7 @@
     pub(crate) fn is_rewrite_of(&self, earlier: &Self) -> bool {
         let same_place = self.address == earlier.address && self.centre == earlier.centre;
         let same_service = self.service == earlier.service && self.slots == earlier.slots;
-        same_place && same_service && self.standing == earlier.standing
+        let same_software = self.software == earlier.software;
+        same_place && same_service && same_software && self.standing == earlier.standing
     }
 }
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -1,8 +1,10 @@
 //! Origin of a stream that its caller takes up again: found before the request is sent, or the request is refused.
 
+use std::time::Duration;
+
 use pumicecleat_catalog::RetryMode;
 use pumicecleat_ops::{events, field};
-use pumicecleat_types::{Millis, StreamOrigin};
+use pumicecleat_types::{Millis, SoftwareVersion, StreamOrigin};
 
 use super::binding::Binding;
 use super::job::Job;
@@ -16,6 +18,12 @@
 /// if at all.
 const UNKNOWN_RETRY_AFTER: Millis = Millis(500);
 
+/// Wait for the list of upstreams to be read once more. Upstreams write to it several times a second.
+const MAX_LIST_WAIT: Millis = Millis(600);
+
+/// Interval between checks whether it was.
+const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 impl Job {
     /// Binds a request that goes on with an earlier stream to the software version that began it.
     pub(super) async fn bind_to_origin(&mut self) -> Result<(), Refusal> {
@@ -25,23 +33,65 @@
         if self.route.retry != RetryMode::Resume {
             return Ok(());
         }
+        let asked_at = self.shared.timer.now();
         let named = resumption.origin.as_deref().filter(|o| !o.is_empty());
-        let Some(named) = named else {
-            return Err(self.refuse_resumption("origin_unnamed"));
+        let reason = match named {
+            None => "origin_unnamed",
+            Some(named) => match origins::find(&self.shared, named).await {
+                Lookup::Found(origin, source) if self.serves(&origin) => {
+                    self.bind_to(origin, &source);
+                    return Ok(());
+                }
+                Lookup::Found(..) => return Err(self.refuse_resumption("origin_moved")),
+                Lookup::Unknown => "origin_unknown",
+                Lookup::Unreachable => "origin_unreachable",
+            },
+        };
+        let Some(software) = self.only_software(asked_at).await else {
+            return Err(self.refuse_resumption(reason));
+        };
+        let origin = StreamOrigin {
+            service: self.service.clone(),
+            software,
+            ..StreamOrigin::default()
+        };
+        self.bind_to(origin, "only version");
+        Ok(())
+    }
+
+    fn bind_to(&mut self, origin: StreamOrigin, source: &str) {
+        self.log_origin(&origin, source);
+        self.shared.meters.count_resumption(&self.service, "found");
+        self.service = origin.service;
+        self.trace.set_service(&self.service);
+        self.binding = Binding::Version(origin.software);
+    }
+
+    /// The version that began the stream if the service has had no other since before it can have begun. The list
+    /// must have been read since `asked_at`: an entry that is read later may be that of the engine that began it.
+    async fn only_software(&self, asked_at: Millis) -> Option<SoftwareVersion> {
+        if self.route.services.len() > 1 {
+            return None;
+        }
+        let span = Millis(self.route.timeout_ms) + ORIGIN_MARGIN;
+        let timer = &self.shared.timer;
+        let find = || {
+            let catalog = self.shared.catalog.borrow();
+            catalog.only_software(&self.service, span, timer.now())
+        };
+        find()?;
+        let is_current = || {
+            let now = timer.now();
+            let age = self.shared.marks.list_age(now);
+            age.is_some_and(|age| now - age >= asked_at)
         };
-        match origins::find(&self.shared, named).await {
-            Lookup::Found(origin, source) if self.serves(&origin) => {
-                self.log_origin(&origin, &source);
-                self.shared.meters.count_resumption(&self.service, "found");
-                self.service = origin.service;
-                self.trace.set_service(&self.service);
-                self.binding = Binding::Version(origin.software);
-                Ok(())
+        while !is_current() {
+            if timer.now().since(asked_at) >= MAX_LIST_WAIT {
+                return None;
             }
-            Lookup::Found(..) => Err(self.refuse_resumption("origin_moved")),
-            Lookup::Unknown => Err(self.refuse_resumption("origin_unknown")),
-            Lookup::Unreachable => Err(self.refuse_resumption("origin_unreachable")),
+            timer.sleep(LIST_CHECK_INTERVAL).await;
         }
+        find()
     }
 
     /// Whether the route still leads to the service that began the stream.
