Streams: one version only is known from the first start on, and over short gaps

Nothing can have been missed before the deployment's first start, which the operator tells (--first-start); and not in a gap of half a second before a whole read, in which no engine comes, loads its model, serves and goes. Time in which the VM was suspended counts; a list from an older copy ends both.

--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use pumicecleat_types::{Millis, ServiceId, SoftwareVersion};
+use pumicecleat_types::{BootTime, Millis, ServiceId, SoftwareVersion};
 
 use crate::lapsed::LapsedUpstreams;
 use crate::newest_entries::NewestEntries;
@@ -181,6 +181,16 @@
         applied
     }
 
+    /// Notes that this process starts now, together with the whole deployment, for the first time.
+    pub fn note_first_start(&mut self, now: BootTime) {
+        self.software.note_first_start(now);
+    }
+
+    /// Notes that the list, or new records of it, were read.
+    pub fn note_list_read(&mut self, now: BootTime) {
+        self.software.note_read(now);
+    }
+
     /// Notes that the list has been available again since `at`. Entries of live upstreams may have lapsed
     /// during the outage.
     pub fn note_list_recovery(&mut self, at: Millis) {
@@ -191,6 +201,7 @@
     /// until the upstreams write them again.
     pub fn note_store_renewal(&mut self, at: Millis) {
         self.store_renewed_at = self.store_renewed_at.max(Some(at));
+        self.software.note_loss(at);
     }
 
     /// Removes upstreams whose lapsed entries did not return in time.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -272,6 +272,10 @@
         store_wait: settings.store_wait.0,
     };
     let seed = pumicecleat_policy::upstream_key(&settings.common.vm);
+    if settings.first_start {
+        let now = shared.timer.boot_now();
+        shared.catalog.borrow_mut().note_first_start(now);
+    }
     for topic in TOPICS {
         let options = FollowSettings::within(&spans, topic, seed);
         monoio::spawn(follow(topic, context.clone(), options));
