Streams: one of unknown origin goes on by a register of versions, not by the list

The store holds what must last: a gateway registers each software version of a service with resumable routes there once, when its first engine is listed, and begins no resumable stream at another. Where the register, read after the caller came, has one version, that version began the stream, whatever ran or was cut off meanwhile; one read serves all requests that came before it. A gateway that is cut off refuses.

--- a/crates/catalog/src/follow/apply.rs
+++ b/crates/catalog/src/follow/apply.rs
@@ -112,7 +112,6 @@
         if self.topic == Topic::Operators {
             return self.apply_all(records, now);
         }
-        self.note_list_read();
         let mut list = Vec::new();
         let mut changed = false;
         for record in records {
@@ -131,15 +130,7 @@
         changed
     }
 
-    fn note_list_read(&self) {
-        let now = self.timer.boot_now();
-        self.catalog.borrow_mut().note_list_read(now);
-    }
-
     pub(super) fn apply_all(&self, records: &[KeyedRecord], now: Millis) -> bool {
-        if self.topic == Topic::Upstreams && !records.is_empty() {
-            self.note_list_read();
-        }
         let mut changed = false;
         for record in records {
             changed |= self.apply(record, now);
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -36,7 +36,6 @@
 mod newest_entries;
 mod read_schedule;
 mod report;
-mod software;
 mod state;
 mod unreadable;
 mod upstream;
--- a/crates/catalog/src/state.rs
+++ b/crates/catalog/src/state.rs
@@ -3,11 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use pumicecleat_types::{BootTime, Millis, ServiceId, SoftwareVersion};
+use pumicecleat_types::{Millis, ServiceId};
 
 use crate::lapsed::LapsedUpstreams;
 use crate::newest_entries::NewestEntries;
-use crate::software::ListedSoftware;
 use crate::{Change, Layout, Standing, Upstream};
 
 /// Time after an outage of the list within which a lapsed entry may return. The list promises about two
@@ -23,7 +22,6 @@
     newest: NewestEntries,
     /// Upstreams whose entries lapsed around an outage.
     lapsed: LapsedUpstreams,
-    software: ListedSoftware,
     /// End of the last outage of the list.
     list_recovered_at: Option<Millis>,
     /// Time when the log was last restored from an older copy.
@@ -131,25 +129,6 @@
         self.upstreams.values().filter(ready)
     }
 
-    /// Returns the only software version that upstreams of `service` had within `span`, whether they are still
-    /// listed or not; `None` if there were several, or some may not be known.
-    #[must_use]
-    pub fn only_software(
-        &self,
-        service: &ServiceId,
-        span: Millis,
-        now: Millis,
-    ) -> Option<SoftwareVersion> {
-        if !self.software.is_complete(span, now) {
-            return None;
-        }
-        let listed = self.upstreams.values().filter(|u| u.service == *service);
-        let past = self.software.past(service, span, now);
-        let mut versions = listed.map(|u| &u.software).chain(past);
-        let first = versions.next()?;
-        versions.all(|v| v == first).then(|| first.clone())
-    }
-
     /// Applies a change.
     pub fn apply(&mut self, change: Change, now: Millis) -> Applied {
         match change {
@@ -162,7 +141,7 @@
                 self.apply_upstream(upstream, now)
             }
             Change::Gone { instance } => self.remove(instance, now),
-            Change::Unusable { instance } => self.remove_unusable(instance, now),
+            Change::Unusable { instance } => self.remove_unusable(instance),
             Change::Other => Applied::Unchanged,
         }
     }
@@ -177,20 +156,9 @@
             .map(|instance| self.remove(instance, now))
             .collect();
         applied.extend(list.into_iter().map(|u| self.apply_upstream(u, now)));
-        self.software.note_state(now);
         applied
     }
 
-    /// Notes that this process starts now, together with the whole deployment, for the first time.
-    pub fn note_first_start(&mut self, now: BootTime) {
-        self.software.note_first_start(now);
-    }
-
-    /// Notes that the list, or new records of it, were read.
-    pub fn note_list_read(&mut self, now: BootTime) {
-        self.software.note_read(now);
-    }
-
     /// Notes that the list has been available again since `at`. Entries of live upstreams may have lapsed
     /// during the outage.
     pub fn note_list_recovery(&mut self, at: Millis) {
@@ -201,7 +169,6 @@
     /// until the upstreams write them again.
     pub fn note_store_renewal(&mut self, at: Millis) {
         self.store_renewed_at = self.store_renewed_at.max(Some(at));
-        self.software.note_loss(at);
     }
 
     /// Removes upstreams whose lapsed entries did not return in time.
@@ -244,7 +211,7 @@
         let known = self.upstreams.get(&instance).and_then(|k| k.born);
         match (known, born) {
             // Every start of this upstream writes its start time, so another program wrote this entry.
-            (Some(_), None) => return self.forget(instance, now),
+            (Some(_), None) => return self.forget(instance),
             // Written by an earlier start than the known one.
             (Some(known), Some(born)) if born < known => return Applied::Unchanged,
             _ => {}
@@ -253,9 +220,6 @@
         self.newest.note(&upstream, now);
         let before = self.upstreams.get(&instance);
         let is_rewrite = before.is_some_and(|before| upstream.is_rewrite_of(before));
-        if let Some(before) = before.filter(|_| !is_rewrite) {
-            self.software.note_past(before, now);
-        }
         match self.upstreams.insert(instance.clone(), upstream) {
             Some(before) if before.born.is_some() && before.born < born => {
                 Applied::Restarted { instance, standing }
@@ -268,11 +232,11 @@
 
     /// Removes an upstream whose entry can't be decoded. It isn't kept as lapsed, since its entry was written
     /// and did not lapse.
-    fn remove_unusable(&mut self, instance: String, now: Millis) -> Applied {
+    fn remove_unusable(&mut self, instance: String) -> Applied {
         if !self.upstreams.contains_key(&instance) {
             return Applied::Unchanged;
         }
-        self.forget(instance, now)
+        self.forget(instance)
     }
 
     fn remove(&mut self, instance: String, now: Millis) -> Applied {
@@ -290,7 +254,7 @@
 
     fn remove_now(&mut self, instance: String, now: Millis) -> Applied {
         self.newest.note_removal(&instance, now);
-        self.forget(instance, now)
+        self.forget(instance)
     }
 
     fn lapse(&mut self, instance: String, now: Millis, retained_for: Millis) -> Applied {
@@ -301,11 +265,9 @@
         }
     }
 
-    fn forget(&mut self, instance: String, now: Millis) -> Applied {
+    fn forget(&mut self, instance: String) -> Applied {
         self.lapsed.remove(&instance);
-        if let Some(upstream) = self.upstreams.remove(&instance) {
-            self.software.note_past(&upstream, now);
-        }
+        self.upstreams.remove(&instance);
         Applied::Gone { instance }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod service_traits;
 mod settings;
 mod shared;
+mod software;
 mod start;
 mod suspects;
 mod table;
--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use pumicecleat_catalog::{Catalog, Route, Standing, Upstream};
+use pumicecleat_catalog::{Catalog, RetryMode, Route, Standing, Upstream};
 use pumicecleat_types::{Millis, ServiceId};
 use rand::RngExt;
 
@@ -142,10 +142,19 @@
     ) -> impl Iterator<Item = &'a Upstream> {
         let ready = catalog.ready_upstreams(&self.service);
         let untried = ready.filter(|u| !self.tried_instances.contains(&u.instance));
-        let admitted = untried.filter(|u| self.binding.admits(&u.software));
+        let admitted = untried.filter(|u| self.admits_software(u));
         admitted.filter(|u| self.shared.accepts_requests(u))
     }
 
+    /// Whether the request may go to the software version of `upstream`. A stream that may be resumed begins only at
+    /// a registered one.
+    fn admits_software(&self, upstream: &Upstream) -> bool {
+        let begins = self.binding == Binding::Unbound && self.route.retry == RetryMode::Resume;
+        let register = &self.shared.software;
+        let is_registered = || register.contains(&upstream.service, &upstream.software);
+        self.binding.admits(&upstream.software) && (!begins || is_registered())
+    }
+
     /// Whether `instance` still accepts requests.
     pub(super) fn is_ready(&self, instance: &str) -> bool {
         let catalog = self.shared.catalog.borrow();
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -275,7 +275,7 @@
     if !job.is_permitted() {
         return AttemptResult::Retry;
     }
-    let software = job.shared.software(&turn.upstream);
+    let software = job.shared.software_of(&turn.upstream);
     if job.binding != Binding::Unbound && job.binding != Binding::of(software.clone()) {
         progress.search.exclude(&instance);
         return AttemptResult::Retry;
--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -1,15 +1,14 @@
 //! Origin of a stream that its caller takes up again: found before the request is sent, or the request is refused.
 
-use std::time::Duration;
-
 use pumicecleat_catalog::RetryMode;
 use pumicecleat_ops::{events, field};
-use pumicecleat_types::{Millis, SoftwareVersion, StreamOrigin};
+use pumicecleat_types::{Millis, StreamOrigin};
 
 use super::binding::Binding;
 use super::job::Job;
 use super::refuse::Refusal;
 use crate::origins::{self, Lookup};
+use crate::software::only_software;
 
 /// Time for which an origin is kept after the stream's time is over.
 const ORIGIN_MARGIN: Millis = Millis(10_000);
@@ -18,12 +17,6 @@
 /// if at all.
 const UNKNOWN_RETRY_AFTER: Millis = Millis(500);
 
-/// Wait for the list of upstreams to be read once more. Upstreams write to it several times a second.
-const MAX_LIST_WAIT: Millis = Millis(600);
-
-/// Interval between checks whether it was.
-const LIST_CHECK_INTERVAL: Duration = Duration::from_millis(10);
-
 impl Job {
     /// Binds a request that goes on with an earlier stream to the software version that began it.
     pub(super) async fn bind_to_origin(&mut self) -> Result<(), Refusal> {
@@ -47,10 +40,15 @@
                 Lookup::Unreachable => "origin_unreachable",
             },
         };
-        let Some(software) = self.only_software(asked_at).await else {
+        let software = match &self.route.services[..] {
+            [one] => only_software(&self.shared, &one.service, asked_at).await,
+            _ => None,
+        };
+        let Some(software) = software else {
             return Err(self.refuse_resumption(reason));
         };
         let origin = StreamOrigin {
+            request: named.unwrap_or_default().to_owned(),
             service: self.service.clone(),
             software,
             ..StreamOrigin::default()
@@ -67,33 +65,6 @@
         self.binding = Binding::Version(origin.software);
     }
 
-    /// The version that began the stream if the service has had no other since before it can have begun. The list
-    /// must have been read since `asked_at`: an entry that is read later may be that of the engine that began it.
-    async fn only_software(&self, asked_at: Millis) -> Option<SoftwareVersion> {
-        if self.route.services.len() > 1 {
-            return None;
-        }
-        let span = Millis(self.route.timeout_ms) + ORIGIN_MARGIN;
-        let timer = &self.shared.timer;
-        let find = || {
-            let catalog = self.shared.catalog.borrow();
-            catalog.only_software(&self.service, span, timer.now())
-        };
-        find()?;
-        let is_current = || {
-            let now = timer.now();
-            let age = self.shared.marks.list_age(now);
-            age.is_some_and(|age| now - age >= asked_at)
-        };
-        while !is_current() {
-            if timer.now().since(asked_at) >= MAX_LIST_WAIT {
-                return None;
-            }
-            timer.sleep(LIST_CHECK_INTERVAL).await;
-        }
-        find()
-    }
-
     /// Whether the route still leads to the service that began the stream.
     fn serves(&self, origin: &StreamOrigin) -> bool {
         let mut services = self.route.services.iter();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,8 +40,6 @@
         allowance_overage: f64 = "0", "fraction";
         /// units by which an account's allowance may be exceeded in addition
         allowance_slack: f64 = "0", "units";
-        /// whether the whole deployment starts for the first time, so that there were no streams before
-        first_start: bool = "false", "true or false";
         /// maximum duration of a stop
         grace: HumanDuration = "8s", "span";
         /// maximum number of log lines per second; warnings and errors have a separate budget of the same
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::repeats::Repeats;
 use crate::self_reports::SelfReports;
 use crate::service_traits::ServiceTraits;
+use crate::software::SoftwareRegister;
 use crate::suspects::SuspectState;
 use crate::table::UpstreamTable;
 use crate::{HeaderCodec, RateLimit};
@@ -75,6 +76,8 @@
     pub(crate) allowances: Allowances,
     /// Accounts that exceed their allowances.
     pub(crate) exceeded: ExceededAccounts,
+    /// Software versions that resumable streams may have begun at.
+    pub(crate) software: SoftwareRegister,
     /// Where streams began.
     pub(crate) origins: Origins,
     /// Requests in progress when upstreams ended.
@@ -225,7 +228,7 @@
 
     /// Software version of the process that answers as `upstream`. `None` if the entry is of another start of the
     /// upstream than the one that its agent sees.
-    pub(crate) fn software(&self, upstream: &Upstream) -> Option<SoftwareVersion> {
+    pub(crate) fn software_of(&self, upstream: &Upstream) -> Option<SoftwareVersion> {
         let catalog = self.catalog.borrow();
         let listed = catalog.upstream(&upstream.instance)?;
         let seen_start = self.table.with(&upstream.instance, |r| {
@@ -297,6 +300,7 @@
 
     fn on_store_renewed(&self) {
         self.suspects.persist_again();
+        self.software.write_again();
     }
 
     fn report_list_age(&self, age: Millis) {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -27,6 +27,7 @@
 use crate::request::CallerHandler;
 use crate::revoke::{RevokeBudget, watch_keys};
 use crate::shared::{KEYS, LAYOUT, RUNNING, Shared, StopPhase, TOPICS};
+use crate::software::{SoftwareRegister, keep_register};
 use crate::suspects::SuspectState;
 use crate::table::UpstreamTable;
 use crate::{GatewaySettings, HeaderCodec, agents, suspects, view};
@@ -224,6 +225,7 @@
         limits: RefCell::new(RateLimits::new_ext(rand::random())),
         exceeded: ExceededAccounts::default(),
         allowances: Allowances::new(allowance::tolerance(settings)),
+        software: SoftwareRegister::new(&parts.store),
         origins: Origins::default(),
         suspects: SuspectState::new(rand::random()),
         uses_relay: Cell::default(),
@@ -272,10 +274,6 @@
         store_wait: settings.store_wait.0,
     };
     let seed = pumicecleat_policy::upstream_key(&settings.common.vm);
-    if settings.first_start {
-        let now = shared.timer.boot_now();
-        shared.catalog.borrow_mut().note_first_start(now);
-    }
     for topic in TOPICS {
         let options = FollowSettings::within(&spans, topic, seed);
         monoio::spawn(follow(topic, context.clone(), options));
@@ -295,6 +293,7 @@
         monoio::spawn(confirm_layout(context.clone(), settings));
         monoio::spawn(watch_keys(Rc::clone(shared)));
     }
+    monoio::spawn(keep_register(Rc::clone(shared)));
     monoio::spawn(watch_stops(Rc::clone(shared)));
     monoio::spawn(allowance::stay_attached(Rc::clone(shared)));
     monoio::spawn(watch_list_age(context.clone(), settings.leave_span.0));
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -112,6 +112,8 @@
     STREAM_RESUMED = "E7131" "stream_resumed" Info ["request", "origin", "by", "after", "instance", "software"];
     /// The origin of a stream was found that its caller takes up again.
     ORIGIN_FOUND = "E7132" "origin_found" Info ["request", "origin", "source", "age_ms", "software"];
+    /// A software version of a service is registered, so that resumable streams may begin at it.
+    SOFTWARE_REGISTERED = "E7133" "software_registered" Info ["service", "software"];
 
     /// The engine does not respond to its side.
     OWN_ENGINE_LOST = "E7201" "own_engine_lost" Warn ["address", "error"];
