Streams: the version of an engine whose agent is lost is not known

An engine had started again under its id, at another version, while two gateways were cut off the store. A gateway that reaches neither the store nor the agent took the old entry and the agent's old figures, which agree, for the version of the process that answers.

The time of start that counts is the one in the reply that grants the turn, not the last that was heard. Where entries tell a time of start and no agent granted the turn, the version is unknown: the stream is not resumed, and its origin not kept.

--- a/crates/gateway/src/agents.rs
+++ b/crates/gateway/src/agents.rs
@@ -43,6 +43,13 @@
 /// Time that an ask may take beyond the patience of its caller.
 const ASK_MARGIN: Millis = Millis(200);
 
+/// Outcome of an ask.
+pub(crate) struct AskOutcome {
+    pub(crate) turn: Turn,
+    /// Unix time of the engine's start in milliseconds, as the agent sees it; 0 if unknown.
+    pub(crate) seen_start: u64,
+}
+
 /// The agent was lost before the ask had an outcome.
 pub(crate) struct AgentLost;
 
@@ -148,7 +155,7 @@
     upstream: &Upstream,
     ask: TurnAsk,
     needs_slot: bool,
-) -> Result<Turn, AgentLost> {
+) -> Result<AskOutcome, AgentLost> {
     let now = shared.timer.now();
     let unreported_ask = UnreportedAsk {
         sent_at: now,
@@ -179,7 +186,11 @@
     let mut exchange = Box::pin(exchange(shared, upstream, &mut call, timeout));
     loop {
         match shared.timer.within(ASK_CHECK_INTERVAL, &mut exchange).await {
-            Ok(Ok(reply)) => return reply.turn.ok_or(AgentLost),
+            Ok(Ok(reply)) => {
+                let turn = reply.turn.ok_or(AgentLost)?;
+                let seen_start = reply.figures.start_time_ms;
+                return Ok(AskOutcome { turn, seen_start });
+            }
             Ok(Err(_)) => return Err(AgentLost),
             Err(_) if is_silent(shared, &upstream.instance, now) => return Err(AgentLost),
             Err(_) => {}
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -16,7 +16,7 @@
 use super::send::{AttemptOutcome, MIN_TIME_LEFT_MS};
 use super::shortlist::Shortlist;
 use crate::RetryAfter;
-use crate::agents::{self, AgentLost};
+use crate::agents::{self, AgentLost, AskOutcome};
 use crate::repeats::{RepeatCause, RepeatReservation};
 use crate::table::InFlight;
 
@@ -104,6 +104,18 @@
     upstream: Upstream,
     /// Version of the adapter loaded there, if known.
     version: Option<u64>,
+    /// Start of the engine that the agent granted the turn for; `None` if the agent was lost.
+    seen_start: Option<u64>,
+}
+
+impl GrantedTurn {
+    fn new(upstream: Upstream, version: Option<u64>, seen_start: Option<u64>) -> Self {
+        Self {
+            upstream,
+            version,
+            seen_start,
+        }
+    }
 }
 
 /// Asks engines for a turn, in order of preference; returns the reason if none grants one.
@@ -134,16 +146,17 @@
         let Some(stays) = progress.search.count_ask() else {
             return Err("no_turn");
         };
-        match ask_turn(job, &upstream, adapter_state.needs_slot(), stays).await {
-            Ok(Turn::Granted { version }) => return Ok(GrantedTurn { upstream, version }),
+        let asked = ask_turn(job, &upstream, adapter_state.needs_slot(), stays).await;
+        let seen_start = asked.as_ref().ok().map(|outcome| outcome.seen_start);
+        match asked.map(|outcome| outcome.turn) {
+            Ok(Turn::Granted { version }) => {
+                return Ok(GrantedTurn::new(upstream, version, seen_start));
+            }
             Err(AgentLost) if adapter_state == AdapterState::Loaded => {
-                if let Admission::Refused(wait) = job.shared.reserve(&upstream, Millis(0)) {
-                    progress.record_refusal(LIMITED, wait);
-                    progress.search.exclude(&upstream.instance);
+                if !reserve_without_agent(job, &upstream, progress) {
                     continue;
                 }
-                let version = None;
-                return Ok(GrantedTurn { upstream, version });
+                return Ok(GrantedTurn::new(upstream, None, seen_start));
             }
             Ok(Turn::Refused { reason, retry_ms }) => {
                 if reason == TurnRefusal::Limited {
@@ -160,6 +173,19 @@
     }
 }
 
+/// Reserves a slot in this gateway's share of the engine's rate limit, as its agent is lost; returns `false` if
+/// there is none at once.
+fn reserve_without_agent(job: &Job, upstream: &Upstream, progress: &mut Progress) -> bool {
+    match job.shared.reserve(upstream, Millis(0)) {
+        Admission::Refused(wait) => {
+            progress.record_refusal(LIMITED, wait);
+            progress.search.exclude(&upstream.instance);
+            false
+        }
+        Admission::Unlimited | Admission::Reserved(_) => true,
+    }
+}
+
 /// Whether an engine may become available that could still serve the request: one is listed and has not
 /// failed it, although none accepts requests now. After a complete power loss, engines are back within two
 /// seconds and known shortly after; without this wait, refused callers retried and were refused again.
@@ -229,7 +255,7 @@
     upstream: &Upstream,
     needs_slot: bool,
     stays: bool,
-) -> Result<Turn, AgentLost> {
+) -> Result<AskOutcome, AgentLost> {
     let started_at = job.shared.timer.now();
     let model = job.attributes.model.clone();
     let adapter = model.as_ref().and_then(|m| m.adapter.clone());
@@ -275,7 +301,7 @@
     if !job.is_permitted() {
         return AttemptResult::Retry;
     }
-    let software = job.shared.software_of(&turn.upstream);
+    let software = job.shared.software_of(&turn.upstream, turn.seen_start);
     if job.binding != Binding::Unbound && job.binding != Binding::of(software.clone()) {
         progress.search.exclude(&instance);
         return AttemptResult::Retry;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -226,14 +226,15 @@
         self.log.emit(&events::SEEN_LEAVING, &fields);
     }
 
-    /// Software version of the process that answers as `upstream`. `None` if the entry is of another start of the
-    /// upstream than the one that its agent sees.
-    pub(crate) fn software_of(&self, upstream: &Upstream) -> Option<SoftwareVersion> {
+    /// Software version of the process that answers as `upstream`, whose agent tells `seen_start` as the time of its
+    /// start. `None` if the entry may be of another start.
+    pub(crate) fn software_of(
+        &self,
+        upstream: &Upstream,
+        seen_start: Option<u64>,
+    ) -> Option<SoftwareVersion> {
         let catalog = self.catalog.borrow();
         let listed = catalog.upstream(&upstream.instance)?;
-        let seen_start = self.table.with(&upstream.instance, |r| {
-            r.figures.as_ref().map(|f| f.0.start_time_ms)
-        });
         let is_same_start = listed.born.is_none_or(|born| seen_start == Some(born));
         is_same_start.then(|| listed.software.clone())
     }
