Streams: one of unknown origin is refused where engines start again under their names

The register proves where a stream began only if no stream begins at a version that it lacks. A gateway takes the version from the engine's entry; where an engine starts again under its name its entry may be old, and a stream that begins there has no origin (its version is unknown) but may have begun at a version that nobody registered.

Such entries tell a time of start. Where any of a service does, a stream of unknown origin is refused; named ones go on as before.

--- a/crates/gateway/src/request/origin.rs
+++ b/crates/gateway/src/request/origin.rs
@@ -41,7 +41,9 @@
             },
         };
         let software = match &self.route.services[..] {
-            [one] => only_software(&self.shared, &one.service, asked_at).await,
+            [one] if self.has_lasting_versions() => {
+                only_software(&self.shared, &one.service, asked_at).await
+            }
             _ => None,
         };
         let Some(software) = software else {
@@ -57,6 +59,14 @@
         Ok(())
     }
 
+    /// Whether no engine of the service starts again under its name, so that each entry tells the version of the only
+    /// process that it can stand for. Otherwise a stream may have begun at a version that its entry did not tell.
+    fn has_lasting_versions(&self) -> bool {
+        let catalog = self.shared.catalog.borrow();
+        let mut upstreams = catalog.upstreams().filter(|u| u.service == self.service);
+        upstreams.all(|u| u.born.is_none())
+    }
+
     fn bind_to(&mut self, origin: StreamOrigin, source: &str) {
         self.log_origin(&origin, source);
         self.shared.meters.count_resumption(&self.service, "found");
