Logs: parts of the prompt in the lines of a request's end

Callers saw engines end one after the other under requests that are all unlike. No line told what such requests have in common, so the first hypothesis of docs/incidents/crashing-part.md couldn't be told from the third.

The lines E7101 to E7105 now have the parts of the prompt but the last, which belongs to the request or its session. No decision depends on them yet.

--- a/crates/gateway/src/headers.rs
+++ b/crates/gateway/src/headers.rs
@@ -28,6 +28,17 @@
     pub unreadable: Vec<&'static str>,
 }
 
+impl RequestAttributes {
+    /// IDs of the parts of the prompt that other requests may share: all but the last, which belongs to the request
+    /// or its session.
+    #[must_use]
+    pub fn shared_parts(&self) -> Vec<&str> {
+        let shared = self.prompt_parts.split_last().map(|(_, rest)| rest);
+        let ids = shared.unwrap_or_default().iter();
+        ids.map(|part| part.id.as_str()).collect()
+    }
+}
+
 /// Where a stream goes on that an earlier request of the caller began.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Resumption {
--- a/crates/gateway/src/request/trace.rs
+++ b/crates/gateway/src/request/trace.rs
@@ -19,6 +19,8 @@
     pub(super) shared: Rc<Shared>,
     pub(super) request: String,
     route: String,
+    /// IDs of the parts of the prompt that other requests may share, separated by commas.
+    prompt_parts: String,
     /// Identifies repeated attempts; `None` until the body was read.
     fingerprint: Cell<Option<Fingerprint>>,
     layout: u64,
@@ -57,6 +59,7 @@
             shared: Rc::clone(shared),
             request,
             route: route.to_owned(),
+            prompt_parts: attributes.shared_parts().join(","),
             fingerprint: Cell::new(None),
             layout,
             arrived,
@@ -171,6 +174,7 @@
         let fields = [
             field("request", self.request.as_str()),
             field("fingerprint", fingerprint.as_str()),
+            field("prompt_parts", self.prompt_parts.as_str()),
             field("route", self.route.as_str()),
             field("instance", instance.as_str()),
             field("status", status),
@@ -195,6 +199,7 @@
         let fields = [
             field("request", self.request.as_str()),
             field("fingerprint", fingerprint.as_str()),
+            field("prompt_parts", self.prompt_parts.as_str()),
             field("route", self.route.as_str()),
             field("reason", reason),
             field("status", status),
@@ -214,6 +219,7 @@
         let fields = [
             field("request", self.request.as_str()),
             field("fingerprint", fingerprint.as_str()),
+            field("prompt_parts", self.prompt_parts.as_str()),
             field("route", self.route.as_str()),
             field("instance", instance.as_str()),
             field("reason", reason),
@@ -239,6 +245,7 @@
         let fields = [
             field("request", self.request.as_str()),
             field("fingerprint", fingerprint.as_str()),
+            field("prompt_parts", self.prompt_parts.as_str()),
             field("instance", instance.as_str()),
             field("step", step),
             field("ran", may_have_run),
@@ -269,6 +276,7 @@
         let fields = [
             field("request", self.request.as_str()),
             field("fingerprint", fingerprint.as_str()),
+            field("prompt_parts", self.prompt_parts.as_str()),
             field("route", self.route.as_str()),
             field("instance", instance.as_str()),
             field("age_ms", self.age().0),
