--- a/crates/agent/src/trial.rs
+++ b/crates/agent/src/trial.rs
@@ -81,31 +81,24 @@
 /// Decides whether a request may be sent once more.
 pub(crate) fn decide_trial(shared: &Shared, call: &TrialCall) -> TrialReply {
     let now = shared.timer.now();
-    let known = shared
-        .suspects
-        .table
-        .borrow()
-        .end_count(&call.fingerprint, now);
+    let known = shared.suspects.table.borrow().end_count(&call.key, now);
     let ends = known.max(call.ends.len());
     let mut trials = shared.suspects.trials.borrow_mut();
     if call.unused {
-        trials.give_back(&call.fingerprint);
+        trials.give_back(&call.key);
         return TrialReply::default();
     }
-    let retry_after = shared
-        .suspects
-        .table
-        .borrow()
-        .retry_after(&call.fingerprint, now);
+    let retry_after = shared.suspects.table.borrow().retry_after(&call.key, now);
     let outcome = match retry_after {
         Some(retry_after) => Err(retry_after),
-        None => trials.try_grant(call.fingerprint, ends, now),
+        None => trials.try_grant(call.key, ends, now),
     };
     let retry_ms = outcome.err().unwrap_or_default().0;
-    let (entry, fingerprint) = (call.entry.to_string(), call.fingerprint.to_string());
+    let (entry, digest) = (call.entry.to_string(), call.key.digest.to_string());
     let fields = [
         field("entry", entry.as_str()),
-        field("fingerprint", fingerprint.as_str()),
+        field("fingerprint", digest.as_str()),
+        field("kind", call.key.kind.as_str()),
         field("ends", ends),
         field("granted", outcome.is_ok()),
         field("retry_ms", retry_ms),
--- a/crates/gateway/src/request/fingerprint.rs
+++ b/crates/gateway/src/request/fingerprint.rs
@@ -1,6 +1,6 @@
-//! Fingerprint that identifies repeated attempts of the same request.
+//! Fingerprints that identify repeated attempts of the same request, and parts of prompts that requests share.
 //!
-//! It covers host, path with query, caller and body; request IDs, deadlines and everything else that changes
+//! That of a request covers host, path with query, caller and body; request IDs, deadlines and everything else that changes
 //! between attempts is excluded. The digest is cryptographic, so that nobody can forge a request with another
 //! caller's fingerprint: half of SHA-256 leaves a collision chance of 2^-128 for a pair, and a forger needs
 //! 2^128 attempts.
@@ -25,10 +25,19 @@
         Caller::Anonymous => b"",
         Caller::Account(account) => account.name.as_bytes(),
     };
+    digest([host(head).as_bytes(), path.as_bytes(), caller, body])
+}
+
+/// Fingerprint of a part of prompts.
+pub(super) fn part_fingerprint(id: &str) -> Fingerprint {
+    digest([id.as_bytes()])
+}
+
+fn digest<const N: usize>(fields: [&[u8]; N]) -> Fingerprint {
     let mut digest = Sha256::new();
-    for part in [host(head).as_bytes(), path.as_bytes(), caller, body] {
-        digest.update((part.len() as u64).to_be_bytes());
-        digest.update(part);
+    for field in fields {
+        digest.update((field.len() as u64).to_be_bytes());
+        digest.update(field);
     }
     let mut bytes = [0; 16];
     bytes.copy_from_slice(&digest.finalize()[..16]);
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -86,7 +86,10 @@
         }
         let chunk = self.response.next().await;
         match &chunk {
-            Some(Ok(_)) => self.mark_begun(),
+            Some(Ok(_)) => {
+                self.trace.record_progress();
+                self.mark_begun();
+            }
             Some(Err(e)) => {
                 self.trace.record_lost_connection();
                 self.trace.log_passed_on(self.status, Some(e));
--- a/crates/gateway/src/request/permit.rs
+++ b/crates/gateway/src/request/permit.rs
@@ -1,8 +1,8 @@
-//! Permission to send a request, which is needed if upstreams ended while it was in progress.
+//! Permission to send a request, which is needed if upstreams ended while it, or others with a part of its prompt,
+//! was in progress.
 
 use pumicecleat_net::Reply;
-use pumicecleat_policy::TRIAL_MIN_ENDS;
-use pumicecleat_types::{Millis, Trial};
+use pumicecleat_types::{Millis, SuspectKey, SuspectKind, Trial};
 
 use super::job::Job;
 use super::refuse::{Refusal, outcome_unknown};
@@ -14,22 +14,36 @@
     /// No permission is needed, or none was granted.
     #[default]
     None,
-    /// One send is permitted, unless the request may have ended more upstreams than this number by then.
-    Trial(Trial, usize),
+    /// One send is permitted.
+    Granted(GrantedTrial),
     /// The permitted send was performed.
     Used,
 }
 
+/// A trial that was granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct GrantedTrial {
+    trial: Trial,
+    suspect: SuspectKey,
+    /// Number of ends that the suspect may have caused. The trial is void if there are more.
+    ends: usize,
+}
+
 /// Retry time returned while the permitted send has no outcome.
 const OUTCOME_RETRY_AFTER: Millis = Millis(2_000);
 
 impl Job {
     /// Whether the request may be sent without asking for permission.
     pub(super) fn is_permitted(&self) -> bool {
-        let end_count = self.end_count();
+        let now = self.shared.timer.now();
+        let suspects = self.shared.suspects.table.borrow();
+        let mut keys = self.trace.suspect_keys();
         match self.permit.get() {
-            Permit::Trial(_, permitted_count) => end_count <= permitted_count,
-            _ => end_count < TRIAL_MIN_ENDS,
+            Permit::Granted(granted) => {
+                let is_void = suspects.end_count(&granted.suspect, now) > granted.ends;
+                !is_void && keys.all(|key| suspects.retry_after(&key, now).is_none())
+            }
+            _ => !keys.any(|key| suspects.needs_trial(&key, now)),
         }
     }
 
@@ -38,36 +52,65 @@
         if self.is_permitted() {
             return Ok(());
         }
-        if self.permit.get() != Permit::None {
+        let may_ask = self.permit.get() == Permit::None;
+        let suspect = self.known_cause();
+        let suspect = suspect.or_else(|| self.main_suspect().filter(|_| may_ask));
+        let Some(suspect) = suspect else {
             return Err(Refusal::ends_upstreams(OUTCOME_RETRY_AFTER));
-        }
-        let fingerprint = self.trace.fingerprint();
-        let granted = ask_trial(&self.shared, self.id(), fingerprint).await;
+        };
+        let granted = ask_trial(&self.shared, self.id(), suspect).await;
         let trial = granted.map_err(Refusal::ends_upstreams)?;
-        self.permit.set(Permit::Trial(trial, self.end_count()));
+        let now = self.shared.timer.now();
+        let ends = self.shared.suspects.end_count(&suspect, now);
+        let granted = GrantedTrial {
+            trial,
+            suspect,
+            ends,
+        };
+        self.permit.set(Permit::Granted(granted));
         Ok(())
     }
 
-    fn end_count(&self) -> usize {
+    /// The request or a part of its prompt, if it is known to end upstreams; the one that is refused longest.
+    fn known_cause(&self) -> Option<SuspectKey> {
         let now = self.shared.timer.now();
-        self.shared
-            .suspects
-            .end_count(&self.trace.fingerprint(), now)
+        let suspects = self.shared.suspects.table.borrow();
+        let keys = self.trace.suspect_keys();
+        let causes = keys.filter_map(|key| Some((suspects.retry_after(&key, now)?, key)));
+        causes.max().map(|(_, key)| key)
+    }
+
+    /// Suspect that the request's trial is for: the part of the prompt under which most upstreams ended, the last of
+    /// equal ones because earlier parts are shared by more requests; or else the request.
+    fn main_suspect(&self) -> Option<SuspectKey> {
+        let now = self.shared.timer.now();
+        let suspects = self.shared.suspects.table.borrow();
+        let keys = self.trace.suspect_keys();
+        let suspected = keys.filter(|key| suspects.needs_trial(key, now));
+        let rank = |key: &SuspectKey| {
+            let is_part = key.kind == SuspectKind::PromptPart;
+            (is_part, suspects.end_count(key, now))
+        };
+        suspected.max_by_key(rank)
     }
 
     /// Kind of the permitted send, if there is one that was not performed yet.
     pub(super) fn trial(&self) -> Option<Trial> {
+        self.granted_trial().map(|granted| granted.trial)
+    }
+
+    fn granted_trial(&self) -> Option<GrantedTrial> {
         match self.permit.get() {
-            Permit::Trial(trial, _) => Some(trial),
+            Permit::Granted(granted) => Some(granted),
             _ => None,
         }
     }
 
     /// Gives back a permission that was not used.
     pub(super) fn release_permit(&self) {
-        if self.trial().is_some() {
+        if let Some(granted) = self.granted_trial() {
             self.permit.set(Permit::Used);
-            release_trial(&self.shared, self.trace.fingerprint());
+            release_trial(&self.shared, granted.suspect);
         }
     }
 
@@ -83,12 +126,12 @@
 
     /// Records that the request is sent.
     pub(super) fn use_permit(&self) {
-        let Some(trial) = self.trial() else {
+        let Some(granted) = self.granted_trial() else {
             return;
         };
         self.permit.set(Permit::Used);
-        if trial == Trial::Exclusive {
-            self.trace.set_alone();
+        if granted.trial == Trial::Exclusive {
+            self.trace.set_tried_alone(granted.suspect);
         }
     }
 }
--- a/crates/gateway/src/request/resume.rs
+++ b/crates/gateway/src/request/resume.rs
@@ -75,7 +75,10 @@
                 }
             }
             match self.response.next().await {
-                Some(Ok(bytes)) => self.scanner.push(&bytes),
+                Some(Ok(bytes)) => {
+                    self.job.trace.record_progress();
+                    self.scanner.push(&bytes);
+                }
                 None => {
                     self.job.trace.log_passed_on(self.status, None);
                     self.job.trace.record_served();
--- a/crates/gateway/src/request/trace.rs
+++ b/crates/gateway/src/request/trace.rs
@@ -7,12 +7,17 @@
 use pumicecleat_catalog::Upstream;
 use pumicecleat_net::{BodyError, Framing};
 use pumicecleat_ops::{DrainGuard, events, field};
-use pumicecleat_types::{Fingerprint, Millis, RequestId, ServiceId};
+use pumicecleat_types::{Fingerprint, Millis, RequestId, ServiceId, SuspectKey};
 
 use crate::RequestAttributes;
 use crate::meters::{OutcomeLabels, ServiceLabels};
 use crate::shared::Shared;
-use crate::suspects;
+use crate::suspects::{self, LostAttempt};
+
+use super::fingerprint::part_fingerprint;
+
+/// Time after the first byte of a response after which its upstream did not end because of the prompt.
+const PROVING_TIME: Millis = Millis(500);
 
 /// Logs the end of a request once. If dropped before, it logs that the caller disconnected.
 pub(super) struct RequestTrace {
@@ -21,14 +26,20 @@
     route: String,
     /// IDs of the parts of the prompt that other requests may share, separated by commas.
     prompt_parts: String,
+    /// The same parts, as suspects.
+    part_keys: Vec<SuspectKey>,
     /// Identifies repeated attempts; `None` until the body was read.
     fingerprint: Cell<Option<Fingerprint>>,
     layout: u64,
     pub(super) arrived: Millis,
     service: RefCell<String>,
     instance: RefCell<String>,
-    /// The attempt is sent to an upstream where no other suspect is in progress.
-    is_alone: Cell<bool>,
+    /// Suspect whose trial the current attempt is, at an upstream where no other suspect is in progress.
+    tried_alone: Cell<Option<SuspectKey>>,
+    /// Time of the first byte that the current attempt brought.
+    answered_at: Cell<Option<Millis>>,
+    /// The current attempt has shown that no part of the prompt ends upstreams.
+    parts_proven: Cell<bool>,
     /// Upstream of the current attempt.
     upstream: RefCell<Option<Upstream>>,
     attempts: Cell<u32>,
@@ -60,12 +71,15 @@
             request,
             route: route.to_owned(),
             prompt_parts: attributes.shared_parts().join(","),
+            part_keys: part_keys(attributes),
             fingerprint: Cell::new(None),
             layout,
             arrived,
             service: RefCell::default(),
             instance: RefCell::default(),
-            is_alone: Cell::default(),
+            tried_alone: Cell::default(),
+            answered_at: Cell::default(),
+            parts_proven: Cell::default(),
             upstream: RefCell::default(),
             attempts: Cell::new(0),
             list_age: Cell::default(),
@@ -86,6 +100,12 @@
         self.fingerprint.get().unwrap_or_default()
     }
 
+    /// The request and the parts of its prompt, as suspects.
+    pub(super) fn suspect_keys(&self) -> impl Iterator<Item = SuspectKey> {
+        let request = SuspectKey::request(self.fingerprint());
+        std::iter::once(request).chain(self.part_keys.iter().copied())
+    }
+
     /// Fingerprint as text; empty until the body was read.
     fn fingerprint_text(&self) -> String {
         self.fingerprint
@@ -105,11 +125,14 @@
         self.list_age.set(age.unwrap_or_default());
         self.instance.replace(upstream.instance.clone());
         self.upstream.replace(Some(upstream.clone()));
+        self.tried_alone.set(None);
+        self.answered_at.set(None);
+        self.parts_proven.set(false);
     }
 
-    /// Records that the request is sent to an upstream where no other suspect is in progress.
-    pub(super) fn set_alone(&self) {
-        self.is_alone.set(true);
+    /// Records that the current attempt is the trial of `suspect`, at an upstream where no other is in progress.
+    pub(super) fn set_tried_alone(&self, suspect: SuspectKey) {
+        self.tried_alone.set(Some(suspect));
     }
 
     /// Records how the response of the current attempt is framed.
@@ -124,21 +147,55 @@
 
     /// Records that the connection of the current attempt was lost.
     pub(super) fn record_lost_connection(&self) {
-        if let (Some(fingerprint), Some(upstream)) =
+        let (Some(fingerprint), Some(upstream)) =
             (self.fingerprint.get(), &*self.upstream.borrow())
-        {
-            suspects::record_lost_connection(
-                &self.shared,
-                fingerprint,
-                self.is_alone.get(),
-                upstream,
-            );
-        }
+        else {
+            return;
+        };
+        // Later than this, an upstream does not end because of the prompt.
+        let parts = if self.is_answered_for(PROVING_TIME) {
+            &[][..]
+        } else {
+            &self.part_keys
+        };
+        let lost = LostAttempt {
+            request: SuspectKey::request(fingerprint),
+            parts: parts.to_vec(),
+            tried_alone: self.tried_alone.get(),
+            lost_at: self.shared.timer.now(),
+        };
+        suspects::record_lost_connection(&self.shared, lost, upstream);
     }
 
     /// Records that an upstream served the request.
     pub(super) fn record_served(&self) {
-        suspects::record_served(&self.shared, &self.fingerprint());
+        suspects::record_served(&self.shared, &SuspectKey::request(self.fingerprint()));
+        self.record_parts_served();
+    }
+
+    /// Records that the current attempt has brought a part of the response.
+    pub(super) fn record_progress(&self) {
+        if self.answered_at.get().is_none() {
+            self.answered_at.set(Some(self.shared.timer.now()));
+        } else if self.is_answered_for(PROVING_TIME) {
+            self.record_parts_served();
+        }
+    }
+
+    /// Whether the first byte of the current attempt arrived at least `span` ago.
+    fn is_answered_for(&self, span: Millis) -> bool {
+        let now = self.shared.timer.now();
+        let answered_at = self.answered_at.get();
+        answered_at.is_some_and(|at| now.since(at) >= span)
+    }
+
+    fn record_parts_served(&self) {
+        if self.parts_proven.replace(true) {
+            return;
+        }
+        for part in &self.part_keys {
+            suspects::record_served(&self.shared, part);
+        }
     }
 
     /// Adds the time spent waiting for a turn.
@@ -285,6 +342,12 @@
     }
 }
 
+fn part_keys(attributes: &RequestAttributes) -> Vec<SuspectKey> {
+    let parts = attributes.shared_parts();
+    let keys = parts.into_iter().map(part_fingerprint);
+    keys.map(SuspectKey::prompt_part).collect()
+}
+
 /// Version of HTTP in logs.
 fn version_name(version: Version) -> &'static str {
     if version == Version::HTTP_10 {
--- a/crates/gateway/src/suspects/denials.rs
+++ b/crates/gateway/src/suspects/denials.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use pumicecleat_types::{Fingerprint, Millis};
+use pumicecleat_types::{Millis, SuspectKey};
 
 #[derive(Clone, Copy, Debug)]
 struct Denial {
@@ -15,25 +15,25 @@
 /// Requests without a trial.
 #[derive(Debug, Default)]
 pub(super) struct Denials {
-    denials: BTreeMap<Fingerprint, Denial>,
+    denials: BTreeMap<SuspectKey, Denial>,
 }
 
 impl Denials {
     /// Records that a request that may have ended `ends` upstreams gets no trial for `span`.
-    pub(super) fn add(&mut self, fingerprint: Fingerprint, ends: usize, span: Millis, now: Millis) {
+    pub(super) fn add(&mut self, suspect: SuspectKey, ends: usize, span: Millis, now: Millis) {
         self.denials.retain(|_, d| d.until > now);
         let until = now + span;
-        self.denials.insert(fingerprint, Denial { until, ends });
+        self.denials.insert(suspect, Denial { until, ends });
     }
 
     /// Time left for which the request gets no trial.
     pub(super) fn time_left(
         &self,
-        fingerprint: &Fingerprint,
+        suspect: &SuspectKey,
         ends: usize,
         now: Millis,
     ) -> Option<Millis> {
-        let denial = self.denials.get(fingerprint)?;
+        let denial = self.denials.get(suspect)?;
         let applies = denial.until > now && denial.ends == ends;
         applies.then(|| denial.until.since(now))
     }
--- a/crates/gateway/src/suspects/lost_connections.rs
+++ b/crates/gateway/src/suspects/lost_connections.rs
@@ -2,25 +2,28 @@
 
 use std::collections::BTreeMap;
 
-use pumicecleat_types::{Fingerprint, Millis};
+use pumicecleat_types::{Millis, SuspectKey};
 
 /// Time after a lost connection within which its upstream may be found to have ended: three heartbeats, after
 /// which the list drops it, and the time until another upstream takes its address.
 const END_DETECTION_SPAN: Millis = Millis(10_000);
 
-/// A request whose connection was lost.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct LostRequest {
-    pub(super) lost_at: Millis,
-    /// No other suspect was in progress there.
-    pub(super) alone: bool,
+/// An attempt whose connection was lost.
+#[derive(Clone, Debug)]
+pub(crate) struct LostAttempt {
+    pub(crate) request: SuspectKey,
+    /// Parts of its prompt that may have ended the upstream.
+    pub(crate) parts: Vec<SuspectKey>,
+    /// Suspect whose trial the attempt was, if no other suspect was in progress there.
+    pub(crate) tried_alone: Option<SuspectKey>,
+    pub(crate) lost_at: Millis,
 }
 
 /// Connections lost at one upstream.
 #[derive(Debug, Default)]
 struct UpstreamLosses {
-    /// Requests whose connection was lost.
-    requests: BTreeMap<Fingerprint, LostRequest>,
+    /// Attempts whose connection was lost, by request.
+    attempts: BTreeMap<SuspectKey, LostAttempt>,
     /// A connection was lost since the upstream was last probed.
     unprobed: bool,
     /// When the upstream was found to have ended.
@@ -34,24 +37,19 @@
 }
 
 impl LostConnections {
-    /// Adds a request if connections were lost at that upstream before; returns whether the upstream is known
+    /// Adds an attempt if connections were lost at that upstream before; returns whether the upstream is known
     /// to have ended, or `None` if no connection was lost there.
-    pub(super) fn add(
-        &mut self,
-        key: u64,
-        fingerprint: Fingerprint,
-        lost: LostRequest,
-    ) -> Option<bool> {
+    pub(super) fn add(&mut self, key: u64, lost: &LostAttempt) -> Option<bool> {
         let losses = self.upstreams.get_mut(&key)?;
-        losses.requests.insert(fingerprint, lost);
+        losses.attempts.insert(lost.request, lost.clone());
         losses.unprobed = true;
         Some(losses.ended_at.is_some())
     }
 
-    /// Adds the first request that lost its connection there.
-    pub(super) fn add_first(&mut self, key: u64, fingerprint: Fingerprint, lost: LostRequest) {
+    /// Adds the first attempt that lost its connection there.
+    pub(super) fn add_first(&mut self, key: u64, lost: LostAttempt) {
         let first = UpstreamLosses {
-            requests: BTreeMap::from([(fingerprint, lost)]),
+            attempts: BTreeMap::from([(lost.request, lost)]),
             unprobed: true,
             ended_at: None,
         };
@@ -64,14 +62,13 @@
         losses.is_some_and(|l| std::mem::take(&mut l.unprobed))
     }
 
-    /// Records that the upstream has ended; returns the requests that were in progress there.
-    pub(super) fn record_end(&mut self, key: u64, now: Millis) -> Vec<(Fingerprint, bool)> {
+    /// Records that the upstream has ended; returns the attempts that were in progress there.
+    pub(super) fn record_end(&mut self, key: u64, now: Millis) -> Vec<LostAttempt> {
         let Some(losses) = self.upstreams.get_mut(&key) else {
             return Vec::new();
         };
         losses.ended_at = Some(now);
-        let requests = losses.requests.iter();
-        requests.map(|(f, lost)| (*f, lost.alone)).collect()
+        losses.attempts.values().cloned().collect()
     }
 
     /// Removes expired requests; returns whether any are left.
@@ -80,9 +77,9 @@
             return false;
         };
         losses
-            .requests
+            .attempts
             .retain(|_, r| now.since(r.lost_at) < END_DETECTION_SPAN);
-        let any_left = !losses.requests.is_empty();
+        let any_left = !losses.attempts.is_empty();
         if !any_left {
             self.upstreams.remove(&key);
         }
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -19,13 +19,14 @@
 
 use pumicecleat_catalog::Upstream;
 use pumicecleat_ops::{events, field};
-use pumicecleat_policy::{SuspectSync, SuspectTable, TRIAL_MIN_ENDS, Trials, end_key};
-use pumicecleat_types::{Fingerprint, Millis};
+use pumicecleat_policy::{SuspectSync, SuspectTable, Trials, end_key, min_ends};
+use pumicecleat_types::{Millis, SuspectKey};
 
 use crate::shared::Shared;
 use denials::Denials;
 use departures::Departures;
-use lost_connections::{LostConnections, LostRequest};
+pub(crate) use lost_connections::LostAttempt;
+use lost_connections::LostConnections;
 pub(crate) use news::{apply_reply, outgoing_news};
 use persist::PersistQueue;
 pub(crate) use persist::persist_suspects;
@@ -73,92 +74,102 @@
         self.departures.borrow().is_planned(instance, now)
     }
 
-    /// Number of upstreams that a request may have ended.
-    pub(crate) fn end_count(&self, fingerprint: &Fingerprint, now: Millis) -> usize {
-        self.table.borrow().end_count(fingerprint, now)
+    /// Number of upstreams that a suspect may have ended.
+    pub(crate) fn end_count(&self, suspect: &SuspectKey, now: Millis) -> usize {
+        self.table.borrow().end_count(suspect, now)
     }
 }
 
-/// Records that the request lost its connection to `upstream`; `alone` if no other suspect was in progress
-/// there.
-pub(crate) fn record_lost_connection(
-    shared: &Rc<Shared>,
-    fingerprint: Fingerprint,
-    alone: bool,
-    upstream: &Upstream,
-) {
+/// Records that an attempt lost its connection to `upstream`.
+pub(crate) fn record_lost_connection(shared: &Rc<Shared>, lost: LostAttempt, upstream: &Upstream) {
     let now = shared.timer.now();
-    let lost = LostRequest {
-        lost_at: now,
-        alone,
-    };
     let key = end_key(&upstream.instance, upstream.born);
     let is_ended = shared
         .suspects
         .lost_connections
         .borrow_mut()
-        .add(key, fingerprint, lost);
+        .add(key, &lost);
     match is_ended {
-        Some(true) => record_ends(shared, upstream, &[(fingerprint, alone)]),
+        Some(true) => record_ends(shared, upstream, &[lost]),
         Some(false) => {}
         // A leaving upstream may close connections with requests in progress when it ends.
         None if shared.suspects.is_end_planned(&upstream.instance, now) => {}
         None => {
             let mut lost_connections = shared.suspects.lost_connections.borrow_mut();
-            lost_connections.add_first(key, fingerprint, lost);
+            lost_connections.add_first(key, lost);
             monoio::spawn(watch::watch_upstream(Rc::clone(shared), upstream.clone()));
         }
     }
 }
 
-/// Records that `upstream` ended while `requests` were in progress there.
-fn record_ends(shared: &Shared, upstream: &Upstream, requests: &[(Fingerprint, bool)]) {
+/// Records that `upstream` ended while these attempts were in progress there.
+fn record_ends(shared: &Shared, upstream: &Upstream, attempts: &[LostAttempt]) {
     let now = shared.timer.now();
     let key = end_key(&upstream.instance, upstream.born);
-    for (fingerprint, alone) in requests {
-        let is_new = shared
+    for lost in attempts {
+        record_end(shared, lost.request, lost, key, &upstream.instance);
+        let is_on_trial = lost.tried_alone.is_some_and(|s| lost.parts.contains(&s));
+        let is_suspected = shared
             .suspects
             .table
-            .borrow_mut()
-            .record_end(*fingerprint, key, *alone, now);
-        if is_new {
-            log_suspected(shared, fingerprint, &upstream.instance);
-            if shared.suspects.end_count(fingerprint, now) >= TRIAL_MIN_ENDS {
-                shared.suspects.persist_queue.push(*fingerprint);
-            }
+            .borrow()
+            .needs_trial(&lost.request, now);
+        // A request that comes again and again explains the ends itself.
+        if is_suspected && !is_on_trial {
+            continue;
         }
+        for part in &lost.parts {
+            record_end(shared, *part, lost, key, &upstream.instance);
+        }
+    }
+}
+
+fn record_end(shared: &Shared, suspect: SuspectKey, lost: &LostAttempt, key: u64, instance: &str) {
+    let now = shared.timer.now();
+    let alone = lost.tried_alone == Some(suspect);
+    let is_new = {
+        let mut table = shared.suspects.table.borrow_mut();
+        table.record_end(suspect, key, alone, lost.lost_at)
+    };
+    if !is_new {
+        return;
+    }
+    log_suspected(shared, &suspect, instance);
+    if shared.suspects.end_count(&suspect, now) >= min_ends(suspect.kind) {
+        shared.suspects.persist_queue.push(suspect);
     }
 }
 
-/// Logs a request if it needs a trial from now on.
-fn log_suspected(shared: &Shared, fingerprint: &Fingerprint, source: &str) {
-    let ends = shared.suspects.end_count(fingerprint, shared.timer.now());
-    if ends < TRIAL_MIN_ENDS {
+/// Logs a suspect if it needs a trial from now on.
+fn log_suspected(shared: &Shared, suspect: &SuspectKey, source: &str) {
+    let ends = shared.suspects.end_count(suspect, shared.timer.now());
+    if ends < min_ends(suspect.kind) {
         return;
     }
     shared.meters.count_suspect("suspected");
-    let text = fingerprint.to_string();
+    let text = suspect.digest.to_string();
     let fields = [
         field("fingerprint", text.as_str()),
+        field("kind", suspect.kind.as_str()),
         field("ends", ends),
         field("source", source),
     ];
     shared.log.emit(&events::REQUEST_SUSPECTED, &fields);
 }
 
-/// Records that an upstream served the request.
-pub(crate) fn record_served(shared: &Shared, fingerprint: &Fingerprint) {
-    let ends = shared
-        .suspects
-        .table
-        .borrow_mut()
-        .record_served(fingerprint);
-    if ends < TRIAL_MIN_ENDS {
+/// Records that an upstream served the suspect.
+pub(crate) fn record_served(shared: &Shared, suspect: &SuspectKey) {
+    let ends = shared.suspects.table.borrow_mut().record_served(suspect);
+    if ends < min_ends(suspect.kind) {
         return;
     }
-    shared.suspects.persist_queue.push(*fingerprint);
+    shared.suspects.persist_queue.push(*suspect);
     shared.meters.count_suspect("cleared");
-    let text = fingerprint.to_string();
-    let fields = [field("fingerprint", text.as_str()), field("ends", ends)];
+    let text = suspect.digest.to_string();
+    let fields = [
+        field("fingerprint", text.as_str()),
+        field("kind", suspect.kind.as_str()),
+        field("ends", ends),
+    ];
     shared.log.emit(&events::REQUEST_CLEARED, &fields);
 }
--- a/crates/gateway/src/suspects/news.rs
+++ b/crates/gateway/src/suspects/news.rs
@@ -36,7 +36,7 @@
         return;
     }
     let source = peer.to_string();
-    for fingerprint in changed {
-        log_suspected(shared, &fingerprint, &source);
+    for suspect in changed {
+        log_suspected(shared, &suspect, &source);
     }
 }
--- a/crates/gateway/src/suspects/persist.rs
+++ b/crates/gateway/src/suspects/persist.rs
@@ -13,8 +13,8 @@
 use async_channel::{Receiver, Sender};
 use pumicecleat_infra::{AppendError, KeyedLog, KeyedRecord, read_newest};
 use pumicecleat_ops::{events, field};
-use pumicecleat_policy::{SuspectTable, TRIAL_MIN_ENDS};
-use pumicecleat_types::{Fingerprint, Millis, SuspectReport};
+use pumicecleat_policy::{SuspectTable, min_ends};
+use pumicecleat_types::{Millis, SuspectKey, SuspectReport};
 use serde::{Deserialize, Serialize};
 
 use crate::shared::Shared;
@@ -42,9 +42,9 @@
 
 /// Requests whose record is outdated.
 pub(crate) struct PersistQueue {
-    outdated: RefCell<BTreeSet<Fingerprint>>,
+    outdated: RefCell<BTreeSet<SuspectKey>>,
     /// Requests that this gateway stores in the log.
-    stored: RefCell<BTreeSet<Fingerprint>>,
+    stored: RefCell<BTreeSet<SuspectKey>>,
     sender: Sender<()>,
     receiver: Receiver<()>,
 }
@@ -61,8 +61,8 @@
     }
 
     /// Schedules a write of the request's record, or its removal.
-    pub(super) fn push(&self, fingerprint: Fingerprint) {
-        self.outdated.borrow_mut().insert(fingerprint);
+    pub(super) fn push(&self, suspect: SuspectKey) {
+        self.outdated.borrow_mut().insert(suspect);
         // A full channel already holds a wakeup.
         let _ = self.sender.try_send(());
     }
@@ -71,18 +71,18 @@
 impl PersistQueue {
     /// Schedules a write of all requests that this gateway stores.
     pub(super) fn requeue_stored(&self) {
-        for fingerprint in self.stored.borrow().iter() {
-            self.push(*fingerprint);
+        for suspect in self.stored.borrow().iter() {
+            self.push(*suspect);
         }
     }
 
     /// Records that a record was written; an empty `value` removes it.
-    fn record_written(&self, fingerprint: Fingerprint, value: &[u8]) {
+    fn record_written(&self, suspect: SuspectKey, value: &[u8]) {
         let mut stored = self.stored.borrow_mut();
         if value.is_empty() {
-            stored.remove(&fingerprint);
+            stored.remove(&suspect);
         } else {
-            stored.insert(fingerprint);
+            stored.insert(suspect);
         }
     }
 }
@@ -136,43 +136,47 @@
             return shared.log.emit(&events::RECORD_UNREADABLE, &fields);
         }
     };
-    stored.word.age_ms += unix_ms().saturating_sub(stored.at);
+    let stored_for = unix_ms().saturating_sub(stored.at);
+    stored.word.age_ms += stored_for;
+    for end in &mut stored.word.ends {
+        end.age_ms += stored_for;
+    }
     let now = shared.timer.now();
-    let fingerprint = stored.word.fingerprint;
+    let suspect = stored.word.key;
     let changed = shared
         .suspects
         .table
         .borrow_mut()
         .merge(&[stored.word], now);
-    if shared.suspects.end_count(&fingerprint, now) < TRIAL_MIN_ENDS {
-        shared.suspects.persist_queue.push(fingerprint);
+    if shared.suspects.end_count(&suspect, now) < min_ends(suspect.kind) {
+        shared.suspects.persist_queue.push(suspect);
     }
-    for fingerprint in changed {
-        super::log_suspected(shared, &fingerprint, STREAM);
+    for suspect in changed {
+        super::log_suspected(shared, &suspect, STREAM);
     }
 }
 
 async fn write_records(
     shared: &Shared,
     store: &dyn KeyedLog,
-    requests: &BTreeSet<Fingerprint>,
+    requests: &BTreeSet<SuspectKey>,
 ) -> Result<(), AppendError> {
     let now = shared.timer.now();
-    let record = |f: &Fingerprint| {
+    let record = |f: &SuspectKey| {
         let value = record_value(&shared.suspects.table.borrow(), f, now);
         shared.suspects.persist_queue.record_written(*f, &value);
-        store.keyed_record(&f.to_string(), &value)
+        store.keyed_record(&f.digest.to_string(), &value)
     };
     let records = requests.iter().map(record).collect();
     store.append(STREAM, records).await.map(|_| ())
 }
 
 /// Value of a request's record; empty if it is not to be stored.
-fn record_value(suspects: &SuspectTable, fingerprint: &Fingerprint, now: Millis) -> Vec<u8> {
-    if suspects.end_count(fingerprint, now) < TRIAL_MIN_ENDS {
+fn record_value(suspects: &SuspectTable, suspect: &SuspectKey, now: Millis) -> Vec<u8> {
+    if suspects.end_count(suspect, now) < min_ends(suspect.kind) {
         return Vec::new();
     }
-    let Some(word) = suspects.export(fingerprint, now) else {
+    let Some(word) = suspects.export(suspect, now) else {
         return Vec::new();
     };
     let stored = StoredSuspect {
--- a/crates/gateway/src/suspects/trial.rs
+++ b/crates/gateway/src/suspects/trial.rs
@@ -12,7 +12,7 @@
 use pumicecleat_net::{NetError, post};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::name_key;
-use pumicecleat_types::{Fingerprint, Millis, Trial, TrialCall, TrialReply};
+use pumicecleat_types::{Millis, SuspectKey, Trial, TrialCall, TrialReply};
 
 use crate::agents::engines;
 use crate::shared::Shared;
@@ -33,12 +33,12 @@
 pub(crate) async fn ask_trial(
     shared: &Shared,
     request: &str,
-    fingerprint: Fingerprint,
+    suspect: SuspectKey,
 ) -> Result<Trial, Millis> {
     let now = shared.timer.now();
-    shared.suspects.table.borrow_mut().touch(&fingerprint, now);
-    let call = trial_call(shared, fingerprint, false);
-    let decision = match denied_for(shared, &fingerprint, now) {
+    shared.suspects.table.borrow_mut().touch(&suspect, now);
+    let call = trial_call(shared, suspect, false);
+    let decision = match denied_for(shared, &suspect, now) {
         Some(time_left) => Decision::Denied(time_left),
         None => ask_agents(shared, &call).await,
     };
@@ -48,20 +48,21 @@
         Decision::NoReply => Err(NO_REPLY_RETRY_AFTER),
         Decision::NoAgents => {
             let mut trials = shared.suspects.trials.borrow_mut();
-            trials.try_grant(fingerprint, call.ends.len(), now)
+            trials.try_grant(suspect, call.ends.len(), now)
         }
     };
     if let (Err(retry_after), Decision::Agent(..)) = (outcome, &decision) {
-        let ends = shared.suspects.end_count(&fingerprint, now);
+        let ends = shared.suspects.end_count(&suspect, now);
         let mut denials = shared.suspects.denials.borrow_mut();
-        denials.add(fingerprint, ends, retry_after, now);
+        denials.add(suspect, ends, retry_after, now);
     }
     let what = if outcome.is_ok() { "trial" } else { "refused" };
     shared.meters.count_suspect(what);
-    let text = fingerprint.to_string();
+    let text = suspect.digest.to_string();
     let fields = [
         field("request", request),
         field("fingerprint", text.as_str()),
+        field("kind", suspect.kind.as_str()),
         field("ends", call.ends.len()),
         field("side", decision.agent()),
         field("granted", outcome.is_ok()),
@@ -72,31 +73,31 @@
 }
 
 /// Gives back a trial that was not used.
-pub(crate) fn release_trial(shared: &Rc<Shared>, fingerprint: Fingerprint) {
+pub(crate) fn release_trial(shared: &Rc<Shared>, suspect: SuspectKey) {
     let shared = Rc::clone(shared);
     monoio::spawn(async move {
-        let call = trial_call(&shared, fingerprint, true);
+        let call = trial_call(&shared, suspect, true);
         if let Decision::NoAgents = ask_agents(&shared, &call).await {
-            shared.suspects.trials.borrow_mut().give_back(&fingerprint);
+            shared.suspects.trials.borrow_mut().give_back(&suspect);
         }
     });
 }
 
 /// Time left for which the request is refused without asking an agent.
-fn denied_for(shared: &Shared, fingerprint: &Fingerprint, now: Millis) -> Option<Millis> {
-    let retry_after = shared.suspects.table.borrow().retry_after(fingerprint, now);
-    let ends = shared.suspects.end_count(fingerprint, now);
+fn denied_for(shared: &Shared, suspect: &SuspectKey, now: Millis) -> Option<Millis> {
+    let retry_after = shared.suspects.table.borrow().retry_after(suspect, now);
+    let ends = shared.suspects.end_count(suspect, now);
     retry_after.or_else(|| {
         let denials = shared.suspects.denials.borrow();
-        denials.time_left(fingerprint, ends, now)
+        denials.time_left(suspect, ends, now)
     })
 }
 
-fn trial_call(shared: &Shared, fingerprint: Fingerprint, unused: bool) -> TrialCall {
+fn trial_call(shared: &Shared, suspect: SuspectKey, unused: bool) -> TrialCall {
     TrialCall {
         entry: shared.vm.clone(),
-        fingerprint,
-        ends: shared.suspects.table.borrow().end_keys(&fingerprint),
+        key: suspect,
+        ends: shared.suspects.table.borrow().end_keys(&suspect),
         unused,
     }
 }
@@ -121,7 +122,7 @@
 
 /// Returns the reply of the first agent that responds.
 async fn ask_agents(shared: &Shared, call: &TrialCall) -> Decision {
-    let agents = ranked_agents(shared, &call.fingerprint);
+    let agents = ranked_agents(shared, &call.key);
     if agents.is_empty() {
         return Decision::NoAgents;
     }
@@ -141,11 +142,11 @@
 }
 
 /// Agents in the ranking of a request.
-fn ranked_agents(shared: &Shared, fingerprint: &Fingerprint) -> Vec<SocketAddr> {
+fn ranked_agents(shared: &Shared, suspect: &SuspectKey) -> Vec<SocketAddr> {
     let catalog = shared.catalog.borrow();
     let agent = |ip| SocketAddr::new(ip, shared.agent_port);
     let agents: BTreeSet<SocketAddr> = engines(&catalog).map(|u| agent(u.address.ip())).collect();
     let mut agents: Vec<SocketAddr> = agents.into_iter().collect();
-    agents.sort_by_cached_key(|a| name_key(&format!("{fingerprint} {a}")));
+    agents.sort_by_cached_key(|a| name_key(&format!("{} {a}", suspect.digest)));
     agents
 }
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -77,11 +77,11 @@
     /// An upstream ended with requests in flight.
     UPSTREAM_ENDED = "E7114" "upstream_ended" Warn ["instance", "sign", "requests"];
     /// Several upstreams ended while they ran the same request.
-    REQUEST_SUSPECTED = "E7115" "request_suspected" Warn ["fingerprint", "ends", "source"];
+    REQUEST_SUSPECTED = "E7115" "request_suspected" Warn ["fingerprint", "kind", "ends", "source"];
     /// A request suspected of ending upstreams was served without one ending.
-    REQUEST_CLEARED = "E7116" "request_cleared" Info ["fingerprint", "ends"];
+    REQUEST_CLEARED = "E7116" "request_cleared" Info ["fingerprint", "kind", "ends"];
     /// A gateway asked for permission to send a suspected request once.
-    TRIAL_ASKED = "E7117" "trial_asked" Warn ["request", "fingerprint", "ends", "side", "granted", "retry_ms"];
+    TRIAL_ASKED = "E7117" "trial_asked" Warn ["request", "fingerprint", "kind", "ends", "side", "granted", "retry_ms"];
     /// An upstream rejected a request and asked for no more requests for a time.
     UPSTREAM_RESTS = "E7118" "upstream_rests" Info ["instance", "told_ms", "held_ms"];
     /// An upstream sent a malformed retry time.
@@ -130,5 +130,5 @@
     /// The engine is not the instance that the list has at its address.
     OWN_ENGINE_DENIED = "E7207" "own_engine_denied" Warn ["instance"];
     /// A request for permission to send a suspected request was decided.
-    TRIAL_DECIDED = "E7208" "trial_decided" Warn ["entry", "fingerprint", "ends", "granted", "retry_ms"];
+    TRIAL_DECIDED = "E7208" "trial_decided" Warn ["entry", "fingerprint", "kind", "ends", "granted", "retry_ms"];
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -63,4 +63,4 @@
 pub use scheduler::{
     Action, Bid, Job, JobId, JobRefusal, LoadOutcome, ObjectiveWeights, Scheduler, SchedulerOptions,
 };
-pub use suspects::{OutgoingNews, SuspectSync, SuspectTable, TRIAL_MIN_ENDS, Trials, end_key};
+pub use suspects::{OutgoingNews, SuspectSync, SuspectTable, Trials, end_key, min_ends};
--- a/crates/policy/src/suspects/mod.rs
+++ b/crates/policy/src/suspects/mod.rs
@@ -10,6 +10,16 @@
 //!   upstream ends, once to an upstream that runs no other suspect. A request that is served is no longer
 //!   suspected. A request that was the only suspect at an upstream that ended is the cause, and is refused.
 //!
+//! Requests that are all different may have the part of their prompts in common that terminates upstreams. Such a
+//! part is a suspect as well, whatever else the requests hold:
+//!
+//! - It is suspected of an end if a request with it had not begun to be answered, or had just begun.
+//! - A request with it that is answered beyond that clears it, so parts that many requests share are cleared within
+//!   the time of an answer.
+//! - A single request that comes again and again counts once, as it is suspected itself.
+//! - Its trials are exclusive. An upstream that ends in one shows that the part is the cause, unless others end at
+//!   the same time. What ran beside the cause is no longer suspected of these ends.
+//!
 //! Each process has a [`SuspectTable`] and sends its changes to others ([`SuspectSync`]). Tables are merged by
 //! union, and a cleared end stays cleared, so the order of messages does not matter.
 
@@ -18,10 +28,18 @@
 mod table;
 mod trials;
 
+use pumicecleat_types::SuspectKind;
 pub use sync::{OutgoingNews, SuspectSync};
+
 pub use table::{SuspectTable, end_key};
 pub use trials::Trials;
 
-/// Number of ends from which a request needs permission. Nearly all requests with a single end are harmless;
-/// few of those with two are.
-pub const TRIAL_MIN_ENDS: usize = 2;
+/// Number of ends from which a suspect needs permission. Nearly all requests with a single end are harmless; few
+/// of those with two are. Parts of prompts are shared by many requests, and in progress at more ends.
+#[must_use]
+pub fn min_ends(kind: SuspectKind) -> usize {
+    match kind {
+        SuspectKind::Request => 2,
+        SuspectKind::PromptPart => 3,
+    }
+}
--- a/crates/policy/src/suspects/suspect.rs
+++ b/crates/policy/src/suspects/suspect.rs
@@ -1,63 +1,128 @@
-//! Upstream ends that one request may have caused.
+//! Upstream ends that one suspect may have caused.
 
 use std::collections::BTreeMap;
 
 use pumicecleat_types::{Millis, UpstreamEnd};
 
-/// Maximum number of ends stored for a request; further ones add no information.
+/// Maximum number of ends stored for a suspect; further ones add no information.
 const MAX_ENDS: usize = 16;
 
-/// State of one request.
+/// Ends within this time of each other may have one external cause, such as a loss of power.
+pub(super) const SIMULTANEOUS_SPAN: Millis = Millis(250);
+
+/// Added to the process's own time, so that ends of before its start have times as well.
+const TIME_OFFSET: Millis = Millis(86_400_000);
+
+/// End of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct End {
+    pub(super) at: Millis,
+    /// No other suspect was in progress there.
+    pub(super) alone: bool,
+    /// The suspect has been served since.
+    pub(super) cleared: bool,
+}
+
+impl End {
+    pub(super) fn received(end: &UpstreamEnd, now: Millis) -> Self {
+        Self {
+            at: now + TIME_OFFSET - Millis(end.age_ms),
+            alone: end.alone,
+            cleared: end.cleared,
+        }
+    }
+}
+
+/// State of one suspect.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Suspect {
-    ends: BTreeMap<u64, UpstreamEnd>,
-    /// Time of the last end or arrival of the request.
+    ends: BTreeMap<u64, End>,
+    /// Time of the last end or arrival of the suspect.
     pub(super) last_activity: Millis,
     /// Number of the table's change that last updated this state.
     pub(super) last_change: u64,
 }
 
 impl Suspect {
-    /// Number of ends that the request may have caused.
-    pub(super) fn open_ends(&self) -> usize {
-        self.ends.values().filter(|end| !end.cleared).count()
+    /// Ends that the suspect may have caused, with their keys.
+    pub(super) fn open_ends(&self) -> impl Iterator<Item = (u64, &End)> {
+        let open = self.ends.iter().filter(|(_, end)| !end.cleared);
+        open.map(|(key, end)| (*key, end))
+    }
+
+    pub(super) fn stored_ends(&self) -> impl Iterator<Item = (u64, &End)> {
+        self.ends.iter().map(|(key, end)| (*key, end))
     }
 
-    /// Whether the request is known to have caused an end, because no other suspect was in progress there.
-    pub(super) fn is_proven(&self) -> bool {
-        self.ends.values().any(|end| end.alone && !end.cleared)
+    pub(super) fn open_count(&self) -> usize {
+        self.open_ends().count()
     }
 
-    pub(super) fn open_end_keys(&self) -> Vec<u64> {
-        let open = self.ends.values().filter(|end| !end.cleared);
-        open.map(|end| end.key).collect()
+    /// Whether the suspect was in progress at the upstream whose end has this key, and may have caused it.
+    pub(super) fn may_have_caused(&self, key: u64) -> bool {
+        self.ends.get(&key).is_some_and(|end| !end.cleared)
+    }
+
+    pub(super) fn was_present(&self, key: u64) -> bool {
+        self.ends.contains_key(&key)
     }
 
     /// Merges an end; returns whether this changed the state.
-    pub(super) fn merge_end(&mut self, end: UpstreamEnd) -> bool {
-        if self.ends.len() >= MAX_ENDS && !self.ends.contains_key(&end.key) {
+    pub(super) fn merge_end(&mut self, key: u64, end: End) -> bool {
+        if !self.ends.contains_key(&key) && !self.has_capacity() {
             return false;
         }
-        let Some(known) = self.ends.get_mut(&end.key) else {
-            self.ends.insert(end.key, end);
+        let Some(known) = self.ends.get_mut(&key) else {
+            self.ends.insert(key, end);
             return true;
         };
-        let before = *known;
+        let before = (known.alone, known.cleared);
+        known.at = known.at.min(end.at);
         known.alone |= end.alone;
         known.cleared |= end.cleared;
-        *known != before
+        (known.alone, known.cleared) != before
     }
 
-    /// Clears all ends, because the request was served; returns whether this changed the state.
+    /// Whether another end can be stored, for which the oldest cleared one is removed if necessary.
+    fn has_capacity(&mut self) -> bool {
+        if self.ends.len() < MAX_ENDS {
+            return true;
+        }
+        let cleared = self.ends.iter().filter(|(_, end)| end.cleared);
+        let oldest = cleared.min_by_key(|(_, end)| end.at).map(|(key, _)| *key);
+        oldest.is_some_and(|key| self.ends.remove(&key).is_some())
+    }
+
+    /// Clears all ends, because the suspect was served; returns whether this changed the state.
     pub(super) fn clear(&mut self) -> bool {
-        let open = self.open_ends() > 0;
+        let open = self.open_count() > 0;
         for end in self.ends.values_mut() {
             end.cleared = true;
         }
         open
     }
 
-    pub(super) fn all_ends(&self) -> Vec<UpstreamEnd> {
-        self.ends.values().copied().collect()
+    pub(super) fn all_ends(&self, now: Millis) -> Vec<UpstreamEnd> {
+        let ends = self.ends.iter().map(|(key, end)| UpstreamEnd {
+            key: *key,
+            alone: end.alone,
+            cleared: end.cleared,
+            age_ms: (now + TIME_OFFSET).since(end.at).0,
+        });
+        ends.collect()
     }
 }
+
+/// First end of each group of ends that are within [`SIMULTANEOUS_SPAN`] of it.
+pub(super) fn first_of_each_group(mut ends: Vec<(Millis, u64)>) -> Vec<u64> {
+    ends.sort_unstable();
+    let mut group_start = None;
+    ends.retain(|(at, _)| {
+        let is_first = group_start.is_none_or(|start| at.since(start) > SIMULTANEOUS_SPAN);
+        if is_first {
+            group_start = Some(*at);
+        }
+        is_first
+    });
+    ends.into_iter().map(|(_, key)| key).collect()
+}
--- a/crates/policy/src/suspects/sync.rs
+++ b/crates/policy/src/suspects/sync.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use pumicecleat_types::{ChangeCursor, Fingerprint, Millis, SuspectNews};
+use pumicecleat_types::{ChangeCursor, Millis, SuspectKey, SuspectNews};
 
 use super::SuspectTable;
 
@@ -50,7 +50,7 @@
         OutgoingNews { news, sent_up_to }
     }
 
-    /// Applies the reply of `peer` to a call that carried the changes up to `sent_up_to`; returns the requests
+    /// Applies the reply of `peer` to a call that carried the changes up to `sent_up_to`; returns the suspects
     /// for which it contained something new.
     pub fn handle_reply(
         &mut self,
@@ -59,7 +59,7 @@
         reply: &SuspectNews,
         suspects: &mut SuspectTable,
         now: Millis,
-    ) -> Vec<Fingerprint> {
+    ) -> Vec<SuspectKey> {
         let state = self.peers.entry(peer).or_default();
         let start_changed = state.received.start != reply.seen.start;
         // A peer that has restarted knows only what this call carried.
--- a/crates/policy/src/suspects/table.rs
+++ b/crates/policy/src/suspects/table.rs
@@ -1,12 +1,16 @@
-//! Requests that one process knows to have been in progress when upstreams ended.
+//! Suspects that one process knows.
+//!
+//! A suspect whose trial has shown that it ends upstreams is the cause of all ends at which it was in progress, so
+//! these no longer count against those that were in progress beside it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use pumicecleat_types::{
-    ChangeCursor, Fingerprint, Millis, SuspectNews, SuspectReport, UpstreamEnd,
+    ChangeCursor, Millis, SuspectKey, SuspectKind, SuspectNews, SuspectReport, UpstreamEnd,
 };
 
-use super::suspect::Suspect;
+use super::min_ends;
+use super::suspect::{End, SIMULTANEOUS_SPAN, Suspect, first_of_each_group};
 
 /// Time for which a request is stored after its last end or arrival. Longer than callers retry a request, and
 /// than a rollout to all upstreams takes.
@@ -27,9 +31,11 @@
 pub struct SuspectTable {
     /// ID of this start of the process, and number of changes since.
     revision: ChangeCursor,
-    suspects: BTreeMap<Fingerprint, Suspect>,
-    /// Requests by the number of their last change.
-    by_last_change: BTreeMap<u64, Fingerprint>,
+    suspects: BTreeMap<SuspectKey, Suspect>,
+    /// Suspects by the number of their last change.
+    by_last_change: BTreeMap<u64, SuspectKey>,
+    /// Suspects that were alone at an upstream that ended.
+    tried_alone: BTreeSet<SuspectKey>,
     pruned_at: Millis,
 }
 
@@ -48,6 +54,7 @@
             revision: ChangeCursor { start, count: 0 },
             suspects: BTreeMap::new(),
             by_last_change: BTreeMap::new(),
+            tried_alone: BTreeSet::new(),
             pruned_at: Millis(0),
         }
     }
@@ -64,74 +71,122 @@
         self.suspects.is_empty()
     }
 
-    /// Number of ends that a request may have caused.
+    /// Number of ends that a suspect may have caused. Simultaneous ends count once for a part of prompts, as
+    /// requests with it run at many upstreams.
     #[must_use]
-    pub fn end_count(&self, fingerprint: &Fingerprint, now: Millis) -> usize {
-        let suspect = self.suspects.get(fingerprint);
+    pub fn end_count(&self, key: &SuspectKey, now: Millis) -> usize {
+        let suspect = self.suspects.get(key);
         let suspect = suspect.filter(|s| now.since(s.last_activity) < SUSPECT_TTL);
-        suspect.map_or(0, Suspect::open_ends)
+        suspect.map_or(0, |s| self.counted_ends(key, s).len())
     }
 
-    /// Time until a request may be retried, if it is known to have caused an end.
+    /// Whether a suspect may only be sent with permission.
     #[must_use]
-    pub fn retry_after(&self, fingerprint: &Fingerprint, now: Millis) -> Option<Millis> {
-        let suspect = self.suspects.get(fingerprint)?;
+    pub fn needs_trial(&self, key: &SuspectKey, now: Millis) -> bool {
+        self.end_count(key, now) >= min_ends(key.kind)
+    }
+
+    /// Time until a suspect may be retried, if it is known to have caused an end.
+    #[must_use]
+    pub fn retry_after(&self, key: &SuspectKey, now: Millis) -> Option<Millis> {
+        let suspect = self.suspects.get(key)?;
         let remaining = (suspect.last_activity + SUSPECT_TTL).since(now);
-        (suspect.is_proven() && remaining > Millis(0)).then_some(remaining)
+        let is_cause = remaining > Millis(0) && self.is_cause(key, suspect);
+        is_cause.then_some(remaining)
     }
 
-    /// Keys of the ends that a request may have caused.
+    /// Keys of the ends that a suspect may have caused, as they are counted.
     #[must_use]
-    pub fn end_keys(&self, fingerprint: &Fingerprint) -> Vec<u64> {
-        self.suspects
-            .get(fingerprint)
-            .map(Suspect::open_end_keys)
-            .unwrap_or_default()
+    pub fn end_keys(&self, key: &SuspectKey) -> Vec<u64> {
+        let suspect = self.suspects.get(key);
+        suspect.map_or_else(Vec::new, |s| self.counted_ends(key, s))
     }
 
-    /// Records that an upstream ended while the request was in progress there, `alone` if no other suspect was;
-    /// returns whether this is new.
-    pub fn record_end(
-        &mut self,
-        fingerprint: Fingerprint,
-        key: u64,
-        alone: bool,
-        now: Millis,
-    ) -> bool {
+    fn counted_ends(&self, key: &SuspectKey, suspect: &Suspect) -> Vec<u64> {
+        let open = suspect.open_ends();
+        let unexplained = open.filter(|(end, _)| !self.is_explained(key, suspect, *end));
+        match key.kind {
+            SuspectKind::Request => unexplained.map(|(end, _)| end).collect(),
+            SuspectKind::PromptPart => {
+                first_of_each_group(unexplained.map(|(end, e)| (e.at, end)).collect())
+            }
+        }
+    }
+
+    /// Whether a trial has shown that the suspect ends upstreams.
+    fn is_cause(&self, key: &SuspectKey, suspect: &Suspect) -> bool {
+        let mut shown = suspect.open_ends().filter(|(_, end)| end.alone);
+        shown.any(|(end, e)| {
+            self.is_evidence(key, suspect, e) && !self.is_explained(key, suspect, end)
+        })
+    }
+
+    /// Whether an end at which the suspect was alone shows that it is the cause. It doesn't for a part of prompts if
+    /// an upstream ended at the same time at which the part was not in progress.
+    fn is_evidence(&self, key: &SuspectKey, suspect: &Suspect, end: &End) -> bool {
+        if !end.alone || key.kind == SuspectKind::Request {
+            return end.alone;
+        }
+        let is_simultaneous = |other: &End| {
+            let distance = other.at.since(end.at).max(end.at.since(other.at));
+            distance <= SIMULTANEOUS_SPAN
+        };
+        let others = self.suspects.values().flat_map(Suspect::stored_ends);
+        let mut elsewhere = others.filter(|(other, _)| !suspect.was_present(*other));
+        !elsewhere.any(|(_, other)| is_simultaneous(other))
+    }
+
+    /// Whether another suspect, under which more upstreams ended, is known to have caused this end.
+    fn is_explained(&self, key: &SuspectKey, suspect: &Suspect, end: u64) -> bool {
+        let count = suspect.open_count();
+        self.tried_alone.iter().any(|other_key| {
+            let other = self.suspects.get(other_key).filter(|_| other_key != key);
+            let other = other.filter(|o| o.may_have_caused(end) && o.open_count() > count);
+            other.is_some_and(|o| {
+                o.open_ends()
+                    .any(|(_, e)| self.is_evidence(other_key, o, e))
+            })
+        })
+    }
+
+    /// Records that an upstream ended at `at` while the suspect was in progress there, `alone` if no other suspect
+    /// was; returns whether this is new.
+    pub fn record_end(&mut self, key: SuspectKey, end_key: u64, alone: bool, at: Millis) -> bool {
         let end = UpstreamEnd {
-            key,
+            key: end_key,
             alone,
             cleared: false,
+            age_ms: 0,
         };
-        self.merge_ends(fingerprint, &[end], now, now)
+        self.merge_ends(key, &[end], at, at)
     }
 
     /// Clears a request that was served; returns the number of ends that this clears.
-    pub fn record_served(&mut self, fingerprint: &Fingerprint) -> usize {
-        let Some(suspect) = self.suspects.get_mut(fingerprint) else {
+    pub fn record_served(&mut self, suspect_key: &SuspectKey) -> usize {
+        let Some(suspect) = self.suspects.get_mut(suspect_key) else {
             return 0;
         };
-        let open = suspect.open_ends();
+        let open = suspect.open_count();
         if suspect.clear() {
-            self.record_change(*fingerprint);
+            self.record_change(*suspect_key);
         }
         open
     }
 
     /// Records that the request arrived again, so that it stays stored.
-    pub fn touch(&mut self, fingerprint: &Fingerprint, now: Millis) {
-        if let Some(suspect) = self.suspects.get_mut(fingerprint) {
+    pub fn touch(&mut self, suspect_key: &SuspectKey, now: Millis) {
+        if let Some(suspect) = self.suspects.get_mut(suspect_key) {
             suspect.last_activity = now;
         }
     }
 
     /// State of a request, in the form in which it is sent and stored.
     #[must_use]
-    pub fn export(&self, fingerprint: &Fingerprint, now: Millis) -> Option<SuspectReport> {
-        let suspect = self.suspects.get(fingerprint)?;
+    pub fn export(&self, suspect_key: &SuspectKey, now: Millis) -> Option<SuspectReport> {
+        let suspect = self.suspects.get(suspect_key)?;
         Some(SuspectReport {
-            fingerprint: *fingerprint,
-            ends: suspect.all_ends(),
+            key: *suspect_key,
+            ends: suspect.all_ends(now),
             age_ms: now.since(suspect.last_activity).0,
         })
     }
@@ -149,11 +204,11 @@
             seen: self.revision,
             reports: Vec::new(),
         };
-        for (change, fingerprint) in self.by_last_change.range(since + 1..) {
+        for (change, suspect_key) in self.by_last_change.range(since + 1..) {
             if news.reports.len() == MAX_MESSAGE_RECORDS {
                 break;
             }
-            if let Some(record) = self.export(fingerprint, now) {
+            if let Some(record) = self.export(suspect_key, now) {
                 news.reports.push(record);
                 news.seen.count = *change;
             }
@@ -165,14 +220,12 @@
     }
 
     /// Merges records that a process sent or stored; returns the requests for which they contained something new.
-    pub fn merge(&mut self, records: &[SuspectReport], now: Millis) -> Vec<Fingerprint> {
+    pub fn merge(&mut self, records: &[SuspectReport], now: Millis) -> Vec<SuspectKey> {
         let mut changed = Vec::new();
         for record in records {
             let at = now - Millis(record.age_ms);
-            if record.age_ms < SUSPECT_TTL.0
-                && self.merge_ends(record.fingerprint, &record.ends, at, now)
-            {
-                changed.push(record.fingerprint);
+            if record.age_ms < SUSPECT_TTL.0 && self.merge_ends(record.key, &record.ends, at, now) {
+                changed.push(record.key);
             }
         }
         changed
@@ -180,28 +233,33 @@
 
     fn merge_ends(
         &mut self,
-        fingerprint: Fingerprint,
+        suspect_key: SuspectKey,
         ends: &[UpstreamEnd],
         at: Millis,
         now: Millis,
     ) -> bool {
         self.prune(now);
-        let suspect = self.suspects.entry(fingerprint).or_default();
+        let suspect = self.suspects.entry(suspect_key).or_default();
         suspect.last_activity = suspect.last_activity.max(at);
-        let new_ends = ends.iter().filter(|end| suspect.merge_end(**end)).count();
+        let received = ends.iter().map(|end| (end.key, End::received(end, now)));
+        let new_ends = received.filter(|(key, end)| suspect.merge_end(*key, *end));
+        let new_ends = new_ends.count();
+        if suspect.open_ends().any(|(_, end)| end.alone) {
+            self.tried_alone.insert(suspect_key);
+        }
         if new_ends > 0 {
-            self.record_change(fingerprint);
+            self.record_change(suspect_key);
         }
         new_ends > 0
     }
 
-    fn record_change(&mut self, fingerprint: Fingerprint) {
+    fn record_change(&mut self, suspect_key: SuspectKey) {
         self.revision.count += 1;
         let count = self.revision.count;
-        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+        if let Some(suspect) = self.suspects.get_mut(&suspect_key) {
             self.by_last_change.remove(&suspect.last_change);
             suspect.last_change = count;
-            self.by_last_change.insert(count, fingerprint);
+            self.by_last_change.insert(count, suspect_key);
         }
     }
 
@@ -213,6 +271,7 @@
                 .retain(|_, s| now.since(s.last_activity) < SUSPECT_TTL);
             let suspects = &self.suspects;
             self.by_last_change.retain(|_, f| suspects.contains_key(f));
+            self.tried_alone.retain(|f| suspects.contains_key(f));
         }
         if self.suspects.len() >= MAX_SUSPECTS {
             self.evict();
@@ -222,12 +281,13 @@
     /// Evicts one eighth of the capacity: the requests with the fewest ends, and among these the least recently
     /// changed.
     fn evict(&mut self) {
-        let rank = |(f, s): (&Fingerprint, &Suspect)| (s.open_ends(), s.last_change, *f);
+        let rank = |(f, s): (&SuspectKey, &Suspect)| (s.open_count(), s.last_change, *f);
         let mut ranked: Vec<_> = self.suspects.iter().map(rank).collect();
         ranked.sort_unstable();
-        for (_, change, fingerprint) in ranked.into_iter().take(MAX_SUSPECTS / 8) {
-            self.suspects.remove(&fingerprint);
+        for (_, change, suspect_key) in ranked.into_iter().take(MAX_SUSPECTS / 8) {
+            self.suspects.remove(&suspect_key);
             self.by_last_change.remove(&change);
+            self.tried_alone.remove(&suspect_key);
         }
     }
 }
--- a/crates/policy/src/suspects/trials.rs
+++ b/crates/policy/src/suspects/trials.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use pumicecleat_types::{Fingerprint, Millis, Trial};
+use pumicecleat_types::{Millis, SuspectKey, SuspectKind, Trial};
 
 /// Timeout of a trial, in which the end of an upstream becomes known to all processes. A trial without an outcome
 /// by then, such as one whose caller disconnected or whose stream is long, no longer delays the next trial of the
@@ -37,7 +37,7 @@
 /// Trials that were granted.
 #[derive(Clone, Debug, Default)]
 pub struct Trials {
-    grants: BTreeMap<Fingerprint, Grant>,
+    grants: BTreeMap<SuspectKey, Grant>,
 }
 
 impl Trials {
@@ -48,32 +48,32 @@
     /// Returns the time after which to ask again.
     pub fn try_grant(
         &mut self,
-        fingerprint: Fingerprint,
+        key: SuspectKey,
         ends: usize,
         now: Millis,
     ) -> Result<Trial, Millis> {
-        let previous = self.grants.get(&fingerprint);
+        let previous = self.grants.get(&key);
         let previous = previous.filter(|grant| now.since(grant.granted_at) < GRANT_TTL);
         let grant = match previous {
             Some(previous) => previous.next(ends, now)?,
             None => Grant {
                 granted_at: now,
-                trial: Trial::Shared,
+                trial: first_trial(key.kind),
                 ends,
                 outcome_timeout: OUTCOME_TIMEOUT,
             },
         };
-        self.evict_oldest(&fingerprint);
-        self.grants.insert(fingerprint, grant);
+        self.evict_oldest(&key);
+        self.grants.insert(key, grant);
         Ok(grant.trial)
     }
 
     /// Gives back a trial that was granted but not used.
-    pub fn give_back(&mut self, fingerprint: &Fingerprint) {
-        let Some(grant) = self.grants.remove(fingerprint) else {
+    pub fn give_back(&mut self, key: &SuspectKey) {
+        let Some(grant) = self.grants.remove(key) else {
             return;
         };
-        if grant.trial == Trial::Exclusive {
+        if grant.trial == Trial::Exclusive && first_trial(key.kind) == Trial::Shared {
             // The shared trial before it was used, and an upstream ended during it.
             let (trial, ends) = (Trial::Shared, grant.ends.saturating_sub(1));
             let previous = Grant {
@@ -81,13 +81,13 @@
                 ends,
                 ..grant
             };
-            self.grants.insert(*fingerprint, previous);
+            self.grants.insert(*key, previous);
         }
     }
 
-    /// Evicts the oldest grant if there is no capacity for `fingerprint`.
-    fn evict_oldest(&mut self, fingerprint: &Fingerprint) {
-        if self.grants.len() < MAX_GRANTS || self.grants.contains_key(fingerprint) {
+    /// Evicts the oldest grant if there is no capacity for `key`.
+    fn evict_oldest(&mut self, key: &SuspectKey) {
+        if self.grants.len() < MAX_GRANTS || self.grants.contains_key(key) {
             return;
         }
         let oldest = self
@@ -101,6 +101,15 @@
     }
 }
 
+/// Kind of a suspect's first trial. A part of prompts is seldom suspected, and its requests end one more upstream in
+/// each trial.
+fn first_trial(kind: SuspectKind) -> Trial {
+    match kind {
+        SuspectKind::Request => Trial::Shared,
+        SuspectKind::PromptPart => Trial::Exclusive,
+    }
+}
+
 impl Grant {
     /// Next trial of the request, which may have caused `ends` ends by now.
     fn next(&self, ends: usize, now: Millis) -> Result<Self, Millis> {
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -1,15 +1,15 @@
 //! Requests in progress when upstreams end: storage, exchange between processes, trials and expiry.
 
-use pumicecleat_policy::{SuspectSync, SuspectTable, TRIAL_MIN_ENDS, Trials, end_key};
-use pumicecleat_types::{ChangeCursor, Fingerprint, Millis, Trial};
+use pumicecleat_policy::{SuspectSync, SuspectTable, Trials, end_key, min_ends};
+use pumicecleat_types::{ChangeCursor, Fingerprint, Millis, SuspectKey, SuspectKind, Trial};
 
 /// Time for which a request is stored.
 const SUSPECT_TTL: Millis = Millis(600_000);
 
-fn request(n: u32) -> Fingerprint {
+fn request(n: u32) -> SuspectKey {
     let mut bytes = [0; 16];
     bytes[..4].copy_from_slice(&n.to_be_bytes());
-    Fingerprint(bytes)
+    SuspectKey::request(Fingerprint(bytes))
 }
 
 /// Event that a process observes.
@@ -280,11 +280,11 @@
 fn try_send(
     table: &SuspectTable,
     trials: &mut Trials,
-    request: Fingerprint,
+    request: SuspectKey,
     now: Millis,
 ) -> Result<Option<Trial>, Millis> {
     let ends = table.end_count(&request, now);
-    if ends < TRIAL_MIN_ENDS {
+    if ends < min_ends(SuspectKind::Request) {
         return Ok(None);
     }
     if let Some(retry_after) = table.retry_after(&request, now) {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -35,9 +35,9 @@
     HeaderField, LimitNews, LoadBid, LoadFigures, LoadTurn, LogRecord, Member, ModelTarget,
     OriginCall, OriginReply, Ran, Reachability, ReadPositions, Reason, Refusal, Report,
     ReportReply, RunHead, RunNews, RunRequest, ServiceTarget, StreamChanges, StreamMarks,
-    StreamOrigin, StreamsReply, SuspectNews, SuspectReport, Target, Trial, TrialCall, TrialReply,
-    Turn, TurnAsk, TurnCall, TurnRefusal, TurnReply, UpstreamEnd, ViewCall, ViewReply, ViewRow,
-    Viewer, VmEntry, VmRole, VmState,
+    StreamOrigin, StreamsReply, SuspectKey, SuspectKind, SuspectNews, SuspectReport, Target, Trial,
+    TrialCall, TrialReply, Turn, TurnAsk, TurnCall, TurnRefusal, TurnReply, UpstreamEnd, ViewCall,
+    ViewReply, ViewRow, Viewer, VmEntry, VmRole, VmState,
 };
 pub use position::Position;
 pub use time::{BootTime, Millis};
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -22,7 +22,9 @@
     Frame, HeaderField, ModelTarget, Ran, Reason, Refusal, RunHead, RunRequest, ServiceTarget,
     Target,
 };
-pub use suspect::{SuspectNews, SuspectReport, Trial, TrialCall, TrialReply, UpstreamEnd};
+pub use suspect::{
+    SuspectKey, SuspectKind, SuspectNews, SuspectReport, Trial, TrialCall, TrialReply, UpstreamEnd,
+};
 pub use turn::{
     CachedAdapters, EndRead, EngineFigures, EngineTraits, LimitNews, RunNews, StreamMarks, Turn,
     TurnAsk, TurnCall, TurnRefusal, TurnReply,
--- a/crates/types/src/message/suspect.rs
+++ b/crates/types/src/message/suspect.rs
@@ -1,11 +1,63 @@
 //! Exchange of suspects between processes. A suspect is a request that was in progress at an upstream
-//! when the upstream ended, and that may have been the cause.
+//! when the upstream ended, or a part of its prompt, and may have been the cause.
 
 use serde::{Deserialize, Serialize};
 
 use super::ChangeCursor;
 use crate::{Fingerprint, VmId};
 
+/// What a suspect is.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub enum SuspectKind {
+    /// A request, with all its attempts.
+    #[default]
+    Request,
+    /// A part of a prompt, whatever else the requests with it hold.
+    PromptPart,
+}
+
+/// Identifies a suspect.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct SuspectKey {
+    /// What it is.
+    #[serde(default)]
+    pub kind: SuspectKind,
+    /// Digest of what identifies it.
+    #[serde(rename = "fingerprint")]
+    pub digest: Fingerprint,
+}
+
+impl SuspectKey {
+    /// Key of a request.
+    #[must_use]
+    pub fn request(digest: Fingerprint) -> Self {
+        let kind = SuspectKind::Request;
+        Self { kind, digest }
+    }
+
+    /// Key of a part of prompts.
+    #[must_use]
+    pub fn prompt_part(digest: Fingerprint) -> Self {
+        let kind = SuspectKind::PromptPart;
+        Self { kind, digest }
+    }
+}
+
+impl SuspectKind {
+    /// Name in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::PromptPart => "prompt_part",
+        }
+    }
+}
+
 /// Changes of the suspects, in either direction of an exchange.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectNews {
@@ -20,23 +72,27 @@
 /// What a process knows of a suspect.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectReport {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Upstreams that ended while the request was in progress there.
+    /// The suspect.
+    #[serde(flatten)]
+    pub key: SuspectKey,
+    /// Upstreams that ended while the suspect was in progress there.
     pub ends: Vec<UpstreamEnd>,
-    /// Time since the last of these ends, or since the request last arrived, ms.
+    /// Time since the last of these ends, or since the suspect last arrived, ms.
     pub age_ms: u64,
 }
 
-/// End of an upstream while a request was in progress there.
+/// End of an upstream while a suspect was in progress there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamEnd {
     /// Key that identifies the upstream's instance and its start.
     pub key: u64,
     /// Whether no other suspect was in progress there.
     pub alone: bool,
-    /// Whether the request has been served since, so that it can't have been the cause.
+    /// Whether the suspect has been served since, so that it can't have been the cause.
     pub cleared: bool,
+    /// Time since the end, ms.
+    #[serde(default)]
+    pub age_ms: u64,
 }
 
 /// How a suspect may be sent again.
@@ -54,9 +110,10 @@
 pub struct TrialCall {
     /// VM of the entry.
     pub entry: VmId,
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
-    /// Keys of the upstreams that ended while the request was in progress, as known to the entry.
+    /// The suspect.
+    #[serde(flatten)]
+    pub key: SuspectKey,
+    /// Keys of the upstreams that ended while the suspect was in progress, as known to the entry.
     pub ends: Vec<u64>,
     /// Whether this returns a permission that was not used.
     pub unused: bool,
