Suspects: a part is condemned by two trials that tell of it alone

- One trial sufficed.
Now two are needed; the second may follow at once.
- One trial of a sound part that ended with another's cause beside it explained that cause's ends away.
Now an explanation needs as many trials as a condemnation, and is itself void if a third suspect explains it.
- Ends within 250 ms spoiled each other, at several deadly parts.
Now the span is 100 ms, and a trial is void if two other upstreams end in it.

--- a/crates/gateway/src/request/permit.rs
+++ b/crates/gateway/src/request/permit.rs
@@ -2,7 +2,7 @@
 //! was in progress.
 
 use pumicecleat_net::Reply;
-use pumicecleat_types::{Millis, SuspectKey, SuspectKind, Trial};
+use pumicecleat_types::{Millis, SuspectKey, Trial};
 
 use super::job::Job;
 use super::refuse::{Refusal, outcome_unknown};
@@ -41,7 +41,7 @@
         match self.permit.get() {
             Permit::Granted(granted) => {
                 let is_void = suspects.end_count(&granted.suspect, now) > granted.ends;
-                !is_void && keys.all(|key| suspects.retry_after(&key, now).is_none())
+                !is_void && suspects.known_cause(keys, now).is_none()
             }
             _ => !keys.any(|key| suspects.needs_trial(&key, now)),
         }
@@ -52,10 +52,7 @@
         if self.is_permitted() {
             return Ok(());
         }
-        let may_ask = self.permit.get() == Permit::None;
-        let suspect = self.known_cause();
-        let suspect = suspect.or_else(|| self.main_suspect().filter(|_| may_ask));
-        let Some(suspect) = suspect else {
+        let Some(suspect) = self.suspect() else {
             return Err(Refusal::ends_upstreams(OUTCOME_RETRY_AFTER));
         };
         let granted = ask_trial(&self.shared, self.id(), suspect).await;
@@ -71,27 +68,14 @@
         Ok(())
     }
 
-    /// The request or a part of its prompt, if it is known to end upstreams; the one that is refused longest.
-    fn known_cause(&self) -> Option<SuspectKey> {
+    /// Suspect that the request asks permission for. A known cause gets none.
+    fn suspect(&self) -> Option<SuspectKey> {
         let now = self.shared.timer.now();
         let suspects = self.shared.suspects.table.borrow();
-        let keys = self.trace.suspect_keys();
-        let causes = keys.filter_map(|key| Some((suspects.retry_after(&key, now)?, key)));
-        causes.max().map(|(_, key)| key)
-    }
-
-    /// Suspect that the request's trial is for: the part of the prompt under which most upstreams ended, the last of
-    /// equal ones because earlier parts are shared by more requests; or else the request.
-    fn main_suspect(&self) -> Option<SuspectKey> {
-        let now = self.shared.timer.now();
-        let suspects = self.shared.suspects.table.borrow();
-        let keys = self.trace.suspect_keys();
-        let suspected = keys.filter(|key| suspects.needs_trial(key, now));
-        let rank = |key: &SuspectKey| {
-            let is_part = key.kind == SuspectKind::PromptPart;
-            (is_part, suspects.end_count(key, now))
-        };
-        suspected.max_by_key(rank)
+        let keys = || self.trace.suspect_keys();
+        let cause = suspects.known_cause(keys(), now);
+        let may_ask = self.permit.get() == Permit::None;
+        cause.or_else(|| suspects.main_suspect(keys(), now).ok()?.filter(|_| may_ask))
     }
 
     /// Kind of the permitted send, if there is one that was not performed yet.
--- a/crates/gateway/src/request/trace.rs
+++ b/crates/gateway/src/request/trace.rs
@@ -7,18 +7,16 @@
 use pumicecleat_catalog::Upstream;
 use pumicecleat_net::{BodyError, Framing};
 use pumicecleat_ops::{DrainGuard, events, field};
+use pumicecleat_policy::{LostAttempt, PROVING_TIME};
 use pumicecleat_types::{Fingerprint, Millis, RequestId, ServiceId, SuspectKey};
 
 use crate::RequestAttributes;
 use crate::meters::{OutcomeLabels, ServiceLabels};
 use crate::shared::Shared;
-use crate::suspects::{self, LostAttempt};
+use crate::suspects;
 
 use super::fingerprint::part_fingerprint;
 
-/// Time after the first byte of a response after which its upstream did not end because of the prompt.
-const PROVING_TIME: Millis = Millis(500);
-
 /// Logs the end of a request once. If dropped before, it logs that the caller disconnected.
 pub(super) struct RequestTrace {
     pub(super) shared: Rc<Shared>,
@@ -152,7 +150,6 @@
         else {
             return;
         };
-        // Later than this, an upstream does not end because of the prompt.
         let parts = if self.is_answered_for(PROVING_TIME) {
             &[][..]
         } else {
--- a/crates/gateway/src/suspects/lost_connections.rs
+++ b/crates/gateway/src/suspects/lost_connections.rs
@@ -2,23 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use pumicecleat_policy::LostAttempt;
 use pumicecleat_types::{Millis, SuspectKey};
 
 /// Time after a lost connection within which its upstream may be found to have ended: three heartbeats, after
 /// which the list drops it, and the time until another upstream takes its address.
 const END_DETECTION_SPAN: Millis = Millis(10_000);
 
-/// An attempt whose connection was lost.
-#[derive(Clone, Debug)]
-pub(crate) struct LostAttempt {
-    pub(crate) request: SuspectKey,
-    /// Parts of its prompt that may have ended the upstream.
-    pub(crate) parts: Vec<SuspectKey>,
-    /// Suspect whose trial the attempt was, if no other suspect was in progress there.
-    pub(crate) tried_alone: Option<SuspectKey>,
-    pub(crate) lost_at: Millis,
-}
-
 /// Connections lost at one upstream.
 #[derive(Debug, Default)]
 struct UpstreamLosses {
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -19,13 +19,12 @@
 
 use pumicecleat_catalog::Upstream;
 use pumicecleat_ops::{events, field};
-use pumicecleat_policy::{SuspectSync, SuspectTable, Trials, end_key, min_ends};
+use pumicecleat_policy::{LostAttempt, SuspectSync, SuspectTable, Trials, end_key, min_ends};
 use pumicecleat_types::{Millis, SuspectKey};
 
 use crate::shared::Shared;
 use denials::Denials;
 use departures::Departures;
-pub(crate) use lost_connections::LostAttempt;
 use lost_connections::LostConnections;
 pub(crate) use news::{apply_reply, outgoing_news};
 use persist::PersistQueue;
@@ -107,36 +106,13 @@
     let now = shared.timer.now();
     let key = end_key(&upstream.instance, upstream.born);
     for lost in attempts {
-        record_end(shared, lost.request, lost, key, &upstream.instance);
-        let is_on_trial = lost.tried_alone.is_some_and(|s| lost.parts.contains(&s));
-        let is_suspected = shared
-            .suspects
-            .table
-            .borrow()
-            .needs_trial(&lost.request, now);
-        // A request that comes again and again explains the ends itself.
-        if is_suspected && !is_on_trial {
-            continue;
+        let changed = shared.suspects.table.borrow_mut().record_lost(lost, key);
+        for suspect in changed {
+            log_suspected(shared, &suspect, &upstream.instance);
+            if shared.suspects.end_count(&suspect, now) >= min_ends(suspect.kind) {
+                shared.suspects.persist_queue.push(suspect);
+            }
         }
-        for part in &lost.parts {
-            record_end(shared, *part, lost, key, &upstream.instance);
-        }
-    }
-}
-
-fn record_end(shared: &Shared, suspect: SuspectKey, lost: &LostAttempt, key: u64, instance: &str) {
-    let now = shared.timer.now();
-    let alone = lost.tried_alone == Some(suspect);
-    let is_new = {
-        let mut table = shared.suspects.table.borrow_mut();
-        table.record_end(suspect, key, alone, lost.lost_at)
-    };
-    if !is_new {
-        return;
-    }
-    log_suspected(shared, &suspect, instance);
-    if shared.suspects.end_count(&suspect, now) >= min_ends(suspect.kind) {
-        shared.suspects.persist_queue.push(suspect);
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -63,4 +63,7 @@
 pub use scheduler::{
     Action, Bid, Job, JobId, JobRefusal, LoadOutcome, ObjectiveWeights, Scheduler, SchedulerOptions,
 };
-pub use suspects::{OutgoingNews, SuspectSync, SuspectTable, Trials, end_key, min_ends};
+pub use suspects::{
+    LostAttempt, OutgoingNews, PROVING_TIME, SeveralSuspects, SuspectSync, SuspectTable, Trials,
+    end_key, min_ends,
+};
--- a/crates/policy/src/suspects/mod.rs
+++ b/crates/policy/src/suspects/mod.rs
@@ -17,17 +17,19 @@
 //! - A request with it that is answered beyond that clears it, so parts that many requests share are cleared within
 //!   the time of an answer.
 //! - A single request that comes again and again counts once, as it is suspected itself.
-//! - Its trials are exclusive. An upstream that ends in one shows that the part is the cause, unless others end at
-//!   the same time. What ran beside the cause is no longer suspected of these ends.
+//! - Its trials are exclusive. Upstreams that end in two of them show that the part is the cause; an end does not
+//!   count if others end at the same time. What ran beside the cause is no longer suspected of these ends.
 //!
 //! Each process has a [`SuspectTable`] and sends its changes to others ([`SuspectSync`]). Tables are merged by
 //! union, and a cleared end stays cleared, so the order of messages does not matter.
 
+mod attempt;
 mod suspect;
 mod sync;
 mod table;
 mod trials;
 
+pub use attempt::{LostAttempt, PROVING_TIME, SeveralSuspects};
 use pumicecleat_types::SuspectKind;
 pub use sync::{OutgoingNews, SuspectSync};
 
@@ -43,3 +45,12 @@
         SuspectKind::PromptPart => 3,
     }
 }
+
+/// Number of trials without another suspect in which an upstream must end before the suspect counts as the cause. A part
+/// that many requests share must not be refused because one upstream ended by itself.
+fn min_failed_trials(kind: SuspectKind) -> usize {
+    match kind {
+        SuspectKind::Request => 1,
+        SuspectKind::PromptPart => 2,
+    }
+}
--- a/crates/policy/src/suspects/suspect.rs
+++ b/crates/policy/src/suspects/suspect.rs
@@ -8,7 +8,7 @@
 const MAX_ENDS: usize = 16;
 
 /// Ends within this time of each other may have one external cause, such as a loss of power.
-pub(super) const SIMULTANEOUS_SPAN: Millis = Millis(250);
+pub(super) const SIMULTANEOUS_SPAN: Millis = Millis(100);
 
 /// Added to the process's own time, so that ends of before its start have times as well.
 const TIME_OFFSET: Millis = Millis(86_400_000);
@@ -58,6 +58,11 @@
         self.open_ends().count()
     }
 
+    pub(super) fn time_since_last_end(&self, now: Millis) -> Millis {
+        let last = self.open_ends().map(|(_, end)| end.at).max();
+        (now + TIME_OFFSET).since(last.unwrap_or_default())
+    }
+
     /// Whether the suspect was in progress at the upstream whose end has this key, and may have caused it.
     pub(super) fn may_have_caused(&self, key: u64) -> bool {
         self.ends.get(&key).is_some_and(|end| !end.cleared)
--- a/crates/policy/src/suspects/table.rs
+++ b/crates/policy/src/suspects/table.rs
@@ -9,8 +9,8 @@
     ChangeCursor, Millis, SuspectKey, SuspectKind, SuspectNews, SuspectReport, UpstreamEnd,
 };
 
-use super::min_ends;
 use super::suspect::{End, SIMULTANEOUS_SPAN, Suspect, first_of_each_group};
+use super::{min_ends, min_failed_trials};
 
 /// Time for which a request is stored after its last end or arrival. Longer than callers retry a request, and
 /// than a rollout to all upstreams takes.
@@ -26,6 +26,12 @@
 /// Minimum interval between removals of expired requests.
 const PRUNE_INTERVAL: Millis = Millis(10_000);
 
+/// Number of other upstreams that end at the same time from which an end is taken for part of a larger loss.
+const MIN_ENDS_OF_LOSS: usize = 2;
+
+/// Number of suspects in a chain of explanations that are followed.
+const EXPLANATION_DEPTH: usize = 2;
+
 /// Requests that were in progress when upstreams ended.
 #[derive(Clone, Debug)]
 pub struct SuspectTable {
@@ -95,6 +101,12 @@
         is_cause.then_some(remaining)
     }
 
+    /// Time since the last end that a suspect may have caused.
+    pub(super) fn time_since_last_end(&self, key: &SuspectKey, now: Millis) -> Millis {
+        let suspect = self.suspects.get(key);
+        suspect.map_or(now, |s| s.time_since_last_end(now))
+    }
+
     /// Keys of the ends that a suspect may have caused, as they are counted.
     #[must_use]
     pub fn end_keys(&self, key: &SuspectKey) -> Vec<u64> {
@@ -113,16 +125,16 @@
         }
     }
 
-    /// Whether a trial has shown that the suspect ends upstreams.
+    /// Whether trials have shown that the suspect ends upstreams.
     fn is_cause(&self, key: &SuspectKey, suspect: &Suspect) -> bool {
-        let mut shown = suspect.open_ends().filter(|(_, end)| end.alone);
-        shown.any(|(end, e)| {
-            self.is_evidence(key, suspect, e) && !self.is_explained(key, suspect, end)
-        })
+        let shown = suspect.open_ends().filter(|(end, e)| {
+            self.is_evidence(key, suspect, e) && !self.is_explained(key, suspect, *end)
+        });
+        shown.count() >= min_failed_trials(key.kind)
     }
 
     /// Whether an end at which the suspect was alone shows that it is the cause. It doesn't for a part of prompts if
-    /// an upstream ended at the same time at which the part was not in progress.
+    /// several upstreams ended at the same time at which the part was not in progress.
     fn is_evidence(&self, key: &SuspectKey, suspect: &Suspect, end: &End) -> bool {
         if !end.alone || key.kind == SuspectKind::Request {
             return end.alone;
@@ -131,22 +143,37 @@
             let distance = other.at.since(end.at).max(end.at.since(other.at));
             distance <= SIMULTANEOUS_SPAN
         };
-        let others = self.suspects.values().flat_map(Suspect::stored_ends);
-        let mut elsewhere = others.filter(|(other, _)| !suspect.was_present(*other));
-        !elsewhere.any(|(_, other)| is_simultaneous(other))
+        let ends = self.suspects.values().flat_map(Suspect::stored_ends);
+        let elsewhere =
+            ends.filter(|(other, e)| is_simultaneous(e) && !suspect.was_present(*other));
+        let elsewhere: BTreeSet<u64> = elsewhere.map(|(other, _)| other).collect();
+        elsewhere.len() < MIN_ENDS_OF_LOSS
     }
 
-    /// Whether another suspect, under which more upstreams ended, is known to have caused this end.
+    /// Whether another suspect is known to have caused this end.
     fn is_explained(&self, key: &SuspectKey, suspect: &Suspect, end: u64) -> bool {
+        self.is_explained_to(EXPLANATION_DEPTH, key, suspect, end)
+    }
+
+    /// Same, where the trials of the other suspect count only as far as no third one explains them, up to `depth`.
+    fn is_explained_to(&self, depth: usize, key: &SuspectKey, suspect: &Suspect, end: u64) -> bool {
         let count = suspect.open_count();
-        self.tried_alone.iter().any(|other_key| {
-            let other = self.suspects.get(other_key).filter(|_| other_key != key);
-            let other = other.filter(|o| o.may_have_caused(end) && o.open_count() > count);
-            other.is_some_and(|o| {
-                o.open_ends()
-                    .any(|(_, e)| self.is_evidence(other_key, o, e))
+        let mut others = self.tried_alone.iter().filter(|other| *other != key);
+        depth > 0
+            && others.any(|other_key| {
+                let other = self.suspects.get(other_key);
+                let Some(other) = other.filter(|o| o.may_have_caused(end)) else {
+                    return false;
+                };
+                // Of two suspects at the same ends, the one under which more upstreams ended is the cause.
+                let has_more = other.open_count() > count;
+                let shown = other.open_ends().filter(|(shown, e)| {
+                    (has_more || !suspect.was_present(*shown))
+                        && self.is_evidence(other_key, other, e)
+                        && !self.is_explained_to(depth - 1, other_key, other, *shown)
+                });
+                shown.count() >= min_failed_trials(other_key.kind)
             })
-        })
     }
 
     /// Records that an upstream ended at `at` while the suspect was in progress there, `alone` if no other suspect
--- a/crates/policy/src/suspects/trials.rs
+++ b/crates/policy/src/suspects/trials.rs
@@ -55,7 +55,7 @@
         let previous = self.grants.get(&key);
         let previous = previous.filter(|grant| now.since(grant.granted_at) < GRANT_TTL);
         let grant = match previous {
-            Some(previous) => previous.next(ends, now)?,
+            Some(previous) => previous.next(key.kind, ends, now)?,
             None => Grant {
                 granted_at: now,
                 trial: first_trial(key.kind),
@@ -112,12 +112,13 @@
 
 impl Grant {
     /// Next trial of the request, which may have caused `ends` ends by now.
-    fn next(&self, ends: usize, now: Millis) -> Result<Self, Millis> {
-        // The end of an upstream where the request is the only suspect proves that it is the cause. Any other
+    fn next(&self, kind: SuspectKind, ends: usize, now: Millis) -> Result<Self, Millis> {
+        // The end of an upstream where a request is the only suspect proves that it is the cause. Any other
         // further end may come from another attempt of the request.
-        let shared_failed = self.trial == Trial::Shared && ends > self.ends;
+        let may_follow = self.trial == Trial::Shared || kind == SuspectKind::PromptPart;
+        let has_failed = may_follow && ends > self.ends;
         let remaining = (self.granted_at + self.outcome_timeout).since(now);
-        if !shared_failed && remaining > Millis(0) {
+        if !has_failed && remaining > Millis(0) {
             return Err(remaining.min(MAX_RETRY_AFTER));
         }
         let doubled = Millis(self.outcome_timeout.0 * 2).min(MAX_OUTCOME_TIMEOUT);
@@ -125,11 +126,7 @@
             granted_at: now,
             trial: Trial::Exclusive,
             ends,
-            outcome_timeout: if shared_failed {
-                OUTCOME_TIMEOUT
-            } else {
-                doubled
-            },
+            outcome_timeout: if has_failed { OUTCOME_TIMEOUT } else { doubled },
         })
     }
 }
