--- a/crates/gateway/src/request/permit.rs
+++ b/crates/gateway/src/request/permit.rs
@@ -55,7 +55,8 @@
         let Some(suspect) = self.suspect() else {
             return Err(Refusal::ends_upstreams(OUTCOME_RETRY_AFTER));
         };
-        let granted = ask_trial(&self.shared, self.id(), suspect).await;
+        let part = self.trace.part_id(suspect);
+        let granted = ask_trial(&self.shared, self.id(), suspect, part).await;
         let trial = granted.map_err(Refusal::ends_upstreams)?;
         let now = self.shared.timer.now();
         let ends = self.shared.suspects.end_count(&suspect, now);
--- a/crates/gateway/src/request/trace.rs
+++ b/crates/gateway/src/request/trace.rs
@@ -104,6 +104,13 @@
         std::iter::once(request).chain(self.part_keys.iter().copied())
     }
 
+    /// ID of the part of the prompt that is `suspect`; empty if it is the request.
+    pub(super) fn part_id(&self, suspect: SuspectKey) -> &str {
+        let parts = self.prompt_parts.split(',').zip(&self.part_keys);
+        let mut found = parts.filter(|(_, key)| **key == suspect);
+        found.next().map_or("", |(id, _)| id)
+    }
+
     /// Fingerprint as text; empty until the body was read.
     fn fingerprint_text(&self) -> String {
         self.fingerprint
--- a/crates/gateway/src/suspects/trial.rs
+++ b/crates/gateway/src/suspects/trial.rs
@@ -29,11 +29,13 @@
 /// Retry time returned if no agent responds: a failed agent is back within two seconds.
 const NO_REPLY_RETRY_AFTER: Millis = Millis(2_000);
 
-/// Asks for a trial of a request. If none is granted, fails with the time after which to retry.
+/// Asks for a trial of a suspect, `part` if it is a part of prompts, with this request. If none is granted, fails with
+/// the time after which to retry.
 pub(crate) async fn ask_trial(
     shared: &Shared,
     request: &str,
     suspect: SuspectKey,
+    part: &str,
 ) -> Result<Trial, Millis> {
     let now = shared.timer.now();
     shared.suspects.table.borrow_mut().touch(&suspect, now);
@@ -63,6 +65,7 @@
         field("request", request),
         field("fingerprint", text.as_str()),
         field("kind", suspect.kind.as_str()),
+        field("part", part),
         field("ends", call.ends.len()),
         field("side", decision.agent()),
         field("granted", outcome.is_ok()),
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -81,7 +81,7 @@
     /// A request suspected of ending upstreams was served without one ending.
     REQUEST_CLEARED = "E7116" "request_cleared" Info ["fingerprint", "kind", "ends"];
     /// A gateway asked for permission to send a suspected request once.
-    TRIAL_ASKED = "E7117" "trial_asked" Warn ["request", "fingerprint", "kind", "ends", "side", "granted", "retry_ms"];
+    TRIAL_ASKED = "E7117" "trial_asked" Warn ["request", "fingerprint", "kind", "part", "ends", "side", "granted", "retry_ms"];
     /// An upstream rejected a request and asked for no more requests for a time.
     UPSTREAM_RESTS = "E7118" "upstream_rests" Info ["instance", "told_ms", "held_ms"];
     /// An upstream sent a malformed retry time.
