--- a/crates/policy/tests/prompt_parts.rs
+++ b/crates/policy/tests/prompt_parts.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use pumicecleat_policy::{LostAttempt, PROVING_TIME, SuspectSync, SuspectTable, Trials};
-use pumicecleat_types::{Fingerprint, Millis, SuspectKey, Trial};
+use pumicecleat_types::{ChangeCursor, Fingerprint, Millis, SuspectKey, Trial};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -447,6 +447,22 @@
     assert!(table.retry_after(&part(1), now(30)).is_some());
 }
 
+/// Guards against ends that count as simultaneous because they were before the start of the process.
+#[test]
+fn ends_before_the_start_of_a_process_keep_their_times() {
+    let mut before = SuspectTable::new(1);
+    for n in 0..5 {
+        before.record_end(part(1), n, n >= 3, Millis(100_000 + n * 1_000));
+    }
+    let records = before
+        .news(ChangeCursor::default(), Millis(110_000))
+        .reports;
+    let mut after = SuspectTable::new(2);
+    after.merge(&records, Millis(20));
+    assert_eq!(after.end_count(&part(1), Millis(20)), 5);
+    assert!(after.retry_after(&part(1), Millis(20)).is_some());
+}
+
 #[test]
 fn three_parts_that_end_engines_at_once_are_found_in_time() {
     let case = Search {
