Suspects: simultaneous ends are found by an index

Cause: to see whether other upstreams ended at the same time, each look at a tried suspect went through all ends of all suspects, also for each request that is refused because of it.

Change: a table of the ends' times, in order.

--- a/crates/policy/src/suspects/mod.rs
+++ b/crates/policy/src/suspects/mod.rs
@@ -5,7 +5,7 @@
 //! that was in progress is therefore suspected of having caused the end until it has been served: a request that
 //! is served did not cause any earlier end.
 //!
-//! - With fewer than [`TRIAL_MIN_ENDS`] ends, a request is sent like any other.
+//! - With fewer than two ends ([`min_ends`]), a request is sent like any other.
 //! - From then on it needs permission ([`Trials`]): it is sent once together with other suspects and, if the
 //!   upstream ends, once to an upstream that runs no other suspect. A request that is served is no longer
 //!   suspected. A request that was the only suspect at an upstream that ended is the cause, and is refused.
@@ -24,15 +24,16 @@
 //! union, and a cleared end stays cleared, so the order of messages does not matter.
 
 mod attempt;
+mod end_times;
 mod suspect;
 mod sync;
 mod table;
 mod trials;
 
-pub use attempt::{LostAttempt, PROVING_TIME, SeveralSuspects};
 use pumicecleat_types::SuspectKind;
-pub use sync::{OutgoingNews, SuspectSync};
 
+pub use attempt::{LostAttempt, PROVING_TIME, SeveralSuspects};
+pub use sync::{OutgoingNews, SuspectSync};
 pub use table::{SuspectTable, end_key};
 pub use trials::Trials;
 
--- a/crates/policy/src/suspects/suspect.rs
+++ b/crates/policy/src/suspects/suspect.rs
@@ -4,14 +4,13 @@
 
 use pumicecleat_types::{Millis, UpstreamEnd};
 
+use super::end_times::SIMULTANEOUS_SPAN;
+
 /// Maximum number of ends stored for a suspect. Ends in its trials and the latest ends are kept.
 const MAX_ENDS: usize = 16;
 
-/// Ends within this time of each other may have one external cause, such as a loss of power.
-pub(super) const SIMULTANEOUS_SPAN: Millis = Millis(100);
-
 /// Added to the process's own time, so that ends of before its start have times as well.
-const TIME_OFFSET: Millis = Millis(86_400_000);
+pub(super) const TIME_OFFSET: Millis = Millis(86_400_000);
 
 /// End of an upstream.
 #[derive(Clone, Copy, Debug)]
@@ -50,10 +49,6 @@
         open.map(|(key, end)| (*key, end))
     }
 
-    pub(super) fn stored_ends(&self) -> impl Iterator<Item = (u64, &End)> {
-        self.ends.iter().map(|(key, end)| (*key, end))
-    }
-
     pub(super) fn open_count(&self) -> usize {
         self.open_ends().count()
     }
--- a/crates/policy/src/suspects/table.rs
+++ b/crates/policy/src/suspects/table.rs
@@ -9,18 +9,19 @@
     ChangeCursor, Millis, SuspectKey, SuspectKind, SuspectNews, SuspectReport, UpstreamEnd,
 };
 
-use super::suspect::{End, SIMULTANEOUS_SPAN, Suspect, first_of_each_group};
+use super::end_times::EndTimes;
+use super::suspect::{End, Suspect, TIME_OFFSET, first_of_each_group};
 use super::{min_ends, min_failed_trials};
 
-/// Time for which a request is stored after its last end or arrival. Longer than callers retry a request, and
+/// Time for which a suspect is stored after its last end or arrival. Longer than callers retry a request, and
 /// than a rollout to all upstreams takes.
 const SUSPECT_TTL: Millis = Millis(600_000);
 
-/// Maximum number of requests stored, at about 250 bytes each and 1 MB in total. Requests with the fewest ends
+/// Maximum number of suspects stored, at about 250 bytes each and 1 MB in total. Those with the fewest ends
 /// are evicted first, and among these the least recently changed.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// Maximum number of requests in a message.
+/// Maximum number of suspects in a message.
 const MAX_MESSAGE_RECORDS: usize = 128;
 
 /// Minimum interval between removals of expired requests.
@@ -32,7 +33,7 @@
 /// Number of suspects in a chain of explanations that are followed.
 const EXPLANATION_DEPTH: usize = 2;
 
-/// Requests that were in progress when upstreams ended.
+/// Suspects, and the ends that they may have caused.
 #[derive(Clone, Debug)]
 pub struct SuspectTable {
     /// ID of this start of the process, and number of changes since.
@@ -42,6 +43,7 @@
     by_last_change: BTreeMap<u64, SuspectKey>,
     /// Suspects that were alone at an upstream that ended.
     tried_alone: BTreeSet<SuspectKey>,
+    end_times: EndTimes,
     pruned_at: Millis,
 }
 
@@ -61,17 +63,18 @@
             suspects: BTreeMap::new(),
             by_last_change: BTreeMap::new(),
             tried_alone: BTreeSet::new(),
+            end_times: EndTimes::default(),
             pruned_at: Millis(0),
         }
     }
 
-    /// Number of requests stored.
+    /// Number of suspects stored.
     #[must_use]
     pub fn len(&self) -> usize {
         self.suspects.len()
     }
 
-    /// Whether no request is stored.
+    /// Whether no suspect is stored.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -139,15 +142,9 @@
         if !end.alone || key.kind == SuspectKind::Request {
             return end.alone;
         }
-        let is_simultaneous = |other: &End| {
-            let distance = other.at.since(end.at).max(end.at.since(other.at));
-            distance <= SIMULTANEOUS_SPAN
-        };
-        let ends = self.suspects.values().flat_map(Suspect::stored_ends);
-        let elsewhere =
-            ends.filter(|(other, e)| is_simultaneous(e) && !suspect.was_present(*other));
-        let elsewhere: BTreeSet<u64> = elsewhere.map(|(other, _)| other).collect();
-        elsewhere.len() < MIN_ENDS_OF_LOSS
+        let ends = self.end_times.simultaneous(end.at);
+        let elsewhere = ends.filter(|other| !suspect.was_present(*other));
+        elsewhere.count() < MIN_ENDS_OF_LOSS
     }
 
     /// Whether another suspect is known to have caused this end.
@@ -188,7 +185,7 @@
         self.merge_ends(key, &[end], at, at)
     }
 
-    /// Clears a request that was served; returns the number of ends that this clears.
+    /// Clears a suspect that was served; returns the number of ends that this clears.
     pub fn record_served(&mut self, suspect_key: &SuspectKey) -> usize {
         let Some(suspect) = self.suspects.get_mut(suspect_key) else {
             return 0;
@@ -200,14 +197,14 @@
         open
     }
 
-    /// Records that the request arrived again, so that it stays stored.
+    /// Records that the suspect arrived again, so that it stays stored.
     pub fn touch(&mut self, suspect_key: &SuspectKey, now: Millis) {
         if let Some(suspect) = self.suspects.get_mut(suspect_key) {
             suspect.last_activity = now;
         }
     }
 
-    /// State of a request, in the form in which it is sent and stored.
+    /// State of a suspect, in the form in which it is sent and stored.
     #[must_use]
     pub fn export(&self, suspect_key: &SuspectKey, now: Millis) -> Option<SuspectReport> {
         let suspect = self.suspects.get(suspect_key)?;
@@ -246,7 +243,7 @@
         news
     }
 
-    /// Merges records that a process sent or stored; returns the requests for which they contained something new.
+    /// Merges records that a process sent or stored; returns the suspects for which they contained something new.
     pub fn merge(&mut self, records: &[SuspectReport], now: Millis) -> Vec<SuspectKey> {
         let mut changed = Vec::new();
         for record in records {
@@ -269,6 +266,7 @@
         let suspect = self.suspects.entry(suspect_key).or_default();
         suspect.last_activity = suspect.last_activity.max(at);
         let received = ends.iter().map(|end| (end.key, End::received(end, now)));
+        let received = received.inspect(|(key, end)| self.end_times.add(*key, end.at));
         let new_ends = received.filter(|(key, end)| suspect.merge_end(*key, *end));
         let new_ends = new_ends.count();
         if suspect.open_ends().any(|(_, end)| end.alone) {
@@ -299,6 +297,7 @@
             let suspects = &self.suspects;
             self.by_last_change.retain(|_, f| suspects.contains_key(f));
             self.tried_alone.retain(|f| suspects.contains_key(f));
+            self.end_times.prune(now + TIME_OFFSET - SUSPECT_TTL);
         }
         if self.suspects.len() >= MAX_SUSPECTS {
             self.evict();
