--- a/crates/gateway/src/request/fingerprint.rs
+++ b/crates/gateway/src/request/fingerprint.rs
@@ -1,9 +1,9 @@
 //! Fingerprints that identify repeated attempts of the same request, and parts of prompts that requests share.
 //!
-//! That of a request covers host, path with query, caller and body; request IDs, deadlines and everything else that changes
-//! between attempts is excluded. The digest is cryptographic, so that nobody can forge a request with another
-//! caller's fingerprint: half of SHA-256 leaves a collision chance of 2^-128 for a pair, and a forger needs
-//! 2^128 attempts.
+//! That of a request covers host, path with query, caller and body; request IDs, deadlines and everything else that
+//! changes between attempts is excluded. That of a part covers its ID alone. The digest is cryptographic, so that
+//! nobody can forge a request with another caller's fingerprint: half of SHA-256 leaves a collision chance of 2^-128
+//! for a pair, and a forger needs 2^128 attempts.
 
 use http::header::AUTHORIZATION;
 use http::request::Parts;
--- a/crates/gateway/src/request/trace.rs
+++ b/crates/gateway/src/request/trace.rs
@@ -10,13 +10,12 @@
 use pumicecleat_policy::{LostAttempt, PROVING_TIME};
 use pumicecleat_types::{Fingerprint, Millis, RequestId, ServiceId, SuspectKey};
 
+use super::fingerprint::part_fingerprint;
 use crate::RequestAttributes;
 use crate::meters::{OutcomeLabels, ServiceLabels};
 use crate::shared::Shared;
 use crate::suspects;
 
-use super::fingerprint::part_fingerprint;
-
 /// Logs the end of a request once. If dropped before, it logs that the caller disconnected.
 pub(super) struct RequestTrace {
     pub(super) shared: Rc<Shared>,
