Turns: a request names its account, its longest pause and its fingerprint

What several decisions at engines need of a request: the client account, the longest pause between events that its route declares, and the fingerprint that all its attempts have in common. None of them is sent yet: the fields are left out of the message, which is the same to the byte.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -259,6 +259,9 @@
                 objective_left: Millis(ask.objective_left_ms),
                 patience: Millis(ask.patience_ms),
                 waits_for_slot: ask.waits_for_slot,
+                pause: Millis(ask.pause_ms),
+                account: ask.account,
+                fingerprint: ask.fingerprint,
             },
             asked_at,
         );
--- a/crates/catalog/src/layout.rs
+++ b/crates/catalog/src/layout.rs
@@ -42,6 +42,8 @@
     pub timeout_ms: u64,
     /// Latency objective for the response, or for the first event of a stream, ms.
     pub objective_ms: u64,
+    /// Longest pause between two events of a stream that is on time, ms; 0 if none is declared.
+    pub pause_ms: u64,
     /// Priority; 0 is the highest.
     pub priority: u8,
     /// Maximum number of upstreams that one request is sent to.
@@ -150,6 +152,7 @@
             stream: false,
             timeout_ms: 30_000,
             objective_ms: 1_000,
+            pause_ms: 0,
             priority: 0,
             max_attempts: 1,
         }
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -274,6 +274,9 @@
             patience_ms: patience(job).0,
             waits_for_slot: stays,
             trial: job.trial(),
+            pause_ms: 0,
+            account: None,
+            fingerprint: None,
         },
         needs_slot,
     )
--- a/crates/policy/src/prompt/turns/types.rs
+++ b/crates/policy/src/prompt/turns/types.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of turn scheduling.
 
-use pumicecleat_types::{Millis, TurnRefusal};
+use pumicecleat_types::{Fingerprint, Millis, TurnRefusal};
 
 use crate::prompt::places::EngineOrder;
 
@@ -9,7 +9,7 @@
 pub struct TurnId(pub u64);
 
 /// A request for a turn.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TurnRequest {
     /// Id of the request.
     pub request_id: String,
@@ -30,6 +30,12 @@
     /// Whether the request waits for an adapter slot. Otherwise it is refused immediately if none is
     /// available.
     pub waits_for_slot: bool,
+    /// Longest pause between two events that is on time; 0 if none is declared.
+    pub pause: Millis,
+    /// Client account, if engines are shared fairly between accounts.
+    pub account: Option<String>,
+    /// Identifies all attempts of the request, if refused callers are told when to retry.
+    pub fingerprint: Option<Fingerprint>,
 }
 
 /// Options of [`TurnScheduler`](super::TurnScheduler).
--- a/crates/policy/tests/fleet/play.rs
+++ b/crates/policy/tests/fleet/play.rs
@@ -248,6 +248,7 @@
             objective_left: Millis(workload.objective_ms.saturating_sub(age)),
             patience: Millis((workload.objective_ms * PATIENCE_OBJECTIVES).saturating_sub(age)),
             waits_for_slot: waits,
+            ..TurnRequest::default()
         },
         millis(now),
     );
--- a/crates/policy/tests/prompt_turns.rs
+++ b/crates/policy/tests/prompt_turns.rs
@@ -38,6 +38,7 @@
         objective_left: Millis(1_000),
         patience: Millis(4_000),
         waits_for_slot: true,
+        ..TurnRequest::default()
     }
 }
 
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{SuspectNews, Trial};
-use crate::{Position, VmId};
+use crate::{Fingerprint, Position, VmId};
 
 /// Call of an entry to a side: the progress of earlier requests, and optionally a request that asks for a
 /// turn.
@@ -60,6 +60,20 @@
     /// Whether the request waits for an adapter slot; if not, it is refused at once when none is free.
     #[serde(rename = "stays")]
     pub waits_for_slot: bool,
+    /// Longest pause between two events of the stream that is on time, ms; 0 if none is declared.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub pause_ms: u64,
+    /// Client account, if engines are shared fairly between accounts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<String>,
+    /// Identifies all attempts of the request, if refused callers are told when to retry.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<Fingerprint>,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_zero(n: &u64) -> bool {
+    *n == 0
 }
 
 /// Rate limit of an engine, from the latest response that the entry received.
