--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -28,12 +28,13 @@
 const FAST_REPORT_INTERVAL: Duration = Duration::from_millis(25);
 
 /// Runs the scheduler and fetches a report at least every `report_interval`. Never returns.
-pub(crate) async fn drive(shared: Rc<Shared>, report_interval: Duration) {
+pub(crate) async fn drive(shared: Rc<Shared>, report_interval: Duration, options: TurnOptions) {
     let mut driver = Driver {
         shared,
         unreachable_since: None,
         last_report_at: Millis(0),
         report_interval,
+        options,
         last_sequence: 0,
     };
     loop {
@@ -56,6 +57,8 @@
     last_report_at: Millis,
     /// Interval between reports while no request waits for an adapter.
     report_interval: Duration,
+    /// Options from the settings.
+    options: TurnOptions,
     /// Sequence number in the last report.
     last_sequence: u64,
 }
@@ -86,6 +89,7 @@
                 adapter_slots: adapter_slots(&engine, &base),
                 max_batch: engine.max_batch_size,
                 base_load_times: base_load_times(&base),
+                ..self.options
             });
             let report = self
                 .shared
@@ -154,6 +158,8 @@
     fn run_actions(&self, base: &BaseId) {
         let now = self.shared.timer.now();
         let actions = self.shared.scheduler.borrow_mut().poll(now);
+        let window = self.shared.scheduler.borrow().load_window();
+        self.shared.meters.load_window.set(thousandths(window));
         for ratio in self.shared.scheduler.borrow_mut().take_first_event_ratios() {
             self.shared.meters.first_event_ratios.observe(ratio);
         }
@@ -296,6 +302,11 @@
     }
 }
 
+#[allow(clippy::cast_possible_truncation, reason = "a small number")]
+fn thousandths(n: f64) -> i64 {
+    (n * 1_000.0) as i64
+}
+
 fn millis(duration: Duration) -> Millis {
     Millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -11,7 +11,7 @@
 use pumicecleat_infra::KeyedLog;
 use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer};
 use pumicecleat_ops::{Admin, Dump, ListenError, Log, Metrics, Readiness, Stop, events, listen};
-use pumicecleat_policy::{BaseLoadTimes, RateLimits, TurnOptions, TurnScheduler};
+use pumicecleat_policy::{RateLimits, TurnOptions, TurnScheduler};
 
 use crate::confirm::confirm_for_gateways;
 use crate::drive::drive;
@@ -134,6 +134,14 @@
     }
 }
 
+/// Options of the scheduler from the settings; the others follow from the configuration.
+fn turn_options(settings: &AgentSettings) -> TurnOptions {
+    TurnOptions {
+        min_loads: Some(settings.min_loads),
+        ..TurnOptions::default()
+    }
+}
+
 fn new_shared(
     settings: &AgentSettings,
     context: &AgentContext,
@@ -141,11 +149,6 @@
     log: &Log,
     metrics: &Metrics,
 ) -> Rc<Shared> {
-    let initial_options = TurnOptions {
-        adapter_slots: 0,
-        max_batch: 0,
-        base_load_times: BaseLoadTimes::default(),
-    };
     let client_options = ClientOptions {
         connect_span: CONNECT_TIMEOUT,
         idle: MAX_IDLE_CONNECTIONS,
@@ -164,7 +167,7 @@
         engine_client: Rc::clone(&context.engine_client),
         catalog: SharedCatalog::default(),
         marks: Rc::default(),
-        scheduler: RefCell::new(TurnScheduler::new_ext(initial_options)),
+        scheduler: RefCell::new(TurnScheduler::new_ext(turn_options(settings))),
         rate_limits: RefCell::new(RateLimits::new_ext(FIRST_SLOT_PHASE)),
         confirmations: Rc::default(),
         read_wanted: Notify::new(),
@@ -227,7 +230,8 @@
         Rc::clone(&context.store),
         Rc::clone(&context.decoder),
     ));
-    monoio::spawn(drive(Rc::clone(shared), settings.report_pause.0));
+    let options = turn_options(settings);
+    monoio::spawn(drive(Rc::clone(shared), settings.report_pause.0, options));
     monoio::spawn(run_relay(Rc::clone(shared)));
     let spans = FollowSpans {
         leave: settings.leave_span.0,
--- a/crates/policy/src/prompt/loads.rs
+++ b/crates/policy/src/prompt/loads.rs
@@ -7,6 +7,8 @@
 
 use pumicecleat_types::{EngineTraits, Millis};
 
+use super::load_window::LoadWindow;
+
 /// Weight of the newest load in the mean. The store's bandwidth drops for several seconds while many engines
 /// load from it.
 const NEWEST_WEIGHT: f64 = 0.25;
@@ -15,23 +17,6 @@
 /// to 100 ms and add up to that to both times.
 const CACHED_LOAD_RATIO: f64 = 0.4;
 
-/// Initial and maximum number of concurrent loads from the store; the platform allows four. When eight
-/// engines start at once and the store serves two loads at full speed, 0.98 of all requests are served with
-/// the window, and 0.82 with four concurrent loads each (`prompt_load`).
-const INITIAL_WINDOW: f64 = 2.0;
-const MAX_WINDOW: f64 = 4.0;
-
-/// Load time, relative to the shortest recent one, up to which the store is considered able to serve one more
-/// load.
-const UNCONGESTED_RATIO: f64 = 1.5;
-
-/// Additive increase of the window after such a load, and multiplicative decrease after a slower one.
-const WINDOW_INCREASE: f64 = 0.5;
-const WINDOW_DECREASE: f64 = 0.5;
-
-/// Fraction by which the shortest recent load time grows with each load.
-const SHORTEST_GROWTH: f64 = 0.01;
-
 /// Load times of adapters, and the size of the host's cache.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LoadTimes {
@@ -41,10 +26,7 @@
     cached_ms: Option<f64>,
     /// Number of adapters that the host caches in addition to the loaded ones.
     cache_size: Option<usize>,
-    /// Shortest recent load time from the store, ms.
-    shortest_ms: Option<f64>,
-    /// Concurrent loads from the store that are allowed in addition to the initial number.
-    extra_window: f64,
+    window: LoadWindow,
 }
 
 impl LoadTimes {
@@ -59,7 +41,7 @@
             update_mean(&mut self.cached_ms, duration_ms);
         } else {
             update_mean(&mut self.store_ms, duration_ms);
-            self.adjust_window(duration_ms);
+            self.window.record_load(duration_ms);
         }
         let Some(depth) = depth else {
             return;
@@ -73,29 +55,14 @@
         });
     }
 
-    /// Allowed number of concurrent loads from the store. All engines share the store's bandwidth: beyond it,
-    /// each load takes longer, and the loads requested first finish no earlier than the last. Loading one
-    /// after the other takes the same total time and finishes the most requested adapters first.
-    pub(super) fn window(&self) -> usize {
-        let window = to_millis(Some(INITIAL_WINDOW + self.extra_window));
-        usize::try_from(window.0).unwrap_or(1)
+    /// Window of the loads from the store.
+    pub(super) fn window(&self) -> &LoadWindow {
+        &self.window
     }
 
-    /// Resets the window after a restart of the engine: other engines have probably restarted as well.
-    pub(super) fn engine_restarted(&mut self) {
-        self.extra_window = 0.0;
-    }
-
-    fn adjust_window(&mut self, duration_ms: f64) {
-        let shortest_ms = self.shortest_ms.map_or(duration_ms, |l| {
-            (l * (1.0 + SHORTEST_GROWTH)).min(duration_ms)
-        });
-        self.shortest_ms = Some(shortest_ms);
-        self.extra_window = if duration_ms <= shortest_ms * UNCONGESTED_RATIO {
-            (self.extra_window + WINDOW_INCREASE).min(MAX_WINDOW - INITIAL_WINDOW)
-        } else {
-            self.extra_window * WINDOW_DECREASE
-        };
+    /// Window of the loads from the store, to be changed.
+    pub(super) fn window_mut(&mut self) -> &mut LoadWindow {
+        &mut self.window
     }
 
     /// Uses the traits of the engine's peers for what has not been learned here.
--- a/crates/policy/src/prompt/mod.rs
+++ b/crates/policy/src/prompt/mod.rs
@@ -14,6 +14,7 @@
 
 mod demand;
 mod engine;
+mod load_window;
 mod loads;
 mod pace;
 mod places;
--- a/crates/policy/src/prompt/places.rs
+++ b/crates/policy/src/prompt/places.rs
@@ -129,6 +129,11 @@
         self.capacity = capacity as usize;
     }
 
+    /// Sets the smallest window of loads from the store.
+    pub(super) fn set_min_window(&mut self, min: f64) {
+        self.load_times.window_mut().set_min(min);
+    }
+
     /// Sets the load times learned at the engine's peers.
     pub(super) fn set_peer_traits(&mut self, peers: &EngineTraits) {
         self.load_times.set_peer_traits(peers);
@@ -147,11 +152,6 @@
         self.load_times.store_load_time()
     }
 
-    /// Applies the adapters and the sequence of an engine's report.
-    pub(super) fn apply_report(
-        &mut self,
-        sequence: u64,
-        loaded: &[(String, u64)],
     /// Expected time until `adapter` is loaded if its load starts now, or has started.
     pub(super) fn load_left(&self, adapter: &str, now: Millis) -> Millis {
         let started = self.loading.get(adapter).and_then(|load| load.since);
@@ -159,6 +159,11 @@
         self.load_time(adapter).since(elapsed)
     }
 
+    /// Applies the adapters and the sequence of an engine's report.
+    pub(super) fn apply_report(
+        &mut self,
+        sequence: u64,
+        loaded: &[(String, u64)],
         loading: &[(String, u64)],
         now: Millis,
     ) {
@@ -320,7 +325,7 @@
             return None;
         }
         if self.occupied() < self.capacity {
-            if !self.may_load(adapter) {
+            if !self.may_load(adapter, now) {
                 return None;
             }
             return Some(EngineOrder::Load {
@@ -340,10 +345,11 @@
     }
 
     /// Whether one more load may be started.
-    fn may_load(&self, adapter: &str) -> bool {
+    fn may_load(&self, adapter: &str, now: Millis) -> bool {
         let cached = self.cached().any(|name| name == adapter);
         let from_store = self.loading.values().filter(|c| c.from_store).count();
-        self.loading.len() < MAX_LOADS && (cached || from_store < self.load_times.window())
+        let window = self.load_times.window();
+        self.loading.len() < MAX_LOADS && (cached || window.may_start(from_store, now))
     }
 
     pub(super) fn may_order(&self) -> bool {
@@ -406,6 +412,9 @@
                     depth: self.unloaded.iter().position(|n| *n == adapter),
                     from_store: !self.cached().any(|n| *n == adapter),
                 };
+                if load.from_store {
+                    self.load_times.window_mut().record_start(now);
+                }
                 self.loading.insert(adapter, load);
             }
             (EngineOrder::Unload { adapter }, OrderOutcome::Accepted) => {
@@ -435,7 +444,7 @@
         late_loads.extend(load.map(|o| (o.sequence, now + LATE_ORDER_TIME)));
         let demand = std::mem::take(&mut self.demand);
         let mut load_times = std::mem::take(&mut self.load_times);
-        load_times.engine_restarted();
+        load_times.window_mut().reset();
         *self = Self {
             capacity: self.capacity,
             demand,
--- a/crates/policy/src/prompt/turns/figures.rs
+++ b/crates/policy/src/prompt/turns/figures.rs
@@ -37,6 +37,12 @@
         }
     }
 
+    /// Allowed number of concurrent loads from the weight store.
+    #[must_use]
+    pub fn load_window(&self) -> f64 {
+        self.slots.load_times().window().size()
+    }
+
     /// Adapters that the host caches in memory in addition to those loaded in the engine.
     #[must_use]
     pub fn cached_adapters(&self) -> Vec<String> {
--- a/crates/policy/src/prompt/turns/mod.rs
+++ b/crates/policy/src/prompt/turns/mod.rs
@@ -88,7 +88,7 @@
     /// Creates a scheduler for an engine in an unknown state.
     #[must_use]
     pub fn new_ext(options: TurnOptions) -> Self {
-        Self {
+        let mut scheduler = Self {
             options,
             slots: AdapterSlots::new(options.adapter_slots),
             waiting: BTreeMap::new(),
@@ -101,13 +101,18 @@
             prefill_end: Millis(0),
             prefill_rate: PrefillRate::default(),
             first_event_ratios: Vec::new(),
-        }
+        };
+        scheduler.set_options(options);
+        scheduler
     }
 
     /// Replaces the options; all other state is kept.
     pub fn set_options(&mut self, options: TurnOptions) {
         self.options = options;
         self.slots.set_capacity(options.adapter_slots);
+        if let Some(min) = options.min_loads {
+            self.slots.set_min_window(min);
+        }
     }
 
     /// Sets the speed of the engine's peers, which is used for what has not been learned here.
--- a/crates/policy/src/prompt/turns/types.rs
+++ b/crates/policy/src/prompt/turns/types.rs
@@ -39,7 +39,7 @@
 }
 
 /// Options of [`TurnScheduler`](super::TurnScheduler).
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TurnOptions {
     /// Number of adapter slots.
     pub adapter_slots: u32,
@@ -47,6 +47,9 @@
     pub max_batch: u32,
     /// Load times of the base model.
     pub base_load_times: BaseLoadTimes,
+    /// Smallest number of concurrent loads from the weight store; below 1, loads are spaced in time. `None` for the
+    /// number at which engines start.
+    pub min_loads: Option<f64>,
 }
 
 /// Load times of the base model, by the location of its weights.
--- a/crates/policy/tests/fleet/play.rs
+++ b/crates/policy/tests/fleet/play.rs
@@ -64,12 +64,19 @@
 impl Fleet {
     /// Creates engines without any state.
     pub fn new(specs: &[EngineSpec]) -> Self {
+        Self::new_ext(specs, None)
+    }
+
+    /// The same, with the smallest number of concurrent loads from the store.
+    pub fn new_ext(specs: &[EngineSpec], min_loads: Option<f64>) -> Self {
         let node = |spec: &EngineSpec| Node {
             engine: Engine::new(*spec),
             scheduler: TurnScheduler::new_ext(TurnOptions {
                 adapter_slots: spec.adapter_slots,
                 max_batch: 64,
                 base_load_times: BaseLoadTimes::default(),
+                min_loads,
+                ..TurnOptions::default()
             }),
             figures: EngineFigures::default(),
             cached: Vec::new(),
@@ -84,6 +91,12 @@
         }
     }
 
+    /// Number of loads from the store in progress.
+    pub fn store_loads_in_progress(&self) -> usize {
+        let engines = self.nodes.iter().map(|n| &n.engine);
+        engines.map(Engine::store_loads_in_progress).sum()
+    }
+
     /// Prefill rate that the agent of engine `index` has learned.
     pub fn rate(&self, index: usize, now: u64) -> u64 {
         self.nodes[index]
--- a/crates/policy/tests/prompt_load.rs
+++ b/crates/policy/tests/prompt_load.rs
@@ -121,6 +121,44 @@
     );
 }
 
+/// Twenty-four engines without adapters, before a store that serves twelve loads at full speed: 48 a second, for 60
+/// requests a second of which nearly each needs one. Guards against loads that all end late because each engine has
+/// several in progress. The store can serve 0.8 of the requests; three quarters of these have to be in time.
+#[test]
+fn loads_end_in_time_while_the_store_is_the_bottleneck() {
+    let workload = Workload {
+        requests_per_second: 60.0,
+        adapters: 5_000,
+        zipf_exponent: 0.6,
+        mean_prompt_tokens: 800.0,
+        mean_events: 20.0,
+        objective_ms: 800,
+        duration_ms: 6_000,
+        priorities: &[1],
+    };
+    let play = |min_loads| {
+        let (mut outcomes, mut loads, mut steps) = (Vec::new(), 0, 0);
+        for seed in 0..4 {
+            let mut fleet = Fleet::new_ext(&[SPEC; 24], min_loads);
+            fleet.store_concurrency = 12;
+            outcomes.extend(simulate(&mut fleet, &workload, seed, |fleet, now| {
+                if (1_000..6_000).contains(&now) {
+                    loads += fleet.store_loads_in_progress();
+                    steps += 1;
+                }
+            }));
+        }
+        (loads / steps, results(&outcomes, workload.objective_ms))
+    };
+    let (loads_without, without) = play(None);
+    let (loads_with, with) = play(Some(0.25));
+    println!("without {loads_without} in progress, {without:?}");
+    println!("with {loads_with} in progress, {with:?}");
+    assert!(with.in_time >= 0.6, "{with:?}, without {without:?}");
+    assert!(with.served >= without.served - 0.02, "{with:?}");
+    assert!(loads_with < loads_without, "{loads_with}, {loads_without}");
+}
+
 /// Three priorities at engines that spend most of the time on prefill. When priority came before deadline,
 /// 0.749 of the lowest priority and 0.828 of all requests got their first event in time; with the earliest
 /// deadline first, 0.845 and 0.831. No priority may be worse than all requests by more than one in twenty.
