Turns: prompts wait while a stream would exceed the longest pause of its route

The gateway now tells the pause with each request for a turn, and the agent (--pause-guard, a fraction of the pause; 0, the default, is off) holds further prompts back while a stream that is still on time has waited longer than usual for its event, sends a quarter of the pause ahead in place of 150 ms, and asks its engine each 25 ms meanwhile. A stream that has paused for too long is not protected; if reports stop, a prompt waits for one pause at most. A counter tells the streams that paused.

--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -22,7 +22,7 @@
 /// Timeout for the response to an order, which may still be carried out later.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Interval between reports while a request waits for its adapter. A finished load (250 ms from the store,
+/// Interval between reports while a request waits for its adapter, or for a stream's next event. A finished load (250 ms from the store,
 /// a tenth of that from the host's memory) or a slot whose last stream has ended stays unknown until the
 /// next report: 12 ms on average, instead of 50 ms, in which both the slot and the caller wait.
 const FAST_REPORT_INTERVAL: Duration = Duration::from_millis(25);
@@ -66,8 +66,9 @@
 impl Driver {
     /// Time at which the next report is requested.
     fn next_report_at(&self) -> Millis {
-        let waits_for_adapter = self.shared.scheduler.borrow().is_waiting_for_adapter();
-        let interval = if waits_for_adapter {
+        let scheduler = self.shared.scheduler.borrow();
+        let is_urgent = scheduler.is_waiting_for_adapter() || scheduler.is_watching_streams();
+        let interval = if is_urgent {
             FAST_REPORT_INTERVAL.min(self.report_interval)
         } else {
             self.report_interval
@@ -158,6 +159,8 @@
     fn run_actions(&self, base: &BaseId) {
         let now = self.shared.timer.now();
         let actions = self.shared.scheduler.borrow_mut().poll(now);
+        let paused = self.shared.scheduler.borrow_mut().take_paused_streams();
+        self.shared.meters.paused_streams.inc_by(paused);
         let window = self.shared.scheduler.borrow().load_window();
         self.shared.meters.load_window.set(thousandths(window));
         for ratio in self.shared.scheduler.borrow_mut().take_first_event_ratios() {
--- a/crates/agent/src/meters.rs
+++ b/crates/agent/src/meters.rs
@@ -29,6 +29,7 @@
     pub(crate) turn_wait: Histogram,
     pub(crate) unread_tokens: Gauge,
     pub(crate) first_event_ratios: Histogram,
+    pub(crate) paused_streams: Counter,
     /// Window of loads from the weight store, in thousandths.
     pub(crate) load_window: Gauge,
 }
@@ -40,6 +41,10 @@
             orders: metrics.counters("orders", "Orders to the engine, by kind and end"),
             turn_wait: metrics.histogram("turn_wait_seconds", "Wait for a turn", TURN_WAIT_BUCKETS),
             unread_tokens: metrics.gauge("unread_tokens", "Prompt tokens that wait to be read"),
+            paused_streams: metrics.counter(
+                "paused_streams",
+                "Streams with a pause longer than their route declares",
+            ),
             load_window: metrics.gauge(
                 "load_window_thousandths",
                 "Loads from the weight store allowed at a time, in thousandths",
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -24,6 +24,8 @@
         leave_span: HumanDuration = "2s", "span";
         /// time within which a configuration must be in force
         apply_span: HumanDuration = "2s", "span";
+        /// part of a stream's longest pause after which further prompts are held back; 0 for never
+        pause_guard: f64 = "0", "fraction";
         /// smallest number of loads from the weight store at a time; below 1, loads are spaced in time
         min_loads: f64 = "2", "loads";
         /// lines logged in a second at most; warnings and errors may take as many again
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -138,6 +138,7 @@
 fn turn_options(settings: &AgentSettings) -> TurnOptions {
     TurnOptions {
         min_loads: Some(settings.min_loads),
+        pause_guard: settings.pause_guard,
         ..TurnOptions::default()
     }
 }
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -274,7 +274,7 @@
             patience_ms: patience(job).0,
             waits_for_slot: stays,
             trial: job.trial(),
-            pause_ms: 0,
+            pause_ms: job.route.pause_ms,
             account: None,
             fingerprint: None,
         },
--- a/crates/policy/src/prompt/turns/mod.rs
+++ b/crates/policy/src/prompt/turns/mod.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod figures;
+mod pauses;
 mod run;
 mod types;
 
@@ -13,6 +14,7 @@
 
 use super::pace::{Outstanding, PrefillRate};
 use super::places::{AdapterSlots, EngineOrder, OrderOutcome};
+use pauses::PauseGuard;
 use run::RunningRequest;
 pub use types::{
     BaseLoadTimes, BaseLocation, EngineReport, ReportedRun, TurnAction, TurnId, TurnOptions,
@@ -80,6 +82,9 @@
     /// decoding.
     prefill_end: Millis,
     prefill_rate: PrefillRate,
+    pause_guard: PauseGuard,
+    /// Streams whose pauses have exceeded the longest one, not yet taken.
+    paused_streams: u64,
     /// Measured times to first events as fractions of the expected times, not yet taken.
     first_event_ratios: Vec<f64>,
 }
@@ -100,6 +105,8 @@
             newest_versions: BTreeMap::new(),
             prefill_end: Millis(0),
             prefill_rate: PrefillRate::default(),
+            pause_guard: PauseGuard::default(),
+            paused_streams: 0,
             first_event_ratios: Vec::new(),
         };
         scheduler.set_options(options);
@@ -110,6 +117,7 @@
     pub fn set_options(&mut self, options: TurnOptions) {
         self.options = options;
         self.slots.set_capacity(options.adapter_slots);
+        self.pause_guard.set_part(options.pause_guard);
         if let Some(min) = options.min_loads {
             self.slots.set_min_window(min);
         }
@@ -128,6 +136,7 @@
         self.engine = EngineState::Unknown;
         self.leaving = false;
         self.prefill_rate.reset();
+        self.pause_guard.reset();
         self.prefill_end = Millis(0);
     }
 
@@ -176,12 +185,20 @@
             .map(|r| (r.request_id.as_str(), r.events))
             .collect();
         let idle = report.active == 0 && report.queued == 0;
+        let is_prefilling = self.outstanding_tokens() > 0;
+        let (guard, paused) = (&mut self.pause_guard, &mut self.paused_streams);
         let (prefill_rate, ratios) = (&mut self.prefill_rate, &mut self.first_event_ratios);
         self.running.retain(|id, run| {
             let age = now.since(run.granted);
             match reported_events.get(id.as_str()) {
                 Some(events) => {
                     run.reported = true;
+                    let was_paused = run.paused;
+                    let gap = run.record_events(*events, now);
+                    if let Some(gap) = gap.filter(|_| is_prefilling) {
+                        guard.record_gap(gap);
+                    }
+                    *paused += u64::from(run.paused && !was_paused);
                     if *events > 0 && !run.started {
                         run.started = true;
                         prefill_rate.record_first_event(run.prompt_tokens, run.granted, now);
@@ -221,6 +238,7 @@
             && !run.started
         {
             run.started = true;
+            run.record_events(1, now);
             self.prefill_rate
                 .record_first_event(run.prompt_tokens, run.granted, now);
             self.first_event_ratios.extend(run.first_event_ratio(now));
@@ -314,6 +332,10 @@
                     expected_prefill_end: self.prefill_end,
                     started: false,
                     reported: false,
+                    pause: request.pause,
+                    events: 0,
+                    last_event: now,
+                    paused: false,
                 };
                 self.running.insert(request.request_id, run);
             }
@@ -324,13 +346,30 @@
     /// Whether the engine has as much work as it should be given.
     fn is_full(&self, now: Millis) -> bool {
         let unmeasured = self.prefill_rate.tokens_per_second().is_none();
-        self.prefill_end > now + PREFILL_AHEAD
+        let ahead = self
+            .pause_guard
+            .max_ahead(&self.running, PREFILL_AHEAD, now);
+        self.prefill_end > now + ahead
+            || self.holds_back(now)
             || self.running.len() >= self.options.max_batch as usize
             || (unmeasured
                 && self.running.values().filter(|r| !r.started).count()
                     >= MAX_OUTSTANDING_UNMEASURED)
     }
 
+    /// Whether streams need their next events before the engine gets another prompt. While no prompt is
+    /// outstanding, a late event has another cause.
+    fn holds_back(&self, now: Millis) -> bool {
+        self.outstanding_tokens() > 0 && self.pause_guard.holds_back(&self.running, now)
+    }
+
+    /// Whether the next report may end a hold of prompts, so that it should come soon.
+    #[must_use]
+    pub fn is_watching_streams(&self) -> bool {
+        let watches = self.pause_guard.is_on() && !self.waiting.is_empty();
+        watches && self.outstanding_tokens() > 0 && self.running.values().any(|r| r.started)
+    }
+
     fn order(&mut self, now: Millis) -> Option<TurnAction> {
         if self.leaving || !self.slots.may_order() {
             return None;
@@ -427,6 +466,11 @@
         std::mem::take(&mut self.first_event_ratios)
     }
 
+    /// Takes the number of streams whose pauses have exceeded the longest one since the last call.
+    pub fn take_paused_streams(&mut self) -> u64 {
+        std::mem::take(&mut self.paused_streams)
+    }
+
     /// Number of requests that were granted a turn and have not ended.
     #[must_use]
     pub fn running_requests(&self) -> usize {
--- a/crates/policy/src/prompt/turns/run.rs
+++ b/crates/policy/src/prompt/turns/run.rs
@@ -15,6 +15,14 @@
     pub(super) started: bool,
     /// It has appeared in a report of the engine.
     pub(super) reported: bool,
+    /// Longest pause between two events that is on time; 0 if none is declared.
+    pub(super) pause: Millis,
+    /// Number of events observed.
+    pub(super) events: u64,
+    /// When the last of them was observed.
+    pub(super) last_event: Millis,
+    /// A longer pause was observed.
+    pub(super) paused: bool,
 }
 
 impl RunningRequest {
@@ -23,4 +31,25 @@
         let expected = self.expected_prefill_end.since(self.granted).as_secs();
         (expected > 0.0).then(|| now.since(self.granted).as_secs() / expected)
     }
+
+    /// Records the number of events so far; returns the mean gap between the new ones.
+    pub(super) fn record_events(&mut self, events: u64, now: Millis) -> Option<Millis> {
+        let new = events.checked_sub(self.events).filter(|new| *new > 0)?;
+        let gap = Millis(now.since(self.last_event).0 / new);
+        let is_first = self.events == 0;
+        self.events = events;
+        self.last_event = now;
+        if is_first {
+            return None;
+        }
+        self.paused |= self.pause > Millis(0) && gap > self.pause;
+        Some(gap)
+    }
+
+    /// Time since the last event, if the stream has a longest pause and is still on time.
+    pub(super) fn protected_gap(&self, now: Millis) -> Option<Millis> {
+        let gap = now.since(self.last_event);
+        let on_time = self.started && !self.paused && gap <= self.pause;
+        (on_time && self.pause > Millis(0)).then_some(gap)
+    }
 }
--- a/crates/policy/src/prompt/turns/types.rs
+++ b/crates/policy/src/prompt/turns/types.rs
@@ -50,6 +50,8 @@
     /// Smallest number of concurrent loads from the weight store; below 1, loads are spaced in time. `None` for the
     /// number at which engines start.
     pub min_loads: Option<f64>,
+    /// Part of a stream's longest pause after which further prompts are held back; 0 for never.
+    pub pause_guard: f64,
 }
 
 /// Load times of the base model, by the location of its weights.
--- a/crates/policy/tests/prompt_turns.rs
+++ b/crates/policy/tests/prompt_turns.rs
@@ -18,6 +18,7 @@
     max_batch: 8,
     base_load_times: BASE_LOAD_TIMES,
     min_loads: None,
+    pause_guard: 0.0,
 };
 
 /// Traits of the engine's peers.
