--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,7 @@
 mod prompt;
 mod router;
 mod scheduler;
+mod shares;
 mod suspects;
 
 pub use index::{CallerIx, LoraIx, PoolIx, UpstreamIx};
@@ -63,6 +64,7 @@
 pub use scheduler::{
     Action, Bid, Job, JobId, JobRefusal, LoadOutcome, ObjectiveWeights, Scheduler, SchedulerOptions,
 };
+pub use shares::AccountShares;
 pub use suspects::{
     LostAttempt, OutgoingNews, PROVING_TIME, SeveralSuspects, SuspectSync, SuspectTable, Trials,
     end_key, min_ends,
