Turns: accounts share an engine fairly when not all requests can be in time

Requests for a turn named no account, and one account's queue made all others late. With TurnOptions::account_shares, grants are recorded by account, and while a waiting request would be late in the present order, those of accounts above their max-min share come after all others. Without the option or without accounts the order is unchanged.

--- a/crates/policy/src/prompt/turns/mod.rs
+++ b/crates/policy/src/prompt/turns/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 mod admit;
+mod fairness;
 mod figures;
 mod run;
 mod types;
@@ -13,6 +14,7 @@
 
 use super::pace::{Outstanding, PrefillRate};
 use super::places::{AdapterSlots, EngineOrder, OrderOutcome};
+use crate::shares::AccountShares;
 use run::RunningRequest;
 pub use types::{
     BaseLoadTimes, BaseLocation, EngineReport, ReportedRun, TurnAction, TurnId, TurnOptions,
@@ -82,6 +84,7 @@
     prefill_rate: PrefillRate,
     /// Measured times to first events as fractions of the expected times, not yet taken.
     first_event_ratios: Vec<f64>,
+    shares: AccountShares,
 }
 
 impl TurnScheduler {
@@ -101,6 +104,7 @@
             prefill_end: Millis(0),
             prefill_rate: PrefillRate::default(),
             first_event_ratios: Vec::new(),
+            shares: AccountShares::default(),
         }
     }
 
@@ -246,7 +250,8 @@
     ///
     /// Requests that can still meet their objective come before those that are late in any case, which lose
     /// nothing by a longer wait. The former are ordered by the end of their objective, then by priority; the
-    /// latter by priority, then by age.
+    /// latter by priority, then by age. While not all can be in time, requests of accounts above their share come
+    /// last, in the same order.
     ///
     /// This order works off the backlog after a crash or a power failure: 0.852 of the value due was earned
     /// over 60 simulated days of load and failures, and 0.842 without it. As priority decides only among late
@@ -266,7 +271,8 @@
             })
             .collect();
         order.sort_unstable();
-        order.into_iter().map(|(_, _, _, turn)| turn).collect()
+        let turns = order.into_iter().map(|(_, _, _, turn)| turn).collect();
+        self.order_by_share(turns, now)
     }
 
     /// Whether the first event would be late even if the turn were granted now.
@@ -292,6 +298,7 @@
                 },
             };
             self.extend_prefill(request.prompt_tokens, now);
+            self.record_account(request.account.as_deref(), request.prompt_tokens, now);
             if let Some(waiting) = self.waiting.remove(&turn) {
                 let request = waiting.request;
                 let run = RunningRequest {
--- a/crates/policy/src/prompt/turns/types.rs
+++ b/crates/policy/src/prompt/turns/types.rs
@@ -47,6 +47,8 @@
     pub max_batch: u32,
     /// Load times of the base model.
     pub base_load_times: BaseLoadTimes,
+    /// Whether accounts share the engine fairly when not all requests can be in time.
+    pub account_shares: bool,
 }
 
 /// Load times of the base model, by the location of its weights.
--- a/crates/policy/tests/fleet/callers.rs
+++ b/crates/policy/tests/fleet/callers.rs
@@ -35,6 +35,7 @@
     pub prompt_tokens: u32,
     pub events: u64,
     pub priority: u8,
+    pub account: Option<String>,
 }
 
 /// Outcome of a request.
@@ -46,6 +47,8 @@
     pub prompt_tokens: u32,
     /// Priority.
     pub priority: u8,
+    /// Client account.
+    pub account: Option<String>,
     /// Time to the first event, ms; `None` if it was finally refused.
     pub first_event_ms: Option<u64>,
     /// Times at which engines refused it, ms, with the reasons.
@@ -79,11 +82,29 @@
                 prompt_tokens: random_size(self.mean_prompt_tokens, &mut rng) as u32,
                 events: random_size(self.mean_events, &mut rng).max(1.0) as u64,
                 priority: self.priorities[requests.len() % self.priorities.len()],
+                account: None,
             });
         }
     }
 }
 
+/// Merges the requests of several accounts, each with its own workload, in the order of their arrival.
+pub fn merge(accounts: &[(&str, Workload)], seed: u64) -> Vec<Request> {
+    let mut requests = Vec::new();
+    for (n, (account, workload)) in accounts.iter().enumerate() {
+        let own = workload.generate(seed * 1_000 + n as u64);
+        requests.extend(own.into_iter().map(|request| Request {
+            account: Some((*account).to_owned()),
+            ..request
+        }));
+    }
+    requests.sort_by_key(|r| r.arrived_at);
+    for (n, request) in requests.iter_mut().enumerate() {
+        request.id = format!("r{n}");
+    }
+    requests
+}
+
 /// A random size between a fifth of `mean` and five times as much, with approximately that mean.
 fn random_size(mean: f64, rng: &mut ChaCha8Rng) -> f64 {
     let exponent = rng.random::<f64>() * 2.0 - 1.0;
--- a/crates/policy/tests/fleet/engine.rs
+++ b/crates/policy/tests/fleet/engine.rs
@@ -43,6 +43,10 @@
     /// Adapters being loaded: name, remaining time in ms, and whether it comes from the store.
     loading: Vec<(String, f64, bool)>,
     host_cache: VecDeque<String>,
+    /// Adapters that are unloaded as soon as no request uses them.
+    unloading: Vec<String>,
+    /// Whether adapters in use may be unloaded, as by an agent that started while requests were running.
+    pub unloads_in_use: bool,
     sequence: u64,
     /// Total of prefilled prompt tokens.
     pub tokens_processed: f64,
@@ -58,6 +62,8 @@
             loaded: Vec::new(),
             loading: Vec::new(),
             host_cache: VecDeque::new(),
+            unloading: Vec::new(),
+            unloads_in_use: false,
             sequence: 0,
             tokens_processed: 0.0,
             store_loads: 0,
@@ -118,6 +124,7 @@
         let ended = self.runs.iter().filter(|r| r.events_sent >= r.events);
         let ended: Vec<String> = ended.map(|r| r.id.clone()).collect();
         self.runs.retain(|r| r.events_sent < r.events);
+        self.finish_unloads();
         (first, ended)
     }
 
@@ -170,12 +177,29 @@
 
     fn unload(&mut self, adapter: &str) -> OrderOutcome {
         let in_use = self.runs.iter().any(|r| r.adapter == adapter);
-        assert!(!in_use, "{adapter} is in use");
+        assert!(!in_use || self.unloads_in_use, "{adapter} is in use");
+        self.sequence += 1;
+        if in_use {
+            self.unloading.push(adapter.to_owned());
+            return OrderOutcome::Accepted;
+        }
+        self.finish_unload(adapter);
+        OrderOutcome::Done
+    }
+
+    fn finish_unload(&mut self, adapter: &str) {
         self.loaded.retain(|a| a != adapter);
         self.host_cache.push_front(adapter.to_owned());
         self.host_cache.truncate(self.spec.cache_size);
-        self.sequence += 1;
-        OrderOutcome::Done
+    }
+
+    fn finish_unloads(&mut self) {
+        let runs = &self.runs;
+        let is_unused = |adapter: &mut String| !runs.iter().any(|r| r.adapter == *adapter);
+        let done: Vec<String> = self.unloading.extract_if(.., is_unused).collect();
+        for adapter in done {
+            self.finish_unload(&adapter);
+        }
     }
 
     pub fn report(&self) -> EngineReport {
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -14,9 +14,11 @@
 mod engine;
 mod play;
 
-pub use callers::{Outcome, Workload};
+#[allow(unused_imports, reason = "each suite uses a part")]
+pub use callers::{Outcome, Workload, merge};
 pub use engine::EngineSpec;
-pub use play::{Fleet, simulate};
+#[allow(unused_imports, reason = "each suite uses a part")]
+pub use play::{Fleet, simulate, simulate_requests};
 
 /// Time step of the simulation, ms.
 pub const STEP_MS: u64 = 5;
--- a/crates/policy/tests/fleet/play.rs
+++ b/crates/policy/tests/fleet/play.rs
@@ -39,6 +39,8 @@
     news: Vec<(u64, String, bool)>,
     /// Asks not yet included in the figures: time, prompt tokens, whether a slot is needed.
     recent_asks: Vec<(u64, u32, bool)>,
+    /// Requests that waited at an agent that was lost.
+    lost_asks: Vec<usize>,
 }
 
 /// Engines with their agents.
@@ -66,17 +68,14 @@
     pub fn new(specs: &[EngineSpec]) -> Self {
         let node = |spec: &EngineSpec| Node {
             engine: Engine::new(*spec),
-            scheduler: TurnScheduler::new_ext(TurnOptions {
-                adapter_slots: spec.adapter_slots,
-                max_batch: 64,
-                base_load_times: BaseLoadTimes::default(),
-            }),
+            scheduler: TurnScheduler::new_ext(options(spec, false)),
             figures: EngineFigures::default(),
             cached: Vec::new(),
             last_report: 0,
             waiting: BTreeMap::new(),
             news: Vec::new(),
             recent_asks: Vec::new(),
+            lost_asks: Vec::new(),
         };
         Self {
             nodes: specs.iter().map(node).collect(),
@@ -84,6 +83,24 @@
         }
     }
 
+    /// Lets accounts share all engines fairly.
+    pub fn share_by_account(&mut self) {
+        for node in &mut self.nodes {
+            node.scheduler.set_options(options(&node.engine.spec, true));
+        }
+    }
+
+    /// Replaces the agent of engine `index` by one without any state. Requests that waited at it ask again;
+    /// the engine goes on with those it has.
+    pub fn restart_agent(&mut self, index: usize, account_shares: bool) {
+        let node = &mut self.nodes[index];
+        node.scheduler = TurnScheduler::new_ext(options(&node.engine.spec, account_shares));
+        node.last_report = 0;
+        node.engine.unloads_in_use = true;
+        let waiting = std::mem::take(&mut node.waiting);
+        node.lost_asks.extend(waiting.into_values());
+    }
+
     /// Prefill rate that the agent of engine `index` has learned.
     pub fn rate(&self, index: usize, now: u64) -> u64 {
         self.nodes[index]
@@ -94,14 +111,33 @@
     }
 }
 
+fn options(spec: &EngineSpec, account_shares: bool) -> TurnOptions {
+    TurnOptions {
+        adapter_slots: spec.adapter_slots,
+        max_batch: 64,
+        base_load_times: BaseLoadTimes::default(),
+        account_shares,
+    }
+}
+
 /// Simulates a workload and returns the outcome of each request. `after_step` is called after every step.
 pub fn simulate(
     fleet: &mut Fleet,
     workload: &Workload,
     seed: u64,
+    after_step: impl FnMut(&mut Fleet, u64),
+) -> Vec<Outcome> {
+    simulate_requests(fleet, workload, workload.generate(seed), after_step)
+}
+
+/// Simulates the given requests; `workload` tells the objective and the duration.
+pub fn simulate_requests(
+    fleet: &mut Fleet,
+    workload: &Workload,
+    requests: Vec<Request>,
     mut after_step: impl FnMut(&mut Fleet, u64),
 ) -> Vec<Outcome> {
-    let mut jobs: Vec<Job> = workload.generate(seed).into_iter().map(Job::new).collect();
+    let mut jobs: Vec<Job> = requests.into_iter().map(Job::new).collect();
     let end = workload.duration_ms + workload.objective_ms * PATIENCE_OBJECTIVES * 2;
     for now in (0..end).step_by(STEP_MS as usize) {
         let store_loads: usize = fleet
@@ -113,6 +149,12 @@
         for (index, node) in fleet.nodes.iter_mut().enumerate() {
             work(node, &mut jobs, slowdown, now);
             deliver(node, index, now);
+            for job in node.lost_asks.drain(..) {
+                let asked = jobs[job].asked_engine.to_string();
+                jobs[job].search.record_refusal(&asked);
+                jobs[job].due_at = now;
+                jobs[job].done = false;
+            }
         }
         for job in 0..jobs.len() {
             if !jobs[job].done && jobs[job].due_at <= now {
@@ -145,6 +187,7 @@
             arrived_at: self.request.arrived_at,
             prompt_tokens: self.request.prompt_tokens,
             priority: self.request.priority,
+            account: self.request.account.clone(),
             first_event_ms: self.first_event_at.map(|f| f - self.request.arrived_at),
             refusals: self.refusals.clone(),
         }
@@ -248,6 +291,7 @@
             objective_left: Millis(workload.objective_ms.saturating_sub(age)),
             patience: Millis((workload.objective_ms * PATIENCE_OBJECTIVES).saturating_sub(age)),
             waits_for_slot: waits,
+            account: request.account.clone(),
             ..TurnRequest::default()
         },
         millis(now),
--- a/crates/policy/tests/prompt_learning.rs
+++ b/crates/policy/tests/prompt_learning.rs
@@ -217,6 +217,7 @@
         adapter_slots: 6,
         max_batch: 64,
         base_load_times: BaseLoadTimes::default(),
+        account_shares: false,
     });
     let peers = EngineTraits {
         tokens_per_s: 40_000,
--- a/crates/policy/tests/prompt_turns.rs
+++ b/crates/policy/tests/prompt_turns.rs
@@ -17,6 +17,7 @@
     adapter_slots: 2,
     max_batch: 8,
     base_load_times: BASE_LOAD_TIMES,
+    account_shares: false,
 };
 
 /// Traits of the engine's peers.
