--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Account that agents are told, if accounts share engines fairly.
+    pub(super) fn named_account(&self) -> Option<String> {
+        let account = self.caller.account()?;
+        self.shared.account_shares.then(|| account.name.clone())
+    }
+
     pub(super) fn id(&self) -> &str {
         self.attributes.request_id.as_deref().unwrap_or_default()
     }
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -275,7 +275,7 @@
             waits_for_slot: stays,
             trial: job.trial(),
             pause_ms: 0,
-            account: None,
+            account: job.named_account(),
             fingerprint: None,
         },
         needs_slot,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -40,6 +40,8 @@
         allowance_overage: f64 = "0", "fraction";
         /// units by which an account's allowance may be exceeded in addition
         allowance_slack: f64 = "0", "units";
+        /// whether agents are told the accounts of requests, so that accounts share engines fairly
+        account_shares: bool = "false", "true or false";
         /// maximum duration of a stop
         grace: HumanDuration = "8s", "span";
         /// maximum number of log lines per second; warnings and errors have a separate budget of the same
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -72,6 +72,8 @@
     pub(crate) self_reports: RefCell<SelfReports>,
     /// Rate limits announced by upstreams.
     pub(crate) limits: RefCell<RateLimits>,
+    /// Whether agents are told the accounts of requests.
+    pub(crate) account_shares: bool,
     /// Use of client accounts' allowances.
     pub(crate) allowances: Allowances,
     /// Accounts that exceed their allowances.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -224,6 +224,7 @@
         self_reports: RefCell::default(),
         limits: RefCell::new(RateLimits::new_ext(rand::random())),
         exceeded: ExceededAccounts::default(),
+        account_shares: settings.account_shares,
         allowances: Allowances::new(allowance::tolerance(settings)),
         software: SoftwareRegister::new(&parts.store),
         origins: Origins::default(),
