--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -12,6 +12,7 @@
 use pumicecleat_types::{BaseId, Millis, Turn};
 
 use crate::ReportError;
+use crate::accounts::outcome;
 use crate::meters::{OrderLabels, TurnLabels};
 use crate::shared::{ENGINE_CONDITION, Shared};
 
@@ -86,6 +87,7 @@
                 adapter_slots: adapter_slots(&engine, &base),
                 max_batch: engine.max_batch_size,
                 base_load_times: base_load_times(&base),
+                account_shares: self.shared.account_shares,
             });
             let report = self
                 .shared
@@ -176,11 +178,9 @@
     }
 
     fn deliver_turn(&self, id: pumicecleat_policy::TurnId, turn: Turn) {
-        let outcome = match turn {
-            Turn::Granted { .. } => "go",
-            Turn::Refused { reason, .. } => reason.as_str(),
+        let labels = TurnLabels {
+            outcome: outcome(turn),
         };
-        let labels = TurnLabels { outcome };
         self.shared.meters.turns.get_or_create(&labels).inc();
         if let Some(waiter) = self.shared.waiters.borrow_mut().remove(&id) {
             // If the gateway has disconnected in the meantime, the handler ends the run.
--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -324,19 +324,27 @@
         self.shared.meters.unread_tokens.set(unread_gauge);
         let request = field("request", asked.request.as_str());
         let adapter = field("adapter", asked.adapter.as_str());
+        let account = field("account", asked.account.as_str());
         let hold = field("hold", asked.adapter_state);
         let waited = field("waited_ms", waited.0);
         let unread = field("unread", unread);
         let rate = field("rate", figures.traits.tokens_per_s);
+        if !asked.account.is_empty() {
+            let meters = &self.shared.meters;
+            let counted = &self.shared.counted_accounts;
+            counted.count(meters, &asked.account, turn);
+        }
         match turn {
             Turn::Granted { .. } => self.shared.log.emit(
                 &events::ENGINE_TURN,
-                &[request, adapter, hold, waited, unread, rate],
+                &[request, adapter, account, hold, waited, unread, rate],
             ),
             Turn::Refused { reason, retry_ms } => {
                 let reason = field("reason", reason.as_str());
                 let retry = field("retry_ms", retry_ms);
-                let fields = [request, adapter, hold, reason, waited, unread, rate, retry];
+                let fields = [
+                    request, adapter, account, hold, reason, waited, unread, rate, retry,
+                ];
                 self.shared.log.emit(&events::ENGINE_TURN_REFUSED, &fields);
             }
         }
@@ -357,6 +365,8 @@
 struct LoggedAsk {
     request: String,
     adapter: String,
+    /// Client account; empty if the request names none.
+    account: String,
     /// State of the adapter when the turn was asked for.
     adapter_state: &'static str,
 }
@@ -366,6 +376,7 @@
         Self {
             request: ask.request.clone(),
             adapter: ask.adapter.clone().unwrap_or_default(),
+            account: ask.account.clone().unwrap_or_default(),
             adapter_state,
         }
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -20,6 +20,7 @@
 //! assert_eq!(settings.service.as_str(), "chat");
 //! ```
 
+mod accounts;
 mod confirm;
 mod drive;
 mod engine_client;
--- a/crates/agent/src/meters.rs
+++ b/crates/agent/src/meters.rs
@@ -22,9 +22,17 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Account and outcome of a request for a turn. The field names are the label names.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AccountLabels {
+    pub(crate) account: String,
+    pub(crate) outcome: &'static str,
+}
+
 /// Metrics of the agent.
 pub(crate) struct Meters {
     pub(crate) turns: Family<TurnLabels, Counter>,
+    pub(crate) account_turns: Family<AccountLabels, Counter>,
     pub(crate) orders: Family<OrderLabels, Counter>,
     pub(crate) turn_wait: Histogram,
     pub(crate) unread_tokens: Gauge,
@@ -35,6 +43,10 @@
     pub(crate) fn new(metrics: &Metrics) -> Self {
         Self {
             turns: metrics.counters("turns", "Asks for a turn, by outcome"),
+            account_turns: metrics.counters(
+                "account_turns",
+                "Asks for a turn that name an account, by account and outcome",
+            ),
             orders: metrics.counters("orders", "Orders to the engine, by kind and end"),
             turn_wait: metrics.histogram("turn_wait_seconds", "Wait for a turn", TURN_WAIT_BUCKETS),
             unread_tokens: metrics.gauge("unread_tokens", "Prompt tokens that wait to be read"),
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -24,6 +24,9 @@
         leave_span: HumanDuration = "2s", "span";
         /// time within which a configuration must be in force
         apply_span: HumanDuration = "2s", "span";
+        /// whether accounts share the engine fairly when not all requests can be in time; needs gateways that
+        /// name them
+        account_shares: bool = "false", "true or false";
         /// lines logged in a second at most; warnings and errors may take as many again
         log_lines: u32 = "400", "lines/s";
     }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -16,6 +16,7 @@
 use pumicecleat_types::{CachedAdapters, EngineFigures, Millis, ServiceId, Turn, VmId};
 
 use crate::EngineClient;
+use crate::accounts::CountedAccounts;
 use crate::meters::Meters;
 use crate::relay::RelayState;
 use crate::trial::SuspectState;
@@ -50,6 +51,9 @@
     pub(crate) allowances: RefCell<AllowancePool>,
     /// Copies of where streams began.
     pub(crate) origins: RefCell<OriginTable>,
+    /// Whether accounts share the engine fairly.
+    pub(crate) account_shares: bool,
+    pub(crate) counted_accounts: CountedAccounts,
     /// Senders to the tasks that wait for a turn.
     pub(crate) waiters: RefCell<BTreeMap<TurnId, Sender<Turn>>>,
     /// Instance name of the engine; empty while it is not known.
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -13,6 +13,7 @@
 use pumicecleat_ops::{Admin, Dump, ListenError, Log, Metrics, Readiness, Stop, events, listen};
 use pumicecleat_policy::{BaseLoadTimes, RateLimits, TurnOptions, TurnScheduler};
 
+use crate::accounts::CountedAccounts;
 use crate::confirm::confirm_for_gateways;
 use crate::drive::drive;
 use crate::handler::PeerHandler;
@@ -145,6 +146,7 @@
         adapter_slots: 0,
         max_batch: 0,
         base_load_times: BaseLoadTimes::default(),
+        account_shares: settings.account_shares,
     };
     let client_options = ClientOptions {
         connect_span: CONNECT_TIMEOUT,
@@ -171,6 +173,8 @@
         wanted_age: Cell::default(),
         allowances: RefCell::default(),
         origins: RefCell::default(),
+        account_shares: settings.account_shares,
+        counted_accounts: CountedAccounts::default(),
         waiters: RefCell::new(BTreeMap::new()),
         instance: RefCell::default(),
         engine_start_time_ms: Cell::new(None),
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -124,9 +124,9 @@
     /// The call that carried an order ended.
     ORDER_ENDED = "E7204" "order_ended" Info ["order", "adapter", "end", "took_ms", "error"];
     /// A request was admitted to the engine.
-    ENGINE_TURN = "E7205" "engine_turn" Info ["request", "adapter", "hold", "waited_ms", "unread", "rate"];
+    ENGINE_TURN = "E7205" "engine_turn" Info ["request", "adapter", "account", "hold", "waited_ms", "unread", "rate"];
     /// A request was not admitted to the engine.
-    ENGINE_TURN_REFUSED = "E7206" "engine_turn_refused" Info ["request", "adapter", "hold", "reason", "waited_ms", "unread", "rate", "retry_ms"];
+    ENGINE_TURN_REFUSED = "E7206" "engine_turn_refused" Info ["request", "adapter", "account", "hold", "reason", "waited_ms", "unread", "rate", "retry_ms"];
     /// The engine is not the instance that the list has at its address.
     OWN_ENGINE_DENIED = "E7207" "own_engine_denied" Warn ["instance"];
     /// A request for permission to send a suspected request was decided.
