--- a/crates/policy/tests/prompt_shares.rs
+++ b/crates/policy/tests/prompt_shares.rs
@@ -321,7 +321,7 @@
     }
 }
 
-/// Grants the requests one after the other, at a standing clock, and returns their positions in that order.
+/// Positions of the waiting requests in the order of their grants.
 fn grant_order(case: &OrderCase) -> Vec<usize> {
     let mut scheduler = scheduler();
     // Time for the prefill of what was granted before.
@@ -371,11 +371,13 @@
     check(&CASES[0]);
 }
 
+/// Guards against late requests of small accounts that wait behind a large account's endless fresh ones.
 #[test]
 fn accounts_near_the_capacity_keep_their_requests() {
     check(&CASES[1]);
 }
 
+/// Guards against shares in proportion to the demand.
 #[test]
 fn accounts_that_need_more_than_there_is_get_equal_parts() {
     check(&CASES[2]);
