--- a/crates/agent/src/drive.rs
+++ b/crates/agent/src/drive.rs
@@ -12,6 +12,7 @@
 use pumicecleat_types::{BaseId, Millis, Turn};
 
 use crate::ReportError;
+use crate::accounts::outcome;
 use crate::meters::{OrderLabels, TurnLabels};
 use crate::shared::{ENGINE_CONDITION, Shared};
 
@@ -185,11 +186,9 @@
     }
 
     fn deliver_turn(&self, id: pumicecleat_policy::TurnId, turn: Turn) {
-        let outcome = match turn {
-            Turn::Granted { .. } => "go",
-            Turn::Refused { reason, .. } => reason.as_str(),
+        let labels = TurnLabels {
+            outcome: outcome(turn),
         };
-        let labels = TurnLabels { outcome };
         self.shared.meters.turns.get_or_create(&labels).inc();
         if let Some(waiter) = self.shared.waiters.borrow_mut().remove(&id) {
             // If the gateway has disconnected in the meantime, the handler ends the run.
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -28,6 +28,9 @@
         pause_guard: f64 = "0", "fraction";
         /// smallest number of loads from the weight store at a time; below 1, loads are spaced in time
         min_loads: f64 = "2", "loads";
+        /// whether accounts share the engine fairly when not all requests can be in time; needs gateways that
+        /// name them
+        account_shares: bool = "false", "true or false";
         /// lines logged in a second at most; warnings and errors may take as many again
         log_lines: u32 = "400", "lines/s";
     }
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -13,6 +13,7 @@
 use pumicecleat_ops::{Admin, Dump, ListenError, Log, Metrics, Readiness, Stop, events, listen};
 use pumicecleat_policy::{RateLimits, TurnOptions, TurnScheduler};
 
+use crate::accounts::CountedAccounts;
 use crate::confirm::confirm_for_gateways;
 use crate::drive::drive;
 use crate::handler::PeerHandler;
@@ -139,6 +140,7 @@
     TurnOptions {
         min_loads: Some(settings.min_loads),
         pause_guard: settings.pause_guard,
+        account_shares: settings.account_shares,
         ..TurnOptions::default()
     }
 }
@@ -175,6 +177,7 @@
         wanted_age: Cell::default(),
         allowances: RefCell::default(),
         origins: RefCell::default(),
+        counted_accounts: CountedAccounts::default(),
         waiters: RefCell::new(BTreeMap::new()),
         instance: RefCell::default(),
         engine_start_time_ms: Cell::new(None),
--- a/crates/policy/src/prompt/turns/mod.rs
+++ b/crates/policy/src/prompt/turns/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 mod admit;
+mod fairness;
 mod figures;
 mod pauses;
 mod run;
@@ -14,6 +15,7 @@
 
 use super::pace::{Outstanding, PrefillRate};
 use super::places::{AdapterSlots, EngineOrder, OrderOutcome};
+use crate::shares::AccountShares;
 use pauses::PauseGuard;
 use run::RunningRequest;
 pub use types::{
@@ -87,6 +89,7 @@
     paused_streams: u64,
     /// Measured times to first events as fractions of the expected times, not yet taken.
     first_event_ratios: Vec<f64>,
+    shares: AccountShares,
 }
 
 impl TurnScheduler {
@@ -108,6 +111,7 @@
             pause_guard: PauseGuard::default(),
             paused_streams: 0,
             first_event_ratios: Vec::new(),
+            shares: AccountShares::default(),
         };
         scheduler.set_options(options);
         scheduler
@@ -269,7 +273,8 @@
     ///
     /// Requests that can still meet their objective come before those that are late in any case, which lose
     /// nothing by a longer wait. The former are ordered by the end of their objective, then by priority; the
-    /// latter by priority, then by age.
+    /// latter by priority, then by age. While not all can be in time, requests of accounts above their share come
+    /// last, in the same order.
     ///
     /// This order works off the backlog after a crash or a power failure: 0.852 of the value due was earned
     /// over 60 simulated days of load and failures, and 0.842 without it. As priority decides only among late
@@ -289,7 +294,8 @@
             })
             .collect();
         order.sort_unstable();
-        order.into_iter().map(|(_, _, _, turn)| turn).collect()
+        let turns = order.into_iter().map(|(_, _, _, turn)| turn).collect();
+        self.order_by_share(turns, now)
     }
 
     /// Whether the first event would be late even if the turn were granted as soon as the adapter is loaded: the
@@ -323,6 +329,7 @@
                 },
             };
             self.extend_prefill(request.prompt_tokens, now);
+            self.record_account(request.account.as_deref(), request.prompt_tokens, now);
             if let Some(waiting) = self.waiting.remove(&turn) {
                 let request = waiting.request;
                 let run = RunningRequest {
--- a/crates/policy/src/prompt/turns/types.rs
+++ b/crates/policy/src/prompt/turns/types.rs
@@ -52,6 +52,8 @@
     pub min_loads: Option<f64>,
     /// Part of a stream's longest pause after which further prompts are held back; 0 for never.
     pub pause_guard: f64,
+    /// Whether accounts share the engine fairly when not all requests can be in time.
+    pub account_shares: bool,
 }
 
 /// Load times of the base model, by the location of its weights.
--- a/crates/policy/tests/prompt_turns.rs
+++ b/crates/policy/tests/prompt_turns.rs
@@ -19,6 +19,7 @@
     base_load_times: BASE_LOAD_TIMES,
     min_loads: None,
     pause_guard: 0.0,
+    account_shares: false,
 };
 
 /// Traits of the engine's peers.
