Gateway: log lines of a request name its account, objective and longest pause

The lines at the end of a request didn't tell which account sent it, whether it was late by its route's objective, or how long its stream paused, so losses couldn't be counted from logs.

E7101 to E7105 get `account` (empty without; never a key) and `objective_ms` (0 without a route); E7101 gets `pause_ms`, the longest time between two chunks also over a change of upstream, and `pause_limit_ms`. The histogram pumicecleat_stream_pause_seconds counts the longest pause of each stream with at least two chunks.

--- a/crates/gateway/src/meters.rs
+++ b/crates/gateway/src/meters.rs
@@ -69,6 +69,8 @@
     /// Number of gateways, as agents report it.
     pub(crate) gateways: Gauge,
     pub(crate) first_byte: Histograms<ServiceLabels>,
+    /// Longest time between two chunks of a stream.
+    stream_pause: Histograms<ServiceLabels>,
     pub(crate) turn_wait: Histogram,
     /// In milliseconds.
     pub(crate) list_age_ms: Gauge,
@@ -110,6 +112,7 @@
                 "Time to the first byte of an answer",
                 TIME_BUCKETS,
             ),
+            stream_pause: stream_pause(metrics),
             turn_wait: metrics.histogram(
                 "turn_seconds",
                 "Wait for a turn at an engine",
@@ -172,6 +175,13 @@
         }
     }
 
+    /// Records the longest time between two chunks of a stream that ended.
+    pub(crate) fn observe_pause(&self, service: &str, pause: Millis) {
+        let service = service.to_owned();
+        let meter = self.stream_pause.get_or_create(&ServiceLabels { service });
+        meter.observe(pause.as_secs());
+    }
+
     pub(crate) fn count_limited(&self, service: &ServiceId, outcome: &'static str) {
         let service = service.to_string();
         let labels = OutcomeLabels { service, outcome };
@@ -207,3 +217,11 @@
         self.suspects.get_or_create(&SuspectLabels { what }).inc();
     }
 }
+
+fn stream_pause(metrics: &Metrics) -> Histograms<ServiceLabels> {
+    metrics.histograms(
+        "stream_pause_seconds",
+        "Longest time between two chunks of a stream, for streams with at least two",
+        TIME_BUCKETS,
+    )
+}
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -3,6 +3,7 @@
 mod authenticate;
 mod binding;
 mod choose;
+mod chunk_gaps;
 mod fingerprint;
 mod forward;
 mod hop_headers;
@@ -78,21 +79,24 @@
     let attributes = shared.header_codec.decode_request(&head.headers);
     log_unreadable(shared, &attributes);
     let Some(layout) = shared.catalog.borrow().layout().cloned() else {
-        let trace = RequestTrace::new(shared, &attributes, "", 0, arrived);
+        let trace = RequestTrace::new(shared, &attributes, None, 0, arrived);
         return Refusal::no_layout().reply(&trace);
     };
     let found = layout
         .find(hop_headers::host(&head), head.uri.path())
         .cloned();
     let Some(route) = found else {
-        let trace = RequestTrace::new(shared, &attributes, "", layout.number, arrived);
+        let trace = RequestTrace::new(shared, &attributes, None, layout.number, arrived);
         return reject(&trace, 404, "no_route");
     };
-    let trace = RequestTrace::new(shared, &attributes, &route.name, layout.number, arrived);
+    let trace = RequestTrace::new(shared, &attributes, Some(&route), layout.number, arrived);
     let caller = match authenticate(shared, &layout, &route, attributes.credentials) {
         Ok(caller) => caller,
         Err(denial) => return denial.reply(shared, &trace),
     };
+    if let Some(account) = caller.account() {
+        trace.set_account(&account.name);
+    }
     let read = read_all(
         &mut body,
         layout.limits.max_body_bytes,
--- a/crates/gateway/src/request/trace.rs
+++ b/crates/gateway/src/request/trace.rs
@@ -4,12 +4,13 @@
 use std::rc::Rc;
 
 use http::Version;
-use pumicecleat_catalog::Upstream;
+use pumicecleat_catalog::{Route, Upstream};
 use pumicecleat_net::{BodyError, Framing};
 use pumicecleat_ops::{DrainGuard, events, field};
 use pumicecleat_policy::{LostAttempt, PROVING_TIME};
 use pumicecleat_types::{Fingerprint, Millis, RequestId, ServiceId, SuspectKey};
 
+use super::chunk_gaps::ChunkGaps;
 use super::fingerprint::part_fingerprint;
 use crate::RequestAttributes;
 use crate::meters::{OutcomeLabels, ServiceLabels};
@@ -20,7 +21,16 @@
 pub(super) struct RequestTrace {
     pub(super) shared: Rc<Shared>,
     pub(super) request: String,
+    /// Name of the route; empty without one.
     route: String,
+    /// Latency objective of the route, ms; 0 without one.
+    objective_ms: u64,
+    /// Longest pause between events that the route declares, ms; 0 if it declares none.
+    pause_limit_ms: u64,
+    /// Whether the route's responses are streams.
+    is_stream: bool,
+    /// Name of the client account; empty without one.
+    account: RefCell<String>,
     /// IDs of the parts of the prompt that other requests may share, separated by commas.
     prompt_parts: String,
     /// The same parts, as suspects.
@@ -45,6 +55,8 @@
     /// Time spent waiting for turns.
     turn_wait: Cell<Millis>,
     first_byte: Cell<Option<Millis>>,
+    /// Times between the chunks of the response, over all attempts.
+    gaps: ChunkGaps,
     /// Framing of the latest response.
     framing: Cell<Option<Framing>>,
     /// Protocol of the caller.
@@ -57,7 +69,7 @@
     pub(super) fn new(
         shared: &Rc<Shared>,
         attributes: &RequestAttributes,
-        route: &str,
+        route: Option<&Route>,
         layout: u64,
         arrived: Millis,
     ) -> Self {
@@ -66,7 +78,11 @@
         Self {
             shared: Rc::clone(shared),
             request,
-            route: route.to_owned(),
+            route: route.map(|r| r.name.clone()).unwrap_or_default(),
+            objective_ms: route.map_or(0, |r| r.objective_ms),
+            pause_limit_ms: route.map_or(0, |r| r.pause_ms),
+            is_stream: route.is_some_and(|r| r.stream),
+            account: RefCell::default(),
             prompt_parts: attributes.shared_parts().join(","),
             part_keys: part_keys(attributes),
             fingerprint: Cell::new(None),
@@ -82,6 +98,7 @@
             list_age: Cell::default(),
             turn_wait: Cell::default(),
             first_byte: Cell::new(None),
+            gaps: ChunkGaps::default(),
             framing: Cell::default(),
             version: Cell::default(),
             outcome_counted: Cell::new(false),
@@ -89,6 +106,11 @@
         }
     }
 
+    /// Records the client account that sent the request.
+    pub(super) fn set_account(&self, name: &str) {
+        self.account.replace(name.to_owned());
+    }
+
     pub(super) fn set_fingerprint(&self, fingerprint: Fingerprint) {
         self.fingerprint.set(Some(fingerprint));
     }
@@ -178,8 +200,10 @@
 
     /// Records that the current attempt has brought a part of the response.
     pub(super) fn record_progress(&self) {
+        let now = self.shared.timer.now();
+        self.gaps.record_chunk(now);
         if self.answered_at.get().is_none() {
-            self.answered_at.set(Some(self.shared.timer.now()));
+            self.answered_at.set(Some(now));
         } else if self.is_answered_for(PROVING_TIME) {
             self.record_parts_served();
         }
@@ -231,17 +255,22 @@
         let first = self.first_byte.get().unwrap_or_else(|| self.age());
         let instance = self.instance.borrow();
         let fingerprint = self.fingerprint_text();
+        let account = self.account.borrow();
         let fields = [
             field("request", self.request.as_str()),
             field("fingerprint", fingerprint.as_str()),
             field("prompt_parts", self.prompt_parts.as_str()),
             field("route", self.route.as_str()),
+            field("account", account.as_str()),
+            field("objective_ms", self.objective_ms),
             field("instance", instance.as_str()),
             field("status", status),
             field("attempts", self.attempts.get()),
             field("turn_ms", self.turn_wait.get().0),
             field("first_ms", first.0),
             field("total_ms", self.age().0),
+            field("pause_ms", self.gaps.longest().unwrap_or_default().0),
+            field("pause_limit_ms", self.pause_limit_ms),
             field("list_ms", self.list_age.get().0),
             field("layout", self.layout),
             field("whole", is_complete),
@@ -256,11 +285,14 @@
     pub(super) fn log_turned_down(&self, status: u16, reason: &str, retry_after: Millis) {
         self.count_outcome("turned_down");
         let fingerprint = self.fingerprint_text();
+        let account = self.account.borrow();
         let fields = [
             field("request", self.request.as_str()),
             field("fingerprint", fingerprint.as_str()),
             field("prompt_parts", self.prompt_parts.as_str()),
             field("route", self.route.as_str()),
+            field("account", account.as_str()),
+            field("objective_ms", self.objective_ms),
             field("reason", reason),
             field("status", status),
             field("retry_ms", retry_after.0),
@@ -276,11 +308,14 @@
         self.count_outcome("unsettled");
         let instance = self.instance.borrow();
         let fingerprint = self.fingerprint_text();
+        let account = self.account.borrow();
         let fields = [
             field("request", self.request.as_str()),
             field("fingerprint", fingerprint.as_str()),
             field("prompt_parts", self.prompt_parts.as_str()),
             field("route", self.route.as_str()),
+            field("account", account.as_str()),
+            field("objective_ms", self.objective_ms),
             field("instance", instance.as_str()),
             field("reason", reason),
             field("status", status),
@@ -302,10 +337,13 @@
     ) {
         let instance = self.instance.borrow();
         let fingerprint = self.fingerprint_text();
+        let account = self.account.borrow();
         let fields = [
             field("request", self.request.as_str()),
             field("fingerprint", fingerprint.as_str()),
             field("prompt_parts", self.prompt_parts.as_str()),
+            field("account", account.as_str()),
+            field("objective_ms", self.objective_ms),
             field("instance", instance.as_str()),
             field("step", step),
             field("ran", may_have_run),
@@ -320,6 +358,9 @@
     fn count_outcome(&self, outcome: &'static str) {
         self.outcome_counted.set(true);
         let service = self.service.borrow().clone();
+        if let Some(gap) = self.gaps.longest().filter(|_| self.is_stream) {
+            self.shared.meters.observe_pause(&service, gap);
+        }
         let labels = OutcomeLabels { service, outcome };
         self.shared.meters.requests.get_or_create(&labels).inc();
     }
@@ -333,11 +374,14 @@
         self.count_outcome("caller_left");
         let instance = self.instance.borrow();
         let fingerprint = self.fingerprint_text();
+        let account = self.account.borrow();
         let fields = [
             field("request", self.request.as_str()),
             field("fingerprint", fingerprint.as_str()),
             field("prompt_parts", self.prompt_parts.as_str()),
             field("route", self.route.as_str()),
+            field("account", account.as_str()),
+            field("objective_ms", self.objective_ms),
             field("instance", instance.as_str()),
             field("age_ms", self.age().0),
         ];
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -49,15 +49,15 @@
     UPSTREAM_RETURNED = "E7021" "upstream_returned" Info ["instance"];
 
     /// A request ended with the response of an upstream.
-    PASSED_ON = "E7101" "passed_on" Info ["request", "fingerprint", "prompt_parts", "route", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "list_ms", "layout", "whole", "framing", "error", "caller_http"];
+    PASSED_ON = "E7101" "passed_on" Info ["request", "fingerprint", "prompt_parts", "route", "account", "objective_ms", "instance", "status", "attempts", "turn_ms", "first_ms", "total_ms", "pause_ms", "pause_limit_ms", "list_ms", "layout", "whole", "framing", "error", "caller_http"];
     /// A request was rejected without having run.
-    TURNED_DOWN = "E7102" "turned_down" Warn ["request", "fingerprint", "prompt_parts", "route", "reason", "status", "retry_ms", "attempts", "age_ms", "layout"];
+    TURNED_DOWN = "E7102" "turned_down" Warn ["request", "fingerprint", "prompt_parts", "route", "account", "objective_ms", "reason", "status", "retry_ms", "attempts", "age_ms", "layout"];
     /// A request failed and may have run.
-    UNSETTLED = "E7103" "unsettled" Warn ["request", "fingerprint", "prompt_parts", "route", "instance", "reason", "status", "attempts", "age_ms", "list_ms", "layout"];
+    UNSETTLED = "E7103" "unsettled" Warn ["request", "fingerprint", "prompt_parts", "route", "account", "objective_ms", "instance", "reason", "status", "attempts", "age_ms", "list_ms", "layout"];
     /// One attempt of a request failed.
-    ATTEMPT_LOST = "E7104" "attempt_lost" Info ["request", "fingerprint", "prompt_parts", "instance", "step", "ran", "age_ms", "list_ms", "again", "error"];
+    ATTEMPT_LOST = "E7104" "attempt_lost" Info ["request", "fingerprint", "prompt_parts", "account", "objective_ms", "instance", "step", "ran", "age_ms", "list_ms", "again", "error"];
     /// The caller disconnected before its response was complete.
-    CALLER_LEFT = "E7105" "caller_left" Info ["request", "fingerprint", "prompt_parts", "route", "instance", "age_ms"];
+    CALLER_LEFT = "E7105" "caller_left" Info ["request", "fingerprint", "prompt_parts", "route", "account", "objective_ms", "instance", "age_ms"];
     /// A side does not respond.
     SIDE_LOST = "E7106" "side_lost" Warn ["side", "error"];
     /// A side responds again.
