CLI: losses counts requests that were not served on time, and why

Which requests callers lose and by which cause could only be found one request at a time, by `trail`.

`pumicecleat losses FILES` reads logs of gateways and agents and prints the requests by route, account and data centre as on time, late, refused and failed, then one main cause for each that was not on time, the largest first, and what was passed over. A missing file and files without the end of a request are typed errors.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -21,6 +21,7 @@
     Dump(DumpArgs),
     Key(KeyArgs),
     Trail(TrailArgs),
+    Losses(LossesArgs),
     Demo(DemoArgs),
 }
 
@@ -89,6 +90,16 @@
     pub(crate) files: Vec<String>,
 }
 
+/// Print how many requests of each route, account and data centre were served on time, late, refused or
+/// failed, and the causes, by the log lines of gateways and agents. Exit status 1 if no request ended.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "losses")]
+pub(crate) struct LossesArgs {
+    /// files with lines of JSON, each of one or more processes
+    #[argh(positional)]
+    pub(crate) files: Vec<String>,
+}
+
 /// Print the whole state of a process as JSON.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "dump")]
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -5,6 +5,8 @@
 use pumicecleat_net::{NetError, RuntimeError};
 use snafu::Snafu;
 
+use crate::losses::LineCounts;
+
 /// A command that was not carried out.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -20,6 +22,10 @@
     Faulty { faults: Faults },
     #[snafu(display("no line of request {request} in {files} files"))]
     NoTrail { request: String, files: usize },
+    #[snafu(display(
+        "no line of a gateway about the end of a request (E7101, E7102, E7103, E7105) in {files} files: {lines}"
+    ))]
+    NoRequest { files: usize, lines: LineCounts },
     #[snafu(display("no file given"))]
     NoFile,
     #[snafu(display("step read log: {source}"))]
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -17,11 +17,14 @@
 mod error;
 mod exchange;
 mod files;
+mod line;
+mod losses;
 mod reader;
 mod show;
 mod trail;
 
 pub use args::Args;
+pub use losses::LossReport;
 pub use trail::{Step, gather};
 
 use args::Command;
@@ -53,6 +56,7 @@
         Command::Status(args) => on_loop(show::status(args)),
         Command::Dump(args) => on_loop(show::dump(args)),
         Command::Trail(args) => trail::trail(&args),
+        Command::Losses(args) => losses::losses(&args),
         Command::Demo(args) => on_loop(demo::demo(args)),
     }
 }
--- a/crates/cli/src/trail/line.rs
+++ b/crates/cli/src/line.rs
@@ -24,17 +24,17 @@
 }
 
 /// A line with its time.
-pub(super) struct Line {
+pub(crate) struct Line {
     /// Time by the clock of the process that logged it, ms since 1970.
-    pub(super) time_ms: i64,
-    pub(super) origin: String,
+    pub(crate) time_ms: i64,
+    pub(crate) origin: String,
     body: Body,
 }
 
 impl Line {
     /// Reads a line; what stands before the JSON, as a collector puts it there, is passed over. `None`
     /// if there is no line of ours in it: other programs may write to the same file.
-    pub(super) fn read(text: &str) -> Option<Self> {
+    pub(crate) fn read(text: &str) -> Option<Self> {
         let json = &text[text.find('{')?..];
         let body: Body = serde_json::from_str(json).ok()?;
         let time = DateTime::parse_from_rfc3339(&body.time).ok()?;
@@ -45,15 +45,15 @@
         })
     }
 
-    pub(super) fn request(&self) -> Option<&str> {
+    pub(crate) fn request(&self) -> Option<&str> {
         self.body.fields.get(REQUEST)?.as_str()
     }
 
-    pub(super) fn event(&self) -> String {
+    pub(crate) fn event(&self) -> String {
         format!("{} {}", self.body.code, self.body.event)
     }
 
-    pub(super) fn fields(&self) -> String {
+    pub(crate) fn fields(&self) -> String {
         let others = self.body.fields.iter().filter(|(name, _)| *name != REQUEST);
         let pairs: Vec<String> = others
             .map(|(name, value)| format!("{name}={value}"))
@@ -62,17 +62,30 @@
     }
 
     /// When the request arrived at its entry, and the time of this line, if it is the entry's.
-    pub(super) fn span(&self) -> Option<(i64, i64)> {
+    pub(crate) fn span(&self) -> Option<(i64, i64)> {
         let age = AGES.iter().find_map(|name| self.number(name))?;
         Some((self.time_ms - age, self.time_ms))
     }
 
     /// How long the request had waited at a process that is not its entry.
-    pub(super) fn waited_ms(&self) -> i64 {
+    pub(crate) fn waited_ms(&self) -> i64 {
         self.number(WAITED).unwrap_or_default()
     }
 
-    fn number(&self, name: &str) -> Option<i64> {
+    /// Number of the event.
+    pub(crate) fn code(&self) -> &str {
+        &self.body.code
+    }
+
+    pub(crate) fn number(&self, name: &str) -> Option<i64> {
         self.body.fields.get(name)?.as_i64()
     }
+
+    pub(crate) fn text(&self, name: &str) -> Option<&str> {
+        self.body.fields.get(name)?.as_str()
+    }
+
+    pub(crate) fn flag(&self, name: &str) -> Option<bool> {
+        self.body.fields.get(name)?.as_bool()
+    }
 }
--- a/crates/cli/src/trail/mod.rs
+++ b/crates/cli/src/trail/mod.rs
@@ -1,14 +1,12 @@
 //! The trail of one request through the logs of several processes.
 
-mod line;
-
 use std::collections::BTreeMap;
 
 use snafu::{ResultExt, ensure};
 
 use crate::args::TrailArgs;
 use crate::error::{CliError, FileSnafu, NoFileSnafu, NoTrailSnafu};
-use line::Line;
+use crate::line::Line;
 
 /// One log line of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
