Net: at the limit of connections, the longest idle one makes room

With at most 8 connections, the ninth caller was refused with 503 while the other eight were idle: a server counted open connections and never looked whether they were used.

A server keeps its idle connections by the time since which they are idle, and asks the first to close for a new one. The connection's own task decides after it has read for 1 ms what had arrived, so that none with a part of a request closes; it closes as at a stop and reads on until its peer closes. Without an idle one the new connection is refused as before. Over HTTP/2 the peer is told by GOAWAY.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -24,6 +24,7 @@
 mod frame;
 mod framing;
 mod full;
+mod idle;
 mod linger;
 mod local;
 mod measured;
@@ -38,6 +39,7 @@
 mod tally;
 mod timer;
 mod turns;
+mod watched;
 
 pub use body::{Body, BodyError, ByteStream, read_all};
 pub use client::{Client, ClientOptions, Response};
--- a/crates/net/src/linger.rs
+++ b/crates/net/src/linger.rs
@@ -11,7 +11,7 @@
 use crate::Timer;
 
 /// Longest wait for the peer to close after the last answer.
-const LINGER_SPAN: Duration = Duration::from_secs(2);
+pub(crate) const LINGER_SPAN: Duration = Duration::from_secs(2);
 
 /// Bytes read and thrown away at a time.
 const READ_BYTES: usize = 16 * 1024;
