Turns: a request that no slot of a limited engine is left for waits at another

Cause: a request waits at one engine only. If that engine's rate limit left no slot in time, it was refused at once with reason limited, although another engine would have served it after a wait. Change: such a refusal doesn't count as the wait; the request waits at another engine, after at most six of them.

--- a/crates/gateway/src/request/job.rs
+++ b/crates/gateway/src/request/job.rs
@@ -14,6 +14,7 @@
 use super::binding::Binding;
 use super::hop_headers::strip_hop_headers;
 use super::permit::Permit;
+use super::send::MIN_TIME_LEFT_MS;
 use super::trace::RequestTrace;
 use crate::repeats::{RepeatCause, RepeatReservation};
 use crate::shared::Shared;
@@ -92,6 +93,15 @@
         Duration::from_millis(self.time_left().0)
     }
 
+    /// Status of the response if it is unknown whether the request was executed.
+    pub(super) fn unknown_status(&self) -> u16 {
+        if self.time_left().0 < MIN_TIME_LEFT_MS {
+            504
+        } else {
+            502
+        }
+    }
+
     /// Time for which the caller has waited for the next event.
     pub(super) fn waited(&self) -> Millis {
         self.shared.timer.now().since(self.waiting_since)
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -159,11 +159,13 @@
                 return Ok(GrantedTurn::new(upstream, None, seen_start));
             }
             Ok(Turn::Refused { reason, retry_ms }) => {
+                progress.record_refusal(reason.as_str(), Millis(retry_ms));
                 if reason == TurnRefusal::Limited {
                     job.shared.note_exhausted(&upstream, Millis(retry_ms));
+                    progress.search.record_limited(&upstream.instance);
+                } else {
+                    progress.search.record_refusal(&upstream.instance);
                 }
-                progress.record_refusal(reason.as_str(), Millis(retry_ms));
-                progress.search.record_refusal(&upstream.instance);
             }
             Err(AgentLost) => {
                 progress.record_refusal("agent_lost", DEFAULT_RETRY_AFTER);
@@ -438,12 +440,7 @@
 fn final_refusal(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
     job.release_permit();
     if progress.may_have_run {
-        let status = if job.time_left().0 < MIN_TIME_LEFT_MS {
-            504
-        } else {
-            502
-        };
-        return outcome_unknown(&job.trace, status, reason);
+        return outcome_unknown(&job.trace, job.unknown_status(), reason);
     }
     let reason = progress.reason.unwrap_or(reason);
     let retry_after = progress.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
--- a/crates/policy/src/prompt/search.rs
+++ b/crates/policy/src/prompt/search.rs
@@ -13,12 +13,18 @@
 /// more adapters were loaded from the weight store over 16 simulated days.
 const IMMEDIATE_ASKS: u32 = 6;
 
+/// Number of engines at which a request that is to wait may be refused for their rate limits. Each refusal takes
+/// one exchange.
+const MAX_LIMITED: usize = 6;
+
 /// Search for an engine on behalf of one request.
 #[derive(Clone, Debug, Default)]
 pub struct TurnSearch {
     asks: u32,
     /// Engines that had no turn available at once.
     refused: BTreeSet<String>,
+    /// Engines at which the request can't wait, because their rate limit leaves no slot in time.
+    limited: BTreeSet<String>,
     /// Engines that can't serve the request, even if a turn becomes available.
     excluded: BTreeSet<String>,
 }
@@ -27,7 +33,7 @@
     /// Whether `instance` may be asked next.
     #[must_use]
     pub fn is_candidate(&self, instance: &str) -> bool {
-        !self.excluded.contains(instance) && (self.will_wait() || !self.refused.contains(instance))
+        !self.is_excluded(instance) && (self.will_wait() || !self.refused.contains(instance))
     }
 
     /// Whether the request waits at the next engine that is asked.
@@ -59,15 +65,26 @@
         self.refused.insert(instance.to_owned());
     }
 
+    /// Records that the rate limit of `instance` leaves no slot in time. If the request was to wait there, it waits
+    /// at another engine instead: it was refused at once and has lost no position in a queue.
+    pub fn record_limited(&mut self, instance: &str) {
+        self.record_refusal(instance);
+        let was_to_wait = self.asks > IMMEDIATE_ASKS;
+        if was_to_wait && self.limited.len() < MAX_LIMITED {
+            self.limited.insert(instance.to_owned());
+            self.asks = IMMEDIATE_ASKS;
+        }
+    }
+
     /// Excludes `instance`, which can't serve the request or has already received it.
     pub fn exclude(&mut self, instance: &str) {
         self.excluded.insert(instance.to_owned());
     }
 
-    /// Whether `instance` was excluded.
+    /// Whether `instance` was excluded, or has no slot in time for this search.
     #[must_use]
     pub fn is_excluded(&self, instance: &str) -> bool {
-        self.excluded.contains(instance)
+        self.excluded.contains(instance) || self.limited.contains(instance)
     }
 
     /// Excluded engines.
@@ -79,5 +96,6 @@
     pub fn restart(&mut self) {
         self.asks = 0;
         self.refused.clear();
+        self.limited.clear();
     }
 }
