Gateway: a plain attempt is abandoned only if another upstream has a slot

Cause: a safe request that had taken half its objective was abandoned if any other upstream was listed. Where that one's rate limit left no slot, the request was answered 502 although its upstream was only slow. Change: the slot for the next attempt is reserved first; without one, the request goes on waiting.

--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -37,6 +37,8 @@
 #[derive(Default)]
 struct Progress {
     sends: u32,
+    /// Upstream that accepts the next attempt.
+    next: Option<Upstream>,
     /// Reserved for the next attempt, if it is a repeat.
     repeat: Option<RepeatReservation>,
     /// Whether the limit of repeats allowed no other attempt.
@@ -56,7 +58,11 @@
         if let Err(refusal) = job.acquire_permit().await {
             return job.refuse(progress.may_have_run, refusal);
         }
-        let upstream = match admit(&job).await {
+        let admitted = match progress.next.take() {
+            Some(upstream) => Ok(Some(upstream)),
+            None => admit(&job).await,
+        };
+        let upstream = match admitted {
             Ok(Some(upstream)) => upstream,
             Ok(None) => return final_refusal(&job, &progress, "no_upstream"),
             Err(wait) => return refuse_limited(&job, &progress, wait),
@@ -70,8 +76,8 @@
         if let Some(repeat) = &progress.repeat {
             repeat.spend();
         }
-        let result = attempt(&job, &upstream, progress.sends).await;
         job.tried_instances.push(upstream.instance.clone());
+        let result = attempt(&job, &upstream, &mut progress).await;
         let next = match result {
             AttemptResult::Oversized(response, prefix) => {
                 return forward(response, prefix, job.trace, in_flight);
@@ -112,19 +118,39 @@
     NotRun,
 }
 
-async fn attempt(job: &Job, upstream: &Upstream, sends: u32) -> AttemptResult {
-    let timeout = attempt_timeout(job, sends);
-    let within = job
-        .shared
-        .timer
-        .within(timeout, exchange(job, upstream, timeout));
-    within.await.unwrap_or_else(|_| AttemptResult::Failed {
+/// Sends the request to `upstream`. Once it has taken longer than the attempt timeout, it is abandoned as soon as
+/// another upstream has a slot, which is reserved for the next attempt: an attempt that could not be repeated in
+/// time would otherwise be abandoned for an unknown outcome.
+async fn attempt(job: &Job, upstream: &Upstream, progress: &mut Progress) -> AttemptResult {
+    let timer = &job.shared.timer;
+    let left = job.time_left_duration();
+    let timeout = attempt_timeout(job, progress.sends);
+    let mut exchange = Box::pin(exchange(job, upstream, left));
+    let mut result = timer.within(timeout, &mut exchange).await;
+    while result.is_err() && timeout < left && job.time_left() > Millis(0) {
+        if let Some((next, wait)) = reserve_next(job) {
+            progress.next = Some(next);
+            let wait = Duration::from_millis(wait.0);
+            result = timer.within(wait, &mut exchange).await;
+            break;
+        }
+        let rest = timeout.min(job.time_left_duration());
+        result = timer.within(rest, &mut exchange).await;
+    }
+    result.unwrap_or_else(|_| AttemptResult::Failed {
         cause: Some(RepeatCause::Lost),
         step: "await answer",
-        error: format!("response incomplete after {timeout:?}"),
+        error: format!("no complete response within {timeout:?}"),
     })
 }
 
+/// Reserves a slot at another upstream, if one has one in time, and returns the wait for it.
+fn reserve_next(job: &Job) -> Option<(Upstream, Millis)> {
+    let (_, wait) = choose_upstream(job)?;
+    let has_slot = wait <= slot_patience(job);
+    has_slot.then(|| reserve(job).ok().flatten()).flatten()
+}
+
 async fn exchange(job: &Job, upstream: &Upstream, timeout: Duration) -> AttemptResult {
     let failed = |cause, step, error| AttemptResult::Failed { cause, step, error };
     match job.send(upstream, None, timeout).await {
@@ -151,7 +177,7 @@
 fn attempt_timeout(job: &Job, sends: u32) -> Duration {
     let left = job.time_left();
     let may_retry = job.route.retry == RetryMode::Whole && sends < job.route.max_attempts;
-    let has_others = job.candidates().len() > 1;
+    let has_others = !job.candidates().is_empty();
     if !may_retry || !has_others {
         return Duration::from_millis(left.0);
     }
@@ -163,27 +189,41 @@
         .min(Duration::from_millis(left.0))
 }
 
-/// Selects an upstream, waits for a slot under its rate limit if necessary, and returns the upstream. Fails
-/// with the time until its next slot if that exceeds the rest of the objective.
+/// Selects an upstream, and waits for a slot under its rate limit if necessary. Fails with the time until its
+/// next slot if that exceeds the rest of the objective.
 async fn admit(job: &Job) -> Result<Option<Upstream>, Millis> {
+    let Some((upstream, wait)) = reserve(job)? else {
+        return Ok(None);
+    };
+    if wait > Millis(0) {
+        let wait = Duration::from_millis(wait.0);
+        job.shared.timer.sleep(wait).await;
+    }
+    Ok(Some(upstream))
+}
+
+/// Selects an upstream, reserves a slot under its rate limit, and returns both the upstream and the wait.
+fn reserve(job: &Job) -> Result<Option<(Upstream, Millis)>, Millis> {
     let Some((upstream, wait)) = choose_upstream(job) else {
         return Ok(None);
     };
-    let due = Millis(job.route.objective_ms).since(job.trace.age());
-    let max_wait = if wait > Millis(0) { due } else { Millis(0) };
+    let max_wait = if wait > Millis(0) {
+        slot_patience(job)
+    } else {
+        Millis(0)
+    };
     match job.shared.reserve(&upstream, max_wait) {
-        Admission::Unlimited => Ok(Some(upstream)),
-        Admission::Reserved(slot) => {
-            job.shared
-                .timer
-                .sleep(Duration::from_millis(slot.wait.0))
-                .await;
-            Ok(Some(upstream))
-        }
+        Admission::Unlimited => Ok(Some((upstream, Millis(0)))),
+        Admission::Reserved(slot) => Ok(Some((upstream, slot.wait))),
         Admission::Refused(wait) => Err(wait),
     }
 }
 
+/// Time for which a request may wait for a slot: the rest of its objective.
+fn slot_patience(job: &Job) -> Millis {
+    Millis(job.route.objective_ms).since(job.trace.age())
+}
+
 /// Upstream with the shortest wait under its rate limit, and that wait. Among equal waits, the upstream with
 /// the lowest expected response time is chosen.
 fn choose_upstream(job: &Job) -> Option<(Upstream, Millis)> {
@@ -289,12 +329,7 @@
 fn final_refusal(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
     job.release_permit();
     if progress.may_have_run {
-        let status = if job.time_left().0 < MIN_TIME_LEFT_MS {
-            504
-        } else {
-            502
-        };
-        return outcome_unknown(&job.trace, status, reason);
+        return outcome_unknown(&job.trace, job.unknown_status(), reason);
     }
     if let Some(backoff) = job.min_backoff() {
         return Refusal::resting(backoff).reply(&job.trace);
