Gateway: an agent grants the slots of plain upstreams' limits

Cause: each gateway kept rate / gateways of a plain upstream's limit, whatever its callers asked for. Change: gateways that know of such a limit lend their shares to one agent and ask it for each slot; without an agent that answers each uses its own share. AllowanceCall.is_limit is left out of calls for accounts. E7138 and E7139 tell who grants, limited_requests_total has an outcome granted. Not covered: a gateway that has had no answer from the limited upstream doesn't lend its share.

--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -116,7 +116,12 @@
             self.shared.wanted_age.set(Millis(call.max_age_ms));
             self.shared.read_wanted.notify();
         }
-        let mut pool = self.shared.allowances.borrow_mut();
+        let pool = if call.is_limit {
+            &self.shared.limit_pool
+        } else {
+            &self.shared.allowances
+        };
+        let mut pool = pool.borrow_mut();
         pool.attach(call.entry.as_str(), call.entries, now);
         let outcome = call.ask.as_ref().map(|ask| {
             match pool.request(&ask.account, terms(ask), ask.units, now) {
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -48,6 +48,8 @@
     pub(crate) wanted_age: Cell<Millis>,
     /// Allowances of client accounts, if gateways use this agent as their pool.
     pub(crate) allowances: RefCell<AllowancePool>,
+    /// Slots of plain upstreams' limits, if gateways use this agent as their pool.
+    pub(crate) limit_pool: RefCell<AllowancePool>,
     /// Copies of where streams began.
     pub(crate) origins: RefCell<OriginTable>,
     /// Senders to the tasks that wait for a turn.
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -170,6 +170,7 @@
         read_wanted: Notify::new(),
         wanted_age: Cell::default(),
         allowances: RefCell::default(),
+        limit_pool: RefCell::default(),
         origins: RefCell::default(),
         waiters: RefCell::new(BTreeMap::new()),
         instance: RefCell::default(),
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -17,13 +17,13 @@
 use crate::shared::Shared;
 
 /// Path of the exchange.
-const ALLOWANCE_PATH: &str = "/peer/v1/allowance";
+pub(crate) const ALLOWANCE_PATH: &str = "/peer/v1/allowance";
 
 /// Interval between calls that keep this gateway attached to the pool.
-const ATTACH_INTERVAL: Millis = Millis(300);
+pub(crate) const ATTACH_INTERVAL: Millis = Millis(300);
 
 /// Interval between checks whether such a call is due.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+pub(crate) const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Timeout of a call. A healthy agent responds within a few milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(150);
@@ -155,7 +155,7 @@
 }
 
 /// Addresses of the agents beside the listed engines.
-fn sides(shared: &Shared) -> Vec<SocketAddr> {
+pub(crate) fn sides(shared: &Shared) -> Vec<SocketAddr> {
     let catalog = shared.catalog.borrow();
     let side = |ip| SocketAddr::new(ip, shared.agent_port);
     engines(&catalog).map(|u| side(u.address.ip())).collect()
@@ -176,6 +176,7 @@
         entries: allowances.gateways.borrow().get(sent_at),
         max_age_ms: shared.max_told_age.0,
         ask,
+        is_limit: false,
     };
     let peer = side.to_string();
     let client = &shared.agent_client;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod candidates;
 mod exceeded;
 mod headers;
+mod limit_pool;
 mod meters;
 mod origins;
 mod readiness;
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use pumicecleat_catalog::{RetryMode, Upstream};
 use pumicecleat_net::Reply;
 use pumicecleat_policy::Admission;
@@ -11,6 +12,7 @@
 use super::job::Job;
 use super::refuse::{LIMITED, REPEAT_BOUND, Refusal, outcome_unknown};
 use super::send::{AttemptOutcome, MIN_TIME_LEFT_MS};
+use crate::limit_pool::{self, PoolAnswer};
 use crate::repeats::{RepeatCause, RepeatReservation};
 
 /// Part of the objective after which a retryable request is sent to another upstream, so that the retry can
@@ -27,6 +29,9 @@
 /// all upstreams of a service refuse connections.
 const MAX_SENDS: u32 = 8;
 
+/// Maximum number of upstreams that a request asks for a slot, including those that it asks again.
+const MAX_SLOT_ASKS: u32 = 16;
+
 /// Next step after an attempt.
 enum Next {
     Reply(Reply),
@@ -126,29 +131,31 @@
     let left = job.time_left_duration();
     let timeout = attempt_timeout(job, progress.sends);
     let mut exchange = Box::pin(exchange(job, upstream, left));
-    let mut result = timer.within(timeout, &mut exchange).await;
-    while result.is_err() && timeout < left && job.time_left() > Millis(0) {
-        if let Some((next, wait)) = reserve_next(job) {
+    loop {
+        let within = timeout.min(job.time_left_duration());
+        if let Ok(result) = timer.within(within, &mut exchange).await {
+            return result;
+        }
+        if timeout >= left || job.time_left() == Millis(0) {
+            break;
+        }
+        let admitted = match select(exchange, Box::pin(admit(job))).await {
+            Either::Left((result, _)) => return result,
+            Either::Right((admitted, pending)) => {
+                exchange = pending;
+                admitted
+            }
+        };
+        if let Ok(Some(next)) = admitted {
             progress.next = Some(next);
-            let wait = Duration::from_millis(wait.0);
-            result = timer.within(wait, &mut exchange).await;
             break;
         }
-        let rest = timeout.min(job.time_left_duration());
-        result = timer.within(rest, &mut exchange).await;
     }
-    result.unwrap_or_else(|_| AttemptResult::Failed {
+    AttemptResult::Failed {
         cause: Some(RepeatCause::Lost),
         step: "await answer",
         error: format!("no complete response within {timeout:?}"),
-    })
-}
-
-/// Reserves a slot at another upstream, if one has one in time, and returns the wait for it.
-fn reserve_next(job: &Job) -> Option<(Upstream, Millis)> {
-    let (_, wait) = choose_upstream(job)?;
-    let has_slot = wait <= slot_patience(job);
-    has_slot.then(|| reserve(job).ok().flatten()).flatten()
+    }
 }
 
 async fn exchange(job: &Job, upstream: &Upstream, timeout: Duration) -> AttemptResult {
@@ -192,29 +199,59 @@
 /// Selects an upstream, and waits for a slot under its rate limit if necessary. Fails with the time until its
 /// next slot if that exceeds the rest of the objective.
 async fn admit(job: &Job) -> Result<Option<Upstream>, Millis> {
-    let Some((upstream, wait)) = reserve(job)? else {
-        return Ok(None);
-    };
+    let mut next_slot = Millis(0);
+    for _ in 0..MAX_SLOT_ASKS {
+        let Some((upstream, wait)) = choose_upstream(job) else {
+            return Ok(None);
+        };
+        if wait > slot_patience(job) {
+            return Err(wait);
+        }
+        match ask_slot(job, &upstream).await {
+            PoolAnswer::Granted => return Ok(Some(upstream)),
+            PoolAnswer::Refused(wait) => next_slot = wait,
+            PoolAnswer::OwnShare => {
+                let wait = reserve_own(job, &upstream)?;
+                sleep(job, wait).await;
+                return Ok(Some(upstream));
+            }
+        }
+    }
+    Err(next_slot)
+}
+
+/// Waits behind the requests that wait for a slot of `upstream`, and asks for one. A request that has waited goes on
+/// asking while it can be in time.
+async fn ask_slot(job: &Job, upstream: &Upstream) -> PoolAnswer {
+    let wait = limit_pool::enter(&job.shared, upstream);
+    sleep(job, wait).await;
+    loop {
+        let answer = limit_pool::request(&job.shared, upstream).await;
+        match answer {
+            PoolAnswer::Refused(more) if wait > Millis(0) && more <= slot_patience(job) => {
+                sleep(job, more).await;
+            }
+            _ => return answer,
+        }
+    }
+}
+
+async fn sleep(job: &Job, wait: Millis) {
     if wait > Millis(0) {
         let wait = Duration::from_millis(wait.0);
         job.shared.timer.sleep(wait).await;
     }
-    Ok(Some(upstream))
 }
 
-/// Selects an upstream, reserves a slot under its rate limit, and returns both the upstream and the wait.
-fn reserve(job: &Job) -> Result<Option<(Upstream, Millis)>, Millis> {
-    let Some((upstream, wait)) = choose_upstream(job) else {
-        return Ok(None);
-    };
-    let max_wait = if wait > Millis(0) {
-        slot_patience(job)
-    } else {
-        Millis(0)
-    };
-    match job.shared.reserve(&upstream, max_wait) {
-        Admission::Unlimited => Ok(Some((upstream, Millis(0)))),
-        Admission::Reserved(slot) => Ok(Some((upstream, slot.wait))),
+/// Reserves a slot in this gateway's own share of the rate limit of `upstream`, and returns the wait for it.
+fn reserve_own(job: &Job, upstream: &Upstream) -> Result<Millis, Millis> {
+    let wait = job.shared.limit_wait(upstream);
+    if wait > slot_patience(job) {
+        return Err(wait);
+    }
+    match job.shared.reserve(upstream, wait) {
+        Admission::Unlimited => Ok(Millis(0)),
+        Admission::Reserved(slot) => Ok(slot.wait),
         Admission::Refused(wait) => Err(wait),
     }
 }
@@ -235,7 +272,7 @@
         })
     };
     let candidates = job.candidates().into_iter();
-    let costed = candidates.map(|u| (job.shared.limit_wait(&u), cost(&u), u));
+    let costed = candidates.map(|u| (limit_pool::wait(&job.shared, &u), cost(&u), u));
     let shortest = costed.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
     shortest.map(|(wait, _, upstream)| (upstream, wait))
 }
@@ -318,6 +355,7 @@
 /// Final response if the rate limits of all upstreams delay the request too long; `wait` is the time until
 /// the next slot.
 fn refuse_limited(job: &Job, progress: &Progress, wait: Millis) -> Reply {
+    job.shared.meters.count_limited(&job.service, "refused");
     if progress.may_have_run {
         return final_refusal(job, progress, LIMITED);
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,6 +15,7 @@
 
 use crate::allowance::Allowances;
 use crate::exceeded::ExceededAccounts;
+use crate::limit_pool::LimitPool;
 use crate::meters::Meters;
 use crate::origins::Origins;
 use crate::repeats::Repeats;
@@ -74,6 +75,8 @@
     pub(crate) limits: RefCell<RateLimits>,
     /// Use of client accounts' allowances.
     pub(crate) allowances: Allowances,
+    /// Slots of plain upstreams' rate limits.
+    pub(crate) limit_pool: LimitPool,
     /// Accounts that exceed their allowances.
     pub(crate) exceeded: ExceededAccounts,
     /// Software versions that resumable streams may have begun at.
@@ -176,10 +179,15 @@
     }
 
     /// Number of gateways that share the rate limit of an upstream equally.
-    fn limit_sharers(&self) -> u32 {
+    pub(crate) fn limit_sharers(&self) -> u32 {
         self.gateway_count.borrow().sharers()
     }
 
+    /// Rate limit of `upstream`, in requests per 1,000 seconds, if it has one.
+    pub(crate) fn rate_limit(&self, upstream: &Upstream) -> Option<u64> {
+        self.limits.borrow().rate(&upstream.instance, upstream.born)
+    }
+
     /// Time until this gateway's next free slot under the rate limit of `upstream`.
     pub(crate) fn limit_wait(&self, upstream: &Upstream) -> Millis {
         let now = self.timer.now();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -20,6 +20,7 @@
 
 use crate::allowance::{self, Allowances};
 use crate::exceeded::ExceededAccounts;
+use crate::limit_pool::{self, LimitPool};
 use crate::meters::Meters;
 use crate::origins::Origins;
 use crate::readiness::ReadinessHandler;
@@ -224,6 +225,7 @@
         self_reports: RefCell::default(),
         limits: RefCell::new(RateLimits::new_ext(rand::random())),
         exceeded: ExceededAccounts::default(),
+        limit_pool: LimitPool::default(),
         allowances: Allowances::new(allowance::tolerance(settings)),
         software: SoftwareRegister::new(&parts.store),
         origins: Origins::default(),
@@ -296,6 +298,7 @@
     monoio::spawn(keep_register(Rc::clone(shared)));
     monoio::spawn(watch_stops(Rc::clone(shared)));
     monoio::spawn(allowance::stay_attached(Rc::clone(shared)));
+    monoio::spawn(limit_pool::stay_attached(Rc::clone(shared)));
     monoio::spawn(watch_list_age(context.clone(), settings.leave_span.0));
     monoio::spawn(expire_lapsed(context));
 }
--- a/crates/ops/src/log/events/deployment.rs
+++ b/crates/ops/src/log/events/deployment.rs
@@ -114,6 +114,10 @@
     ORIGIN_FOUND = "E7132" "origin_found" Info ["request", "origin", "source", "age_ms", "software"];
     /// A software version of a service is registered, so that resumable streams may begin at it.
     SOFTWARE_REGISTERED = "E7133" "software_registered" Info ["service", "software"];
+    /// Another agent grants slots of plain upstreams' limits to this gateway.
+    LIMIT_POOL_CHOSEN = "E7138" "limit_pool_chosen" Info ["pool", "gateways"];
+    /// The agent that grants slots of plain upstreams' limits did not answer.
+    LIMIT_POOL_LOST = "E7139" "limit_pool_lost" Warn ["pool", "error"];
 
     /// The engine does not respond to its side.
     OWN_ENGINE_LOST = "E7201" "own_engine_lost" Warn ["address", "error"];
--- a/crates/policy/src/limits/rate_limits.rs
+++ b/crates/policy/src/limits/rate_limits.rs
@@ -237,6 +237,12 @@
         has_capacity && self.unreadable.insert(instance.to_owned())
     }
 
+    /// Whether no upstream has a limit.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty()
+    }
+
     /// Limit of `instance`, started at `born`, in requests per 1,000 seconds.
     #[must_use]
     pub fn rate(&self, instance: &str, born: Option<u64>) -> Option<u64> {
--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -520,14 +520,14 @@
                 }
             }
             for n in 0..self.senders.len() {
-                if (now + n as u64 * 7) % ATTACH_MS == 0 {
+                if (now + n as u64 * 7).is_multiple_of(ATTACH_MS) {
                     self.attach(n, now);
                 }
                 let waiting = self.senders[n].waiting.remove(&now);
                 for due in waiting.into_iter().flatten() {
                     self.request(n, due, true, now);
                 }
-                if n < demanding && (now + n as u64) % DEMAND_MS == 0 {
+                if n < demanding && (now + n as u64).is_multiple_of(DEMAND_MS) {
                     self.request(n, Millis(now) + OBJECTIVE, false, now);
                 }
             }
--- a/crates/types/src/message/allowance.rs
+++ b/crates/types/src/message/allowance.rs
@@ -17,12 +17,21 @@
     pub max_age_ms: u64,
     /// Request for units, if any.
     pub ask: Option<AllowanceAsk>,
+    /// Whether the entry lends its shares of upstreams' limits, and asks for slots of an upstream, in place of those
+    /// of accounts.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_limit: bool,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_false(flag: &bool) -> bool {
+    !*flag
 }
 
 /// Request for units of an account's allowance.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct AllowanceAsk {
-    /// Name of the account.
+    /// Name of the account, or of the upstream's instance.
     pub account: String,
     /// Number of the configuration that the limit is from.
     pub number: u64,
