--- a/crates/policy/tests/limits.rs
+++ b/crates/policy/tests/limits.rs
@@ -293,6 +293,10 @@
     Cut(&'static [usize], u64),
     /// The first pool is lost for a while.
     PoolLost(u64),
+    /// The first pool stands still for a while, and goes on with what it knew.
+    PoolFrozen(u64),
+    /// Every second gateway stands still for a while.
+    GatewaysFrozen(u64),
     /// Every second gateway reaches only the second pool for a while.
     Divided(u64),
     /// All processes start anew.
@@ -306,7 +310,7 @@
     is_whole: bool,
 }
 
-const CROWDS: [Crowd; 8] = [
+const CROWDS: [Crowd; 10] = [
     Crowd {
         name: "all reach one pool",
         events: &[],
@@ -326,6 +330,22 @@
         ],
         is_whole: true,
     },
+    Crowd {
+        name: "the pool stands still",
+        events: &[
+            (8_000, Event::PoolFrozen(3_000)),
+            (14_000, Event::PoolFrozen(500)),
+        ],
+        is_whole: true,
+    },
+    Crowd {
+        name: "gateways stand still",
+        events: &[
+            (8_000, Event::GatewaysFrozen(3_000)),
+            (14_000, Event::GatewaysFrozen(500)),
+        ],
+        is_whole: true,
+    },
     Crowd {
         name: "the crowd's gateway is cut off",
         events: &[(8_000, Event::Cut(&[0], 20_000))],
@@ -364,6 +384,7 @@
     /// Gateways that pools have told of.
     told: u32,
     cut_until: u64,
+    frozen_until: u64,
     /// Times at which waiting requests ask, and until when they wait.
     waiting: BTreeMap<u64, Vec<Millis>>,
 }
@@ -378,6 +399,7 @@
             queue: SlotQueue::default(),
             told: 0,
             cut_until: 0,
+            frozen_until: 0,
             waiting: BTreeMap::new(),
         }
     }
@@ -432,6 +454,12 @@
                 self.lost_until = now + span;
                 self.pools[0] = AllowancePool::default();
             }
+            Event::PoolFrozen(span) => self.lost_until = now + span,
+            Event::GatewaysFrozen(span) => {
+                for sender in self.senders.iter_mut().step_by(2) {
+                    sender.frozen_until = now + span;
+                }
+            }
             Event::Divided(span) => self.divided_until = now + span,
             Event::AllStart => {
                 self.pools = Default::default();
@@ -520,11 +548,15 @@
                 }
             }
             for n in 0..self.senders.len() {
+                if now < self.senders[n].frozen_until {
+                    continue;
+                }
                 if (now + n as u64 * 7).is_multiple_of(ATTACH_MS) {
                     self.attach(n, now);
                 }
-                let waiting = self.senders[n].waiting.remove(&now);
-                for due in waiting.into_iter().flatten() {
+                let later = self.senders[n].waiting.split_off(&(now + 1));
+                let waiting = std::mem::replace(&mut self.senders[n].waiting, later);
+                for due in waiting.into_values().flatten() {
                     self.request(n, due, true, now);
                 }
                 if n < demanding && (now + n as u64).is_multiple_of(DEMAND_MS) {
