--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures_util::future::{Either, select};
 use pumicecleat_catalog::{RetryMode, Upstream};
 use pumicecleat_net::Reply;
 use pumicecleat_policy::Admission;
@@ -11,6 +12,7 @@
 use super::job::Job;
 use super::refuse::{LIMITED, REPEAT_BOUND, Refusal, outcome_unknown};
 use super::send::{AttemptOutcome, MIN_TIME_LEFT_MS};
+use crate::limit_pool::{self, PoolAnswer};
 use crate::repeats::{RepeatCause, RepeatReservation};
 
 /// Part of the objective after which a retryable request is sent to another upstream, so that the retry can
@@ -27,6 +29,9 @@
 /// all upstreams of a service refuse connections.
 const MAX_SENDS: u32 = 8;
 
+/// Maximum number of upstreams that a request asks for a slot, including those that it asks again.
+const MAX_SLOT_ASKS: u32 = 16;
+
 /// Next step after an attempt.
 enum Next {
     Reply(Reply),
@@ -37,6 +42,8 @@
 #[derive(Default)]
 struct Progress {
     sends: u32,
+    /// Upstream that accepts the next attempt.
+    next: Option<Upstream>,
     /// Reserved for the next attempt, if it is a repeat.
     repeat: Option<RepeatReservation>,
     /// Whether the limit of repeats allowed no other attempt.
@@ -56,7 +63,11 @@
         if let Err(refusal) = job.acquire_permit().await {
             return job.refuse(progress.may_have_run, refusal);
         }
-        let upstream = match admit(&job).await {
+        let admitted = match progress.next.take() {
+            Some(upstream) => Ok(Some(upstream)),
+            None => admit(&job).await,
+        };
+        let upstream = match admitted {
             Ok(Some(upstream)) => upstream,
             Ok(None) => return final_refusal(&job, &progress, "no_upstream"),
             Err(wait) => return refuse_limited(&job, &progress, wait),
@@ -70,8 +81,8 @@
         if let Some(repeat) = &progress.repeat {
             repeat.spend();
         }
-        let result = attempt(&job, &upstream, progress.sends).await;
         job.tried_instances.push(upstream.instance.clone());
+        let result = attempt(&job, &upstream, &mut progress).await;
         let next = match result {
             AttemptResult::Oversized(response, prefix) => {
                 return forward(response, prefix, job.trace, in_flight);
@@ -112,17 +123,39 @@
     NotRun,
 }
 
-async fn attempt(job: &Job, upstream: &Upstream, sends: u32) -> AttemptResult {
-    let timeout = attempt_timeout(job, sends);
-    let within = job
-        .shared
-        .timer
-        .within(timeout, exchange(job, upstream, timeout));
-    within.await.unwrap_or_else(|_| AttemptResult::Failed {
+/// Sends the request to `upstream`. Once it has taken longer than the attempt timeout, it is abandoned as soon as
+/// another upstream has a slot, which is reserved for the next attempt: an attempt that could not be repeated in
+/// time would otherwise be abandoned for an unknown outcome.
+async fn attempt(job: &Job, upstream: &Upstream, progress: &mut Progress) -> AttemptResult {
+    let timer = &job.shared.timer;
+    let left = job.time_left_duration();
+    let timeout = attempt_timeout(job, progress.sends);
+    let mut exchange = Box::pin(exchange(job, upstream, left));
+    loop {
+        let within = timeout.min(job.time_left_duration());
+        if let Ok(result) = timer.within(within, &mut exchange).await {
+            return result;
+        }
+        if timeout >= left || job.time_left() == Millis(0) {
+            break;
+        }
+        let admitted = match select(exchange, Box::pin(admit(job))).await {
+            Either::Left((result, _)) => return result,
+            Either::Right((admitted, pending)) => {
+                exchange = pending;
+                admitted
+            }
+        };
+        if let Ok(Some(next)) = admitted {
+            progress.next = Some(next);
+            break;
+        }
+    }
+    AttemptResult::Failed {
         cause: Some(RepeatCause::Lost),
         step: "await answer",
-        error: format!("response incomplete after {timeout:?}"),
-    })
+        error: format!("no complete response within {timeout:?}"),
+    }
 }
 
 async fn exchange(job: &Job, upstream: &Upstream, timeout: Duration) -> AttemptResult {
@@ -151,7 +184,7 @@
 fn attempt_timeout(job: &Job, sends: u32) -> Duration {
     let left = job.time_left();
     let may_retry = job.route.retry == RetryMode::Whole && sends < job.route.max_attempts;
-    let has_others = job.candidates().len() > 1;
+    let has_others = !job.candidates().is_empty();
     if !may_retry || !has_others {
         return Duration::from_millis(left.0);
     }
@@ -163,27 +196,71 @@
         .min(Duration::from_millis(left.0))
 }
 
-/// Selects an upstream, waits for a slot under its rate limit if necessary, and returns the upstream. Fails
-/// with the time until its next slot if that exceeds the rest of the objective.
+/// Selects an upstream, and waits for a slot under its rate limit if necessary. Fails with the time until its
+/// next slot if that exceeds the rest of the objective.
 async fn admit(job: &Job) -> Result<Option<Upstream>, Millis> {
-    let Some((upstream, wait)) = choose_upstream(job) else {
-        return Ok(None);
-    };
-    let due = Millis(job.route.objective_ms).since(job.trace.age());
-    let max_wait = if wait > Millis(0) { due } else { Millis(0) };
-    match job.shared.reserve(&upstream, max_wait) {
-        Admission::Unlimited => Ok(Some(upstream)),
-        Admission::Reserved(slot) => {
-            job.shared
-                .timer
-                .sleep(Duration::from_millis(slot.wait.0))
-                .await;
-            Ok(Some(upstream))
+    let mut next_slot = Millis(0);
+    for _ in 0..MAX_SLOT_ASKS {
+        let Some((upstream, wait)) = choose_upstream(job) else {
+            return Ok(None);
+        };
+        if wait > slot_patience(job) {
+            return Err(wait);
+        }
+        match ask_slot(job, &upstream).await {
+            PoolAnswer::Granted => return Ok(Some(upstream)),
+            PoolAnswer::Refused(wait) => next_slot = wait,
+            PoolAnswer::OwnShare => {
+                let wait = reserve_own(job, &upstream)?;
+                sleep(job, wait).await;
+                return Ok(Some(upstream));
+            }
+        }
+    }
+    Err(next_slot)
+}
+
+/// Waits behind the requests that wait for a slot of `upstream`, and asks for one. A request that has waited goes on
+/// asking while it can be in time.
+async fn ask_slot(job: &Job, upstream: &Upstream) -> PoolAnswer {
+    let wait = limit_pool::enter(&job.shared, upstream);
+    sleep(job, wait).await;
+    loop {
+        let answer = limit_pool::request(&job.shared, upstream).await;
+        match answer {
+            PoolAnswer::Refused(more) if wait > Millis(0) && more <= slot_patience(job) => {
+                sleep(job, more).await;
+            }
+            _ => return answer,
         }
+    }
+}
+
+async fn sleep(job: &Job, wait: Millis) {
+    if wait > Millis(0) {
+        let wait = Duration::from_millis(wait.0);
+        job.shared.timer.sleep(wait).await;
+    }
+}
+
+/// Reserves a slot in this gateway's own share of the rate limit of `upstream`, and returns the wait for it.
+fn reserve_own(job: &Job, upstream: &Upstream) -> Result<Millis, Millis> {
+    let wait = job.shared.limit_wait(upstream);
+    if wait > slot_patience(job) {
+        return Err(wait);
+    }
+    match job.shared.reserve(upstream, wait) {
+        Admission::Unlimited => Ok(Millis(0)),
+        Admission::Reserved(slot) => Ok(slot.wait),
         Admission::Refused(wait) => Err(wait),
     }
 }
 
+/// Time for which a request may wait for a slot: the rest of its objective.
+fn slot_patience(job: &Job) -> Millis {
+    Millis(job.route.objective_ms).since(job.trace.age())
+}
+
 /// Upstream with the shortest wait under its rate limit, and that wait. Among equal waits, the upstream with
 /// the lowest expected response time is chosen.
 fn choose_upstream(job: &Job) -> Option<(Upstream, Millis)> {
@@ -195,7 +272,7 @@
         })
     };
     let candidates = job.candidates().into_iter();
-    let costed = candidates.map(|u| (job.shared.limit_wait(&u), cost(&u), u));
+    let costed = candidates.map(|u| (limit_pool::wait(&job.shared, &u), cost(&u), u));
     let shortest = costed.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
     shortest.map(|(wait, _, upstream)| (upstream, wait))
 }
@@ -278,6 +355,7 @@
 /// Final response if the rate limits of all upstreams delay the request too long; `wait` is the time until
 /// the next slot.
 fn refuse_limited(job: &Job, progress: &Progress, wait: Millis) -> Reply {
+    job.shared.meters.count_limited(&job.service, "refused");
     if progress.may_have_run {
         return final_refusal(job, progress, LIMITED);
     }
@@ -289,12 +367,7 @@
 fn final_refusal(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
     job.release_permit();
     if progress.may_have_run {
-        let status = if job.time_left().0 < MIN_TIME_LEFT_MS {
-            504
-        } else {
-            502
-        };
-        return outcome_unknown(&job.trace, status, reason);
+        return outcome_unknown(&job.trace, job.unknown_status(), reason);
     }
     if let Some(backoff) = job.min_backoff() {
         return Refusal::resting(backoff).reply(&job.trace);
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -20,6 +20,7 @@
 
 use crate::allowance::{self, Allowances};
 use crate::exceeded::ExceededAccounts;
+use crate::limit_pool::{self, LimitPool};
 use crate::meters::Meters;
 use crate::origins::Origins;
 use crate::readiness::ReadinessHandler;
@@ -225,6 +226,7 @@
         limits: RefCell::new(RateLimits::new_ext(rand::random())),
         exceeded: ExceededAccounts::default(),
         account_shares: settings.account_shares,
+        limit_pool: LimitPool::default(),
         allowances: Allowances::new(allowance::tolerance(settings)),
         software: SoftwareRegister::new(&parts.store),
         origins: Origins::default(),
@@ -297,6 +299,7 @@
     monoio::spawn(keep_register(Rc::clone(shared)));
     monoio::spawn(watch_stops(Rc::clone(shared)));
     monoio::spawn(allowance::stay_attached(Rc::clone(shared)));
+    monoio::spawn(limit_pool::stay_attached(Rc::clone(shared)));
     monoio::spawn(watch_list_age(context.clone(), settings.leave_span.0));
     monoio::spawn(expire_lapsed(context));
 }
--- a/crates/policy/src/limits/rate_limits.rs
+++ b/crates/policy/src/limits/rate_limits.rs
@@ -216,6 +216,14 @@
         reserved.map_or_else(Admission::Refused, Admission::Reserved)
     }
 
+    /// Records that this process lends its share of the limit of `instance` at `now`. Its next slot is that of a new
+    /// limit, so that processes which stop lending at the same time don't all use a slot at once.
+    pub fn note_lent(&mut self, instance: &str, now: Millis) {
+        if let Some(limit) = self.limits.get_mut(instance) {
+            limit.pacer.restart(now);
+        }
+    }
+
     /// Frees a slot that was not used, unless a later one has been reserved.
     pub fn give_back(&mut self, instance: &str, slot: Slot) {
         if let Some(limit) = self.limits.get_mut(instance) {
@@ -229,6 +237,12 @@
         has_capacity && self.unreadable.insert(instance.to_owned())
     }
 
+    /// Whether no upstream has a limit.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.limits.is_empty()
+    }
+
     /// Limit of `instance`, started at `born`, in requests per 1,000 seconds.
     #[must_use]
     pub fn rate(&self, instance: &str, born: Option<u64>) -> Option<u64> {
