--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -31,6 +31,8 @@
         /// whether accounts share the engine fairly when not all requests can be in time; needs gateways that
         /// name them
         account_shares: bool = "false", "true or false";
+        /// whether callers over an allowance are told times that are spread over the units that become available
+        return_times: bool = "false", "true or false";
         /// lines logged in a second at most; warnings and errors may take as many again
         log_lines: u32 = "400", "lines/s";
     }
--- a/crates/agent/src/start.rs
+++ b/crates/agent/src/start.rs
@@ -11,7 +11,7 @@
 use pumicecleat_infra::KeyedLog;
 use pumicecleat_net::{Client, ClientOptions, Server, ServerOptions, Timer};
 use pumicecleat_ops::{Admin, Dump, ListenError, Log, Metrics, Readiness, Stop, events, listen};
-use pumicecleat_policy::{RateLimits, TurnOptions, TurnScheduler};
+use pumicecleat_policy::{AllowancePool, RateLimits, TurnOptions, TurnScheduler};
 
 use crate::accounts::CountedAccounts;
 use crate::confirm::confirm_for_gateways;
@@ -145,6 +145,14 @@
     }
 }
 
+fn allowance_pool(settings: &AgentSettings) -> AllowancePool {
+    if settings.return_times {
+        AllowancePool::with_return_times()
+    } else {
+        AllowancePool::default()
+    }
+}
+
 fn new_shared(
     settings: &AgentSettings,
     context: &AgentContext,
@@ -175,7 +183,7 @@
         confirmations: Rc::default(),
         read_wanted: Notify::new(),
         wanted_age: Cell::default(),
-        allowances: RefCell::default(),
+        allowances: RefCell::new(allowance_pool(settings)),
         limit_pool: RefCell::default(),
         origins: RefCell::default(),
         counted_accounts: CountedAccounts::default(),
--- a/crates/policy/src/limits/allowance.rs
+++ b/crates/policy/src/limits/allowance.rs
@@ -22,6 +22,8 @@
 
 use pumicecleat_types::Millis;
 
+use super::refusals::RefusalQueues;
+
 /// Time after its last call for which a gateway counts as attached. Gateways call every 300 ms.
 pub const ATTACHED_TTL: Millis = Millis(800);
 
@@ -72,6 +74,8 @@
     balances: BTreeMap<String, Balance>,
     /// Part of the tolerance that balances start with.
     start_part: f64,
+    /// Refused requests that have not returned, if the times told are spaced.
+    refusals: Option<RefusalQueues>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -107,6 +111,16 @@
             accrued_to: Millis(0),
             balances: BTreeMap::new(),
             start_part,
+            refusals: None,
+        }
+    }
+
+    /// Pool that spaces the times told to refused requests by the units refused before them.
+    #[must_use]
+    pub fn with_return_times() -> Self {
+        Self {
+            refusals: Some(RefusalQueues::default()),
+            ..Self::default()
         }
     }
 
@@ -151,7 +165,30 @@
         balance.accrue(accrued_s, share);
         balance.set_terms(terms, share);
         balance.used_at = now;
-        balance.request(units, share)
+        let (decision, rate) = (balance.request(units, share), balance.terms.rate * share);
+        self.space(account, units, decision, rate, now)
+    }
+
+    /// Spaces the time told by a refusal, if that is on. Balances don't depend on it.
+    fn space(
+        &mut self,
+        account: &str,
+        units: u64,
+        decision: AllowanceDecision,
+        rate: f64,
+        now: Millis,
+    ) -> AllowanceDecision {
+        let Some(refusals) = &mut self.refusals else {
+            return decision;
+        };
+        refusals.record_arrival(account, now);
+        match decision {
+            AllowanceDecision::Granted => decision,
+            AllowanceDecision::Refused(wait) => {
+                let told = refusals.refuse(account, to_f64(units), wait, rate, now);
+                AllowanceDecision::Refused(told)
+            }
+        }
     }
 
     /// Part of the rates that accrues here: that of the attached gateways.
@@ -238,7 +275,7 @@
     clippy::cast_sign_loss,
     reason = "float casts saturate"
 )]
-fn wait_for(units: f64, rate: f64) -> Millis {
+pub(super) fn wait_for(units: f64, rate: f64) -> Millis {
     if units <= 0.0 {
         return Millis(0);
     }
--- a/crates/policy/src/limits/mod.rs
+++ b/crates/policy/src/limits/mod.rs
@@ -11,6 +11,7 @@
 mod pace;
 mod pool_selector;
 mod rate_limits;
+mod refusals;
 mod slot_queue;
 
 pub use allowance::{
