--- a/crates/agent/src/handler.rs
+++ b/crates/agent/src/handler.rs
@@ -266,7 +266,6 @@
                 waits_for_slot: ask.waits_for_slot,
                 pause: Millis(ask.pause_ms),
                 account: ask.account,
-                fingerprint: ask.fingerprint,
             },
             asked_at,
         );
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -278,7 +278,6 @@
             trial: job.trial(),
             pause_ms: job.route.pause_ms,
             account: job.named_account(),
-            fingerprint: None,
         },
         needs_slot,
     )
--- a/crates/policy/src/prompt/turns/types.rs
+++ b/crates/policy/src/prompt/turns/types.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of turn scheduling.
 
-use pumicecleat_types::{Fingerprint, Millis, TurnRefusal};
+use pumicecleat_types::{Millis, TurnRefusal};
 
 use crate::prompt::places::EngineOrder;
 
@@ -34,8 +34,6 @@
     pub pause: Millis,
     /// Client account, if engines are shared fairly between accounts.
     pub account: Option<String>,
-    /// Identifies all attempts of the request, if refused callers are told when to retry.
-    pub fingerprint: Option<Fingerprint>,
 }
 
 /// Options of [`TurnScheduler`](super::TurnScheduler).
--- a/crates/types/src/message/turn.rs
+++ b/crates/types/src/message/turn.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{SuspectNews, Trial};
-use crate::{Fingerprint, Position, VmId};
+use crate::{Position, VmId};
 
 /// Call of an entry to a side: the progress of earlier requests, and optionally a request that asks for a
 /// turn.
@@ -66,9 +66,6 @@
     /// Client account, if engines are shared fairly between accounts.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub account: Option<String>,
-    /// Identifies all attempts of the request, if refused callers are told when to retry.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub fingerprint: Option<Fingerprint>,
 }
 
 #[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
--- a/crates/types/tests/turns.rs
+++ b/crates/types/tests/turns.rs
@@ -1,6 +1,6 @@
 //! Requests for turns, as earlier versions write and read them.
 
-use pumicecleat_types::{Fingerprint, Trial, TurnAsk, decode, encode};
+use pumicecleat_types::{Trial, TurnAsk, decode, encode};
 use serde::{Deserialize, Serialize};
 
 /// A request for a turn without the optional fields.
@@ -38,7 +38,6 @@
     let full = TurnAsk {
         pause_ms: 400,
         account: Some("school".to_owned()),
-        fingerprint: Some(Fingerprint([7; 16])),
         ..ask
     };
     assert_eq!(decode::<EarlierAsk>(&encode(&full)).unwrap(), earlier);
