Suspects: evidence against parts that come together blocks none of them alone

Cause: of several suspected parts of a prompt the trial was attributed to the last one. A harmless part that had only come together with the cause was then refused for ten minutes, and requests with it never got a trial.

Change: the end of an upstream in a trial counts against all suspected parts of the request. Requests with all of them are refused. A request with some of them gets a trial, one at a time over all gateways, and clears those when it is served; a trial is over then. The call for a trial names the suspected parts, so that the agent refuses complete sets as well.

--- a/crates/agent/src/trial.rs
+++ b/crates/agent/src/trial.rs
@@ -9,7 +9,7 @@
 
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::{SuspectSync, SuspectTable, Trials};
-use pumicecleat_types::{Millis, SuspectNews, Trial, TrialCall, TrialReply};
+use pumicecleat_types::{Millis, SuspectKey, SuspectNews, Trial, TrialCall, TrialReply};
 
 use crate::shared::Shared;
 
@@ -78,6 +78,15 @@
     }
 }
 
+/// Suspects that the request of the call is a trial of. Gateways of earlier versions name only one.
+fn tried_keys(call: &TrialCall) -> Vec<SuspectKey> {
+    if call.parts.is_empty() {
+        return vec![call.key];
+    }
+    let parts = call.parts.iter().copied();
+    parts.map(SuspectKey::prompt_part).collect()
+}
+
 /// Decides whether a request may be sent once more.
 pub(crate) fn decide_trial(shared: &Shared, call: &TrialCall) -> TrialReply {
     let now = shared.timer.now();
@@ -88,7 +97,12 @@
         trials.give_back(&call.key);
         return TrialReply::default();
     }
-    let retry_after = shared.suspects.table.borrow().retry_after(&call.key, now);
+    let blocked = shared
+        .suspects
+        .table
+        .borrow()
+        .blocking_cause(&tried_keys(call), now);
+    let retry_after = blocked.map(|(span, _)| span);
     let outcome = match retry_after {
         Some(retry_after) => Err(retry_after),
         None => trials.try_grant(call.key, ends, now),
--- a/crates/gateway/src/request/permit.rs
+++ b/crates/gateway/src/request/permit.rs
@@ -6,7 +6,7 @@
 
 use super::job::Job;
 use super::refuse::{Refusal, outcome_unknown};
-use crate::suspects::{ask_trial, release_trial};
+use crate::suspects::{TrialRequest, ask_trial, release_trial};
 
 /// Permission of a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -52,11 +52,11 @@
         if self.is_permitted() {
             return Ok(());
         }
-        let Some(suspect) = self.suspect() else {
+        let Some(asked) = self.trial_request() else {
             return Err(Refusal::ends_upstreams(OUTCOME_RETRY_AFTER));
         };
-        let part = self.trace.part_id(suspect);
-        let granted = ask_trial(&self.shared, self.id(), suspect, part).await;
+        let suspect = asked.suspect;
+        let granted = ask_trial(&self.shared, self.id(), asked).await;
         let trial = granted.map_err(Refusal::ends_upstreams)?;
         let now = self.shared.timer.now();
         let ends = self.shared.suspects.end_count(&suspect, now);
@@ -69,14 +69,29 @@
         Ok(())
     }
 
-    /// Suspect that the request asks permission for. A known cause gets none.
-    fn suspect(&self) -> Option<SuspectKey> {
+    /// What the request asks permission for. A known cause gets none.
+    fn trial_request(&self) -> Option<TrialRequest> {
         let now = self.shared.timer.now();
         let suspects = self.shared.suspects.table.borrow();
-        let keys = || self.trace.suspect_keys();
-        let cause = suspects.known_cause(keys(), now);
-        let may_ask = self.permit.get() == Permit::None;
-        cause.or_else(|| suspects.main_suspect(keys(), now).ok()?.filter(|_| may_ask))
+        let keys: Vec<SuspectKey> = self.trace.suspect_keys().collect();
+        let parts = suspects.suspected_parts(&keys, now);
+        let (blocked_for, suspect) = match suspects.blocking_cause(&keys, now) {
+            Some((span, cause)) => (Some(span), cause),
+            None if self.permit.get() != Permit::None => return None,
+            None => (None, suspects.main_suspect(keys.into_iter(), now).ok()??),
+        };
+        let is_known = suspects.retry_after(&suspect, now).is_some();
+        let named = if is_known {
+            vec![suspect]
+        } else {
+            parts.clone()
+        };
+        Some(TrialRequest {
+            suspect,
+            blocked_for,
+            parts: parts.iter().map(|part| part.digest).collect(),
+            named: self.trace.part_ids(&named),
+        })
     }
 
     /// Kind of the permitted send, if there is one that was not performed yet.
--- a/crates/gateway/src/request/trace.rs
+++ b/crates/gateway/src/request/trace.rs
@@ -8,7 +8,7 @@
 use pumicecleat_net::{BodyError, Framing};
 use pumicecleat_ops::{DrainGuard, events, field};
 use pumicecleat_policy::{LostAttempt, PROVING_TIME};
-use pumicecleat_types::{Fingerprint, Millis, RequestId, ServiceId, SuspectKey};
+use pumicecleat_types::{Fingerprint, Millis, RequestId, ServiceId, SuspectKey, SuspectKind};
 
 use super::fingerprint::part_fingerprint;
 use crate::RequestAttributes;
@@ -103,11 +103,12 @@
         std::iter::once(request).chain(self.part_keys.iter().copied())
     }
 
-    /// ID of the part of the prompt that is `suspect`; empty if it is the request.
-    pub(super) fn part_id(&self, suspect: SuspectKey) -> &str {
+    /// IDs of the parts of the prompt that are among `suspects`, separated by commas.
+    pub(super) fn part_ids(&self, suspects: &[SuspectKey]) -> String {
         let parts = self.prompt_parts.split(',').zip(&self.part_keys);
-        let mut found = parts.filter(|(_, key)| **key == suspect);
-        found.next().map_or("", |(id, _)| id)
+        let found = parts.filter(|(_, key)| suspects.contains(key));
+        let ids: Vec<&str> = found.map(|(id, _)| id).collect();
+        ids.join(",")
     }
 
     /// Fingerprint as text; empty until the body was read.
@@ -199,6 +200,10 @@
         for part in &self.part_keys {
             suspects::record_served(&self.shared, part);
         }
+        let is_part = |suspect: &SuspectKey| suspect.kind == SuspectKind::PromptPart;
+        if let Some(suspect) = self.tried_alone.get().filter(is_part) {
+            suspects::release_trial(&self.shared, suspect);
+        }
     }
 
     /// Adds the time spent waiting for a turn.
--- a/crates/gateway/src/suspects/denials.rs
+++ b/crates/gateway/src/suspects/denials.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use pumicecleat_types::{Millis, SuspectKey};
+use pumicecleat_types::{Millis, SuspectKey, SuspectKind};
 
 #[derive(Clone, Copy, Debug)]
 struct Denial {
@@ -26,6 +26,13 @@
         self.denials.insert(suspect, Denial { until, ends });
     }
 
+    /// Removes the denials of parts of prompts, because another part was cleared: trials of a set of parts are for one
+    /// of them.
+    pub(super) fn forget_parts(&mut self) {
+        self.denials
+            .retain(|suspect, _| suspect.kind != SuspectKind::PromptPart);
+    }
+
     /// Time left for which the request gets no trial.
     pub(super) fn time_left(
         &self,
--- a/crates/gateway/src/suspects/mod.rs
+++ b/crates/gateway/src/suspects/mod.rs
@@ -29,7 +29,7 @@
 pub(crate) use news::{apply_reply, outgoing_news};
 use persist::PersistQueue;
 pub(crate) use persist::persist_suspects;
-pub(crate) use trial::{ask_trial, release_trial};
+pub(crate) use trial::{TrialRequest, ask_trial, release_trial};
 
 /// Suspects known to a gateway, and their trials.
 pub(crate) struct SuspectState {
@@ -136,6 +136,9 @@
 /// Records that an upstream served the suspect.
 pub(crate) fn record_served(shared: &Shared, suspect: &SuspectKey) {
     let ends = shared.suspects.table.borrow_mut().record_served(suspect);
+    if ends > 0 {
+        shared.suspects.denials.borrow_mut().forget_parts();
+    }
     if ends < min_ends(suspect.kind) {
         return;
     }
--- a/crates/gateway/src/suspects/news.rs
+++ b/crates/gateway/src/suspects/news.rs
@@ -35,6 +35,7 @@
     if changed.is_empty() {
         return;
     }
+    suspects.denials.borrow_mut().forget_parts();
     let source = peer.to_string();
     for suspect in changed {
         log_suspected(shared, &suspect, &source);
--- a/crates/gateway/src/suspects/trial.rs
+++ b/crates/gateway/src/suspects/trial.rs
@@ -12,7 +12,9 @@
 use pumicecleat_net::{NetError, post};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::name_key;
-use pumicecleat_types::{Millis, SuspectKey, Trial, TrialCall, TrialReply};
+use pumicecleat_types::{
+    Fingerprint, Millis, SuspectKey, SuspectKind, Trial, TrialCall, TrialReply,
+};
 
 use crate::agents::engines;
 use crate::shared::Shared;
@@ -29,18 +31,34 @@
 /// Retry time returned if no agent responds: a failed agent is back within two seconds.
 const NO_REPLY_RETRY_AFTER: Millis = Millis(2_000);
 
-/// Asks for a trial of a suspect, `part` if it is a part of prompts, with this request. If none is granted, fails with
-/// the time after which to retry.
+/// What a request asks permission for.
+#[derive(Clone, Debug)]
+pub(crate) struct TrialRequest {
+    pub(crate) suspect: SuspectKey,
+    /// Time for which the request is refused because all suspects of a known set are in it.
+    pub(crate) blocked_for: Option<Millis>,
+    /// Suspected parts of the request's prompt.
+    pub(crate) parts: Vec<Fingerprint>,
+    /// IDs of the parts of the request's prompt that the trial is for, separated by commas.
+    pub(crate) named: String,
+}
+
+/// Asks for a trial of a suspect with this request. If none is granted, fails with the time after which to retry.
 pub(crate) async fn ask_trial(
     shared: &Shared,
     request: &str,
-    suspect: SuspectKey,
-    part: &str,
+    asked: TrialRequest,
 ) -> Result<Trial, Millis> {
+    let suspect = asked.suspect;
     let now = shared.timer.now();
     shared.suspects.table.borrow_mut().touch(&suspect, now);
-    let call = trial_call(shared, suspect, false);
-    let decision = match denied_for(shared, &suspect, now) {
+    let mut call = trial_call(shared, suspect, false);
+    if suspect.kind == SuspectKind::PromptPart {
+        call.parts = asked.parts;
+    }
+    let denied_for = asked.blocked_for;
+    let denied_for = denied_for.or_else(|| denied_for_now(shared, &suspect, now));
+    let decision = match denied_for {
         Some(time_left) => Decision::Denied(time_left),
         None => ask_agents(shared, &call).await,
     };
@@ -65,7 +83,7 @@
         field("request", request),
         field("fingerprint", text.as_str()),
         field("kind", suspect.kind.as_str()),
-        field("part", part),
+        field("part", asked.named.as_str()),
         field("ends", call.ends.len()),
         field("side", decision.agent()),
         field("granted", outcome.is_ok()),
@@ -75,7 +93,7 @@
     outcome
 }
 
-/// Gives back a trial that was not used.
+/// Gives back a trial that was not used, or that is over because the request was served.
 pub(crate) fn release_trial(shared: &Rc<Shared>, suspect: SuspectKey) {
     let shared = Rc::clone(shared);
     monoio::spawn(async move {
@@ -87,7 +105,7 @@
 }
 
 /// Time left for which the request is refused without asking an agent.
-fn denied_for(shared: &Shared, suspect: &SuspectKey, now: Millis) -> Option<Millis> {
+fn denied_for_now(shared: &Shared, suspect: &SuspectKey, now: Millis) -> Option<Millis> {
     let retry_after = shared.suspects.table.borrow().retry_after(suspect, now);
     let ends = shared.suspects.end_count(suspect, now);
     retry_after.or_else(|| {
@@ -101,6 +119,7 @@
         entry: shared.vm.clone(),
         key: suspect,
         ends: shared.suspects.table.borrow().end_keys(&suspect),
+        parts: Vec::new(),
         unused,
     }
 }
--- a/crates/policy/src/suspects/mod.rs
+++ b/crates/policy/src/suspects/mod.rs
@@ -19,11 +19,15 @@
 //! - A single request that comes again and again counts once, as it is suspected itself.
 //! - Its trials are exclusive. Upstreams that end in two of them show that the part is the cause; an end does not
 //!   count if others end at the same time. What ran beside the cause is no longer suspected of these ends.
+//! - Suspected parts that come together are tried together, and then requests with all of them are refused. A request
+//!   with some of them gets a trial, one at a time, and clears those if it is served. The part that remains is the
+//!   cause.
 //!
 //! Each process has a [`SuspectTable`] and sends its changes to others ([`SuspectSync`]). Tables are merged by
 //! union, and a cleared end stays cleared, so the order of messages does not matter.
 
 mod attempt;
+mod cause;
 mod end_times;
 mod suspect;
 mod sync;
--- a/crates/policy/src/suspects/suspect.rs
+++ b/crates/policy/src/suspects/suspect.rs
@@ -63,6 +63,17 @@
         self.ends.get(&key).is_some_and(|end| !end.cleared)
     }
 
+    /// Whether that end came in a trial of the suspect, and the suspect may have caused it.
+    pub(super) fn was_tried(&self, key: u64) -> bool {
+        let end = self.ends.get(&key);
+        end.is_some_and(|end| end.alone && !end.cleared)
+    }
+
+    /// Number of ends in trials of the suspect that it may have caused.
+    pub(super) fn tried_count(&self) -> usize {
+        self.open_ends().filter(|(_, end)| end.alone).count()
+    }
+
     pub(super) fn was_present(&self, key: u64) -> bool {
         self.ends.contains_key(&key)
     }
--- a/crates/policy/src/suspects/table.rs
+++ b/crates/policy/src/suspects/table.rs
@@ -1,7 +1,4 @@
 //! Suspects that one process knows.
-//!
-//! A suspect whose trial has shown that it ends upstreams is the cause of all ends at which it was in progress, so
-//! these no longer count against those that were in progress beside it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -10,12 +7,12 @@
 };
 
 use super::end_times::EndTimes;
+use super::min_ends;
 use super::suspect::{End, Suspect, TIME_OFFSET, first_of_each_group};
-use super::{min_ends, min_failed_trials};
 
 /// Time for which a suspect is stored after its last end or arrival. Longer than callers retry a request, and
 /// than a rollout to all upstreams takes.
-const SUSPECT_TTL: Millis = Millis(600_000);
+pub(super) const SUSPECT_TTL: Millis = Millis(600_000);
 
 /// Maximum number of suspects stored, at about 250 bytes each and 1 MB in total. Those with the fewest ends
 /// are evicted first, and among these the least recently changed.
@@ -27,23 +24,19 @@
 /// Minimum interval between removals of expired requests.
 const PRUNE_INTERVAL: Millis = Millis(10_000);
 
-/// Number of other upstreams that end at the same time from which an end is taken for part of a larger loss.
-const MIN_ENDS_OF_LOSS: usize = 2;
-
-/// Number of suspects in a chain of explanations that are followed.
-const EXPLANATION_DEPTH: usize = 2;
-
 /// Suspects, and the ends that they may have caused.
 #[derive(Clone, Debug)]
 pub struct SuspectTable {
     /// ID of this start of the process, and number of changes since.
     revision: ChangeCursor,
-    suspects: BTreeMap<SuspectKey, Suspect>,
+    pub(super) suspects: BTreeMap<SuspectKey, Suspect>,
     /// Suspects by the number of their last change.
     by_last_change: BTreeMap<u64, SuspectKey>,
     /// Suspects that were alone at an upstream that ended.
-    tried_alone: BTreeSet<SuspectKey>,
-    end_times: EndTimes,
+    pub(super) tried_alone: BTreeSet<SuspectKey>,
+    /// Parts of prompts that were tried together, by the end of the upstream.
+    pub(super) tried_together: BTreeMap<u64, BTreeSet<SuspectKey>>,
+    pub(super) end_times: EndTimes,
     pruned_at: Millis,
 }
 
@@ -63,6 +56,7 @@
             suspects: BTreeMap::new(),
             by_last_change: BTreeMap::new(),
             tried_alone: BTreeSet::new(),
+            tried_together: BTreeMap::new(),
             end_times: EndTimes::default(),
             pruned_at: Millis(0),
         }
@@ -95,15 +89,6 @@
         self.end_count(key, now) >= min_ends(key.kind)
     }
 
-    /// Time until a suspect may be retried, if it is known to have caused an end.
-    #[must_use]
-    pub fn retry_after(&self, key: &SuspectKey, now: Millis) -> Option<Millis> {
-        let suspect = self.suspects.get(key)?;
-        let remaining = (suspect.last_activity + SUSPECT_TTL).since(now);
-        let is_cause = remaining > Millis(0) && self.is_cause(key, suspect);
-        is_cause.then_some(remaining)
-    }
-
     /// Time since the last end that a suspect may have caused.
     pub(super) fn time_since_last_end(&self, key: &SuspectKey, now: Millis) -> Millis {
         let suspect = self.suspects.get(key);
@@ -128,51 +113,6 @@
         }
     }
 
-    /// Whether trials have shown that the suspect ends upstreams.
-    fn is_cause(&self, key: &SuspectKey, suspect: &Suspect) -> bool {
-        let shown = suspect.open_ends().filter(|(end, e)| {
-            self.is_evidence(key, suspect, e) && !self.is_explained(key, suspect, *end)
-        });
-        shown.count() >= min_failed_trials(key.kind)
-    }
-
-    /// Whether an end at which the suspect was alone shows that it is the cause. It doesn't for a part of prompts if
-    /// several upstreams ended at the same time at which the part was not in progress.
-    fn is_evidence(&self, key: &SuspectKey, suspect: &Suspect, end: &End) -> bool {
-        if !end.alone || key.kind == SuspectKind::Request {
-            return end.alone;
-        }
-        let ends = self.end_times.simultaneous(end.at);
-        let elsewhere = ends.filter(|other| !suspect.was_present(*other));
-        elsewhere.count() < MIN_ENDS_OF_LOSS
-    }
-
-    /// Whether another suspect is known to have caused this end.
-    fn is_explained(&self, key: &SuspectKey, suspect: &Suspect, end: u64) -> bool {
-        self.is_explained_to(EXPLANATION_DEPTH, key, suspect, end)
-    }
-
-    /// Same, where the trials of the other suspect count only as far as no third one explains them, up to `depth`.
-    fn is_explained_to(&self, depth: usize, key: &SuspectKey, suspect: &Suspect, end: u64) -> bool {
-        let count = suspect.open_count();
-        let mut others = self.tried_alone.iter().filter(|other| *other != key);
-        depth > 0
-            && others.any(|other_key| {
-                let other = self.suspects.get(other_key);
-                let Some(other) = other.filter(|o| o.may_have_caused(end)) else {
-                    return false;
-                };
-                // Of two suspects at the same ends, the one under which more upstreams ended is the cause.
-                let has_more = other.open_count() > count;
-                let shown = other.open_ends().filter(|(shown, e)| {
-                    (has_more || !suspect.was_present(*shown))
-                        && self.is_evidence(other_key, other, e)
-                        && !self.is_explained_to(depth - 1, other_key, other, *shown)
-                });
-                shown.count() >= min_failed_trials(other_key.kind)
-            })
-    }
-
     /// Records that an upstream ended at `at` while the suspect was in progress there, `alone` if no other suspect
     /// was; returns whether this is new.
     pub fn record_end(&mut self, key: SuspectKey, end_key: u64, alone: bool, at: Millis) -> bool {
@@ -197,10 +137,13 @@
         open
     }
 
-    /// Records that the suspect arrived again, so that it stays stored.
+    /// Records that the suspect arrived again, so that it stays stored. So do the parts that were tried together with
+    /// it: if one expired before the others, these would seem to be the cause without it.
     pub fn touch(&mut self, suspect_key: &SuspectKey, now: Millis) {
-        if let Some(suspect) = self.suspects.get_mut(suspect_key) {
-            suspect.last_activity = now;
+        for key in self.related_parts(suspect_key) {
+            if let Some(suspect) = self.suspects.get_mut(&key) {
+                suspect.last_activity = now;
+            }
         }
     }
 
@@ -269,8 +212,13 @@
         let received = received.inspect(|(key, end)| self.end_times.add(*key, end.at));
         let new_ends = received.filter(|(key, end)| suspect.merge_end(*key, *end));
         let new_ends = new_ends.count();
-        if suspect.open_ends().any(|(_, end)| end.alone) {
+        let tried = suspect.open_ends().filter(|(_, end)| end.alone);
+        for (end, _) in tried {
             self.tried_alone.insert(suspect_key);
+            if suspect_key.kind == SuspectKind::PromptPart {
+                let together = self.tried_together.entry(end).or_default();
+                together.insert(suspect_key);
+            }
         }
         if new_ends > 0 {
             self.record_change(suspect_key);
@@ -297,6 +245,10 @@
             let suspects = &self.suspects;
             self.by_last_change.retain(|_, f| suspects.contains_key(f));
             self.tried_alone.retain(|f| suspects.contains_key(f));
+            self.tried_together.retain(|_, parts| {
+                parts.retain(|f| suspects.contains_key(f));
+                !parts.is_empty()
+            });
             self.end_times.prune(now + TIME_OFFSET - SUSPECT_TTL);
         }
         if self.suspects.len() >= MAX_SUSPECTS {
--- a/crates/policy/tests/prompt_parts.rs
+++ b/crates/policy/tests/prompt_parts.rs
@@ -4,7 +4,8 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use pumicecleat_policy::{LostAttempt, PROVING_TIME, SuspectSync, SuspectTable, Trials};
-use pumicecleat_types::{ChangeCursor, Fingerprint, Millis, SuspectKey, Trial};
+use pumicecleat_types::{ChangeCursor, Fingerprint, Millis, SuspectKey, SuspectReport, Trial};
+use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -17,6 +18,8 @@
 /// Time after the fifth end from which few requests with the part may still reach engines.
 const SETTLE_TIME: Millis = Millis(3_000);
 const MAX_LATE_REQUESTS: usize = 3;
+/// Time within which ends can't be told from a loss of power, and count once.
+const SIMULTANEOUS_SPAN: Millis = Millis(100);
 const SEEDS: u64 = 40;
 
 /// What an incorrect design would do.
@@ -29,6 +32,8 @@
     ClearsAtOnce,
     /// Gateways tell each other nothing.
     TellsNothing,
+    /// Of parts that evidence fits equally, the first is blocked alone.
+    BlocksFirst,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -46,6 +51,12 @@
     kills_ms: u64,
     /// Mean time between ends of all engines at once; 0 for none.
     losses_ms: u64,
+    /// Parts that come together in all poison requests; 0 for none.
+    set_size: u64,
+    /// Those of them that end engines.
+    set_poison: u64,
+    /// When sound requests begin to come, with some of these parts.
+    sound_from: Millis,
 }
 
 const USUAL: Search = Search {
@@ -57,11 +68,17 @@
     poison_parts: 1,
     kills_ms: 0,
     losses_ms: 0,
+    set_size: 0,
+    set_poison: 0,
+    sound_from: Millis(0),
 };
 
 /// Number of second parts, each of which a fifth of the requests share.
 const COMMON_PARTS: u64 = 5;
 
+/// Start of the IDs of parts that come together.
+const SET: u64 = 500;
+
 /// Start of the IDs of parts that end engines.
 const POISON: u64 = 1_000_000;
 
@@ -105,6 +122,8 @@
 #[derive(Default)]
 struct Outcome {
     ends: usize,
+    /// Times of these ends, where those within [`SIMULTANEOUS_SPAN`] of the first of them count once.
+    end_groups: Vec<Millis>,
     /// When requests with each part that ends engines reached engines.
     arrivals: BTreeMap<u64, Vec<Millis>>,
     /// When engines ended because of each of these parts.
@@ -128,6 +147,8 @@
     /// Attempts that were lost, until gateways know that the upstream has ended.
     undetected: Vec<(usize, u64, LostAttempt)>,
     next_request: u64,
+    /// Number of the first part of the set that ends engines; the others follow, around the end of the set.
+    first_poison: u64,
     outcome: Outcome,
 }
 
@@ -142,6 +163,7 @@
             engines: (0..search.engines).map(|_| Engine::default()).collect(),
             undetected: Vec::new(),
             next_request: 0,
+            first_poison: seed % search.set_size.max(1),
             outcome: Outcome::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: Millis(0),
@@ -156,7 +178,8 @@
             if self.happens(self.search.poison_rate) {
                 self.arrive(true);
             }
-            if self.happens(self.search.sound_rate) {
+            let is_sound_time = self.now >= self.search.sound_from;
+            if is_sound_time && self.happens(self.search.sound_rate) {
                 self.arrive(false);
             }
             self.kill();
@@ -184,13 +207,42 @@
         if self.rng.random_bool(0.5) {
             parts.push(part(100 + self.rng.random_range(0..40)));
         }
-        if let Some(id) = poison {
+        if self.search.set_size > 0 {
+            self.add_set_parts(&mut parts, poison.is_some());
+        } else if let Some(id) = poison {
             let place = self.rng.random_range(1..=parts.len());
             parts.insert(place, part(POISON + id));
         }
         parts
     }
 
+    /// Adds the parts of the set: all to poison requests, to others one or more of those that end no engine.
+    fn add_set_parts(&mut self, parts: &mut Vec<SuspectKey>, is_poison: bool) {
+        let size = self.search.set_size;
+        let ends_engines = |n: u64| (n + size - self.first_poison) % size < self.search.set_poison;
+        let harmless: Vec<u64> = (0..size).filter(|n| !ends_engines(*n)).collect();
+        let always =
+            (!harmless.is_empty()).then(|| harmless[self.rng.random_range(0..harmless.len())]);
+        for n in 0..size {
+            let is_shared = always == Some(n) || (!ends_engines(n) && self.rng.random_bool(0.5));
+            if is_poison || is_shared {
+                let place = self.rng.random_range(0..=parts.len());
+                parts.insert(place, part(SET + n));
+            }
+        }
+        if is_poison {
+            // Parts that are cleared by other requests don't come with a set that nothing tells apart.
+            parts.retain(|key| (0..size).any(|n| part(SET + n) == *key));
+        }
+    }
+
+    /// Whether a part is refused by the design that blocks the first part of a set.
+    fn is_blocked_first(&self, gateway: usize, parts: &[SuspectKey]) -> bool {
+        let set: Vec<SuspectKey> = (0..self.search.set_size).map(|n| part(SET + n)).collect();
+        let cause = self.tables[gateway].known_cause(set.iter().copied(), self.now);
+        cause.is_some() && parts.contains(&set[0])
+    }
+
     fn arrive(&mut self, is_poison: bool) {
         let gateway = self.rng.random_range(0..self.search.gateways);
         let poison = is_poison.then(|| self.rng.random_range(0..self.search.poison_parts));
@@ -239,6 +291,9 @@
         if table.known_cause(keys(), self.now).is_some() {
             return None;
         }
+        if self.mutant == Mutant::BlocksFirst && self.is_blocked_first(gateway, parts) {
+            return None;
+        }
         let Some(suspect) = table.main_suspect(keys(), self.now).ok()? else {
             return Some(Admission { tried_alone: None });
         };
@@ -248,7 +303,7 @@
         }
         let known = self.agent.end_count(&suspect, self.now);
         let ends = table.end_count(&suspect, self.now).max(known);
-        if self.agent.retry_after(&suspect, self.now).is_some() {
+        if self.agent.known_cause(keys(), self.now).is_some() {
             return None;
         }
         let granted = self.trials.try_grant(suspect, ends, self.now).ok()?;
@@ -309,6 +364,9 @@
             for part in &run.parts {
                 self.tables[run.gateway].record_served(part);
             }
+            if let Some(tried) = run.tried_alone {
+                self.trials.give_back(&tried);
+            }
         }
         self.engines[engine].runs.retain(|run| run.ends_at > now);
     }
@@ -318,6 +376,10 @@
             return;
         }
         self.outcome.ends += 1;
+        let last_group = self.outcome.end_groups.last();
+        if last_group.is_none_or(|start| self.now.since(*start) > SIMULTANEOUS_SPAN) {
+            self.outcome.end_groups.push(self.now);
+        }
         self.engines[engine].down_until = Some(self.now + RESTART_TIME);
         let end_key = engine as u64 * 1_000 + self.engines[engine].starts;
         for run in std::mem::take(&mut self.engines[engine].runs) {
@@ -505,10 +567,148 @@
             shares.push(outcome.sent_share(Millis(0)));
         }
         let mean = shares.iter().sum::<f64>() / f64::from(u32::try_from(SEEDS).unwrap());
-        assert!(mean >= 0.9, "{}: {mean:.2} sent", case.name);
+        println!("{}: {mean:.4} sent", case.name);
+        assert!(mean >= 0.99, "{}: {mean:.4} sent", case.name);
     }
 }
 
+/// Requests whose parts come together, one or two of which end engines, before any harmless request.
+const SET_SEARCH: Search = Search {
+    gateways: 2,
+    engines: 6,
+    sound_rate: 4.0,
+    set_size: 2,
+    set_poison: 1,
+    sound_from: Millis(12_000),
+    ..USUAL
+};
+
+/// Maximum number of ends in total: three after the fifth.
+const MAX_ENDS: usize = 5 + 3;
+
+/// Time after the first harmless request after which nearly all are served.
+const CLEARING_TIME: Millis = Millis(6_000);
+
+/// Plays a search over sets and returns what breaks the bounds, with the mean of the ends and of the share served.
+fn search_sets(search: Search, mutant: Mutant) -> (Vec<String>, f64, f64) {
+    let (mut broken, mut ends, mut shares) = (Vec::new(), 0.0, 0.0);
+    for seed in 0..SEEDS {
+        let outcome = Play::new(search, mutant, seed).play();
+        let (late, share) = (outcome.late(), outcome.sent_share(search.sound_from));
+        ends += f64::from(u32::try_from(outcome.ends).unwrap());
+        shares += share;
+        let cleared = outcome.sent_share(search.sound_from + CLEARING_TIME);
+        if late > MAX_LATE_REQUESTS || outcome.end_groups.len() > MAX_ENDS || cleared < 0.9 {
+            broken.push(format!(
+                "{} of {} seed {seed}: {} ends, {late} late, {share:.2} sent, {cleared:.2} at the end",
+                search.set_poison, search.set_size, outcome.ends
+            ));
+        }
+    }
+    let seeds = f64::from(u32::try_from(SEEDS).unwrap());
+    (broken, ends / seeds, shares / seeds)
+}
+
+/// Guards against a block of harmless parts that only came together with a part that ends engines.
+#[test]
+fn of_parts_that_come_together_those_that_end_no_engine_are_served() {
+    let mut all_broken = Vec::new();
+    for set_size in 2..=5 {
+        for set_poison in 1..=2 {
+            for poison_rate in [4.0, 1.0] {
+                let case = Search {
+                    poison_rate,
+                    set_size,
+                    set_poison,
+                    ..SET_SEARCH
+                };
+                let (broken, ends, share) = search_sets(case, Mutant::None);
+                println!(
+                    "{set_poison} of {set_size}, {poison_rate}/s: {ends:.1} ends, {share:.3} sent, {} of {SEEDS} broken",
+                    broken.len()
+                );
+                assert!(share >= 0.9, "{set_poison} of {set_size}: {share:.3} sent");
+                all_broken.extend(broken);
+            }
+        }
+    }
+    assert!(all_broken.is_empty(), "{all_broken:#?}");
+}
+
+#[test]
+fn a_design_that_blocks_the_first_part_of_a_set_breaks_the_bounds() {
+    let case = Search {
+        set_size: 3,
+        ..SET_SEARCH
+    };
+    let (broken, ..) = search_sets(case, Mutant::BlocksFirst);
+    assert!(!broken.is_empty());
+}
+
+/// Records of a set of parts, of which the third has one end only, and of two failed trials of it.
+fn records_of_set() -> Vec<SuspectReport> {
+    let mut table = SuspectTable::new(1);
+    for n in 0..5 {
+        let lost = LostAttempt {
+            request: SuspectKey::request(digest(n + 1)),
+            parts: vec![part(1), part(2), part(10 + n)],
+            tried_alone: (n >= 3).then_some(part(2)),
+            lost_at: Millis(n * 1_000),
+        };
+        table.record_lost(&lost, n);
+    }
+    table.news(ChangeCursor::default(), Millis(5_000)).reports
+}
+
+/// Guards against a block that depends on the order of messages, and against one of a part alone.
+#[test]
+fn a_set_is_blocked_as_a_whole_and_what_remains_of_it_is_the_cause_in_any_order() {
+    let now = Millis(5_000);
+    let records = records_of_set();
+    let mut cleared = SuspectTable::new(2);
+    cleared.merge(&records, now);
+    cleared.record_served(&part(1));
+    let cleared = cleared.news(ChangeCursor::default(), now).reports;
+    for seed in 0..SEEDS {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut table = SuspectTable::new(3);
+        let mut shuffled = records.clone();
+        shuffled.shuffle(&mut rng);
+        for record in &shuffled {
+            table.merge(std::slice::from_ref(record), now);
+        }
+        let is_blocked = |table: &SuspectTable, parts: &[u64]| {
+            let keys = parts.iter().map(|n| part(*n));
+            table.known_cause(keys, now).is_some()
+        };
+        assert!(is_blocked(&table, &[1, 2]) && is_blocked(&table, &[2, 7, 1]));
+        assert!(!is_blocked(&table, &[1]) && !is_blocked(&table, &[2, 7]));
+        let some = [part(1), part(7)].into_iter();
+        assert_eq!(table.main_suspect(some, now), Ok(Some(part(2))));
+        // What was cleared stays cleared, whichever record comes first.
+        let mut all: Vec<_> = records.iter().chain(&cleared).cloned().collect();
+        all.shuffle(&mut rng);
+        let mut table = SuspectTable::new(4);
+        for record in &all {
+            table.merge(std::slice::from_ref(record), now);
+        }
+        assert!(is_blocked(&table, &[2]) && !is_blocked(&table, &[1, 7]));
+    }
+}
+
+/// Guards against a part that seems to be the cause alone because the others of its set expired before it.
+#[test]
+fn parts_of_a_set_expire_together() {
+    let mut table = SuspectTable::new(5);
+    table.merge(&records_of_set(), Millis(5_000));
+    let later = Millis(500_000);
+    table.touch(&part(1), later);
+    table.record_end(part(99), 99, false, Millis(700_000));
+    let keys = [part(1), part(2)].into_iter();
+    assert!(table.known_cause(keys, Millis(700_000)).is_some());
+    assert!(table.retry_after(&part(1), Millis(700_000)).is_none());
+}
+
 #[test]
 fn designs_that_clear_or_tell_wrongly_break_the_bounds() {
     for mutant in [
--- a/crates/types/src/message/suspect.rs
+++ b/crates/types/src/message/suspect.rs
@@ -115,7 +115,11 @@
     pub key: SuspectKey,
     /// Keys of the upstreams that ended while the suspect was in progress, as known to the entry.
     pub ends: Vec<u64>,
-    /// Whether this returns a permission that was not used.
+    /// Suspected parts of the request's prompt, for a trial of parts of prompts; the suspect is one of them, or was tried
+    /// together with one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub parts: Vec<Fingerprint>,
+    /// Whether this returns a permission that was not used, or whose request was served.
     pub unused: bool,
 }
 
--- a/crates/types/tests/suspects.rs
+++ b/crates/types/tests/suspects.rs
@@ -1,9 +1,9 @@
 //! Tests the messages on suspects against those of versions that know requests only.
 
 use pumicecleat_types::{
-    Fingerprint, SuspectKey, SuspectReport, TrialCall, UpstreamEnd, decode, encode,
+    Fingerprint, SuspectKey, SuspectReport, TrialCall, UpstreamEnd, VmId, decode, encode,
 };
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_with::{Bytes, serde_as};
 
 /// Report as earlier versions send it.
@@ -73,4 +73,44 @@
         ..TrialCall::default()
     };
     assert_eq!(decode::<TrialCall>(&encode(&call)).unwrap(), call);
+    let call = TrialCall {
+        parts: vec![key.digest, Fingerprint([4; 16])],
+        ..call
+    };
+    assert_eq!(decode::<TrialCall>(&encode(&call)).unwrap(), call);
+}
+
+/// Call as versions send it that name no parts.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct EarlierCall {
+    entry: VmId,
+    #[serde(flatten)]
+    key: SuspectKey,
+    ends: Vec<u64>,
+    unused: bool,
+}
+
+/// Guards against trials that are not granted between versions.
+#[test]
+fn calls_for_trials_are_read_between_versions() {
+    let earlier = EarlierCall {
+        entry: VmId::default(),
+        key: SuspectKey::prompt_part(Fingerprint([3; 16])),
+        ends: vec![1, 2],
+        unused: false,
+    };
+    let call: TrialCall = decode(&encode(&earlier)).unwrap();
+    assert_eq!(
+        (call.key, call.ends.len(), call.parts.len()),
+        (earlier.key, 2, 0)
+    );
+    assert_eq!(encode(&call), encode(&earlier));
+    let with_parts = TrialCall {
+        parts: vec![Fingerprint([3; 16])],
+        ..call
+    };
+    assert_eq!(
+        decode::<EarlierCall>(&encode(&with_parts)).unwrap(),
+        earlier
+    );
 }
