Suspects: a blocked set is looked at once, not for each of its parts

Change: parts are looked at in the order of their last activity, up to the first that blocks the request.

--- a/crates/policy/src/suspects/cause.rs
+++ b/crates/policy/src/suspects/cause.rs
@@ -31,10 +31,14 @@
     /// does and which the request contains as a whole; the one that is refused longest, with the time left.
     #[must_use]
     pub fn blocking_cause(&self, keys: &[SuspectKey], now: Millis) -> Option<(Millis, SuspectKey)> {
-        let causes = keys
+        // The one refused longest is looked for first, as a look at each part of a set costs as much.
+        let known = keys
             .iter()
-            .filter_map(|key| Some((self.blocked_for(key, keys, now)?, *key)));
-        causes.max()
+            .filter_map(|key| Some((self.suspects.get(key)?.last_activity, *key)));
+        let mut by_activity: Vec<(Millis, SuspectKey)> = known.collect();
+        by_activity.sort_unstable();
+        let mut latest = by_activity.into_iter().rev();
+        latest.find_map(|(_, key)| Some((self.blocked_for(&key, keys, now)?, key)))
     }
 
     /// Time for which requests with all of `keys` are refused because of `key`, one of them.
