--- a/crates/policy/src/prompt/mod.rs
+++ b/crates/policy/src/prompt/mod.rs
@@ -16,6 +16,7 @@
 mod engine;
 mod load_window;
 mod loads;
+mod orders;
 mod pace;
 mod places;
 mod relay;
@@ -25,7 +26,7 @@
 mod turns;
 
 pub use engine::{AdapterState, EngineChoice, EngineNeeds, EngineView};
-pub use places::{EngineOrder, OrderOutcome};
+pub use orders::{EngineOrder, OrderOutcome};
 pub use relay::{RelayPick, RelaySelector, members_digest};
 pub use repeat::{RepeatLimit, RepeatOptions};
 pub use search::TurnSearch;
--- a/crates/policy/src/prompt/turns/mod.rs
+++ b/crates/policy/src/prompt/turns/mod.rs
@@ -7,14 +7,17 @@
 mod admit;
 mod fairness;
 mod figures;
+mod grant;
+mod order;
 mod pauses;
 mod run;
 mod types;
 
 use pumicecleat_types::{EngineTraits, Millis};
 
+use super::orders::{EngineOrder, OrderOutcome};
 use super::pace::{Outstanding, PrefillRate};
-use super::places::{AdapterSlots, EngineOrder, OrderOutcome};
+use super::places::AdapterSlots;
 use crate::shares::AccountShares;
 use pauses::PauseGuard;
 use run::RunningRequest;
@@ -23,21 +26,12 @@
     TurnRequest,
 };
 
-/// Prefill time for which prompts are sent to the engine in advance: that of a usual prompt plus the overhead
-/// of a turn. With more, the scheduler loses control of the order: a request with little time left waits
-/// behind everything already sent. With less, the engine is idle for the overhead of a turn, some 40 ms.
-const PREFILL_AHEAD: Millis = Millis(150);
-
 /// Largest fraction of the engine's time that prefill may take. Each step of an engine that prefills also
 /// processes a chunk of a prompt: a stream gets a token every 117 ms, compared with 11 ms without prefill.
 /// Without the remaining time, streams exceed their callers' deadlines and occupy their adapters' slots
 /// meanwhile.
 const MAX_PREFILL_RATIO: f64 = 0.85;
 
-/// Maximum number of prompts without a first event while the prefill rate is unknown: one in prefill and one
-/// queued behind it.
-const MAX_OUTSTANDING_UNMEASURED: usize = 2;
-
 /// Time after which a running request without any news counts as ended: longer than any stream in the
 /// deployments.
 const RUNNING_TIMEOUT: Millis = Millis(20_000);
@@ -269,114 +263,6 @@
         actions
     }
 
-    /// Waiting requests in the order of their turns.
-    ///
-    /// Requests that can still meet their objective come before those that are late in any case, which lose
-    /// nothing by a longer wait. The former are ordered by the end of their objective, then by priority; the
-    /// latter by priority, then by age. While not all can be in time, requests of accounts above their share come
-    /// last, in the same order.
-    ///
-    /// This order works off the backlog after a crash or a power failure: 0.852 of the value due was earned
-    /// over 60 simulated days of load and failures, and 0.842 without it. As priority decides only among late
-    /// requests and equal deadlines, the lowest priority doesn't always wait behind all others.
-    fn in_order(&self, now: Millis) -> Vec<TurnId> {
-        let mut order: Vec<(bool, Millis, u8, TurnId)> = self
-            .waiting
-            .iter()
-            .map(|(turn, w)| {
-                let late = self.is_late(w, now);
-                let due = if late {
-                    Millis(0)
-                } else {
-                    w.since + w.request.objective_left
-                };
-                (late, due, w.request.priority, *turn)
-            })
-            .collect();
-        order.sort_unstable();
-        let turns = order.into_iter().map(|(_, _, _, turn)| turn).collect();
-        self.order_by_share(turns, now)
-    }
-
-    /// Whether the first event would be late even if the turn were granted as soon as the adapter is loaded: the
-    /// engine first prefills what it was sent before.
-    fn is_late(&self, waiting: &WaitingRequest, now: Millis) -> bool {
-        let prefill = self.prefill_time(u64::from(waiting.request.prompt_tokens));
-        let ahead = self.prefill_end.since(now) + self.prefill_rate.overhead();
-        let load = match &waiting.request.adapter {
-            Some(a) if self.usable(a, waiting.request.min_version).is_none() => {
-                self.slots.load_left(a, now)
-            }
-            _ => Millis(0),
-        };
-        now.since(waiting.since) + ahead.max(load) + prefill > waiting.request.objective_left
-    }
-
-    fn grant(&mut self, now: Millis, actions: &mut Vec<TurnAction>) {
-        if self.leaving || self.engine != EngineState::Ready {
-            return;
-        }
-        for turn in self.in_order(now) {
-            if self.is_full(now) {
-                return;
-            }
-            let request = self.waiting[&turn].request.clone();
-            let version = match &request.adapter {
-                None => None,
-                Some(adapter) => match self.usable(adapter, request.min_version) {
-                    None => continue,
-                    version => version,
-                },
-            };
-            self.extend_prefill(request.prompt_tokens, now);
-            self.record_account(request.account.as_deref(), request.prompt_tokens, now);
-            if let Some(waiting) = self.waiting.remove(&turn) {
-                let request = waiting.request;
-                let run = RunningRequest {
-                    adapter: request.adapter,
-                    prompt_tokens: request.prompt_tokens,
-                    granted: now,
-                    expected_prefill_end: self.prefill_end,
-                    started: false,
-                    reported: false,
-                    pause: request.pause,
-                    events: 0,
-                    last_event: now,
-                    paused: false,
-                };
-                self.running.insert(request.request_id, run);
-            }
-            actions.push(TurnAction::Grant { turn, version });
-        }
-    }
-
-    /// Whether the engine has as much work as it should be given.
-    fn is_full(&self, now: Millis) -> bool {
-        let unmeasured = self.prefill_rate.tokens_per_second().is_none();
-        let ahead = self
-            .pause_guard
-            .max_ahead(&self.running, PREFILL_AHEAD, now);
-        self.prefill_end > now + ahead
-            || self.holds_back(now)
-            || self.running.len() >= self.options.max_batch as usize
-            || (unmeasured
-                && self.running.values().filter(|r| !r.started).count()
-                    >= MAX_OUTSTANDING_UNMEASURED)
-    }
-
-    /// Whether streams need their next events before the engine gets another prompt. While no prompt is
-    /// outstanding, a late event has another cause.
-    fn holds_back(&self, now: Millis) -> bool {
-        self.outstanding_tokens() > 0 && self.pause_guard.holds_back(&self.running, now)
-    }
-
-    /// Whether the next report may end a hold of prompts, so that it should come soon.
-    #[must_use]
-    pub fn is_watching_streams(&self) -> bool {
-        let watches = self.pause_guard.is_on() && !self.waiting.is_empty();
-        watches && self.outstanding_tokens() > 0 && self.running.values().any(|r| r.started)
-    }
-
     fn order(&mut self, now: Millis) -> Option<TurnAction> {
         if self.leaving || !self.slots.may_order() {
             return None;
@@ -463,10 +349,6 @@
         to_integer(self.prefill_rate.tokens_per_second().unwrap_or_default() * MAX_PREFILL_RATIO)
     }
 
-    fn extend_prefill(&mut self, tokens: u32, now: Millis) {
-        self.prefill_end = self.prefill_end.max(now) + self.prefill_time(u64::from(tokens));
-    }
-
     /// Takes the ratios of measured to expected time to the first event, as expected when the turn was
     /// granted, for all first events since the last call.
     pub fn take_first_event_ratios(&mut self) -> Vec<f64> {
--- a/crates/policy/src/prompt/turns/types.rs
+++ b/crates/policy/src/prompt/turns/types.rs
@@ -2,7 +2,7 @@
 
 use pumicecleat_types::{Millis, TurnRefusal};
 
-use crate::prompt::places::EngineOrder;
+use crate::prompt::orders::EngineOrder;
 
 /// Id of a request that waits for its turn.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
