--- a/review/standin/bed.py
+++ b/review/standin/bed.py
@@ -268,8 +268,13 @@
     return Daemon("gateway", fields, os.path.join(folder, f"gateway-{number}.log"), record)
 
 
+# Exit code of a case that found its rule broken; run.sh makes 1 of it. Python itself ends with 1 on
+# an error.
+BROKEN = 10
+
+
 def run(here, play):
-    """Plays a case; ends with its exit code, and with 2 if it couldn't run."""
+    """Plays a case, whose result is 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     record = Record(here)
     code = 2
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
@@ -279,7 +284,7 @@
         except Exception as error:
             record.line(f"error: {error!r}")
             print(f"couldn't run: {error!r}")
-    sys.exit(code)
+    sys.exit(BROKEN if code == 1 else code)
 
 
 class Upstream:
