--- a/review/standin-2/bed.py
+++ b/review/standin-2/bed.py
@@ -76,11 +76,13 @@
 class Server:
     """HTTP server; `handle(method, target, headers, body, writer)` gives bytes, or None to close."""
 
+    buffer = 1 << 20  # bytes that are read ahead on a channel
+
     def __init__(self, ip, port=0):
         self.ip, self.port, self.server, self.channels = ip, port, None, set()
 
     async def open(self):
-        self.server = await asyncio.start_server(self.talk, self.ip, self.port, limit=1 << 20)
+        self.server = await asyncio.start_server(self.talk, self.ip, self.port, limit=self.buffer)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
