--- a/review/standin-2/bed.py
+++ b/review/standin-2/bed.py
@@ -11,6 +11,7 @@
 import random
 import signal
 import struct
+import sys
 import time
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -430,6 +431,8 @@
     import shutil
     import tempfile
 
+    # Channels that are still open when the loop ends are of no interest.
+    sys.unraisablehook = lambda _: None
     folder = tempfile.mkdtemp(prefix=f"review-{name}-")
 
     async def bounded():
