--- a/review/standin-2/bed.py
+++ b/review/standin-2/bed.py
@@ -427,7 +427,10 @@
 
 
 def play(main, name, seconds=110):
-    """Runs `main(folder)` with a temporary folder; its exit code, or 2 if it couldn't run."""
+    """Runs `main(folder)` with a temporary folder; 10 if the rule was broken, 0 if it held, else 2.
+
+    A program of Python that fails exits with 1, so that this isn't used here; run.sh gives 1 for 10.
+    """
     import shutil
     import tempfile
 
@@ -440,7 +443,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGINT, signal.SIGTERM):
             loop.add_signal_handler(number, task.cancel)
-        return await asyncio.wait_for(task, seconds)
+        return 10 if (code := await asyncio.wait_for(task, seconds)) == 1 else code
 
     try:
         return asyncio.run(bounded())
