Agent: a health path that is no path has the engine known by the list

Callers of adapters got 503 for as long as the configuration named a health path that is no path of a request (empty, with a blank or a control byte): the agent never learnt its engine's name.

Cause: a request that could not be built was taken for an engine that does not answer, which its report tells; so the list, which is read where the check names no engine, was never read.

--- a/crates/agent/src/engine_client.rs
+++ b/crates/agent/src/engine_client.rs
@@ -27,7 +27,7 @@
         /// Cause, with step and peer.
         source: NetError,
     },
-    /// The response is not a valid report.
+    /// The response is not a valid report, or the path of the health check not a path.
     #[snafu(display("step decode report, peer {peer}: {detail}"))]
     Decode {
         /// Address of the engine.
@@ -53,7 +53,8 @@
     /// it.
     ///
     /// # Errors
-    /// Returns [`ReportError`], with the step and the peer, if no response arrives within `timeout`.
+    /// Returns [`ReportError`], with the step and the peer, if no response arrives within `timeout`;
+    /// [`ReportError::Decode`] if no request can be sent to `path`.
     fn fetch_instance<'a>(
         &'a self,
         path: &'a str,
--- a/crates/agent/src/instance.rs
+++ b/crates/agent/src/instance.rs
@@ -10,10 +10,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_catalog::{Change, RecordDecoder, Standing, Topic, UnreadableKeys, Upstream};
+use pumicecleat_catalog::{
+    Change, DecodeError, RecordDecoder, Standing, Topic, UnreadableKeys, Upstream,
+};
 use pumicecleat_infra::{KeyedLog, KeyedRecord, read_newest};
 use pumicecleat_ops::{events, field};
 
+use crate::ReportError;
 use crate::shared::Shared;
 
 /// Minimum interval between lookups. An engine is listed about a second after its start.
@@ -76,6 +79,10 @@
                 self.shared.confirm_instance(&instance);
             }
             Ok(None) => self.unnamed_checks += 1,
+            Err(e @ ReportError::Decode { .. }) => {
+                self.log_health_path(&e);
+                return self.read_list().await;
+            }
             // The report tells that the engine does not answer.
             Err(_) => {}
         }
@@ -85,6 +92,15 @@
         }
     }
 
+    fn log_health_path(&self, error: &ReportError) {
+        let error = DecodeError {
+            key: self.shared.service.to_string(),
+            detail: error.to_string(),
+        };
+        let log = &self.shared.log;
+        self.unreadable.borrow_mut().log_once(&error, log);
+    }
+
     /// Path of the engine's health check, if the configuration has one.
     fn health_path(&self) -> Option<String> {
         let catalog = self.shared.catalog.borrow();
