Net: a status that HTTP does not define is no answer

Callers got an engine's answer with status 600 to 999 or 101 as its answer, if it named the request and had a proof; agents learnt from such an answer what their engine is called.

Cause: the client took any status that its library parses, which rejects 000 to 099 but not 600 to 999, and takes 101 for an answer though no request of ours asks for another protocol.

Change: the client gives an answer only for statuses 200 to 599; else the exchange fails (step read answer, with the status), its connection is closed, and the request may have run, as with any broken answer. This holds for services, engines, orders, reports, the log and our own processes, as all use this client.

Evidence: `malformed` (108 whole answers to each kind of call, 22 in chunks with such a line as trailer): before, 101, 600, 601, 700, 799, 800 and 999 were passed on by the gateway, of services and engines, and named an engine to its agent; with 101 a request that may be repeated was not sent elsewhere. All pass now. Held before: 000 to 099 and texts that are no number, and 22 lines that are no field (names with a blank or a control byte, or none), alone and beside a sound one, before and after it; orders, the log and our own processes.

--- a/crates/net/src/client/mod.rs
+++ b/crates/net/src/client/mod.rs
@@ -7,6 +7,7 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,10 +15,11 @@
 use http_body_util::Full;
 use monoio::io::IntoPollIo;
 use pumicecleat_types::Millis;
-use snafu::{IntoError, ResultExt};
+use snafu::{IntoError, ResultExt, ensure};
 
 use crate::error::{
     AddressSnafu, AnswerTimeoutSnafu, ConnectSnafu, ConnectTimeoutSnafu, LostSnafu, NotSentSnafu,
+    StatusSnafu,
 };
 use crate::{NetError, Protocol, Timer};
 
@@ -35,6 +37,9 @@
 /// Header by which a peer tells how long it keeps an idle connection.
 const KEEP_ALIVE: &str = "keep-alive";
 
+/// Statuses that HTTP defines for an answer. Interim ones precede it.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Time by which a kept connection is left before its peer closes it: the way of a request between
 /// data centres, many times over.
 const KEEP_MARGIN: Millis = Millis(500);
@@ -169,6 +174,12 @@
         match sender.try_send(request).await {
             Ok(response) => {
                 let (head, body) = response.into_parts();
+                let status = head.status.as_u16();
+                // Dropping the sender closes the connection, whose next bytes may be anything.
+                ensure!(
+                    FINAL_STATUSES.contains(&status),
+                    StatusSnafu { peer, status }
+                );
                 let limit = keep_alive(&head.headers).map(|span| self.state.timer.now() + span);
                 Ok(Attempt::Answered(Box::new(Response {
                     head,
