Gateway: during a stop, only what can be finished before the process ends is sent

Cause: until a third of the grace every request was sent, whatever its upstream's speed; after it, plain requests whose head or body was on its way were sent at any time (one 0.24 s before the end), and streams that waited for a turn as well. At the end all that had no answer was cut.

Change: a request is sent only if its answer is expected to be whole by 0.9 of the grace; else it is refused as not run, before the first send and before each other. Expected is the 95th percentile of the last 64 answers of its route, or of its service where the route had fewer than 8, plus an eighth and 100 ms; its own limit if a service was sent requests and none was answered; its objective if the service had none. Waits for a turn end with the time left. At 0.9 of the grace what has no answer gets one: 503 if it was not sent, else 502. Streams that have begun are cut at 0.93 as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod shared;
 mod software;
 mod start;
+mod stop;
 mod suspects;
 mod table;
 mod view;
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -16,6 +16,7 @@
 mod resume;
 mod send;
 mod shortlist;
+mod stopping;
 mod trace;
 
 use std::future::Future;
@@ -33,12 +34,14 @@
 use pumicecleat_types::Millis;
 use rand::{Rng, RngExt};
 
-use crate::shared::{Shared, StopPhase};
+use crate::shared::Shared;
+use crate::stop::StopPhase;
 use crate::{RequestAttributes, allowance};
 use authenticate::{Caller, authenticate};
 use fingerprint::fingerprint;
 use job::{Destination, Job};
 use refuse::{Refusal, reject};
+use stopping::until_stop;
 use trace::RequestTrace;
 
 /// Timeout for reading a request body. Callers upload over a link for a few seconds at most.
@@ -60,7 +63,7 @@
     async fn reply(self, request: Incoming) -> Reply {
         let shared = self.shared;
         let mut reply = respond(&shared, request).await;
-        if shared.stop_phase.get() != StopPhase::Running {
+        if shared.stop.phase() != StopPhase::Running {
             let close = HeaderValue::from_static("close");
             reply.headers_mut().insert(CONNECTION, close);
         }
@@ -139,15 +142,15 @@
         return Refusal::no_upstream().reply(&trace);
     };
     let is_engine = layout.engine(&service).is_some();
-    if is_engine && shared.stop_phase.get() == StopPhase::Closing {
+    if is_engine && shared.stop.phase() == StopPhase::Closing {
         return Refusal::stopping().reply(&trace);
     }
     let destination = Destination { route, service };
     let job = Job::new(shared, head, body, attributes, destination, caller, trace);
     if is_engine {
-        model::serve(job).await
+        until_stop(job, model::serve).await
     } else {
-        plain::serve(job).await
+        until_stop(job, plain::serve).await
     }
 }
 
--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model.rs
@@ -125,6 +125,9 @@
         if job.time_left().0 < MIN_TIME_LEFT_MS {
             return Err("deadline");
         }
+        if job.is_too_late() {
+            return Err(progress.refuse_stopping());
+        }
         progress.shortlist.refresh(job, &progress.search).await;
         let Some((upstream, adapter_state)) =
             choose_engine(job, &progress.search, &progress.shortlist)
@@ -229,6 +232,17 @@
         self.repeat.is_some()
     }
 
+    /// Records that the process ends before an attempt could be finished; returns the reason.
+    fn refuse_stopping(&mut self) -> &'static str {
+        let Refusal {
+            reason,
+            retry_after,
+        } = Refusal::stopping();
+        self.reason = Some(reason);
+        self.retry_after = Some(retry_after);
+        reason
+    }
+
     fn record_refusal(&mut self, reason: &'static str, retry_after: Millis) {
         self.reason = Some(reason);
         self.retry_after = Some(self.retry_after.map_or(retry_after, |r| r.min(retry_after)));
@@ -293,7 +307,8 @@
 fn patience(job: &Job) -> Millis {
     let max_wait = Millis(job.route.objective_ms * PATIENCE_OBJECTIVES);
     let max_wait = max_wait.max(MIN_PATIENCE);
-    max_wait.since(job.waited()).min(job.time_left())
+    let left = max_wait.since(job.waited()).min(job.time_left());
+    left.min(job.send_time_left().unwrap_or(left))
 }
 
 async fn attempt(job: &mut Job, turn: &GrantedTurn, progress: &mut Progress) -> AttemptResult {
@@ -306,6 +321,9 @@
     if !job.is_permitted() {
         return AttemptResult::Retry;
     }
+    if job.is_too_late() {
+        return AttemptResult::Failed(progress.refuse_stopping());
+    }
     let software = job.shared.software_of(&turn.upstream, turn.seen_start);
     if job.binding != Binding::Unbound && job.binding != Binding::of(software.clone()) {
         progress.search.exclude(&instance);
--- a/crates/gateway/src/request/plain.rs
+++ b/crates/gateway/src/request/plain.rs
@@ -12,7 +12,7 @@
 
 use super::forward::{Buffered, buffer, forward};
 use super::job::Job;
-use super::refuse::{LIMITED, REPEAT_BOUND, Refusal, outcome_unknown};
+use super::refuse::{LIMITED, REPEAT_BOUND, Refusal, STOPPING, outcome_unknown};
 use super::send::{AttemptOutcome, MIN_TIME_LEFT_MS};
 use crate::limit_pool::{self, PoolAnswer};
 use crate::repeats::{RepeatCause, RepeatReservation};
@@ -59,8 +59,8 @@
     job.count_request();
     let mut progress = Progress::default();
     loop {
-        if job.time_left().0 < MIN_TIME_LEFT_MS {
-            return final_refusal(&job, &progress, "deadline");
+        if let Some(reply) = out_of_time(&job, &progress) {
+            return reply;
         }
         if let Err(refusal) = job.acquire_permit().await {
             return job.refuse(progress.may_have_run, refusal);
@@ -77,6 +77,9 @@
         if !job.is_ready(&upstream.instance) {
             continue;
         }
+        if let Some(reply) = out_of_time(&job, &progress) {
+            return reply;
+        }
         progress.sends += 1;
         let in_flight = job.shared.table.track(&upstream.instance, None);
         let started_at = job.shared.timer.now();
@@ -365,6 +368,21 @@
     Refusal::new(LIMITED, wait).reply(&job.trace)
 }
 
+/// Final response if there is no time for another attempt before the deadline or the end of the process.
+fn out_of_time(job: &Job, progress: &Progress) -> Option<Reply> {
+    if job.time_left().0 < MIN_TIME_LEFT_MS {
+        return Some(final_refusal(job, progress, "deadline"));
+    }
+    if !job.is_too_late() {
+        return None;
+    }
+    if progress.may_have_run {
+        return Some(final_refusal(job, progress, STOPPING));
+    }
+    job.release_permit();
+    Some(Refusal::stopping().reply(&job.trace))
+}
+
 /// Final response if no upstream provided one.
 fn final_refusal(job: &Job, progress: &Progress, reason: &'static str) -> Reply {
     job.release_permit();
--- a/crates/gateway/src/request/refuse.rs
+++ b/crates/gateway/src/request/refuse.rs
@@ -13,6 +13,12 @@
 /// Retry time returned if another gateway can handle the request at once.
 const OTHER_GATEWAY_RETRY_AFTER: Millis = Millis(20);
 
+/// Status of a refusal of a request that was not executed and will not be.
+pub(super) const REFUSED: u16 = 503;
+
+/// Reason of a refusal or failure because the process is about to end.
+pub(super) const STOPPING: &str = "stopping";
+
 /// Reason of a refusal while all upstreams have asked for no requests.
 pub(super) const RESTING: &str = "resting";
 
@@ -57,7 +63,7 @@
     /// The process is about to end.
     pub(super) fn stopping() -> Self {
         Self {
-            reason: "stopping",
+            reason: STOPPING,
             retry_after: OTHER_GATEWAY_RETRY_AFTER,
         }
     }
@@ -87,7 +93,7 @@
 
     /// Response 503 with the retry time.
     pub(super) fn reply(self, trace: &RequestTrace) -> Reply {
-        self.reply_with(503, trace)
+        self.reply_with(REFUSED, trace)
     }
 
     /// Response 429 with the retry time, for a caller that exceeds its own allowance.
@@ -97,6 +103,15 @@
 
     fn reply_with(self, status: u16, trace: &RequestTrace) -> Reply {
         trace.log_turned_down(status, self.reason, self.retry_after);
+        self.plain_reply(status)
+    }
+
+    /// The same response, for a request whose end is logged by its trace.
+    pub(super) fn unlogged_reply(self) -> Reply {
+        self.plain_reply(REFUSED)
+    }
+
+    fn plain_reply(self, status: u16) -> Reply {
         let mut reply = plain_reply(status, "not run; come back later\n");
         let seconds = format!("{:.2}", self.retry_after.as_secs());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
@@ -115,5 +130,10 @@
 /// Response to a request that was sent and may have been executed.
 pub(super) fn outcome_unknown(trace: &RequestTrace, status: u16, reason: &str) -> Reply {
     trace.log_unsettled(status, reason);
+    unknown_reply(status)
+}
+
+/// The same response, for a request whose end is logged by its trace.
+pub(super) fn unknown_reply(status: u16) -> Reply {
     plain_reply(status, "sent, and without a whole answer\n")
 }
--- a/crates/gateway/src/request/trace.rs
+++ b/crates/gateway/src/request/trace.rs
@@ -12,6 +12,8 @@
 
 use super::chunk_gaps::ChunkGaps;
 use super::fingerprint::part_fingerprint;
+use super::refuse::{REFUSED, Refusal, STOPPING};
+use super::stopping::stopped_status;
 use crate::RequestAttributes;
 use crate::meters::{OutcomeLabels, ServiceLabels};
 use crate::shared::Shared;
@@ -49,7 +51,10 @@
     parts_proven: Cell<bool>,
     /// Upstream of the current attempt.
     upstream: RefCell<Option<Upstream>>,
-    attempts: Cell<u32>,
+    /// Attempts, also known to whoever ends the request without its trace.
+    attempts: Rc<Cell<u32>>,
+    /// Time of the first attempt.
+    sent_at: Cell<Option<Millis>>,
     /// Age of the list of upstreams at the start of the latest attempt; 0 if unknown or before any attempt.
     list_age: Cell<Millis>,
     /// Time spent waiting for turns.
@@ -65,6 +70,9 @@
     _drain_guard: DrainGuard,
 }
 
+/// Status if the time for a response is over.
+const TIMED_OUT: u16 = 504;
+
 impl RequestTrace {
     pub(super) fn new(
         shared: &Rc<Shared>,
@@ -94,7 +102,8 @@
             answered_at: Cell::default(),
             parts_proven: Cell::default(),
             upstream: RefCell::default(),
-            attempts: Cell::new(0),
+            attempts: Rc::default(),
+            sent_at: Cell::default(),
             list_age: Cell::default(),
             turn_wait: Cell::default(),
             first_byte: Cell::new(None),
@@ -148,7 +157,10 @@
     /// Records that an attempt is sent to `upstream`.
     pub(super) fn start_attempt(&self, upstream: &Upstream) {
         self.attempts.set(self.attempts.get() + 1);
-        let age = self.shared.marks.list_age(self.shared.timer.now());
+        let now = self.shared.timer.now();
+        self.sent_at.set(self.sent_at.get().or(Some(now)));
+        self.shared.stop.record_request(&self.service.borrow());
+        let age = self.shared.marks.list_age(now);
         self.list_age.set(age.unwrap_or_default());
         self.instance.replace(upstream.instance.clone());
         self.upstream.replace(Some(upstream.clone()));
@@ -157,6 +169,31 @@
         self.parts_proven.set(false);
     }
 
+    /// Number of attempts so far, which goes on.
+    pub(super) fn attempts(&self) -> Rc<Cell<u32>> {
+        Rc::clone(&self.attempts)
+    }
+
+    /// Time by which a request must be sent whose response takes `limit` at most, if a stop was requested.
+    pub(super) fn latest_send(&self, limit: Millis) -> Option<Millis> {
+        let service = self.service.borrow();
+        let objective = Millis(self.objective_ms);
+        self.shared
+            .stop
+            .latest_send(&self.route, &service, limit, objective)
+    }
+
+    /// Records the time of a response that has just ended, or has not come in all the time that it had.
+    fn record_response_time(&self) {
+        if let Some(sent_at) = self.sent_at.get() {
+            let took = self.shared.timer.now().since(sent_at);
+            let service = self.service.borrow();
+            self.shared
+                .stop
+                .record_response(&self.route, &service, took);
+        }
+    }
+
     /// Records that the current attempt is the trial of `suspect`, at an upstream where no other is in progress.
     pub(super) fn set_tried_alone(&self, suspect: SuspectKey) {
         self.tried_alone.set(Some(suspect));
@@ -265,6 +302,9 @@
         let is_complete = error.is_none();
         let error = error.map(ToString::to_string).unwrap_or_default();
         self.count_outcome(if is_complete { "passed_on" } else { "broken" });
+        if is_complete {
+            self.record_response_time();
+        }
         let first = self.first_byte.get().unwrap_or_else(|| self.age());
         let instance = self.instance.borrow();
         let fingerprint = self.fingerprint_text();
@@ -319,6 +359,9 @@
     /// Logs that the request failed and may have been executed.
     pub(super) fn log_unsettled(&self, status: u16, reason: &str) {
         self.count_outcome("unsettled");
+        if status == TIMED_OUT {
+            self.record_response_time();
+        }
         let instance = self.instance.borrow();
         let fingerprint = self.fingerprint_text();
         let account = self.account.borrow();
@@ -368,6 +411,17 @@
         self.shared.log.emit(&events::ATTEMPT_LOST, &fields);
     }
 
+    /// Logs that the process ends before the request has a response.
+    fn log_stopped(&self) {
+        match stopped_status(self.attempts.get()) {
+            status @ REFUSED => {
+                let retry_after = Refusal::stopping().retry_after;
+                self.log_turned_down(status, STOPPING, retry_after);
+            }
+            status => self.log_unsettled(status, STOPPING),
+        }
+    }
+
     fn count_outcome(&self, outcome: &'static str) {
         self.outcome_counted.set(true);
         let service = self.service.borrow().clone();
@@ -384,6 +438,9 @@
         if self.outcome_counted.get() {
             return;
         }
+        if self.shared.stop.is_ending() {
+            return self.log_stopped();
+        }
         self.count_outcome("caller_left");
         let instance = self.instance.borrow();
         let fingerprint = self.fingerprint_text();
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -23,6 +23,7 @@
 use crate::self_reports::SelfReports;
 use crate::service_traits::ServiceTraits;
 use crate::software::SoftwareRegister;
+use crate::stop::StopState;
 use crate::suspects::SuspectState;
 use crate::table::UpstreamTable;
 use crate::{HeaderCodec, RateLimit};
@@ -36,20 +37,6 @@
 /// Readiness condition: keys are accepted, if the configuration has accounts.
 pub(crate) const KEYS: &str = "keys";
 
-/// Progress of a stop.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum StopPhase {
-    /// No stop was requested.
-    #[default]
-    Running,
-    /// Requests are accepted, and each response tells its caller to close the connection and use another
-    /// gateway.
-    Draining,
-    /// Requests to model engines are refused, because their responses may not complete before the process
-    /// ends.
-    Closing,
-}
-
 /// State shared by the parts of the gateway.
 pub(crate) struct Shared {
     pub(crate) timer: Timer,
@@ -105,7 +92,7 @@
     pub(crate) drain: Drain,
     pub(crate) meters: Meters,
     /// Progress of a stop.
-    pub(crate) stop_phase: Cell<StopPhase>,
+    pub(crate) stop: StopState,
 }
 
 impl Shared {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -9,7 +9,7 @@
     Marks, RecordDecoder, confirm_layout, expire_lapsed, follow, watch_list_age,
 };
 use pumicecleat_infra::{KeyedLog, as_millis};
-use pumicecleat_net::{Client, ClientOptions, MemoryBudget, Server, ServerOptions, Timer};
+use pumicecleat_net::{Client, ClientOptions, Elapsed, MemoryBudget, Server, ServerOptions, Timer};
 use pumicecleat_ops::{
     Admin, Capacity, Drain, Dump, ListenError, Log, Metrics, Readiness, Stop, events, field,
     listen, operator_options,
@@ -28,8 +28,9 @@
 use crate::repeats::{Repeats, watch_stops};
 use crate::request::CallerHandler;
 use crate::revoke::{RevokeBudget, watch_keys};
-use crate::shared::{KEYS, LAYOUT, RUNNING, Shared, StopPhase, TOPICS};
+use crate::shared::{KEYS, LAYOUT, RUNNING, Shared, TOPICS};
 use crate::software::{SoftwareRegister, keep_register};
+use crate::stop::StopState;
 use crate::suspects::SuspectState;
 use crate::table::UpstreamTable;
 use crate::{GatewaySettings, HeaderCodec, agents, suspects, view};
@@ -46,6 +47,9 @@
 /// stream in twenty takes four seconds or more.
 const CLOSE_PART: f64 = 0.34;
 
+/// Part of the grace after which requests without a response get a final one.
+const ANSWER_PART: f64 = 0.9;
+
 /// Part of the grace after which the process ends in any case.
 const END_PART: f64 = 0.93;
 
@@ -170,18 +174,23 @@
         let shared = &self.shared;
         let stop_start = shared.timer.now();
         shared.readiness.set_unmet(RUNNING, "stop asked for");
-        shared.stop_phase.set(StopPhase::Draining);
+        shared
+            .stop
+            .start(stop_start + as_millis(self.grace.mul_f64(ANSWER_PART)));
         let open = shared.drain.count();
         shared
             .log
             .emit(&events::DRAIN_STARTED, &[field("open", open)]);
         shared.timer.sleep(self.grace.mul_f64(CLOSE_PART)).await;
-        shared.stop_phase.set(StopPhase::Closing);
+        shared.stop.close();
         self.callers.stop();
-        let time_left = self.grace.mul_f64(END_PART - CLOSE_PART);
-        // Requests that are still in progress after this are cut when the process ends, because the grace
-        // limits the stop.
-        let _ = shared.timer.within(time_left, self.callers.closed()).await;
+        let time_left = self.grace.mul_f64(ANSWER_PART - CLOSE_PART);
+        if self.closed_within(time_left).await.is_err() {
+            shared.stop.end();
+            // Responses that have begun are cut after this, because the grace limits the stop.
+            let time_left = self.grace.mul_f64(END_PART - ANSWER_PART);
+            let _ = self.closed_within(time_left).await;
+        }
         let took = shared.timer.now().since(stop_start).0;
         let cut = shared.drain.count();
         shared
@@ -193,6 +202,13 @@
     }
 }
 
+impl Gateway {
+    /// Waits until all connections of callers have ended.
+    async fn closed_within(&self, span: Duration) -> Result<(), Elapsed> {
+        self.shared.timer.within(span, self.callers.closed()).await
+    }
+}
+
 fn new_shared(
     settings: &GatewaySettings,
     parts: &GatewayParts,
@@ -246,7 +262,7 @@
         readiness: Readiness::new(&[LAYOUT, RUNNING, KEYS], log),
         drain: Drain::new(),
         meters: Meters::new(metrics),
-        stop_phase: Cell::default(),
+        stop: StopState::default(),
     })
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -38,6 +38,7 @@
 mod load_order;
 mod origins;
 mod prompt;
+mod response_times;
 mod router;
 mod scheduler;
 mod shares;
@@ -57,6 +58,7 @@
     ReportedRun, TurnAction, TurnId, TurnOptions, TurnRequest, TurnScheduler, TurnSearch,
     UpstreamLoad, UpstreamStats, members_digest,
 };
+pub use response_times::ResponseTimes;
 pub use router::{
     AttemptOutcome, PromptAffinity, RetryBudget, RetryBudgetOptions, RouteDecision, RouteQuery,
     Router, RouterOptions, SelectedUpstream, UpstreamStatus, lora_key, name_key, part_key,
