Net: short answers between processes have a short limit

A gateway's memory grew to 226 and 295 MB while processes at the addresses of 12 agents sent bodies without end: a VM with 160 MB would have ended it, and the requests of all its callers with it.

Cause: an answer between our processes may be 64 MiB, as a whole configuration may be, and a gateway calls each agent.

Change: calls of gateways and agents take answers of 1 MiB, views of 8 MiB (the changes of two streams, up to 1 MiB of values each, and a row for each engine). A longer one fails as any broken answer.

Evidence: `floods`, real processes of at most 160 MiB: agents_without_end failed before with bodies of no length and of a false one (226 and 295 MB), and passes now. Held before, tests kept: 64 requests at once to services and engines that answer without end (eight kinds), a log that does (seven kinds, gateway and agent). One answer at a time was tested before (`endless`: 13 heads, 14 bodies, agents' calls).

--- a/crates/agent/src/relay/poll.rs
+++ b/crates/agent/src/relay/poll.rs
@@ -4,11 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_net::{NetError, post};
+use pumicecleat_net::{NetError, SHORT_ANSWER, post_ext};
 use pumicecleat_ops::{events, field};
 use pumicecleat_types::{
-    ChangeCursor, FiguresCall, FiguresReply, Member, Millis, SuspectNews, ViewCall, ViewReply,
-    Viewer,
+    ChangeCursor, FiguresCall, FiguresReply, MAX_VIEW_BYTES, Member, Millis, SuspectNews, ViewCall,
+    ViewReply, Viewer,
 };
 
 use super::candidates::listed_members;
@@ -62,12 +62,13 @@
         marks: shared.marks.to_message(sent_at),
     };
     let peer = member.side.to_string();
-    let result: Result<FiguresReply, NetError> = post(
+    let result: Result<FiguresReply, NetError> = post_ext(
         &shared.agent_client,
         &peer,
         FIGURES_PATH,
         &call,
         EXCHANGE_TIMEOUT,
+        SHORT_ANSWER,
     )
     .await;
     let now = shared.timer.now();
@@ -113,12 +114,13 @@
         read_to: streams::read_to(shared),
     };
     let peer = relay.to_string();
-    let result: Result<ViewReply, NetError> = post(
+    let result: Result<ViewReply, NetError> = post_ext(
         &shared.agent_client,
         &peer,
         VIEW_PATH,
         &call,
         EXCHANGE_TIMEOUT,
+        MAX_VIEW_BYTES,
     )
     .await;
     let now = shared.timer.now();
--- a/crates/gateway/src/agents.rs
+++ b/crates/gateway/src/agents.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use pumicecleat_catalog::{Catalog, Upstream};
-use pumicecleat_net::{NetError, post};
+use pumicecleat_net::{NetError, SHORT_ANSWER, post_ext};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::RelaySelector;
 use pumicecleat_types::{
@@ -235,8 +235,15 @@
     // most of the traffic.
     let suspects = (!shared.uses_relay.get()).then(|| suspects::outgoing_news(shared, address));
     call.suspects = suspects.as_ref().map(|s| s.news.clone());
-    let result: Result<TurnReply, NetError> =
-        post(&shared.agent_client, &peer, TURN_PATH, call, timeout).await;
+    let result: Result<TurnReply, NetError> = post_ext(
+        &shared.agent_client,
+        &peer,
+        TURN_PATH,
+        call,
+        timeout,
+        SHORT_ANSWER,
+    )
+    .await;
     match &result {
         Ok(reply) => {
             if let (Some(sent), Some(news)) = (suspects, &reply.suspects) {
--- a/crates/gateway/src/allowance.rs
+++ b/crates/gateway/src/allowance.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use pumicecleat_catalog::{Account, Topic};
-use pumicecleat_net::post;
+use pumicecleat_net::{SHORT_ANSWER, post_ext};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::{
     AllowanceDecision, AllowancePool, AllowanceTerms, GatewayPeak, PoolSelector,
@@ -180,7 +180,15 @@
     };
     let peer = side.to_string();
     let client = &shared.agent_client;
-    let result = post(client, &peer, ALLOWANCE_PATH, &message, CALL_TIMEOUT).await;
+    let result = post_ext(
+        client,
+        &peer,
+        ALLOWANCE_PATH,
+        &message,
+        CALL_TIMEOUT,
+        SHORT_ANSWER,
+    )
+    .await;
     let now = shared.timer.now();
     let result: Result<AllowanceReply, _> = result;
     match result {
--- a/crates/gateway/src/candidates.rs
+++ b/crates/gateway/src/candidates.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use pumicecleat_net::{NetError, post};
+use pumicecleat_net::{NetError, SHORT_ANSWER, post_ext};
 use pumicecleat_ops::{events, field};
 use pumicecleat_types::{CandidatesCall, CandidatesReply};
 
@@ -24,8 +24,15 @@
     let sent_at = shared.timer.now();
     let peer = relay.to_string();
     let client = &shared.agent_client;
-    let result: Result<CandidatesReply, NetError> =
-        post(client, &peer, CANDIDATES_PATH, call, CANDIDATES_TIMEOUT).await;
+    let result: Result<CandidatesReply, NetError> = post_ext(
+        client,
+        &peer,
+        CANDIDATES_PATH,
+        call,
+        CANDIDATES_TIMEOUT,
+        SHORT_ANSWER,
+    )
+    .await;
     let now = shared.timer.now();
     let rows = match result {
         Ok(reply) => reply.rows.unwrap_or_default(),
--- a/crates/gateway/src/limit_pool.rs
+++ b/crates/gateway/src/limit_pool.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use pumicecleat_catalog::Upstream;
-use pumicecleat_net::post;
+use pumicecleat_net::{SHORT_ANSWER, post_ext};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::{GatewayPeak, PoolSelector, SlotQueue, limit_terms};
 use pumicecleat_types::{AllowanceAsk, AllowanceCall, AllowanceOutcome, AllowanceReply, Millis};
@@ -125,7 +125,15 @@
     };
     let peer = side.to_string();
     let client = &shared.agent_client;
-    let result = post(client, &peer, ALLOWANCE_PATH, &message, CALL_TIMEOUT).await;
+    let result = post_ext(
+        client,
+        &peer,
+        ALLOWANCE_PATH,
+        &message,
+        CALL_TIMEOUT,
+        SHORT_ANSWER,
+    )
+    .await;
     let result: Result<AllowanceReply, _> = result;
     let now = shared.timer.now();
     match result {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -10,7 +10,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use pumicecleat_net::{NetError, post};
+use pumicecleat_net::{NetError, SHORT_ANSWER, post_ext};
 use pumicecleat_policy::{COPIES, LOOKUPS, OriginTable, keepers, keepers_of};
 use pumicecleat_types::{Millis, OriginCall, OriginReply, StreamOrigin};
 
@@ -115,7 +115,15 @@
     timeout: Duration,
 ) -> Result<OriginReply, NetError> {
     let peer = agent.to_string();
-    post(&shared.agent_client, &peer, ORIGIN_PATH, call, timeout).await
+    post_ext(
+        &shared.agent_client,
+        &peer,
+        ORIGIN_PATH,
+        call,
+        timeout,
+        SHORT_ANSWER,
+    )
+    .await
 }
 
 fn ranked_keepers(shared: &Shared, request: &str) -> Vec<SocketAddr> {
--- a/crates/gateway/src/suspects/trial.rs
+++ b/crates/gateway/src/suspects/trial.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use pumicecleat_net::{NetError, post};
+use pumicecleat_net::{NetError, SHORT_ANSWER, post_ext};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::name_key;
 use pumicecleat_types::{
@@ -150,8 +150,15 @@
     }
     for agent in agents.iter().take(MAX_AGENTS_ASKED) {
         let peer = agent.to_string();
-        let reply: Result<TrialReply, NetError> =
-            post(&shared.agent_client, &peer, TRIAL_PATH, call, TRIAL_TIMEOUT).await;
+        let reply: Result<TrialReply, NetError> = post_ext(
+            &shared.agent_client,
+            &peer,
+            TRIAL_PATH,
+            call,
+            TRIAL_TIMEOUT,
+            SHORT_ANSWER,
+        )
+        .await;
         match reply {
             Ok(reply) => return Decision::Agent(peer, reply),
             Err(e) => {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use pumicecleat_catalog::Upstream;
-use pumicecleat_net::{NetError, post};
+use pumicecleat_net::{NetError, post_ext};
 use pumicecleat_ops::{events, field};
 use pumicecleat_policy::{RelayPick, RelaySelector, members_digest};
-use pumicecleat_types::{Member, Millis, ViewCall, ViewReply, Viewer};
+use pumicecleat_types::{MAX_VIEW_BYTES, Member, Millis, ViewCall, ViewReply, Viewer};
 
 use crate::agents::engines;
 use crate::shared::Shared;
@@ -100,8 +100,15 @@
         read_to: shared.marks.read_to(),
     };
     let peer = side.to_string();
-    let result: Result<ViewReply, NetError> =
-        post(&shared.agent_client, &peer, VIEW_PATH, &call, VIEW_TIMEOUT).await;
+    let result: Result<ViewReply, NetError> = post_ext(
+        &shared.agent_client,
+        &peer,
+        VIEW_PATH,
+        &call,
+        VIEW_TIMEOUT,
+        MAX_VIEW_BYTES,
+    )
+    .await;
     let now = shared.timer.now();
     match result {
         Ok(reply) => {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -56,7 +56,7 @@
 pub use listener::{bind, bind_exclusive};
 pub use local::Local;
 pub use memory::{Buffer, Cause, Lease, MemoryBudget, MemoryLimits, MemoryReading, NoRoom};
-pub use peer::post;
+pub use peer::{SHORT_ANSWER, post, post_ext};
 pub use protocol::Protocol;
 pub use reply::{json_reply, peer_reply, plain_reply, retry_after};
 pub use runtime::{RuntimeError, run};
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -11,9 +11,12 @@
 use crate::error::{DecodeSnafu, StatusSnafu};
 use crate::{Client, NetError};
 
-/// Longest answer of a fixed-length exchange, bytes.
+/// Longest answer of an exchange that may bring a whole configuration, bytes.
 const ANSWER_LIMIT: u64 = 64 << 20;
 
+/// Longest answer of an exchange that brings what changes, bytes. Bounds what many faulty peers can have a process hold.
+pub const SHORT_ANSWER: u64 = 1 << 20;
+
 /// Posts `message` to `path` at `peer` and gives its answer.
 ///
 /// # Errors
@@ -24,6 +27,21 @@
     path: &str,
     message: &M,
     span: Duration,
+) -> Result<A, NetError> {
+    post_ext(client, peer, path, message, span, ANSWER_LIMIT).await
+}
+
+/// The same with an answer of at most `limit` bytes.
+///
+/// # Errors
+/// [`NetError`], with the step at which the exchange failed.
+pub async fn post_ext<M: Serialize, A: DeserializeOwned>(
+    client: &Client,
+    peer: &str,
+    path: &str,
+    message: &M,
+    span: Duration,
+    limit: u64,
 ) -> Result<A, NetError> {
     let request = peer_request(path, encode(message));
     let mut response = client.send(peer, request, span).await?;
@@ -31,7 +49,7 @@
     if status != 200 {
         return StatusSnafu { peer, status }.fail();
     }
-    let body = response.read(ANSWER_LIMIT, span).await?;
+    let body = response.read(limit, span).await?;
     decode(&body).context(DecodeSnafu { peer })
 }
 
--- a/crates/types/src/message/mod.rs
+++ b/crates/types/src/message/mod.rs
@@ -30,7 +30,7 @@
     TurnAsk, TurnCall, TurnRefusal, TurnReply,
 };
 pub use view::{
-    CandidatesCall, CandidatesReply, ChangeCursor, FiguresCall, FiguresReply, Member, Reachability,
-    ViewCall, ViewReply, ViewRow, Viewer,
+    CandidatesCall, CandidatesReply, ChangeCursor, FiguresCall, FiguresReply, MAX_VIEW_BYTES,
+    Member, Reachability, ViewCall, ViewReply, ViewRow, Viewer,
 };
 pub use vm::{VmEntry, VmRole, VmState};
--- a/crates/types/src/message/view.rs
+++ b/crates/types/src/message/view.rs
@@ -61,6 +61,10 @@
     pub count: u64,
 }
 
+/// Maximum size of an encoded [`ViewReply`], bytes: the changes of two streams, up to 1 MiB of values each, and a row for
+/// each engine.
+pub const MAX_VIEW_BYTES: u64 = 8 << 20;
+
 /// Reply to a [`ViewCall`].
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ViewReply {
