--- a/crates/gateway/src/request/model.rs
+++ b/crates/gateway/src/request/model/mod.rs
@@ -1,5 +1,7 @@
 //! Requests to model engines: obtains a turn from the agent, then sends the request directly to the engine.
 
+mod progress;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -15,11 +17,11 @@
 use super::refuse::{LIMITED, REPEAT_BOUND, RESTING, Refusal, outcome_unknown};
 use super::resume;
 use super::send::{AttemptOutcome, MIN_TIME_LEFT_MS};
-use super::shortlist::Shortlist;
 use crate::RetryAfter;
 use crate::agents::{self, AgentLost, AskOutcome};
-use crate::repeats::{RepeatCause, RepeatReservation};
+use crate::repeats::RepeatCause;
 use crate::table::InFlight;
+pub(super) use progress::Progress;
 
 /// Wait for the first event after which callers disconnect, in objectives. They wait at least
 /// [`MIN_PATIENCE`].
@@ -201,54 +203,6 @@
     job.trace.age() < max_wait && listed.iter().any(|u| !search.is_excluded(&u.instance))
 }
 
-/// Progress of a request.
-#[derive(Default)]
-pub(super) struct Progress {
-    search: TurnSearch,
-    shortlist: Shortlist,
-    sends: u32,
-    /// Reserved for the next attempt, if it is a repeat.
-    repeat: Option<RepeatReservation>,
-    may_have_run: bool,
-    reason: Option<&'static str>,
-    retry_after: Option<Millis>,
-}
-
-impl Progress {
-    /// Records that all engines have asked for no requests during `backoff`.
-    fn set_backoff(&mut self, backoff: Millis) {
-        self.reason = Some(RESTING);
-        self.retry_after = Some(backoff);
-    }
-
-    /// Whether a request that may have run may be sent once more.
-    fn may_retry(&self, job: &Job) -> bool {
-        job.route.retry != RetryMode::Never && self.sends < job.route.max_attempts
-    }
-
-    /// Reserves the next attempt, if the limit of repeats allows one.
-    fn reserve_repeat(&mut self, job: &Job, cause: RepeatCause) -> bool {
-        self.repeat = job.reserve_repeat(cause);
-        self.repeat.is_some()
-    }
-
-    /// Records that the process ends before an attempt could be finished; returns the reason.
-    fn refuse_stopping(&mut self) -> &'static str {
-        let Refusal {
-            reason,
-            retry_after,
-        } = Refusal::stopping();
-        self.reason = Some(reason);
-        self.retry_after = Some(retry_after);
-        reason
-    }
-
-    fn record_refusal(&mut self, reason: &'static str, retry_after: Millis) {
-        self.reason = Some(reason);
-        self.retry_after = Some(self.retry_after.map_or(retry_after, |r| r.min(retry_after)));
-    }
-}
-
 /// A response, and the guard that counts its request as in progress.
 pub(super) struct EngineResponse {
     pub(super) response: Response,
