Gateway: in a stop, a stream is sent if half of the recent ones were quick enough

Change: for streams the median counts in place of the 95th percentile; their lengths differ widely. Plain requests as before. Constant speeds, as in the test of the stop, give the same either way.

--- a/crates/gateway/src/request/trace/mod.rs
+++ b/crates/gateway/src/request/trace/mod.rs
@@ -17,6 +17,7 @@
 use crate::RequestAttributes;
 use crate::meters::{OutcomeLabels, ServiceLabels};
 use crate::shared::Shared;
+use crate::stop::StopQuery;
 use crate::suspects;
 
 /// Logs the end of a request once. If dropped before, it logs that the caller disconnected.
@@ -173,11 +174,13 @@
 
     /// Time by which a request must be sent whose response takes `limit` at most, if a stop was requested.
     pub(super) fn latest_send(&self, limit: Millis) -> Option<Millis> {
-        let service = self.service.borrow();
-        let objective = Millis(self.objective_ms);
-        self.shared
-            .stop
-            .latest_send(&self.route, &service, limit, objective)
+        self.shared.stop.latest_send(&StopQuery {
+            route: &self.route,
+            service: &self.service.borrow(),
+            is_stream: self.is_stream,
+            limit,
+            objective: Millis(self.objective_ms),
+        })
     }
 
     /// Records the time of a response that has just ended, or has not come in all the time that it had.
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -12,6 +12,24 @@
 /// Part of the expected time by which it may take longer in addition.
 const SPARE_DIVISOR: u64 = 8;
 
+/// Part of the recent responses that must have been quick enough for another to be sent.
+const PART: f64 = 0.95;
+
+/// The same for streams. Their lengths differ widely, and most of the callers refused early in a stop come back to this
+/// process, because the platform still sends them here.
+const STREAM_PART: f64 = 0.5;
+
+/// What a stop needs to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StopQuery<'a> {
+    pub(crate) route: &'a str,
+    pub(crate) service: &'a str,
+    pub(crate) is_stream: bool,
+    /// Time that the response takes at most.
+    pub(crate) limit: Millis,
+    pub(crate) objective: Millis,
+}
+
 /// Progress of a stop.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum StopPhase {
@@ -87,22 +105,16 @@
     }
 
     /// Time by which a request must be sent for its response to be whole before the process ends; `None` if no stop was
-    /// requested. The response takes `limit` at most, and is expected to take `objective` if the service has had no
-    /// request yet.
-    pub(crate) fn latest_send(
-        &self,
-        route: &str,
-        service: &str,
-        limit: Millis,
-        objective: Millis,
-    ) -> Option<Millis> {
+    /// requested. The response is expected to meet its objective if the service has had no request yet.
+    pub(crate) fn latest_send(&self, query: &StopQuery<'_>) -> Option<Millis> {
         let ends_at = self.ends_at.get()?;
+        let part = if query.is_stream { STREAM_PART } else { PART };
         let times = self.times.borrow();
-        let unused = || (!times.has_requests(service)).then_some(objective);
-        let expected = times.expected(route, service).or_else(unused);
-        let needed = expected.map_or(limit, |expected| {
+        let unused = || (!times.has_requests(query.service)).then_some(query.objective);
+        let recent = times.quantile(query.route, query.service, part);
+        let needed = recent.or_else(unused).map_or(query.limit, |expected| {
             let spare = SPARE_TIME + Millis(expected.0 / SPARE_DIVISOR);
-            limit.min(expected + spare)
+            query.limit.min(expected + spare)
         });
         Some(ends_at - needed)
     }
--- a/crates/policy/src/response_times.rs
+++ b/crates/policy/src/response_times.rs
@@ -10,9 +10,6 @@
 /// Number of responses from which on those of a route tell enough without others of its service.
 const MIN_SAMPLES: usize = 8;
 
-/// Part of the recent responses that take no longer than the expected time.
-const EXPECTED_PART: f64 = 0.95;
-
 /// Maximum number of routes and services; all are forgotten beyond it.
 const MAX_NAMES: usize = 1_024;
 
@@ -28,11 +25,11 @@
         self.0.push_back(took);
     }
 
-    /// Time that [`EXPECTED_PART`] of the responses took at most; `None` without one.
-    fn expected(&self) -> Option<Millis> {
+    /// Time that `part` of the responses took at most; `None` without one.
+    fn quantile(&self, part: f64) -> Option<Millis> {
         let mut sorted: Vec<Millis> = self.0.iter().copied().collect();
         sorted.sort_unstable();
-        let slower = (1.0 - EXPECTED_PART) * f64::from(u32::try_from(sorted.len()).ok()?);
+        let slower = (1.0 - part) * f64::from(u32::try_from(sorted.len()).ok()?);
         sorted.into_iter().rev().nth(to_index(slower))
     }
 }
@@ -62,16 +59,16 @@
         samples_of(&mut self.by_service, service).push(took);
     }
 
-    /// Time that a response of `route` is expected to take at most; `None` if neither its route nor its service has
-    /// had one.
+    /// Time that `part` of the recent responses of `route` took at most; `None` if neither it nor its service has had
+    /// one.
     #[must_use]
-    pub fn expected(&self, route: &str, service: &str) -> Option<Millis> {
+    pub fn quantile(&self, route: &str, service: &str, part: f64) -> Option<Millis> {
         let of_route = self.by_route.get(route);
         let of_service = self.by_service.get(service);
         let samples = of_route
             .filter(|samples| samples.0.len() >= MIN_SAMPLES)
             .or(of_service);
-        samples.and_then(Samples::expected)
+        samples.and_then(|samples| samples.quantile(part))
     }
 }
 
--- a/crates/policy/tests/response_times.rs
+++ b/crates/policy/tests/response_times.rs
@@ -3,11 +3,13 @@
 use pumicecleat_policy::ResponseTimes;
 use pumicecleat_types::Millis;
 
+const PART: f64 = 0.95;
+
 struct Case {
     name: &'static str,
     /// Responses by route, service, time and number.
     responses: &'static [(&'static str, &'static str, u64, usize)],
-    /// Expected time of a response of route `r` and service `s`.
+    /// Time that 19 in 20 responses of route `r` and service `s` took at most.
     expected: Option<u64>,
 }
 
@@ -63,19 +65,28 @@
                 times.record(route, service, Millis(*took));
             }
         }
-        let expected = times.expected("r", "s");
+        let expected = times.quantile("r", "s", PART);
         assert_eq!(expected, case.expected.map(Millis), "{}", case.name);
     }
 }
 
+#[test]
+fn half_of_the_responses_are_no_slower_than_the_median() {
+    let mut times = ResponseTimes::default();
+    for took in [900, 30, 500, 40, 800] {
+        times.record("r", "s", Millis(took));
+    }
+    assert_eq!(times.quantile("r", "s", 0.5), Some(Millis(500)));
+}
+
 #[test]
 fn names_without_end_take_no_memory_without_end() {
     let mut times = ResponseTimes::default();
     for n in 0..10_000 {
         times.record(&format!("r{n}"), &format!("s{n}"), Millis(30));
     }
-    assert_eq!(times.expected("r0", "s0"), None);
-    assert_eq!(times.expected("r9999", "s9999"), Some(Millis(30)));
+    assert_eq!(times.quantile("r0", "s0", PART), None);
+    assert_eq!(times.quantile("r9999", "s9999", PART), Some(Millis(30)));
 }
 
 #[test]
@@ -84,5 +95,5 @@
     assert!(!times.has_requests("s"));
     times.record_request("s");
     assert!(times.has_requests("s"));
-    assert_eq!(times.expected("r", "s"), None);
+    assert_eq!(times.quantile("r", "s", PART), None);
 }
